Split the entry host's APIs and put several state machines behind one log

Cause: the entry host held every route, and a data centre's group will carry claims beside tasks; work side by side would have met in one file.

--- a/cornelpond/app/Api.cpp
+++ b/cornelpond/app/Api.cpp
@@ -64,6 +64,13 @@
     return parseJson(this->request.body, limits);
 }
 
+std::string stringAt(nlohmann::json const& body, std::string const& key)
+{
+    if (!body.is_object() || !body.contains(key) || !body[key].is_string())
+        throw Error(ResultCode::SchemaViolation, "/" + key + ": expected a string");
+    return body[key].get<std::string>();
+}
+
 void ApiRouter::add(std::string method, std::string pattern, Handler handler)
 {
     this->routes.push_back({ std::move(method), std::move(pattern), std::move(handler) });
--- a/cornelpond/app/Api.h
+++ b/cornelpond/app/Api.h
@@ -40,6 +40,9 @@
     nlohmann::json body(JsonLimits const& limits) const;
 };
 
+/// The string member `key` of a request body. Throws Error(SchemaViolation).
+std::string stringAt(nlohmann::json const& body, std::string const& key);
+
 class ApiRouter {
 public:
     using Handler = std::function<void(ApiCall const& call)>;
--- /dev/null
+++ b/cornelpond/app/ConfigApi.h
@@ -0,0 +1,38 @@
+#pragma once
+
+// The operators' API for the configuration.
+//
+//   GET /v1/config?version=N   the version in force, or an older one
+//   GET /v1/config/history     who changed what when
+//   PUT /v1/config             {"expectedVersion", "operationId", "author", "document"}
+
+#include "cornelpond/app/Api.h"
+#include "cornelpond/core/config/ConfigService.h"
+#include "cornelpond/ports/Clock.h"
+#include "cornelpond/ports/EventSink.h"
+
+namespace cornelpond {
+
+class ConfigApi {
+public:
+    /// All references must outlive the API.
+    ConfigApi(Clock const& clock, EventSink& events, ConfigService& config, JsonLimits limits)
+        : clock(clock)
+        , events(events)
+        , config(config)
+        , limits(limits)
+    {
+    }
+
+    void addRoutes(ApiRouter& router);
+
+private:
+    void changeConfig(ApiCall const& call);
+
+    Clock const& clock;
+    EventSink& events;
+    ConfigService& config;
+    JsonLimits limits;
+};
+
+} // namespace cornelpond
--- a/cornelpond/app/EntryHost.cpp
+++ b/cornelpond/app/EntryHost.cpp
@@ -1,11 +1,9 @@
 #include "cornelpond/app/EntryHost.h"
 
-#include "cornelpond/adapters/schema/SchemaCheck.h"
 #include "cornelpond/core/tasks/TaskJson.h"
 
 #include <nlohmann/json.hpp>
 
-#include <charconv>
 #include <random>
 
 namespace cornelpond {
@@ -13,8 +11,6 @@
 namespace {
 
     constexpr Duration tickInterval = Duration::milliseconds(20);
-    constexpr Duration pushTimeout = Duration::seconds(1);
-    constexpr size_t maxListedTasks = 10000;
 
     uint64_t entropy()
     {
@@ -22,43 +18,6 @@
         return (static_cast<uint64_t>(device()) << 32) | device();
     }
 
-    nlohmann::json toJson(ConfigRecord const& record)
-    {
-        return {
-            { "version", record.version.value() },
-            { "operationId", record.operationId },
-            { "author", record.author },
-            { "changedAtMs", record.changedAtMs },
-            { "document", nlohmann::json::parse(record.document) },
-        };
-    }
-
-    void answerTaskResult(ApiCall const& call, TaskResult const& result)
-    {
-        if (result.code != ResultCode::Ok) {
-            call.answer(refusal(result.code, result.message));
-            return;
-        }
-        call.answer(jsonResponse(200, { { "code", 0 }, { "message", result.message } }));
-    }
-
-    std::optional<ConfigVersion> parseVersion(std::string const& text)
-    {
-        uint64_t number = 0;
-        char const* const end = text.data() + text.size();
-        auto const parsed = std::from_chars(text.data(), end, number);
-        if (parsed.ec != std::errc() || parsed.ptr != end)
-            return std::nullopt;
-        return ConfigVersion(number);
-    }
-
-    std::string stringAt(nlohmann::json const& body, std::string const& key)
-    {
-        if (!body.is_object() || !body.contains(key) || !body[key].is_string())
-            throw Error(ResultCode::SchemaViolation, "/" + key + ": expected a string");
-        return body[key].get<std::string>();
-    }
-
 } // namespace
 
 EntryHost::EntryHost(EventLoop& loop, Settings givenSettings, EventSink& events)
@@ -68,23 +27,31 @@
     , random(entropy())
     , client(loop, HttpClientLimits())
     , backendServers(this->settings.times.announcementExpiry)
+    , pusher(this->client)
     , taskStorage(this->settings.dataFolder + "/tasks", events)
     , configStorage(this->settings.dataFolder + "/config", events)
-    , taskLog(this->settings.host, this->taskStorage, this->taskHooks())
-    , configLog(this->settings.host, this->configStorage, this->configHooks())
-    , scheduler(loop, events, this->taskLog, LeaseTimes { this->settings.times.lease, this->settings.times.driftMargin },
-          [this](Worker const& worker, AnnouncementAnswer const& commands) { this->pushCommands(worker, commands); })
-    , config(this->configLog, [this](ConfigRecord const& record) { this->onConfig(record); })
+    , scheduler(loop, events, this->taskMachines.add(StateMachinePart::Tasks, this->taskHooks()), LeaseTimes { this->settings.times.lease, this->settings.times.driftMargin },
+          [this](Worker const& worker, AnnouncementAnswer const& commands) { this->pusher.push(worker, commands); })
+    , config(this->configMachines.add(StateMachinePart::Configuration, this->configHooks()), [this](ConfigRecord const& record) { this->onConfig(record); })
+    , taskLog(this->settings.host, this->taskStorage, this->taskMachines.hooks())
+    , configLog(this->settings.host, this->configStorage, this->configMachines.hooks())
     , callerEndpoint(
           loop, events, this->metrics, this->client, this->backendServers, this->random, [this]() -> Policy const& { return this->policy; }, this->settings.limits.maxQueuedRequests)
+    , workerApi(loop, events, this->scheduler, this->backendServers, this->settings.dataCentre, this->settings.times.announcementExpiry, this->jsonLimits(), [this] { this->callerEndpoint.onServersChanged(); })
+    , taskApi(this->scheduler, this->jsonLimits(), [this] { return static_cast<bool>(this->onShutDown); })
+    , configApi(loop, events, this->config, this->jsonLimits())
     , callerServer(loop, this->httpLimits(), [this](HttpRequest request, HttpResponder const& responder) { this->handleCaller(std::move(request), responder); })
     , workerServer(loop, this->httpLimits(), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleWorker(request, responder); })
     , operatorServer(loop, this->httpLimits(), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleOperator(request, responder); })
 {
-    this->addWorkerRoutes();
-    this->addTaskRoutes();
-    this->addConfigRoutes();
-    this->addOperatorRoutes();
+    this->taskMachines.attach(this->taskLog);
+    this->configMachines.attach(this->configLog);
+    this->addHealthRoute(this->workerRouter);
+    this->addHealthRoute(this->operatorRouter);
+    this->workerApi.addRoutes(this->workerRouter);
+    this->taskApi.addRoutes(this->operatorRouter);
+    this->configApi.addRoutes(this->operatorRouter);
+    this->operatorRouter.add("GET", "/v1/status", [this](ApiCall const& call) { call.answer(jsonResponse(200, this->status())); });
 }
 
 EntryHost::~EntryHost()
@@ -167,23 +134,6 @@
     this->events.emit(Event(EventId::ConfigurationInForce).with("version", record.version));
 }
 
-void EntryHost::pushCommands(Worker const& worker, AnnouncementAnswer const& commands)
-{
-    std::string const& text = worker.last.commandAddress;
-    size_t const colon = text.rfind(':');
-    uint16_t port = 0;
-    if (colon == std::string::npos || std::from_chars(text.data() + colon + 1, text.data() + text.size(), port).ec != std::errc())
-        return;
-    HttpRequest request;
-    request.method = "POST";
-    request.path = "/v1/commands";
-    request.body = cornelpond::toJson(commands).dump();
-    HttpSendOptions options;
-    options.timeout = pushTimeout;
-    // A lost push is repeated by the answer to the worker's next announcement.
-    this->client.send({ text.substr(0, colon), port }, request, options, [](HttpOutcome const&) {});
-}
-
 void EntryHost::addHealthRoute(ApiRouter& router)
 {
     router.add("GET", "/health", [this](ApiCall const& call) {
@@ -202,161 +152,12 @@
     });
 }
 
-void EntryHost::addWorkerRoutes()
-{
-    this->addHealthRoute(this->workerRouter);
-    this->workerRouter.add("POST", "/v1/workers/announce", [this](ApiCall const& call) {
-        AnnouncementAnswer const answer = this->scheduler.onAnnouncement(workerAnnouncementFromJson(call.body(this->jsonLimits())));
-        call.answer(jsonResponse(200, cornelpond::toJson(answer)));
-    });
-    this->workerRouter.add("POST", "/v1/backend-servers/announce", [this](ApiCall const& call) { this->announceBackendServer(call); });
-}
-
-void EntryHost::announceBackendServer(ApiCall const& call)
-{
-    BackendServerAnnouncement announcement = backendServerAnnouncementFromJson(call.body(this->jsonLimits()));
-    if (announcement.dataCentre.empty())
-        announcement.dataCentre = this->settings.dataCentre;
-    bool const joined = this->backendServers.announce(announcement, this->loop.now());
-    if (joined) {
-        this->events.emit(Event(EventId::BackendServerJoined).with("server", announcement.server).with("service", announcement.service).with("slots", announcement.slots));
-        this->callerEndpoint.onServersChanged();
-    }
-    if (announcement.leaving)
-        this->events.emit(Event(EventId::BackendServerLeft).with("server", announcement.server).with("reason", "said so"));
-    call.answer(jsonResponse(200, { { "code", 0 }, { "expiryMs", this->settings.times.announcementExpiry.toMilliseconds() } }));
-}
-
-void EntryHost::addTaskRoutes()
-{
-    this->operatorRouter.add("POST", "/v1/tasks", [this](ApiCall const& call) {
-        if (this->onShutDown)
-            throw Error(ResultCode::ShuttingDown, "this host is draining");
-        TaskSpec const spec = taskSpecFromJson(call.body(this->jsonLimits()));
-        this->scheduler.submit(spec, [call](TaskResult const& result) { answerTaskResult(call, result); });
-    });
-    this->operatorRouter.add("GET", "/v1/tasks", [this](ApiCall const& call) { this->listTasks(call); });
-    this->operatorRouter.add("GET", "/v1/tasks/*", [this](ApiCall const& call) {
-        Task const* task = this->scheduler.table().find(TaskId(call.rest));
-        if (!task)
-            throw Error(ResultCode::NotFound, "no task '" + call.rest + "'");
-        call.answer(jsonResponse(200, cornelpond::toJson(*task)));
-    });
-    this->operatorRouter.add("GET", "/v1/explain/*", [this](ApiCall const& call) {
-        Task const* task = this->scheduler.table().find(TaskId(call.rest));
-        if (!task)
-            throw Error(ResultCode::NotFound, "no task '" + call.rest + "'");
-        call.answer(jsonResponse(200,
-            { { "task", call.rest }, { "state", std::string(taskStateName(task->state)) }, { "worker", task->worker.value() }, { "reason", this->scheduler.explain(*task).reason } }));
-    });
-    this->operatorRouter.add("POST", "/v1/cancel", [this](ApiCall const& call) { this->cancelTasks(call); });
-}
-
-void EntryHost::listTasks(ApiCall const& call)
-{
-    Selector const selector = Selector::parse(call.parameter("selector"));
-    std::string const state = call.parameter("state");
-    nlohmann::json tasks = nlohmann::json::array();
-    bool complete = true;
-    for (auto const& [id, task] : this->scheduler.table().all()) {
-        if (!selector.matches(task.spec.labels) || (!state.empty() && taskStateName(task.state) != state))
-            continue;
-        if (tasks.size() >= maxListedTasks) {
-            complete = false;
-            break;
-        }
-        tasks.push_back(cornelpond::toJson(task));
-    }
-    call.answer(jsonResponse(200, { { "tasks", std::move(tasks) }, { "complete", complete } }));
-}
-
-void EntryHost::cancelTasks(ApiCall const& call)
-{
-    nlohmann::json const body = call.body(this->jsonLimits());
-    auto const done = [call](TaskResult const& result) { answerTaskResult(call, result); };
-    if (body.is_object() && body.contains("selector")) {
-        std::string const text = stringAt(body, "selector");
-        if (text.find_first_not_of(" \t\r\n") == std::string::npos)
-            throw Error(ResultCode::BadSelector, "selector: an empty one would cancel everything");
-        this->scheduler.cancelMatching(Selector::parse(text), done);
-        return;
-    }
-    this->scheduler.cancel(TaskId(stringAt(body, "task")), done);
-}
-
-void EntryHost::addConfigRoutes()
-{
-    this->operatorRouter.add("GET", "/v1/config", [this](ApiCall const& call) {
-        std::string const wanted = call.parameter("version");
-        ConfigRecord const* record = &this->config.table().current();
-        if (!wanted.empty()) {
-            std::optional<ConfigVersion> const version = parseVersion(wanted);
-            record = version ? this->config.table().find(*version) : nullptr;
-        }
-        if (!record)
-            throw Error(ResultCode::NotFound, "no configuration version '" + wanted + "'");
-        call.answer(jsonResponse(200, toJson(*record)));
-    });
-    this->operatorRouter.add("GET", "/v1/config/history", [this](ApiCall const& call) {
-        nlohmann::json versions = nlohmann::json::array();
-        for (auto const& record : this->config.table().all())
-            versions.push_back({ { "version", record.version.value() }, { "author", record.author }, { "operationId", record.operationId }, { "changedAtMs", record.changedAtMs } });
-        call.answer(jsonResponse(200, { { "versions", std::move(versions) } }));
-    });
-    this->operatorRouter.add("PUT", "/v1/config", [this](ApiCall const& call) { this->changeConfig(call); });
-}
-
-void EntryHost::changeConfig(ApiCall const& call)
-{
-    nlohmann::json const body = call.body(this->jsonLimits());
-    ConfigChange change;
-    change.operationId = stringAt(body, "operationId");
-    change.author = stringAt(body, "author");
-    if (!body.contains("expectedVersion") || !body["expectedVersion"].is_number_unsigned())
-        throw Error(ResultCode::SchemaViolation, "/expectedVersion: expected a whole number");
-    change.expected = ConfigVersion(body["expectedVersion"].get<uint64_t>());
-    if (!body.contains("document"))
-        throw Error(ResultCode::SchemaViolation, "/document: missing");
-    nlohmann::json const& document = body["document"];
-    std::vector<DocumentFault> faults = checkSchema(policySchema(), document);
-    if (faults.empty())
-        faults = crossCheckPolicy(document);
-    if (!faults.empty()) {
-        this->events.emit(Event(EventId::ConfigurationRefused).with("operation", change.operationId).with("faults", faults.size()));
-        throw DocumentError(ResultCode::SchemaViolation, std::move(faults));
-    }
-    change.document = document.dump();
-    change.changedAtMs = this->loop.wallMilliseconds();
-    this->config.change(change, [this, call, change](ConfigResult const& result) {
-        bool const accepted = result.code == ResultCode::Ok;
-        this->events.emit(Event(accepted ? EventId::ConfigurationAccepted : EventId::ConfigurationRefused).with("operation", change.operationId).with("version", result.version).with("code", static_cast<int>(result.code)));
-        if (accepted) {
-            call.answer(jsonResponse(200, { { "code", 0 }, { "version", result.version.value() } }));
-            return;
-        }
-        HttpResponse response = refusal(result.code, "not accepted; version in force: " + std::to_string(result.version.value()));
-        call.answer(response);
-    });
-}
-
-void EntryHost::addOperatorRoutes()
-{
-    this->addHealthRoute(this->operatorRouter);
-    this->operatorRouter.add("GET", "/v1/status", [this](ApiCall const& call) { call.answer(jsonResponse(200, this->status())); });
-    this->operatorRouter.add("POST", "/v1/drain", [this](ApiCall const& call) {
-        nlohmann::json const body = call.body(this->jsonLimits());
-        bool const drained = !body.is_object() || body.value("drained", true);
-        this->scheduler.setDrained(WorkerId(stringAt(body, "worker")), drained);
-        call.answer(jsonResponse(200, { { "code", 0 }, { "message", drained ? "draining" : "released" } }));
-    });
-}
-
 nlohmann::json EntryHost::status() const
 {
     nlohmann::json workers = nlohmann::json::array();
     for (auto const& [id, worker] : this->scheduler.workerTable().all()) {
-        workers.push_back({ { "worker", id.value() }, { "rack", worker.last.rack.value() }, { "capacity", cornelpond::toJson(worker.last.capacity) },
-            { "reserved", cornelpond::toJson(this->scheduler.table().reservedOn(id)) }, { "tasks", this->scheduler.table().onWorker(id).size() } });
+        workers.push_back({ { "worker", id.value() }, { "rack", worker.last.rack.value() }, { "capacity", toJson(worker.last.capacity) },
+            { "reserved", toJson(this->scheduler.table().reservedOn(id)) }, { "tasks", this->scheduler.table().onWorker(id).size() } });
     }
     nlohmann::json servers = nlohmann::json::array();
     for (auto const& [id, server] : this->backendServers.all())
--- a/cornelpond/app/EntryHost.h
+++ b/cornelpond/app/EntryHost.h
@@ -13,16 +13,18 @@
 #include "cornelpond/adapters/metrics/Metrics.h"
 #include "cornelpond/app/Api.h"
 #include "cornelpond/app/CallerEndpoint.h"
+#include "cornelpond/app/CommandPusher.h"
+#include "cornelpond/app/ConfigApi.h"
 #include "cornelpond/app/Settings.h"
+#include "cornelpond/app/TaskApi.h"
+#include "cornelpond/app/WorkerApi.h"
 #include "cornelpond/core/agreement/SoleVoterLog.h"
+#include "cornelpond/core/agreement/StateMachineSet.h"
 #include "cornelpond/core/config/ConfigService.h"
 #include "cornelpond/core/routing/BackendServerTable.h"
 #include "cornelpond/core/tasks/Scheduler.h"
 #include "cornelpond/ports/Random.h"
 
-#include <memory>
-#include <optional>
-
 namespace cornelpond {
 
 class EntryHost {
@@ -38,16 +40,7 @@
     void shutDown(std::function<void()> done);
 
 private:
-    void addWorkerRoutes();
-    void addTaskRoutes();
-    void addConfigRoutes();
-    void addOperatorRoutes();
     void addHealthRoute(ApiRouter& router);
-    void changeConfig(ApiCall const& call);
-    void listTasks(ApiCall const& call);
-    void cancelTasks(ApiCall const& call);
-    void announceBackendServer(ApiCall const& call);
-    void pushCommands(Worker const& worker, AnnouncementAnswer const& commands);
     void onConfig(ConfigRecord const& record);
     void handleCaller(HttpRequest request, HttpResponder const& responder);
     void handleWorker(HttpRequest const& request, HttpResponder const& responder);
@@ -69,13 +62,19 @@
     HttpClient client;
     BackendServerTable backendServers;
     Policy policy;
+    CommandPusher pusher;
     JournalStorage taskStorage;
     JournalStorage configStorage;
-    SoleVoterLog taskLog;
-    SoleVoterLog configLog;
+    StateMachineSet taskMachines; ///< Tasks and claims of this data centre.
+    StateMachineSet configMachines;
     Scheduler scheduler;
     ConfigService config;
+    SoleVoterLog taskLog;
+    SoleVoterLog configLog;
     CallerEndpoint callerEndpoint;
+    WorkerApi workerApi;
+    TaskApi taskApi;
+    ConfigApi configApi;
     ApiRouter workerRouter;
     ApiRouter operatorRouter;
     HttpServer callerServer;
--- /dev/null
+++ b/cornelpond/app/TaskApi.h
@@ -0,0 +1,41 @@
+#pragma once
+
+// The API of submitters and operators for tasks.
+//
+//   POST /v1/tasks                     TaskSpec; the same id again gets the first answer
+//   GET  /v1/tasks?selector=&state=    many tasks
+//   GET  /v1/tasks/ID                  one task
+//   GET  /v1/explain/ID                why it is here or waits
+//   POST /v1/cancel                    {"task"} or {"selector"}
+//   POST /v1/drain                     {"worker", "drained"}
+
+#include "cornelpond/app/Api.h"
+#include "cornelpond/core/tasks/Scheduler.h"
+
+#include <functional>
+
+namespace cornelpond {
+
+class TaskApi {
+public:
+    /// `scheduler` must outlive the API. While `isDraining` no task is accepted.
+    TaskApi(Scheduler& scheduler, JsonLimits limits, std::function<bool()> isDraining)
+        : scheduler(scheduler)
+        , limits(limits)
+        , isDraining(std::move(isDraining))
+    {
+    }
+
+    void addRoutes(ApiRouter& router);
+
+private:
+    void listTasks(ApiCall const& call);
+    void cancelTasks(ApiCall const& call);
+    void drainWorker(ApiCall const& call);
+
+    Scheduler& scheduler;
+    JsonLimits limits;
+    std::function<bool()> isDraining;
+};
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/agreement/StateMachineSet.h
@@ -0,0 +1,56 @@
+#pragma once
+
+// Several state machines behind one replicated log: each part proposes through its own facade, and its
+// commands and snapshot carry the part's number.
+//
+// Example:
+//   StateMachineSet set;
+//   CommandLog& tasks = set.add(StateMachinePart::Tasks, taskHooks);
+//   SoleVoterLog log(self, storage, set.hooks());
+//   set.attach(log);
+//
+// Loop thread only. Add all parts before the log starts; attach before the first proposal.
+
+#include "cornelpond/core/agreement/CommandLog.h"
+
+#include <map>
+#include <memory>
+
+namespace cornelpond {
+
+/// Stored in logs and snapshots, so numbers never change meaning.
+enum class StateMachinePart : uint8_t {
+    Tasks = 1,
+    Claims = 2, ///< Idempotency keys of not-repeatable requests.
+    Configuration = 3,
+};
+
+class StateMachineSet {
+public:
+    StateMachineSet();
+    ~StateMachineSet();
+    StateMachineSet(StateMachineSet const&) = delete;
+    StateMachineSet& operator=(StateMachineSet const&) = delete;
+
+    /// The facade lives as long as the set.
+    CommandLog& add(StateMachinePart part, StateMachineHooks hooks);
+
+    /// The hooks for the log that carries all parts.
+    StateMachineHooks hooks();
+
+    /// `carrier` must outlive the set.
+    void attach(CommandLog& carrier) { this->log = &carrier; }
+
+private:
+    class Facade;
+    struct Entry;
+
+    void apply(LogIndex index, std::string const& command);
+    std::string takeSnapshot() const;
+    void restore(std::string const& state);
+
+    CommandLog* log = nullptr;
+    std::map<StateMachinePart, std::unique_ptr<Entry>> parts;
+};
+
+} // namespace cornelpond
