Read a group's parts in inspect

No test ran it. Change: inspect applies through StateMachineSet; the path test runs it. Conclusion: the path test shows the finished task offline.

--- a/cornelpond/app/Commands.cpp
+++ b/cornelpond/app/Commands.cpp
@@ -415,18 +415,34 @@
         };
     }
 
+    StateMachineHooks inspectionHooks(TaskTable& table)
+    {
+        StateMachineHooks hooks;
+        hooks.apply = [&table](LogIndex, std::string const& encoded) {
+            for (auto const& command : decodeTaskCommands(encoded))
+                table.apply(command);
+        };
+        hooks.restore = [&table](std::string const& state) { table.restore(state); };
+        return hooks;
+    }
+
     nlohmann::json inspectTasks(std::string const& folder)
     {
         size_t tornBytes = 0;
         StoredLog const log = JournalStorage::inspect(folder, tornBytes);
         TaskTable table;
+        StateMachineSet machines;
+        machines.add(StateMachinePart::Tasks, inspectionHooks(table));
+        StateMachineHooks ignored;
+        ignored.apply = [](LogIndex, std::string const&) {};
+        ignored.restore = [](std::string const&) {};
+        machines.add(StateMachinePart::Claims, ignored);
+        StateMachineHooks const hooks = machines.hooks();
         if (log.snapshot.lastIndex > LogIndex(0))
-            table.restore(log.snapshot.state);
+            hooks.restore(log.snapshot.state);
         for (auto const& entry : log.entries) {
-            if (entry.kind != EntryKind::Command)
-                continue;
-            for (auto const& command : decodeTaskCommands(entry.payload))
-                table.apply(command);
+            if (entry.kind == EntryKind::Command)
+                hooks.apply(entry.index, entry.payload);
         }
         std::map<std::string, size_t> counts;
         for (auto const& [id, task] : table.all())
--- a/testing/integration/PathTest.cpp
+++ b/testing/integration/PathTest.cpp
@@ -125,6 +125,9 @@
     CHECK(output.find("already accepted") != std::string::npos);
     CHECK(site.command({ "submit", site.writeTask("plan-1", "run 51") }, output) == 1);
     CHECK(output.find("201 IdConflict") != std::string::npos);
+    site.host->kill();
+    REQUIRE(runProgram({ binary, "inspect", site.folder.path() + "/data", "--json" }, site.base("command"), output) == 0);
+    CHECK(nlohmann::json::parse(output)["tasks"]["finished"] == 1);
 }
 
 TEST_CASE("operators change the configuration by compare-and-set and bad input changes nothing")
