--- /dev/null
+++ b/cornelpond/core/agreement/ByteCodec.h
@@ -0,0 +1,95 @@
+#pragma once
+
+// Compact binary fields: unsigned numbers as variable-length base 128, texts with their length in front.
+//
+// Example:
+//   ByteWriter out;
+//   out.number(7);
+//   out.text("h1");
+//   ByteReader in(bytes);
+//   uint64_t const number = in.number();
+
+#include "cornelpond/core/base/ResultCode.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace cornelpond {
+
+class ByteWriter {
+public:
+    void number(uint64_t value)
+    {
+        while (value >= continues) {
+            this->bytes.push_back(static_cast<char>((value & payloadMask) | continues));
+            value >>= payloadBits;
+        }
+        this->bytes.push_back(static_cast<char>(value));
+    }
+
+    void text(std::string_view value)
+    {
+        this->number(value.size());
+        this->bytes.append(value);
+    }
+
+    std::string take() { return std::move(this->bytes); }
+
+    static constexpr uint64_t continues = 0x80;
+    static constexpr uint64_t payloadMask = 0x7f;
+    static constexpr unsigned payloadBits = 7;
+
+private:
+    std::string bytes;
+};
+
+/// Every function throws Error(MalformedMessage) where the bytes end early.
+class ByteReader {
+public:
+    /// `bytes` must outlive the reader.
+    explicit ByteReader(std::string_view bytes)
+        : rest(bytes)
+    {
+    }
+
+    uint64_t number()
+    {
+        uint64_t value = 0;
+        for (unsigned shift = 0; shift < 64; shift += ByteWriter::payloadBits) {
+            if (this->rest.empty())
+                this->fail();
+            auto const byte = static_cast<unsigned char>(this->rest.front());
+            this->rest.remove_prefix(1);
+            value |= (byte & ByteWriter::payloadMask) << shift;
+            if (!(byte & ByteWriter::continues))
+                return value;
+        }
+        this->fail();
+    }
+
+    std::string_view text()
+    {
+        uint64_t const length = this->number();
+        if (length > this->rest.size())
+            this->fail();
+        std::string_view const taken = this->rest.substr(0, length);
+        this->rest.remove_prefix(length);
+        return taken;
+    }
+
+    /// Throws when bytes are left.
+    void end() const
+    {
+        if (!this->rest.empty())
+            this->fail();
+    }
+
+    [[noreturn]] void fail() const { throw Error(ResultCode::MalformedMessage, "a malformed agreement message or record"); }
+
+private:
+    std::string_view rest;
+};
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/agreement/Elections.cpp
@@ -0,0 +1,263 @@
+// The elections of ReplicatedLog: pre-vote, vote, the witness's help and the hand-over of leadership.
+
+#include "cornelpond/core/agreement/ReplicatedLog.h"
+
+#include <algorithm>
+
+namespace cornelpond {
+
+namespace {
+
+    /// A witness waits this many longest election timeouts more than a host that may lead.
+    constexpr int64_t witnessPatience = 2;
+
+} // namespace
+
+void ReplicatedLog::becomeFollower(Term term, HostId const& leader)
+{
+    bool const isNewTerm = term > this->hardState.term;
+    if (isNewTerm)
+        this->hardState = { term, HostId() };
+    this->stepDown();
+    this->votes.clear();
+    this->votesAsked.reset();
+    this->knownLeader = leader;
+    this->heldReply.reset();
+    this->resetElectionDeadline();
+    if (isNewTerm)
+        this->saveHardState();
+}
+
+void ReplicatedLog::stepDown()
+{
+    bool const wasAnnounced = this->announced;
+    std::deque<Proposal> const unanswered = std::move(this->proposals);
+    this->role = Role::Follower;
+    this->established = this->announced = false;
+    this->proposals.clear();
+    this->proposedBytes = 0;
+    this->peers.clear();
+    this->transfer.reset();
+    this->outgoingSnapshot.reset();
+    if (wasAnnounced)
+        this->hooks.onLeadership(false);
+    for (auto const& proposal : unanswered)
+        proposal.done({ ResultCode::OutcomeUnknown, LogIndex() });
+}
+
+void ReplicatedLog::resetElectionDeadline()
+{
+    Duration const spread = this->times.electionTimeoutMax - this->times.electionTimeoutMin;
+    auto const jitter = this->random.below(static_cast<uint64_t>(spread.toMicroseconds()) + 1);
+    this->electionDeadline = this->clock.now() + this->times.electionTimeoutMin + Duration::microseconds(static_cast<int64_t>(jitter));
+    if (!this->membership().canLead(this->self))
+        this->electionDeadline = this->electionDeadline + this->times.electionTimeoutMax * witnessPatience;
+}
+
+void ReplicatedLog::campaignWhenDue()
+{
+    if (this->clock.now() >= this->electionDeadline && this->membership().isVoter(this->self))
+        this->startPreVote();
+    else if (this->votesAsked && this->clock.now() >= this->votesAskedAt + this->times.voteRetry)
+        this->requestVotes(*this->votesAsked);
+}
+
+bool ReplicatedLog::hearsLeader() const
+{
+    TimePoint const heard = this->role == Role::Leader ? this->confirmedByMajority() : this->leaderHeard;
+    return this->clock.now() < heard + this->times.electionTimeoutMin;
+}
+
+bool ReplicatedLog::isUpToDate(LogIndex lastIndex, Term lastTerm) const
+{
+    Term const ownTerm = this->log.lastTerm();
+    return lastTerm > ownTerm || (lastTerm == ownTerm && lastIndex >= this->log.lastIndex());
+}
+
+void ReplicatedLog::startPreVote()
+{
+    this->role = Role::PreCandidate;
+    this->knownLeader = HostId();
+    this->votes = { this->self };
+    this->resetElectionDeadline();
+    this->requestVotes({ this->hardState.term.next(), this->log.lastIndex(), this->log.lastTerm(), true, false });
+    if (this->hasVoteMajority())
+        this->startElection(false);
+}
+
+void ReplicatedLog::startElection(bool isTransfer)
+{
+    this->role = Role::Candidate;
+    this->votesAsked.reset();
+    this->knownLeader = HostId();
+    this->heldReply.reset();
+    this->votes = { this->self };
+    this->hardState = { this->hardState.term.next(), this->self };
+    this->resetElectionDeadline();
+    if (!this->saveHardState())
+        return;
+    if (this->hasVoteMajority())
+        this->becomeLeader();
+    else
+        this->requestVotes({ this->hardState.term, this->log.lastIndex(), this->log.lastTerm(), false, isTransfer });
+}
+
+void ReplicatedLog::requestVotes(VoteRequest const& request)
+{
+    this->votesAskedAt = this->clock.now();
+    for (auto const& voter : this->membership().voters) {
+        if (!this->votes.count(voter))
+            this->send(voter, request);
+    }
+    this->votesAsked = request;
+}
+
+bool ReplicatedLog::hasVoteMajority() const
+{
+    auto const& voters = this->membership().voters;
+    auto const granted = std::count_if(voters.begin(), voters.end(), [&](auto const& voter) { return this->votes.count(voter) > 0; });
+    return static_cast<size_t>(granted) >= this->membership().quorum();
+}
+
+void ReplicatedLog::becomeLeader()
+{
+    this->role = Role::Leader;
+    this->votesAsked.reset();
+    this->knownLeader = this->self;
+    this->leaderSince = this->clock.now();
+    this->barrier = this->log.lastIndex().next();
+    this->syncProgress();
+    ResultCode code = ResultCode::Ok;
+    if (this->appendOwn(EntryKind::Barrier, std::string(), code))
+        this->requestFlush();
+}
+
+void ReplicatedLog::establish()
+{
+    this->established = true;
+    if (!this->membership().canLead(this->self)) {
+        this->events.emit(Event(EventId::WitnessLeads).with("group", this->group).with("term", this->hardState.term));
+        return;
+    }
+    this->announced = true;
+    this->hooks.onLeadership(true);
+}
+
+void ReplicatedLog::onVoteRequest(HostId const& from, VoteRequest const& request)
+{
+    VoteReply reply;
+    reply.requestTerm = request.term;
+    reply.isPreVote = request.isPreVote;
+    reply.granted = request.isPreVote ? this->grantsPreVote(request) : this->grantsVote(from, request);
+    if (this->failed)
+        return;
+    reply.term = this->hardState.term;
+    this->send(from, reply);
+    if (!reply.granted)
+        this->helpRefusedCandidate(from, request);
+}
+
+bool ReplicatedLog::grantsPreVote(VoteRequest const& request) const
+{
+    return request.term > this->hardState.term && !this->hearsLeader() && this->isUpToDate(request.lastIndex, request.lastTerm);
+}
+
+bool ReplicatedLog::grantsVote(HostId const& from, VoteRequest const& request)
+{
+    if (this->hearsLeader() && !request.isTransfer)
+        return false;
+    if (request.term > this->hardState.term)
+        this->becomeFollower(request.term, HostId());
+    bool const isFree = this->hardState.votedFor.empty() || this->hardState.votedFor == from;
+    if (request.term < this->hardState.term || !isFree || !this->isUpToDate(request.lastIndex, request.lastTerm))
+        return false;
+    if (this->hardState.votedFor == from)
+        return true;
+    this->hardState.votedFor = from;
+    this->resetElectionDeadline();
+    return this->saveHardState();
+}
+
+void ReplicatedLog::helpRefusedCandidate(HostId const& candidate, VoteRequest const& request)
+{
+    // A witness that alone holds the end of the log leads for a moment, so that the candidate gets it.
+    bool const isWitness = this->membership().isVoter(this->self) && !this->membership().canLead(this->self);
+    bool const isBehind = !this->isUpToDate(request.lastIndex, request.lastTerm);
+    if (isWitness && isBehind && this->membership().canLead(candidate) && !this->hearsLeader() && this->role == Role::Follower)
+        this->startPreVote();
+}
+
+void ReplicatedLog::onVoteReply(HostId const& from, VoteReply const& reply)
+{
+    if (reply.term > this->hardState.term) {
+        this->becomeFollower(reply.term, HostId());
+        return;
+    }
+    Term const asked = reply.isPreVote ? this->hardState.term.next() : this->hardState.term;
+    Role const asking = reply.isPreVote ? Role::PreCandidate : Role::Candidate;
+    if (!reply.granted || this->role != asking || reply.requestTerm != asked)
+        return;
+    this->votes.insert(from);
+    if (!this->hasVoteMajority())
+        return;
+    if (reply.isPreVote)
+        this->startElection(false);
+    else
+        this->becomeLeader();
+}
+
+void ReplicatedLog::onTimeoutNow(TimeoutNow const& message)
+{
+    if (message.term == this->hardState.term && this->role != Role::Leader && this->membership().isVoter(this->self))
+        this->startElection(true);
+}
+
+void ReplicatedLog::transferLeadership(HostId const& to)
+{
+    if (this->role != Role::Leader)
+        return;
+    this->transfer = Transfer { to, this->clock.now() + this->times.electionTimeoutMax };
+    this->advanceTransfer();
+}
+
+void ReplicatedLog::advanceTransfer()
+{
+    if (this->established && !this->transfer && !this->membership().canLead(this->self) && !this->bestSuccessor().empty())
+        this->transfer = Transfer { HostId(), this->clock.now() + this->times.electionTimeoutMax };
+    if (!this->transfer)
+        return;
+    if (this->clock.now() >= this->transfer->bound) {
+        this->transfer.reset();
+        return;
+    }
+    HostId const to = this->transfer->to.empty() ? this->bestSuccessor() : this->transfer->to;
+    auto const found = this->peers.find(to);
+    bool const isReady = found != this->peers.end() && found->second.match == this->log.lastIndex() && this->committed == this->log.lastIndex();
+    if (isReady && this->membership().isVoter(to))
+        this->finishTransfer(to);
+}
+
+void ReplicatedLog::finishTransfer(HostId const& to)
+{
+    // Leadership ends before the successor may campaign: its votes pass over the closed vote of the others.
+    this->events.emit(Event(EventId::LeadershipTransferred).with("group", this->group).with("term", this->hardState.term).with("to", to));
+    Term const term = this->hardState.term;
+    this->becomeFollower(term, HostId());
+    this->send(to, TimeoutNow { term });
+}
+
+HostId ReplicatedLog::bestSuccessor() const
+{
+    HostId best;
+    LogIndex bestMatch;
+    for (auto const& [host, progress] : this->peers) {
+        bool const answers = this->clock.now() - progress.lastHeard < this->times.electionTimeoutMin;
+        if (!answers || !this->membership().canLead(host) || (!best.empty() && progress.match <= bestMatch))
+            continue;
+        best = host;
+        bestMatch = progress.match;
+    }
+    return best;
+}
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/agreement/ReplicatedLog.cpp
@@ -0,0 +1,362 @@
+#include "cornelpond/core/agreement/ReplicatedLog.h"
+
+#include <algorithm>
+
+namespace cornelpond {
+
+namespace {
+
+    /// A member that lags by no more entries than this counts as caught up; what is in flight is no lag.
+    constexpr uint64_t caughtUpEntries = 100;
+
+    std::string join(std::vector<HostId> const& hosts)
+    {
+        std::string text;
+        for (auto const& host : hosts)
+            text += (text.empty() ? "" : ",") + host.value();
+        return text;
+    }
+
+} // namespace
+
+ReplicatedLog::ReplicatedLog(GroupId group, HostId self, Membership initial, ReplicatedLogTimes times, Clock const& clock, Random& random, EventSink& events,
+    Storage& storage, Send send, StateMachineHooks hooks, ReplicatedLogLimits limits)
+    : group(std::move(group))
+    , self(std::move(self))
+    , initial(std::move(initial))
+    , times(times)
+    , clock(clock)
+    , random(random)
+    , events(events)
+    , storage(storage)
+    , sendBytes(std::move(send))
+    , hooks(std::move(hooks))
+    , limits(limits)
+{
+}
+
+void ReplicatedLog::start()
+{
+    StoredLog stored = this->storage.load();
+    this->hardState = stored.hardState;
+    this->storedSnapshotIndex = stored.snapshot.lastIndex;
+    this->storedSnapshotBytes = stored.snapshot.state.size();
+    if (stored.snapshot.lastIndex > LogIndex(0))
+        this->hooks.restore(stored.snapshot.state);
+    this->committed = this->applied = stored.snapshot.lastIndex;
+    this->log = EntryLog(std::move(stored), this->initial);
+    this->synced = this->log.lastIndex();
+    // The vote may still be owed to a leader that was heard just before a crash.
+    if (this->hardState.term > Term(0))
+        this->leaderHeard = this->clock.now();
+    this->resetElectionDeadline();
+    if (this->isSoleVoter())
+        this->startElection(false);
+}
+
+void ReplicatedLog::onMessage(HostId const& from, std::string_view bytes)
+{
+    if (this->failed)
+        return;
+    AgreementMessage message;
+    try {
+        message = decodeMessage(bytes);
+    } catch (Error const& error) {
+        this->events.emit(Event(EventId::AgreementMessageRefused).with("group", this->group).with("from", from).with("reason", error.what()));
+        return;
+    }
+    this->dispatch(from, std::move(message));
+}
+
+void ReplicatedLog::dispatch(HostId const& from, AgreementMessage message)
+{
+    if (auto const* voteRequest = std::get_if<VoteRequest>(&message))
+        this->onVoteRequest(from, *voteRequest);
+    else if (auto const* voteReply = std::get_if<VoteReply>(&message))
+        this->onVoteReply(from, *voteReply);
+    else if (auto* appendRequest = std::get_if<AppendRequest>(&message))
+        this->onAppendRequest(from, std::move(*appendRequest));
+    else if (auto const* appendReply = std::get_if<AppendReply>(&message))
+        this->onAppendReply(from, *appendReply);
+    else if (auto* chunk = std::get_if<SnapshotChunk>(&message))
+        this->onSnapshotChunk(from, *chunk);
+    else if (auto const* snapshotReply = std::get_if<SnapshotReply>(&message))
+        this->onSnapshotReply(from, *snapshotReply);
+    else if (auto const* timeoutNow = std::get_if<TimeoutNow>(&message))
+        this->onTimeoutNow(*timeoutNow);
+}
+
+void ReplicatedLog::onTick()
+{
+    if (this->failed)
+        return;
+    if (this->role == Role::Leader)
+        this->tickAsLeader();
+    else
+        this->campaignWhenDue();
+    this->snapshotWhenDue();
+    this->flush();
+}
+
+void ReplicatedLog::requestFlush()
+{
+    if (this->flushRequested)
+        return;
+    this->flushRequested = true;
+    if (this->isSoleVoter() || !this->flushRequest)
+        this->flush();
+    else
+        this->flushRequest();
+}
+
+void ReplicatedLog::flush()
+{
+    if (this->flushing || this->failed)
+        return;
+    this->flushing = true;
+    do {
+        this->flushRequested = false;
+        for (auto& [host, progress] : this->peers)
+            this->sendAppends(host, progress);
+        LogIndex const last = this->log.lastIndex();
+        if (this->synced < last && !this->stored([this] { this->storage.sync(); }))
+            break;
+        this->synced = last;
+        if (this->heldReply)
+            this->send(this->knownLeader, *this->heldReply);
+        this->heldReply.reset();
+        this->advanceCommit();
+    } while (this->flushRequested && (this->isSoleVoter() || !this->flushRequest) && !this->failed);
+    this->flushing = false;
+}
+
+bool ReplicatedLog::isLeader() const
+{
+    return this->role == Role::Leader && this->announced;
+}
+
+bool ReplicatedLog::isLeadershipConfirmed() const
+{
+    if (!this->isLeader())
+        return false;
+    Duration const validity = this->times.electionTimeoutMin - this->times.driftMargin;
+    return this->clock.now() < this->confirmedByMajority() + validity;
+}
+
+HostId ReplicatedLog::leader() const
+{
+    if (this->role != Role::Leader)
+        return this->knownLeader;
+    return this->announced ? this->self : HostId();
+}
+
+void ReplicatedLog::propose(std::string command, Done done)
+{
+    if (!this->isLeader() || this->transfer) {
+        done({ ResultCode::NotLeader, LogIndex() });
+        return;
+    }
+    if (this->proposedBytes + command.size() > this->limits.uncommittedBytes) {
+        done({ ResultCode::NoQuorum, LogIndex() });
+        return;
+    }
+    size_t const bytes = command.size();
+    ResultCode code = ResultCode::Ok;
+    if (!this->appendOwn(EntryKind::Command, std::move(command), code)) {
+        done({ code, LogIndex() });
+        return;
+    }
+    this->proposedBytes += bytes;
+    this->proposals.push_back({ this->log.lastIndex(), bytes, std::move(done) });
+    this->requestFlush();
+}
+
+bool ReplicatedLog::canChangeMembership() const
+{
+    return this->role == Role::Leader && this->established && !this->transfer && this->log.membershipIndex() <= this->committed;
+}
+
+void ReplicatedLog::proposeMembership(Membership next, Done done)
+{
+    if (this->role != Role::Leader || !this->established || this->transfer) {
+        done({ ResultCode::NotLeader, LogIndex() });
+        return;
+    }
+    if (!this->canChangeMembership()) {
+        done({ ResultCode::MembershipChangePending, LogIndex() });
+        return;
+    }
+    bool const newVotersReady = std::all_of(next.voters.begin(), next.voters.end(), [&](auto const& voter) {
+        return this->membership().isVoter(voter) || (this->membership().isLearner(voter) && this->isCaughtUp(voter));
+    });
+    if (next.voters.empty() || !newVotersReady || !isSingleStep(this->membership(), next)) {
+        done({ ResultCode::MembershipChangeRefused, LogIndex() });
+        return;
+    }
+    ResultCode code = ResultCode::Ok;
+    if (!this->appendOwn(EntryKind::Membership, encodeMembership(next), code)) {
+        done({ code, LogIndex() });
+        return;
+    }
+    this->proposals.push_back({ this->log.lastIndex(), 0, std::move(done) });
+    this->requestFlush();
+}
+
+bool ReplicatedLog::isCaughtUp(HostId const& member) const
+{
+    if (this->role != Role::Leader)
+        return false;
+    if (member == this->self)
+        return true;
+    auto const found = this->peers.find(member);
+    return found != this->peers.end() && found->second.match.value() + caughtUpEntries >= this->committed.value();
+}
+
+Duration ReplicatedLog::silentFor(HostId const& member) const
+{
+    if (member == this->self)
+        return Duration();
+    auto const found = this->peers.find(member);
+    return found == this->peers.end() ? Duration::infinite() : this->clock.now() - found->second.lastHeard;
+}
+
+void ReplicatedLog::send(HostId const& to, AgreementMessage const& message)
+{
+    if (!to.empty() && to != this->self)
+        this->sendBytes(to, encodeMessage(message));
+}
+
+void ReplicatedLog::commitTo(LogIndex index)
+{
+    this->committed = std::max(this->committed, std::min(index, this->log.lastIndex()));
+    this->applyCommitted();
+}
+
+void ReplicatedLog::applyCommitted()
+{
+    if (this->applying)
+        return;
+    this->applying = true;
+    while (this->applied < this->committed) {
+        this->applyEntry(this->log.at(this->applied.next()));
+        this->answerProposals();
+    }
+    this->applying = false;
+    this->leaveWhenRemoved();
+}
+
+void ReplicatedLog::applyEntry(LogEntry const& entry)
+{
+    this->applied = entry.index;
+    this->bytesSinceSnapshot += entry.payload.size();
+    if (entry.kind == EntryKind::Command)
+        this->hooks.apply(entry.index, entry.payload);
+    if (entry.kind == EntryKind::Membership)
+        this->reportMembership();
+    if (this->role == Role::Leader && !this->established && entry.index >= this->barrier)
+        this->establish();
+}
+
+void ReplicatedLog::answerProposals()
+{
+    while (!this->proposals.empty() && this->proposals.front().index <= this->applied) {
+        Proposal const proposal = std::move(this->proposals.front());
+        this->proposals.pop_front();
+        this->proposedBytes -= proposal.bytes;
+        proposal.done({ ResultCode::Ok, proposal.index });
+    }
+}
+
+void ReplicatedLog::leaveWhenRemoved()
+{
+    bool const settled = this->established && this->log.membershipIndex() <= this->applied;
+    if (this->role == Role::Leader && settled && !this->membership().isVoter(this->self))
+        this->finishTransfer(this->bestSuccessor());
+}
+
+void ReplicatedLog::reportMembership() const
+{
+    Membership const& members = this->log.membershipAt(this->applied);
+    this->events.emit(Event(EventId::MembershipChanged)
+                          .with("group", this->group)
+                          .with("voters", join(members.voters))
+                          .with("learners", join(members.learners))
+                          .with("mayLead", join(members.eligibleLeaders)));
+}
+
+Snapshot ReplicatedLog::makeSnapshot() const
+{
+    return { this->applied, this->log.termAt(this->applied), encodeMembership(this->log.membershipAt(this->applied)), this->hooks.takeSnapshot() };
+}
+
+void ReplicatedLog::snapshotWhenDue()
+{
+    uint64_t const entries = this->applied.value() - this->storedSnapshotIndex.value();
+    bool const isLong = entries >= this->limits.snapshotEntries || this->bytesSinceSnapshot >= this->limits.snapshotBytes;
+    if (!entries || !isLong || this->bytesSinceSnapshot < this->storedSnapshotBytes)
+        return;
+    Snapshot const snapshot = this->makeSnapshot();
+    if (!this->stored([&] { this->storage.saveSnapshot(snapshot); }))
+        return;
+    this->storedSnapshotIndex = snapshot.lastIndex;
+    this->storedSnapshotBytes = snapshot.state.size();
+    this->bytesSinceSnapshot = 0;
+    if (snapshot.lastIndex.value() > this->limits.keptEntries)
+        this->log.compactTo(LogIndex(snapshot.lastIndex.value() - this->limits.keptEntries));
+}
+
+bool ReplicatedLog::isSoleVoter() const
+{
+    auto const& voters = this->membership().voters;
+    return voters.size() == 1 && voters.front() == this->self;
+}
+
+bool ReplicatedLog::saveHardState()
+{
+    LogIndex const last = this->log.lastIndex();
+    bool const isStored = this->stored([this] {
+        this->storage.saveHardState(this->hardState);
+        this->storage.sync();
+    });
+    if (isStored)
+        this->synced = last;
+    return isStored;
+}
+
+bool ReplicatedLog::stored(std::function<void()> const& write)
+{
+    try {
+        write();
+        return true;
+    } catch (Error const& error) {
+        this->failStorage(error);
+        return false;
+    }
+}
+
+void ReplicatedLog::failStorage(Error const& error)
+{
+    this->failed = true;
+    this->heldReply.reset();
+    this->events.emit(Event(EventId::StorageFault).with("group", this->group).with("code", static_cast<int>(error.code())).with("reason", error.what()));
+    this->stepDown();
+    this->knownLeader = HostId();
+}
+
+bool ReplicatedLog::appendOwn(EntryKind kind, std::string payload, ResultCode& code)
+{
+    LogEntry entry { this->log.lastIndex().next(), this->hardState.term, kind, std::move(payload) };
+    try {
+        this->storage.append(Span<LogEntry const>(&entry, 1));
+    } catch (Error const& error) {
+        code = error.code();
+        this->failStorage(error);
+        return false;
+    }
+    this->log.append(std::move(entry));
+    if (kind == EntryKind::Membership)
+        this->syncProgress();
+    return true;
+}
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/agreement/Replication.cpp
@@ -0,0 +1,379 @@
+// The replication of ReplicatedLog: appends, heartbeats, snapshots in chunks and the commit index.
+
+#include "cornelpond/core/agreement/ReplicatedLog.h"
+
+#include <algorithm>
+
+namespace cornelpond {
+
+void ReplicatedLog::tickAsLeader()
+{
+    TimePoint const now = this->clock.now();
+    if (now - std::max(this->confirmedByMajority(), this->leaderSince) > this->times.electionTimeoutMax) {
+        this->events.emit(Event(EventId::QuorumLost).with("group", this->group).with("term", this->hardState.term));
+        this->becomeFollower(this->hardState.term, HostId());
+        return;
+    }
+    for (auto& [host, progress] : this->peers) {
+        if (now - progress.lastSent >= this->times.heartbeat)
+            this->heartbeat(host, progress);
+    }
+    this->advanceTransfer();
+}
+
+TimePoint ReplicatedLog::confirmedByMajority() const
+{
+    std::vector<TimePoint> confirmed;
+    for (auto const& voter : this->membership().voters) {
+        auto const found = this->peers.find(voter);
+        if (voter == this->self)
+            confirmed.push_back(this->clock.now());
+        else
+            confirmed.push_back(found == this->peers.end() ? TimePoint::distantPast() : found->second.confirmed);
+    }
+    std::sort(confirmed.begin(), confirmed.end(), [](TimePoint a, TimePoint b) { return a > b; });
+    return confirmed.empty() ? TimePoint::distantPast() : confirmed[this->membership().quorum() - 1];
+}
+
+void ReplicatedLog::syncProgress()
+{
+    Membership const& members = this->membership();
+    for (auto entry = this->peers.begin(); entry != this->peers.end();) {
+        bool const isMember = members.isVoter(entry->first) || members.isLearner(entry->first);
+        entry = isMember ? std::next(entry) : this->peers.erase(entry);
+    }
+    auto const add = [this](HostId const& host) {
+        if (host == this->self || this->peers.count(host))
+            return;
+        PeerProgress progress;
+        progress.next = this->log.lastIndex().next();
+        progress.lastHeard = this->clock.now();
+        this->peers.emplace(host, std::move(progress));
+    };
+    std::for_each(members.voters.begin(), members.voters.end(), add);
+    std::for_each(members.learners.begin(), members.learners.end(), add);
+}
+
+void ReplicatedLog::sendAppends(HostId const& to, PeerProgress& progress)
+{
+    while (progress.canSend(this->log.lastIndex()))
+        this->sendAppend(to, progress);
+}
+
+void ReplicatedLog::sendAppend(HostId const& to, PeerProgress& progress)
+{
+    if (progress.next <= this->log.baseIndex()) {
+        this->startSnapshot(to, progress);
+        return;
+    }
+    AppendRequest request = this->makeHeartbeat(progress);
+    request.entries = this->log.slice(progress.next, this->limits.messageBytes);
+    if (progress.mode == PeerProgress::Mode::Probe) {
+        progress.probing = true;
+    } else if (!request.entries.empty()) {
+        progress.next = request.entries.back().index.next();
+        progress.inFlight.push_back(request.entries.back().index);
+    }
+    this->send(to, request);
+}
+
+AppendRequest ReplicatedLog::makeHeartbeat(PeerProgress& progress) const
+{
+    // Its previous index makes the peer say so when a request before it was lost.
+    AppendRequest request;
+    request.term = this->hardState.term;
+    request.previousIndex = std::max(LogIndex(progress.next.value() - 1), this->log.baseIndex());
+    request.previousTerm = this->log.termAt(request.previousIndex);
+    request.commit = this->committed;
+    request.sentAt = progress.lastSent = this->clock.now();
+    return request;
+}
+
+void ReplicatedLog::heartbeat(HostId const& to, PeerProgress& progress)
+{
+    if (progress.mode == PeerProgress::Mode::Snapshot && this->isSilent(progress)) {
+        progress.probeFrom(progress.next);
+        this->dropOutgoingSnapshotWhenUnused();
+    }
+    if (progress.mode == PeerProgress::Mode::Snapshot) {
+        this->sendSnapshotChunk(to, progress);
+        return;
+    }
+    progress.probing = progress.mode == PeerProgress::Mode::Probe;
+    this->send(to, this->makeHeartbeat(progress));
+}
+
+bool ReplicatedLog::isSilent(PeerProgress const& progress) const
+{
+    return this->clock.now() - progress.lastHeard > this->times.electionTimeoutMax;
+}
+
+void ReplicatedLog::startSnapshot(HostId const& to, PeerProgress& progress)
+{
+    // A member out of reach gets small probes until it answers.
+    if (this->isSilent(progress)) {
+        progress.probeFrom(progress.next);
+        progress.probing = true;
+        return;
+    }
+    if (!this->outgoingSnapshot)
+        this->outgoingSnapshot = this->makeSnapshot();
+    progress.mode = PeerProgress::Mode::Snapshot;
+    progress.inFlight.clear();
+    progress.probing = false;
+    progress.snapshotIndex = this->outgoingSnapshot->lastIndex;
+    progress.snapshotOffset = 0;
+    this->sendSnapshotChunk(to, progress);
+}
+
+void ReplicatedLog::sendSnapshotChunk(HostId const& to, PeerProgress& progress)
+{
+    Snapshot const& snapshot = *this->outgoingSnapshot;
+    SnapshotChunk chunk;
+    chunk.term = this->hardState.term;
+    chunk.lastIndex = snapshot.lastIndex;
+    chunk.lastTerm = snapshot.lastTerm;
+    chunk.offset = progress.snapshotOffset;
+    chunk.total = snapshot.state.size();
+    chunk.sentAt = progress.lastSent = this->clock.now();
+    chunk.membership = snapshot.membership;
+    chunk.bytes = snapshot.state.substr(progress.snapshotOffset, this->limits.messageBytes);
+    this->send(to, chunk);
+}
+
+void ReplicatedLog::dropOutgoingSnapshotWhenUnused()
+{
+    bool const isUsed = std::any_of(this->peers.begin(), this->peers.end(), [](auto const& peer) { return peer.second.mode == PeerProgress::Mode::Snapshot; });
+    if (!isUsed)
+        this->outgoingSnapshot.reset();
+}
+
+void ReplicatedLog::onMemberAnswer(PeerProgress& progress, TimePoint sentAt)
+{
+    progress.lastHeard = this->clock.now();
+    progress.confirmed = std::max(progress.confirmed, std::min(sentAt, this->clock.now()));
+}
+
+void ReplicatedLog::onAppendReply(HostId const& from, AppendReply const& reply)
+{
+    if (reply.term > this->hardState.term) {
+        this->becomeFollower(reply.term, HostId());
+        return;
+    }
+    auto const found = this->peers.find(from);
+    if (this->role != Role::Leader || reply.term != this->hardState.term || found == this->peers.end())
+        return;
+    PeerProgress& progress = found->second;
+    this->onMemberAnswer(progress, reply.sentAt);
+    if (progress.mode == PeerProgress::Mode::Snapshot)
+        return;
+    if (progress.next <= this->log.baseIndex() && !reply.success) {
+        this->startSnapshot(from, progress);
+        return;
+    }
+    if (reply.success) {
+        progress.onSuccess(std::min(reply.index, this->log.lastIndex()));
+    } else {
+        bool const isStale = reply.previousIndex <= progress.match || (progress.mode == PeerProgress::Mode::Probe && reply.previousIndex.next() != progress.next);
+        if (isStale)
+            return;
+        progress.probeFrom(reply.index);
+    }
+    this->sendAppends(from, progress);
+    this->advanceCommit();
+    if (this->role == Role::Leader)
+        this->advanceTransfer();
+}
+
+void ReplicatedLog::onSnapshotReply(HostId const& from, SnapshotReply const& reply)
+{
+    if (reply.term > this->hardState.term) {
+        this->becomeFollower(reply.term, HostId());
+        return;
+    }
+    auto const found = this->peers.find(from);
+    if (this->role != Role::Leader || reply.term != this->hardState.term || found == this->peers.end())
+        return;
+    PeerProgress& progress = found->second;
+    this->onMemberAnswer(progress, reply.sentAt);
+    bool const isOld = reply.sentAt < progress.lastSent && reply.nextOffset <= progress.snapshotOffset;
+    if (progress.mode != PeerProgress::Mode::Snapshot || reply.lastIndex != progress.snapshotIndex || isOld)
+        return;
+    if (reply.nextOffset < this->outgoingSnapshot->state.size()) {
+        progress.snapshotOffset = reply.nextOffset;
+        this->sendSnapshotChunk(from, progress);
+        return;
+    }
+    progress.mode = PeerProgress::Mode::Probe;
+    progress.onSuccess(reply.lastIndex);
+    this->dropOutgoingSnapshotWhenUnused();
+    this->sendAppends(from, progress);
+    this->advanceCommit();
+}
+
+void ReplicatedLog::advanceCommit()
+{
+    if (this->role != Role::Leader)
+        return;
+    std::vector<LogIndex> matches;
+    for (auto const& voter : this->membership().voters) {
+        auto const found = this->peers.find(voter);
+        if (voter == this->self)
+            matches.push_back(this->synced);
+        else
+            matches.push_back(found == this->peers.end() ? LogIndex() : found->second.match);
+    }
+    std::sort(matches.begin(), matches.end(), [](LogIndex a, LogIndex b) { return a > b; });
+    LogIndex const agreed = matches[this->membership().quorum() - 1];
+    // Entries of earlier terms are committed only by one of this term behind them.
+    if (agreed > this->committed && this->log.termAt(agreed) == this->hardState.term)
+        this->commitTo(agreed);
+}
+
+bool ReplicatedLog::acceptLeader(HostId const& from, Term term)
+{
+    bool const isSecondLeader = this->role == Role::Leader && term == this->hardState.term;
+    if (term < this->hardState.term || isSecondLeader)
+        return false;
+    if (term > this->hardState.term || this->role != Role::Follower || this->knownLeader != from)
+        this->becomeFollower(term, from);
+    this->leaderHeard = this->clock.now();
+    this->resetElectionDeadline();
+    return true;
+}
+
+void ReplicatedLog::onAppendRequest(HostId const& from, AppendRequest request)
+{
+    if (!this->acceptLeader(from, request.term)) {
+        this->refuseAppend(from, request);
+        return;
+    }
+    if (this->failed)
+        return;
+    if (!this->matchesPrevious(request)) {
+        this->refuseAppend(from, request);
+        return;
+    }
+    AppendReply reply;
+    reply.term = this->hardState.term;
+    reply.success = true;
+    reply.previousIndex = request.previousIndex;
+    reply.index = LogIndex(request.previousIndex.value() + request.entries.size());
+    reply.sentAt = request.sentAt;
+    if (!this->appendReceived(request))
+        return;
+    this->acknowledge(from, reply);
+    this->commitTo(std::min(request.commit, reply.index));
+}
+
+bool ReplicatedLog::matchesPrevious(AppendRequest const& request) const
+{
+    if (request.previousIndex <= this->committed)
+        return true;
+    return request.previousIndex <= this->log.lastIndex() && this->log.termAt(request.previousIndex) == request.previousTerm;
+}
+
+void ReplicatedLog::refuseAppend(HostId const& from, AppendRequest const& request)
+{
+    AppendReply reply;
+    reply.term = this->hardState.term;
+    reply.previousIndex = request.previousIndex;
+    reply.sentAt = request.sentAt;
+    reply.index = this->log.lastIndex().next();
+    if (request.previousIndex <= this->log.lastIndex() && request.previousIndex > this->log.baseIndex())
+        reply.index = std::max(this->log.firstOfTermAt(request.previousIndex), this->committed.next());
+    this->send(from, reply);
+}
+
+bool ReplicatedLog::appendReceived(AppendRequest& request)
+{
+    auto& entries = request.entries;
+    if (!this->dropConflicts(entries))
+        return false;
+    if (entries.empty())
+        return true;
+    if (!this->stored([&] { this->storage.append(Span<LogEntry const>(entries)); }))
+        return false;
+    for (auto& entry : entries)
+        this->log.append(std::move(entry));
+    return true;
+}
+
+bool ReplicatedLog::dropConflicts(std::vector<LogEntry>& entries)
+{
+    auto const isHeld = [this](LogEntry const& entry) {
+        if (entry.index <= this->committed)
+            return true;
+        return entry.index <= this->log.lastIndex() && this->log.termAt(entry.index) == entry.term;
+    };
+    entries.erase(entries.begin(), std::find_if_not(entries.begin(), entries.end(), isHeld));
+    if (entries.empty() || entries.front().index > this->log.lastIndex())
+        return true;
+    LogIndex const conflict = entries.front().index;
+    if (!this->stored([&] { this->storage.truncateFrom(conflict); }))
+        return false;
+    this->log.truncateFrom(conflict);
+    this->synced = std::min(this->synced, this->log.lastIndex());
+    return true;
+}
+
+void ReplicatedLog::acknowledge(HostId const& from, AppendReply const& reply)
+{
+    if (reply.index <= this->synced && !this->heldReply) {
+        this->send(from, reply);
+        return;
+    }
+    if (!this->heldReply || reply.index >= this->heldReply->index)
+        this->heldReply = reply;
+    this->requestFlush();
+}
+
+void ReplicatedLog::onSnapshotChunk(HostId const& from, SnapshotChunk& chunk)
+{
+    SnapshotReply reply;
+    reply.lastIndex = chunk.lastIndex;
+    reply.sentAt = chunk.sentAt;
+    if (this->acceptLeader(from, chunk.term) && !this->failed) {
+        if (chunk.offset == 0)
+            this->incomingSnapshot = IncomingSnapshot { from, chunk.lastIndex, std::string() };
+        bool const isExpected = this->incomingSnapshot && this->incomingSnapshot->from == from && this->incomingSnapshot->lastIndex == chunk.lastIndex;
+        if (isExpected && this->incomingSnapshot->state.size() == chunk.offset)
+            this->incomingSnapshot->state += chunk.bytes;
+        reply.nextOffset = isExpected ? this->incomingSnapshot->state.size() : 0;
+        if (chunk.lastIndex <= this->committed)
+            reply.nextOffset = chunk.total;
+        else if (isExpected && reply.nextOffset == chunk.total)
+            this->installSnapshot(chunk, std::move(this->incomingSnapshot->state));
+        if (reply.nextOffset == chunk.total)
+            this->incomingSnapshot.reset();
+    }
+    if (this->failed)
+        return;
+    reply.term = this->hardState.term;
+    this->send(from, reply);
+}
+
+void ReplicatedLog::installSnapshot(SnapshotChunk const& lastChunk, std::string state)
+{
+    Snapshot const snapshot { lastChunk.lastIndex, lastChunk.lastTerm, lastChunk.membership, std::move(state) };
+    Membership members = decodeMembership(snapshot.membership);
+    bool const isHeld = snapshot.lastIndex <= this->log.lastIndex() && this->log.termAt(snapshot.lastIndex) == snapshot.lastTerm;
+    bool const isStored = this->stored([&] {
+        if (!isHeld && this->log.lastIndex() > snapshot.lastIndex)
+            this->storage.truncateFrom(snapshot.lastIndex.next());
+        this->storage.saveSnapshot(snapshot);
+    });
+    if (!isStored)
+        return;
+    if (isHeld)
+        this->log.compactTo(snapshot.lastIndex);
+    else
+        this->log.reset(snapshot.lastIndex, snapshot.lastTerm, std::move(members));
+    this->synced = isHeld ? std::max(this->synced, snapshot.lastIndex) : snapshot.lastIndex;
+    this->committed = this->applied = this->storedSnapshotIndex = snapshot.lastIndex;
+    this->storedSnapshotBytes = snapshot.state.size();
+    this->bytesSinceSnapshot = 0;
+    this->hooks.restore(snapshot.state);
+}
+
+} // namespace cornelpond
--- a/cornelpond/core/base/Duration.h
+++ b/cornelpond/core/base/Duration.h
@@ -55,6 +55,7 @@
     constexpr TimePoint() = default;
 
     static constexpr TimePoint fromMicroseconds(int64_t count) { return TimePoint(count); }
+    static constexpr TimePoint distantPast() { return TimePoint(std::numeric_limits<int64_t>::min() / 2); }
     static constexpr TimePoint infiniteFuture() { return TimePoint(std::numeric_limits<int64_t>::max() / 2); }
 
     constexpr int64_t toMicroseconds() const { return this->us; }
--- a/cornelpond/core/base/ResultCode.cpp
+++ b/cornelpond/core/base/ResultCode.cpp
@@ -42,6 +42,9 @@
         ResultCodeInfo { ResultCode::StorageDamaged, "StorageDamaged", 500, "The data folder holds a damaged record that is not a torn tail; the group is not served." },
         ResultCodeInfo { ResultCode::DiskFull, "DiskFull", 507, "No space is left in the data folder; nothing was acknowledged." },
         ResultCodeInfo { ResultCode::WrongCluster, "WrongCluster", 403, "The message comes from another cluster or an unknown host." },
+        ResultCodeInfo { ResultCode::MembershipChangePending, "MembershipChangePending", 409, "An earlier membership change is not committed yet." },
+        ResultCodeInfo { ResultCode::MembershipChangeRefused, "MembershipChangeRefused", 409, "The membership change is more than one step, leaves no voter or makes a voter of a host that is not caught up." },
+        ResultCodeInfo { ResultCode::MalformedMessage, "MalformedMessage", 400, "A message or record between entry hosts does not decode." },
         ResultCodeInfo { ResultCode::Internal, "Internal", 500, "A fault in cornelpond itself; the log has the details." },
         ResultCodeInfo { ResultCode::Unreachable, "Unreachable", 503, "The entry host could not be reached." },
     };
--- a/cornelpond/core/base/ResultCode.h
+++ b/cornelpond/core/base/ResultCode.h
@@ -56,6 +56,9 @@
     StorageDamaged = 401,
     DiskFull = 402,
     WrongCluster = 403,
+    MembershipChangePending = 410,
+    MembershipChangeRefused = 411,
+    MalformedMessage = 412,
     // 5xx: internal.
     Internal = 500,
     Unreachable = 501,
--- /dev/null
+++ b/testing/fakes/AgreementCluster.h
@@ -0,0 +1,309 @@
+#pragma once
+
+// Hosts of one group over fake disks and a fake network, with every safety rule checked as they run.
+//
+// Example:
+//   AgreementCluster cluster(seed, { "a", "b", "c" });
+//   cluster.runFor(Duration::seconds(2));
+//   cluster.propose("x");
+//   cluster.crash(*cluster.leader());
+//
+// A broken rule throws SafetyViolation. Checked: one leader a term, one confirmed leader at a time, the
+// same command at the same index on all hosts for ever, acknowledged commands never replaced, snapshots
+// equal to the state they stand for.
+
+#include "cornelpond/core/agreement/ReplicatedLog.h"
+#include "cornelpond/core/agreement/VoterKeeper.h"
+#include "testing/fakes/FakeClock.h"
+#include "testing/fakes/FakeNetwork.h"
+#include "testing/fakes/FakeStorage.h"
+#include "testing/fakes/RecordingEventSink.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace cornelpond {
+
+class SafetyViolation : public std::runtime_error {
+public:
+    using std::runtime_error::runtime_error;
+};
+
+class AgreementCluster {
+public:
+    struct Host {
+        HostId id;
+        FakeStorage disk;
+        RecordingEventSink events;
+        std::unique_ptr<ReplicatedLog> log; ///< Empty while crashed.
+        std::string state = "0"; ///< Chained over the applied commands.
+        bool flushDue = false;
+        bool isGone = false; ///< Its disk is lost for good.
+    };
+
+    AgreementCluster(uint64_t seed, std::vector<std::string> const& voters, std::vector<std::string> const& eligible = {}, ReplicatedLogLimits limits = {})
+        : random(seed)
+        , network(this->clock, this->random)
+        , limits(limits)
+    {
+        for (auto const& name : voters)
+            this->initial.voters.emplace_back(name);
+        for (auto const& name : eligible)
+            this->initial.eligibleLeaders.emplace_back(name);
+        for (auto const& name : voters)
+            this->addHost(name);
+    }
+
+    Host& addHost(std::string const& name)
+    {
+        auto& host = this->hosts[HostId(name)];
+        host = std::make_unique<Host>();
+        host->id = HostId(name);
+        this->restart(host->id);
+        return *host;
+    }
+
+    Host& host(std::string const& name) { return *this->hosts.at(HostId(name)); }
+
+    void restart(HostId const& id)
+    {
+        Host& host = *this->hosts.at(id);
+        if (host.isGone)
+            return;
+        host.log.reset();
+        host.disk.crash();
+        host.state = "0";
+        host.flushDue = false;
+        auto const send = [this, id](HostId const& to, std::string bytes) { this->send(id, to, std::move(bytes)); };
+        host.log = std::make_unique<ReplicatedLog>(
+            GroupId("g"), id, this->initial, this->times, this->clock, this->random, host.events, host.disk, send, this->hooks(host), this->limits);
+        host.log->setFlushRequest([&host] { host.flushDue = true; });
+        host.log->start();
+    }
+
+    void crash(HostId const& id)
+    {
+        Host& host = *this->hosts.at(id);
+        host.log.reset();
+        host.disk.crash();
+    }
+
+    /// The host never comes back; its disk is lost.
+    void lose(HostId const& id)
+    {
+        this->crash(id);
+        this->hosts.at(id)->isGone = true;
+    }
+
+    void isolate(HostId const& id)
+    {
+        std::set<HostId> others;
+        for (auto const& [other, host] : this->hosts) {
+            if (other != id)
+                others.insert(other);
+        }
+        this->network.isolate(id, others);
+    }
+
+    void heal() { this->network.heal(); }
+
+    void runFor(Duration span)
+    {
+        TimePoint const end = this->clock.now() + span;
+        while (this->clock.now() < end)
+            this->step();
+    }
+
+    /// Runs until `condition` or for `bound`; says whether it came true.
+    bool runUntil(std::function<bool()> const& condition, Duration bound)
+    {
+        TimePoint const end = this->clock.now() + bound;
+        while (!condition() && this->clock.now() < end)
+            this->step();
+        return condition();
+    }
+
+    std::optional<HostId> leader() const
+    {
+        std::optional<HostId> found;
+        Term best;
+        for (auto const& [id, host] : this->hosts) {
+            if (!host->log || !host->log->isLeader() || host->log->term() < best)
+                continue;
+            found = id;
+            best = host->log->term();
+        }
+        return found;
+    }
+
+    ReplicatedLog* leaderLog()
+    {
+        auto const id = this->leader();
+        return id ? this->hosts.at(*id)->log.get() : nullptr;
+    }
+
+    /// Proposes on the present leader; false when there is none.
+    bool propose(std::string const& command)
+    {
+        ReplicatedLog* log = this->leaderLog();
+        if (!log)
+            return false;
+        log->propose(command, [this, command](ProposalOutcome const& outcome) { this->onOutcome(command, outcome); });
+        return true;
+    }
+
+    /// Lets the leader replace lost voters by spares among all hosts.
+    void keepVoters(size_t target, VoterKeeperTimes const& keeperTimes)
+    {
+        for (auto const& [id, host] : this->hosts) {
+            if (!host->log || !host->log->canChangeMembership())
+                continue;
+            GroupView view { id, host->log->membership(), target, {} };
+            for (auto const& [other, ignored] : this->hosts)
+                view.hosts.push_back(this->viewOf(*host, other));
+            if (auto const next = nextMembership(view, keeperTimes))
+                host->log->proposeMembership(*next, [](ProposalOutcome const&) {});
+        }
+    }
+
+    /// True when every running host has applied all that any has, and all acknowledged commands are there.
+    bool hasConverged() const
+    {
+        LogIndex last;
+        for (auto const& [id, host] : this->hosts) {
+            if (host->log)
+                last = std::max(last, host->log->appliedIndex());
+        }
+        for (auto const& [id, host] : this->hosts) {
+            bool const isMember = host->log && (host->log->membership().isVoter(id) || host->log->membership().isLearner(id));
+            if (isMember && host->log->appliedIndex() != last)
+                return false;
+        }
+        return this->acknowledged.empty() || this->acknowledged.rbegin()->first <= last;
+    }
+
+    std::map<LogIndex, std::string> const& acknowledgedCommands() const { return this->acknowledged; }
+    size_t unknownOutcomes() const { return this->unknown; }
+    size_t acknowledgedCount() const { return this->acknowledged.size(); }
+
+    static constexpr int64_t stepMs = 1;
+    static constexpr int64_t tickMs = 10;
+
+    FakeClock clock;
+    SeededRandom random;
+    FakeNetwork network;
+    ReplicatedLogTimes times;
+    std::map<HostId, std::unique_ptr<Host>> hosts;
+    Duration step1 = Duration::milliseconds(stepMs);
+    std::function<void(HostId const& from, HostId const& to, std::string& bytes)> tamper; ///< Breaks messages on purpose.
+
+private:
+    StateMachineHooks hooks(Host& host)
+    {
+        StateMachineHooks result;
+        result.apply = [this, &host](LogIndex index, std::string const& command) { this->onApply(host, index, command); };
+        result.takeSnapshot = [&host] { return host.state; };
+        result.restore = [this, &host](std::string const& state) {
+            host.state = state;
+            if (state != "0" && !this->knownStates.count(state))
+                throw SafetyViolation("a snapshot of a state that never was");
+        };
+        result.onLeadership = [](bool) {};
+        return result;
+    }
+
+    void onApply(Host& host, LogIndex index, std::string const& command)
+    {
+        auto const [entry, isNew] = this->appliedCommands.emplace(index, command);
+        if (!isNew && entry->second != command)
+            throw SafetyViolation("two commands applied at index " + std::to_string(index.value()));
+        host.state = std::to_string(std::hash<std::string>()(host.state + "/" + command));
+        auto const [state, isNewState] = this->appliedStates.emplace(index, host.state);
+        if (!isNewState && state->second != host.state)
+            throw SafetyViolation("two states after index " + std::to_string(index.value()));
+        this->knownStates.insert(host.state);
+    }
+
+    void onOutcome(std::string const& command, ProposalOutcome const& outcome)
+    {
+        if (outcome.code == ResultCode::OutcomeUnknown)
+            this->unknown++;
+        if (outcome.code != ResultCode::Ok)
+            return;
+        auto const applied = this->appliedCommands.find(outcome.index);
+        if (applied == this->appliedCommands.end() || applied->second != command)
+            throw SafetyViolation("acknowledged a command that was not applied");
+        if (!this->acknowledged.emplace(outcome.index, command).second)
+            throw SafetyViolation("two acknowledgements for one index");
+    }
+
+    void send(HostId const& from, HostId const& to, std::string bytes)
+    {
+        AgreementMessage const message = decodeMessage(bytes);
+        if (auto const* append = std::get_if<AppendRequest>(&message)) {
+            auto const [entry, isNew] = this->leaders.emplace(append->term, from);
+            if (!isNew && entry->second != from)
+                throw SafetyViolation("two leaders in term " + std::to_string(append->term.value()));
+        }
+        if (this->tamper)
+            this->tamper(from, to, bytes);
+        this->network.send(from, to, std::move(bytes));
+    }
+
+    void step()
+    {
+        this->clock.advance(this->step1);
+        this->network.deliverDue([this](HostId const& from, HostId const& to, std::string const& bytes) {
+            auto const found = this->hosts.find(to);
+            if (found != this->hosts.end() && found->second->log)
+                found->second->log->onMessage(from, bytes);
+        });
+        bool const isTick = this->clock.now().toMicroseconds() % (tickMs * 1000) == 0;
+        for (auto const& [id, host] : this->hosts) {
+            if (host->log && isTick)
+                host->log->onTick();
+            if (host->log && host->flushDue) {
+                host->flushDue = false;
+                host->log->flush();
+            }
+        }
+        this->checkConfirmedLeaders();
+    }
+
+    void checkConfirmedLeaders() const
+    {
+        size_t count = 0;
+        for (auto const& [id, host] : this->hosts)
+            count += host->log && host->log->isLeadershipConfirmed() ? 1 : 0;
+        if (count > 1)
+            throw SafetyViolation("two confirmed leaders at a time");
+    }
+
+    HostView viewOf(Host const& asking, HostId const& id) const
+    {
+        HostView view;
+        view.host = id;
+        Membership const& members = asking.log->membership();
+        bool const isMember = members.isVoter(id) || members.isLearner(id);
+        bool const isRunning = this->hosts.at(id)->log != nullptr;
+        view.silentFor = isMember ? asking.log->silentFor(id) : (isRunning ? Duration() : Duration::infinite());
+        view.isCaughtUp = asking.log->isCaughtUp(id);
+        view.mayLead = true;
+        return view;
+    }
+
+    Membership initial;
+    ReplicatedLogLimits limits;
+    std::map<Term, HostId> leaders;
+    std::map<LogIndex, std::string> appliedCommands;
+    std::map<LogIndex, std::string> appliedStates;
+    std::set<std::string> knownStates;
+    std::map<LogIndex, std::string> acknowledged;
+    size_t unknown = 0;
+};
+
+} // namespace cornelpond
--- /dev/null
+++ b/testing/fakes/FakeNetwork.h
@@ -0,0 +1,103 @@
+#pragma once
+
+// A network between fake hosts: messages are delayed, lost, doubled, reordered and cut one way.
+//
+// Example:
+//   FakeNetwork network(clock, random);
+//   network.faults.loss = 0.1;
+//   network.cut(HostId("a"), HostId("b")); // from a to b only
+//   network.send(HostId("a"), HostId("b"), bytes);
+//   network.deliverDue([](HostId const& from, HostId const& to, std::string const& bytes) { ... });
+
+#include "cornelpond/core/base/Ids.h"
+#include "cornelpond/ports/Clock.h"
+#include "cornelpond/ports/Random.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace cornelpond {
+
+struct NetworkFaults {
+    Duration delayMin;
+    Duration delayMax; ///< Messages overtake one another where it differs from the smallest.
+    double loss = 0;
+    double duplication = 0;
+};
+
+class FakeNetwork {
+public:
+    using Deliver = std::function<void(HostId const& from, HostId const& to, std::string const& bytes)>;
+
+    FakeNetwork(Clock const& clock, Random& random)
+        : clock(clock)
+        , random(random)
+    {
+    }
+
+    void send(HostId const& from, HostId const& to, std::string bytes)
+    {
+        this->sentMessages++;
+        this->sentBytes += bytes.size();
+        if (this->cuts.count({ from, to }) || this->random.unit() < this->faults.loss)
+            return;
+        if (this->random.unit() < this->faults.duplication)
+            this->enqueue(from, to, bytes);
+        this->enqueue(from, to, std::move(bytes));
+    }
+
+    void deliverDue(Deliver const& deliver)
+    {
+        while (!this->queue.empty() && this->queue.begin()->first.first <= this->clock.now()) {
+            auto const entry = this->queue.extract(this->queue.begin());
+            Message const& message = entry.mapped();
+            if (!this->cuts.count({ message.from, message.to }))
+                deliver(message.from, message.to, message.bytes);
+        }
+    }
+
+    /// Cuts one direction.
+    void cut(HostId const& from, HostId const& to) { this->cuts.emplace(from, to); }
+
+    void isolate(HostId const& host, std::set<HostId> const& others)
+    {
+        for (auto const& other : others) {
+            this->cut(host, other);
+            this->cut(other, host);
+        }
+    }
+
+    void heal() { this->cuts.clear(); }
+
+    uint64_t messageCount() const { return this->sentMessages; }
+    uint64_t byteCount() const { return this->sentBytes; }
+
+    NetworkFaults faults;
+
+private:
+    struct Message {
+        HostId from;
+        HostId to;
+        std::string bytes;
+    };
+
+    void enqueue(HostId const& from, HostId const& to, std::string bytes)
+    {
+        auto const spread = static_cast<uint64_t>((this->faults.delayMax - this->faults.delayMin).toMicroseconds());
+        Duration const delay = this->faults.delayMin + Duration::microseconds(static_cast<int64_t>(this->random.below(spread + 1)));
+        this->queue.emplace(std::make_pair(this->clock.now() + delay, this->nextMessage++), Message { from, to, std::move(bytes) });
+    }
+
+    Clock const& clock;
+    Random& random;
+    std::map<std::pair<TimePoint, uint64_t>, Message> queue;
+    std::set<std::pair<HostId, HostId>> cuts;
+    uint64_t nextMessage = 0;
+    uint64_t sentMessages = 0;
+    uint64_t sentBytes = 0;
+};
+
+} // namespace cornelpond
--- a/testing/fakes/FakeStorage.h
+++ b/testing/fakes/FakeStorage.h
@@ -50,22 +50,44 @@
     void sync() override
     {
         this->failIfAsked();
-        this->synced = this->written;
+        if (this->syncFailure)
+            throw Error(*this->syncFailure, "the fake disk failed to sync");
+        if (!this->isLying)
+            this->synced = this->written;
         this->syncs++;
     }
 
     /// Forgets what was not synced.
-    void crash() { this->written = this->synced; }
+    void crash()
+    {
+        this->written = this->synced;
+        this->failure.reset();
+        this->syncFailure.reset();
+        this->callsUntilFailure = 0;
+    }
 
     /// The next writing call throws Error(code).
-    void failNext(ResultCode code) { this->failure = code; }
+    void failNext(ResultCode code) { this->failNth(1, code); }
+
+    /// The n-th writing call from now throws Error(code).
+    void failNth(size_t calls, ResultCode code)
+    {
+        this->failure = code;
+        this->callsUntilFailure = calls;
+    }
+
+    /// Every sync throws Error(code) until the next crash.
+    void failNextSync(ResultCode code) { this->syncFailure = code; }
+
+    /// A disk that lies: what was written counts as lost at a crash although `sync` returned.
+    void ignoreSyncs() { this->isLying = true; }
 
     size_t syncCount() const { return this->syncs; }
 
 private:
     void failIfAsked()
     {
-        if (!this->failure)
+        if (!this->failure || --this->callsUntilFailure > 0)
             return;
         ResultCode const code = *this->failure;
         this->failure.reset();
@@ -75,6 +97,9 @@
     StoredLog written;
     StoredLog synced;
     std::optional<ResultCode> failure;
+    std::optional<ResultCode> syncFailure;
+    size_t callsUntilFailure = 0;
+    bool isLying = false;
     size_t syncs = 0;
 };
 
