--- a/testing/fakes/AgreementCluster.h
+++ b/testing/fakes/AgreementCluster.h
@@ -79,6 +79,8 @@
         host.state = "0";
         host.flushDue = false;
         auto const send = [this, id](HostId const& to, std::string bytes) { this->send(id, to, std::move(bytes)); };
+        if (this->onRestart)
+            this->onRestart(host);
         host.log = std::make_unique<ReplicatedLog>(
             GroupId("g"), id, this->initial, this->times, this->clock, this->random, host.events, host.disk, send, this->hooks(host), this->limits);
         host.log->setFlushRequest([&host] { host.flushDue = true; });
@@ -111,6 +113,13 @@
 
     void heal() { this->network.heal(); }
 
+    /// True when the host takes no part: crashed, or its disk failed.
+    bool isDown(HostId const& id) const
+    {
+        Host const& host = *this->hosts.at(id);
+        return !host.log || host.log->hasFailedStorage();
+    }
+
     void runFor(Duration span)
     {
         TimePoint const end = this->clock.now() + span;
@@ -200,6 +209,7 @@
     std::map<HostId, std::unique_ptr<Host>> hosts;
     Duration step1 = Duration::milliseconds(stepMs);
     std::function<void(HostId const& from, HostId const& to, std::string& bytes)> tamper; ///< Breaks messages on purpose.
+    std::function<void(Host& host)> onRestart; ///< Breaks disks on purpose.
 
 private:
     StateMachineHooks hooks(Host& host)
--- /dev/null
+++ b/testing/fakes/AgreementSchedule.h
@@ -0,0 +1,257 @@
+#pragma once
+
+// Random schedules of faults for an AgreementCluster, and the run of one.
+//
+// Example:
+//   std::vector<FaultAction> const actions = randomActions(seed, 30);
+//   runSchedule(seed, actions); // throws SafetyViolation or LivenessViolation
+
+#include "testing/fakes/AgreementCluster.h"
+
+#include <ostream>
+
+namespace cornelpond {
+
+/// The group did not get back to work after all faults had ended.
+class LivenessViolation : public std::runtime_error {
+public:
+    using std::runtime_error::runtime_error;
+};
+
+enum class FaultKind : uint8_t {
+    Propose,
+    ProposeMany,
+    Wait,
+    CrashOne,
+    CrashLeader,
+    RestartAll,
+    FailDisk,
+    FailSync,
+    CutOneWay,
+    IsolateOne,
+    IsolateLeader,
+    Heal,
+    BadLinks,
+    GoodLinks,
+    Transfer,
+    LoseDisk,
+    Count,
+};
+
+struct FaultAction {
+    FaultKind kind = FaultKind::Wait;
+    uint8_t first = 0; ///< Chooses a host or a number, by the kind.
+    uint8_t second = 0;
+    uint16_t waitMs = 0; ///< Time that passes afterwards.
+};
+
+inline std::ostream& operator<<(std::ostream& out, FaultAction const& action)
+{
+    return out << "{" << static_cast<int>(action.kind) << ", " << static_cast<int>(action.first) << ", " << static_cast<int>(action.second) << ", "
+               << action.waitMs << " ms}";
+}
+
+inline FaultAction makeAction(uint64_t bits)
+{
+    constexpr uint64_t longestWaitMs = 700;
+    FaultAction action;
+    action.kind = static_cast<FaultKind>(bits % static_cast<uint64_t>(FaultKind::Count));
+    action.first = static_cast<uint8_t>(bits >> 8);
+    action.second = static_cast<uint8_t>(bits >> 16);
+    action.waitMs = static_cast<uint16_t>((bits >> 32) % longestWaitMs);
+    return action;
+}
+
+inline std::vector<FaultAction> randomActions(uint64_t seed, size_t count)
+{
+    SeededRandom random(seed);
+    std::vector<FaultAction> actions;
+    for (size_t i = 0; i < count; i++)
+        actions.push_back(makeAction(random.next()));
+    return actions;
+}
+
+/// Runs actions against one cluster of three or five hosts, with or without witnesses.
+class ScheduleRun {
+public:
+    using Setup = std::function<void(AgreementCluster&)>;
+
+    explicit ScheduleRun(uint64_t seed, Setup const& setup = {})
+        : cluster(seed, voterNames(seed), eligibleNames(seed), smallLimits())
+    {
+        this->useGoodLinks();
+        if (setup)
+            setup(this->cluster);
+    }
+
+    void run(Span<FaultAction const> actions)
+    {
+        for (auto const& action : actions) {
+            this->perform(action);
+            this->runFor(Duration::milliseconds(action.waitMs));
+        }
+        this->finish();
+    }
+
+    size_t acknowledgedCount() const { return this->cluster.acknowledgedCount(); }
+    size_t lostDisks() const { return this->lost; }
+
+private:
+    static std::vector<std::string> voterNames(uint64_t seed)
+    {
+        return seed % 2 ? std::vector<std::string> { "a", "b", "c" } : std::vector<std::string> { "a", "b", "c", "d", "e" };
+    }
+
+    /// Every third cluster has witnesses.
+    static std::vector<std::string> eligibleNames(uint64_t seed) { return seed % 3 ? std::vector<std::string>() : std::vector<std::string> { "a", "b" }; }
+
+    static ReplicatedLogLimits smallLimits()
+    {
+        ReplicatedLogLimits limits;
+        limits.snapshotEntries = 15;
+        limits.keptEntries = 4;
+        limits.messageBytes = 12;
+        return limits;
+    }
+
+    HostId hostAt(uint8_t number) const
+    {
+        auto entry = this->cluster.hosts.begin();
+        std::advance(entry, number % this->cluster.hosts.size());
+        return entry->first;
+    }
+
+    void useGoodLinks()
+    {
+        this->cluster.network.faults = {};
+        this->cluster.network.faults.delayMin = Duration::milliseconds(1);
+        this->cluster.network.faults.delayMax = Duration::milliseconds(6);
+    }
+
+    void useBadLinks(FaultAction const& action)
+    {
+        constexpr double largestLoss = 0.3;
+        this->cluster.network.faults.loss = largestLoss * action.first / UINT8_MAX;
+        this->cluster.network.faults.duplication = largestLoss;
+        this->cluster.network.faults.delayMax = Duration::milliseconds(6 + action.second);
+    }
+
+    void proposeSome(size_t count)
+    {
+        for (size_t i = 0; i < count; i++) {
+            // Also on hosts that only think that they lead.
+            std::string const command = "command " + std::to_string(this->nextCommand++);
+            this->cluster.propose(command);
+        }
+    }
+
+    void perform(FaultAction const& action)
+    {
+        auto const leader = this->cluster.leader();
+        HostId const host = this->hostAt(action.first);
+        auto const& entry = *this->cluster.hosts.at(host);
+        switch (action.kind) {
+        case FaultKind::Propose:
+            return this->proposeSome(1);
+        case FaultKind::ProposeMany:
+            return this->proposeSome(action.first % 40);
+        case FaultKind::CrashOne:
+            return this->cluster.crash(host);
+        case FaultKind::CrashLeader:
+            return leader ? this->cluster.crash(*leader) : void();
+        case FaultKind::RestartAll:
+            return this->restartAll();
+        case FaultKind::FailDisk:
+            return this->cluster.hosts.at(host)->disk.failNth(action.second % 8 + 1, ResultCode::DiskFull);
+        case FaultKind::FailSync:
+            return entry.isGone ? void() : this->cluster.hosts.at(host)->disk.failNextSync(ResultCode::StorageFailed, action.second % 2);
+        case FaultKind::CutOneWay:
+            return this->cluster.network.cut(host, this->hostAt(action.second));
+        case FaultKind::IsolateOne:
+            return this->cluster.isolate(host);
+        case FaultKind::IsolateLeader:
+            return leader ? this->cluster.isolate(*leader) : void();
+        case FaultKind::Heal:
+            return this->cluster.heal();
+        case FaultKind::BadLinks:
+            return this->useBadLinks(action);
+        case FaultKind::GoodLinks:
+            return this->useGoodLinks();
+        case FaultKind::Transfer:
+            return leader ? this->cluster.leaderLog()->transferLeadership(action.second % 2 ? host : HostId()) : void();
+        case FaultKind::LoseDisk:
+            return this->loseDisk(host);
+        case FaultKind::Wait:
+        case FaultKind::Count:
+            return;
+        }
+    }
+
+    /// At most one voter's disk is lost at a time: the next only after the repair of the last.
+    void loseDisk(HostId const& host)
+    {
+        ReplicatedLog const* log = this->cluster.leaderLog();
+        if (!log || !log->isLeadershipConfirmed() || !log->canChangeMembership() || !log->membership().isVoter(host))
+            return;
+        for (auto const& voter : log->membership().voters) {
+            if (this->cluster.hosts.at(voter)->isGone)
+                return;
+        }
+        this->cluster.lose(host);
+        this->lost++;
+        this->cluster.addHost("spare" + std::to_string(this->lost));
+    }
+
+    void restartAll()
+    {
+        for (auto const& [id, host] : this->cluster.hosts) {
+            if (this->cluster.isDown(id))
+                this->cluster.restart(id);
+        }
+    }
+
+    void runFor(Duration span)
+    {
+        Duration const slice = Duration::milliseconds(50);
+        for (Duration done; done < span; done = done + slice) {
+            this->cluster.keepVoters(this->voterTarget, this->keeperTimes);
+            this->cluster.runFor(slice);
+        }
+    }
+
+    void finish()
+    {
+        this->cluster.heal();
+        this->useGoodLinks();
+        this->restartAll();
+        Duration const bound = Duration::seconds(30);
+        Duration const slice = Duration::milliseconds(50);
+        size_t const before = this->cluster.acknowledgedCount();
+        for (Duration done; done < bound; done = done + slice) {
+            this->runFor(slice);
+            this->restartAll(); // A disk failure that was still to come.
+            if (this->cluster.acknowledgedCount() < before + 3)
+                this->proposeSome(1);
+            else if (this->cluster.hasConverged() && this->isRepaired())
+                return;
+        }
+        throw LivenessViolation("the group did not get back to work");
+    }
+
+    bool isRepaired()
+    {
+        ReplicatedLog const* log = this->cluster.leaderLog();
+        if (!log || !log->canChangeMembership())
+            return false;
+        auto const& voters = log->membership().voters;
+        return std::none_of(voters.begin(), voters.end(), [&](auto const& voter) { return this->cluster.hosts.at(voter)->isGone; });
+    }
+
+    AgreementCluster cluster;
+    VoterKeeperTimes keeperTimes { Duration::seconds(2), Duration::milliseconds(800) };
+    size_t voterTarget = cluster.hosts.size();
+    size_t lost = 0;
+    size_t nextCommand = 0;
+};
+
+} // namespace cornelpond
--- a/testing/fakes/FakeStorage.h
+++ b/testing/fakes/FakeStorage.h
@@ -17,7 +17,12 @@
 
 class FakeStorage final : public Storage {
 public:
-    StoredLog load() override { return this->written; }
+    StoredLog load() override
+    {
+        if (this->isForgetful)
+            this->written.hardState.votedFor = HostId();
+        return this->written;
+    }
 
     void append(Span<LogEntry const> entries) override
     {
@@ -50,8 +55,11 @@
     void sync() override
     {
         this->failIfAsked();
-        if (this->syncFailure)
+        if (this->syncFailure) {
+            if (this->syncsBeforeFailing)
+                this->synced = this->written;
             throw Error(*this->syncFailure, "the fake disk failed to sync");
+        }
         if (!this->isLying)
             this->synced = this->written;
         this->syncs++;
@@ -77,11 +85,18 @@
     }
 
     /// Every sync throws Error(code) until the next crash.
-    void failNextSync(ResultCode code) { this->syncFailure = code; }
+    void failNextSync(ResultCode code, bool isDurableAllTheSame = false)
+    {
+        this->syncFailure = code;
+        this->syncsBeforeFailing = isDurableAllTheSame;
+    }
 
     /// A disk that lies: what was written counts as lost at a crash although `sync` returned.
     void ignoreSyncs() { this->isLying = true; }
 
+    /// A disk that loses the vote of the stored term.
+    void forgetVotes() { this->isForgetful = true; }
+
     size_t syncCount() const { return this->syncs; }
 
 private:
@@ -100,6 +115,8 @@
     std::optional<ResultCode> syncFailure;
     size_t callsUntilFailure = 0;
     bool isLying = false;
+    bool isForgetful = false;
+    bool syncsBeforeFailing = false;
     size_t syncs = 0;
 };
 
