--- a/cornelpond/adapters/journal/JournalStorage.cpp
+++ b/cornelpond/adapters/journal/JournalStorage.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <charconv>
 #include <cstring>
 #include <fcntl.h>
 #include <filesystem>
@@ -19,6 +20,7 @@
 
     constexpr size_t recordHeaderBytes = 9; // length, checksum, kind
     constexpr size_t maxRecordBytes = size_t(256) * 1024 * 1024;
+    constexpr size_t tailCheckBytes = size_t(64) * 1024 * 1024;
 
     enum class RecordKind : uint8_t {
         Entry = 1,
@@ -150,12 +152,43 @@
         return checksum(kind, record.payload) == expected;
     }
 
-    /// True when a whole record starts anywhere in `bytes`: then a mismatch before it is damage, not a torn tail.
+    /// True when the header at the front can be that of a record; costs no checksum.
+    bool isPlausible(std::string_view bytes)
+    {
+        constexpr size_t entryFieldBytes = 8 + 8 + 1; // index, term, kind
+        constexpr size_t termBytes = 8;
+        constexpr size_t lengthBytes = 4;
+        FieldReader header(bytes);
+        auto const length = header.number<uint32_t>();
+        header.number<uint32_t>();
+        auto const kind = static_cast<RecordKind>(header.number<uint8_t>());
+        std::string_view const payload = bytes.substr(recordHeaderBytes);
+        if (length > payload.size())
+            return false;
+        if (kind == RecordKind::Truncate)
+            return length == termBytes;
+        size_t const fixed = kind == RecordKind::Entry ? entryFieldBytes : termBytes;
+        if ((kind != RecordKind::Entry && kind != RecordKind::HardState) || length < fixed + lengthBytes)
+            return false;
+        FieldReader text(payload.substr(fixed));
+        return text.number<uint32_t>() == length - fixed - lengthBytes;
+    }
+
+    /// True when a whole record starts anywhere in `bytes`: then a mismatch before it is damage, not a torn
+    /// tail. Checks no more bytes than `tailCheckBytes`; what takes longer to tell apart counts as damage.
     bool containsRecord(std::string_view bytes)
     {
-        Record record {};
+        size_t budget = tailCheckBytes;
         for (size_t offset = 0; offset + recordHeaderBytes <= bytes.size(); offset++) {
-            if (readRecord(bytes.substr(offset), record) && !record.payload.empty())
+            std::string_view const candidate = bytes.substr(offset);
+            if (!isPlausible(candidate))
+                continue;
+            size_t const cost = FieldReader(candidate).number<uint32_t>();
+            if (cost > budget)
+                return true;
+            budget -= cost;
+            Record record {};
+            if (readRecord(candidate, record))
                 return true;
         }
         return false;
@@ -222,21 +255,67 @@
         return snapshot;
     }
 
-    /// Reads the folder; returns the number of bytes of the journal that hold whole records.
-    size_t readLog(std::string const& folder, StoredLog& log, size_t& tornBytes)
+    std::string segmentName(uint64_t number)
     {
-        log.snapshot = readSnapshot(folder);
-        std::string const bytes = readFile(folder + "/journal");
+        return number ? "journal." + std::to_string(number) : "journal";
+    }
+
+    /// The numbers of the segments in the folder, rising.
+    std::vector<uint64_t> listSegments(std::string const& folder)
+    {
+        std::vector<uint64_t> numbers;
+        for (auto const& entry : std::filesystem::directory_iterator(folder)) {
+            std::string const name = entry.path().filename().string();
+            uint64_t number = 0;
+            if (name.rfind("journal.", 0) == 0)
+                std::from_chars(name.data() + std::strlen("journal."), name.data() + name.size(), number);
+            if (name == segmentName(number))
+                numbers.push_back(number);
+        }
+        std::sort(numbers.begin(), numbers.end());
+        for (size_t i = 1; i < numbers.size(); i++) {
+            if (numbers[i] != numbers[i - 1] + 1)
+                damaged(folder + " lacks " + segmentName(numbers[i - 1] + 1));
+        }
+        return numbers;
+    }
+
+    struct SegmentEnd {
+        size_t wholeBytes = 0; ///< Bytes that hold whole records.
+        size_t tornBytes = 0;
+        LogIndex lastEntry; ///< Highest index that was ever written to it.
+    };
+
+    SegmentEnd readSegment(std::string const& path, StoredLog& log)
+    {
+        SegmentEnd end;
+        std::string const bytes = readFile(path);
         std::string_view rest = bytes;
         Record record {};
         while (readRecord(rest, record)) {
             applyRecord(record, log);
+            if (record.kind == RecordKind::Entry)
+                end.lastEntry = std::max(end.lastEntry, LogIndex(FieldReader(record.payload).number<uint64_t>()));
             rest.remove_prefix(record.bytes);
         }
         if (!rest.empty() && containsRecord(rest.substr(1)))
-            damaged(folder + "/journal is damaged at byte " + std::to_string(bytes.size() - rest.size()));
-        tornBytes = rest.size();
-        return bytes.size() - rest.size();
+            damaged(path + " is damaged at byte " + std::to_string(bytes.size() - rest.size()));
+        end.tornBytes = rest.size();
+        end.wholeBytes = bytes.size() - rest.size();
+        return end;
+    }
+
+    /// Reads the folder. Only the last segment may end in a torn record: the others were synced as a whole.
+    StoredLog readLog(std::string const& folder, std::vector<uint64_t> const& numbers, std::vector<SegmentEnd>& ends)
+    {
+        StoredLog log;
+        log.snapshot = readSnapshot(folder);
+        for (uint64_t const number : numbers) {
+            if (!ends.empty() && ends.back().tornBytes)
+                damaged(folder + "/" + segmentName(number - 1) + " ends in a torn record but is not the last");
+            ends.push_back(readSegment(folder + "/" + segmentName(number), log));
+        }
+        return log;
     }
 
     [[noreturn]] void writeFailed(std::string const& what)
@@ -246,18 +325,6 @@
         throw Error(code, what + ": " + std::strerror(error));
     }
 
-    void writeAll(int file, std::string_view bytes, std::string const& path)
-    {
-        while (!bytes.empty()) {
-            ssize_t const written = ::write(file, bytes.data(), bytes.size());
-            if (written < 0 && errno == EINTR)
-                continue;
-            if (written < 0)
-                writeFailed("writing " + path);
-            bytes.remove_prefix(static_cast<size_t>(written));
-        }
-    }
-
     void syncFolder(std::string const& folder)
     {
         int const handle = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
@@ -269,33 +336,12 @@
             writeFailed("syncing " + folder);
     }
 
-    /// Writes a file so that after a crash either the old or the new content is there.
-    void replaceFile(std::string const& folder, std::string const& name, std::string_view bytes)
-    {
-        std::string const path = folder + "/" + name;
-        std::string const temporary = path + ".new";
-        int const handle = ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
-        if (handle < 0)
-            writeFailed("creating " + temporary);
-        try {
-            writeAll(handle, bytes, temporary);
-            if (::fsync(handle) < 0)
-                writeFailed("syncing " + temporary);
-        } catch (...) {
-            ::close(handle);
-            throw;
-        }
-        ::close(handle);
-        if (::rename(temporary.c_str(), path.c_str()) < 0)
-            writeFailed("renaming " + temporary);
-        syncFolder(folder);
-    }
-
 } // namespace
 
-JournalStorage::JournalStorage(std::string folder, EventSink& events)
+JournalStorage::JournalStorage(std::string folder, EventSink& events, FileCalls calls)
     : folder(std::move(folder))
     , events(events)
+    , calls(std::move(calls))
 {
     std::error_code error;
     std::filesystem::create_directories(this->folder, error);
@@ -314,24 +360,33 @@
 
 StoredLog JournalStorage::load()
 {
-    size_t tornBytes = 0;
-    StoredLog log;
-    size_t const wholeBytes = readLog(this->folder, log, tornBytes);
-    std::string const path = this->folder + "/journal";
+    std::vector<uint64_t> const numbers = listSegments(this->folder);
+    std::vector<SegmentEnd> ends;
+    StoredLog log = readLog(this->folder, numbers, ends);
+    for (size_t i = 0; i < numbers.size(); i++)
+        this->segments.push_back({ numbers[i], ends[i].lastEntry });
+    if (this->segments.empty())
+        this->segments.push_back({ 0, LogIndex() });
+    SegmentEnd const end = ends.empty() ? SegmentEnd() : ends.back();
+    std::string const path = this->segmentPath(this->segments.back().number);
     this->file = ::open(path.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0600);
     if (this->file < 0)
         writeFailed("opening " + path);
-    if (tornBytes) {
-        if (::ftruncate(this->file, static_cast<off_t>(wholeBytes)) < 0)
+    if (end.tornBytes) {
+        if (::ftruncate(this->file, static_cast<off_t>(end.wholeBytes)) < 0)
             writeFailed("cutting " + path);
-        this->events.emit(Event(EventId::JournalTailCut).with("folder", this->folder).with("bytes", tornBytes));
+        this->events.emit(Event(EventId::JournalTailCut).with("folder", this->folder).with("bytes", end.tornBytes));
     }
     ::lseek(this->file, 0, SEEK_END);
-    this->sync();
+    this->syncFile(this->file, path);
     syncFolder(this->folder);
-    this->current = log;
+    this->hardState = log.hardState;
     LogIndex const last = log.entries.empty() ? log.snapshot.lastIndex : log.entries.back().index;
-    this->events.emit(Event(EventId::JournalOpened).with("folder", this->folder).with("term", log.hardState.term).with("lastIndex", last).with("entries", log.entries.size()));
+    this->events.emit(Event(EventId::JournalOpened)
+                          .with("folder", this->folder)
+                          .with("term", log.hardState.term)
+                          .with("lastIndex", last)
+                          .with("entries", log.entries.size()));
     return log;
 }
 
@@ -339,23 +394,50 @@
 {
     if (!std::filesystem::is_directory(folder))
         throw Error(ResultCode::NotFound, folder + " is not a folder");
-    StoredLog log;
-    readLog(folder, log, tornBytes);
+    std::vector<SegmentEnd> ends;
+    StoredLog log = readLog(folder, listSegments(folder), ends);
+    tornBytes = ends.empty() ? 0 : ends.back().tornBytes;
     return log;
 }
 
+std::string JournalStorage::segmentPath(uint64_t number) const
+{
+    return this->folder + "/" + segmentName(number);
+}
+
+void JournalStorage::writeTo(int target, std::string_view bytes, std::string const& path)
+{
+    while (!bytes.empty()) {
+        ssize_t const written = this->calls.write(target, bytes.data(), bytes.size());
+        if (written < 0 && errno == EINTR)
+            continue;
+        if (written < 0)
+            writeFailed("writing " + path);
+        bytes.remove_prefix(static_cast<size_t>(written));
+    }
+}
+
+void JournalStorage::syncFile(int target, std::string const& path)
+{
+    if (this->calls.sync(target) < 0)
+        writeFailed("syncing " + path);
+}
+
 void JournalStorage::write(std::string_view bytes)
 {
-    writeAll(this->file, bytes, this->folder + "/journal");
+    this->writeTo(this->file, bytes, this->segmentPath(this->segments.back().number));
 }
 
 void JournalStorage::append(Span<LogEntry const> entries)
 {
+    if (entries.empty())
+        return;
     std::string bytes;
     for (auto const& entry : entries)
         bytes += encode(entry);
     this->write(bytes);
-    this->current.entries.insert(this->current.entries.end(), entries.begin(), entries.end());
+    LogIndex& last = this->segments.back().lastEntry;
+    last = std::max(last, entries[entries.size() - 1].index);
 }
 
 void JournalStorage::truncateFrom(LogIndex index)
@@ -363,44 +445,71 @@
     std::string payload;
     putNumber(payload, index.value());
     this->write(frame(RecordKind::Truncate, payload));
-    dropFrom(this->current.entries, index);
 }
 
 void JournalStorage::saveHardState(HardState const& state)
 {
     this->write(encode(state));
-    this->current.hardState = state;
+    this->hardState = state;
 }
 
 void JournalStorage::saveSnapshot(Snapshot const& snapshot)
 {
-    replaceFile(this->folder, "snapshot", encode(snapshot));
-    auto& entries = this->current.entries;
-    auto const firstKept = std::find_if(entries.begin(), entries.end(), [&](auto const& entry) { return entry.index > snapshot.lastIndex; });
-    entries.erase(entries.begin(), firstKept);
-    this->current.snapshot.lastIndex = snapshot.lastIndex;
-    this->current.snapshot.lastTerm = snapshot.lastTerm;
-    std::string bytes = encode(this->current.hardState);
-    for (auto const& entry : entries)
-        bytes += encode(entry);
-    this->replaceJournal(bytes);
+    this->sync();
+    std::string const path = this->folder + "/snapshot";
+    std::string const temporary = path + ".new";
+    this->writeNewFile(temporary, encode(snapshot));
+    this->startSegment();
+    if (::rename(temporary.c_str(), path.c_str()) < 0)
+        writeFailed("renaming " + temporary);
+    // One sync of the folder makes the new segment's name and the new snapshot durable.
+    syncFolder(this->folder);
+    this->dropSegments(snapshot.lastIndex);
     this->events.emit(Event(EventId::SnapshotTaken).with("folder", this->folder).with("lastIndex", snapshot.lastIndex).with("bytes", snapshot.state.size()));
 }
 
-void JournalStorage::replaceJournal(std::string_view bytes)
+void JournalStorage::writeNewFile(std::string const& path, std::string_view bytes)
 {
-    replaceFile(this->folder, "journal", bytes);
-    ::close(this->file);
-    std::string const path = this->folder + "/journal";
-    this->file = ::open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
-    if (this->file < 0)
+    int const handle = ::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+    if (handle < 0)
+        writeFailed("creating " + path);
+    try {
+        this->writeTo(handle, bytes, path);
+        this->syncFile(handle, path);
+    } catch (...) {
+        ::close(handle);
+        throw;
+    }
+    ::close(handle);
+}
+
+void JournalStorage::startSegment()
+{
+    uint64_t const number = this->segments.back().number + 1;
+    std::string const path = this->segmentPath(number);
+    this->writeNewFile(path, encode(this->hardState));
+    int const handle = ::open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC);
+    if (handle < 0)
         writeFailed("opening " + path);
+    ::close(this->file);
+    this->file = handle;
+    this->segments.push_back({ number, LogIndex() });
+}
+
+void JournalStorage::dropSegments(LogIndex covered)
+{
+    // From the oldest on, so that a crash in between leaves no gap.
+    while (this->segments.size() > 1 && this->segments.front().lastEntry <= covered) {
+        std::string const path = this->segmentPath(this->segments.front().number);
+        if (::unlink(path.c_str()) < 0)
+            writeFailed("removing " + path);
+        this->segments.erase(this->segments.begin());
+    }
 }
 
 void JournalStorage::sync()
 {
-    if (::fdatasync(this->file) < 0)
-        writeFailed("syncing " + this->folder + "/journal");
+    this->syncFile(this->file, this->segmentPath(this->segments.back().number));
 }
 
 } // namespace cornelpond
--- a/cornelpond/adapters/journal/JournalStorage.h
+++ b/cornelpond/adapters/journal/JournalStorage.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// The Storage port on disk: one append-only journal and one snapshot file in a folder.
+// The Storage port on disk: append-only journal segments and one snapshot file in a folder.
 //
 // Example:
 //   JournalStorage storage("/var/lib/cornelpond/tasks", events);
@@ -8,20 +8,31 @@
 //
 // Each record is length, CRC-32 over kind and payload, kind, payload. An incomplete or mismatching last
 // record was never synced, hence never acknowledged, and is cut; a mismatch with whole records after it
-// is damage and is refused.
+// is damage and is refused. A snapshot starts a new segment and removes the segments it covers; no entry
+// is ever written twice, and none is held in memory. Files: snapshot, journal, journal.1, journal.2, ...
 
 #include "cornelpond/ports/EventSink.h"
 #include "cornelpond/ports/Storage.h"
 
+#include <functional>
 #include <string>
 #include <string_view>
+#include <sys/types.h>
+#include <unistd.h>
+#include <vector>
 
 namespace cornelpond {
 
+/// The system calls that can fail for want of space or by a broken disk; tests put failing ones in.
+struct FileCalls {
+    std::function<ssize_t(int file, void const* bytes, size_t count)> write = ::write;
+    std::function<int(int file)> sync = ::fdatasync;
+};
+
 class JournalStorage final : public Storage {
 public:
     /// Creates the folder when absent. `events` must outlive the object.
-    JournalStorage(std::string folder, EventSink& events);
+    JournalStorage(std::string folder, EventSink& events, FileCalls calls = FileCalls());
     ~JournalStorage() override;
     JournalStorage(JournalStorage const&) = delete;
     JournalStorage& operator=(JournalStorage const&) = delete;
@@ -37,13 +48,25 @@
     static StoredLog inspect(std::string const& folder, size_t& tornBytes);
 
 private:
+    struct Segment {
+        uint64_t number = 0;
+        LogIndex lastEntry; ///< Highest index that was ever written to it.
+    };
+
+    std::string segmentPath(uint64_t number) const;
     void write(std::string_view bytes);
-    void replaceJournal(std::string_view bytes);
+    void writeTo(int target, std::string_view bytes, std::string const& path);
+    void syncFile(int target, std::string const& path);
+    void writeNewFile(std::string const& path, std::string_view bytes);
+    void startSegment();
+    void dropSegments(LogIndex covered);
 
     std::string folder;
     EventSink& events;
-    int file = -1;
-    StoredLog current; ///< Mirror of the entries after the snapshot, for rewriting the journal.
+    FileCalls calls;
+    int file = -1; ///< The last segment.
+    HardState hardState; ///< Opens every segment.
+    std::vector<Segment> segments; ///< Rising; the last is written to.
 };
 
 } // namespace cornelpond
--- a/cornelpond/adapters/journal/JournalStorageTest.cpp
+++ b/cornelpond/adapters/journal/JournalStorageTest.cpp
@@ -6,6 +6,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <cerrno>
+#include <filesystem>
 #include <fstream>
 
 using namespace cornelpond;
@@ -115,3 +117,123 @@
     CHECK(log.entries.front().index == LogIndex(4));
     CHECK(log.hardState.term == Term(3));
 }
+
+TEST_CASE("segments that a snapshot covers go, the others are read in order")
+{
+    TemporaryFolder folder;
+    RecordingEventSink events;
+    fill(folder.path(), events, 5);
+    {
+        JournalStorage storage(folder.path(), events);
+        storage.load();
+        storage.saveSnapshot({ LogIndex(3), Term(1), "members", "state" });
+        CHECK(std::filesystem::exists(folder.path() + "/journal")); // Entries 4 and 5 are there.
+        for (uint64_t i = 6; i <= 9; i++) {
+            LogEntry const entry = makeEntry(i);
+            storage.append(Span<LogEntry const>(&entry, 1));
+        }
+        storage.truncateFrom(LogIndex(9));
+        storage.saveSnapshot({ LogIndex(7), Term(1), "members", "later" });
+    }
+    CHECK_FALSE(std::filesystem::exists(folder.path() + "/journal"));
+    StoredLog const log = JournalStorage(folder.path(), events).load();
+    CHECK(log.snapshot.state == "later");
+    REQUIRE(log.entries.size() == 1);
+    CHECK(log.entries.front().index == LogIndex(8));
+    CHECK(log.hardState.votedFor == HostId("h2"));
+}
+
+TEST_CASE("a missing segment and a torn one that is not the last are damage")
+{
+    TemporaryFolder folder;
+    RecordingEventSink events;
+    fill(folder.path(), events, 5);
+    {
+        JournalStorage storage(folder.path(), events);
+        storage.load();
+        storage.saveSnapshot({ LogIndex(3), Term(1), "", "state" });
+        storage.saveSnapshot({ LogIndex(4), Term(1), "", "state" });
+    }
+    std::string const whole = journalBytes(folder.path());
+    writeJournal(folder.path(), whole.substr(0, whole.size() - 1));
+    CHECK_THROWS_AS(JournalStorage(folder.path(), events).load(), Error);
+    writeJournal(folder.path(), whole);
+    CHECK_NOTHROW(JournalStorage(folder.path(), events).load());
+    std::filesystem::remove(folder.path() + "/journal.1");
+    CHECK_THROWS_AS(JournalStorage(folder.path(), events).load(), Error);
+}
+
+TEST_CASE("a crash at any write or sync of a snapshot loses no synced entry")
+{
+    for (int failing = 1; failing <= 6; failing++) {
+        TemporaryFolder folder;
+        RecordingEventSink events;
+        fill(folder.path(), events, 5);
+        int calls = 0;
+        FileCalls broken;
+        broken.write = [&](int file, void const* bytes, size_t count) {
+            if (++calls < failing)
+                return ::write(file, bytes, count);
+            // Half of it gets to the disk before the power goes.
+            if (calls == failing && ::write(file, bytes, count / 2) < 0)
+                FAIL("the test's own write failed");
+            errno = EIO;
+            return ssize_t(-1);
+        };
+        broken.sync = [&](int file) { return ++calls < failing ? ::fdatasync(file) : (errno = EIO, -1); };
+        try {
+            JournalStorage storage(folder.path(), events, broken);
+            storage.load();
+            storage.saveSnapshot({ LogIndex(3), Term(1), "", "state" });
+        } catch (Error const& error) {
+            CHECK(error.code() == ResultCode::StorageFailed);
+        }
+        StoredLog const log = JournalStorage(folder.path(), events).load();
+        LogIndex const last = log.entries.empty() ? log.snapshot.lastIndex : log.entries.back().index;
+        CHECK(last == LogIndex(5));
+        CHECK(log.entries.size() == 5 - log.snapshot.lastIndex.value());
+        CHECK(log.hardState.votedFor == HostId("h2"));
+    }
+}
+
+TEST_CASE("a full disk and a failed sync have their own codes")
+{
+    TemporaryFolder folder;
+    RecordingEventSink events;
+    bool isFull = false;
+    bool isBroken = false;
+    FileCalls calls;
+    calls.write = [&](int file, void const* bytes, size_t count) { return isFull ? (errno = ENOSPC, ssize_t(-1)) : ::write(file, bytes, count); };
+    calls.sync = [&](int file) { return isBroken ? (errno = EIO, -1) : ::fdatasync(file); };
+    JournalStorage storage(folder.path(), events, calls);
+    storage.load();
+    auto const codeOf = [](std::function<void()> const& call) {
+        try {
+            call();
+        } catch (Error const& error) {
+            return error.code();
+        }
+        return ResultCode::Ok;
+    };
+    LogEntry const entry = makeEntry(1);
+    isBroken = true;
+    CHECK(codeOf([&] { storage.sync(); }) == ResultCode::StorageFailed);
+    isFull = true;
+    CHECK(codeOf([&] { storage.append(Span<LogEntry const>(&entry, 1)); }) == ResultCode::DiskFull);
+    CHECK(codeOf([&] { storage.saveHardState({ Term(1), HostId("h1") }); }) == ResultCode::DiskFull);
+}
+
+TEST_CASE("a large torn record is told from damage without a checksum at every byte")
+{
+    TemporaryFolder folder;
+    RecordingEventSink events;
+    fill(folder.path(), events, 2);
+    std::string bytes = journalBytes(folder.path());
+    // A record that was to be 4 MB long, of bytes that look like record headers.
+    std::string torn("\xff\xff\x3f\0\0\0\0\0\x01", 9);
+    for (size_t i = 0; i < 200000; i++)
+        torn += std::string("\x10\0\0\0\0\0\0\0\x01", 9);
+    writeJournal(folder.path(), bytes + torn);
+    CHECK(JournalStorage(folder.path(), events).load().entries.size() == 2);
+    CHECK(journalBytes(folder.path()) == bytes);
+}
--- a/cornelpond/core/agreement/Elections.cpp
+++ b/cornelpond/core/agreement/Elections.cpp
@@ -11,6 +11,9 @@
     /// A witness waits this many longest election timeouts more than a host that may lead.
     constexpr int64_t witnessPatience = 2;
 
+    /// After a split vote the next try comes within this part of the shortest election timeout.
+    constexpr int64_t splitVoteShare = 4;
+
 } // namespace
 
 void ReplicatedLog::becomeFollower(Term term, HostId const& leader)
@@ -195,8 +198,12 @@
     }
     Term const asked = reply.isPreVote ? this->hardState.term.next() : this->hardState.term;
     Role const asking = reply.isPreVote ? Role::PreCandidate : Role::Candidate;
-    if (!reply.granted || this->role != asking || reply.requestTerm != asked)
+    if (this->role != asking || reply.requestTerm != asked)
+        return;
+    if (!reply.granted) {
+        this->retrySoonAfterSplitVote(reply);
         return;
+    }
     this->votes.insert(from);
     if (!this->hasVoteMajority())
         return;
@@ -206,6 +213,16 @@
         this->becomeLeader();
 }
 
+void ReplicatedLog::retrySoonAfterSplitVote(VoteReply const& denial)
+{
+    // The voter's term is closed to this host; waiting a whole timeout for the next term gains nothing.
+    if (denial.isPreVote || denial.term != this->hardState.term)
+        return;
+    Duration const longest = this->times.electionTimeoutMin / splitVoteShare;
+    auto const wait = this->random.below(static_cast<uint64_t>(longest.toMicroseconds()) + 1);
+    this->electionDeadline = std::min(this->electionDeadline, this->clock.now() + Duration::microseconds(static_cast<int64_t>(wait)));
+}
+
 void ReplicatedLog::onTimeoutNow(TimeoutNow const& message)
 {
     if (message.term == this->hardState.term && this->role != Role::Leader && this->membership().isVoter(this->self))
--- a/cornelpond/core/agreement/ReplicatedLog.h
+++ b/cornelpond/core/agreement/ReplicatedLog.h
@@ -146,6 +146,7 @@
     bool grantsVote(HostId const& from, VoteRequest const& request);
     void helpRefusedCandidate(HostId const& candidate, VoteRequest const& request);
     void onVoteReply(HostId const& from, VoteReply const& reply);
+    void retrySoonAfterSplitVote(VoteReply const& denial);
     void onTimeoutNow(TimeoutNow const& message);
     bool hasVoteMajority() const;
 
