--- a/testing/faultproxy/FaultProxy.cpp
+++ b/testing/faultproxy/FaultProxy.cpp
@@ -31,6 +31,7 @@
     bool toServer = false;
     bufferevent* from = nullptr;
     bufferevent* to = nullptr;
+    size_t bytesSent = 0;
     TimePoint lastDelivery; ///< Keeps the order under jitter.
 };
 
@@ -95,8 +96,8 @@
     uint64_t const id = this->nextLink++;
     bufferevent* client = bufferevent_socket_new(this->loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
     bufferevent* server = bufferevent_socket_new(this->loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
-    link->toServer = { this, id, true, client, server, TimePoint() };
-    link->toClient = { this, id, false, server, client, TimePoint() };
+    link->toServer = { this, id, true, client, server, 0, TimePoint() };
+    link->toClient = { this, id, false, server, client, 0, TimePoint() };
     bufferevent_setcb(client, onReadable, nullptr, onEvent, &link->toServer);
     bufferevent_setcb(server, onReadable, nullptr, onEvent, &link->toClient);
     bufferevent_enable(client, EV_READ | EV_WRITE);
@@ -105,6 +106,8 @@
     sockaddr_in const address = toSockaddr(this->target);
     if (bufferevent_socket_connect(server, reinterpret_cast<sockaddr const*>(&address), sizeof(address)) < 0)
         this->close(id);
+    if (this->onAccepted)
+        this->onAccepted();
 }
 
 void FaultProxy::onReadable(bufferevent*, void* argument)
@@ -135,7 +138,7 @@
     if (this->faults.stallProbability > 0 && this->random.unit() < this->faults.stallProbability)
         wait = wait + this->faults.stall;
     if (wait == Duration() && direction.lastDelivery <= this->loop.now()) {
-        bufferevent_write(direction.to, bytes.data(), bytes.size());
+        this->send(direction, bytes);
         return;
     }
     TimePoint const due = std::max(this->loop.now() + wait, direction.lastDelivery + Duration::microseconds(1));
@@ -150,7 +153,24 @@
         return;
     Direction& direction = toServer ? found->second->toServer : found->second->toClient;
     if (!this->isCut(direction))
+        this->send(direction, bytes);
+}
+
+void FaultProxy::send(Direction& direction, std::string const& bytes)
+{
+    size_t const limit = direction.toServer ? 0 : this->faults.truncateToClient;
+    if (!limit || direction.bytesSent + bytes.size() <= limit) {
+        direction.bytesSent += bytes.size();
         bufferevent_write(direction.to, bytes.data(), bytes.size());
+        return;
+    }
+    // Nothing after the cut-off point may follow; the flush time lets the bytes before it arrive.
+    constexpr Duration flushTime = Duration::milliseconds(20);
+    uint64_t const id = direction.link;
+    bufferevent_write(direction.to, bytes.data(), limit - direction.bytesSent);
+    direction.bytesSent = limit;
+    this->links.at(id)->silent = true;
+    this->loop.after(flushTime, [this, id] { this->close(id); });
 }
 
 void FaultProxy::onEvent(bufferevent*, short events, void* argument)
--- a/testing/faultproxy/FaultProxy.h
+++ b/testing/faultproxy/FaultProxy.h
@@ -11,6 +11,7 @@
 #include "cornelpond/adapters/runtime/EventLoop.h"
 #include "cornelpond/ports/Random.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -29,6 +30,7 @@
     bool cutToServer = false; ///< Bytes from the client are swallowed while set.
     bool cutToClient = false; ///< Bytes from the server are swallowed while set.
     bool refuseNew = false; ///< New connections are closed at once.
+    size_t truncateToClient = 0; ///< Closes a connection after this many bytes to the client; 0 for never.
 };
 
 class FaultProxy {
@@ -43,6 +45,11 @@
     void setFaults(LinkFaults const& faults) { this->faults = faults; }
     LinkFaults const& currentFaults() const { return this->faults; }
 
+    size_t openLinks() const { return this->links.size(); }
+
+    /// Called after each accepted connection.
+    void setOnAccepted(std::function<void()> callback) { this->onAccepted = std::move(callback); }
+
     /// All connections open now swallow every further byte, for good; neither end is told.
     void silenceOpen();
 
@@ -62,6 +69,7 @@
     void deliver(uint64_t linkId, bool toServer, std::string const& bytes);
     void close(uint64_t linkId);
     bool isCut(Direction const& direction) const;
+    void send(Direction& direction, std::string const& bytes);
 
     EventLoop& loop;
     Random& random;
@@ -71,6 +79,7 @@
     LinkFaults faults;
     std::map<uint64_t, std::unique_ptr<Link>> links;
     uint64_t nextLink = 1;
+    std::function<void()> onAccepted;
 };
 
 } // namespace cornelpond
--- a/testing/integration/ChildProcess.cpp
+++ b/testing/integration/ChildProcess.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-ChildProcess::ChildProcess(std::vector<std::string> const& command, std::string const& outputBase)
+ChildProcess::ChildProcess(std::vector<std::string> const& command, std::string const& outputBase, Input input)
     : outputBase(outputBase)
 {
     std::vector<char*> arguments;
@@ -32,11 +32,23 @@
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     int const flags = O_WRONLY | O_CREAT | O_APPEND;
-    posix_spawn_file_actions_addopen(&actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
+    int ends[2] = { -1, -1 };
+    if (input == Input::Lines) {
+        // A program that ended must not end the test with a signal.
+        std::signal(SIGPIPE, SIG_IGN);
+        if (pipe2(ends, O_CLOEXEC))
+            throw std::runtime_error("cannot open a pipe");
+        posix_spawn_file_actions_adddup2(&actions, ends[0], STDIN_FILENO);
+        this->inputPipe = ends[1];
+    } else {
+        posix_spawn_file_actions_addopen(&actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
+    }
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, (outputBase + ".out").c_str(), flags, 0600);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, (outputBase + ".err").c_str(), flags, 0600);
     int const error = posix_spawn(&this->process, arguments[0], &actions, nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
+    if (ends[0] >= 0)
+        close(ends[0]);
     if (error)
         throw std::runtime_error("cannot start " + command.front());
 }
@@ -45,6 +57,8 @@
 {
     if (this->process > 0)
         this->kill();
+    if (this->inputPipe >= 0)
+        close(this->inputPipe);
 }
 
 void ChildProcess::signal(int number) const
@@ -86,6 +100,14 @@
     return text.substr(start, text.find_first_of(" \n", start) - start);
 }
 
+void ChildProcess::say(std::string const& line)
+{
+    std::string const bytes = line + "\n";
+    if (write(this->inputPipe, bytes.data(), bytes.size()) != static_cast<ssize_t>(bytes.size()))
+        throw std::runtime_error("cannot write to " + this->outputBase);
+    this->waitForOutput("done " + std::to_string(++this->linesSaid) + "\n");
+}
+
 int runProgram(std::vector<std::string> const& command, std::string const& outputBase, std::string& output)
 {
     ChildProcess process(command, outputBase);
--- a/testing/integration/ChildProcess.h
+++ b/testing/integration/ChildProcess.h
@@ -15,8 +15,13 @@
 
 class ChildProcess {
 public:
+    enum class Input {
+        None,
+        Lines, ///< The program takes commands by `say`.
+    };
+
     /// Standard output and error go to `outputBase` + ".out" and ".err".
-    ChildProcess(std::vector<std::string> const& command, std::string const& outputBase);
+    ChildProcess(std::vector<std::string> const& command, std::string const& outputBase, Input input = Input::None);
     ~ChildProcess(); ///< Kills the process when it still runs.
     ChildProcess(ChildProcess const&) = delete;
     ChildProcess& operator=(ChildProcess const&) = delete;
@@ -36,12 +41,18 @@
     /// The word that follows `prefix` in the output, after waiting for it.
     std::string wordAfter(std::string const& prefix) const;
 
+    /// Writes the line to the program's standard input and waits until it says "done N" for the Nth line.
+    /// Precondition: started with Input::Lines.
+    void say(std::string const& line);
+
     std::string output() const; ///< Both files, standard output first.
     int pid() const { return this->process; }
 
 private:
     std::string outputBase;
     int process = -1;
+    int inputPipe = -1; ///< -1 for none.
+    int linesSaid = 0;
 };
 
 /// Waits until the condition holds. Throws after a generous bound; the bound is no assertion on speed.
--- a/testing/standin/StandinBackendServer.cpp
+++ b/testing/standin/StandinBackendServer.cpp
@@ -2,13 +2,20 @@
 
 #include <nlohmann/json.hpp>
 
-#include <fstream>
-
 namespace cornelpond {
 
-StandinBackendServer::StandinBackendServer(EventLoop& loop, HttpClient& client, StandinBackendServerOptions givenOptions)
+namespace {
+
+    /// A connection that an entry host closed may show as open for this long.
+    constexpr Duration closeTime = Duration::milliseconds(200);
+
+} // namespace
+
+StandinBackendServer::StandinBackendServer(EventLoop& loop, HttpClient& client, Random& random, RecordFile& record, StandinBackendServerOptions givenOptions)
     : loop(loop)
     , client(client)
+    , random(random)
+    , record(record)
     , options(std::move(givenOptions))
     , server(loop, HttpLimits(), [this](HttpRequest const& request, HttpResponder const& responder) { this->answer(request, responder); })
 {
@@ -21,7 +28,13 @@
 
 void StandinBackendServer::start()
 {
-    this->options.announcement.port = this->server.listen({ this->options.announcement.address, this->options.announcement.port });
+    auto& announcement = this->options.announcement;
+    uint16_t const inner = this->server.listen({ announcement.address, 0 });
+    this->proxy = std::make_unique<FaultProxy>(this->loop, this->random, Address { announcement.address, announcement.port }, Address { announcement.address, inner });
+    this->proxy->setOnAccepted([this] {
+        this->checkLater([this] { return this->proxy->openLinks() > this->options.announcement.connections; }, RecordKind::ConnectionsExceeded);
+    });
+    announcement.port = this->proxy->port();
     this->announce();
 }
 
@@ -30,7 +43,22 @@
     this->options.announcement.leaving = true;
     this->loop.cancel(this->timer);
     this->announce();
+    this->vanish();
+}
+
+void StandinBackendServer::vanish()
+{
     this->left = true;
+    this->add(RecordEntry(), RecordKind::ServerLeft);
+}
+
+void StandinBackendServer::join()
+{
+    this->options.announcement.leaving = false;
+    this->left = false;
+    this->loop.cancel(this->timer);
+    this->add(RecordEntry(), RecordKind::ServerJoined);
+    this->announce();
 }
 
 void StandinBackendServer::announce()
@@ -53,26 +81,54 @@
 
 void StandinBackendServer::answer(HttpRequest const& request, HttpResponder const& responder)
 {
-    this->runCount++;
+    uint64_t const run = ++this->runCount;
+    RecordEntry entry;
     std::string const* key = request.headers.find("Idempotency-Key");
-    this->record(key ? *key : std::string("-"), request.path);
+    entry.key = key ? *key : std::string();
+    entry.request = request.path + (request.query.empty() ? "" : "?" + request.query);
+    this->add(entry, RecordKind::RequestRun);
+    this->inFlight.insert(run);
+    this->checkLater([this] { return this->inFlight.size() > this->options.announcement.slots; }, RecordKind::SlotsExceeded);
     HttpResponse response;
+    response.status = this->failsAll ? 500 : 200;
     response.headers.add("Content-Type", "text/plain");
     response.headers.add("Standin-Server", this->options.announcement.server.value());
-    response.body = request.method + " " + request.path + (request.query.empty() ? "" : "?" + request.query) + " " + request.body;
-    if (this->options.serviceTime == Duration()) {
+    response.body = request.method + " " + entry.request + " " + request.body;
+    responder.onCallerGone([this, run, entry] { this->finish(run, entry, RecordKind::RequestAbandoned); });
+    auto const reply = [this, run, entry, responder, response] {
+        if (responder.isCallerGone())
+            return;
+        this->finish(run, entry, RecordKind::RequestAnswered);
         responder.answer(response);
-        return;
-    }
-    this->loop.after(this->options.serviceTime, [responder, response] { responder.answer(response); });
+    };
+    if (this->options.serviceTime == Duration())
+        reply();
+    else
+        this->loop.after(this->options.serviceTime, reply);
+}
+
+void StandinBackendServer::finish(uint64_t run, RecordEntry entry, RecordKind how)
+{
+    if (this->inFlight.erase(run))
+        this->add(std::move(entry), how);
 }
 
-void StandinBackendServer::record(std::string const& key, std::string const& path)
+void StandinBackendServer::add(RecordEntry entry, RecordKind kind)
 {
-    if (this->options.recordFile.empty())
+    entry.atUs = this->loop.now().toMicroseconds();
+    entry.kind = kind;
+    entry.place = this->options.announcement.server.value();
+    this->record.add(entry);
+}
+
+void StandinBackendServer::checkLater(std::function<bool()> const& exceeded, RecordKind kind)
+{
+    if (!exceeded())
         return;
-    std::ofstream out(this->options.recordFile, std::ios::app);
-    out << this->loop.wallMilliseconds() << " " << this->options.announcement.server.value() << " " << key << " " << path << "\n";
+    this->loop.after(closeTime, [this, exceeded, kind] {
+        if (exceeded())
+            this->add(RecordEntry(), kind);
+    });
 }
 
 } // namespace cornelpond
--- a/testing/standin/StandinBackendServer.h
+++ b/testing/standin/StandinBackendServer.h
@@ -1,7 +1,8 @@
 #pragma once
 
-// A backend server as the platform would run one: announces itself, answers HTTP after a set time and
-// records how often each idempotency key ran.
+// A backend server as the platform would run one: announces itself, answers HTTP after a set time with
+// the request's own method, path, query and body, and records each run. Connections come through a
+// fault-injecting proxy of its own, which counts them and can cut answers short or go silent.
 //
 // Example:
 //   StandinBackendServer server(loop, client, options);
@@ -10,8 +11,11 @@
 #include "cornelpond/adapters/http/HttpClient.h"
 #include "cornelpond/adapters/http/HttpServer.h"
 #include "cornelpond/core/routing/BackendServerTable.h"
+#include "testing/faultproxy/FaultProxy.h"
+#include "testing/standin/Record.h"
 
-#include <map>
+#include <memory>
+#include <set>
 #include <string>
 
 namespace cornelpond {
@@ -21,12 +25,12 @@
     std::vector<Address> entryHosts; ///< Announces to one after the other until one answers.
     Duration announceInterval = Duration::seconds(1);
     Duration serviceTime; ///< Between a request's arrival and its answer.
-    std::string recordFile; ///< Gets a line for each run: wall ms, server, key, path. Empty for none.
 };
 
 class StandinBackendServer {
 public:
-    StandinBackendServer(EventLoop& loop, HttpClient& client, StandinBackendServerOptions options);
+    /// References must outlive the server.
+    StandinBackendServer(EventLoop& loop, HttpClient& client, Random& random, RecordFile& record, StandinBackendServerOptions options);
     ~StandinBackendServer();
 
     /// Opens the listener and begins to announce.
@@ -35,21 +39,45 @@
     /// Announces once more that it leaves.
     void leave();
 
+    /// Announces itself again.
+    void join();
+
+    /// Announces nothing more and says nothing about it.
+    void vanish();
+
+    void setServiceTime(Duration serviceTime) { this->options.serviceTime = serviceTime; }
+
+    /// Answers everything with status 500, or no longer.
+    void setFailsAll(bool failsAll) { this->failsAll = failsAll; }
+
+    /// Faults between the entry hosts and this server.
+    void setFaults(LinkFaults const& faults) { this->proxy->setFaults(faults); }
+
+    /// Connections open now go silent for good.
+    void silenceOpen() { this->proxy->silenceOpen(); }
+
     uint16_t port() const { return this->options.announcement.port; }
     uint64_t runs() const { return this->runCount; }
 
 private:
     void announce();
     void answer(HttpRequest const& request, HttpResponder const& responder);
-    void record(std::string const& key, std::string const& path);
+    void finish(uint64_t run, RecordEntry entry, RecordKind how);
+    void add(RecordEntry entry, RecordKind kind);
+    void checkLater(std::function<bool()> const& exceeded, RecordKind kind);
 
     EventLoop& loop;
     HttpClient& client;
+    Random& random;
+    RecordFile& record;
     StandinBackendServerOptions options;
     HttpServer server;
+    std::unique_ptr<FaultProxy> proxy;
+    std::set<uint64_t> inFlight;
     size_t nextHost = 0;
     uint64_t runCount = 0;
     bool left = false;
+    bool failsAll = false;
     TimerId timer;
 };
 
--- a/testing/standin/StandinWorker.cpp
+++ b/testing/standin/StandinWorker.cpp
@@ -4,7 +4,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <fstream>
 #include <random>
 #include <sstream>
 
@@ -34,25 +33,23 @@
         return {};
     }
 
+    /// A checkpoint's name ends in the milliseconds of work it holds.
+    Duration progressIn(CheckpointId const& checkpoint)
+    {
+        size_t const slash = checkpoint.value().rfind('/');
+        return slash == std::string::npos ? Duration() : Duration::milliseconds(std::stoll(checkpoint.value().substr(slash + 1)));
+    }
+
 } // namespace
 
-StandinWorker::StandinWorker(EventLoop& loop, HttpClient& client, StandinWorkerOptions givenOptions)
+StandinWorker::StandinWorker(EventLoop& loop, HttpClient& client, RecordFile& record, StandinWorkerOptions givenOptions)
     : loop(loop)
     , client(client)
+    , record(record)
     , options(std::move(givenOptions))
-    , commandServer(loop, HttpLimits(), [this](HttpRequest const& request, HttpResponder const& responder) {
-        if (this->silent)
-            return;
-        AnnouncementAnswer const answer = announcementAnswerFromJson(nlohmann::json::parse(request.body));
-        auto const sent = this->sentAt.find(answer.number);
-        bool const fresh = sent != this->sentAt.end() && this->loop.now() < sent->second + answer.lease;
-        for (auto const& command : answer.commands) {
-            if (fresh && answer.epoch >= this->epoch)
-                this->obey(command);
-        }
-        responder.answer({ 200, {}, "{}" });
-    })
-    , incarnation(std::to_string(std::random_device()()))
+    , commandServer(loop, HttpLimits(), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleCommands(request, responder); })
+    , driftFrom(loop.now())
+    , driftBase(loop.now())
 {
 }
 
@@ -61,25 +58,114 @@
     this->loop.cancel(this->timer);
 }
 
+TimePoint StandinWorker::now() const
+{
+    constexpr int64_t million = 1000000;
+    Duration const elapsed = this->loop.now() - this->driftFrom;
+    return this->driftBase + elapsed + Duration::microseconds(elapsed.toMicroseconds() / million * this->drift);
+}
+
+void StandinWorker::setDrift(int64_t partsPerMillion)
+{
+    this->driftBase = this->now();
+    this->driftFrom = this->loop.now();
+    this->drift = partsPerMillion;
+}
+
 void StandinWorker::start()
 {
     uint16_t const port = this->commandServer.listen({ this->options.ip, 0 });
     this->commandAddress = Address { this->options.ip, port }.text();
+    this->becomeUp();
     this->tick();
 }
 
+void StandinWorker::becomeUp()
+{
+    this->incarnation = std::to_string(std::random_device()());
+    // Never a number of an earlier incarnation, so that a delayed command cannot pass for a fresh one.
+    this->lastAnnouncement = AnnouncementNumber(static_cast<uint64_t>(this->loop.wallMilliseconds()));
+    RecordEntry entry;
+    entry.atUs = this->loop.now().toMicroseconds();
+    entry.kind = RecordKind::WorkerUp;
+    entry.place = this->options.worker.value();
+    entry.resources = this->options.capacity;
+    this->record.add(entry);
+}
+
+void StandinWorker::die()
+{
+    this->dead = true;
+    for (auto const& [task, attempt] : this->attempts) {
+        if (attempt.held.state == HeldState::Running)
+            this->recordEnd(attempt, diedOutcome);
+    }
+    this->attempts.clear();
+    this->highestSeen.clear();
+    this->sentAt.clear();
+    this->usage.clear();
+    this->epoch = Term();
+    this->leaseEnd = TimePoint();
+}
+
+void StandinWorker::restart()
+{
+    if (!this->dead)
+        this->die();
+    this->dead = false;
+    this->becomeUp();
+}
+
+void StandinWorker::handleCommands(HttpRequest const& request, HttpResponder const& responder)
+{
+    if (this->silent || this->dead)
+        return;
+    AnnouncementAnswer const answer = announcementAnswerFromJson(nlohmann::json::parse(request.body));
+    auto const sent = this->sentAt.find(answer.number);
+    bool const fresh = sent != this->sentAt.end() && this->now() < sent->second + answer.lease;
+    for (auto const& command : answer.commands) {
+        if (fresh && answer.epoch >= this->epoch)
+            this->obey(command);
+    }
+    responder.answer({ 200, {}, "{}" });
+}
+
 void StandinWorker::tick()
 {
     this->timer = this->loop.after(tickInterval, [this] { this->tick(); });
-    TimePoint const now = this->loop.now();
+    if (this->dead)
+        return;
+    TimePoint const now = this->now();
     this->stopAtLeaseEnd(now);
     this->endDueAttempts(now);
+    this->sampleUsage();
     if (this->silent || now < this->nextAnnouncement)
         return;
     this->nextAnnouncement = now + this->options.announceInterval;
     this->announce();
 }
 
+void StandinWorker::sampleUsage()
+{
+    UsageSample sample { this->now(), {} };
+    for (auto const& [task, attempt] : this->attempts) {
+        Resources used = attempt.held.reserved;
+        used.milliCores = used.milliCores * this->usagePercent / 100 * attempt.ratePercent / 100;
+        used.memoryMiB = used.memoryMiB * this->usagePercent / 100;
+        sample.used.emplace(task, used);
+    }
+    this->usage.push_back(std::move(sample));
+    // The sample at the far edge of the lag stays.
+    while (this->usage.size() > 1 && this->usage[1].at + this->options.usageLag <= this->now())
+        this->usage.pop_front();
+}
+
+Resources StandinWorker::laggedUsage(TaskId const& task) const
+{
+    auto const found = this->usage.front().used.find(task);
+    return found == this->usage.front().used.end() ? Resources() : found->second;
+}
+
 void StandinWorker::announce()
 {
     WorkerAnnouncement announcement;
@@ -90,9 +176,11 @@
     announcement.labels = this->options.labels;
     announcement.capacity = this->options.capacity;
     announcement.commandAddress = this->commandAddress;
-    for (auto const& [task, attempt] : this->attempts)
+    for (auto& [task, attempt] : this->attempts) {
+        attempt.held.used = this->laggedUsage(task);
         announcement.held.push_back(attempt.held);
-    TimePoint const now = this->loop.now();
+    }
+    TimePoint const now = this->now();
     this->sentAt[announcement.number] = now;
     while (this->sentAt.begin()->second + this->lease < now)
         this->sentAt.erase(this->sentAt.begin());
@@ -103,12 +191,15 @@
     HttpSendOptions sendOptions;
     sendOptions.timeout = this->options.announceInterval;
     Address const host = this->options.entryHosts[this->nextHost % this->options.entryHosts.size()];
-    this->client.send(host, request, sendOptions, [this, now](HttpOutcome const& outcome) { this->onAnswer(now, outcome); });
+    this->client.send(host, request, sendOptions, [this, now, sender = this->incarnation](HttpOutcome const& outcome) {
+        if (sender == this->incarnation)
+            this->onAnswer(now, outcome);
+    });
 }
 
 void StandinWorker::onAnswer(TimePoint sentAt, HttpOutcome const& outcome)
 {
-    if (this->silent)
+    if (this->silent || this->dead)
         return;
     if (outcome.kind != HttpOutcome::Kind::Answered || outcome.response.status != 200) {
         this->nextHost++;
@@ -139,7 +230,9 @@
     if (command.kind == WorkerCommandKind::Forget && found->second.held.state == HeldState::Ended)
         this->attempts.erase(found);
     else if (command.kind == WorkerCommandKind::Stop && found->second.held.state == HeldState::Running)
-        this->end(found->second, AttemptOutcome::Stopped);
+        found->second.stopsAt = std::min(found->second.stopsAt, this->now() + this->options.checkpointTime);
+    else if (command.kind == WorkerCommandKind::Throttle && found->second.held.state == HeldState::Running)
+        this->setRate(found->second, command.percent);
 }
 
 void StandinWorker::startAttempt(WorkerCommand const& command)
@@ -153,31 +246,56 @@
     attempt.held.task = command.task;
     attempt.held.attempt = command.attempt;
     attempt.held.reserved = command.resources;
-    attempt.held.used = command.resources;
+    attempt.held.checkpoint = command.checkpoint;
     attempt.fails = plan.fails || this->options.failsAll;
-    attempt.endsAt = this->loop.now() + (this->options.failsAll ? Duration() : plan.runTime);
+    attempt.runTime = this->options.failsAll ? Duration() : plan.runTime;
+    attempt.progress = progressIn(command.checkpoint);
+    attempt.progressAt = this->now();
     this->attempts[command.task] = attempt;
     this->starts++;
-    this->record("start", command.task, command.attempt);
+    RecordEntry entry;
+    entry.atUs = this->loop.now().toMicroseconds();
+    entry.kind = RecordKind::AttemptStart;
+    entry.place = this->options.worker.value();
+    entry.task = command.task;
+    entry.attempt = command.attempt.value();
+    entry.resources = command.resources;
+    entry.checkpoint = command.checkpoint.value();
+    this->record.add(entry);
     // Tell the leader at once, so that the task counts as running.
-    this->nextAnnouncement = std::min(this->nextAnnouncement, this->loop.now() + tickInterval);
+    this->nextAnnouncement = std::min(this->nextAnnouncement, this->now() + tickInterval);
+}
+
+void StandinWorker::setRate(Attempt& attempt, int64_t percent) const
+{
+    TimePoint const now = this->now();
+    attempt.progress = attempt.progress + Duration::microseconds((now - attempt.progressAt).toMicroseconds() * attempt.ratePercent / 100);
+    attempt.progressAt = now;
+    attempt.ratePercent = percent;
 }
 
 void StandinWorker::end(Attempt& attempt, AttemptOutcome outcome)
 {
+    this->setRate(attempt, attempt.ratePercent);
     attempt.held.state = HeldState::Ended;
     attempt.held.outcome = outcome;
     if (outcome == AttemptOutcome::Stopped)
-        attempt.held.checkpoint = CheckpointId(attempt.held.task.value() + "/" + std::to_string(attempt.held.attempt.value()));
-    this->record(std::string(attemptOutcomeName(outcome)), attempt.held.task, attempt.held.attempt);
-    this->nextAnnouncement = std::min(this->nextAnnouncement, this->loop.now() + tickInterval);
+        attempt.held.checkpoint
+            = CheckpointId(attempt.held.task.value() + "/" + std::to_string(attempt.held.attempt.value()) + "/" + std::to_string(attempt.progress.toMilliseconds()));
+    this->recordEnd(attempt, std::string(attemptOutcomeName(outcome)));
+    this->nextAnnouncement = std::min(this->nextAnnouncement, this->now() + tickInterval);
 }
 
 void StandinWorker::endDueAttempts(TimePoint now)
 {
     for (auto& [task, attempt] : this->attempts) {
-        if (attempt.held.state == HeldState::Running && now >= attempt.endsAt)
+        if (attempt.held.state != HeldState::Running)
+            continue;
+        Duration const progress = attempt.progress + Duration::microseconds((now - attempt.progressAt).toMicroseconds() * attempt.ratePercent / 100);
+        if (progress >= attempt.runTime)
             this->end(attempt, attempt.fails ? AttemptOutcome::Failed : AttemptOutcome::Finished);
+        else if (now >= attempt.stopsAt)
+            this->end(attempt, AttemptOutcome::Stopped);
     }
 }
 
@@ -188,17 +306,23 @@
     for (auto attempt = this->attempts.begin(); attempt != this->attempts.end();) {
         bool const running = attempt->second.held.state == HeldState::Running;
         if (running)
-            this->record("leaseEnd", attempt->first, attempt->second.held.attempt);
+            this->recordEnd(attempt->second, leaseEndOutcome);
         attempt = running ? this->attempts.erase(attempt) : std::next(attempt);
     }
 }
 
-void StandinWorker::record(std::string const& what, TaskId const& task, AttemptNumber attempt)
+void StandinWorker::recordEnd(Attempt const& attempt, std::string const& outcome)
 {
-    if (this->options.recordFile.empty())
-        return;
-    std::ofstream out(this->options.recordFile, std::ios::app);
-    out << this->loop.wallMilliseconds() << " " << what << " " << this->options.worker.value() << " " << task.value() << " " << attempt.value() << "\n";
+    RecordEntry entry;
+    entry.atUs = this->loop.now().toMicroseconds();
+    entry.kind = RecordKind::AttemptEnd;
+    entry.place = this->options.worker.value();
+    entry.task = attempt.held.task;
+    entry.attempt = attempt.held.attempt.value();
+    entry.outcome = outcome;
+    if (outcome == attemptOutcomeName(AttemptOutcome::Stopped))
+        entry.checkpoint = attempt.held.checkpoint.value();
+    this->record.add(entry);
 }
 
 } // namespace cornelpond
--- a/testing/standin/StandinWorker.h
+++ b/testing/standin/StandinWorker.h
@@ -3,7 +3,8 @@
 // A worker as the platform would run one: announces itself, keeps attempts under leases, runs each for
 // the time its command names, and stops at lease end by itself.
 //
-// A task's command is "run MS", "fail MS" or "hang"; anything else runs for 100 ms.
+// A task's command is "run MS", "fail MS" or "hang"; anything else runs for 100 ms. Progress counts at
+// the throttled rate, is kept in checkpoints and goes on from there.
 //
 // Example:
 //   StandinWorker worker(loop, client, options);
@@ -12,7 +13,9 @@
 #include "cornelpond/adapters/http/HttpClient.h"
 #include "cornelpond/adapters/http/HttpServer.h"
 #include "cornelpond/core/tasks/WorkerMessages.h"
+#include "testing/standin/Record.h"
 
+#include <deque>
 #include <map>
 #include <string>
 
@@ -27,12 +30,14 @@
     std::vector<Address> entryHosts; ///< Announces to one after the other until one answers.
     Duration announceInterval = Duration::seconds(1);
     bool failsAll = false; ///< Every attempt fails at once.
-    std::string recordFile; ///< Gets a line for each start and end: wall ms, what, worker, task, attempt.
+    Duration usageLag; ///< Reported usage is this old.
+    Duration checkpointTime; ///< Between the command to stop and the end.
 };
 
 class StandinWorker {
 public:
-    StandinWorker(EventLoop& loop, HttpClient& client, StandinWorkerOptions options);
+    /// References must outlive the worker.
+    StandinWorker(EventLoop& loop, HttpClient& client, RecordFile& record, StandinWorkerOptions options);
     ~StandinWorker();
 
     /// Opens the command listener and begins to announce.
@@ -41,27 +46,58 @@
     /// While silent it announces nothing and takes no commands; attempts run on until the lease ends.
     void setSilent(bool silent) { this->silent = silent; }
 
+    /// From now on every attempt fails at once, or no longer.
+    void setFailsAll(bool failsAll) { this->options.failsAll = failsAll; }
+
+    /// What attempts really use, in percent of what is reserved for them.
+    void setUsagePercent(int64_t percent) { this->usagePercent = percent; }
+
+    /// Its clock runs fast (or slow) by this many parts in a million from now on.
+    void setDrift(int64_t partsPerMillion);
+
+    /// The process ends with all its attempts; nothing more is announced until `restart`.
+    void die();
+
+    /// Comes back as a new incarnation that holds nothing.
+    void restart();
+
     uint64_t startsSeen() const { return this->starts; }
 
 private:
     struct Attempt {
         HeldAttempt held;
-        TimePoint endsAt;
+        Duration runTime;
+        Duration progress; ///< At `progressAt`.
+        TimePoint progressAt;
+        int64_t ratePercent = 100;
         bool fails = false;
+        TimePoint stopsAt = TimePoint::infiniteFuture(); ///< Set while it makes its checkpoint.
+    };
+
+    struct UsageSample {
+        TimePoint at;
+        std::map<TaskId, Resources> used;
     };
 
+    TimePoint now() const;
+    void becomeUp();
     void tick();
     void announce();
+    void handleCommands(HttpRequest const& request, HttpResponder const& responder);
+    void setRate(Attempt& attempt, int64_t percent) const;
+    void sampleUsage();
+    Resources laggedUsage(TaskId const& task) const;
     void onAnswer(TimePoint sentAt, HttpOutcome const& outcome);
     void obey(WorkerCommand const& command);
     void startAttempt(WorkerCommand const& command);
     void end(Attempt& attempt, AttemptOutcome outcome);
     void endDueAttempts(TimePoint now);
     void stopAtLeaseEnd(TimePoint now);
-    void record(std::string const& what, TaskId const& task, AttemptNumber attempt);
+    void recordEnd(Attempt const& attempt, std::string const& outcome);
 
     EventLoop& loop;
     HttpClient& client;
+    RecordFile& record;
     StandinWorkerOptions options;
     HttpServer commandServer;
     std::string incarnation;
@@ -77,6 +113,12 @@
     size_t nextHost = 0;
     uint64_t starts = 0;
     bool silent = false;
+    bool dead = false;
+    int64_t usagePercent = 100;
+    int64_t drift = 0; ///< Parts in a million.
+    TimePoint driftFrom; ///< The machine's clock when the drift was set …
+    TimePoint driftBase; ///< … and this worker's clock then.
+    std::deque<UsageSample> usage;
     TimerId timer;
 };
 
--- a/testing/standin/main.cpp
+++ b/testing/standin/main.cpp
@@ -1,16 +1,24 @@
 // The stand-in for the platform: plays workers and backend servers. Not shipped.
 //
 //   standin --entry 127.0.0.1:7001 --workers 4 --servers 2 --service plan
+//
+// Commands by lines on standard input, each acknowledged by "done N"; NAME "*" means all:
+//   worker NAME silent|return|failall|healthy|die|restart
+//   worker NAME drift PARTS_PER_MILLION     worker NAME use PERCENT
+//   server NAME slow MS | failall | truncate BYTES | silent | mute | heal | leave | vanish | join
+// "silent": connections open now, for good; "mute": all connections take everything and answer nothing.
 
+#include "testing/faultproxy/Console.h"
 #include "testing/standin/StandinBackendServer.h"
 #include "testing/standin/StandinWorker.h"
 
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 
-#include <charconv>
 #include <csignal>
+#include <map>
 #include <memory>
+#include <sstream>
 #include <vector>
 
 namespace {
@@ -19,15 +27,6 @@
 
 constexpr int workersPerRack = 8;
 
-Address parseAddress(std::string const& text)
-{
-    size_t const colon = text.rfind(':');
-    uint16_t port = 0;
-    if (colon == std::string::npos || std::from_chars(text.data() + colon + 1, text.data() + text.size(), port).ec != std::errc())
-        throw std::runtime_error("expected IP:PORT, got " + text);
-    return { text.substr(0, colon), port };
-}
-
 cxxopts::Options makeOptions()
 {
     cxxopts::Options options("standin", "plays workers and backend servers");
@@ -44,55 +43,166 @@
     options.add_options()("service-ms", "time a request takes", cxxopts::value<int>()->default_value("0"));
     options.add_options()("announce-ms", "time between announcements", cxxopts::value<int>()->default_value("1000"));
     options.add_options()("failing", "this many of the workers fail everything", cxxopts::value<int>()->default_value("0"));
+    options.add_options()("labels", "of all workers, KEY=VALUE", cxxopts::value<std::vector<std::string>>());
+    options.add_options()("accelerators", "accelerators a worker", cxxopts::value<int>()->default_value("0"));
+    options.add_options()("connections", "connections a backend server", cxxopts::value<int>()->default_value("64"));
+    options.add_options()("usage-lag-ms", "age of the reported usage", cxxopts::value<int>()->default_value("0"));
+    options.add_options()("checkpoint-ms", "time that a checkpoint takes", cxxopts::value<int>()->default_value("0"));
+    options.add_options()("seed", "seed of the faults", cxxopts::value<uint64_t>()->default_value("1"));
     options.add_options()("record", "file that gets a line for each start and end", cxxopts::value<std::string>()->default_value(""));
     options.add_options()("h,help", "show this help");
     return options;
 }
 
+/// The stand-ins of this process by name.
+struct Fleet {
+    std::map<std::string, std::unique_ptr<StandinWorker>> workers;
+    std::map<std::string, std::unique_ptr<StandinBackendServer>> servers;
+};
+
+bool obeyWorker(StandinWorker& worker, std::string const& verb, int64_t number)
+{
+    if (verb == "silent" || verb == "return")
+        worker.setSilent(verb == "silent");
+    else if (verb == "failall" || verb == "healthy")
+        worker.setFailsAll(verb == "failall");
+    else if (verb == "die")
+        worker.die();
+    else if (verb == "restart")
+        worker.restart();
+    else if (verb == "drift")
+        worker.setDrift(number);
+    else if (verb == "use")
+        worker.setUsagePercent(number);
+    else
+        return false;
+    return true;
+}
+
+bool obeyServer(StandinBackendServer& server, std::string const& verb, int64_t number)
+{
+    LinkFaults faults;
+    if (verb == "slow") {
+        server.setServiceTime(Duration::milliseconds(number));
+    } else if (verb == "failall") {
+        server.setFailsAll(true);
+    } else if (verb == "truncate") {
+        faults.truncateToClient = static_cast<size_t>(number);
+        server.setFaults(faults);
+    } else if (verb == "mute") {
+        faults.cutToServer = faults.cutToClient = true;
+        server.setFaults(faults);
+    } else if (verb == "silent") {
+        server.silenceOpen();
+    } else if (verb == "heal") {
+        server.setFaults(faults);
+        server.setFailsAll(false);
+        server.setServiceTime(Duration());
+    } else if (verb == "leave") {
+        server.leave();
+    } else if (verb == "vanish") {
+        server.vanish();
+    } else if (verb == "join") {
+        server.join();
+    } else {
+        return false;
+    }
+    return true;
+}
+
+void obey(std::string const& line, Fleet& fleet)
+{
+    std::istringstream words(line);
+    std::string kind;
+    std::string name;
+    std::string verb;
+    int64_t number = 0;
+    words >> kind >> name >> verb >> number;
+    bool known = false;
+    for (auto& [id, worker] : fleet.workers) {
+        if (kind == "worker" && (name == "*" || name == id))
+            known = obeyWorker(*worker, verb, number);
+    }
+    for (auto& [id, server] : fleet.servers) {
+        if (kind == "server" && (name == "*" || name == id))
+            known = obeyServer(*server, verb, number);
+    }
+    if (!known)
+        throw std::runtime_error("unknown command '" + line + "'");
+}
+
+Labels labelsOf(cxxopts::ParseResult const& arguments)
+{
+    Labels labels;
+    if (!arguments.count("labels"))
+        return labels;
+    for (auto const& text : arguments["labels"].as<std::vector<std::string>>()) {
+        size_t const equals = text.find('=');
+        labels[text.substr(0, equals)] = equals == std::string::npos ? std::string() : text.substr(equals + 1);
+    }
+    return labels;
+}
+
+StandinWorkerOptions workerOptions(cxxopts::ParseResult const& arguments, int index)
+{
+    std::string const prefix = arguments["name"].as<std::string>();
+    StandinWorkerOptions options;
+    options.worker = WorkerId(fmt::format("{}w{}", prefix, index));
+    options.rack = RackId(fmt::format("{}r{}", prefix, (index - 1) / workersPerRack + 1));
+    options.labels = labelsOf(arguments);
+    options.capacity = { arguments["cores"].as<int>() * int64_t(1000), arguments["memory-mib"].as<int>(), arguments["accelerators"].as<int>() };
+    options.ip = arguments["ip"].as<std::string>();
+    options.announceInterval = Duration::milliseconds(arguments["announce-ms"].as<int>());
+    options.failsAll = index <= arguments["failing"].as<int>();
+    options.usageLag = Duration::milliseconds(arguments["usage-lag-ms"].as<int>());
+    options.checkpointTime = Duration::milliseconds(arguments["checkpoint-ms"].as<int>());
+    return options;
+}
+
+StandinBackendServerOptions serverOptions(cxxopts::ParseResult const& arguments, int index)
+{
+    StandinBackendServerOptions options;
+    options.announcement.server = BackendServerId(fmt::format("{}s{}", arguments["name"].as<std::string>(), index));
+    options.announcement.service = ServiceId(arguments["service"].as<std::string>());
+    options.announcement.dataCentre = DataCentreId(arguments["data-centre"].as<std::string>());
+    options.announcement.address = arguments["ip"].as<std::string>();
+    options.announcement.slots = static_cast<uint32_t>(arguments["slots"].as<int>());
+    options.announcement.connections = static_cast<uint32_t>(arguments["connections"].as<int>());
+    options.announceInterval = Duration::milliseconds(arguments["announce-ms"].as<int>());
+    options.serviceTime = Duration::milliseconds(arguments["service-ms"].as<int>());
+    return options;
+}
+
 int run(cxxopts::ParseResult const& arguments)
 {
     EventLoop loop;
     HttpClient client(loop, HttpClientLimits());
+    SeededRandom random(arguments["seed"].as<uint64_t>());
+    RecordFile record(arguments["record"].as<std::string>());
     std::vector<Address> entryHosts;
     for (auto const& text : arguments["entry"].as<std::vector<std::string>>())
         entryHosts.push_back(parseAddress(text));
-    std::string const prefix = arguments["name"].as<std::string>();
-    Duration const interval = Duration::milliseconds(arguments["announce-ms"].as<int>());
-
-    std::vector<std::unique_ptr<StandinWorker>> workers;
+    Fleet fleet;
     for (int i = 1; i <= arguments["workers"].as<int>(); i++) {
-        StandinWorkerOptions options;
-        options.worker = WorkerId(fmt::format("{}w{}", prefix, i));
-        options.rack = RackId(fmt::format("{}r{}", prefix, (i - 1) / workersPerRack + 1));
-        options.capacity = { arguments["cores"].as<int>() * int64_t(1000), arguments["memory-mib"].as<int>(), 0 };
-        options.ip = arguments["ip"].as<std::string>();
+        StandinWorkerOptions options = workerOptions(arguments, i);
         options.entryHosts = entryHosts;
-        options.announceInterval = interval;
-        options.failsAll = i <= arguments["failing"].as<int>();
-        options.recordFile = arguments["record"].as<std::string>();
-        workers.push_back(std::make_unique<StandinWorker>(loop, client, options));
-        workers.back()->start();
+        auto& worker = fleet.workers[options.worker.value()];
+        worker = std::make_unique<StandinWorker>(loop, client, record, options);
+        worker->start();
     }
-    std::vector<std::unique_ptr<StandinBackendServer>> servers;
     for (int i = 1; i <= arguments["servers"].as<int>(); i++) {
-        StandinBackendServerOptions options;
-        options.announcement.server = BackendServerId(fmt::format("{}s{}", prefix, i));
-        options.announcement.service = ServiceId(arguments["service"].as<std::string>());
-        options.announcement.dataCentre = DataCentreId(arguments["data-centre"].as<std::string>());
-        options.announcement.address = arguments["ip"].as<std::string>();
-        options.announcement.slots = static_cast<uint32_t>(arguments["slots"].as<int>());
-        options.announcement.connections = 64;
+        StandinBackendServerOptions options = serverOptions(arguments, i);
         options.entryHosts = entryHosts;
-        options.announceInterval = interval;
-        options.serviceTime = Duration::milliseconds(arguments["service-ms"].as<int>());
-        options.recordFile = arguments["record"].as<std::string>();
-        servers.push_back(std::make_unique<StandinBackendServer>(loop, client, options));
-        servers.back()->start();
-        fmt::print("server {} port {}\n", options.announcement.server.value(), servers.back()->port());
+        auto& server = fleet.servers[options.announcement.server.value()];
+        server = std::make_unique<StandinBackendServer>(loop, client, random, record, options);
+        server->start();
+        fmt::print("server {} port {}\n", options.announcement.server.value(), server->port());
     }
     std::fflush(stdout);
+    Console const console(
+        loop, [&](std::string const& line) { obey(line, fleet); }, [] {});
     auto const leave = [&] {
-        for (auto& server : servers)
+        for (auto& [id, server] : fleet.servers)
             server->leave();
         loop.after(Duration::milliseconds(200), [&] { loop.stop(); });
     };
