--- a/cornelpond/adapters/http/HttpClient.cpp
+++ b/cornelpond/adapters/http/HttpClient.cpp
@@ -5,6 +5,7 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include <algorithm>
 #include <array>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -63,6 +64,46 @@
         return response;
     }
 
+    bool hasBody(std::string_view method, int status)
+    {
+        constexpr int noContent = 204;
+        constexpr int notModified = 304;
+        return method != "HEAD" && status >= 200 && status != noContent && status != notModified;
+    }
+
+    /// Whether the answer said where it ends and got there.
+    bool isWhole(std::string_view method, HttpResponse const& response)
+    {
+        if (!hasBody(method, response.status))
+            return true;
+        std::string const* encoding = response.headers.find("Transfer-Encoding");
+        if (encoding)
+            return HttpHeaders::equalName(*encoding, "chunked");
+        std::string const* length = response.headers.find("Content-Length");
+        return length && *length == std::to_string(response.body.size());
+    }
+
+    /// Ends a connection whose peer has vanished: a silent idle one by keepalive, a busy one by the
+    /// user timeout.
+    void watchPeer(evhttp_connection* connection, Duration userTimeout)
+    {
+        constexpr int on = 1;
+        constexpr int keepaliveIdleSeconds = 5;
+        constexpr int keepaliveIntervalSeconds = 2;
+        constexpr int keepaliveProbes = 2;
+        evutil_socket_t const socket = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+        if (socket < 0)
+            return;
+        int const userTimeoutMs = static_cast<int>(userTimeout.toMilliseconds());
+        auto const set = [socket](int level, int name, int value) { setsockopt(socket, level, name, &value, sizeof(value)); };
+        set(IPPROTO_TCP, TCP_NODELAY, on);
+        set(SOL_SOCKET, SO_KEEPALIVE, on);
+        set(IPPROTO_TCP, TCP_KEEPIDLE, keepaliveIdleSeconds);
+        set(IPPROTO_TCP, TCP_KEEPINTVL, keepaliveIntervalSeconds);
+        set(IPPROTO_TCP, TCP_KEEPCNT, keepaliveProbes);
+        set(IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMs);
+    }
+
     bool asksToClose(HttpResponse const& response)
     {
         std::string const* connection = response.headers.find("Connection");
@@ -78,7 +119,25 @@
     Done done;
     evhttp_connection* connection = nullptr;
     evhttp_request* request = nullptr;
+    std::string method;
+    bool wasIdle = false; ///< Runs on a connection from the pool.
+    TimePoint started;
+    TimePoint deadline;
+    TimePoint progressed; ///< When bytes of the answer last came.
+    bool answerBegan = false;
+    evbuffer_cb_entry* watch = nullptr;
     TimerId timer;
+
+    static void onInput(evbuffer*, evbuffer_cb_info const* info, void* argument)
+    {
+        auto& exchange = *static_cast<Exchange*>(argument);
+        if (!info->n_added)
+            return;
+        exchange.answerBegan = true;
+        exchange.progressed = exchange.client->loop.now();
+    }
+
+    evbuffer* input() const { return bufferevent_get_input(evhttp_connection_get_bufferevent(this->connection)); }
 };
 
 HttpClient::HttpClient(EventLoop& loop, HttpClientLimits limits)
@@ -120,7 +179,14 @@
         exchange->timer = this->loop.after(Duration(), [this, id] { this->abort(id.value(), HttpOutcome::Kind::ConnectFailed); });
         return id;
     }
-    exchange->connection = this->takeConnection(to, options.freshConnection);
+    exchange->method = request.method;
+    exchange->started = this->loop.now();
+    exchange->deadline = exchange->started + options.timeout;
+    exchange->connection = options.freshConnection ? nullptr : this->takeIdle(to);
+    exchange->wasIdle = exchange->connection;
+    if (!exchange->connection)
+        exchange->connection = this->makeConnection(to);
+    exchange->watch = evbuffer_add_cb(exchange->input(), Exchange::onInput, exchange);
     exchange->request = evhttp_request_new(onDone, exchange);
     evkeyvalq* fields = evhttp_request_get_output_headers(exchange->request);
     for (auto const& field : request.headers.all())
@@ -129,12 +195,45 @@
         evhttp_add_header(fields, "Host", to.text().c_str());
     evbuffer_add(evhttp_request_get_output_buffer(exchange->request), request.body.data(), request.body.size());
     std::string const uri = request.query.empty() ? request.path : request.path + "?" + request.query;
-    exchange->timer = this->loop.after(options.timeout, [this, id] { this->abort(id.value(), HttpOutcome::Kind::TimedOut); });
-    // A failed call has reported through onDone already.
-    evhttp_make_request(exchange->connection, exchange->request, type, uri.c_str());
+    this->armTimer(*exchange);
+    evhttp_connection* connection = exchange->connection;
+    // A failed call has reported through onDone already, and freed the exchange.
+    if (!evhttp_make_request(connection, exchange->request, type, uri.c_str()))
+        watchPeer(connection, this->limits.userTimeout);
     return id;
 }
 
+/// The next moment at which the exchange may have to be given up.
+void HttpClient::armTimer(Exchange& exchange)
+{
+    TimePoint next = exchange.deadline;
+    if (!isConnected(exchange.connection))
+        next = std::min(next, exchange.started + this->limits.connectTimeout);
+    else if (exchange.answerBegan)
+        next = std::min(next, exchange.progressed + this->limits.progressTimeout);
+    else
+        next = std::min(next, std::max(this->loop.now(), exchange.started) + this->limits.progressTimeout);
+    Duration const wait = std::max(next - this->loop.now(), Duration());
+    exchange.timer = this->loop.after(wait, [this, id = exchange.id] { this->checkTime(id); });
+}
+
+void HttpClient::checkTime(uint64_t id)
+{
+    auto const found = this->exchanges.find(id);
+    if (found == this->exchanges.end())
+        return;
+    Exchange& exchange = *found->second;
+    TimePoint const now = this->loop.now();
+    bool const isStalled = exchange.answerBegan && now - exchange.progressed >= this->limits.progressTimeout;
+    bool const isUnconnected = !isConnected(exchange.connection) && now - exchange.started >= this->limits.connectTimeout;
+    if (isUnconnected)
+        this->abort(id, HttpOutcome::Kind::ConnectFailed);
+    else if (now >= exchange.deadline || isStalled)
+        this->abort(id, exchange.answerBegan ? HttpOutcome::Kind::TimedOut : HttpOutcome::Kind::Silent);
+    else
+        this->armTimer(exchange);
+}
+
 void HttpClient::cancel(HttpExchangeId exchange)
 {
     this->abort(exchange.value(), HttpOutcome::Kind::Cancelled);
@@ -164,18 +263,26 @@
     bool const answered = request && evhttp_request_get_response_code(request);
     if (answered) {
         outcome.response = toResponse(request);
-        client->finish(exchange, outcome, !asksToClose(outcome.response));
+        bool const whole = isWhole(exchange.method, outcome.response);
+        outcome.kind = whole ? HttpOutcome::Kind::Answered : HttpOutcome::Kind::Truncated;
+        client->finish(exchange, outcome, whole && !asksToClose(outcome.response));
         return;
     }
     // evhttp passes the request without a response code when connecting failed, and null afterwards.
     outcome.kind = request ? HttpOutcome::Kind::ConnectFailed : HttpOutcome::Kind::Broken;
-    outcome.mayHaveRun = !request;
+    if (exchange.answerBegan)
+        outcome.kind = HttpOutcome::Kind::Truncated;
+    outcome.mayHaveRun = !request || exchange.answerBegan;
     client->finish(exchange, outcome, false);
 }
 
 void HttpClient::finish(Exchange& exchange, HttpOutcome const& outcome, bool reusable)
 {
     this->loop.cancel(exchange.timer);
+    if (exchange.watch)
+        evbuffer_remove_cb_entry(exchange.input(), exchange.watch);
+    if (exchange.wasIdle && !reusable && outcome.kind != HttpOutcome::Kind::Cancelled)
+        this->dropIdle(exchange.to);
     if (exchange.connection && reusable)
         this->keepConnection(exchange.to, exchange.connection);
     else if (exchange.connection)
@@ -185,10 +292,10 @@
     this->loop.guard([&] { done(outcome); });
 }
 
-evhttp_connection* HttpClient::takeConnection(Address const& to, bool fresh)
+evhttp_connection* HttpClient::takeIdle(Address const& to)
 {
     auto const found = this->idle.find(to);
-    while (!fresh && found != this->idle.end() && !found->second.empty()) {
+    while (found != this->idle.end() && !found->second.empty()) {
         IdleConnection const newest = found->second.back();
         found->second.pop_back();
         bool const tooOld = this->loop.now() - newest.since > this->limits.maxIdleAge;
@@ -197,6 +304,11 @@
             return newest.connection;
         this->freeLater(newest.connection);
     }
+    return nullptr;
+}
+
+evhttp_connection* HttpClient::makeConnection(Address const& to)
+{
     evhttp_connection* connection = evhttp_connection_base_new(this->loop.base(), nullptr, to.ip.c_str(), to.port);
     evhttp_connection_set_max_body_size(connection, static_cast<ev_ssize_t>(this->limits.maxBodyBytes));
     evhttp_connection_set_max_headers_size(connection, static_cast<ev_ssize_t>(this->limits.maxHeaderBytes));
@@ -204,6 +316,17 @@
     return connection;
 }
 
+/// A connection from the pool has failed: what lies between the ends may have forgotten all of them.
+void HttpClient::dropIdle(Address const& to)
+{
+    auto const found = this->idle.find(to);
+    if (found == this->idle.end())
+        return;
+    for (auto const& connection : found->second)
+        this->freeLater(connection.connection);
+    this->idle.erase(found);
+}
+
 void HttpClient::keepConnection(Address const& to, evhttp_connection* connection)
 {
     auto& connections = this->idle[to];
--- a/cornelpond/adapters/http/HttpClient.h
+++ b/cornelpond/adapters/http/HttpClient.h
@@ -1,7 +1,9 @@
 #pragma once
 
 // An HTTP/1.1 client on evhttp with a pool of idle connections. One request at a time runs on a
-// connection; a connection whose request failed or timed out is closed, never reused.
+// connection; a connection whose request failed or timed out is closed, never reused, and takes the idle
+// ones to the same address with it. An answer must say where it ends (Content-Length or chunked) and be
+// whole; one that ends with the connection cannot be told from a truncated one and counts as that.
 //
 // Example:
 //   client.send({ "10.0.0.7", 8080 }, request, HttpSendOptions(), [](HttpOutcome const& outcome) {
@@ -29,6 +31,9 @@
     size_t maxHeaderBytes = 64 * 1024;
     size_t maxIdlePerAddress = 64;
     Duration maxIdleAge = Duration::seconds(10); ///< An older idle connection may be silent; it is closed.
+    Duration connectTimeout = Duration::seconds(1);
+    Duration progressTimeout = Duration::seconds(5); ///< Longest gap within an answer that has begun.
+    Duration userTimeout = Duration::seconds(10); ///< Sent bytes that stay unacknowledged end the connection.
 };
 
 struct HttpSendOptions {
@@ -41,8 +46,10 @@
     enum class Kind {
         Answered, ///< The answer is whole.
         ConnectFailed, ///< No byte of the request left this host.
-        Broken, ///< The connection failed or the answer was malformed or incomplete.
-        TimedOut,
+        Broken, ///< The connection failed before a byte of the answer.
+        Truncated, ///< The answer began and was malformed, incomplete or of unknown length.
+        Silent, ///< Time ran out before a byte of the answer.
+        TimedOut, ///< Time ran out within the answer.
         Cancelled,
     };
 
@@ -79,9 +86,13 @@
     };
 
     static void onDone(evhttp_request* request, void* argument);
+    void checkTime(uint64_t id);
+    void armTimer(Exchange& exchange);
 
-    evhttp_connection* takeConnection(Address const& to, bool fresh);
+    evhttp_connection* takeIdle(Address const& to);
+    evhttp_connection* makeConnection(Address const& to);
     void keepConnection(Address const& to, evhttp_connection* connection);
+    void dropIdle(Address const& to);
     void finish(Exchange& exchange, HttpOutcome const& outcome, bool reusable);
     void abort(uint64_t id, HttpOutcome::Kind kind);
     void freeLater(evhttp_connection* connection);
--- a/cornelpond/app/CallerEndpoint.cpp
+++ b/cornelpond/app/CallerEndpoint.cpp
@@ -1,51 +1,20 @@
 #include "cornelpond/app/CallerEndpoint.h"
 
 #include "cornelpond/app/Api.h"
-#include "cornelpond/core/base/ResultCode.h"
-#include "cornelpond/core/routing/Balancer.h"
+#include "cornelpond/app/ForwardedHeaders.h"
+#include "cornelpond/core/selector/Selector.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <array>
 #include <charconv>
-#include <set>
 
 namespace cornelpond {
 
 namespace {
 
-    constexpr uint32_t maxTries = 3;
     constexpr int64_t maxDeadlineMs = 3600 * 1000;
 
-    constexpr std::array<std::string_view, 10> hopByHopHeaders = {
-        "Connection",
-        "Keep-Alive",
-        "Proxy-Connection",
-        "Proxy-Authenticate",
-        "Proxy-Authorization",
-        "TE",
-        "Trailer",
-        "Transfer-Encoding",
-        "Upgrade",
-        "Content-Length",
-    };
-
-    bool isHopByHop(std::string const& name)
-    {
-        return std::any_of(hopByHopHeaders.begin(), hopByHopHeaders.end(), [&](auto hop) { return HttpHeaders::equalName(hop, name); });
-    }
-
-    HttpHeaders endToEndHeaders(HttpHeaders const& headers)
-    {
-        HttpHeaders kept;
-        for (auto const& field : headers.all()) {
-            if (!isHopByHop(field.name))
-                kept.add(field.name, field.value);
-        }
-        return kept;
-    }
-
     ServiceId serviceOf(std::string const& path)
     {
         size_t const end = path.find('/', 1);
@@ -75,188 +44,224 @@
         return false;
     }
 
-    HttpResponse interactiveRefusal(ResultCode code, bool mayHaveRun, std::string const& message)
+    /// Parses "key=value,key=value". Throws Error(BadHeader).
+    Labels labelsOf(std::string const& text)
+    {
+        Labels labels;
+        size_t start = 0;
+        while (start < text.size()) {
+            size_t const end = std::min(text.find(',', start), text.size());
+            std::string const pair = text.substr(start, end - start);
+            size_t const equals = pair.find('=');
+            if (equals == std::string::npos || !isLabelWord(pair.substr(0, equals)) || !isLabelWord(pair.substr(equals + 1)))
+                throw Error(ResultCode::BadHeader, "Cornelpond-Labels: expected key=value,key=value");
+            labels[pair.substr(0, equals)] = pair.substr(equals + 1);
+            start = end + 1;
+        }
+        return labels;
+    }
+
+    RequestClass classOf(HttpRequest const& request, Policy const& policy)
+    {
+        if (std::string const* header = request.headers.find("Cornelpond-Class")) {
+            auto const found = std::find(requestClassNames.begin(), requestClassNames.end(), *header);
+            if (found == requestClassNames.end())
+                throw Error(ResultCode::BadHeader, "Cornelpond-Class: expected 'urgent', 'normal' or 'background'");
+            return static_cast<RequestClass>(found - requestClassNames.begin());
+        }
+        std::string const* labels = request.headers.find("Cornelpond-Labels");
+        int64_t const priority = policy.priorityOf(labels ? labelsOf(*labels) : Labels());
+        if (priority == 0)
+            return RequestClass::Normal;
+        return priority > 0 ? RequestClass::Urgent : RequestClass::Background;
+    }
+
+    AssociationId associationOf(HttpRequest const& request)
+    {
+        std::string const* header = request.headers.find("Cornelpond-Association");
+        if (header && !isLabelWord(*header))
+            throw Error(ResultCode::BadHeader, "Cornelpond-Association: expected letters, digits or any of ._-/");
+        return AssociationId(header ? *header : std::string());
+    }
+
+    size_t bytesOf(HttpRequest const& request)
+    {
+        size_t bytes = request.path.size() + request.query.size() + request.body.size();
+        for (auto const& field : request.headers.all())
+            bytes += field.name.size() + field.value.size();
+        return bytes;
+    }
+
+    HttpResponse interactiveRefusal(RouterRefusal const& refusal)
     {
-        auto const& info = resultCodeInfo(code);
-        return jsonResponse(info.httpStatus,
-            { { "code", static_cast<int>(code) }, { "name", std::string(info.name) }, { "message", message }, { "ran", mayHaveRun ? "unknown" : "no" } });
+        auto const& info = resultCodeInfo(refusal.code);
+        HttpResponse response = jsonResponse(info.httpStatus,
+            { { "code", static_cast<int>(refusal.code) }, { "name", std::string(info.name) }, { "message", refusal.message }, { "ran", refusal.mayHaveRun ? "unknown" : "no" } });
+        int64_t const roundedUp = (refusal.retryAfter.toMilliseconds() + 999) / 1000;
+        if (roundedUp > 0)
+            response.headers.add("Retry-After", std::to_string(roundedUp));
+        return response;
+    }
+
+    AttemptReport toReport(HttpOutcome const& outcome)
+    {
+        AttemptReport report;
+        report.mayHaveRun = outcome.mayHaveRun;
+        switch (outcome.kind) {
+        case HttpOutcome::Kind::Answered:
+            report.result = outcome.response.status >= 502 && outcome.response.status <= 504 ? AttemptResult::Unavailable : AttemptResult::Answered;
+            break;
+        case HttpOutcome::Kind::ConnectFailed:
+            report.result = AttemptResult::ConnectFailed;
+            break;
+        case HttpOutcome::Kind::Truncated:
+            report.result = AttemptResult::Truncated;
+            break;
+        case HttpOutcome::Kind::Silent:
+            report.result = AttemptResult::Silent;
+            break;
+        case HttpOutcome::Kind::TimedOut:
+            report.result = AttemptResult::TimedOut;
+            break;
+        case HttpOutcome::Kind::Broken:
+        case HttpOutcome::Kind::Cancelled:
+            report.result = AttemptResult::Broken;
+            break;
+        }
+        return report;
     }
 
 } // namespace
 
 struct CallerEndpoint::Pending {
-    RequestId id;
-    ServiceId service;
     HttpRequest request;
     HttpResponder responder;
     TimePoint received;
-    TimePoint deadline;
-    bool repeatable = true;
-    bool mayHaveRun = false;
-    uint32_t tries = 0;
-    std::set<BackendServerId> tried;
-    HttpExchangeId exchange; ///< 0 while none is open.
 };
 
 CallerEndpoint::CallerEndpoint(EventLoop& loop, EventSink& events, Metrics& metrics, HttpClient& client, BackendServerTable& servers, Random& random,
-    std::function<Policy const&()> policy, size_t maxQueued)
+    std::function<Policy const&()> policy, CallerEndpointOptions const& options)
     : loop(loop)
     , events(events)
     , metrics(metrics)
     , client(client)
-    , servers(servers)
-    , random(random)
     , policy(std::move(policy))
-    , queue(maxQueued)
+    , router(this->routerOptions(options), this->routerHooks(), events, loop, random, servers)
 {
 }
 
 CallerEndpoint::~CallerEndpoint() = default;
 
-void CallerEndpoint::handle(HttpRequest request, HttpResponder const& responder)
+RouterOptions CallerEndpoint::routerOptions(CallerEndpointOptions const& options)
 {
-    RequestId const id(this->nextRequest++);
-    ServiceId const service = serviceOf(request.path);
-    TimePoint const now = this->loop.now();
-    try {
-        Duration const timeout = timeoutOf(request, this->policy().service(service));
-        bool const repeatable = isRepeatable(request);
-        auto pending = std::unique_ptr<Pending>(new Pending { id, service, std::move(request), responder, now, now + timeout, repeatable, false, 0, {}, HttpExchangeId() });
-        Pending& added = *pending;
-        this->requests.emplace(id, std::move(pending));
-        responder.onCallerGone([this, id] {
-            auto const found = this->requests.find(id);
-            if (found == this->requests.end())
-                return;
-            HttpExchangeId const exchange = found->second->exchange;
-            this->requests.erase(found);
-            this->client.cancel(exchange);
-        });
-        this->dispatch(added);
-    } catch (Error const& error) {
-        this->events.emit(Event(EventId::InputRefused).with("code", static_cast<int>(error.code())).with("reason", std::string(error.what())));
-        responder.answer(interactiveRefusal(error.code(), false, error.what()));
-    }
+    RouterOptions result;
+    result.admission = options.admission;
+    result.balancer = options.balancer;
+    result.weightOf = [this](AssociationId const& association) { return this->policy().association(association).weight; };
+    result.isHedging = [this](ServiceId const& service) { return this->policy().service(service).hedging; };
+    result.isConfigured = [this](ServiceId const& service) { return this->policy().services.count(service) > 0; };
+    return result;
 }
 
-void CallerEndpoint::dispatch(Pending& pending)
+RouterHooks CallerEndpoint::routerHooks()
 {
-    TimePoint const now = this->loop.now();
-    if (now >= pending.deadline) {
-        this->refuse(pending, ResultCode::DeadlineExceeded, pending.mayHaveRun, "the deadline passed");
-        return;
-    }
-    std::vector<BackendServer const*> usable = this->servers.usable(pending.service, now);
-    if (usable.empty()) {
-        ResultCode const code = this->servers.knowsService(pending.service) ? ResultCode::NoBackendServer : ResultCode::ServiceUnknown;
-        this->refuse(pending, code, pending.mayHaveRun, "no backend server announces '" + pending.service.value() + "'");
-        return;
-    }
-    std::vector<BackendServer const*> untried;
-    std::copy_if(usable.begin(), usable.end(), std::back_inserter(untried), [&](auto const* server) { return !pending.tried.count(server->last.server); });
-    BackendChoice const choice = chooseBackendServer(untried.empty() ? usable : untried, this->random);
-    if (choice.server) {
-        this->send(pending, *choice.server, choice.reason);
-        return;
-    }
-    if (!this->queue.push({ pending.id, pending.service, pending.deadline }))
-        this->refuse(pending, ResultCode::QueueFull, pending.mayHaveRun, "too many requests wait");
+    RouterHooks hooks;
+    hooks.send = [this](SendAttempt const& attempt) { this->send(attempt); };
+    hooks.cancel = [this](AttemptId attempt) {
+        auto const found = this->exchanges.extract(attempt);
+        if (found)
+            this->client.cancel(found.mapped());
+    };
+    hooks.refuse = [this](RequestId id, RouterRefusal const& refusal) { this->refuse(id, refusal); };
+    return hooks;
 }
 
-void CallerEndpoint::send(Pending& pending, BackendServer const& server, std::string const& reason)
+InteractiveRequest CallerEndpoint::describe(RequestId id, HttpRequest const& request) const
 {
-    BackendServerId const serverId = server.last.server;
-    TimePoint const now = this->loop.now();
-    HttpRequest outgoing;
-    outgoing.method = pending.request.method;
-    outgoing.path = pending.request.path;
-    outgoing.query = pending.request.query;
-    outgoing.headers = endToEndHeaders(pending.request.headers);
-    outgoing.headers.add("Cornelpond-Remaining-Ms", std::to_string((pending.deadline - now).toMilliseconds()));
-    outgoing.body = pending.request.body;
-    HttpSendOptions options;
-    options.timeout = pending.deadline - now;
-    options.freshConnection = !pending.repeatable;
-    pending.tries++;
-    pending.tried.insert(serverId);
-    this->servers.addInFlight(serverId);
-    this->events.emit(Event(EventId::RequestRouted).with("request", pending.id).with("service", pending.service).with("server", serverId).with("try", pending.tries).with("reason", reason));
-    pending.exchange = this->client.send({ server.last.address, server.last.port }, outgoing, options,
-        [this, id = pending.id, serverId](HttpOutcome const& outcome) { this->onOutcome(id, serverId, outcome); });
+    InteractiveRequest described;
+    described.id = id;
+    described.service = serviceOf(request.path);
+    described.association = associationOf(request);
+    described.requestClass = classOf(request, this->policy());
+    described.received = this->loop.now();
+    described.deadline = described.received + timeoutOf(request, this->policy().service(described.service));
+    described.repeatable = isRepeatable(request);
+    described.bytes = bytesOf(request);
+    return described;
 }
 
-void CallerEndpoint::onOutcome(RequestId id, BackendServerId const& server, HttpOutcome const& outcome)
+void CallerEndpoint::handle(HttpRequest request, HttpResponder const& responder)
 {
-    this->servers.removeInFlight(server);
-    auto const found = this->requests.find(id);
-    if (found == this->requests.end()) {
-        this->onServersChanged();
+    RequestId const id(this->nextRequest++);
+    InteractiveRequest described;
+    try {
+        described = this->describe(id, request);
+    } catch (Error const& error) {
+        this->events.emit(Event(EventId::InputRefused).with("code", static_cast<int>(error.code())).with("reason", std::string(error.what())));
+        responder.answer(interactiveRefusal({ error.code(), false, Duration(), error.what() }));
         return;
     }
-    Pending& pending = *found->second;
-    ServiceId const service = pending.service;
-    pending.exchange = HttpExchangeId();
-    pending.mayHaveRun = pending.mayHaveRun || outcome.mayHaveRun;
-    if (outcome.kind == HttpOutcome::Kind::Answered) {
-        Duration const elapsed = this->loop.now() - pending.received;
-        this->metrics.count("requestsAnswered");
-        this->metrics.observe("requestLatency", elapsed);
-        this->events.emit(Event(EventId::RequestAnswered).with("request", id).with("server", server).with("status", outcome.response.status).with("ms", elapsed));
-        HttpResponse response = outcome.response;
-        response.headers = endToEndHeaders(outcome.response.headers);
-        pending.responder.answer(response);
-        this->end(id);
-    } else if (outcome.kind == HttpOutcome::Kind::TimedOut) {
-        this->refuse(pending, ResultCode::DeadlineExceeded, pending.mayHaveRun, "the deadline passed");
-    } else if (pending.tries < maxTries && (pending.repeatable || !pending.mayHaveRun)) {
-        this->events.emit(Event(EventId::RequestRetried).with("request", id).with("server", server));
-        this->dispatch(pending);
-    } else {
-        this->refuse(pending, pending.repeatable ? ResultCode::BackendServerFailed : ResultCode::OutcomeUnknown, pending.mayHaveRun, "the backend server failed");
-    }
-    this->dispatchNext(service);
+    this->pending.emplace(id, std::unique_ptr<Pending>(new Pending { std::move(request), responder, described.received }));
+    responder.onCallerGone([this, id] {
+        this->pending.erase(id);
+        this->router.onCallerGone(id);
+    });
+    this->router.submit(described);
 }
 
-void CallerEndpoint::refuse(Pending& pending, ResultCode code, bool mayHaveRun, std::string const& message)
+void CallerEndpoint::send(SendAttempt const& attempt)
 {
-    this->metrics.count("requestsRefused");
-    this->events.emit(Event(EventId::RequestRefused).with("request", pending.id).with("service", pending.service).with("code", static_cast<int>(code)).with("ran", mayHaveRun ? "unknown" : "no").with("reason", message));
-    pending.responder.answer(interactiveRefusal(code, mayHaveRun, message));
-    this->end(pending.id);
+    HttpRequest const& request = this->pending.at(attempt.request)->request;
+    HttpRequest outgoing;
+    outgoing.method = request.method;
+    outgoing.path = request.path;
+    outgoing.query = request.query;
+    outgoing.headers = endToEndHeaders(request.headers);
+    outgoing.headers.add("Cornelpond-Remaining-Ms", std::to_string(attempt.remaining.toMilliseconds()));
+    outgoing.body = request.body;
+    HttpSendOptions options;
+    options.timeout = attempt.timeout;
+    options.freshConnection = attempt.freshConnection;
+    HttpExchangeId const exchange = this->client.send({ attempt.target->address, attempt.target->port }, outgoing, options,
+        [this, id = attempt.attempt](HttpOutcome const& outcome) { this->onOutcome(id, outcome); });
+    this->exchanges[attempt.attempt] = exchange;
 }
 
-void CallerEndpoint::end(RequestId id)
+void CallerEndpoint::onOutcome(AttemptId attempt, HttpOutcome const& outcome)
 {
-    this->requests.erase(id);
+    this->exchanges.erase(attempt);
+    AttemptVerdict const verdict = this->router.onAttemptEnded(attempt, toReport(outcome));
+    if (verdict.passesAnswer)
+        this->answer(verdict.request, outcome.response);
 }
 
-void CallerEndpoint::dispatchNext(ServiceId const& service)
+void CallerEndpoint::answer(RequestId id, HttpResponse response)
 {
-    while (auto const next = this->queue.pop(service)) {
-        auto const found = this->requests.find(next->id);
-        if (found == this->requests.end())
-            continue;
-        this->dispatch(*found->second);
+    auto const found = this->pending.extract(id);
+    if (!found)
         return;
-    }
+    Duration const elapsed = this->loop.now() - found.mapped()->received;
+    this->metrics.count("requestsAnswered");
+    this->metrics.observe("requestLatency", elapsed);
+    this->events.emit(Event(EventId::RequestAnswered).with("request", id).with("status", response.status).with("ms", elapsed));
+    response.headers = endToEndHeaders(response.headers);
+    found.mapped()->responder.answer(response);
 }
 
-void CallerEndpoint::onServersChanged()
+void CallerEndpoint::refuse(RequestId id, RouterRefusal const& refusal)
 {
-    std::set<ServiceId> services;
-    for (auto const& [id, server] : this->servers.all())
-        services.insert(server.last.service);
-    for (auto const& service : services)
-        this->dispatchNext(service);
+    auto const found = this->pending.extract(id);
+    if (!found)
+        return;
+    this->metrics.count("requestsRefused");
+    found.mapped()->responder.answer(interactiveRefusal(refusal));
 }
 
 void CallerEndpoint::onTick()
 {
-    for (auto const& expired : this->queue.takeExpired(this->loop.now())) {
-        auto const found = this->requests.find(expired.id);
-        if (found != this->requests.end())
-            this->refuse(*found->second, ResultCode::DeadlineExceeded, found->second->mayHaveRun, "the deadline passed while waiting");
-    }
+    this->router.onTick();
+    this->metrics.setGauge("queuedRequests", static_cast<int64_t>(this->router.queuedRequests()));
+    this->metrics.setGauge("queuedBytes", static_cast<int64_t>(this->router.queuedBytes()));
 }
 
 } // namespace cornelpond
--- a/cornelpond/app/CallerEndpoint.h
+++ b/cornelpond/app/CallerEndpoint.h
@@ -1,21 +1,25 @@
 #pragma once
 
 // Interactive requests: /SERVICE/... is routed to a backend server of that service and answered whole.
+// This is the HTTP edge; the decisions are in core/routing/RequestRouter.
 //
 // Request headers (all optional):
-//   Cornelpond-Deadline-Ms     how long the caller waits
-//   Cornelpond-Not-Repeatable  "true": runs at most once
-//   Cornelpond-Association     for fair shares
+//   Cornelpond-Deadline-Ms     how long the caller waits; else the service's timeout from the configuration
+//   Cornelpond-Not-Repeatable  "true": runs at most once; needs an Idempotency-Key
 //   Idempotency-Key            names a not-repeatable request
-// A refusal is JSON with code, name, message and ran ("no" or "unknown").
+//   Cornelpond-Association     for fair shares
+//   Cornelpond-Class           "urgent", "normal" or "background"
+//   Cornelpond-Labels          "key=value,key=value"; without a class the configuration's priorities decide
+//                              by them: above 0 is urgent, 0 normal, below 0 background
+// The backend server gets Cornelpond-Remaining-Ms, the time that is left for the answer.
+// A refusal is JSON with code, name, message and ran ("no" or "unknown"), and Retry-After where waiting helps.
 
 #include "cornelpond/adapters/http/HttpClient.h"
 #include "cornelpond/adapters/http/HttpServer.h"
 #include "cornelpond/adapters/metrics/Metrics.h"
-#include "cornelpond/core/admission/RequestQueue.h"
 #include "cornelpond/core/base/ResultCode.h"
 #include "cornelpond/core/config/Policy.h"
-#include "cornelpond/core/routing/BackendServerTable.h"
+#include "cornelpond/core/routing/RequestRouter.h"
 #include "cornelpond/ports/EventSink.h"
 #include "cornelpond/ports/Random.h"
 
@@ -25,11 +29,16 @@
 
 namespace cornelpond {
 
+struct CallerEndpointOptions {
+    AdmissionLimits admission;
+    BalancerOptions balancer;
+};
+
 class CallerEndpoint {
 public:
     /// All references must outlive the endpoint.
     CallerEndpoint(EventLoop& loop, EventSink& events, Metrics& metrics, HttpClient& client, BackendServerTable& servers, Random& random,
-        std::function<Policy const&()> policy, size_t maxQueued);
+        std::function<Policy const&()> policy, CallerEndpointOptions const& options);
 
     ~CallerEndpoint();
     CallerEndpoint(CallerEndpoint const&) = delete;
@@ -37,33 +46,33 @@
 
     void handle(HttpRequest request, HttpResponder const& responder);
 
-    /// Refuses requests that waited past their deadline; call about every 10 ms.
+    /// Deadlines and hedges; call about every 10 ms.
     void onTick();
 
-    /// Tries queued requests again after a server joined.
-    void onServersChanged();
+    /// Tries queued requests again after a server joined or slots became free.
+    void onServersChanged() { this->router.onServersChanged(); }
 
-    size_t openRequests() const { return this->requests.size(); }
+    size_t openRequests() const { return this->pending.size(); }
 
 private:
     struct Pending;
 
-    void dispatch(Pending& pending);
-    void send(Pending& pending, BackendServer const& server, std::string const& reason);
-    void onOutcome(RequestId id, BackendServerId const& server, HttpOutcome const& outcome);
-    void refuse(Pending& pending, ResultCode code, bool mayHaveRun, std::string const& message);
-    void end(RequestId id);
-    void dispatchNext(ServiceId const& service);
+    RouterOptions routerOptions(CallerEndpointOptions const& options);
+    RouterHooks routerHooks();
+    InteractiveRequest describe(RequestId id, HttpRequest const& request) const;
+    void send(SendAttempt const& attempt);
+    void onOutcome(AttemptId attempt, HttpOutcome const& outcome);
+    void answer(RequestId id, HttpResponse response);
+    void refuse(RequestId id, RouterRefusal const& refusal);
 
     EventLoop& loop;
     EventSink& events;
     Metrics& metrics;
     HttpClient& client;
-    BackendServerTable& servers;
-    Random& random;
     std::function<Policy const&()> policy;
-    RequestQueue queue;
-    std::unordered_map<RequestId, std::unique_ptr<Pending>> requests;
+    std::unordered_map<RequestId, std::unique_ptr<Pending>> pending;
+    std::unordered_map<AttemptId, HttpExchangeId> exchanges;
+    RequestRouter router;
     uint64_t nextRequest = 1;
 };
 
--- a/cornelpond/app/EntryHost.cpp
+++ b/cornelpond/app/EntryHost.cpp
@@ -36,7 +36,7 @@
     , taskLog(this->settings.host, this->taskStorage, this->taskMachines.hooks())
     , configLog(this->settings.host, this->configStorage, this->configMachines.hooks())
     , callerEndpoint(
-          loop, events, this->metrics, this->client, this->backendServers, this->random, [this]() -> Policy const& { return this->policy; }, this->settings.limits.maxQueuedRequests)
+          loop, events, this->metrics, this->client, this->backendServers, this->random, [this]() -> Policy const& { return this->policy; }, this->callerOptions())
     , workerApi(loop, events, this->scheduler, this->backendServers, this->settings.dataCentre, this->settings.times.announcementExpiry, this->jsonLimits(), [this] { this->callerEndpoint.onServersChanged(); })
     , taskApi(this->scheduler, this->jsonLimits(), [this] { return static_cast<bool>(this->onShutDown); })
     , configApi(loop, events, this->config, this->jsonLimits())
@@ -84,6 +84,14 @@
     return hooks;
 }
 
+CallerEndpointOptions EntryHost::callerOptions() const
+{
+    CallerEndpointOptions options;
+    options.admission.maxRequests = this->settings.limits.maxQueuedRequests;
+    options.balancer.dataCentre = this->settings.dataCentre;
+    return options;
+}
+
 JsonLimits EntryHost::jsonLimits() const
 {
     return { this->settings.limits.maxBodyBytes, this->settings.limits.maxJsonDepth };
--- a/cornelpond/app/EntryHost.h
+++ b/cornelpond/app/EntryHost.h
@@ -50,6 +50,7 @@
     void finishShutDown();
     StateMachineHooks taskHooks();
     StateMachineHooks configHooks();
+    CallerEndpointOptions callerOptions() const;
     JsonLimits jsonLimits() const;
     HttpLimits httpLimits() const;
     nlohmann::json status() const;
--- /dev/null
+++ b/cornelpond/core/admission/InteractiveRequest.h
@@ -0,0 +1,43 @@
+#pragma once
+
+// What the core knows of one interactive request; its headers and body stay with the adapter.
+//
+// Example:
+//   InteractiveRequest request;
+//   request.id = RequestId(1);
+//   request.service = ServiceId("plan");
+//   request.deadline = clock.now() + Duration::seconds(2);
+
+#include "cornelpond/core/base/Duration.h"
+#include "cornelpond/core/base/Ids.h"
+
+#include <array>
+#include <cstddef>
+#include <string_view>
+
+namespace cornelpond {
+
+using RequestId = NumberId<struct RequestIdTag>;
+
+/// How urgent a request is; a lower number goes first.
+enum class RequestClass : uint8_t {
+    Urgent = 0,
+    Normal = 1,
+    Background = 2,
+};
+
+constexpr size_t requestClassCount = 3;
+constexpr std::array<std::string_view, requestClassCount> requestClassNames = { "urgent", "normal", "background" };
+
+struct InteractiveRequest {
+    RequestId id;
+    ServiceId service;
+    AssociationId association;
+    RequestClass requestClass = RequestClass::Normal;
+    TimePoint received;
+    TimePoint deadline;
+    bool repeatable = true;
+    size_t bytes = 0; ///< Memory that it holds while it waits.
+};
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/retry/RetryBudget.h
@@ -0,0 +1,48 @@
+#pragma once
+
+// Bounds extra attempts to a part of the requests, so that retries never multiply a load that the
+// backend servers cannot take.
+//
+// Example:
+//   RetryBudget retries(RetryBudgetLimits { 0.1, 10 });
+//   retries.onRequest();
+//   if (retries.take())
+//       sendAgain();
+//
+// Loop thread only.
+
+#include <algorithm>
+
+namespace cornelpond {
+
+struct RetryBudgetLimits {
+    double ratio = 0.1; ///< Extra attempts for each request, in the long run.
+    double reserve = 10; ///< Extra attempts that a quiet host may make at once.
+};
+
+class RetryBudget {
+public:
+    explicit RetryBudget(RetryBudgetLimits limits)
+        : limits(limits)
+        , tokens(limits.reserve)
+    {
+    }
+
+    /// Counts one first attempt.
+    void onRequest() { this->tokens = std::min(this->tokens + this->limits.ratio, this->limits.reserve); }
+
+    /// True when one more extra attempt may be made; it is counted.
+    bool take()
+    {
+        if (this->tokens < 1)
+            return false;
+        this->tokens -= 1;
+        return true;
+    }
+
+private:
+    RetryBudgetLimits limits;
+    double tokens;
+};
+
+} // namespace cornelpond
--- a/cornelpond/core/routing/BackendServerTable.cpp
+++ b/cornelpond/core/routing/BackendServerTable.cpp
@@ -12,6 +12,7 @@
 namespace {
 
     constexpr uint32_t maxSlots = 100000;
+    constexpr size_t maxServices = 10000;
 
     template <typename Number>
     Number numberAt(nlohmann::json const& value, std::string const& key, Number lowest, Number highest)
@@ -69,20 +70,36 @@
     };
 }
 
-bool BackendServerTable::announce(BackendServerAnnouncement const& announcement, TimePoint now)
+bool BackendServerTable::announce(BackendServerAnnouncement const& announcement, TimePoint now, Duration age)
 {
     if (announcement.leaving) {
         this->servers.erase(announcement.server);
+        this->left[announcement.server] = now - age;
         return false;
     }
-    auto const [entry, isNew] = this->servers.try_emplace(announcement.server);
+    auto const leave = this->left.find(announcement.server);
+    bool const isOutdated = age >= this->expiry || (leave != this->left.end() && now - age <= leave->second);
+    if (isOutdated)
+        return false;
+    this->left.erase(announcement.server);
+    auto entry = this->servers.find(announcement.server);
+    bool const moved = entry != this->servers.end() && (entry->second.last.port != announcement.port || entry->second.last.address != announcement.address);
+    if (moved)
+        entry = this->servers.erase(entry);
+    bool const isNew = moved || entry == this->servers.end();
+    if (isNew)
+        entry = this->servers.emplace(announcement.server, BackendServer(announcement, now)).first;
     entry->second.last = announcement;
-    entry->second.expires = now + this->expiry;
+    entry->second.expires = std::max(entry->second.expires, now - age + this->expiry);
+    if (this->services.size() < maxServices)
+        this->services.insert(announcement.service);
     return isNew;
 }
 
 std::vector<BackendServerId> BackendServerTable::takeExpired(TimePoint now)
 {
+    for (auto leave = this->left.begin(); leave != this->left.end();)
+        leave = now - leave->second > this->expiry ? this->left.erase(leave) : std::next(leave);
     std::vector<BackendServerId> expired;
     for (auto server = this->servers.begin(); server != this->servers.end();) {
         if (now < server->second.expires) {
@@ -119,9 +136,15 @@
         found->second.inFlight--;
 }
 
+BackendServer* BackendServerTable::find(BackendServerId const& server)
+{
+    auto const found = this->servers.find(server);
+    return found == this->servers.end() ? nullptr : &found->second;
+}
+
 bool BackendServerTable::knowsService(ServiceId const& service) const
 {
-    return std::any_of(this->servers.begin(), this->servers.end(), [&](auto const& entry) { return entry.second.last.service == service; });
+    return this->services.count(service) > 0;
 }
 
 } // namespace cornelpond
--- a/cornelpond/core/routing/BackendServerTable.h
+++ b/cornelpond/core/routing/BackendServerTable.h
@@ -14,11 +14,13 @@
 #include "cornelpond/core/base/Duration.h"
 #include "cornelpond/core/base/Ids.h"
 #include "cornelpond/core/base/Resources.h"
+#include "cornelpond/core/routing/ServerHealth.h"
 #include "cornelpond/core/selector/Selector.h"
 
 #include <nlohmann/json_fwd.hpp>
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -45,9 +47,16 @@
 nlohmann::json toJson(BackendServerAnnouncement const& announcement);
 
 struct BackendServer {
+    BackendServer(BackendServerAnnouncement announcement, TimePoint now)
+        : last(std::move(announcement))
+        , health(now)
+    {
+    }
+
     BackendServerAnnouncement last;
     TimePoint expires;
     uint32_t inFlight = 0; ///< Requests sent by this host and not yet answered.
+    ServerHealth health;
 };
 
 class BackendServerTable {
@@ -57,25 +66,34 @@
     {
     }
 
-    /// Returns true when the server is new or came back. A leaving server is removed.
-    bool announce(BackendServerAnnouncement const& announcement, TimePoint now);
+    /// Returns true when the server is new or came back. A leaving server is removed. `age` is the time
+    /// since the server itself said so, for an announcement that another entry host passed on; one that
+    /// is older than the server's leave is ignored.
+    bool announce(BackendServerAnnouncement const& announcement, TimePoint now, Duration age = Duration());
 
     /// Removes and returns the servers whose announcement expired.
     std::vector<BackendServerId> takeExpired(TimePoint now);
 
-    /// Servers of the service with a valid announcement.
+    /// Servers of the service with a valid announcement, ejected ones among them.
     std::vector<BackendServer const*> usable(ServiceId const& service, TimePoint now) const;
 
     /// Counts a request sent to the server; does nothing when it has left.
     void addInFlight(BackendServerId const& server);
     void removeInFlight(BackendServerId const& server);
 
+    /// The server, or null when it has left.
+    BackendServer* find(BackendServerId const& server);
+
+    /// True when a server of the service announced itself since this process started.
     bool knowsService(ServiceId const& service) const;
+
     std::map<BackendServerId, BackendServer> const& all() const { return this->servers; }
 
 private:
     Duration expiry;
     std::map<BackendServerId, BackendServer> servers;
+    std::map<BackendServerId, TimePoint> left; ///< When; kept while an older announcement may still arrive.
+    std::set<ServiceId> services;
 };
 
 } // namespace cornelpond
--- a/cornelpond/core/routing/Balancer.cpp
+++ b/cornelpond/core/routing/Balancer.cpp
@@ -1,24 +1,90 @@
 #include "cornelpond/core/routing/Balancer.h"
 
+#include <algorithm>
+#include <iterator>
 #include <vector>
 
 namespace cornelpond {
 
-BackendChoice chooseBackendServer(Span<BackendServer const* const> servers, Random& random)
+namespace {
+
+    constexpr double unknownLatencySeconds = 0.001;
+    constexpr double otherRackFactor = 1.1;
+    constexpr double lowestSuccessRate = 0.05;
+
+    using Servers = std::vector<BackendServer const*>;
+
+    template <typename Predicate>
+    Servers filter(Servers const& servers, Predicate const& keep)
+    {
+        Servers kept;
+        std::copy_if(servers.begin(), servers.end(), std::back_inserter(kept), keep);
+        return kept;
+    }
+
+} // namespace
+
+Balancer::Balancer(BalancerOptions options, Random& random)
+    : options(std::move(options))
+    , random(random)
 {
-    std::vector<BackendServer const*> open;
-    for (auto const* server : servers) {
-        if (server->inFlight < server->last.slots)
-            open.push_back(server);
+}
+
+bool Balancer::isFree(BackendServer const& server, BalanceRequest const& request) const
+{
+    return server.inFlight < this->options.slotsFor(server, request.latestEnd);
+}
+
+double Balancer::cost(BackendServer const& server, TimePoint now) const
+{
+    bool const isLocal = server.last.dataCentre == this->options.dataCentre;
+    double const link = isLocal ? 0 : this->options.linkCost(server.last.dataCentre).toSeconds();
+    double const latency = std::max(server.health.latency(now).toSeconds(), unknownLatencySeconds);
+    double const rack = server.last.rack == this->options.rack ? 1 : otherRackFactor;
+    double const success = std::max(1 - server.health.failureRate(), lowestSuccessRate);
+    double const outstanding = static_cast<double>(server.inFlight) + 1;
+    return (outstanding * latency + link) * rack / success / server.health.readiness(this->options.health, now);
+}
+
+BackendChoice Balancer::choose(Span<BackendServer const* const> servers, BalanceRequest const& request, TimePoint now) const
+{
+    Servers const all(servers.begin(), servers.end());
+    if (request.mayProbe) {
+        for (auto const* server : all) {
+            if (server->health.isProbeDue(now) && !server->inFlight && this->isFree(*server, request))
+                return { server, true, true, "probe of an ejected server" };
+        }
     }
-    if (open.empty())
-        return { nullptr, "no free slot" };
-    if (open.size() == 1)
-        return { open.front(), "only server with a free slot" };
-    size_t const first = random.below(open.size());
-    size_t const second = (first + 1 + random.below(open.size() - 1)) % open.size();
-    BackendServer const* chosen = open[second]->inFlight < open[first]->inFlight ? open[second] : open[first];
-    return { chosen, "less loaded of two among " + std::to_string(open.size()) };
+    Servers candidates = filter(all, [](auto const* server) { return !server->health.isEjected(); });
+    Servers const local = filter(candidates, [&](auto const* server) { return server->last.dataCentre == this->options.dataCentre; });
+    if (!local.empty())
+        candidates = local;
+    BackendChoice none;
+    none.anyUsable = !candidates.empty();
+    none.reason = "no free slot";
+    Servers free = filter(candidates, [&](auto const* server) { return this->isFree(*server, request); });
+    Servers const untried = filter(free, [&](auto const* server) { return !request.tried || !request.tried->count(server->last.server); });
+    if (!untried.empty())
+        free = untried;
+    return free.empty() ? none : this->chooseAmong(free, now);
+}
+
+BackendChoice Balancer::chooseAmong(Servers const& free, TimePoint now) const
+{
+    if (free.size() == 1)
+        return { free.front(), false, true, "only server with a free slot" };
+    size_t const first = this->random.below(free.size());
+    if (!this->options.hasTwoChoices)
+        return { free[first], false, true, "random" };
+    size_t const second = (first + 1 + this->random.below(free.size() - 1)) % free.size();
+    bool const isSecond = this->cost(*free[second], now) < this->cost(*free[first], now);
+    return { isSecond ? free[second] : free[first], false, true, "sooner of two among " + std::to_string(free.size()) };
+}
+
+bool Balancer::mayEject(Span<BackendServer const* const> servers) const
+{
+    auto const ejected = std::count_if(servers.begin(), servers.end(), [](auto const* server) { return server->health.isEjected(); });
+    return static_cast<double>(ejected + 1) <= this->options.health.maxEjectedShare * static_cast<double>(servers.size());
 }
 
 } // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/routing/RequestFlow.cpp
@@ -0,0 +1,69 @@
+#include "cornelpond/core/routing/RequestFlow.h"
+
+namespace cornelpond {
+
+namespace {
+
+    constexpr uint32_t maxTries = 3;
+
+} // namespace
+
+RequestFlow::RequestFlow(InteractiveRequest request)
+    : given(std::move(request))
+{
+}
+
+void RequestFlow::addAttempt(AttemptId id, OpenAttempt attempt)
+{
+    this->triedServers.insert(attempt.server);
+    this->tryCount++;
+    this->attempts.emplace(id, std::move(attempt));
+}
+
+FlowDecision RequestFlow::onAttemptEnded(AttemptId id, AttemptReport const& report, RetryBudget& retries, TimePoint now)
+{
+    if (!this->attempts.erase(id))
+        return {};
+    this->reached = this->reached || report.mayHaveRun;
+    bool const isAnswer = report.result == AttemptResult::Answered;
+    bool const isWhole = isAnswer || report.result == AttemptResult::Unavailable;
+    if (isAnswer)
+        return { FlowStep::Answer, ResultCode::Ok };
+    if (!this->attempts.empty())
+        return {};
+    if (this->mayRetry(now) && retries.take())
+        return { FlowStep::Retry, ResultCode::Ok };
+    if (isWhole)
+        return { FlowStep::Answer, ResultCode::Ok };
+    return { FlowStep::Refuse, this->refusalCode(report.result, now) };
+}
+
+bool RequestFlow::mayRetry(TimePoint now) const
+{
+    return this->tryCount < maxTries && now < this->given.deadline && (this->given.repeatable || !this->reached);
+}
+
+ResultCode RequestFlow::refusalCode(AttemptResult result, TimePoint now) const
+{
+    if (!this->given.repeatable && this->reached)
+        return ResultCode::OutcomeUnknown;
+    if (now >= this->given.deadline || result == AttemptResult::Silent || result == AttemptResult::TimedOut)
+        return ResultCode::DeadlineExceeded;
+    return result == AttemptResult::Truncated ? ResultCode::TruncatedAnswer : ResultCode::BackendServerFailed;
+}
+
+bool RequestFlow::mayHedge(TimePoint now, Duration after) const
+{
+    if (!this->given.repeatable || this->attempts.size() != 1 || this->tryCount >= maxTries)
+        return false;
+    return now < this->given.deadline && now - this->attempts.begin()->second.sent >= after;
+}
+
+Duration RequestFlow::attemptTimeout(TimePoint now) const
+{
+    Duration const left = this->given.deadline - now;
+    bool const isLast = !this->given.repeatable || this->tryCount + 1 >= maxTries;
+    return isLast ? left : left / 2;
+}
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/routing/RequestFlow.h
@@ -0,0 +1,94 @@
+#pragma once
+
+// The state of one admitted request: its attempts, and what follows when one ends. An attempt's answer
+// belongs to this request only; the first usable answer wins, late ones are ignored.
+//
+// Example:
+//   RequestFlow flow(request);
+//   flow.addAttempt(attempt, server, now, false);
+//   FlowDecision const decision = flow.onAttemptEnded(attempt, report, retryBudget, now);
+//   if (decision.step == FlowStep::Answer)
+//       passOn();
+//
+// Loop thread only.
+
+#include "cornelpond/core/admission/InteractiveRequest.h"
+#include "cornelpond/core/base/ResultCode.h"
+#include "cornelpond/core/retry/RetryBudget.h"
+
+#include <map>
+#include <set>
+
+namespace cornelpond {
+
+using AttemptId = NumberId<struct AttemptIdTag>;
+
+/// How one attempt at a backend server ended.
+enum class AttemptResult {
+    Answered, ///< A whole answer of any status but those below.
+    Unavailable, ///< A whole answer with status 502, 503 or 504.
+    ConnectFailed, ///< No byte of the request left this host.
+    Broken,
+    Truncated, ///< The answer began and was incomplete or malformed.
+    Silent, ///< No byte of an answer within the attempt's time.
+    TimedOut, ///< The answer began and was not whole in time.
+};
+
+struct AttemptReport {
+    AttemptResult result = AttemptResult::Answered;
+    bool mayHaveRun = true;
+};
+
+enum class FlowStep {
+    Wait, ///< Another attempt is still open, or the attempt is not this request's.
+    Answer, ///< Pass this attempt's answer on.
+    Retry,
+    Refuse,
+};
+
+struct FlowDecision {
+    FlowStep step = FlowStep::Wait;
+    ResultCode code = ResultCode::Ok; ///< For a refusal.
+};
+
+/// One attempt that has not ended.
+struct OpenAttempt {
+    BackendServerId server;
+    TimePoint sent;
+    bool isHedge = false;
+    bool isProbe = false;
+};
+
+class RequestFlow {
+public:
+    explicit RequestFlow(InteractiveRequest request);
+
+    void addAttempt(AttemptId id, OpenAttempt attempt);
+    FlowDecision onAttemptEnded(AttemptId id, AttemptReport const& report, RetryBudget& retries, TimePoint now);
+
+    /// A second attempt may run beside the open one.
+    bool mayHedge(TimePoint now, Duration after) const;
+
+    /// When to give an attempt up that starts now: earlier than the deadline while another one could follow.
+    Duration attemptTimeout(TimePoint now) const;
+
+    InteractiveRequest const& request() const { return this->given; }
+    std::map<AttemptId, OpenAttempt> const& open() const { return this->attempts; }
+    std::set<BackendServerId> const& tried() const { return this->triedServers; }
+    uint32_t tries() const { return this->tryCount; }
+
+    /// False only while no byte of the request can have reached a backend server.
+    bool mayHaveRun() const { return this->reached || !this->attempts.empty(); }
+
+private:
+    bool mayRetry(TimePoint now) const;
+    ResultCode refusalCode(AttemptResult result, TimePoint now) const;
+
+    InteractiveRequest given;
+    std::map<AttemptId, OpenAttempt> attempts;
+    std::set<BackendServerId> triedServers;
+    uint32_t tryCount = 0;
+    bool reached = false;
+};
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/routing/RequestRouter.cpp
@@ -0,0 +1,315 @@
+#include "cornelpond/core/routing/RequestRouter.h"
+
+#include <algorithm>
+
+namespace cornelpond {
+
+namespace {
+
+    constexpr Duration noServerRetryAfter = Duration::seconds(1);
+    constexpr int64_t hedgeAfterLatencies = 3;
+    constexpr int64_t latencySmoothing = 16;
+    constexpr Duration shortestHedgeDelay = Duration::milliseconds(5);
+
+    bool isServerFault(AttemptResult result)
+    {
+        return result != AttemptResult::Answered;
+    }
+
+} // namespace
+
+/// What is kept for one service.
+struct RequestRouter::Service {
+    explicit Service(RouterOptions const& options)
+        : queue(options.admission, options.weightOf)
+        , retries(options.retries)
+        , hedges(options.hedges)
+    {
+    }
+
+    AdmissionQueue queue;
+    RetryBudget retries;
+    RetryBudget hedges;
+    Duration latency; ///< Smoothed, over all servers.
+};
+
+RequestRouter::RequestRouter(RouterOptions givenOptions, RouterHooks hooks, EventSink& events, Clock const& clock, Random& random, BackendServerTable& servers)
+    : options(std::move(givenOptions))
+    , hooks(std::move(hooks))
+    , events(events)
+    , clock(clock)
+    , servers(servers)
+    , balancer(this->options.balancer, random)
+{
+}
+
+RequestRouter::~RequestRouter() = default;
+
+RequestRouter::Service& RequestRouter::serviceOf(ServiceId const& id)
+{
+    auto& service = this->services[id];
+    if (!service)
+        service = std::make_unique<Service>(this->options);
+    return *service;
+}
+
+size_t RequestRouter::queuedRequests() const
+{
+    size_t count = 0;
+    for (auto const& [id, service] : this->services)
+        count += service->queue.size();
+    return count;
+}
+
+size_t RequestRouter::queuedBytes() const
+{
+    size_t bytes = 0;
+    for (auto const& [id, service] : this->services)
+        bytes += service->queue.bytes();
+    return bytes;
+}
+
+size_t RequestRouter::queuedRequests(ServiceId const& service) const
+{
+    auto const found = this->services.find(service);
+    return found == this->services.end() ? 0 : found->second->queue.size();
+}
+
+void RequestRouter::submit(InteractiveRequest const& request)
+{
+    RequestFlow& flow = this->flows.emplace(request.id, RequestFlow(request)).first->second;
+    if (this->servers.usable(request.service, this->clock.now()).empty()) {
+        this->refuseWithoutServer(flow);
+        return;
+    }
+    Service& service = this->serviceOf(request.service);
+    service.retries.onRequest();
+    service.hedges.onRequest();
+    // Nobody overtakes those that wait already.
+    if (service.queue.size() || !this->trySend(flow, false))
+        this->enqueue(flow);
+}
+
+void RequestRouter::refuseWithoutServer(RequestFlow const& flow)
+{
+    ServiceId const& service = flow.request().service;
+    bool const isKnown = this->servers.knowsService(service) || this->options.isConfigured(service);
+    ResultCode const code = isKnown ? ResultCode::NoBackendServer : ResultCode::ServiceUnknown;
+    this->refuse(flow, { code, flow.mayHaveRun(), isKnown ? noServerRetryAfter : Duration(), "no backend server announces '" + service.value() + "'" });
+}
+
+BackendChoice RequestRouter::choose(RequestFlow const& flow, bool isHedge) const
+{
+    TimePoint const now = this->clock.now();
+    BalanceRequest wish;
+    wish.mayProbe = flow.request().repeatable && !isHedge && !flow.tries();
+    wish.latestEnd = now + flow.attemptTimeout(now);
+    wish.tried = &flow.tried();
+    return this->balancer.choose(this->servers.usable(flow.request().service, now), wish, now);
+}
+
+bool RequestRouter::trySend(RequestFlow& flow, bool isHedge)
+{
+    TimePoint const now = this->clock.now();
+    InteractiveRequest const& request = flow.request();
+    BackendChoice const choice = this->choose(flow, isHedge);
+    if (!choice.server || (isHedge && flow.tried().count(choice.server->last.server)))
+        return false;
+    bool const isFirst = !flow.tries();
+    AttemptId const attempt(this->nextAttempt++);
+    SendAttempt send;
+    send.attempt = attempt;
+    send.request = request.id;
+    send.target = &choice.server->last;
+    send.timeout = flow.attemptTimeout(now);
+    send.remaining = request.deadline - now;
+    send.freshConnection = !isFirst || !request.repeatable;
+    BackendServerId const server = choice.server->last.server;
+    flow.addAttempt(attempt, { server, now, isHedge, choice.isProbe });
+    this->attempts.emplace(attempt, request.id);
+    this->servers.addInFlight(server);
+    this->events.emit(Event(EventId::RequestRouted).with("request", request.id).with("service", request.service).with("server", server).with("try", flow.tries()).with("reason", choice.reason));
+    this->hooks.send(send);
+    return true;
+}
+
+void RequestRouter::enqueue(RequestFlow& flow)
+{
+    TimePoint const now = this->clock.now();
+    InteractiveRequest const& request = flow.request();
+    if (now >= request.deadline) {
+        this->refuse(flow, { ResultCode::DeadlineExceeded, flow.mayHaveRun(), Duration(), "the deadline passed" });
+        return;
+    }
+    AdmissionVerdict const verdict = this->serviceOf(request.service).queue.push(request, now);
+    for (auto const& displaced : verdict.displaced) {
+        auto const found = this->flows.find(displaced.id);
+        if (found != this->flows.end())
+            this->refuse(found->second, { ResultCode::QueueFull, found->second.mayHaveRun(), verdict.expectedWait, "another class or association has a right to the place" });
+    }
+    if (verdict.code == ResultCode::QueueFull)
+        this->refuse(flow, { verdict.code, flow.mayHaveRun(), verdict.expectedWait, "too many requests wait" });
+    else if (verdict.code != ResultCode::Ok)
+        this->refuse(flow, { verdict.code, flow.mayHaveRun(), verdict.expectedWait, "the wait would exceed the deadline" });
+}
+
+AttemptVerdict RequestRouter::onAttemptEnded(AttemptId attempt, AttemptReport const& report)
+{
+    auto const known = this->attempts.find(attempt);
+    if (known == this->attempts.end())
+        return {};
+    RequestId const id = known->second;
+    this->attempts.erase(known);
+    RequestFlow& flow = this->flows.at(id);
+    ServiceId const serviceId = flow.request().service;
+    OpenAttempt const ended = flow.open().at(attempt);
+    this->servers.removeInFlight(ended.server);
+    this->judge(ended, report, serviceId);
+    FlowDecision const decision = flow.onAttemptEnded(attempt, report, this->serviceOf(serviceId).retries, this->clock.now());
+    AttemptVerdict verdict { decision.step == FlowStep::Answer, id };
+    if (decision.step == FlowStep::Answer) {
+        this->end(id);
+    } else if (decision.step == FlowStep::Refuse) {
+        this->refuse(flow, { decision.code, flow.mayHaveRun(), Duration(), "the backend server failed or was too slow" });
+    } else if (decision.step == FlowStep::Retry) {
+        this->events.emit(Event(EventId::RequestRetried).with("request", id).with("server", ended.server));
+        if (!this->trySend(flow, false))
+            this->enqueue(flow);
+    }
+    this->pump(serviceId);
+    return verdict;
+}
+
+/// Learns from the attempt; ejects or readmits its server.
+void RequestRouter::judge(OpenAttempt const& attempt, AttemptReport const& report, ServiceId const& serviceId)
+{
+    TimePoint const now = this->clock.now();
+    BackendServer* server = this->servers.find(attempt.server);
+    if (!server)
+        return;
+    if (isServerFault(report.result)) {
+        server->health.onFailed(report.result == AttemptResult::Silent);
+        bool const isFailedProbe = attempt.isProbe && server->health.isEjected();
+        bool const isNewlyFailing = !server->health.isEjected() && server->health.isFailing(this->options.balancer.health);
+        if (!isFailedProbe && !(isNewlyFailing && this->balancer.mayEject(this->servers.usable(serviceId, now))))
+            return;
+        server->health.eject(this->options.balancer.health, now);
+        this->events.emit(Event(EventId::BackendServerEjected).with("server", attempt.server).with("failureRate", server->health.failureRate()));
+        return;
+    }
+    Duration const taken = now - attempt.sent;
+    server->health.onAnswered(taken, now);
+    Service& service = this->serviceOf(serviceId);
+    service.latency = service.latency == Duration() ? taken : service.latency + (taken - service.latency) / latencySmoothing;
+    service.queue.onServed(taken);
+    if (!server->health.isEjected())
+        return;
+    server->health.readmit(now);
+    this->events.emit(Event(EventId::BackendServerReadmitted).with("server", attempt.server));
+}
+
+void RequestRouter::refuse(RequestFlow const& flow, RouterRefusal const& refusal)
+{
+    InteractiveRequest const& request = flow.request();
+    this->events.emit(Event(EventId::RequestRefused).with("request", request.id).with("service", request.service).with("code", static_cast<int>(refusal.code)).with("ran", refusal.mayHaveRun ? "unknown" : "no").with("reason", refusal.message));
+    RequestId const id = request.id;
+    this->end(id);
+    this->hooks.refuse(id, refusal);
+}
+
+/// Forgets the request; attempts that are still open are cancelled.
+void RequestRouter::end(RequestId request)
+{
+    auto const found = this->flows.find(request);
+    if (found == this->flows.end())
+        return;
+    auto const open = found->second.open();
+    this->flows.erase(found);
+    for (auto const& [attempt, details] : open)
+        this->closeAttempt(attempt, details);
+}
+
+void RequestRouter::closeAttempt(AttemptId attempt, OpenAttempt const& open)
+{
+    this->attempts.erase(attempt);
+    this->servers.removeInFlight(open.server);
+    this->hooks.cancel(attempt);
+}
+
+void RequestRouter::onCallerGone(RequestId request)
+{
+    auto const found = this->flows.find(request);
+    if (found == this->flows.end())
+        return;
+    ServiceId const service = found->second.request().service;
+    this->serviceOf(service).queue.remove(request);
+    this->end(request);
+    this->pump(service);
+}
+
+void RequestRouter::pump(ServiceId const& id)
+{
+    TimePoint const now = this->clock.now();
+    AdmissionQueue& queue = this->serviceOf(id).queue;
+    while (queue.size()) {
+        BalanceRequest wish;
+        wish.latestEnd = now;
+        BackendChoice const choice = this->balancer.choose(this->servers.usable(id, now), wish, now);
+        if (!choice.server)
+            return;
+        auto const next = queue.pop(now);
+        auto const found = this->flows.find(next->id);
+        if (found == this->flows.end() || this->trySend(found->second, false))
+            continue;
+        // A slot is free, but not for this request's time: it goes back and waits for a tick.
+        this->enqueue(found->second);
+        return;
+    }
+}
+
+void RequestRouter::onServersChanged()
+{
+    std::vector<ServiceId> known;
+    for (auto const& [id, service] : this->services)
+        known.push_back(id);
+    for (auto const& id : known)
+        this->pump(id);
+}
+
+void RequestRouter::onTick()
+{
+    TimePoint const now = this->clock.now();
+    for (auto const& [id, service] : this->services) {
+        for (auto const& expired : service->queue.takeExpired(now)) {
+            auto const found = this->flows.find(expired.id);
+            if (found != this->flows.end())
+                this->refuse(found->second, { ResultCode::DeadlineExceeded, found->second.mayHaveRun(), Duration(), "the deadline passed while waiting" });
+        }
+    }
+    this->hedgeSlowRequests();
+    this->onServersChanged();
+}
+
+void RequestRouter::hedgeSlowRequests()
+{
+    TimePoint const now = this->clock.now();
+    std::vector<RequestId> slow;
+    for (auto const& [id, flow] : this->flows) {
+        ServiceId const& service = flow.request().service;
+        if (!this->options.isHedging(service))
+            continue;
+        Duration const after = std::max(this->serviceOf(service).latency * hedgeAfterLatencies, shortestHedgeDelay);
+        if (flow.mayHedge(now, after))
+            slow.push_back(id);
+    }
+    for (RequestId const id : slow) {
+        RequestFlow& flow = this->flows.at(id);
+        // Waiting requests go before second copies.
+        Service& service = this->serviceOf(flow.request().service);
+        if (service.queue.size() || !service.hedges.take() || !this->trySend(flow, true))
+            continue;
+        this->events.emit(Event(EventId::RequestHedged).with("request", id));
+    }
+}
+
+} // namespace cornelpond
