Expect a silent link to be told from a stalled answer

Cause: the HTTP client now tells time that ran out before a byte of the answer (Silent) from time that ran out within it (TimedOut); the proxy test still named the old kind. Change: the test asks for Silent, the stricter of the two.

--- a/testing/integration/ClusterTest.cpp
+++ b/testing/integration/ClusterTest.cpp
@@ -98,15 +98,15 @@
     CHECK(site.ask("a>b") == HttpOutcome::Kind::Answered);
     CHECK(site.ask("a>c") == HttpOutcome::Kind::Answered);
     site.proxy->say("a>b cut both");
-    CHECK(site.ask("a>b") == HttpOutcome::Kind::TimedOut);
+    CHECK(site.ask("a>b") == HttpOutcome::Kind::Silent);
     CHECK(site.ask("a>c") == HttpOutcome::Kind::Answered);
     site.proxy->say("a>b heal");
     CHECK(site.ask("a>b") == HttpOutcome::Kind::Answered);
     site.proxy->say("* silence");
-    CHECK(site.ask("a>c") == HttpOutcome::Kind::TimedOut);
+    CHECK(site.ask("a>c") == HttpOutcome::Kind::Silent);
     CHECK(site.ask("a>c") == HttpOutcome::Kind::Answered);
     site.proxy->say("a>c cut client");
-    CHECK(site.ask("a>c") == HttpOutcome::Kind::TimedOut);
+    CHECK(site.ask("a>c") == HttpOutcome::Kind::Silent);
     site.proxy->say("* heal");
     CHECK(site.ask("a>c") == HttpOutcome::Kind::Answered);
 }
