Link entry hosts by authenticated WebSocket connections

Cause: entry hosts had the Transport port but nothing behind it. Change: adapters/peer runs websocketpp's iostream transport over libevent bufferevents in one translation unit; CBOR frames; hello with protocol, cluster, host, data centre and token in both directions; heartbeats bounded to 40 a second a host; silent connections are dropped and dialled again with jittered back-off; bounded queue for each peer. The constant-time comparison moves to core/base, as the link needs it too. Conclusion: the groups' messages have a link to travel on.

--- /dev/null
+++ b/cornelpond/adapters/peer/PeerEnvelope.cpp
@@ -0,0 +1,95 @@
+#include "cornelpond/adapters/peer/PeerEnvelope.h"
+
+#include "cornelpond/core/base/Json.h"
+#include "cornelpond/core/base/ResultCode.h"
+
+#include <nlohmann/json.hpp>
+
+#include <vector>
+
+namespace cornelpond {
+
+namespace {
+
+    /// On the wire, so numbers never change meaning.
+    enum class FrameKind : uint8_t {
+        Hello = 0,
+        Heartbeat = 1,
+        Message = 2,
+    };
+
+    nlohmann::json binary(std::string const& bytes)
+    {
+        return nlohmann::json::binary(std::vector<uint8_t>(bytes.begin(), bytes.end()));
+    }
+
+    std::string bytesAt(nlohmann::json const& fields, size_t index)
+    {
+        auto const& bytes = fields.at(index).get_binary();
+        return { bytes.begin(), bytes.end() };
+    }
+
+    PeerHello helloFrom(nlohmann::json const& fields)
+    {
+        PeerHello hello;
+        hello.protocol = fields.at(1).get<uint32_t>();
+        hello.cluster = fields.at(2).get<std::string>();
+        hello.host = HostId(fields.at(3).get<std::string>());
+        hello.dataCentre = DataCentreId(fields.at(4).get<std::string>());
+        hello.token = bytesAt(fields, 5);
+        hello.heartbeat = Duration::milliseconds(fields.at(6).get<uint32_t>());
+        hello.listenIp = fields.at(7).get<std::string>();
+        hello.listenPort = fields.at(8).get<uint16_t>();
+        return hello;
+    }
+
+    PeerFrame frameFrom(nlohmann::json const& fields)
+    {
+        switch (static_cast<FrameKind>(fields.at(0).get<uint8_t>())) {
+        case FrameKind::Hello:
+            return helloFrom(fields);
+        case FrameKind::Heartbeat:
+            return PeerHeartbeat { bytesAt(fields, 1) };
+        case FrameKind::Message:
+            return PeerMessage { static_cast<PeerChannel>(fields.at(1).get<uint8_t>()), bytesAt(fields, 2) };
+        }
+        throw Error(ResultCode::MalformedJson, "peer frame of an unknown kind");
+    }
+
+} // namespace
+
+std::string encode(PeerHello const& hello)
+{
+    return toCbor(nlohmann::json::array({
+        static_cast<uint8_t>(FrameKind::Hello),
+        hello.protocol,
+        hello.cluster,
+        hello.host.value(),
+        hello.dataCentre.value(),
+        binary(hello.token),
+        hello.heartbeat.toMilliseconds(),
+        hello.listenIp,
+        hello.listenPort,
+    }));
+}
+
+std::string encode(PeerHeartbeat const& heartbeat)
+{
+    return toCbor(nlohmann::json::array({ static_cast<uint8_t>(FrameKind::Heartbeat), binary(heartbeat.payload) }));
+}
+
+std::string encode(PeerMessage const& message)
+{
+    return toCbor(nlohmann::json::array({ static_cast<uint8_t>(FrameKind::Message), static_cast<uint8_t>(message.channel), binary(message.payload) }));
+}
+
+PeerFrame decodePeerFrame(std::string_view bytes)
+{
+    try {
+        return frameFrom(fromCbor(bytes));
+    } catch (nlohmann::json::exception const& error) {
+        throw Error(ResultCode::MalformedJson, std::string("peer frame: ") + error.what());
+    }
+}
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/adapters/peer/PeerLink.cpp
@@ -0,0 +1,414 @@
+#include "cornelpond/adapters/peer/PeerLink.h"
+
+#include "cornelpond/core/base/ConstantTime.h"
+#include "cornelpond/core/base/ResultCode.h"
+
+#include <algorithm>
+#include <unistd.h>
+#include <vector>
+
+namespace cornelpond {
+
+namespace {
+
+    constexpr Duration tickInterval = Duration::milliseconds(50);
+    /// A tick later than this means that this process stood still, not its peers.
+    constexpr Duration ownStall = Duration::milliseconds(500);
+
+} // namespace
+
+struct PeerLink::Connection {
+    uint64_t id = 0;
+    std::unique_ptr<WebSocketConnection> socket;
+    HostId peer; ///< Who was dialled, or who proved to be at the other end; empty before that.
+    bool dialled = false;
+    bool established = false;
+    bool dead = false; ///< To be freed by the next sweep.
+    TimePoint opened;
+    TimePoint lastReceived;
+    TimePoint lastSent;
+    Duration peerHeartbeat;
+};
+
+struct PeerLink::Peer {
+    PeerAddress address;
+    uint64_t connection = 0; ///< The established one, or 0.
+    uint64_t dialling = 0; ///< The one being dialled, or 0.
+    Duration backoff;
+    TimePoint nextDial;
+    TimePoint downSince;
+};
+
+PeerLink::PeerLink(EventLoop& loop, Random& random, EventSink& events, PeerSelf self, PeerLinkTimes times, PeerLinkLimits limits, PeerLinkHooks hooks)
+    : loop(loop)
+    , random(random)
+    , events(events)
+    , self(std::move(self))
+    , times(times)
+    , limits(limits)
+    , hooks(std::move(hooks))
+{
+}
+
+PeerLink::~PeerLink()
+{
+    this->loop.cancel(this->tickTimer);
+}
+
+uint16_t PeerLink::listen(Address const& address)
+{
+    this->listener = std::make_unique<WebSocketListener>(this->loop, address, [this](int socket) { this->accept(socket); });
+    this->listenAddress = { address.ip, this->listener->port() };
+    return this->listener->port();
+}
+
+void PeerLink::addPeer(PeerAddress const& peer)
+{
+    Peer& entry = this->peers[peer.host];
+    entry.address = peer;
+    entry.downSince = this->loop.now();
+    entry.nextDial = this->loop.now();
+}
+
+void PeerLink::removePeer(HostId const& host)
+{
+    if (Connection* connection = this->established(host))
+        this->drop(*connection, "removed");
+    this->peers.erase(host);
+}
+
+void PeerLink::start()
+{
+    this->lastTick = this->loop.now();
+    this->tick();
+}
+
+void PeerLink::send(HostId const& to, PeerMessage message)
+{
+    Connection* connection = this->established(to);
+    std::string const bytes = connection ? encode(message) : std::string();
+    if (!connection || connection->socket->queuedBytes() + bytes.size() > this->limits.maxQueuedBytes) {
+        this->closedCounters.messagesDropped++;
+        return;
+    }
+    this->closedCounters.messagesSent++;
+    this->write(*connection, bytes);
+}
+
+bool PeerLink::isReachable(HostId const& peer) const
+{
+    return this->established(peer) != nullptr;
+}
+
+void PeerLink::sendHeartbeats()
+{
+    for (auto const& [id, connection] : this->connections) {
+        if (connection->established && !connection->dead)
+            this->sendHeartbeat(*connection);
+    }
+}
+
+size_t PeerLink::queuedBytes(HostId const& peer) const
+{
+    Connection const* connection = this->established(peer);
+    return connection ? connection->socket->queuedBytes() : 0;
+}
+
+Duration PeerLink::heartbeatInterval() const
+{
+    return std::max(this->times.heartbeatMin, this->times.heartbeatPerPeer * static_cast<int64_t>(this->peers.size()));
+}
+
+PeerLinkCounters PeerLink::counters() const
+{
+    PeerLinkCounters total = this->closedCounters;
+    for (auto const& [id, connection] : this->connections) {
+        total.bytesSent += connection->socket->bytesSent();
+        total.bytesReceived += connection->socket->bytesReceived();
+    }
+    return total;
+}
+
+void PeerLink::accept(int socket)
+{
+    if (this->unknownConnections() >= this->limits.maxUnknownConnections) {
+        this->closedCounters.connectionsRefused++;
+        ::close(socket);
+        return;
+    }
+    auto connection = std::make_unique<Connection>();
+    connection->id = this->nextConnection++;
+    connection->opened = this->loop.now();
+    connection->socket = WebSocketConnection::accept(this->loop, socket, this->connectionHooks(connection->id));
+    this->connections.emplace(connection->id, std::move(connection));
+}
+
+void PeerLink::dial(Peer& peer)
+{
+    auto connection = std::make_unique<Connection>();
+    connection->id = this->nextConnection++;
+    connection->opened = this->loop.now();
+    connection->peer = peer.address.host;
+    connection->dialled = true;
+    peer.backoff = this->backoffAfter(peer.backoff);
+    peer.nextDial = this->loop.now() + peer.backoff;
+    try {
+        connection->socket = WebSocketConnection::dial(this->loop, peer.address.address, this->connectionHooks(connection->id));
+    } catch (Error const&) {
+        return; // The next dial is due after the back-off.
+    }
+    peer.dialling = connection->id;
+    this->connections.emplace(connection->id, std::move(connection));
+}
+
+WebSocketHooks PeerLink::connectionHooks(uint64_t id)
+{
+    auto const with = [this, id](auto const& action) {
+        auto const found = this->connections.find(id);
+        if (found != this->connections.end() && !found->second->dead)
+            action(*found->second);
+    };
+    WebSocketHooks socketHooks;
+    socketHooks.onOpen = [this, with] { with([&](Connection& connection) { this->onOpen(connection); }); };
+    socketHooks.onMessage = [this, with](std::string const& bytes) { with([&](Connection& connection) { this->onBytes(connection, bytes); }); };
+    socketHooks.onClosed = [this, with](std::string const& reason) { with([&](Connection& connection) { this->onClosed(connection, reason); }); };
+    return socketHooks;
+}
+
+void PeerLink::onOpen(Connection& connection)
+{
+    if (connection.dialled)
+        this->write(connection, encode(this->hello()));
+}
+
+void PeerLink::onBytes(Connection& connection, std::string const& bytes)
+{
+    connection.lastReceived = this->loop.now();
+    try {
+        PeerFrame const frame = decodePeerFrame(bytes);
+        auto const* hello = std::get_if<PeerHello>(&frame);
+        if (!connection.established) {
+            hello ? this->onHello(connection, *hello) : this->refuse(connection, HostId(), "no hello");
+            return;
+        }
+        if (auto const* message = std::get_if<PeerMessage>(&frame)) {
+            if (this->hooks.onMessage)
+                this->hooks.onMessage(connection.peer, *message);
+        } else if (auto const* heartbeat = std::get_if<PeerHeartbeat>(&frame)) {
+            if (this->hooks.onHeartbeat)
+                this->hooks.onHeartbeat(connection.peer, heartbeat->payload);
+        }
+    } catch (Error const& error) {
+        this->refuse(connection, connection.peer, error.what());
+    }
+}
+
+void PeerLink::onHello(Connection& connection, PeerHello const& hello)
+{
+    std::string const fault = this->faultOf(connection, hello);
+    if (!fault.empty()) {
+        this->refuse(connection, hello.host, fault);
+        return;
+    }
+    if (!connection.dialled)
+        this->write(connection, encode(this->hello()));
+    this->establish(connection, hello);
+}
+
+std::string PeerLink::faultOf(Connection const& connection, PeerHello const& hello) const
+{
+    if (!constantTimeEqual(this->self.token, hello.token))
+        return "wrong token";
+    if (hello.cluster != this->self.cluster)
+        return "another cluster";
+    if (hello.protocol != peerProtocolVersion)
+        return "another protocol version";
+    if (hello.host == this->self.host)
+        return "this host's own name";
+    if (connection.dialled && hello.host != connection.peer)
+        return "another host than the one dialled";
+    auto const known = this->peers.find(hello.host);
+    if (known == this->peers.end())
+        return this->self.admitNewHosts ? "" : "unknown host";
+    return known->second.address.dataCentre == hello.dataCentre ? "" : "another data centre than in the settings";
+}
+
+/// Both ends decide alike: a newer connection by the same dialler means that the dialler lost the older
+/// one; between two diallers the lower id's wins while it is alive.
+bool PeerLink::mayReplace(Connection const& older, Connection const& newer) const
+{
+    if (older.dialled == newer.dialled)
+        return true;
+    bool const newerByLowerId = newer.dialled == (this->self.host < newer.peer);
+    Duration const silence = this->loop.now() - older.lastReceived;
+    return newerByLowerId || silence > older.peerHeartbeat * 2;
+}
+
+void PeerLink::establish(Connection& connection, PeerHello const& hello)
+{
+    connection.peer = hello.host;
+    connection.peerHeartbeat = std::max(hello.heartbeat, this->times.heartbeatMin);
+    if (!this->peers.count(hello.host))
+        this->addPeer({ hello.host, hello.dataCentre, { hello.listenIp, hello.listenPort } });
+    Peer& peer = this->peers[hello.host];
+    if (Connection* older = this->established(hello.host)) {
+        if (!this->mayReplace(*older, connection)) {
+            this->drop(connection, "a connection is open");
+            return;
+        }
+        this->drop(*older, "replaced by a newer connection");
+    }
+    connection.established = true;
+    connection.socket->setMaxMessageBytes(this->limits.maxMessageBytes);
+    peer.connection = connection.id;
+    peer.backoff = Duration();
+    this->closedCounters.connectionsMade++;
+    this->events.emit(Event(EventId::PeerConnected).with("peer", hello.host).with("dataCentre", hello.dataCentre).with("dialled", static_cast<int>(connection.dialled)));
+    this->sendHeartbeat(connection);
+    if (this->hooks.onLinkChanged)
+        this->hooks.onLinkChanged(peer.address, true);
+}
+
+void PeerLink::refuse(Connection& connection, HostId const& claimed, std::string const& reason)
+{
+    this->closedCounters.connectionsRefused++;
+    this->events.emit(Event(EventId::PeerRefused).with("peer", claimed).with("reason", reason));
+    this->drop(connection, reason);
+}
+
+void PeerLink::onClosed(Connection& connection, std::string const& reason)
+{
+    this->drop(connection, reason);
+}
+
+void PeerLink::drop(Connection& connection, std::string const& reason)
+{
+    if (connection.dead)
+        return;
+    connection.dead = true;
+    auto const found = this->peers.find(connection.peer);
+    if (found == this->peers.end())
+        return;
+    Peer& peer = found->second;
+    if (peer.dialling == connection.id)
+        peer.dialling = 0;
+    if (peer.connection != connection.id)
+        return;
+    peer.connection = 0;
+    peer.downSince = this->loop.now();
+    peer.backoff = this->backoffAfter(peer.backoff);
+    peer.nextDial = this->loop.now() + peer.backoff;
+    this->events.emit(Event(EventId::PeerLost).with("peer", connection.peer).with("reason", reason));
+    if (this->hooks.onLinkChanged)
+        this->hooks.onLinkChanged(peer.address, false);
+}
+
+void PeerLink::write(Connection& connection, std::string const& bytes)
+{
+    connection.lastSent = this->loop.now();
+    connection.socket->send(bytes);
+}
+
+void PeerLink::sendHeartbeat(Connection& connection)
+{
+    this->closedCounters.heartbeatsSent++;
+    this->write(connection, encode(PeerHeartbeat { this->hooks.heartbeatPayload ? this->hooks.heartbeatPayload() : std::string() }));
+}
+
+PeerHello PeerLink::hello() const
+{
+    PeerHello hello;
+    hello.cluster = this->self.cluster;
+    hello.host = this->self.host;
+    hello.dataCentre = this->self.dataCentre;
+    hello.token = this->self.token;
+    hello.heartbeat = this->heartbeatInterval();
+    hello.listenIp = this->listenAddress.ip;
+    hello.listenPort = this->listenAddress.port;
+    return hello;
+}
+
+void PeerLink::tick()
+{
+    this->tickTimer = this->loop.after(tickInterval, [this] { this->tick(); });
+    this->forgiveOwnStall();
+    for (auto const& [id, connection] : this->connections) {
+        if (!connection->dead)
+            this->watch(*connection);
+    }
+    for (auto& [host, peer] : this->peers)
+        this->dialWhenDue(peer);
+    this->sweep();
+}
+
+void PeerLink::forgiveOwnStall()
+{
+    TimePoint const now = this->loop.now();
+    if (now - this->lastTick > ownStall) {
+        for (auto const& [id, connection] : this->connections)
+            connection->lastReceived = now;
+    }
+    this->lastTick = now;
+}
+
+void PeerLink::watch(Connection& connection)
+{
+    TimePoint const now = this->loop.now();
+    if (!connection.established) {
+        if (now - connection.opened > this->times.handshakeTimeout)
+            this->drop(connection, "no handshake in time");
+        return;
+    }
+    if (now - connection.lastReceived > connection.peerHeartbeat * this->times.silentHeartbeats)
+        this->drop(connection, "silent");
+    else if (now - connection.lastSent >= this->heartbeatInterval())
+        this->sendHeartbeat(connection);
+}
+
+void PeerLink::dialWhenDue(Peer& peer)
+{
+    TimePoint const now = this->loop.now();
+    if (peer.connection || peer.dialling || now < peer.nextDial || peer.address.address.ip.empty())
+        return;
+    bool const isBackupDue = this->self.admitNewHosts && now - peer.downSince > this->times.backupDial;
+    if (this->self.host < peer.address.host || isBackupDue)
+        this->dial(peer);
+}
+
+void PeerLink::sweep()
+{
+    for (auto at = this->connections.begin(); at != this->connections.end();) {
+        Connection const& connection = *at->second;
+        if (!connection.dead) {
+            ++at;
+            continue;
+        }
+        this->closedCounters.bytesSent += connection.socket->bytesSent();
+        this->closedCounters.bytesReceived += connection.socket->bytesReceived();
+        at = this->connections.erase(at);
+    }
+}
+
+size_t PeerLink::unknownConnections() const
+{
+    return static_cast<size_t>(std::count_if(this->connections.begin(), this->connections.end(), [](auto const& entry) { return !entry.second->established && !entry.second->dialled; }));
+}
+
+PeerLink::Connection* PeerLink::established(HostId const& peer) const
+{
+    auto const known = this->peers.find(peer);
+    if (known == this->peers.end() || !known->second.connection)
+        return nullptr;
+    auto const found = this->connections.find(known->second.connection);
+    return found == this->connections.end() || found->second->dead ? nullptr : found->second.get();
+}
+
+Duration PeerLink::backoffAfter(Duration previous)
+{
+    Duration const doubled = std::max(this->times.backoffMin, previous * 2);
+    Duration const bounded = std::min(doubled, this->times.backoffMax);
+    auto const half = static_cast<uint64_t>(bounded.toMicroseconds() / 2);
+    return bounded / 2 + Duration::microseconds(static_cast<int64_t>(this->random.below(half + 1)));
+}
+
+} // namespace cornelpond
--- a/cornelpond/app/Api.h
+++ b/cornelpond/app/Api.h
@@ -8,6 +8,7 @@
 //   router.handle(request, answer);
 
 #include "cornelpond/adapters/http/HttpTypes.h"
+#include "cornelpond/core/base/ConstantTime.h"
 #include "cornelpond/core/base/Json.h"
 #include "cornelpond/core/base/ResultCode.h"
 
@@ -68,7 +69,4 @@
 std::string percentDecode(std::string_view text);
 std::string percentEncode(std::string_view text);
 
-/// Compares in time that depends only on the lengths.
-bool constantTimeEqual(std::string_view left, std::string_view right);
-
 } // namespace cornelpond
