Watch entry hosts and plan the groups

Cause: hosts need one view of who is alive and who bootstraps which group. Change: core/membership holds the bootstrap plan of the groups, the host report of a heartbeat (at most 12 bytes for a host that leads nothing), a failure detector that adapts to the spread of the intervals, and the leaders as they report themselves. Conclusion: pure parts that the wiring of the entry host can use.

--- /dev/null
+++ b/cornelpond/core/membership/GroupPlan.cpp
@@ -0,0 +1,101 @@
+#include "cornelpond/core/membership/GroupPlan.h"
+
+#include <algorithm>
+#include <map>
+#include <string_view>
+
+namespace cornelpond {
+
+namespace {
+
+    constexpr size_t maxTaskVoters = 3;
+    constexpr size_t maxConfigVoters = 5;
+    constexpr std::string_view taskGroupPrefix = "tasks/";
+
+    bool precedes(PlannedHost const& left, PlannedHost const& right)
+    {
+        return left.dataCentre != right.dataCentre ? left.dataCentre < right.dataCentre : left.host < right.host;
+    }
+
+    std::vector<PlannedHost> sortedWithDisk(Span<PlannedHost const> hosts)
+    {
+        std::vector<PlannedHost> sorted;
+        std::copy_if(hosts.begin(), hosts.end(), std::back_inserter(sorted), [](auto const& host) { return host.hasDisk; });
+        std::sort(sorted.begin(), sorted.end(), precedes);
+        return sorted;
+    }
+
+    /// One host of each data centre in turn.
+    std::vector<HostId> spread(std::vector<PlannedHost> const& sorted)
+    {
+        std::map<size_t, std::vector<HostId>> rounds;
+        std::map<DataCentreId, size_t> taken;
+        for (auto const& host : sorted)
+            rounds[taken[host.dataCentre]++].push_back(host.host);
+        std::vector<HostId> order;
+        for (auto const& [round, inRound] : rounds)
+            order.insert(order.end(), inRound.begin(), inRound.end());
+        return order;
+    }
+
+    size_t voterCount(size_t available, size_t most)
+    {
+        size_t const count = std::min(available, most);
+        return count > 2 && count % 2 == 0 ? count - 1 : count;
+    }
+
+} // namespace
+
+bool GroupMembers::has(HostId const& host) const
+{
+    return std::find(this->voters.begin(), this->voters.end(), host) != this->voters.end();
+}
+
+GroupId configGroupId()
+{
+    return GroupId("config");
+}
+
+GroupId taskGroupId(DataCentreId const& dataCentre)
+{
+    return GroupId(std::string(taskGroupPrefix) + dataCentre.value());
+}
+
+DataCentreId dataCentreOf(GroupId const& group)
+{
+    std::string const& name = group.value();
+    bool const isTaskGroup = name.compare(0, taskGroupPrefix.size(), taskGroupPrefix) == 0;
+    return DataCentreId(isTaskGroup ? name.substr(taskGroupPrefix.size()) : std::string());
+}
+
+GroupMembers taskGroupMembers(DataCentreId const& dataCentre, Span<PlannedHost const> hosts)
+{
+    std::vector<PlannedHost> order = sortedWithDisk(hosts);
+    std::stable_partition(order.begin(), order.end(), [&](auto const& host) { return host.dataCentre == dataCentre; });
+    GroupMembers members;
+    size_t const count = voterCount(order.size(), maxTaskVoters);
+    for (size_t i = 0; i < count; i++) {
+        members.voters.push_back(order[i].host);
+        if (order[i].dataCentre == dataCentre)
+            members.eligibleLeaders.push_back(order[i].host);
+    }
+    return members;
+}
+
+GroupMembers configGroupMembers(Span<PlannedHost const> hosts)
+{
+    GroupMembers members;
+    members.voters = spread(sortedWithDisk(hosts));
+    members.voters.resize(voterCount(members.voters.size(), maxConfigVoters));
+    return members;
+}
+
+std::set<DataCentreId> dataCentresOf(Span<PlannedHost const> hosts)
+{
+    std::set<DataCentreId> all;
+    for (auto const& host : hosts)
+        all.insert(host.dataCentre);
+    return all;
+}
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/membership/HostReport.cpp
@@ -0,0 +1,48 @@
+#include "cornelpond/core/membership/HostReport.h"
+
+#include "cornelpond/core/base/Json.h"
+#include "cornelpond/core/base/ResultCode.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cornelpond {
+
+namespace {
+
+    constexpr unsigned leavingFlag = 1;
+    constexpr unsigned diskFlag = 2;
+    constexpr unsigned configurationFlag = 4;
+
+} // namespace
+
+std::string encodeHostReport(HostReport const& report)
+{
+    unsigned const flags = (report.isLeaving ? leavingFlag : 0) | (report.hasDisk ? diskFlag : 0) | (report.knowsConfiguration ? configurationFlag : 0);
+    nlohmann::json fields = { report.incarnation, flags, report.configVersion.value() };
+    for (auto const& led : report.ledGroups) {
+        fields.push_back(led.group.value());
+        fields.push_back(led.term.value());
+    }
+    return toCbor(fields);
+}
+
+HostReport decodeHostReport(std::string_view payload)
+{
+    try {
+        nlohmann::json const fields = fromCbor(payload);
+        auto const flags = fields.at(1).get<unsigned>();
+        HostReport report;
+        report.incarnation = fields.at(0).get<uint64_t>();
+        report.isLeaving = flags & leavingFlag;
+        report.hasDisk = flags & diskFlag;
+        report.knowsConfiguration = flags & configurationFlag;
+        report.configVersion = ConfigVersion(fields.at(2).get<uint64_t>());
+        for (size_t i = 3; i < fields.size(); i += 2)
+            report.ledGroups.push_back({ GroupId(fields[i].get<std::string>()), Term(fields.at(i + 1).get<uint64_t>()) });
+        return report;
+    } catch (nlohmann::json::exception const& error) {
+        throw Error(ResultCode::MalformedJson, std::string("host report: ") + error.what());
+    }
+}
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/membership/HostTable.cpp
@@ -0,0 +1,138 @@
+#include "cornelpond/core/membership/HostTable.h"
+
+#include <algorithm>
+
+namespace cornelpond {
+
+namespace {
+
+    constexpr int64_t smoothing = 8; ///< One eighth of each new interval enters the means.
+
+    Duration distance(Duration left, Duration right)
+    {
+        return left < right ? right - left : left - right;
+    }
+
+    Duration smoothed(Duration mean, Duration value)
+    {
+        return mean + (value - mean) / smoothing;
+    }
+
+} // namespace
+
+std::string_view hostStateName(HostState state)
+{
+    switch (state) {
+    case HostState::Unseen:
+        return "unseen";
+    case HostState::Alive:
+        return "alive";
+    case HostState::Suspect:
+        return "suspect";
+    case HostState::Leaving:
+        return "leaving";
+    case HostState::Gone:
+        return "gone";
+    }
+    return "";
+}
+
+HostTable::HostTable(HostTableTimes times, OnChange onChange)
+    : times(times)
+    , onChange(std::move(onChange))
+{
+}
+
+void HostTable::add(HostId const& host, DataCentreId const& dataCentre, TimePoint now)
+{
+    KnownHost& known = this->hosts[host];
+    if (known.dataCentre == dataCentre)
+        return;
+    known.dataCentre = dataCentre;
+    known.stateSince = now;
+    known.meanInterval = this->times.expectedInterval;
+}
+
+KnownHost const* HostTable::find(HostId const& host) const
+{
+    auto const found = this->hosts.find(host);
+    return found == this->hosts.end() ? nullptr : &found->second;
+}
+
+Duration HostTable::suspicionAfter(KnownHost const& host) const
+{
+    Duration const adapted = host.meanInterval * 2 + host.deviation * this->times.suspectDeviations;
+    return std::min(std::max(adapted, this->times.suspectMin), this->times.suspectMax);
+}
+
+void HostTable::onReport(HostId const& host, HostReport const& report, TimePoint now)
+{
+    auto const found = this->hosts.find(host);
+    if (found == this->hosts.end())
+        return;
+    KnownHost& known = found->second;
+    bool const isNewProcess = known.state != HostState::Unseen && known.report.incarnation != report.incarnation;
+    if (known.state == HostState::Unseen || known.state == HostState::Gone || isNewProcess) {
+        if (isNewProcess || now - known.lastReport > this->suspicionAfter(known))
+            known.reportingSince = now;
+    } else {
+        this->observeInterval(known, now);
+    }
+    known.lastReport = now;
+    known.report = report;
+    HostState const next = this->stateAfterReport(known, now);
+    if (next != known.state || isNewProcess)
+        this->change(host, known, next, now, isNewProcess);
+}
+
+/// The spread grows with each late report, so that a link that stalls now and then earns more patience;
+/// a report after a suspicion counts as the interval that it ended.
+void HostTable::observeInterval(KnownHost& host, TimePoint now) const
+{
+    Duration const interval = std::min(now - host.lastReport, this->times.suspectMax);
+    host.deviation = smoothed(host.deviation, distance(interval, host.meanInterval));
+    host.meanInterval = smoothed(host.meanInterval, interval);
+}
+
+HostState HostTable::stateAfterReport(KnownHost const& host, TimePoint now) const
+{
+    if (host.report.isLeaving)
+        return HostState::Leaving;
+    bool const isProbation = host.state == HostState::Gone && now - host.reportingSince < this->times.rejoinSpan;
+    return isProbation ? HostState::Gone : HostState::Alive;
+}
+
+void HostTable::onLink(HostId const& host, bool isUp, TimePoint now)
+{
+    auto const found = this->hosts.find(host);
+    if (found == this->hosts.end())
+        return;
+    KnownHost& known = found->second;
+    known.isLinkUp = isUp;
+    if (!isUp && known.state == HostState::Leaving)
+        this->change(host, known, HostState::Gone, now);
+}
+
+void HostTable::onTick(TimePoint now)
+{
+    for (auto& [id, host] : this->hosts) {
+        bool const isOverdue = now - host.lastReport > this->suspicionAfter(host);
+        if (host.state == HostState::Alive && isOverdue)
+            this->change(id, host, HostState::Suspect, now);
+        else if (host.state == HostState::Leaving && isOverdue)
+            this->change(id, host, HostState::Gone, now);
+        else if ((host.state == HostState::Suspect || host.state == HostState::Unseen) && now - host.stateSince > this->times.goneAfter)
+            this->change(id, host, HostState::Gone, now);
+    }
+}
+
+void HostTable::change(HostId const& id, KnownHost& host, HostState to, TimePoint now, bool isNewProcess)
+{
+    HostChange const change { id, host.state, to, isNewProcess };
+    if (host.state != to)
+        host.stateSince = now;
+    host.state = to;
+    this->onChange(change);
+}
+
+} // namespace cornelpond
