--- a/cornelpond/app/EntryHost.cpp
+++ b/cornelpond/app/EntryHost.cpp
@@ -31,7 +31,8 @@
     , taskStorage(this->settings.dataFolder + "/tasks", events)
     , configStorage(this->settings.dataFolder + "/config", events)
     , scheduler(loop, events, this->taskMachines.add(StateMachinePart::Tasks, this->taskHooks()), LeaseTimes { this->settings.times.lease, this->settings.times.driftMargin },
-          [this](Worker const& worker, AnnouncementAnswer const& commands) { this->pusher.push(worker, commands); })
+          { [this](Worker const& worker, AnnouncementAnswer const& commands) { this->pusher.push(worker, commands); }, [this]() -> Policy const& { return this->policy; },
+              [this] { return this->backendServers.reservedOnWorkers(); } })
     , config(this->configMachines.add(StateMachinePart::Configuration, this->configHooks()), [this](ConfigRecord const& record) { this->onConfig(record); })
     , taskLog(this->settings.host, this->taskStorage, this->taskMachines.hooks())
     , configLog(this->settings.host, this->configStorage, this->configMachines.hooks())
@@ -131,6 +132,7 @@
 void EntryHost::onConfig(ConfigRecord const& record)
 {
     this->policy = policyFromJson(parseJson(record.document, JsonLimits()));
+    this->scheduler.onPolicyChanged();
     this->events.emit(Event(EventId::ConfigurationInForce).with("version", record.version));
 }
 
--- a/cornelpond/app/TaskApi.cpp
+++ b/cornelpond/app/TaskApi.cpp
@@ -83,8 +83,7 @@
 {
     nlohmann::json const body = call.body(this->limits);
     bool const drained = !body.is_object() || body.value("drained", true);
-    this->scheduler.setDrained(WorkerId(stringAt(body, "worker")), drained);
-    call.answer(jsonResponse(200, { { "code", 0 }, { "message", drained ? "draining" : "released" } }));
+    this->scheduler.setDrained(WorkerId(stringAt(body, "worker")), drained, [call](TaskResult const& result) { answerTaskResult(call, result); });
 }
 
 } // namespace cornelpond
--- a/cornelpond/core/base/Event.cpp
+++ b/cornelpond/core/base/Event.cpp
@@ -40,6 +40,8 @@
         EventInfo { EventId::TaskUnplaceable, "TaskUnplaceable", "No worker could run the task even when empty." },
         EventInfo { EventId::WorkerThrottled, "WorkerThrottled", "A batch attempt on a shared worker is slowed down or released." },
         EventInfo { EventId::TaskHandedOver, "TaskHandedOver", "A queued task moved to another data centre." },
+        EventInfo { EventId::EndedTasksRemoved, "EndedTasksRemoved", "Records of tasks that ended long ago were removed; their ids stay refused for a time." },
+        EventInfo { EventId::AttemptWithdrawn, "AttemptWithdrawn", "An attempt that its worker never confirmed gets no further start commands." },
         EventInfo { EventId::LeaderElected, "LeaderElected", "This host leads a group." },
         EventInfo { EventId::LeaderLost, "LeaderLost", "This host no longer leads a group." },
         EventInfo { EventId::JournalOpened, "JournalOpened", "A journal was read from disk." },
--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -53,6 +53,8 @@
     TaskUnplaceable = 312,
     WorkerThrottled = 313,
     TaskHandedOver = 314,
+    EndedTasksRemoved = 320,
+    AttemptWithdrawn = 321,
     LeaderElected = 400,
     LeaderLost = 401,
     JournalOpened = 402,
--- a/cornelpond/core/base/ResultCode.cpp
+++ b/cornelpond/core/base/ResultCode.cpp
@@ -28,6 +28,7 @@
         ResultCodeInfo { ResultCode::StaleEpoch, "StaleEpoch", 409, "The message comes from a deposed leader or an ended attempt." },
         ResultCodeInfo { ResultCode::QuotaExceeded, "QuotaExceeded", 429, "The association's quota does not allow it." },
         ResultCodeInfo { ResultCode::TaskEnded, "TaskEnded", 409, "The task has already ended." },
+        ResultCodeInfo { ResultCode::IdRetired, "IdRetired", 410, "The id belonged to a task that ended and whose record was removed; nothing was run." },
         ResultCodeInfo { ResultCode::NoBackendServer, "NoBackendServer", 503, "No backend server of the service is usable; did not run." },
         ResultCodeInfo { ResultCode::QueueFull, "QueueFull", 503, "The admission queue is full; did not run." },
         ResultCodeInfo { ResultCode::DeadlineUnmeetable, "DeadlineUnmeetable", 503, "The expected wait exceeds the deadline; did not run." },
--- a/cornelpond/core/base/ResultCode.h
+++ b/cornelpond/core/base/ResultCode.h
@@ -40,6 +40,7 @@
     StaleEpoch = 205,
     QuotaExceeded = 206,
     TaskEnded = 207,
+    IdRetired = 210,
     // 3xx: interactive requests.
     NoBackendServer = 300,
     QueueFull = 301,
--- a/cornelpond/core/placement/Placer.cpp
+++ b/cornelpond/core/placement/Placer.cpp
@@ -24,6 +24,12 @@
 
 } // namespace
 
+double placementCost(TaskSpec const& spec, WorkerCandidate const& candidate)
+{
+    double const leftover = leftoverShare(candidate, spec.resources);
+    return spec.taskClass == TaskClass::Batch ? leftover : -leftover;
+}
+
 Placement choosePlacement(TaskSpec const& spec, Span<WorkerCandidate const> candidates)
 {
     Placement placement;
@@ -39,7 +45,7 @@
         fitting++;
         if (!candidate.takesNew || !spec.resources.fitsIn(candidate.free))
             continue;
-        double const leftover = leftoverShare(candidate, spec.resources);
+        double const leftover = placementCost(spec, candidate);
         bool const better = placement.worker.empty() || leftover < best || (leftover == best && candidate.id < placement.worker);
         if (!better)
             continue;
--- a/cornelpond/core/placement/Placer.h
+++ b/cornelpond/core/placement/Placer.h
@@ -36,7 +36,11 @@
     std::string reason;
 };
 
-/// Never chooses a worker whose free resources are below the declared need.
+/// What it costs to put the task there; lower is better. Batch work packs tightly, so that room for
+/// large tasks stays; latency-critical tasks go where most is free.
+double placementCost(TaskSpec const& spec, WorkerCandidate const& candidate);
+
+/// Looks at every candidate; WorkerIndex chooses by the same cost without that. Never chooses a worker whose free resources are below the declared need.
 Placement choosePlacement(TaskSpec const& spec, Span<WorkerCandidate const> candidates);
 
 } // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/placement/Preemption.cpp
@@ -0,0 +1,51 @@
+#include "cornelpond/core/placement/Preemption.h"
+
+#include <algorithm>
+
+namespace cornelpond {
+
+namespace {
+
+    /// Victims in rising order of cost until the need fits, less those that turned out to be needless.
+    std::vector<PreemptionVictim> cheapestVictims(Resources const& need, PreemptionHost const& host)
+    {
+        std::vector<PreemptionVictim> byCost = host.victims;
+        std::sort(byCost.begin(), byCost.end(), [](auto const& left, auto const& right) { return left.cost != right.cost ? left.cost < right.cost : left.task < right.task; });
+        std::vector<PreemptionVictim> chosen;
+        Resources free = host.free;
+        for (auto const& victim : byCost) {
+            if (need.fitsIn(free))
+                break;
+            free += victim.frees;
+            chosen.push_back(victim);
+        }
+        if (!need.fitsIn(free))
+            return {};
+        for (auto victim = chosen.end(); victim != chosen.begin();) {
+            --victim;
+            if (!need.fitsIn(free - victim->frees))
+                continue;
+            free -= victim->frees;
+            victim = chosen.erase(victim);
+        }
+        return chosen;
+    }
+
+} // namespace
+
+PreemptionPlan choosePreemption(Resources const& need, Span<PreemptionHost const> hosts)
+{
+    PreemptionPlan best;
+    for (auto const& host : hosts) {
+        PreemptionPlan plan { host.worker, cheapestVictims(need, host), 0 };
+        for (auto const& victim : plan.victims)
+            plan.cost += victim.cost;
+        if (plan.victims.empty())
+            continue;
+        if (best.victims.empty() || plan.cost < best.cost)
+            best = std::move(plan);
+    }
+    return best;
+}
+
+} // namespace cornelpond
--- a/cornelpond/core/routing/BackendServerTable.cpp
+++ b/cornelpond/core/routing/BackendServerTable.cpp
@@ -119,6 +119,16 @@
         found->second.inFlight--;
 }
 
+std::unordered_map<WorkerId, Resources> BackendServerTable::reservedOnWorkers() const
+{
+    std::unordered_map<WorkerId, Resources> reserved;
+    for (auto const& [id, server] : this->servers) {
+        if (!server.last.worker.empty())
+            reserved[server.last.worker] += server.last.resources;
+    }
+    return reserved;
+}
+
 bool BackendServerTable::knowsService(ServiceId const& service) const
 {
     return std::any_of(this->servers.begin(), this->servers.end(), [&](auto const& entry) { return entry.second.last.service == service; });
--- a/cornelpond/core/routing/BackendServerTable.h
+++ b/cornelpond/core/routing/BackendServerTable.h
@@ -20,6 +20,7 @@
 
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace cornelpond {
@@ -70,6 +71,9 @@
     void addInFlight(BackendServerId const& server);
     void removeInFlight(BackendServerId const& server);
 
+    /// What servers that cornelpond did not start hold, by worker.
+    std::unordered_map<WorkerId, Resources> reservedOnWorkers() const;
+
     bool knowsService(ServiceId const& service) const;
     std::map<BackendServerId, BackendServer> const& all() const { return this->servers; }
 
--- /dev/null
+++ b/cornelpond/core/tasks/Fleet.h
@@ -0,0 +1,94 @@
+#pragma once
+
+// What is free on each worker: capacity less what committed attempts reserve, what attempts that are
+// not in force still hold, what backend servers that cornelpond did not start hold, and what is kept
+// for an urgent task that waits for evictions there. Also counts tasks by rack for the spread.
+//
+// Example:
+//   fleet.setStray(worker, held);
+//   fleet.refresh(worker, clock.now());
+//   Placement const placement = fleet.choose(task);
+//
+// Soft state of the leader; loop thread only.
+
+#include "cornelpond/core/lease/WorkerTable.h"
+#include "cornelpond/core/placement/WorkerHealth.h"
+#include "cornelpond/core/placement/WorkerIndex.h"
+#include "cornelpond/core/tasks/TaskTable.h"
+
+#include <map>
+#include <string>
+#include <unordered_map>
+
+namespace cornelpond {
+
+class Fleet {
+public:
+    /// The references must outlive the fleet.
+    Fleet(TaskTable const& tasks, WorkerTable const& workers, WorkerHealth const& health)
+        : tasks(tasks)
+        , workers(workers)
+        , health(health)
+    {
+    }
+
+    void clear();
+
+    /// Brings one worker's free resources up to date after a change.
+    void refresh(WorkerId const& worker, TimePoint now);
+
+    /// Takes the start's need off the worker until the proposal's outcome is known.
+    void reserveForStart(WorkerId const& worker, Resources const& need);
+    /// Call once the proposed starts are committed or refused.
+    void clearStartReservations(TimePoint now);
+
+    /// What attempts that are not in force hold on the worker, by its last announcement.
+    void setStray(WorkerId const& worker, Resources const& held);
+    /// What backend servers that cornelpond did not start hold. Refreshes the workers concerned.
+    void setExternal(std::unordered_map<WorkerId, Resources> held, TimePoint now);
+
+    /// Keeps room on the worker for a task that waits for evictions there; replaces the task's claim.
+    void claim(TaskId const& task, WorkerId const& worker, Resources const& need, TimePoint until);
+    /// Returns the worker that was claimed; empty when none was.
+    WorkerId releaseClaim(TaskId const& task);
+    bool hasClaim(TaskId const& task) const { return this->claims.count(task); }
+    std::vector<TaskId> expiredClaims(TimePoint now) const;
+
+    /// Notes where the task's attempt runs now; empty for nowhere.
+    void setLocation(Task const& task, WorkerId const& worker);
+    void dropLocation(TaskId const& task);
+
+    /// Avoids workers on which the task failed; spreads an association's tasks over racks.
+    Placement choose(Task const& task);
+
+    WorkerIndex& index() { return this->workerIndex; }
+    Resources const& totalCapacity() const { return this->workerIndex.totalCapacity(); }
+
+private:
+    using SpreadKey = std::pair<std::string, RackId>;
+    struct Claim {
+        WorkerId worker;
+        Resources need;
+        TimePoint until;
+    };
+    struct Location {
+        std::string group;
+        RackId rack;
+    };
+
+    Resources claimedOn(WorkerId const& worker) const;
+
+    TaskTable const& tasks;
+    WorkerTable const& workers;
+    WorkerHealth const& health;
+    WorkerIndex workerIndex;
+    std::unordered_map<WorkerId, Resources> stray;
+    std::unordered_map<WorkerId, Resources> external;
+    std::unordered_map<WorkerId, Resources> proposedStarts;
+    std::unordered_map<TaskId, Claim> claims;
+    std::unordered_map<TaskId, Location> locations;
+    std::map<SpreadKey, int64_t> tasksOnRack;
+    std::unordered_map<std::string, int64_t> tasksOfGroup;
+};
+
+} // namespace cornelpond
--- a/cornelpond/core/tasks/Scheduler.h
+++ b/cornelpond/core/tasks/Scheduler.h
@@ -1,32 +1,39 @@
 #pragma once
 
 // The leader's duty for one data centre's tasks: accepts work, places it, renews leases and ends
-// attempts. Every decision is proposed to the group's log and acts only once it is committed.
+// attempts. Every decision is proposed to the group's log and acts only once it is committed; a
+// commit may come later, or its outcome stay unknown when leadership is lost.
 //
 // Example:
-//   Scheduler scheduler(clock, events, log, LeaseTimes());
-//   scheduler.submit(spec, [](SubmitResult const& result) { ... });
+//   Scheduler scheduler(clock, events, log, LeaseTimes(), { push, policy, externalReservations });
+//   scheduler.submit(spec, [](TaskResult const& result) { ... });
 //   AnnouncementAnswer const answer = scheduler.onAnnouncement(announcement);
-//   scheduler.onTick(); // about every 100 ms
+//   scheduler.onTick(); // about every 20 ms
 //
 // Loop thread only.
 
 #include "cornelpond/core/agreement/CommandLog.h"
+#include "cornelpond/core/config/Policy.h"
+#include "cornelpond/core/lease/AttemptTracker.h"
 #include "cornelpond/core/lease/WorkerTable.h"
-#include "cornelpond/core/placement/Placer.h"
+#include "cornelpond/core/placement/Preemption.h"
+#include "cornelpond/core/placement/WorkerHealth.h"
+#include "cornelpond/core/tasks/Fleet.h"
+#include "cornelpond/core/tasks/TaskQueue.h"
 #include "cornelpond/core/tasks/TaskTable.h"
 #include "cornelpond/ports/Clock.h"
 #include "cornelpond/ports/EventSink.h"
 
 #include <functional>
-#include <set>
+#include <map>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace cornelpond {
 
-/// The answer to a submission or cancellation.
+/// The answer to a submission, cancellation or drain.
 struct TaskResult {
     ResultCode code = ResultCode::Ok;
     std::string message;
@@ -37,33 +44,46 @@
     std::string reason; ///< Why it is here or why it waits.
 };
 
+/// What the scheduler asks of its surroundings. Empty functions stand for "nothing".
+struct SchedulerHooks {
+    /// Sends commands to a worker ahead of its next announcement; may lose them.
+    std::function<void(Worker const& worker, AnnouncementAnswer const& commands)> push;
+    /// The configuration in force.
+    std::function<Policy const&()> policy;
+    /// What backend servers that cornelpond did not start hold on their workers.
+    std::function<std::unordered_map<WorkerId, Resources>()> externalReservations;
+};
+
 class Scheduler {
 public:
     using TaskDone = std::function<void(TaskResult const&)>;
-    /// Sends commands to a worker ahead of its next announcement; may lose them.
-    using PushCommands = std::function<void(Worker const& worker, AnnouncementAnswer const& commands)>;
 
     /// All references must outlive the scheduler.
-    Scheduler(Clock const& clock, EventSink& events, CommandLog& log, LeaseTimes times, PushCommands push);
+    Scheduler(Clock const& clock, EventSink& events, CommandLog& log, LeaseTimes times, SchedulerHooks hooks);
 
-    /// Answered after the commit. The same spec again is Ok; another spec under the same id is IdConflict.
+    /// Answered after the commit. The same spec again is Ok; another spec under the same id is
+    /// IdConflict; an id whose ended task was removed is IdRetired.
     void submit(TaskSpec const& spec, TaskDone done);
 
+    /// Ok once the cancel is on record: a queued task has ended, a running attempt is being stopped.
     void cancel(TaskId const& id, TaskDone done);
 
-    /// Cancels all tasks whose labels match; `done` gets the count in its message.
+    /// Cancels all tasks whose labels match, by one command. `done` gets the count in its message.
     void cancelMatching(Selector const& selector, TaskDone done);
 
     /// Throws Error(NotLeader) or Error(StaleEpoch).
     AnnouncementAnswer onAnnouncement(WorkerAnnouncement const& announcement);
 
-    /// A worker that is drained gets nothing new; what runs there goes on.
-    void setDrained(WorkerId const& worker, bool drained);
+    /// A worker that is drained gets nothing new; what runs there goes on. Holds over a leader change.
+    void setDrained(WorkerId const& worker, bool drained, TaskDone done);
 
-    /// Expires leases and places queued tasks.
+    /// Expires leases, places queued tasks and removes old records.
     void onTick();
 
-    TaskExplanation explain(Task const& task) const;
+    /// The configuration changed: queued tasks get their priorities anew.
+    void onPolicyChanged();
+
+    TaskExplanation explain(Task const& task);
 
     TaskTable const& table() const { return this->tasks; }
     WorkerTable const& workerTable() const { return this->workers; }
@@ -72,35 +92,83 @@
     // Called by the log.
     void applyCommand(std::string const& command);
     std::string takeSnapshot() const { return this->tasks.takeSnapshot(); }
-    void restore(std::string const& state) { this->tasks.restore(state); }
+    void restore(std::string const& state);
     void onLeadership(bool isLeader);
 
 private:
+    /// What the leader knows of a running attempt's progress.
+    struct Progress {
+        TimePoint startedAt;
+        TimePoint checkpointAt;
+        CheckpointId checkpoint; ///< The latest one reported.
+    };
+
+    // Committed state to soft state.
+    void apply(TaskCommand const& command);
+    void onTaskChanged(TaskId const& id, WorkerId const& workerBefore);
+    void onAttemptEnded(EndAttempt const& command, WorkerId const& worker);
+    void rebuildQueue();
+    void dropEndedFromQueue();
+    void enqueue(Task const& task);
+
+    // Announcements.
+    void observeHeld(WorkerAnnouncement const& announcement, TaskCommandBatch& proposals, std::vector<WorkerCommand>& commands);
+    void observeRunning(HeldAttempt const& held, Task const& task, WorkerAnnouncement const& announcement, TaskCommandBatch& proposals, std::vector<WorkerCommand>& commands);
+    void observeMissing(WorkerAnnouncement const& announcement, TaskCommandBatch& proposals, std::vector<WorkerCommand>& commands);
+    void observeUnconfirmed(Task const& task, WorkerAnnouncement const& announcement, TaskCommandBatch& proposals, std::vector<WorkerCommand>& commands);
+    void noteProgress(HeldAttempt const& held);
+
+    // Periodic duties.
+    void expireWorkers();
+    void endLostAttempts(WorkerId const& worker);
+    void refreshSoftState();
+    void removeEndedTasks();
+
+    // Placement.
     void place();
-    std::vector<WorkerCandidate> candidates() const;
+    OfferResult tryToPlace(TaskId const& id, TaskCommandBatch& starts, TaskCommandBatch& evictions);
+    bool tryToPreempt(Task const& task, TaskCommandBatch& evictions);
+    PreemptionHost preemptionHost(WorkerCandidate const& candidate) const;
+    std::string quotaReason(Task const& task) const;
+    double shareOf(AssociationId const& association) const;
+    bool batchIsShort() const;
+    void noteWait(TaskId const& id, Placement const& placement);
     void proposeStarts(TaskCommandBatch starts);
     void onStartsCommitted(TaskCommandBatch const& starts);
-    void expireWorkers();
-    void endLostAttempts(WorkerId const& worker);
-    void observeHeld(WorkerAnnouncement const& announcement, TaskCommandBatch& proposals, std::vector<WorkerCommand>& commands);
-    void observeMissing(WorkerAnnouncement const& announcement, TaskCommandBatch& proposals, std::vector<WorkerCommand>& commands);
+    void onEvictionsCommitted(TaskCommandBatch const& evictions);
+
     WorkerCommand startCommand(Task const& task) const;
     WorkerCommand plainCommand(WorkerCommandKind kind, TaskId const& task, AttemptNumber attempt) const;
+    EndAttempt endCommand(Task const& task, AttemptOutcome outcome) const;
+    /// Proposes; a task in the batch is not proposed for again until the outcome is known.
     void proposeAll(TaskCommandBatch const& commands);
+    void propose(TaskCommandBatch const& commands, std::function<void(ResultCode)> done);
+    void pushCommands(std::map<WorkerId, std::vector<WorkerCommand>> const& commands);
+    Policy const& policy() const;
 
     Clock const& clock;
     EventSink& events;
     CommandLog& log;
-    WorkerTable workers;
-    PushCommands push;
+    SchedulerHooks hooks;
     TaskTable tasks;
-    std::set<WorkerId> drained;
-    std::set<TaskId> proposedStarts; ///< Proposed and not yet committed.
-    std::set<TaskId> proposedEnds;
-    std::unordered_map<WorkerId, Resources> strayReserved; ///< Held by attempts that are not in force.
-    std::unordered_map<TaskId, std::string> waitReasons;
-    std::vector<ResultCode> applyResults; ///< Of the command applied last, one for each part.
+
+    // Soft state of the leader.
+    WorkerTable workers;
+    WorkerHealth health;
+    Fleet fleet;
+    AttemptTracker tracker;
+    TaskQueue queue;
+    std::multimap<TimePoint, TaskId> backingOff; ///< Failed tasks by when they may start again.
+    std::unordered_map<TaskId, Progress> progress;
+    std::unordered_map<TaskId, std::string> reasons; ///< Why a task is where it is or waits.
+    std::unordered_set<TaskId> pending; ///< Proposed for and not yet committed, but for starts.
+    size_t startsPending = 0;
+    uint64_t leadership = 0; ///< Rises with each change; outcomes of an earlier one are ignored.
+    bool leading = false;
+    bool placementDue = false; ///< Something changed since the last pass.
     TimePoint leaderSince;
+    TimePoint nextRefresh;
+    TimePoint nextRemoval;
     uint64_t startCount = 0;
 };
 
--- /dev/null
+++ b/cornelpond/core/tasks/SchedulerPlacement.cpp
@@ -0,0 +1,226 @@
+// The scheduler's placement pass: offers queued tasks to the fleet, preempts batch work for urgent
+// tasks and proposes the starts of one pass as one command.
+
+#include "cornelpond/core/tasks/Scheduler.h"
+
+#include <algorithm>
+
+namespace cornelpond {
+
+namespace {
+
+    constexpr size_t maxStartsPerPass = 256;
+    constexpr size_t maxOffersPerPass = 2048;
+    constexpr size_t maxEvictionsPerPass = 64;
+    constexpr size_t preemptionHostsLookedAt = 64;
+    constexpr Duration claimTime = Duration::seconds(5);
+    constexpr double evictionCostSeconds = 60;
+
+    /// While batch work waits and holds less than this share of the processors, it gets every so
+    /// many offers of a pass and is not preempted.
+    constexpr double batchFloorShare = 0.1;
+    constexpr size_t batchEveryWhenShort = 4;
+
+    double shareOfTotal(int64_t used, int64_t total)
+    {
+        return total > 0 ? static_cast<double>(used) / static_cast<double>(total) : 0;
+    }
+
+    bool exceeds(int64_t used, int64_t limit)
+    {
+        return limit > 0 && used > limit;
+    }
+
+} // namespace
+
+void Scheduler::place()
+{
+    if (!this->placementDue || this->startsPending || !this->queue.size())
+        return;
+    this->placementDue = false;
+    TaskCommandBatch starts;
+    TaskCommandBatch evictions;
+    TaskQueue::Pass pass;
+    pass.now = this->clock.now();
+    pass.maxOffers = maxOffersPerPass;
+    pass.batchEvery = this->batchIsShort() ? batchEveryWhenShort : 0;
+    pass.shareOf = [this](AssociationId const& association) { return this->shareOf(association); };
+    this->queue.offer(pass, [&](TaskId const& id) { return this->tryToPlace(id, starts, evictions); });
+    for (auto const& eviction : evictions)
+        this->events.emit(Event(EventId::EvictionRequested).with("task", std::get<EvictAttempt>(eviction).task).with("reason", "room for an urgent task"));
+    this->proposeAll(evictions);
+    this->proposeStarts(std::move(starts));
+}
+
+OfferResult Scheduler::tryToPlace(TaskId const& id, TaskCommandBatch& starts, TaskCommandBatch& evictions)
+{
+    if (starts.size() >= maxStartsPerPass) {
+        this->placementDue = true;
+        return OfferResult::Blocked;
+    }
+    Task const& task = *this->tasks.find(id);
+    Placement placement;
+    placement.reason = this->quotaReason(task);
+    placement.fitsWhenEmpty = true;
+    if (!placement.reason.empty()) {
+        this->noteWait(id, placement);
+        return OfferResult::Blocked;
+    }
+    TimePoint const now = this->clock.now();
+    WorkerId const claimed = this->fleet.releaseClaim(id);
+    this->fleet.refresh(claimed, now);
+    placement = this->fleet.choose(task);
+    if (placement.worker.empty()) {
+        this->noteWait(id, placement);
+        if (!claimed.empty())
+            this->fleet.claim(id, claimed, task.spec.resources, now + claimTime);
+        this->fleet.refresh(claimed, now);
+        bool const urgent = task.spec.taskClass == TaskClass::LatencyCritical && placement.fitsWhenEmpty;
+        bool const waitsForRoom = !claimed.empty() || (urgent && this->tryToPreempt(task, evictions));
+        return waitsForRoom ? OfferResult::Skipped : OfferResult::Blocked;
+    }
+    this->reasons[id] = placement.reason;
+    this->events.emit(Event(EventId::TaskPlaced).with("task", id).with("worker", placement.worker).with("reason", placement.reason));
+    this->fleet.reserveForStart(placement.worker, task.spec.resources);
+    starts.push_back(StartAttempt { id, task.attempt.next(), placement.worker, this->workers.find(placement.worker)->last.incarnation });
+    return OfferResult::Placed;
+}
+
+void Scheduler::noteWait(TaskId const& id, Placement const& placement)
+{
+    std::string& last = this->reasons[id];
+    if (last == placement.reason)
+        return;
+    last = placement.reason;
+    EventId const event = placement.fitsWhenEmpty ? EventId::TaskWaits : EventId::TaskUnplaceable;
+    this->events.emit(Event(event).with("task", id).with("reason", placement.reason));
+}
+
+std::string Scheduler::quotaReason(Task const& task) const
+{
+    Resources const& quota = this->policy().association(task.spec.association).quota;
+    Resources const used = this->tasks.usedBy(task.spec.association) + task.spec.resources;
+    bool const over = exceeds(used.milliCores, quota.milliCores) || exceeds(used.memoryMiB, quota.memoryMiB) || exceeds(used.accelerators, quota.accelerators);
+    return over ? "the association's quota is in use" : std::string();
+}
+
+double Scheduler::shareOf(AssociationId const& association) const
+{
+    Resources const used = this->tasks.usedBy(association);
+    Resources const& total = this->fleet.totalCapacity();
+    double const share = std::max(shareOfTotal(used.milliCores, total.milliCores), shareOfTotal(used.memoryMiB, total.memoryMiB));
+    return share / static_cast<double>(std::max<int64_t>(1, this->policy().association(association).weight));
+}
+
+bool Scheduler::batchIsShort() const
+{
+    return shareOfTotal(this->tasks.batchUse().milliCores, this->fleet.totalCapacity().milliCores) < batchFloorShare;
+}
+
+PreemptionHost Scheduler::preemptionHost(WorkerCandidate const& candidate) const
+{
+    PreemptionHost host { candidate.id, candidate.free, {} };
+    TimePoint const now = this->clock.now();
+    for (auto const& id : this->tasks.onWorker(candidate.id)) {
+        Task const& task = *this->tasks.find(id);
+        bool const mayStop = task.spec.taskClass == TaskClass::Batch && task.state == TaskState::Running && !task.cancelRequested && !this->pending.count(id);
+        if (!mayStop)
+            continue;
+        auto const known = this->progress.find(id);
+        TimePoint const savedAt = known == this->progress.end() ? this->leaderSince : std::max(known->second.startedAt, known->second.checkpointAt);
+        double const cost = (now - savedAt).toSeconds() + evictionCostSeconds * static_cast<double>(this->policy().weights.evictions) * (1 + static_cast<double>(task.evictions));
+        host.victims.push_back({ id, task.attempt, task.spec.resources, cost });
+    }
+    return host;
+}
+
+bool Scheduler::tryToPreempt(Task const& task, TaskCommandBatch& evictions)
+{
+    if (evictions.size() >= maxEvictionsPerPass || this->batchIsShort())
+        return false;
+    std::vector<PreemptionHost> hosts;
+    for (auto const* candidate : this->fleet.index().fittingWhenEmpty(task.spec, preemptionHostsLookedAt))
+        hosts.push_back(this->preemptionHost(*candidate));
+    for (auto& host : hosts) {
+        auto const chosenBefore = [&](PreemptionVictim const& victim) {
+            return std::any_of(evictions.begin(), evictions.end(), [&](auto const& command) { return std::get<EvictAttempt>(command).task == victim.task; });
+        };
+        host.victims.erase(std::remove_if(host.victims.begin(), host.victims.end(), chosenBefore), host.victims.end());
+    }
+    PreemptionPlan const plan = choosePreemption(task.spec.resources, hosts);
+    for (auto const& victim : plan.victims)
+        evictions.push_back(EvictAttempt { victim.task, victim.attempt });
+    if (plan.victims.empty())
+        return false;
+    TimePoint const now = this->clock.now();
+    this->fleet.claim(task.spec.id, plan.worker, task.spec.resources, now + claimTime);
+    this->fleet.refresh(plan.worker, now);
+    this->reasons[task.spec.id] = "waits for evictions on " + plan.worker.value();
+    return true;
+}
+
+void Scheduler::proposeStarts(TaskCommandBatch starts)
+{
+    if (starts.empty())
+        return;
+    this->startsPending = starts.size();
+    TaskCommandBatch const proposed = std::move(starts);
+    this->propose(proposed, [this, proposed](ResultCode code) {
+        this->startsPending = 0;
+        this->placementDue = true;
+        if (code == ResultCode::Ok)
+            this->onStartsCommitted(proposed);
+        this->fleet.clearStartReservations(this->clock.now());
+    });
+}
+
+void Scheduler::onStartsCommitted(TaskCommandBatch const& starts)
+{
+    TimePoint const now = this->clock.now();
+    std::map<WorkerId, std::vector<WorkerCommand>> commands;
+    for (auto const& part : starts) {
+        auto const& start = std::get<StartAttempt>(part);
+        Task const* task = this->tasks.find(start.task);
+        bool const wanted = task && task->state == TaskState::Starting && task->attempt == start.attempt && !task->cancelRequested;
+        Worker const* worker = this->workers.find(start.worker);
+        if (!wanted || !worker || worker->last.incarnation != start.incarnation)
+            continue;
+        this->startCount++;
+        this->health.onStarted(start.worker, now);
+        this->tracker.onStartSent(start.task, start.attempt, now);
+        commands[start.worker].push_back(this->startCommand(*task));
+    }
+    this->pushCommands(commands);
+}
+
+void Scheduler::onEvictionsCommitted(TaskCommandBatch const& evictions)
+{
+    std::map<WorkerId, std::vector<WorkerCommand>> commands;
+    for (auto const& part : evictions) {
+        auto const* eviction = std::get_if<EvictAttempt>(&part);
+        Task const* task = eviction ? this->tasks.find(eviction->task) : nullptr;
+        if (task && task->state == TaskState::Checkpointing && task->attempt == eviction->attempt)
+            commands[task->worker].push_back(this->plainCommand(WorkerCommandKind::Stop, eviction->task, eviction->attempt));
+    }
+    this->pushCommands(commands);
+}
+
+void Scheduler::pushCommands(std::map<WorkerId, std::vector<WorkerCommand>> const& commands)
+{
+    if (!this->hooks.push || !this->log.isLeadershipConfirmed())
+        return;
+    for (auto const& [id, list] : commands) {
+        Worker const* worker = this->workers.find(id);
+        if (!worker || worker->last.commandAddress.empty())
+            continue;
+        AnnouncementAnswer answer;
+        answer.number = worker->last.number;
+        answer.incarnation = worker->last.incarnation;
+        answer.epoch = this->log.term();
+        answer.lease = this->workers.leaseTimes().lease;
+        answer.commands = list;
+        this->hooks.push(*worker, answer);
+    }
+}
+
+} // namespace cornelpond
--- a/cornelpond/core/tasks/SchedulerTest.cpp
+++ b/cornelpond/core/tasks/SchedulerTest.cpp
@@ -26,7 +26,7 @@
         this->disk.crash();
         this->scheduler.reset();
         this->log = std::make_unique<SoleVoterLog>(HostId("h1"), this->disk, this->hooks());
-        this->scheduler = std::make_unique<Scheduler>(this->clock, this->events, *this->log, times, [](Worker const&, AnnouncementAnswer const&) {});
+        this->scheduler = std::make_unique<Scheduler>(this->clock, this->events, *this->log, times, SchedulerHooks());
         this->log->start();
     }
 
--- a/cornelpond/core/tasks/Task.h
+++ b/cornelpond/core/tasks/Task.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cornelpond {
 
@@ -68,12 +69,24 @@
 
 std::string_view attemptOutcomeName(AttemptOutcome outcome);
 
+/// One ended attempt, for people and for placement, which avoids workers where the task failed.
+struct AttemptRecord {
+    AttemptNumber attempt;
+    WorkerId worker;
+    AttemptOutcome outcome = AttemptOutcome::Finished;
+    int64_t endedAtMs = 0;
+};
+
+/// Ended attempts kept in a task's record; the oldest go first.
+constexpr size_t maxAttemptHistory = 8;
+
 /// A task's whole record in the replicated state.
 struct Task {
     TaskSpec spec;
     TaskState state = TaskState::Queued;
     AttemptNumber attempt; ///< The latest one.
     WorkerId worker; ///< Set while holdsWorker(state).
+    std::string incarnation; ///< The worker process that the latest attempt is meant for.
     CheckpointId checkpoint; ///< The latest one; empty when none.
     bool cancelRequested = false; ///< Cancelled while an attempt is still held by a worker.
     uint32_t failures = 0;
@@ -81,6 +94,7 @@
     uint64_t sequence = 0; ///< Order of submission in this group.
     int64_t submittedAtMs = 0; ///< Wall clock, for people.
     int64_t endedAtMs = 0;
+    std::vector<AttemptRecord> history; ///< The latest ended attempts, oldest first.
 };
 
 } // namespace cornelpond
--- a/cornelpond/core/tasks/TaskCommand.cpp
+++ b/cornelpond/core/tasks/TaskCommand.cpp
@@ -18,6 +18,9 @@
         Evict = 4,
         End = 5,
         Cancel = 6,
+        CancelMatching = 7,
+        SetDrained = 8,
+        RemoveEnded = 9,
     };
 
     nlohmann::json tagged(CommandTag tag, nlohmann::json::array_t fields)
@@ -33,7 +36,7 @@
 
     nlohmann::json encode(StartAttempt const& command)
     {
-        return tagged(CommandTag::Start, { command.task.value(), command.attempt.value(), command.worker.value() });
+        return tagged(CommandTag::Start, { command.task.value(), command.attempt.value(), command.worker.value(), command.incarnation });
     }
 
     nlohmann::json encode(ConfirmAttempt const& command)
@@ -57,6 +60,21 @@
         return tagged(CommandTag::Cancel, { command.task.value(), command.cancelledAtMs });
     }
 
+    nlohmann::json encode(CancelMatching const& command)
+    {
+        return tagged(CommandTag::CancelMatching, { command.labels.text(), command.cancelledAtMs });
+    }
+
+    nlohmann::json encode(SetWorkerDrained const& command)
+    {
+        return tagged(CommandTag::SetDrained, { command.worker.value(), command.drained });
+    }
+
+    nlohmann::json encode(RemoveEndedTasks const& command)
+    {
+        return tagged(CommandTag::RemoveEnded, { command.endedBeforeMs, command.maxKept, command.forgetIdsBeforeMs });
+    }
+
     AttemptOutcome outcomeFromNumber(uint8_t number)
     {
         if (number > static_cast<uint8_t>(AttemptOutcome::NeverStarted))
@@ -72,7 +90,7 @@
         case CommandTag::Submit:
             return SubmitTask { taskSpecFromJson(fields.at(1)), fields.at(2).get<int64_t>() };
         case CommandTag::Start:
-            return StartAttempt { task(), attempt(), WorkerId(fields.at(3).get<std::string>()) };
+            return StartAttempt { task(), attempt(), WorkerId(fields.at(3).get<std::string>()), fields.size() > 4 ? fields[4].get<std::string>() : std::string() };
         case CommandTag::Confirm:
             return ConfirmAttempt { task(), attempt() };
         case CommandTag::Evict:
@@ -82,6 +100,12 @@
                 CheckpointId(fields.at(4).get<std::string>()), fields.at(5).get<int64_t>() };
         case CommandTag::Cancel:
             return CancelTask { task(), fields.at(2).get<int64_t>() };
+        case CommandTag::CancelMatching:
+            return CancelMatching { Selector::parse(fields.at(1).get<std::string>()), fields.at(2).get<int64_t>() };
+        case CommandTag::SetDrained:
+            return SetWorkerDrained { WorkerId(fields.at(1).get<std::string>()), fields.at(2).get<bool>() };
+        case CommandTag::RemoveEnded:
+            return RemoveEndedTasks { fields.at(1).get<int64_t>(), fields.at(2).get<uint64_t>(), fields.at(3).get<int64_t>() };
         }
         throw Error(ResultCode::StorageDamaged, "unknown task command");
     }
--- a/cornelpond/core/tasks/TaskCommand.h
+++ b/cornelpond/core/tasks/TaskCommand.h
@@ -24,6 +24,7 @@
     TaskId task;
     AttemptNumber attempt; ///< Exactly one above the task's latest.
     WorkerId worker;
+    std::string incarnation = std::string(); ///< The worker process that the start is meant for; no other one may take it.
 };
 
 /// The worker confirmed that it runs the attempt.
@@ -52,7 +53,26 @@
     int64_t cancelledAtMs = 0;
 };
 
-using TaskCommand = std::variant<SubmitTask, StartAttempt, ConfirmAttempt, EvictAttempt, EndAttempt, CancelTask>;
+/// Cancels every task whose labels match when the command is applied.
+struct CancelMatching {
+    Selector labels;
+    int64_t cancelledAtMs = 0;
+};
+
+/// A drained worker gets nothing new; what runs there goes on.
+struct SetWorkerDrained {
+    WorkerId worker;
+    bool drained = true;
+};
+
+/// Drops the records of tasks that ended longest ago; their ids stay known as retired.
+struct RemoveEndedTasks {
+    int64_t endedBeforeMs = 0; ///< Older ones are dropped.
+    uint64_t maxKept = 0; ///< Of the others only the latest so many stay.
+    int64_t forgetIdsBeforeMs = 0; ///< Retired ids of tasks that ended earlier may be used again.
+};
+
+using TaskCommand = std::variant<SubmitTask, StartAttempt, ConfirmAttempt, EvictAttempt, EndAttempt, CancelTask, CancelMatching, SetWorkerDrained, RemoveEndedTasks>;
 
 /// Several commands that are committed together, in order.
 using TaskCommandBatch = std::vector<TaskCommand>;
--- a/cornelpond/core/tasks/TaskJson.cpp
+++ b/cornelpond/core/tasks/TaskJson.cpp
@@ -92,6 +92,20 @@
         throw Error(ResultCode::StorageDamaged, "unknown task state '" + name + "'");
     }
 
+    AttemptRecord attemptRecordFromJson(nlohmann::json const& value)
+    {
+        AttemptRecord record;
+        record.attempt = AttemptNumber(value.at("attempt").get<uint64_t>());
+        record.worker = WorkerId(value.at("worker").get<std::string>());
+        record.endedAtMs = value.at("endedAtMs").get<int64_t>();
+        auto const name = value.at("outcome").get<std::string>();
+        for (uint8_t number = 0; number <= static_cast<uint8_t>(AttemptOutcome::NeverStarted); number++) {
+            if (attemptOutcomeName(static_cast<AttemptOutcome>(number)) == name)
+                record.outcome = static_cast<AttemptOutcome>(number);
+        }
+        return record;
+    }
+
 } // namespace
 
 nlohmann::json toJson(Resources const& resources)
@@ -116,11 +130,17 @@
 
 nlohmann::json toJson(Task const& task)
 {
+    nlohmann::json history = nlohmann::json::array();
+    for (auto const& record : task.history) {
+        history.push_back({ { "attempt", record.attempt.value() }, { "worker", record.worker.value() },
+            { "outcome", std::string(attemptOutcomeName(record.outcome)) }, { "endedAtMs", record.endedAtMs } });
+    }
     return {
         { "spec", toJson(task.spec) },
         { "state", std::string(taskStateName(task.state)) },
         { "attempt", task.attempt.value() },
         { "worker", task.worker.value() },
+        { "incarnation", task.incarnation },
         { "checkpoint", task.checkpoint.value() },
         { "cancelRequested", task.cancelRequested },
         { "failures", task.failures },
@@ -128,6 +148,7 @@
         { "sequence", task.sequence },
         { "submittedAtMs", task.submittedAtMs },
         { "endedAtMs", task.endedAtMs },
+        { "history", std::move(history) },
     };
 }
 
@@ -194,6 +215,7 @@
         task.state = stateFromName(value.at("state").get<std::string>());
         task.attempt = AttemptNumber(value.at("attempt").get<uint64_t>());
         task.worker = WorkerId(value.at("worker").get<std::string>());
+        task.incarnation = value.value("incarnation", std::string());
         task.checkpoint = CheckpointId(value.at("checkpoint").get<std::string>());
         task.cancelRequested = value.at("cancelRequested").get<bool>();
         task.failures = value.at("failures").get<uint32_t>();
@@ -201,6 +223,8 @@
         task.sequence = value.at("sequence").get<uint64_t>();
         task.submittedAtMs = value.at("submittedAtMs").get<int64_t>();
         task.endedAtMs = value.at("endedAtMs").get<int64_t>();
+        for (auto const& record : value.value("history", nlohmann::json::array()))
+            task.history.push_back(attemptRecordFromJson(record));
         return task;
     } catch (nlohmann::json::exception const& error) {
         throw Error(ResultCode::StorageDamaged, std::string("task record: ") + error.what());
--- a/cornelpond/core/tasks/TaskTable.cpp
+++ b/cornelpond/core/tasks/TaskTable.cpp
@@ -6,8 +6,21 @@
 
 #include <nlohmann/json.hpp>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 namespace cornelpond {
 
+namespace {
+
+    /// Stored in snapshots, so it never changes.
+    uint64_t hashOf(TaskId const& id)
+    {
+        return XXH64(id.value().data(), id.value().size(), 0);
+    }
+
+} // namespace
+
 ResultCode TaskTable::apply(TaskCommand const& command)
 {
     return std::visit([this](auto const& value) { return this->applyOne(value); }, command);
@@ -32,16 +45,29 @@
     return found == this->workerReserved.end() ? Resources() : found->second;
 }
 
+Resources TaskTable::usedBy(AssociationId const& association) const
+{
+    auto const found = this->associationUse.find(association);
+    return found == this->associationUse.end() ? Resources() : found->second;
+}
+
+bool TaskTable::isRetired(TaskId const& id) const
+{
+    return this->retiredIds.count(hashOf(id));
+}
+
 ResultCode TaskTable::applyOne(SubmitTask const& command)
 {
     if (auto const* known = this->find(command.spec.id))
         return known->spec == command.spec ? ResultCode::Ok : ResultCode::IdConflict;
+    if (this->isRetired(command.spec.id))
+        return ResultCode::IdRetired;
     Task task;
     task.spec = command.spec;
     task.sequence = this->nextSequence++;
     task.submittedAtMs = command.submittedAtMs;
     this->index(task);
-    this->tasks.emplace(task.spec.id, std::move(task));
+    this->tasks.emplace(command.spec.id, std::move(task));
     return ResultCode::Ok;
 }
 
@@ -57,6 +83,7 @@
     task.state = TaskState::Starting;
     task.attempt = command.attempt;
     task.worker = command.worker;
+    task.incarnation = command.incarnation;
     this->index(task);
     return ResultCode::Ok;
 }
@@ -86,6 +113,9 @@
     if (!task)
         return ResultCode::StaleEpoch;
     this->unindex(*task);
+    if (task->history.size() >= maxAttemptHistory)
+        task->history.erase(task->history.begin());
+    task->history.push_back({ command.attempt, task->worker, command.outcome, command.endedAtMs });
     task->worker = WorkerId();
     if (!command.checkpoint.empty())
         task->checkpoint = command.checkpoint;
@@ -125,13 +155,61 @@
         return ResultCode::Ok;
     if (isEnded(task.state))
         return ResultCode::TaskEnded;
+    this->cancel(task, command.cancelledAtMs);
+    return ResultCode::Ok;
+}
+
+ResultCode TaskTable::applyOne(CancelMatching const& command)
+{
+    for (auto& [id, task] : this->tasks) {
+        if (!isEnded(task.state) && command.labels.matches(task.spec.labels))
+            this->cancel(task, command.cancelledAtMs);
+    }
+    return ResultCode::Ok;
+}
+
+ResultCode TaskTable::applyOne(SetWorkerDrained const& command)
+{
+    if (command.drained)
+        this->drainedWorkers.insert(command.worker);
+    else
+        this->drainedWorkers.erase(command.worker);
+    return ResultCode::Ok;
+}
+
+ResultCode TaskTable::applyOne(RemoveEndedTasks const& command)
+{
+    while (!this->endedTasks.empty()) {
+        auto const oldest = this->endedTasks.begin();
+        int64_t const endedAtMs = oldest->first.first;
+        if (endedAtMs >= command.endedBeforeMs && this->endedTasks.size() <= command.maxKept)
+            break;
+        this->retire(hashOf(oldest->second), endedAtMs);
+        this->tasks.erase(oldest->second);
+        this->endedTasks.erase(oldest);
+    }
+    while (!this->retiredByEnd.empty() && this->retiredByEnd.begin()->first < command.forgetIdsBeforeMs) {
+        this->retiredIds.erase(this->retiredByEnd.begin()->second);
+        this->retiredByEnd.erase(this->retiredByEnd.begin());
+    }
+    return ResultCode::Ok;
+}
+
+void TaskTable::retire(uint64_t idHash, int64_t endedAtMs)
+{
+    if (this->retiredIds.insert(idHash).second)
+        this->retiredByEnd.emplace(endedAtMs, idHash);
+}
+
+void TaskTable::cancel(Task& task, int64_t cancelledAtMs)
+{
     task.cancelRequested = true;
     if (task.state != TaskState::Queued)
-        return ResultCode::Ok;
+        return;
     this->unindex(task);
     task.state = TaskState::Cancelled;
-    task.endedAtMs = command.cancelledAtMs;
-    return ResultCode::Ok;
+    task.endedAtMs = cancelledAtMs;
+    this->index(task);
 }
 
 Task* TaskTable::heldAttempt(TaskId const& id, AttemptNumber attempt)
@@ -147,10 +225,15 @@
 {
     if (task.state == TaskState::Queued)
         this->queuedTasks.emplace(task.sequence, task.spec.id);
+    if (isEnded(task.state))
+        this->endedTasks.emplace(std::make_pair(task.endedAtMs, task.sequence), task.spec.id);
     if (!holdsWorker(task.state))
         return;
     this->workerTasks[task.worker].insert(task.spec.id);
     this->workerReserved[task.worker] += task.spec.resources;
+    this->associationUse[task.spec.association] += task.spec.resources;
+    if (task.spec.taskClass == TaskClass::Batch)
+        this->batchReserved += task.spec.resources;
 }
 
 void TaskTable::unindex(Task const& task)
@@ -162,6 +245,12 @@
     auto& held = this->workerTasks[task.worker];
     held.erase(task.spec.id);
     this->workerReserved[task.worker] -= task.spec.resources;
+    if (task.spec.taskClass == TaskClass::Batch)
+        this->batchReserved -= task.spec.resources;
+    auto& use = this->associationUse[task.spec.association];
+    use -= task.spec.resources;
+    if (use == Resources())
+        this->associationUse.erase(task.spec.association);
     if (!held.empty())
         return;
     this->workerTasks.erase(task.worker);
@@ -173,7 +262,13 @@
     nlohmann::json records = nlohmann::json::array();
     for (auto const& [id, task] : this->tasks)
         records.push_back(toJson(task));
-    return toCbor({ { "nextSequence", this->nextSequence }, { "tasks", std::move(records) } });
+    nlohmann::json drained = nlohmann::json::array();
+    for (auto const& worker : this->drainedWorkers)
+        drained.push_back(worker.value());
+    nlohmann::json retired = nlohmann::json::array();
+    for (auto const& [endedAtMs, idHash] : this->retiredByEnd)
+        retired.push_back({ endedAtMs, idHash });
+    return toCbor({ { "nextSequence", this->nextSequence }, { "tasks", std::move(records) }, { "drained", std::move(drained) }, { "retired", std::move(retired) } });
 }
 
 void TaskTable::restore(std::string const& state)
@@ -185,12 +280,22 @@
         for (auto const& record : snapshot.at("tasks")) {
             Task task = taskFromJson(record);
             restored.index(task);
-            restored.tasks.emplace(task.spec.id, std::move(task));
+            TaskId id = task.spec.id;
+            restored.tasks.emplace(std::move(id), std::move(task));
         }
+        restored.restoreExtras(snapshot);
     } catch (nlohmann::json::exception const& error) {
         throw Error(ResultCode::StorageDamaged, std::string("task snapshot: ") + error.what());
     }
     *this = std::move(restored);
 }
 
+void TaskTable::restoreExtras(nlohmann::json const& snapshot)
+{
+    for (auto const& worker : snapshot.value("drained", nlohmann::json::array()))
+        this->drainedWorkers.insert(WorkerId(worker.get<std::string>()));
+    for (auto const& retired : snapshot.value("retired", nlohmann::json::array()))
+        this->retire(retired.at(1).get<uint64_t>(), retired.at(0).get<int64_t>());
+}
+
 } // namespace cornelpond
--- a/cornelpond/core/tasks/TaskTable.h
+++ b/cornelpond/core/tasks/TaskTable.h
@@ -11,10 +11,13 @@
 #include "cornelpond/core/base/ResultCode.h"
 #include "cornelpond/core/tasks/TaskCommand.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 namespace cornelpond {
@@ -36,6 +39,24 @@
     /// Sum of the declared needs of all tasks that hold `worker`.
     Resources reservedOn(WorkerId const& worker) const;
 
+    /// Sum of the declared needs of the association's tasks that hold a worker.
+    Resources usedBy(AssociationId const& association) const;
+
+    /// Sum of the declared needs of the batch tasks that hold a worker.
+    Resources const& batchUse() const { return this->batchReserved; }
+
+    bool isDrained(WorkerId const& worker) const { return this->drainedWorkers.count(worker); }
+    std::set<WorkerId> const& drained() const { return this->drainedWorkers; }
+
+    /// True when a task of this id ended and its record was removed.
+    bool isRetired(TaskId const& id) const;
+
+    /// Ended tasks in the order of their end: time and submission sequence.
+    std::map<std::pair<int64_t, uint64_t>, TaskId> const& ended() const { return this->endedTasks; }
+
+    /// When the longest retired id belonged to an ended task; 0 when no id is retired.
+    int64_t oldestRetiredMs() const { return this->retiredByEnd.empty() ? 0 : this->retiredByEnd.begin()->first; }
+
     std::unordered_map<TaskId, Task> const& all() const { return this->tasks; }
 
     /// Workers that hold at least one attempt.
@@ -53,7 +74,13 @@
     ResultCode applyOne(EvictAttempt const& command);
     ResultCode applyOne(EndAttempt const& command);
     ResultCode applyOne(CancelTask const& command);
+    ResultCode applyOne(CancelMatching const& command);
+    ResultCode applyOne(SetWorkerDrained const& command);
+    ResultCode applyOne(RemoveEndedTasks const& command);
 
+    void cancel(Task& task, int64_t cancelledAtMs);
+    void retire(uint64_t idHash, int64_t endedAtMs);
+    void restoreExtras(nlohmann::json const& snapshot);
     Task* heldAttempt(TaskId const& id, AttemptNumber attempt);
     void index(Task const& task);
     void unindex(Task const& task);
@@ -63,6 +90,12 @@
     std::map<uint64_t, TaskId> queuedTasks;
     std::unordered_map<WorkerId, std::set<TaskId>> workerTasks;
     std::unordered_map<WorkerId, Resources> workerReserved;
+    std::unordered_map<AssociationId, Resources> associationUse;
+    Resources batchReserved;
+    std::map<std::pair<int64_t, uint64_t>, TaskId> endedTasks;
+    std::unordered_set<uint64_t> retiredIds; ///< Hashes of the ids of removed tasks.
+    std::multimap<int64_t, uint64_t> retiredByEnd;
+    std::set<WorkerId> drainedWorkers;
     uint64_t nextSequence = 1;
 };
 
--- a/cornelpond/core/tasks/WorkerMessages.cpp
+++ b/cornelpond/core/tasks/WorkerMessages.cpp
@@ -123,6 +123,7 @@
         commands.push_back(toJson(command));
     return {
         { "number", answer.number.value() },
+        { "incarnation", answer.incarnation },
         { "epoch", answer.epoch.value() },
         { "leaseMs", answer.lease.toMilliseconds() },
         { "commands", std::move(commands) },
@@ -134,6 +135,7 @@
     try {
         AnnouncementAnswer answer;
         answer.number = AnnouncementNumber(value.at("number").get<uint64_t>());
+        answer.incarnation = value.value("incarnation", std::string());
         answer.epoch = Term(value.at("epoch").get<uint64_t>());
         answer.lease = Duration::milliseconds(value.at("leaseMs").get<int64_t>());
         for (auto const& command : value.at("commands"))
--- a/cornelpond/core/tasks/WorkerMessages.h
+++ b/cornelpond/core/tasks/WorkerMessages.h
@@ -62,8 +62,11 @@
     int64_t percent = 100; ///< Throttle only.
 };
 
+/// Answers an announcement, or pushes commands between two of them. A worker refuses one that names
+/// another incarnation than its own, or an announcement that it sent longer than a lease ago.
 struct AnnouncementAnswer {
     AnnouncementNumber number; ///< Of the announcement that is answered.
+    std::string incarnation; ///< Of the process that sent it.
     Term epoch;
     Duration lease; ///< Counted by the worker from when it sent the announcement.
     std::vector<WorkerCommand> commands;
--- a/cornelpond/ports/Clock.h
+++ b/cornelpond/ports/Clock.h
@@ -15,7 +15,8 @@
     /// Monotonic; never goes back within a process.
     virtual TimePoint now() const = 0;
 
-    /// Milliseconds since the Unix epoch, for records that people read. Never used for decisions.
+    /// Milliseconds since the Unix epoch, for records that people read. No decision goes by it but how
+    /// long the records of ended tasks are kept.
     virtual int64_t wallMilliseconds() const = 0;
 };
 
--- a/testing/standin/StandinWorker.cpp
+++ b/testing/standin/StandinWorker.cpp
@@ -45,7 +45,7 @@
             return;
         AnnouncementAnswer const answer = announcementAnswerFromJson(nlohmann::json::parse(request.body));
         auto const sent = this->sentAt.find(answer.number);
-        bool const fresh = sent != this->sentAt.end() && this->loop.now() < sent->second + answer.lease;
+        bool const fresh = answer.incarnation == this->incarnation && sent != this->sentAt.end() && this->loop.now() < sent->second + answer.lease;
         for (auto const& command : answer.commands) {
             if (fresh && answer.epoch >= this->epoch)
                 this->obey(command);
@@ -185,11 +185,13 @@
 {
     if (now < this->leaseEnd)
         return;
-    for (auto attempt = this->attempts.begin(); attempt != this->attempts.end();) {
-        bool const running = attempt->second.held.state == HeldState::Running;
-        if (running)
-            this->record("leaseEnd", attempt->first, attempt->second.held.attempt);
-        attempt = running ? this->attempts.erase(attempt) : std::next(attempt);
+    for (auto& [task, attempt] : this->attempts) {
+        if (attempt.held.state != HeldState::Running)
+            continue;
+        this->record("leaseEnd", task, attempt.held.attempt);
+        // Reported until the leader forgets it, so that the attempt need not be waited for.
+        attempt.held.state = HeldState::Ended;
+        attempt.held.outcome = AttemptOutcome::Lost;
     }
 }
 
