--- a/testing/faultproxy/FaultProxy.cpp
+++ b/testing/faultproxy/FaultProxy.cpp
@@ -106,8 +106,6 @@
     sockaddr_in const address = toSockaddr(this->target);
     if (bufferevent_socket_connect(server, reinterpret_cast<sockaddr const*>(&address), sizeof(address)) < 0)
         this->close(id);
-    if (this->onAccepted)
-        this->onAccepted();
 }
 
 void FaultProxy::onReadable(bufferevent*, void* argument)
--- a/testing/faultproxy/FaultProxy.h
+++ b/testing/faultproxy/FaultProxy.h
@@ -11,7 +11,6 @@
 #include "cornelpond/adapters/runtime/EventLoop.h"
 #include "cornelpond/ports/Random.h"
 
-#include <functional>
 #include <map>
 #include <memory>
 
@@ -47,9 +46,6 @@
 
     size_t openLinks() const { return this->links.size(); }
 
-    /// Called after each accepted connection.
-    void setOnAccepted(std::function<void()> callback) { this->onAccepted = std::move(callback); }
-
     /// All connections open now swallow every further byte, for good; neither end is told.
     void silenceOpen();
 
@@ -79,7 +75,6 @@
     LinkFaults faults;
     std::map<uint64_t, std::unique_ptr<Link>> links;
     uint64_t nextLink = 1;
-    std::function<void()> onAccepted;
 };
 
 } // namespace cornelpond
--- a/testing/integration/RecordCheck.cpp
+++ b/testing/integration/RecordCheck.cpp
@@ -38,16 +38,22 @@
 {
     Violations violations;
     RunningByTask running;
-    std::set<std::pair<TaskId, uint64_t>> started;
+    std::map<std::pair<TaskId, uint64_t>, RecordEntry> started;
+    std::map<std::string, int64_t> upSince;
     for (auto const& entry : record) {
+        if (entry.kind == RecordKind::WorkerUp)
+            upSince[entry.place] = entry.atUs;
         if (entry.kind == RecordKind::AttemptEnd)
             removeEnded(running, entry);
         if (entry.kind != RecordKind::AttemptStart)
             continue;
         for (auto const& other : running[entry.task])
             violations.push_back(fmt::format("{} while attempt {} runs on {}", describe(entry), other.attempt, other.place));
-        if (!started.insert({ entry.task, entry.attempt }).second)
+        auto const [first, isFirst] = started.emplace(std::make_pair(entry.task, entry.attempt), entry);
+        bool const cameUpAnew = first->second.place == entry.place && first->second.atUs < upSince[entry.place];
+        if (!isFirst && !cameUpAnew)
             violations.push_back(describe(entry) + " was started twice");
+        first->second = entry;
         running[entry.task].push_back({ entry.attempt, entry.place, entry.resources });
     }
     return violations;
--- a/testing/integration/RecordCheck.h
+++ b/testing/integration/RecordCheck.h
@@ -5,7 +5,7 @@
 //
 // Example:
 //   std::vector<RecordEntry> const record = readRecord(path);
-//   CHECK(findOverlaps(record) == std::vector<std::string>());
+//   CHECK(findOverlaps(record) == noViolations);
 
 #include "testing/standin/Record.h"
 
@@ -17,7 +17,11 @@
 
 using Violations = std::vector<std::string>;
 
-/// A task with two attempts running at the same moment, or an attempt number started twice.
+/// What each check returns for a sound record; a comparison with it prints what was found.
+inline Violations const noViolations;
+
+/// A task with two attempts running at the same moment, or an attempt number started twice. A worker
+/// whose process came up anew holds nothing and may be told again to start the attempt it has lost.
 Violations findOverlaps(std::vector<RecordEntry> const& record);
 
 /// A worker whose running attempts reserve more than its capacity at any moment.
--- a/testing/integration/RecordCheckTest.cpp
+++ b/testing/integration/RecordCheckTest.cpp
@@ -65,6 +65,13 @@
     CHECK(findOverlaps({ start(1, "w1", 1, "", "a"), start(2, "w1", 1, "", "b") }).empty());
     CHECK(findOverlaps({ start(1, "w1", 1), start(2, "w2", 2), end(3, "w1", 1, "leaseEnd") }).size() == 1);
     CHECK(findOverlaps({ start(1, "w1", 1), end(2, "w1", 1, "finished"), start(3, "w2", 1) }).size() == 1);
+    CHECK(findOverlaps({ start(1, "w1", 1), end(2, "w1", 1, "finished"), start(3, "w1", 1) }).size() == 1);
+    // A worker that came up anew may be told again; another worker may not.
+    RecordEntry anew = up("w1", 1000);
+    anew.atUs = 3;
+    CHECK(findOverlaps({ start(1, "w1", 1), end(2, "w1", 1, "died"), anew, start(4, "w1", 1) }).empty());
+    CHECK(findOverlaps({ start(1, "w1", 1), end(2, "w1", 1, "died"), anew, start(4, "w2", 1) }).size() == 1);
+    CHECK(findOverlaps({ start(1, "w1", 1), end(2, "w1", 1, "died"), anew, start(4, "w1", 1), end(5, "w1", 1, "lost"), start(6, "w1", 1) }).size() == 1);
     // The end of another attempt does not end this one.
     CHECK(findOverlaps({ start(1, "w1", 1), end(2, "w1", 7, "finished"), start(3, "w2", 2) }).size() == 1);
 }
