--- a/cornelpond/adapters/peer/PeerEnvelope.h
+++ b/cornelpond/adapters/peer/PeerEnvelope.h
@@ -33,7 +33,7 @@
     uint16_t listenPort = 0;
 };
 
-/// Sent when nothing else was sent for a heartbeat interval.
+/// Sent once a heartbeat interval, whatever else was sent: its payload is news.
 struct PeerHeartbeat {
     std::string payload; ///< Opaque to the link.
 };
--- a/cornelpond/adapters/peer/PeerLink.cpp
+++ b/cornelpond/adapters/peer/PeerLink.cpp
@@ -26,7 +26,7 @@
     bool dead = false; ///< To be freed by the next sweep.
     TimePoint opened;
     TimePoint lastReceived;
-    TimePoint lastSent;
+    TimePoint lastHeartbeat; ///< Sent.
     Duration peerHeartbeat;
 };
 
@@ -305,12 +305,12 @@
 
 void PeerLink::write(Connection& connection, std::string const& bytes)
 {
-    connection.lastSent = this->loop.now();
     connection.socket->send(bytes);
 }
 
 void PeerLink::sendHeartbeat(Connection& connection)
 {
+    connection.lastHeartbeat = this->loop.now();
     this->closedCounters.heartbeatsSent++;
     this->write(connection, encode(PeerHeartbeat { this->hooks.heartbeatPayload ? this->hooks.heartbeatPayload() : std::string() }));
 }
@@ -361,7 +361,7 @@
     }
     if (now - connection.lastReceived > connection.peerHeartbeat * this->times.silentHeartbeats)
         this->drop(connection, "silent");
-    else if (now - connection.lastSent >= this->heartbeatInterval())
+    else if (now - connection.lastHeartbeat >= this->heartbeatInterval())
         this->sendHeartbeat(connection);
 }
 
--- a/cornelpond/adapters/peer/PeerLinkTest.cpp
+++ b/cornelpond/adapters/peer/PeerLinkTest.cpp
@@ -137,6 +137,19 @@
     runUntil(pair.loop, [&] { return pair.a.lastNews == "now"; });
 }
 
+TEST_CASE("other traffic does not keep the heartbeats back")
+{
+    Pair pair;
+    pair.a.news = "fresh";
+    size_t rounds = 0;
+    runUntil(pair.loop, [&] {
+        pair.a.link.send(HostId("b"), { PeerChannel::Agreement, "busy" });
+        rounds++;
+        return pair.b.lastNews == "fresh";
+    });
+    CHECK(rounds > 0);
+}
+
 TEST_CASE("an open connection gone silent is noticed at both ends and a new one is dialled")
 {
     Pair pair;
--- a/cornelpond/app/Commands.cpp
+++ b/cornelpond/app/Commands.cpp
@@ -352,6 +352,25 @@
         return 0;
     }
 
+    void printHosts(nlohmann::json const& status)
+    {
+        TextTable groups({ "GROUP", "LEADER", "VOTERS" });
+        for (auto const& group : status["groups"]) {
+            std::string voters;
+            for (auto const& voter : group["voters"])
+                voters += (voters.empty() ? "" : " ") + voter.get<std::string>();
+            std::string const leader = group["leader"].get<std::string>();
+            groups.add({ group["group"].get<std::string>(), leader.empty() ? "-" : leader, voters.empty() ? "(not kept here)" : voters });
+        }
+        std::cout << groups.text() << "\n";
+        TextTable peers({ "PEER", "DATA CENTRE", "STATE", "LINK", "CONFIGURATION" });
+        for (auto const& peer : status["peers"]) {
+            peers.add({ peer["host"].get<std::string>(), peer["dataCentre"].get<std::string>(), peer["state"].get<std::string>(), peer["linkUp"].get<bool>() ? "up" : "down",
+                std::to_string(peer["configVersion"].get<uint64_t>()) });
+        }
+        std::cout << peers.text();
+    }
+
     void printStatus(nlohmann::json const& status)
     {
         std::cout << fmt::format("host {} in {}{}, configuration {}, {} tasks ({} queued)\n\n", status["host"].get<std::string>(), status["dataCentre"].get<std::string>(),
@@ -367,7 +386,8 @@
         TextTable servers({ "BACKEND SERVER", "SERVICE", "SLOTS", "IN FLIGHT" });
         for (auto const& server : status["backendServers"])
             servers.add({ server["server"].get<std::string>(), server["service"].get<std::string>(), std::to_string(server["slots"].get<uint64_t>()), std::to_string(server["inFlight"].get<uint64_t>()) });
-        std::cout << servers.text();
+        std::cout << servers.text() << "\n";
+        printHosts(status);
     }
 
     int status(int argc, char const* const* argv)
@@ -497,7 +517,7 @@
 
     ExitCode exitCodeOf(ResultCode code)
     {
-        if (code == ResultCode::Unreachable)
+        if (code == ResultCode::Unreachable || code == ResultCode::ForwardFailed)
             return ExitCode::Unreachable;
         if (code == ResultCode::Internal)
             return ExitCode::Internal;
--- a/cornelpond/app/ConfigApi.cpp
+++ b/cornelpond/app/ConfigApi.cpp
@@ -39,10 +39,12 @@
 {
     router.add("GET", "/v1/config", [this](ApiCall const& call) {
         std::string const wanted = call.parameter("version");
-        ConfigRecord const* record = &this->config.table().current();
+        ConfigRecord const* record = &this->inForce.current();
         if (!wanted.empty()) {
             std::optional<ConfigVersion> const version = parseVersion(wanted);
-            record = version ? this->config.table().find(*version) : nullptr;
+            bool const isInForce = version && *version == record->version;
+            if (!isInForce)
+                record = version ? this->config.table().find(*version) : nullptr;
         }
         if (!record)
             throw Error(ResultCode::NotFound, "no configuration version '" + wanted + "'");
@@ -57,6 +59,13 @@
     router.add("PUT", "/v1/config", [this](ApiCall const& call) { this->changeConfig(call); });
 }
 
+HttpResponse ConfigApi::changeRefusal(ConfigResult const& result)
+{
+    auto const& info = resultCodeInfo(result.code);
+    std::string const message = "not accepted; version in force: " + std::to_string(result.version.value());
+    return jsonResponse(info.httpStatus, { { "code", static_cast<int>(result.code) }, { "name", std::string(info.name) }, { "message", message }, { "version", result.version.value() } });
+}
+
 void ConfigApi::changeConfig(ApiCall const& call)
 {
     nlohmann::json const body = call.body(this->limits);
@@ -85,8 +94,7 @@
             call.answer(jsonResponse(200, { { "code", 0 }, { "version", result.version.value() } }));
             return;
         }
-        HttpResponse response = refusal(result.code, "not accepted; version in force: " + std::to_string(result.version.value()));
-        call.answer(response);
+        call.answer(this->changeRefusal(result));
     });
 }
 
--- a/cornelpond/app/ConfigApi.h
+++ b/cornelpond/app/ConfigApi.h
@@ -7,6 +7,7 @@
 //   PUT /v1/config             {"expectedVersion", "operationId", "author", "document"}
 
 #include "cornelpond/app/Api.h"
+#include "cornelpond/core/config/ConfigFollower.h"
 #include "cornelpond/core/config/ConfigService.h"
 #include "cornelpond/ports/Clock.h"
 #include "cornelpond/ports/EventSink.h"
@@ -15,11 +16,12 @@
 
 class ConfigApi {
 public:
-    /// All references must outlive the API.
-    ConfigApi(Clock const& clock, EventSink& events, ConfigService& config, JsonLimits limits)
+    /// All references must outlive the API. `inForce` answers where this host keeps no log of the group.
+    ConfigApi(Clock const& clock, EventSink& events, ConfigService& config, ConfigFollower const& inForce, JsonLimits limits)
         : clock(clock)
         , events(events)
         , config(config)
+        , inForce(inForce)
         , limits(limits)
     {
     }
@@ -28,10 +30,12 @@
 
 private:
     void changeConfig(ApiCall const& call);
+    static HttpResponse changeRefusal(ConfigResult const& result);
 
     Clock const& clock;
     EventSink& events;
     ConfigService& config;
+    ConfigFollower const& inForce;
     JsonLimits limits;
 };
 
--- a/cornelpond/app/EntryHost.cpp
+++ b/cornelpond/app/EntryHost.cpp
@@ -4,7 +4,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <array>
 #include <random>
+#include <string_view>
 
 namespace cornelpond {
 
@@ -12,6 +15,25 @@
 
     constexpr Duration tickInterval = Duration::milliseconds(20);
 
+    constexpr char const* taskStatusPath = "/v1/tasks-status";
+
+    /// Requests that the leader of a data centre's tasks serves.
+    constexpr std::array<std::string_view, 6> taskPaths = { "/v1/workers/announce", "/v1/tasks", "/v1/explain/", "/v1/cancel", "/v1/drain", taskStatusPath };
+
+    bool startsWith(std::string_view text, std::string_view prefix)
+    {
+        return text.substr(0, prefix.size()) == prefix;
+    }
+
+    /// A refusal to a caller says whether the request may have run.
+    HttpResponse withNotRun(HttpResponse response)
+    {
+        nlohmann::json body = nlohmann::json::parse(response.body);
+        body["ran"] = "no";
+        response.body = body.dump();
+        return response;
+    }
+
     uint64_t entropy()
     {
         std::random_device device;
@@ -28,30 +50,28 @@
     , client(loop, HttpClientLimits())
     , backendServers(this->settings.times.announcementExpiry)
     , pusher(this->client)
-    , taskStorage(this->settings.dataFolder + "/tasks", events)
-    , configStorage(this->settings.dataFolder + "/config", events)
     , scheduler(loop, events, this->taskMachines.add(StateMachinePart::Tasks, this->taskHooks()), LeaseTimes { this->settings.times.lease, this->settings.times.driftMargin },
           [this](Worker const& worker, AnnouncementAnswer const& commands) { this->pusher.push(worker, commands); })
-    , config(this->configMachines.add(StateMachinePart::Configuration, this->configHooks()), [this](ConfigRecord const& record) { this->onConfig(record); })
-    , taskLog(this->settings.host, this->taskStorage, this->taskMachines.hooks())
-    , configLog(this->settings.host, this->configStorage, this->configMachines.hooks())
+    , config(this->configMachines.add(StateMachinePart::Configuration, this->configHooks()), [this](ConfigRecord const& record) { this->network.onConfigCommitted(record); })
+    , network(loop, this->random, events, this->settings, this->networkHooks())
     , callerEndpoint(
           loop, events, this->metrics, this->client, this->backendServers, this->random, [this]() -> Policy const& { return this->policy; }, this->settings.limits.maxQueuedRequests)
     , workerApi(loop, events, this->scheduler, this->backendServers, this->settings.dataCentre, this->settings.times.announcementExpiry, this->jsonLimits(), [this] { this->callerEndpoint.onServersChanged(); })
     , taskApi(this->scheduler, this->jsonLimits(), [this] { return static_cast<bool>(this->onShutDown); })
-    , configApi(loop, events, this->config, this->jsonLimits())
+    , configApi(loop, events, this->config, this->network.configuration(), this->jsonLimits())
     , callerServer(loop, this->httpLimits(), [this](HttpRequest request, HttpResponder const& responder) { this->handleCaller(std::move(request), responder); })
     , workerServer(loop, this->httpLimits(), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleWorker(request, responder); })
     , operatorServer(loop, this->httpLimits(), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleOperator(request, responder); })
 {
-    this->taskMachines.attach(this->taskLog);
-    this->configMachines.attach(this->configLog);
+    this->taskMachines.attach(this->network.openGroup(taskGroupId(this->settings.dataCentre), "tasks", this->taskMachines.hooks()));
+    this->configMachines.attach(this->network.openGroup(configGroupId(), "config", this->configMachines.hooks()));
     this->addHealthRoute(this->workerRouter);
     this->addHealthRoute(this->operatorRouter);
     this->workerApi.addRoutes(this->workerRouter);
     this->taskApi.addRoutes(this->operatorRouter);
     this->configApi.addRoutes(this->operatorRouter);
-    this->operatorRouter.add("GET", "/v1/status", [this](ApiCall const& call) { call.answer(jsonResponse(200, this->status())); });
+    this->operatorRouter.add("GET", "/v1/status", [this](ApiCall const& call) { this->answerStatus(call); });
+    this->operatorRouter.add("GET", taskStatusPath, [this](ApiCall const& call) { call.answer(jsonResponse(200, this->taskStatus())); });
 }
 
 EntryHost::~EntryHost()
@@ -66,7 +86,7 @@
     hooks.takeSnapshot = [this] { return this->scheduler.takeSnapshot(); };
     hooks.restore = [this](std::string const& state) { this->scheduler.restore(state); };
     hooks.onLeadership = [this](bool isLeader) {
-        this->events.emit(Event(isLeader ? EventId::LeaderElected : EventId::LeaderLost).with("group", "tasks").with("term", this->taskLog.term()));
+        this->events.emit(Event(isLeader ? EventId::LeaderElected : EventId::LeaderLost).with("group", taskGroupId(this->settings.dataCentre)));
         this->scheduler.onLeadership(isLeader);
     };
     return hooks;
@@ -79,7 +99,7 @@
     hooks.takeSnapshot = [this] { return this->config.table().takeSnapshot(); };
     hooks.restore = [this](std::string const& state) { this->config.table().restore(state); };
     hooks.onLeadership = [this](bool isLeader) {
-        this->events.emit(Event(isLeader ? EventId::LeaderElected : EventId::LeaderLost).with("group", "config").with("term", this->configLog.term()));
+        this->events.emit(Event(isLeader ? EventId::LeaderElected : EventId::LeaderLost).with("group", configGroupId()));
     };
     return hooks;
 }
@@ -99,8 +119,9 @@
 
 void EntryHost::start()
 {
-    this->configLog.start();
-    this->taskLog.start();
+    uint16_t const peerPort = this->network.start();
+    if (peerPort)
+        this->events.emit(Event(EventId::ListenerOpened).with("listener", "peers").with("address", Address { this->settings.listen.peers.ip, peerPort }.text()));
     auto const open = [this](HttpServer& server, std::string const& name, Address const& address) {
         uint16_t const port = server.listen(address);
         this->events.emit(Event(EventId::ListenerOpened).with("listener", name).with("address", Address { address.ip, port }.text()));
@@ -116,6 +137,7 @@
 {
     this->tickTimer = this->loop.after(tickInterval, [this] { this->tick(); });
     this->expireBackendServers();
+    this->network.onTick();
     this->callerEndpoint.onTick();
     this->scheduler.onTick();
     if (this->onShutDown)
@@ -137,14 +159,12 @@
 void EntryHost::addHealthRoute(ApiRouter& router)
 {
     router.add("GET", "/health", [this](ApiCall const& call) {
-        if (this->onShutDown)
-            call.answer(refusal(ResultCode::ShuttingDown, "draining"));
-        else
-            call.answer(jsonResponse(200, { { "code", 0 }, { "host", this->settings.host.value() } }));
+        call.answer(this->health());
     });
     router.add("GET", "/metrics", [this](ApiCall const& call) {
         this->metrics.setGauge("openRequests", static_cast<int64_t>(this->callerEndpoint.openRequests()));
         this->metrics.setGauge("startsCommitted", static_cast<int64_t>(this->scheduler.startsCommitted()));
+        this->network.fillMetrics(this->metrics);
         HttpResponse response;
         response.headers.add("Content-Type", "text/plain");
         response.body = this->metrics.text();
@@ -152,13 +172,17 @@
     });
 }
 
-nlohmann::json EntryHost::status() const
+HttpResponse EntryHost::health() const
+{
+    if (this->onShutDown)
+        return refusal(ResultCode::ShuttingDown, "draining");
+    if (!this->network.configuration().isKnown())
+        return refusal(ResultCode::ConfigurationMissing, "no configuration from disk or a peer yet");
+    return jsonResponse(200, { { "code", 0 }, { "host", this->settings.host.value() }, { "configVersion", this->network.configuration().current().version.value() } });
+}
+
+nlohmann::json EntryHost::hostStatus() const
 {
-    nlohmann::json workers = nlohmann::json::array();
-    for (auto const& [id, worker] : this->scheduler.workerTable().all()) {
-        workers.push_back({ { "worker", id.value() }, { "rack", worker.last.rack.value() }, { "capacity", toJson(worker.last.capacity) },
-            { "reserved", toJson(this->scheduler.table().reservedOn(id)) }, { "tasks", this->scheduler.table().onWorker(id).size() } });
-    }
     nlohmann::json servers = nlohmann::json::array();
     for (auto const& [id, server] : this->backendServers.all())
         servers.push_back({ { "server", id.value() }, { "service", server.last.service.value() }, { "slots", server.last.slots }, { "inFlight", server.inFlight } });
@@ -166,19 +190,104 @@
         { "host", this->settings.host.value() },
         { "dataCentre", this->settings.dataCentre.value() },
         { "draining", static_cast<bool>(this->onShutDown) },
-        { "configVersion", this->config.table().current().version.value() },
+        { "configVersion", this->network.configuration().current().version.value() },
+        { "configKnown", this->network.configuration().isKnown() },
+        { "groups", this->network.groupStatus() },
+        { "peers", this->network.peerStatus() },
+        { "backendServers", std::move(servers) },
+    };
+}
+
+nlohmann::json EntryHost::taskStatus() const
+{
+    nlohmann::json workers = nlohmann::json::array();
+    for (auto const& [id, worker] : this->scheduler.workerTable().all()) {
+        workers.push_back({ { "worker", id.value() }, { "rack", worker.last.rack.value() }, { "capacity", toJson(worker.last.capacity) },
+            { "reserved", toJson(this->scheduler.table().reservedOn(id)) }, { "tasks", this->scheduler.table().onWorker(id).size() } });
+    }
+    return {
         { "tasks", this->scheduler.table().all().size() },
         { "queuedTasks", this->scheduler.table().queued().size() },
         { "workers", std::move(workers) },
-        { "backendServers", std::move(servers) },
     };
 }
 
+/// This host's own view, with the data centre's tasks and workers as their leader knows them; without a
+/// leader, as this host's copy of the log has them.
+void EntryHost::answerStatus(ApiCall const& call)
+{
+    nlohmann::json mine = this->hostStatus();
+    mine.update(this->taskStatus());
+    mine["tasksFromLeader"] = this->network.leaderOf(taskGroupId(this->settings.dataCentre)) == this->settings.host;
+    HostId const leader = this->network.leaderOf(taskGroupId(this->settings.dataCentre));
+    if (leader.empty() || mine["tasksFromLeader"].get<bool>()) {
+        call.answer(jsonResponse(200, mine));
+        return;
+    }
+    HttpRequest request;
+    request.method = "GET";
+    request.path = taskStatusPath;
+    this->network.serveByLeader(taskGroupId(this->settings.dataCentre), ApiKind::Operators, request, [call, mine](HttpResponse const& response) {
+        nlohmann::json merged = mine;
+        if (response.status == 200) {
+            merged.update(nlohmann::json::parse(response.body));
+            merged["tasksFromLeader"] = true;
+        }
+        call.answer(jsonResponse(200, merged));
+    });
+}
+
+HostNetworkHooks EntryHost::networkHooks()
+{
+    HostNetworkHooks hooks;
+    hooks.serveHere = [this](ApiKind api, HttpRequest const& request, ApiAnswer const& answer) { this->serveHere(api, request, answer); };
+    hooks.onConfiguration = [this](ConfigRecord const& record) { this->onConfig(record); };
+    hooks.witnessHooks = [this](DataCentreId const& dataCentre) {
+        LeaseTimes const times { this->settings.times.lease, this->settings.times.driftMargin };
+        return this->witnesses.try_emplace(dataCentre, this->loop, this->events, times).first->second.hooks();
+    };
+    return hooks;
+}
+
+/// The group whose leader serves the request; empty for requests that every host serves itself. The
+/// parameter "dataCentre" names another data centre than this host's.
+GroupId EntryHost::groupOf(HttpRequest const& request) const
+{
+    if (startsWith(request.path, "/v1/config"))
+        return configGroupId();
+    bool const isTaskRequest = std::any_of(taskPaths.begin(), taskPaths.end(), [&](auto prefix) { return startsWith(request.path, prefix); });
+    if (!isTaskRequest)
+        return GroupId();
+    ApiCall call;
+    call.request = request;
+    std::string const wanted = call.parameter("dataCentre");
+    return taskGroupId(wanted.empty() ? this->settings.dataCentre : DataCentreId(wanted));
+}
+
+void EntryHost::route(ApiKind api, HttpRequest const& request, ApiAnswer const& answer)
+{
+    GroupId const group = this->groupOf(request);
+    // A cut-off data centre still shows the configuration that it serves by.
+    bool const isConfigRead = request.method == "GET" && group == configGroupId() && !this->network.hasLeader(group);
+    if (group.empty() || isConfigRead)
+        this->serveHere(api, request, answer);
+    else
+        this->network.serveByLeader(group, api, request, answer);
+}
+
+void EntryHost::serveHere(ApiKind api, HttpRequest const& request, ApiAnswer const& answer)
+{
+    (api == ApiKind::Workers ? this->workerRouter : this->operatorRouter).handle(request, answer);
+}
+
 void EntryHost::handleCaller(HttpRequest request, HttpResponder const& responder)
 {
     if (request.path == "/health") {
-        bool const draining = static_cast<bool>(this->onShutDown);
-        responder.answer(draining ? refusal(ResultCode::ShuttingDown, "draining") : jsonResponse(200, { { "code", 0 } }));
+        responder.answer(this->health());
+        return;
+    }
+    if (!this->network.configuration().isKnown()) {
+        responder.answer(withNotRun(refusal(ResultCode::ConfigurationMissing, "no configuration from disk or a peer yet")));
         return;
     }
     this->callerEndpoint.handle(std::move(request), responder);
@@ -186,7 +295,7 @@
 
 void EntryHost::handleWorker(HttpRequest const& request, HttpResponder const& responder)
 {
-    this->workerRouter.handle(request, [responder](HttpResponse const& response) { responder.answer(response); });
+    this->route(ApiKind::Workers, request, [responder](HttpResponse const& response) { responder.answer(response); });
 }
 
 void EntryHost::handleOperator(HttpRequest const& request, HttpResponder const& responder)
@@ -199,7 +308,7 @@
         responder.answer(refusal(ResultCode::BadToken, "the operator token is missing or wrong"));
         return;
     }
-    this->operatorRouter.handle(request, [responder](HttpResponse const& response) { responder.answer(response); });
+    this->route(ApiKind::Operators, request, [responder](HttpResponse const& response) { responder.answer(response); });
 }
 
 void EntryHost::shutDown(std::function<void()> done)
@@ -209,6 +318,7 @@
     this->events.emit(Event(EventId::HostStopping).with("open", this->callerServer.openRequests()));
     this->onShutDown = std::move(done);
     this->shutDownBound = this->loop.now() + this->settings.times.shutdownBound;
+    this->network.leave();
     for (auto* server : { &this->callerServer, &this->workerServer, &this->operatorServer }) {
         server->stopListening();
         server->setClosing(true);
@@ -218,7 +328,8 @@
 void EntryHost::finishShutDown()
 {
     size_t const open = this->callerServer.openRequests();
-    if (open && this->loop.now() < this->shutDownBound)
+    bool const isDone = !open && this->network.hasHandedOver();
+    if (!isDone && this->loop.now() < this->shutDownBound)
         return;
     this->events.emit(Event(EventId::HostStopped).with("cut", open));
     this->onShutDown();
--- a/cornelpond/app/EntryHost.h
+++ b/cornelpond/app/EntryHost.h
@@ -9,22 +9,24 @@
 
 #include "cornelpond/adapters/http/HttpClient.h"
 #include "cornelpond/adapters/http/HttpServer.h"
-#include "cornelpond/adapters/journal/JournalStorage.h"
 #include "cornelpond/adapters/metrics/Metrics.h"
 #include "cornelpond/app/Api.h"
 #include "cornelpond/app/CallerEndpoint.h"
 #include "cornelpond/app/CommandPusher.h"
 #include "cornelpond/app/ConfigApi.h"
+#include "cornelpond/app/HostNetwork.h"
 #include "cornelpond/app/Settings.h"
 #include "cornelpond/app/TaskApi.h"
+#include "cornelpond/app/WitnessGroup.h"
 #include "cornelpond/app/WorkerApi.h"
-#include "cornelpond/core/agreement/SoleVoterLog.h"
 #include "cornelpond/core/agreement/StateMachineSet.h"
 #include "cornelpond/core/config/ConfigService.h"
 #include "cornelpond/core/routing/BackendServerTable.h"
 #include "cornelpond/core/tasks/Scheduler.h"
 #include "cornelpond/ports/Random.h"
 
+#include <map>
+
 namespace cornelpond {
 
 class EntryHost {
@@ -42,6 +44,14 @@
 private:
     void addHealthRoute(ApiRouter& router);
     void onConfig(ConfigRecord const& record);
+    HostNetworkHooks networkHooks();
+    HttpResponse health() const;
+    GroupId groupOf(HttpRequest const& request) const;
+    void route(ApiKind api, HttpRequest const& request, ApiAnswer const& answer);
+    void serveHere(ApiKind api, HttpRequest const& request, ApiAnswer const& answer);
+    void answerStatus(ApiCall const& call);
+    nlohmann::json hostStatus() const;
+    nlohmann::json taskStatus() const;
     void handleCaller(HttpRequest request, HttpResponder const& responder);
     void handleWorker(HttpRequest const& request, HttpResponder const& responder);
     void handleOperator(HttpRequest const& request, HttpResponder const& responder);
@@ -52,7 +62,6 @@
     StateMachineHooks configHooks();
     JsonLimits jsonLimits() const;
     HttpLimits httpLimits() const;
-    nlohmann::json status() const;
 
     EventLoop& loop;
     Settings settings;
@@ -63,14 +72,12 @@
     BackendServerTable backendServers;
     Policy policy;
     CommandPusher pusher;
-    JournalStorage taskStorage;
-    JournalStorage configStorage;
     StateMachineSet taskMachines; ///< Tasks and claims of this data centre.
     StateMachineSet configMachines;
     Scheduler scheduler;
     ConfigService config;
-    SoleVoterLog taskLog;
-    SoleVoterLog configLog;
+    std::map<DataCentreId, WitnessGroup> witnesses; ///< Of other data centres' groups.
+    HostNetwork network;
     CallerEndpoint callerEndpoint;
     WorkerApi workerApi;
     TaskApi taskApi;
--- /dev/null
+++ b/cornelpond/app/GroupHost.cpp
@@ -0,0 +1,154 @@
+#include "cornelpond/app/GroupHost.h"
+
+#include <algorithm>
+
+namespace cornelpond {
+
+namespace {
+
+    /// A group's name and one message of its log. Names are at most 255 bytes.
+    std::string encodeGroupMessage(GroupId const& group, std::string const& bytes)
+    {
+        std::string payload(1, static_cast<char>(group.value().size()));
+        payload += group.value();
+        payload += bytes;
+        return payload;
+    }
+
+} // namespace
+
+struct GroupHost::Group {
+    Group(std::string const& folder, EventSink& events)
+        : storage(folder, events)
+    {
+    }
+
+    JournalStorage storage;
+    std::unique_ptr<ReplicatedLog> log;
+    bool isServed = false;
+    TimerId flushTimer;
+};
+
+/// The log of a group on a host without a disk.
+class GroupHost::AbsentLog final : public CommandLog {
+public:
+    bool isLeader() const override { return false; }
+    bool isLeadershipConfirmed() const override { return false; }
+    Term term() const override { return Term(); }
+    HostId leader() const override { return HostId(); }
+    void propose(std::string, Done done) override { done({ ResultCode::NotLeader, LogIndex() }); }
+};
+
+GroupHost::GroupHost(Clock const& clock, Timers& timers, Random& random, EventSink& events, HostId self, std::string dataFolder, Send send)
+    : clock(clock)
+    , timers(timers)
+    , random(random)
+    , events(events)
+    , self(std::move(self))
+    , dataFolder(std::move(dataFolder))
+    , send(std::move(send))
+    , absentLog(std::make_unique<AbsentLog>())
+{
+}
+
+GroupHost::~GroupHost()
+{
+    for (auto const& [id, group] : this->groups)
+        this->timers.cancel(group->flushTimer);
+}
+
+CommandLog& GroupHost::open(GroupId const& group, GroupMembers const& bootstrap, std::string const& folderName, StateMachineHooks hooks)
+{
+    if (this->dataFolder.empty())
+        return *this->absentLog;
+    auto entry = std::make_unique<Group>(this->dataFolder + "/" + folderName, this->events);
+    Membership const initial { bootstrap.voters, {}, bootstrap.eligibleLeaders };
+    auto sendOne = [this, group](HostId const& to, std::string const& bytes) { this->send(to, encodeGroupMessage(group, bytes)); };
+    entry->log = std::make_unique<ReplicatedLog>(group, this->self, initial, ReplicatedLogTimes(), this->clock, this->random, this->events, entry->storage, sendOne, std::move(hooks));
+    entry->log->setFlushRequest([this, group] { this->groups.at(group)->flushTimer = this->timers.after(Duration(), [this, group] { this->flush(group); }); });
+    return *this->groups.emplace(group, std::move(entry)).first->second->log;
+}
+
+void GroupHost::start(bool isAlone)
+{
+    for (auto const& [id, group] : this->groups) {
+        if (isAlone) {
+            group->log->start();
+            group->isServed = true;
+        } else {
+            this->startGroup(id);
+        }
+    }
+}
+
+void GroupHost::startGroup(GroupId const& group)
+{
+    Group& entry = *this->groups.at(group);
+    try {
+        entry.log->start();
+        entry.isServed = true;
+    } catch (Error const& error) {
+        this->events.emit(Event(EventId::StorageFault).with("group", group).with("code", static_cast<int>(error.code())).with("reason", std::string(error.what())));
+    }
+}
+
+void GroupHost::flush(GroupId const& group)
+{
+    this->groups.at(group)->log->flush();
+}
+
+void GroupHost::onMessage(HostId const& from, std::string const& payload)
+{
+    size_t const nameBytes = payload.empty() ? 0 : static_cast<unsigned char>(payload.front());
+    if (payload.size() <= nameBytes)
+        return;
+    GroupId const group(payload.substr(1, nameBytes));
+    if (!this->groups.count(group) && this->onUnknownGroup)
+        this->onUnknownGroup(group);
+    if (ReplicatedLog* log = this->find(group))
+        log->onMessage(from, std::string_view(payload).substr(1 + nameBytes));
+}
+
+void GroupHost::onTick()
+{
+    for (auto const& [id, group] : this->groups) {
+        if (group->isServed)
+            group->log->onTick();
+    }
+}
+
+ReplicatedLog* GroupHost::find(GroupId const& group) const
+{
+    auto const found = this->groups.find(group);
+    return found == this->groups.end() || !found->second->isServed ? nullptr : found->second->log.get();
+}
+
+std::vector<GroupId> GroupHost::servedGroups() const
+{
+    std::vector<GroupId> served;
+    for (auto const& [id, group] : this->groups) {
+        if (group->isServed)
+            served.push_back(id);
+    }
+    return served;
+}
+
+std::vector<LedGroup> GroupHost::ledGroups() const
+{
+    std::vector<LedGroup> led;
+    for (auto const& [id, group] : this->groups) {
+        if (group->isServed && group->log->isLeader())
+            led.push_back({ id, group->log->term() });
+    }
+    return led;
+}
+
+void GroupHost::transferLeaderships()
+{
+    for (auto const& [id, group] : this->groups) {
+        if (group->isServed && group->log->isLeader() && group->log->membership().voters.size() > 1)
+            group->log->transferLeadership(HostId());
+    }
+}
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/app/HostNetwork.cpp
@@ -0,0 +1,537 @@
+#include "cornelpond/app/HostNetwork.h"
+
+#include "cornelpond/core/base/Json.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace cornelpond {
+
+namespace {
+
+    constexpr Duration hostTickInterval = Duration::milliseconds(100);
+    constexpr Duration voterCheckInterval = Duration::milliseconds(500);
+    constexpr Duration leaderWait = Duration::seconds(3); ///< For a group without a leader.
+    constexpr Duration quorumWait = Duration::seconds(2); ///< For links that are just being dialled.
+    constexpr Duration leaderRetry = Duration::milliseconds(100);
+    constexpr Duration transferRetry = Duration::milliseconds(1500); ///< A transfer not done by then was given up.
+    constexpr Duration forwardTimeout = Duration::seconds(5);
+    constexpr Duration newcomerForgotten = Duration::minutes(10);
+    /// Voters of the configuration stand in other data centres; a short partition must not move them.
+    constexpr Duration configVoterLostAfter = Duration::seconds(30);
+
+    HostTableTimes hostTimes(Duration heartbeat)
+    {
+        HostTableTimes times;
+        times.expectedInterval = heartbeat;
+        times.suspectMin = std::max(times.suspectMin, heartbeat * 4);
+        return times;
+    }
+
+    std::vector<PlannedHost> plannedHosts(Settings const& settings)
+    {
+        std::vector<PlannedHost> hosts { { settings.host, settings.dataCentre, !settings.dataFolder.empty() } };
+        for (auto const& peer : settings.peers)
+            hosts.push_back({ peer.host, peer.dataCentre, peer.hasDisk });
+        return hosts;
+    }
+
+    bool saysNotLeader(HttpResponse const& response)
+    {
+        if (response.status != resultCodeInfo(ResultCode::NotLeader).httpStatus)
+            return false;
+        nlohmann::json const body = nlohmann::json::parse(response.body, nullptr, false);
+        return body.is_object() && body.value("code", 0) == static_cast<int>(ResultCode::NotLeader);
+    }
+
+    /// A folder name for a group kept for another data centre.
+    std::string witnessFolder(GroupId const& group)
+    {
+        return "witness-" + percentEncode(dataCentreOf(group).value());
+    }
+
+} // namespace
+
+/// One request on its way to a leader.
+struct HostNetwork::Errand {
+    ForwardedRequest request;
+    ApiAnswer answer;
+    TimePoint started;
+};
+
+HostNetwork::HostNetwork(EventLoop& loop, Random& random, EventSink& events, Settings const& settings, HostNetworkHooks givenHooks)
+    : loop(loop)
+    , events(events)
+    , settings(settings)
+    , hooks(std::move(givenHooks))
+    , incarnation(random.below(UINT32_MAX))
+    , planned(plannedHosts(settings))
+    , hostTable(hostTimes(PeerLinkTimes().heartbeatMin), [this](HostChange const& change) { this->onHostChange(change); })
+    , link(loop, random, events, this->linkSelf(), PeerLinkTimes(), PeerLinkLimits(), this->linkHooks())
+    , groups(loop, loop, random, events, settings.host, settings.dataFolder,
+          [this](HostId const& to, std::string payload) { this->link.send(to, { PeerChannel::Agreement, std::move(payload) }); })
+    , forwarder(loop, this->link, random.next(), [this](ForwardedRequest const& request, ApiAnswer const& answer) { this->serveForwarded(request, answer); })
+    , follower({ [this](ConfigRecord const& record) { this->hooks.onConfiguration(record); }, [this](std::string const& bytes) { this->storeConfiguration(bytes); } })
+    , exchange(loop, this->follower, [this](HostId const& to, std::string payload) { this->link.send(to, { PeerChannel::Configuration, std::move(payload) }); })
+    , configFile(settings.dataFolder + "/config-in-force")
+{
+    this->groups.setUnknownGroupHandler([this](GroupId const& group) { this->openUnknownGroup(group); });
+    for (auto const& peer : settings.peers) {
+        this->hostTable.add(peer.host, peer.dataCentre, loop.now());
+        this->link.addPeer({ peer.host, peer.dataCentre, peer.address });
+    }
+}
+
+HostNetwork::~HostNetwork() = default;
+
+PeerSelf HostNetwork::linkSelf() const
+{
+    return { this->settings.cluster, this->settings.host, this->settings.dataCentre, this->settings.peerToken, this->settings.admitNewHosts };
+}
+
+PeerLinkHooks HostNetwork::linkHooks()
+{
+    PeerLinkHooks linkHooks;
+    linkHooks.onMessage = [this](HostId const& from, PeerMessage const& message) { this->onPeerMessage(from, message); };
+    linkHooks.onLinkChanged = [this](PeerAddress const& peer, bool isUp) { this->onLinkChanged(peer, isUp); };
+    linkHooks.heartbeatPayload = [this] { return encodeHostReport(this->report()); };
+    linkHooks.onHeartbeat = [this](HostId const& from, std::string const& payload) { this->onReport(from, payload); };
+    return linkHooks;
+}
+
+HostReport HostNetwork::report() const
+{
+    HostReport report;
+    report.incarnation = this->incarnation;
+    report.isLeaving = this->isLeaving;
+    report.hasDisk = !this->settings.dataFolder.empty();
+    report.knowsConfiguration = this->follower.isKnown();
+    report.configVersion = this->follower.current().version;
+    report.ledGroups = this->groups.ledGroups();
+    return report;
+}
+
+GroupMembers HostNetwork::membersOf(GroupId const& group) const
+{
+    return group == configGroupId() ? configGroupMembers(this->planned) : taskGroupMembers(dataCentreOf(group), this->planned);
+}
+
+CommandLog& HostNetwork::openGroup(GroupId const& group, std::string const& folderName, StateMachineHooks groupHooks)
+{
+    auto const inner = std::move(groupHooks.onLeadership);
+    groupHooks.onLeadership = [this, group, inner](bool isLeader) {
+        inner(isLeader);
+        this->onLeadership(group, isLeader);
+    };
+    return this->groups.open(group, this->membersOf(group), folderName, std::move(groupHooks));
+}
+
+uint16_t HostNetwork::start()
+{
+    this->readStoredConfiguration();
+    for (auto const& dataCentre : dataCentresOf(this->planned)) {
+        GroupId const group = taskGroupId(dataCentre);
+        if (dataCentre != this->settings.dataCentre && this->membersOf(group).has(this->settings.host))
+            this->openWitness(group);
+    }
+    this->groups.start(this->settings.peers.empty());
+    uint16_t port = 0;
+    if (!this->settings.listen.peers.ip.empty())
+        port = this->link.listen(this->settings.listen.peers);
+    if (port || !this->settings.peers.empty())
+        this->link.start();
+    return port;
+}
+
+void HostNetwork::onTick()
+{
+    TimePoint const now = this->loop.now();
+    this->groups.onTick();
+    if (now >= this->nextHostTick) {
+        this->nextHostTick = now + hostTickInterval;
+        this->hostTable.onTick(now);
+        this->forgetGoneNewcomers();
+    }
+    if (this->isLeaving && now >= this->nextTransfer) {
+        this->nextTransfer = now + transferRetry;
+        this->groups.transferLeaderships();
+    }
+    if (now >= this->nextVoterCheck) {
+        this->nextVoterCheck = now + voterCheckInterval;
+        this->keepVoters();
+    }
+}
+
+void HostNetwork::onPeerMessage(HostId const& from, PeerMessage const& message)
+{
+    switch (message.channel) {
+    case PeerChannel::Agreement:
+        this->groups.onMessage(from, message.payload);
+        return;
+    case PeerChannel::Forward:
+        this->forwarder.onMessage(from, message.payload);
+        return;
+    case PeerChannel::Configuration:
+        this->exchange.onMessage(from, message.payload);
+        return;
+    case PeerChannel::Membership:
+        this->onIntroduction(message.payload);
+        return;
+    default:
+        break;
+    }
+    auto const receiver = this->receivers.find(message.channel);
+    if (receiver != this->receivers.end())
+        receiver->second(from, message);
+}
+
+void HostNetwork::onReport(HostId const& from, std::string const& payload)
+{
+    HostReport const report = decodeHostReport(payload);
+    this->hostTable.onReport(from, report, this->loop.now());
+    this->leaderTable.learn(from, report.ledGroups);
+    this->exchange.onPeerVersion(from, report.configVersion, report.knowsConfiguration);
+}
+
+void HostNetwork::onLinkChanged(PeerAddress const& peer, bool isUp)
+{
+    if (isUp && !this->isInSettings(peer.host)) {
+        this->hostTable.add(peer.host, peer.dataCentre, this->loop.now());
+        if (this->newcomers.emplace(peer.host, peer).second)
+            this->events.emit(Event(EventId::PeerAdmitted).with("peer", peer.host).with("dataCentre", peer.dataCentre).with("address", peer.address.text()));
+        this->introduce(peer);
+    }
+    this->hostTable.onLink(peer.host, isUp, this->loop.now());
+    if (isUp)
+        return;
+    this->leaderTable.forget(peer.host);
+    this->forwarder.onPeerDown(peer.host);
+}
+
+void HostNetwork::onHostChange(HostChange const& change)
+{
+    this->events.emit(Event(EventId::HostStateChanged)
+                          .with("peer", change.host)
+                          .with("from", std::string(hostStateName(change.from)))
+                          .with("to", std::string(hostStateName(change.to)))
+                          .with("restarted", static_cast<int>(change.isNewProcess)));
+}
+
+bool HostNetwork::isInSettings(HostId const& host) const
+{
+    return std::any_of(this->planned.begin(), this->planned.end(), [&](auto const& planned) { return planned.host == host; });
+}
+
+/// Tells all reachable hosts of the newcomer, and the newcomer of the other newcomers; all others it
+/// knows from its own settings.
+void HostNetwork::introduce(PeerAddress const& newcomer)
+{
+    auto const encode = [](PeerAddress const& peer) { return toCbor(nlohmann::json::array({ peer.host.value(), peer.dataCentre.value(), peer.address.ip, peer.address.port })); };
+    for (auto const& [host, known] : this->hostTable.all()) {
+        if (host != newcomer.host && known.isLinkUp)
+            this->link.send(host, { PeerChannel::Membership, encode(newcomer) });
+    }
+    for (auto const& [host, peer] : this->newcomers) {
+        if (host != newcomer.host)
+            this->link.send(newcomer.host, { PeerChannel::Membership, encode(peer) });
+    }
+}
+
+void HostNetwork::onIntroduction(std::string const& payload)
+{
+    nlohmann::json const fields = fromCbor(payload);
+    PeerAddress newcomer;
+    try {
+        newcomer.host = HostId(fields.at(0).get<std::string>());
+        newcomer.dataCentre = DataCentreId(fields.at(1).get<std::string>());
+        newcomer.address = { fields.at(2).get<std::string>(), fields.at(3).get<uint16_t>() };
+    } catch (nlohmann::json::exception const& error) {
+        throw Error(ResultCode::MalformedJson, std::string("introduction: ") + error.what());
+    }
+    bool const isKnown = this->hostTable.find(newcomer.host) != nullptr;
+    if (!this->settings.admitNewHosts || isKnown || newcomer.host == this->settings.host)
+        return;
+    this->link.addPeer(newcomer);
+}
+
+/// Otherwise the hosts of all replacements so far would be dialled for ever.
+void HostNetwork::forgetGoneNewcomers()
+{
+    for (auto at = this->newcomers.begin(); at != this->newcomers.end();) {
+        KnownHost const* known = this->hostTable.find(at->first);
+        bool const isForgotten = known && known->state == HostState::Gone && this->loop.now() - known->stateSince > newcomerForgotten;
+        if (!isForgotten) {
+            ++at;
+            continue;
+        }
+        this->link.removePeer(at->first);
+        this->hostTable.remove(at->first);
+        at = this->newcomers.erase(at);
+    }
+}
+
+void HostNetwork::onLeadership(GroupId const& group, bool isLeader)
+{
+    if (isLeader && group == configGroupId())
+        this->follower.confirm();
+    // After the log has finished its own change of role.
+    this->later(Duration(), [this] { this->link.sendHeartbeats(); });
+}
+
+/// A spare hears of a group for the first time when its leader makes it a learner.
+void HostNetwork::openUnknownGroup(GroupId const& group)
+{
+    DataCentreId const dataCentre = dataCentreOf(group);
+    std::set<DataCentreId> const known = dataCentresOf(this->planned);
+    if (this->settings.dataFolder.empty() || !known.count(dataCentre))
+        return;
+    this->openWitness(group);
+    this->groups.startGroup(group);
+}
+
+void HostNetwork::openWitness(GroupId const& group)
+{
+    StateMachineHooks witnessHooks = this->hooks.witnessHooks(dataCentreOf(group));
+    witnessHooks.onLeadership = [](bool) {};
+    this->openGroup(group, witnessFolder(group), std::move(witnessHooks));
+}
+
+HostId HostNetwork::leaderOf(GroupId const& group) const
+{
+    if (ReplicatedLog const* log = this->groups.find(group)) {
+        HostId leader = log->leader();
+        if (!leader.empty())
+            return leader;
+    }
+    return this->leaderTable.leaderOf(group);
+}
+
+void HostNetwork::serveByLeader(GroupId const& group, ApiKind api, HttpRequest const& request, ApiAnswer const& answer)
+{
+    auto errand = std::make_shared<Errand>();
+    errand->request.group = group;
+    errand->request.api = api;
+    errand->request.request = request;
+    errand->answer = answer;
+    errand->started = this->loop.now();
+    this->attempt(errand);
+}
+
+void HostNetwork::attempt(std::shared_ptr<Errand> const& errand)
+{
+    GroupId const& group = errand->request.group;
+    ReplicatedLog const* log = this->groups.find(group);
+    if (log && log->isLeader()) {
+        this->hooks.serveHere(errand->request.api, errand->request.request, errand->answer);
+        return;
+    }
+    HostId const leader = this->leaderOf(group);
+    if (leader.empty() || leader == this->settings.host || !this->link.isReachable(leader)) {
+        this->retryOrRefuse(errand);
+        return;
+    }
+    this->forwarder.forward(leader, errand->request, forwardTimeout, [this, errand](HttpResponse const& response) {
+        if (saysNotLeader(response))
+            this->retryOrRefuse(errand);
+        else
+            errand->answer(response);
+    });
+}
+
+void HostNetwork::retryOrRefuse(std::shared_ptr<Errand> const& errand)
+{
+    bool const hasMajority = this->isMajorityReachable(errand->request.group);
+    Duration const waited = this->loop.now() - errand->started;
+    if (waited < (hasMajority ? leaderWait : quorumWait) && !this->isLeaving) {
+        this->later(leaderRetry, [this, errand] { this->attempt(errand); });
+        return;
+    }
+    if (hasMajority)
+        errand->answer(refusal(ResultCode::NotLeader, "no leader of group '" + errand->request.group.value() + "' is known"));
+    else
+        errand->answer(refusal(ResultCode::NoQuorum, "no majority of group '" + errand->request.group.value() + "' is in reach"));
+}
+
+bool HostNetwork::isMajorityReachable(GroupId const& group) const
+{
+    ReplicatedLog const* log = this->groups.find(group);
+    std::vector<HostId> const voters = log ? log->membership().voters : this->membersOf(group).voters;
+    auto const reachable = std::count_if(voters.begin(), voters.end(), [&](auto const& voter) { return voter == this->settings.host || this->link.isReachable(voter); });
+    return static_cast<size_t>(reachable) >= voters.size() / 2 + 1;
+}
+
+void HostNetwork::serveForwarded(ForwardedRequest const& request, ApiAnswer const& answer)
+{
+    ReplicatedLog const* log = this->groups.find(request.group);
+    if (!log || !log->isLeader())
+        answer(refusal(ResultCode::NotLeader, "this host does not lead group '" + request.group.value() + "'"));
+    else
+        this->hooks.serveHere(request.api, request.request, answer);
+}
+
+void HostNetwork::later(Duration delay, std::function<void()> action)
+{
+    this->loop.after(delay, [alive = std::weak_ptr<bool>(this->lifetime), action = std::move(action)] {
+        if (!alive.expired())
+            action();
+    });
+}
+
+void HostNetwork::keepVoters()
+{
+    for (auto const& group : this->groups.servedGroups()) {
+        ReplicatedLog* log = this->groups.find(group);
+        if (log->canChangeMembership())
+            this->keepVotersOf(group, *log);
+    }
+}
+
+void HostNetwork::keepVotersOf(GroupId const& group, ReplicatedLog& log)
+{
+    DataCentreId const home = dataCentreOf(group);
+    std::vector<PlannedHost> candidates = this->hostsWithDisk();
+    std::stable_partition(candidates.begin(), candidates.end(), [&](auto const& host) { return host.dataCentre == home; });
+    GroupView view;
+    view.self = this->settings.host;
+    view.membership = log.membership();
+    view.voterTarget = this->membersOf(group).voters.size();
+    for (auto const& host : candidates)
+        view.hosts.push_back(this->viewOf(host, home, log));
+    VoterKeeperTimes times;
+    if (home.empty())
+        times.lostAfter = configVoterLostAfter;
+    if (auto const next = nextMembership(view, times))
+        log.proposeMembership(*next, [](ProposalOutcome const&) {});
+}
+
+HostView HostNetwork::viewOf(PlannedHost const& host, DataCentreId const& home, ReplicatedLog const& log) const
+{
+    HostView view;
+    view.host = host.host;
+    view.mayLead = home.empty() || host.dataCentre == home;
+    bool const isMember = log.membership().isVoter(host.host) || log.membership().isLearner(host.host);
+    view.isCaughtUp = isMember && log.isCaughtUp(host.host);
+    KnownHost const* known = this->hostTable.find(host.host);
+    if (host.host == this->settings.host)
+        view.silentFor = Duration();
+    else if (isMember)
+        view.silentFor = log.silentFor(host.host);
+    else
+        view.silentFor = known && known->state == HostState::Alive ? this->loop.now() - known->lastReport : Duration::infinite();
+    return view;
+}
+
+std::vector<PlannedHost> HostNetwork::hostsWithDisk() const
+{
+    std::vector<PlannedHost> found;
+    std::copy_if(this->planned.begin(), this->planned.end(), std::back_inserter(found), [](auto const& host) { return host.hasDisk; });
+    for (auto const& [host, peer] : this->newcomers) {
+        KnownHost const* known = this->hostTable.find(host);
+        if (known && known->report.hasDisk)
+            found.push_back({ host, peer.dataCentre, true });
+    }
+    return found;
+}
+
+void HostNetwork::onConfigCommitted(ConfigRecord const& record)
+{
+    bool const isNew = this->follower.accept(record);
+    ReplicatedLog const* log = this->groups.find(configGroupId());
+    if (!isNew || !log || !log->isLeader())
+        return;
+    std::vector<HostId> reachable;
+    for (auto const& [host, known] : this->hostTable.all()) {
+        if (known.isLinkUp)
+            reachable.push_back(host);
+    }
+    this->exchange.push(reachable);
+}
+
+void HostNetwork::readStoredConfiguration()
+{
+    if (this->settings.dataFolder.empty())
+        return;
+    try {
+        std::string const bytes = this->configFile.read();
+        if (!bytes.empty())
+            this->follower.restore(bytes);
+    } catch (Error const& error) {
+        this->events.emit(Event(EventId::ConfigurationStoreFailed).with("code", static_cast<int>(error.code())).with("reason", std::string(error.what())));
+    }
+}
+
+void HostNetwork::storeConfiguration(std::string const& bytes)
+{
+    if (this->settings.dataFolder.empty())
+        return;
+    try {
+        this->configFile.replace(bytes);
+    } catch (Error const& error) {
+        this->events.emit(Event(EventId::ConfigurationStoreFailed).with("code", static_cast<int>(error.code())).with("reason", std::string(error.what())));
+    }
+}
+
+void HostNetwork::leave()
+{
+    this->isLeaving = true;
+    this->link.sendHeartbeats();
+}
+
+bool HostNetwork::hasHandedOver() const
+{
+    std::vector<LedGroup> const led = this->groups.ledGroups();
+    return std::none_of(led.begin(), led.end(), [&](auto const& entry) {
+        Membership const& members = this->groups.find(entry.group)->membership();
+        return std::any_of(members.voters.begin(), members.voters.end(),
+            [&](auto const& voter) { return voter != this->settings.host && members.canLead(voter) && this->link.isReachable(voter); });
+    });
+}
+
+void HostNetwork::fillMetrics(Metrics& metrics) const
+{
+    PeerLinkCounters const counters = this->link.counters();
+    auto const gauge = [&](char const* name, uint64_t value) { metrics.setGauge(name, static_cast<int64_t>(value)); };
+    gauge("peerMessagesSent", counters.messagesSent);
+    gauge("peerMessagesDropped", counters.messagesDropped);
+    gauge("peerHeartbeatsSent", counters.heartbeatsSent);
+    gauge("peerConnectionsMade", counters.connectionsMade);
+    gauge("peerConnectionsRefused", counters.connectionsRefused);
+    gauge("peerBytesSent", counters.bytesSent);
+    gauge("peerBytesReceived", counters.bytesReceived);
+    gauge("forwardsOpen", this->forwarder.openRequests());
+    gauge("configVersion", this->follower.current().version.value());
+}
+
+nlohmann::json HostNetwork::groupStatus() const
+{
+    nlohmann::json all = nlohmann::json::array();
+    for (auto const& group : this->groups.servedGroups()) {
+        ReplicatedLog const* log = this->groups.find(group);
+        nlohmann::json voters = nlohmann::json::array();
+        for (auto const& voter : log->membership().voters)
+            voters.push_back(voter.value());
+        nlohmann::json learners = nlohmann::json::array();
+        for (auto const& learner : log->membership().learners)
+            learners.push_back(learner.value());
+        all.push_back({ { "group", group.value() }, { "leader", this->leaderOf(group).value() }, { "term", log->term().value() }, { "commitIndex", log->commitIndex().value() }, { "voters", voters },
+            { "learners", learners }, { "leads", log->isLeader() }, { "confirmed", log->isLeadershipConfirmed() } });
+    }
+    for (auto const& group : { configGroupId(), taskGroupId(this->settings.dataCentre) }) {
+        if (!this->groups.find(group))
+            all.push_back({ { "group", group.value() }, { "leader", this->leaderOf(group).value() }, { "voters", nlohmann::json::array() }, { "learners", nlohmann::json::array() }, { "leads", false } });
+    }
+    return all;
+}
+
+nlohmann::json HostNetwork::peerStatus() const
+{
+    nlohmann::json all = nlohmann::json::array();
+    for (auto const& [host, known] : this->hostTable.all()) {
+        all.push_back({ { "host", host.value() }, { "dataCentre", known.dataCentre.value() }, { "state", std::string(hostStateName(known.state)) }, { "linkUp", known.isLinkUp },
+            { "configVersion", known.report.configVersion.value() }, { "disk", known.report.hasDisk } });
+    }
+    return all;
+}
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/app/HostNetwork.h
@@ -0,0 +1,136 @@
+#pragma once
+
+// What makes several entry hosts one system, at one of them: the links, who is alive, the groups' logs,
+// the way of a request to its leader, and the spread of the configuration.
+//
+// Example:
+//   HostNetwork network(loop, random, events, settings, hooks);
+//   CommandLog& log = network.openGroup(configGroupId(), machines.hooks());
+//   network.start();
+//   network.serveByLeader(configGroupId(), ApiKind::Operators, request, answer);
+//
+// Loop thread only.
+
+#include "cornelpond/adapters/file/DurableFile.h"
+#include "cornelpond/adapters/metrics/Metrics.h"
+#include "cornelpond/adapters/peer/PeerLink.h"
+#include "cornelpond/app/GroupHost.h"
+#include "cornelpond/app/LeaderForwarder.h"
+#include "cornelpond/app/Settings.h"
+#include "cornelpond/core/agreement/VoterKeeper.h"
+#include "cornelpond/core/config/ConfigExchange.h"
+#include "cornelpond/core/membership/HostTable.h"
+#include "cornelpond/core/membership/LeaderTable.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace cornelpond {
+
+struct HostNetworkHooks {
+    /// Serves an API request on this host.
+    std::function<void(ApiKind api, HttpRequest const& request, ApiAnswer const& answer)> serveHere;
+    std::function<void(ConfigRecord const&)> onConfiguration; ///< A version is in force.
+    /// The state machines of another data centre's group that this host keeps without leading it.
+    std::function<StateMachineHooks(DataCentreId const& dataCentre)> witnessHooks;
+};
+
+class HostNetwork {
+public:
+    /// References must outlive the object.
+    HostNetwork(EventLoop& loop, Random& random, EventSink& events, Settings const& settings, HostNetworkHooks hooks);
+    ~HostNetwork();
+    HostNetwork(HostNetwork const&) = delete;
+    HostNetwork& operator=(HostNetwork const&) = delete;
+
+    /// Opens the group's log; before start. `hooks` come without onLeadership's news to the peers, which
+    /// this object sends.
+    CommandLog& openGroup(GroupId const& group, std::string const& folderName, StateMachineHooks hooks);
+
+    /// Other modules' peer messages. Set before start.
+    void setReceiver(PeerChannel channel, Transport::Receiver receiver) { this->receivers[channel] = std::move(receiver); }
+
+    /// Reads the data folder and joins the peers. Returns the bound peer port, or 0 without peers.
+    uint16_t start();
+
+    /// Call every 20 ms.
+    void onTick();
+
+    /// Has the group's leader serve the request, wherever it is; waits a little while the group has none.
+    /// Refuses with NoQuorum or NotLeader, and with ForwardFailed where the request may have been carried out.
+    void serveByLeader(GroupId const& group, ApiKind api, HttpRequest const& request, ApiAnswer const& answer);
+
+    /// True while some host is known to lead the group.
+    bool hasLeader(GroupId const& group) const { return !this->leaderOf(group).empty(); }
+    HostId leaderOf(GroupId const& group) const;
+
+    /// Tells the peers that this host goes, and hands its leaderships over.
+    void leave();
+
+    /// False while this host leads a group that another host could lead.
+    bool hasHandedOver() const;
+
+    Transport& transport() { return this->link; }
+    HostTable const& hosts() const { return this->hostTable; }
+    ConfigFollower const& configuration() const { return this->follower; }
+
+    /// A version that this host's own group member has applied.
+    void onConfigCommitted(ConfigRecord const& record);
+
+    void fillMetrics(Metrics& metrics) const;
+    nlohmann::json groupStatus() const;
+    nlohmann::json peerStatus() const;
+
+private:
+    struct Errand;
+
+    PeerSelf linkSelf() const;
+    PeerLinkHooks linkHooks();
+    HostReport report() const;
+    GroupMembers membersOf(GroupId const& group) const;
+    void onPeerMessage(HostId const& from, PeerMessage const& message);
+    void onReport(HostId const& from, std::string const& payload);
+    void onLinkChanged(PeerAddress const& peer, bool isUp);
+    void onHostChange(HostChange const& change);
+    void introduce(PeerAddress const& newcomer);
+    void onIntroduction(std::string const& payload);
+    void forgetGoneNewcomers();
+    void onLeadership(GroupId const& group, bool isLeader);
+    void openUnknownGroup(GroupId const& group);
+    void openWitness(GroupId const& group);
+    void attempt(std::shared_ptr<Errand> const& errand);
+    void retryOrRefuse(std::shared_ptr<Errand> const& errand);
+    bool isMajorityReachable(GroupId const& group) const;
+    void later(Duration delay, std::function<void()> action);
+    void keepVoters();
+    void keepVotersOf(GroupId const& group, ReplicatedLog& log);
+    HostView viewOf(PlannedHost const& host, DataCentreId const& home, ReplicatedLog const& log) const;
+    std::vector<PlannedHost> hostsWithDisk() const;
+    void serveForwarded(ForwardedRequest const& request, ApiAnswer const& answer);
+    void readStoredConfiguration();
+    void storeConfiguration(std::string const& bytes);
+    bool isInSettings(HostId const& host) const;
+
+    EventLoop& loop;
+    EventSink& events;
+    Settings const& settings;
+    HostNetworkHooks hooks;
+    uint64_t incarnation;
+    bool isLeaving = false;
+    std::vector<PlannedHost> planned; ///< All hosts of the settings, this one included.
+    std::map<HostId, PeerAddress> newcomers; ///< Admitted hosts that no setting names.
+    std::map<PeerChannel, Transport::Receiver> receivers;
+    HostTable hostTable;
+    LeaderTable leaderTable;
+    PeerLink link;
+    GroupHost groups;
+    LeaderForwarder forwarder;
+    ConfigFollower follower;
+    ConfigExchange exchange;
+    DurableFile configFile;
+    std::shared_ptr<bool> lifetime = std::make_shared<bool>(true); ///< Callbacks left on the loop check it.
+    TimePoint nextHostTick;
+    TimePoint nextTransfer;
+    TimePoint nextVoterCheck;
+};
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/app/LeaderForwarder.h
@@ -0,0 +1,77 @@
+#pragma once
+
+// Passes API requests to the host that leads a group, and its whole answers back.
+//
+// Example:
+//   LeaderForwarder forwarder(loop, transport, serveHere);
+//   forwarder.forward(leader, ForwardedRequest { group, ApiKind::Operators, request }, timeout, answer);
+//
+// Loop thread only. The receiver serves a request only while it leads the group, so that a request
+// makes one hop at most.
+
+#include "cornelpond/app/Api.h"
+#include "cornelpond/core/base/Duration.h"
+#include "cornelpond/core/base/Ids.h"
+#include "cornelpond/ports/Timers.h"
+#include "cornelpond/ports/Transport.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace cornelpond {
+
+/// Which listener's API a request came by; on the wire, so numbers never change meaning.
+enum class ApiKind : uint8_t {
+    Workers = 1,
+    Operators = 2,
+};
+
+struct ForwardedRequest {
+    GroupId group; ///< Whose leader is to serve it.
+    ApiKind api = ApiKind::Operators;
+    HttpRequest request; ///< Without headers; the sender has checked the token.
+};
+
+class LeaderForwarder {
+public:
+    /// Serves a forwarded request on this host; refuses with NotLeader when it does not lead the group.
+    using Serve = std::function<void(ForwardedRequest const& request, ApiAnswer const& answer)>;
+
+    /// References must outlive the forwarder. `firstId` is random, so that a late answer to an earlier
+    /// process of this host matches no request of this one.
+    LeaderForwarder(Timers& timers, Transport& transport, uint64_t firstId, Serve serve);
+    ~LeaderForwarder();
+    LeaderForwarder(LeaderForwarder const&) = delete;
+    LeaderForwarder& operator=(LeaderForwarder const&) = delete;
+
+    /// Answers exactly once: with the leader's answer, or ForwardFailed when none came in time or the
+    /// link broke, in which case the request may have been carried out.
+    void forward(HostId const& leader, ForwardedRequest const& request, Duration timeout, ApiAnswer answer);
+
+    /// Drops what does not decode.
+    void onMessage(HostId const& from, std::string const& payload);
+
+    /// Fails what is open towards the peer.
+    void onPeerDown(HostId const& peer);
+
+    size_t openRequests() const { return this->open.size(); }
+
+private:
+    struct Open {
+        HostId leader;
+        ApiAnswer answer;
+        TimerId timer;
+    };
+
+    void finish(uint64_t id, HttpResponse const& response);
+    void serveRemote(HostId const& from, uint64_t id, ForwardedRequest const& request);
+
+    Timers& timers;
+    Transport& transport;
+    Serve serve;
+    std::map<uint64_t, Open> open;
+    uint64_t nextId;
+};
+
+} // namespace cornelpond
--- a/cornelpond/app/Settings.cpp
+++ b/cornelpond/app/Settings.cpp
@@ -8,6 +8,7 @@
 
 #include <fstream>
 #include <iterator>
+#include <map>
 #include <set>
 
 namespace cornelpond {
@@ -46,10 +47,12 @@
           "host": { "type": "string", "minLength": 1, "maxLength": 100 },
           "dataCentre": { "type": "string", "minLength": 1, "maxLength": 100 },
           "ip": { "type": "string" },
-          "port": { "type": "integer", "minimum": 1, "maximum": 65535 }
+          "port": { "type": "integer", "minimum": 1, "maximum": 65535 },
+          "disk": { "type": "boolean" }
         }
       }
     },
+    "admitNewHosts": { "type": "boolean" },
     "limits": {
       "type": "object",
       "additionalProperties": false,
@@ -103,6 +106,18 @@
         }
     }
 
+    /// The tasks of a data centre are led by its own hosts, which need a disk for that.
+    void checkDisks(nlohmann::json const& document, nlohmann::json const& peers, std::vector<DocumentFault>& faults)
+    {
+        std::map<std::string, bool> hasDisk { { document["dataCentre"].get<std::string>(), document.contains("dataFolder") } };
+        for (auto const& peer : peers)
+            hasDisk[peer["dataCentre"].get<std::string>()] |= peer.value("disk", false);
+        for (auto const& [dataCentre, found] : hasDisk) {
+            if (!found)
+                faults.push_back({ "/peers", "no host of data centre '" + dataCentre + "' has a disk" });
+        }
+    }
+
     void checkPeers(nlohmann::json const& document, std::vector<DocumentFault>& faults)
     {
         nlohmann::json const peers = document.value("peers", nlohmann::json::array());
@@ -122,6 +137,7 @@
             faults.push_back({ "/listen", "'peers' is required when there are peers" });
         if (!document.contains("peerTokenFile"))
             faults.push_back({ "", "'peerTokenFile' is required when there are peers" });
+        checkDisks(document, peers, faults);
     }
 
     void checkTimes(nlohmann::json const& document, std::vector<DocumentFault>& faults)
@@ -212,7 +228,8 @@
     if (listen.contains("peers"))
         settings.listen.peers = addressFromJson(listen["peers"]);
     for (auto const& peer : document.value("peers", nlohmann::json::array()))
-        settings.peers.push_back({ HostId(peer["host"].get<std::string>()), DataCentreId(peer["dataCentre"].get<std::string>()), addressFromJson(peer) });
+        settings.peers.push_back({ HostId(peer["host"].get<std::string>()), DataCentreId(peer["dataCentre"].get<std::string>()), addressFromJson(peer), peer.value("disk", false) });
+    settings.admitNewHosts = document.value("admitNewHosts", false);
     nlohmann::json const limits = document.value("limits", nlohmann::json::object());
     settings.limits.maxBodyBytes = limits.value("maxBodyBytes", settings.limits.maxBodyBytes);
     settings.limits.maxHeaderBytes = limits.value("maxHeaderBytes", settings.limits.maxHeaderBytes);
--- a/cornelpond/app/Settings.h
+++ b/cornelpond/app/Settings.h
@@ -23,6 +23,7 @@
     HostId host;
     DataCentreId dataCentre;
     Address address;
+    bool hasDisk = false;
 };
 
 struct ListenSettings {
@@ -55,6 +56,7 @@
     std::string operatorToken; ///< Read from its file.
     std::string peerToken; ///< Read from its file.
     std::vector<PeerSettings> peers;
+    bool admitNewHosts = false; ///< Take entry hosts that no setting names when cluster and peer token are right.
     LimitSettings limits;
     TimeSettings times;
 };
--- a/cornelpond/core/base/Event.cpp
+++ b/cornelpond/core/base/Event.cpp
@@ -55,10 +55,13 @@
         EventInfo { EventId::WitnessLeads, "WitnessLeads", "A witness leads for a moment to bring a host that may lead up to date." },
         EventInfo { EventId::LeadershipTransferred, "LeadershipTransferred", "This host stepped down in favour of the named one." },
         EventInfo { EventId::VoterReplacement, "VoterReplacement", "One step of the replacement of a lost voter is proposed." },
+        EventInfo { EventId::HostStateChanged, "HostStateChanged", "An entry host became alive, suspect, leaving or gone as this host sees it, or restarted." },
+        EventInfo { EventId::PeerAdmitted, "PeerAdmitted", "An entry host that no setting names was admitted by cluster and token." },
         EventInfo { EventId::ConfigurationAccepted, "ConfigurationAccepted", "A configuration was committed." },
         EventInfo { EventId::ConfigurationRefused, "ConfigurationRefused", "A configuration change was refused; nothing was changed." },
         EventInfo { EventId::DrainChanged, "DrainChanged", "An operator drained or released a worker or host." },
         EventInfo { EventId::ConfigurationInForce, "ConfigurationInForce", "This host now serves by the configuration version." },
+        EventInfo { EventId::ConfigurationStoreFailed, "ConfigurationStoreFailed", "The version in force could not be kept on or read from disk; a restart asks the peers for it." },
     };
 
 } // namespace
--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -68,10 +68,13 @@
     WitnessLeads = 412,
     LeadershipTransferred = 413,
     VoterReplacement = 414,
+    HostStateChanged = 430,
+    PeerAdmitted = 431,
     ConfigurationAccepted = 500,
     ConfigurationRefused = 501,
     DrainChanged = 502,
     ConfigurationInForce = 503,
+    ConfigurationStoreFailed = 504,
 };
 
 /// One row of the event table.
--- a/cornelpond/core/base/ResultCode.cpp
+++ b/cornelpond/core/base/ResultCode.cpp
@@ -45,6 +45,8 @@
         ResultCodeInfo { ResultCode::MembershipChangePending, "MembershipChangePending", 409, "An earlier membership change is not committed yet." },
         ResultCodeInfo { ResultCode::MembershipChangeRefused, "MembershipChangeRefused", 409, "The membership change is more than one step, leaves no voter or makes a voter of a host that is not caught up." },
         ResultCodeInfo { ResultCode::MalformedMessage, "MalformedMessage", 400, "A message or record between entry hosts does not decode." },
+        ResultCodeInfo { ResultCode::ConfigurationMissing, "ConfigurationMissing", 503, "This host has no configuration yet, from its disk or a peer; did not run." },
+        ResultCodeInfo { ResultCode::ForwardFailed, "ForwardFailed", 503, "The group's leader gave no answer; the request may have been carried out, send it again." },
         ResultCodeInfo { ResultCode::Internal, "Internal", 500, "A fault in cornelpond itself; the log has the details." },
         ResultCodeInfo { ResultCode::Unreachable, "Unreachable", 503, "The entry host could not be reached." },
     };
--- a/cornelpond/core/base/ResultCode.h
+++ b/cornelpond/core/base/ResultCode.h
@@ -59,6 +59,8 @@
     MembershipChangePending = 410,
     MembershipChangeRefused = 411,
     MalformedMessage = 412,
+    ConfigurationMissing = 420,
+    ForwardFailed = 421,
     // 5xx: internal.
     Internal = 500,
     Unreachable = 501,
--- a/cornelpond/core/membership/GroupPlanTest.cpp
+++ b/cornelpond/core/membership/GroupPlanTest.cpp
@@ -17,6 +17,7 @@
 std::vector<HostId> ids(std::vector<std::string> const& names)
 {
     std::vector<HostId> result;
+    result.reserve(names.size());
     for (auto const& name : names)
         result.emplace_back(name);
     return result;
@@ -28,9 +29,14 @@
 }
 
 std::vector<PlannedHost> const eightHosts = {
-    host("a1", "a", true), host("a2", "a", true), host("a3", "a", true),
-    host("b1", "b", true), host("b2", "b", false), host("b3", "b", false),
-    host("c1", "c", true), host("c2", "c", false),
+    host("a1", "a", true),
+    host("a2", "a", true),
+    host("a3", "a", true),
+    host("b1", "b", true),
+    host("b2", "b", false),
+    host("b3", "b", false),
+    host("c1", "c", true),
+    host("c2", "c", false),
 };
 
 } // namespace
--- /dev/null
+++ b/testing/integration/HostsTest.cpp
@@ -0,0 +1,229 @@
+// Eight entry hosts in three data centres as one system: configuration, leaders, partitions, silence.
+
+#include "testing/integration/Cluster.h"
+
+#include <catch2/catch.hpp>
+
+#include <fstream>
+
+using namespace cornelpond;
+
+namespace {
+
+/// Three, three and two hosts; one disk in each of the smaller data centres.
+std::vector<HostDescription> hostsWithFewDisks()
+{
+    return { { "h1", "dc1", true }, { "h2", "dc1", true }, { "h3", "dc1", true }, { "h4", "dc2", true }, { "h5", "dc2", false }, { "h6", "dc2", false }, { "h7", "dc3", true },
+        { "h8", "dc3", false } };
+}
+
+class System {
+public:
+    explicit System(nlohmann::json const& patch = nlohmann::json::object())
+        : cluster(BINARY_FOLDER, { hostsWithFewDisks(), 7, patch })
+    {
+        this->cluster.startAll();
+        for (auto const& host : this->cluster.allHosts())
+            this->awaitLeader(host, "config");
+    }
+
+    std::string leaderOf(std::string const& group, std::string const& asked)
+    {
+        nlohmann::json const status = this->cluster.status(asked);
+        if (status.is_null())
+            return std::string();
+        for (auto const& each : status["groups"]) {
+            if (each["group"] == group)
+                return each["leader"].get<std::string>();
+        }
+        return std::string();
+    }
+
+    std::string awaitLeader(std::string const& asked, std::string const& group, std::string const& other = std::string())
+    {
+        std::string leader;
+        waitUntil("a leader of " + group + " at " + asked, [&] {
+            leader = this->leaderOf(group, asked);
+            return !leader.empty() && leader != other;
+        });
+        return leader;
+    }
+
+    uint64_t versionAt(std::string const& host)
+    {
+        nlohmann::json const status = this->cluster.status(host);
+        return status.is_null() ? 0 : status["configVersion"].get<uint64_t>();
+    }
+
+    void awaitVersion(std::vector<std::string> const& hosts, uint64_t version)
+    {
+        for (auto const& host : hosts)
+            waitUntil("version " + std::to_string(version) + " at " + host, [&] { return this->versionAt(host) >= version; });
+    }
+
+    /// The code of the answer; the version of the answer goes to `answered` when there is one.
+    int change(std::string const& host, uint64_t expected, std::string const& operation, int timeoutMs = 100)
+    {
+        nlohmann::json const document = { { "services", { { "plan", { { "timeoutMs", timeoutMs } } } } } };
+        try {
+            this->cluster.call(host, "PUT", "/v1/config", { { "expectedVersion", expected }, { "operationId", operation }, { "author", "ana" }, { "document", document } });
+            return 0;
+        } catch (Error const& error) {
+            return static_cast<int>(error.code());
+        }
+    }
+
+    void awaitTask(std::string const& host, std::string const& task)
+    {
+        std::string shown;
+        try {
+            waitUntil(task + " to finish", [&] {
+                nlohmann::json const answer = this->cluster.call(host, "GET", "/v1/tasks/" + task);
+                shown = answer.dump();
+                return answer["state"] == "finished";
+            });
+        } catch (std::exception const& error) {
+            std::string logs;
+            for (auto const& each : this->cluster.hostsOf("dc2"))
+                logs += this->cluster.host(each).log() + this->cluster.status(each).dump() + "\n";
+            FAIL(error.what() << ": " << shown << "\n"
+                              << logs);
+        }
+    }
+
+    Cluster cluster;
+};
+
+CallerRequest get(std::string const& path)
+{
+    CallerRequest request;
+    request.path = path;
+    return request;
+}
+
+constexpr int versionConflict = static_cast<int>(ResultCode::VersionConflict);
+constexpr int noQuorum = static_cast<int>(ResultCode::NoQuorum);
+
+} // namespace
+
+TEST_CASE("a configuration accepted at any host is in force at every host, and one of two racing changes wins")
+{
+    System system;
+    CHECK(system.change("h8", 0, "op1") == 0);
+    system.awaitVersion(system.cluster.allHosts(), 1);
+    CHECK(system.change("h5", 0, "op1") == 0);
+    CHECK(system.change("h3", 0, "op2") == versionConflict);
+    CHECK(system.change("h3", 1, "op3", 200) == 0);
+    system.awaitVersion(system.cluster.allHosts(), 2);
+    for (auto const& host : system.cluster.allHosts()) {
+        CHECK(system.cluster.call(host, "GET", "/v1/config?version=1")["document"]["services"]["plan"]["timeoutMs"] == 100);
+        CHECK(system.cluster.call(host, "GET", "/v1/config/history")["versions"].size() == 3);
+    }
+}
+
+TEST_CASE("kill -9 of the configuration's leader loses nothing and another leads")
+{
+    System system;
+    REQUIRE(system.change("h2", 0, "op1") == 0);
+    std::string const old = system.awaitLeader("h5", "config");
+    system.cluster.host(old).kill();
+    std::string const asked = old == "h5" ? "h6" : "h5";
+    std::string const next = system.awaitLeader(asked, "config", old);
+    CHECK(next != old);
+    CHECK(system.change(asked, 1, "op2", 200) == 0);
+    system.cluster.host(old).start();
+    system.awaitVersion(system.cluster.allHosts(), 2);
+    CHECK(system.change(old, 1, "op3") == versionConflict);
+}
+
+TEST_CASE("a data centre cut off serves on by its last configuration, refuses changes and never reverts")
+{
+    System system;
+    REQUIRE(system.change("h7", 0, "op1") == 0);
+    system.awaitVersion(system.cluster.allHosts(), 1);
+    system.cluster.cutDataCentre("dc3");
+    waitUntil("dc3 to refuse for want of a majority", [&] { return system.change("h8", 1, "op-cut") == noQuorum; });
+    CHECK(system.cluster.call("h8", "GET", "/v1/config")["version"] == 1);
+    waitUntil("the majority to accept", [&] { return system.change("h5", 1, "op2", 200) == 0; });
+    system.cluster.host("h7").kill();
+    system.cluster.host("h7").start();
+    system.cluster.host("h8").kill();
+    system.cluster.host("h8").start();
+    system.awaitVersion({ "h7", "h8" }, 1);
+    CHECK(system.versionAt("h7") == 1);
+    system.cluster.healAll();
+    system.awaitVersion({ "h7", "h8" }, 2);
+    int late = noQuorum;
+    waitUntil("h7 to reach a majority", [&] {
+        late = system.change("h7", 1, "op-late");
+        return late != noQuorum;
+    });
+    CHECK(late == versionConflict);
+    CHECK(system.change("h7", 2, "op3", 300) == 0);
+}
+
+TEST_CASE("a cut in one direction stops nobody else and heals")
+{
+    System system;
+    std::string const leader = system.awaitLeader("h1", "config");
+    for (auto const& host : system.cluster.hostsOf("dc2"))
+        for (auto const& other : system.cluster.hostsOf("dc1"))
+            system.cluster.cutOneWay(host, other);
+    waitUntil("a change in dc1", [&] { return system.change("h2", 0, "op1") == 0; });
+    system.awaitVersion(system.cluster.hostsOf("dc1"), 1);
+    system.cluster.healAll();
+    system.awaitVersion(system.cluster.allHosts(), 1);
+}
+
+TEST_CASE("open connections gone silent are replaced and changes go on")
+{
+    System system;
+    for (auto const& a : system.cluster.allHosts())
+        for (auto const& b : system.cluster.allHosts())
+            if (a < b)
+                system.cluster.silence(a, b);
+    waitUntil("a change over new connections", [&] { return system.change("h8", 0, "op1") == 0; });
+    system.awaitVersion(system.cluster.allHosts(), 1);
+}
+
+TEST_CASE("a host without a disk serves nobody before a peer gave it the configuration")
+{
+    System system;
+    REQUIRE(system.change("h1", 0, "op1") == 0);
+    system.awaitVersion(system.cluster.allHosts(), 1);
+    system.cluster.host("h8").kill();
+    system.cluster.isolate("h8");
+    system.cluster.host("h8").start();
+    CallerAnswer const refused = system.cluster.request("h8", get("/plan/due"));
+    CHECK(refused.body.find("ConfigurationMissing") != std::string::npos);
+    CHECK(refused.saysNotRun());
+    CHECK(system.cluster.request("h8", get("/health")).status == 503);
+    system.cluster.healAll();
+    system.awaitVersion({ "h8" }, 1);
+    CHECK(system.cluster.request("h8", get("/health")).status == 200);
+}
+
+TEST_CASE("a host that shuts down gracefully hands its leaderships over first")
+{
+    System system;
+    std::string const leader = system.awaitLeader("h1", "config");
+    system.cluster.host(leader).beginTerminate();
+    CHECK(system.cluster.host(leader).awaitEnd() == 0);
+    std::string const asked = leader == "h1" ? "h2" : "h1";
+    CHECK(system.awaitLeader(asked, "config", leader) != leader);
+    CHECK(system.cluster.host(leader).log().find("LeaderLost") != std::string::npos);
+    system.cluster.host(asked).waitForLog("to=gone");
+}
+
+TEST_CASE("tasks are submitted and read at any host of the data centre")
+{
+    System system;
+    auto const fleet = system.cluster.startFleet("dc2", { "--workers", "2", "--servers", "0" });
+    nlohmann::json const task = { { "id", "plan-1" }, { "association", "sluices" }, { "resources", { { "milliCores", 1000 } } }, { "command", "run 50" } };
+    CHECK(system.cluster.submit("h6", task) == ResultCode::Ok);
+    CHECK(system.cluster.submit("h5", task) == ResultCode::Ok);
+    for (auto const* host : { "h4", "h5", "h6" })
+        system.awaitTask(host, "plan-1");
+    CHECK(system.cluster.call("h1", "GET", "/v1/tasks/plan-1?dataCentre=dc2")["state"] == "finished");
+    CHECK(system.cluster.status("h6")["workers"].size() == 2);
+}
