--- a/cornelpond/core/tasks/Fleet.cpp
+++ b/cornelpond/core/tasks/Fleet.cpp
@@ -89,8 +89,10 @@
         this->stray[worker] = held;
 }
 
-void Fleet::setExternal(std::unordered_map<WorkerId, Resources> held, TimePoint now)
+bool Fleet::setExternal(std::unordered_map<WorkerId, Resources> held, TimePoint now)
 {
+    if (this->external == held)
+        return false;
     this->external.swap(held);
     for (auto const& [worker, resources] : held) {
         if (!this->external.count(worker))
@@ -101,6 +103,7 @@
         if (before == held.end() || !(before->second == resources))
             this->refresh(worker, now);
     }
+    return true;
 }
 
 void Fleet::claim(TaskId const& task, WorkerId const& worker, Resources const& need, TimePoint until)
--- a/cornelpond/core/tasks/Fleet.h
+++ b/cornelpond/core/tasks/Fleet.h
@@ -44,8 +44,9 @@
 
     /// What attempts that are not in force hold on the worker, by its last announcement.
     void setStray(WorkerId const& worker, Resources const& held);
-    /// What backend servers that cornelpond did not start hold. Refreshes the workers concerned.
-    void setExternal(std::unordered_map<WorkerId, Resources> held, TimePoint now);
+    /// What backend servers that cornelpond did not start hold. Refreshes the workers concerned;
+    /// false when nothing changed.
+    bool setExternal(std::unordered_map<WorkerId, Resources> held, TimePoint now);
 
     /// Keeps room on the worker for a task that waits for evictions there; replaces the task's claim.
     void claim(TaskId const& task, WorkerId const& worker, Resources const& need, TimePoint until);
--- a/cornelpond/core/tasks/Scheduler.cpp
+++ b/cornelpond/core/tasks/Scheduler.cpp
@@ -189,6 +189,7 @@
     this->reasons.clear();
     this->pending.clear();
     this->startsPending = 0;
+    this->proposedUse.clear();
     this->nextRefresh = this->leaderSince;
     this->nextRemoval = this->leaderSince;
     if (isLeader)
@@ -449,8 +450,8 @@
 {
     TimePoint const now = this->clock.now();
     this->nextRefresh = now + refreshInterval;
-    if (this->hooks.externalReservations)
-        this->fleet.setExternal(this->hooks.externalReservations(), now);
+    if (this->hooks.externalReservations && this->fleet.setExternal(this->hooks.externalReservations(), now))
+        this->placementDue = true;
     for (auto const& worker : this->health.probesDue(now)) {
         this->fleet.refresh(worker, now);
         this->placementDue = true;
--- a/cornelpond/core/tasks/Scheduler.h
+++ b/cornelpond/core/tasks/Scheduler.h
@@ -129,6 +129,8 @@
     OfferResult tryToPlace(TaskId const& id, TaskCommandBatch& starts, TaskCommandBatch& evictions);
     bool tryToPreempt(Task const& task, TaskCommandBatch& evictions);
     PreemptionHost preemptionHost(WorkerCandidate const& candidate) const;
+    /// Committed and proposed starts.
+    Resources useOf(AssociationId const& association) const;
     std::string quotaReason(Task const& task) const;
     double shareOf(AssociationId const& association) const;
     bool batchIsShort() const;
@@ -163,6 +165,7 @@
     std::unordered_map<TaskId, std::string> reasons; ///< Why a task is where it is or waits.
     std::unordered_set<TaskId> pending; ///< Proposed for and not yet committed, but for starts.
     size_t startsPending = 0;
+    std::unordered_map<AssociationId, Resources> proposedUse; ///< Of the starts that are proposed.
     uint64_t leadership = 0; ///< Rises with each change; outcomes of an earlier one are ignored.
     bool leading = false;
     bool placementDue = false; ///< Something changed since the last pass.
--- a/cornelpond/core/tasks/SchedulerPlacement.cpp
+++ b/cornelpond/core/tasks/SchedulerPlacement.cpp
@@ -82,6 +82,7 @@
     this->reasons[id] = placement.reason;
     this->events.emit(Event(EventId::TaskPlaced).with("task", id).with("worker", placement.worker).with("reason", placement.reason));
     this->fleet.reserveForStart(placement.worker, task.spec.resources);
+    this->proposedUse[task.spec.association] += task.spec.resources;
     starts.push_back(StartAttempt { id, task.attempt.next(), placement.worker, this->workers.find(placement.worker)->last.incarnation });
     return OfferResult::Placed;
 }
@@ -96,17 +97,24 @@
     this->events.emit(Event(event).with("task", id).with("reason", placement.reason));
 }
 
+Resources Scheduler::useOf(AssociationId const& association) const
+{
+    Resources use = this->tasks.usedBy(association);
+    auto const proposed = this->proposedUse.find(association);
+    return proposed == this->proposedUse.end() ? use : use + proposed->second;
+}
+
 std::string Scheduler::quotaReason(Task const& task) const
 {
     Resources const& quota = this->policy().association(task.spec.association).quota;
-    Resources const used = this->tasks.usedBy(task.spec.association) + task.spec.resources;
+    Resources const used = this->useOf(task.spec.association) + task.spec.resources;
     bool const over = exceeds(used.milliCores, quota.milliCores) || exceeds(used.memoryMiB, quota.memoryMiB) || exceeds(used.accelerators, quota.accelerators);
     return over ? "the association's quota is in use" : std::string();
 }
 
 double Scheduler::shareOf(AssociationId const& association) const
 {
-    Resources const used = this->tasks.usedBy(association);
+    Resources const used = this->useOf(association);
     Resources const& total = this->fleet.totalCapacity();
     double const share = std::max(shareOfTotal(used.milliCores, total.milliCores), shareOfTotal(used.memoryMiB, total.memoryMiB));
     return share / static_cast<double>(std::max<int64_t>(1, this->policy().association(association).weight));
@@ -167,6 +175,7 @@
     TaskCommandBatch const proposed = std::move(starts);
     this->propose(proposed, [this, proposed](ResultCode code) {
         this->startsPending = 0;
+        this->proposedUse.clear();
         this->placementDue = true;
         if (code == ResultCode::Ok)
             this->onStartsCommitted(proposed);
--- a/cornelpond/core/tasks/SchedulerTest.cpp
+++ b/cornelpond/core/tasks/SchedulerTest.cpp
@@ -26,7 +26,7 @@
         this->disk.crash();
         this->scheduler.reset();
         this->log = std::make_unique<SoleVoterLog>(HostId("h1"), this->disk, this->hooks());
-        this->scheduler = std::make_unique<Scheduler>(this->clock, this->events, *this->log, times, SchedulerHooks());
+        this->scheduler = std::make_unique<Scheduler>(this->clock, this->events, *this->log, times, this->schedulerHooks());
         this->log->start();
     }
 
@@ -36,6 +36,7 @@
         announcement.worker = WorkerId(worker);
         announcement.incarnation = "1";
         announcement.number = this->number = this->number.next();
+        announcement.commandAddress = "127.0.0.1:1";
         announcement.capacity = { 2000, 4096, 0 };
         announcement.held = std::move(held);
         return this->scheduler->onAnnouncement(announcement);
@@ -54,8 +55,32 @@
 
     Task const& task(std::string const& id) { return *this->scheduler->table().find(TaskId(id)); }
 
+    ResultCode submitUrgent(std::string const& id)
+    {
+        TaskSpec spec;
+        spec.id = TaskId(id);
+        spec.association = AssociationId("a");
+        spec.taskClass = TaskClass::LatencyCritical;
+        spec.resources = { 2000, 100, 0 };
+        ResultCode code = ResultCode::Internal;
+        this->scheduler->submit(spec, [&](TaskResult const& result) { code = result.code; });
+        return code;
+    }
+
+    SchedulerHooks schedulerHooks()
+    {
+        SchedulerHooks result;
+        result.push = [this](Worker const&, AnnouncementAnswer const& answer) { this->pushed.insert(this->pushed.end(), answer.commands.begin(), answer.commands.end()); };
+        result.policy = [this]() -> Policy const& { return this->policy; };
+        result.externalReservations = [this] { return this->external; };
+        return result;
+    }
+
     FakeClock clock;
     RecordingEventSink events;
+    Policy policy;
+    std::unordered_map<WorkerId, Resources> external;
+    std::vector<WorkerCommand> pushed;
     FakeStorage disk;
     std::unique_ptr<SoleVoterLog> log;
     std::unique_ptr<Scheduler> scheduler;
@@ -189,3 +214,152 @@
     bench.announce("w1", { ended("t", 1, AttemptOutcome::Stopped) });
     CHECK(bench.task("t").state == TaskState::Cancelled);
 }
+
+TEST_CASE("an attempt cancelled before any worker confirmed it ends once no start can be on its way")
+{
+    Bench bench;
+    bench.announce("w1");
+    bench.submit("t");
+    bench.scheduler->onTick();
+    bench.scheduler->cancel(TaskId("t"), [](TaskResult const&) {});
+    CHECK(bench.announce("w1").commands.empty());
+    bench.clock.advance(times.lease + times.lease);
+    bench.announce("w1");
+    CHECK(bench.task("t").state == TaskState::Starting);
+    bench.clock.advance(times.driftMargin);
+    bench.announce("w1");
+    CHECK(bench.task("t").state == TaskState::Cancelled);
+    CHECK(bench.scheduler->table().reservedOn(WorkerId("w1")) == Resources());
+}
+
+TEST_CASE("a new leader does not end an attempt for one announcement that leaves it out")
+{
+    Bench bench;
+    bench.announce("w1");
+    bench.submit("t");
+    bench.scheduler->onTick();
+    bench.announce("w1", { running("t", 1) });
+    bench.restart();
+    bench.announce("w1"); // Sent before the start, delivered late.
+    CHECK(bench.task("t").state == TaskState::Running);
+    bench.announce("w1", { running("t", 1) });
+    bench.announce("w1");
+    CHECK(bench.task("t").state == TaskState::Queued);
+}
+
+TEST_CASE("a drain survives a change of leader")
+{
+    Bench bench;
+    bench.announce("w1");
+    bench.scheduler->setDrained(WorkerId("w1"), true, [](TaskResult const& result) { CHECK(result.code == ResultCode::Ok); });
+    bench.restart();
+    bench.announce("w1");
+    bench.submit("t");
+    bench.scheduler->onTick();
+    CHECK(bench.task("t").state == TaskState::Queued);
+    bench.scheduler->setDrained(WorkerId("w1"), false, [](TaskResult const&) {});
+    bench.scheduler->onTick();
+    CHECK(bench.task("t").state == TaskState::Starting);
+}
+
+TEST_CASE("what a foreign backend server holds is not given away")
+{
+    Bench bench;
+    bench.external[WorkerId("w1")] = { 1500, 0, 0 };
+    bench.announce("w1");
+    bench.submit("t");
+    bench.scheduler->onTick();
+    CHECK(bench.task("t").state == TaskState::Queued);
+    bench.external.clear();
+    bench.clock.advance(Duration::seconds(1));
+    bench.scheduler->onTick();
+    CHECK(bench.task("t").state == TaskState::Starting);
+}
+
+TEST_CASE("a worker that shrinks below what it holds gets nothing")
+{
+    Bench bench;
+    bench.announce("w1", { running("unknown", 1), running("unknown2", 1), running("unknown3", 1) });
+    bench.submit("t", 0);
+    bench.scheduler->onTick();
+    CHECK(bench.task("t").state == TaskState::Queued);
+}
+
+TEST_CASE("a quota holds an association back and says so")
+{
+    Bench bench;
+    bench.policy.associations[AssociationId("a")].quota = { 1000, 0, 0 };
+    bench.announce("w1");
+    bench.submit("t1");
+    bench.submit("t2");
+    bench.scheduler->onTick();
+    bench.scheduler->onTick();
+    CHECK(bench.task("t1").state == TaskState::Starting);
+    CHECK(bench.scheduler->explain(bench.task("t2")).reason == "the association's quota is in use");
+}
+
+TEST_CASE("an urgent task gets its room by the eviction of batch work, which is queued again")
+{
+    Bench bench;
+    bench.announce("w1");
+    bench.submit("batch1");
+    bench.submit("batch2");
+    bench.scheduler->onTick();
+    bench.announce("w1", { running("batch1", 1), running("batch2", 1) });
+    bench.submitUrgent("urgent");
+    bench.pushed.clear();
+    bench.scheduler->onTick();
+    CHECK(bench.task("batch1").state == TaskState::Checkpointing);
+    CHECK(std::count_if(bench.pushed.begin(), bench.pushed.end(), [](auto const& command) { return command.kind == WorkerCommandKind::Stop; }) == 2);
+    bench.announce("w1", { ended("batch1", 1, AttemptOutcome::Stopped), ended("batch2", 1, AttemptOutcome::Stopped) });
+    bench.scheduler->onTick();
+    CHECK(bench.task("urgent").state == TaskState::Starting);
+    CHECK(bench.task("batch1").state == TaskState::Queued);
+    CHECK(bench.task("batch1").evictions == 1);
+}
+
+TEST_CASE("a failed task waits and goes to another worker")
+{
+    Bench bench;
+    bench.announce("w1");
+    bench.submit("t");
+    bench.scheduler->onTick();
+    bench.announce("w2");
+    bench.announce("w1", { ended("t", 1, AttemptOutcome::Failed) });
+    bench.scheduler->onTick();
+    CHECK(bench.task("t").state == TaskState::Queued);
+    bench.clock.advance(Duration::seconds(1));
+    bench.scheduler->onTick();
+    CHECK(bench.task("t").worker == WorkerId("w2"));
+}
+
+TEST_CASE("old records are removed, their ids stay refused and at last are forgotten")
+{
+    Bench bench;
+    bench.announce("w1");
+    bench.submit("t");
+    bench.scheduler->cancel(TaskId("t"), [](TaskResult const&) {});
+    Duration const day = Duration::minutes(24 * 60);
+    bench.clock.advance(day * 8);
+    bench.scheduler->onTick();
+    CHECK(bench.scheduler->table().find(TaskId("t")) == nullptr);
+    CHECK(bench.submit("t") == ResultCode::IdRetired);
+    bench.restart();
+    CHECK(bench.submit("t") == ResultCode::IdRetired);
+    bench.clock.advance(day * 7);
+    bench.scheduler->onTick();
+    CHECK(bench.submit("t") == ResultCode::Ok);
+}
+
+TEST_CASE("one command cancels all that match")
+{
+    Bench bench;
+    for (int i = 0; i < 1000; i++)
+        bench.submit("t" + std::to_string(i));
+    size_t const syncs = bench.disk.syncCount();
+    std::string message;
+    bench.scheduler->cancelMatching(Selector::parse("!none"), [&](TaskResult const& result) { message = result.message; });
+    CHECK(message == "cancelled 1000 tasks");
+    CHECK(bench.disk.syncCount() == syncs + 1);
+    CHECK(bench.scheduler->table().queued().empty());
+}
--- /dev/null
+++ b/cornelpond/core/tasks/TaskQueueTest.cpp
@@ -0,0 +1,92 @@
+#include "cornelpond/core/tasks/TaskQueue.h"
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace cornelpond;
+
+namespace {
+
+Task makeTask(uint64_t sequence, std::string const& association, TaskClass taskClass = TaskClass::Batch, int64_t milliCores = 1000)
+{
+    Task task;
+    task.sequence = sequence;
+    task.spec.id = TaskId("t" + std::to_string(sequence));
+    task.spec.association = AssociationId(association);
+    task.spec.taskClass = taskClass;
+    task.spec.resources = { milliCores, 100, 0 };
+    return task;
+}
+
+std::vector<std::string> offeredAll(TaskQueue const& queue, TaskQueue::Pass pass, std::map<std::string, double>& shares)
+{
+    std::vector<std::string> offered;
+    pass.maxOffers = 1000;
+    pass.shareOf = [&](AssociationId const& association) { return shares[association.value()]; };
+    queue.offer(pass, [&](TaskId const& id) {
+        offered.push_back(id.value());
+        return OfferResult::Placed;
+    });
+    return offered;
+}
+
+using Names = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE("urgent work goes first, then priority, then the smaller share, then the earlier submission")
+{
+    TaskQueue queue;
+    TimePoint const now;
+    queue.add(makeTask(1, "sluices"), 0, now);
+    queue.add(makeTask(2, "sluices"), 5, now);
+    queue.add(makeTask(3, "awnings"), 0, now);
+    queue.add(makeTask(4, "awnings", TaskClass::LatencyCritical), 0, now);
+    queue.add(makeTask(5, "awnings"), 0, now);
+    std::map<std::string, double> shares { { "sluices", 0.5 }, { "awnings", 0.1 } };
+    CHECK(offeredAll(queue, {}, shares) == Names { "t4", "t2", "t3", "t5", "t1" });
+    queue.remove(TaskId("t3"));
+    CHECK(offeredAll(queue, {}, shares) == Names { "t4", "t2", "t5", "t1" });
+}
+
+TEST_CASE("a task that waits long overtakes a higher priority")
+{
+    TaskQueue queue;
+    TimePoint const start;
+    TimePoint const later = start + Duration::minutes(6);
+    queue.add(makeTask(1, "a"), 0, start);
+    queue.add(makeTask(2, "a"), 5, later);
+    std::map<std::string, double> shares;
+    TaskQueue::Pass pass;
+    pass.now = later;
+    CHECK(offeredAll(queue, pass, shares) == Names { "t1", "t2" });
+}
+
+TEST_CASE("what does not fit blocks its own shape only")
+{
+    TaskQueue queue;
+    for (uint64_t i = 1; i <= 100; i++)
+        queue.add(makeTask(i, "a", TaskClass::Batch, 64000), 0, TimePoint());
+    queue.add(makeTask(101, "a"), 0, TimePoint());
+    Names offered;
+    TaskQueue::Pass pass;
+    pass.maxOffers = 1000;
+    pass.shareOf = [](AssociationId const&) { return 0.0; };
+    queue.offer(pass, [&](TaskId const& id) {
+        offered.push_back(id.value());
+        return id == TaskId("t101") ? OfferResult::Placed : OfferResult::Blocked;
+    });
+    CHECK(offered == Names { "t1", "t101" });
+}
+
+TEST_CASE("batch work gets its turns when it is short")
+{
+    TaskQueue queue;
+    for (uint64_t i = 1; i <= 8; i++)
+        queue.add(makeTask(i, "a", i <= 6 ? TaskClass::LatencyCritical : TaskClass::Batch), 0, TimePoint());
+    std::map<std::string, double> shares;
+    TaskQueue::Pass pass;
+    pass.batchEvery = 4;
+    CHECK(offeredAll(queue, pass, shares) == Names { "t1", "t2", "t3", "t7", "t4", "t5", "t6", "t8" });
+}
