--- /dev/null
+++ b/cornelpond/core/lease/AttemptTrackerTest.cpp
@@ -0,0 +1,55 @@
+#include "cornelpond/core/lease/AttemptTracker.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cornelpond;
+
+namespace {
+
+LeaseTimes const times { Duration::seconds(5), Duration::milliseconds(500) };
+TaskId const task("t");
+AttemptNumber const attempt(1);
+Duration const oneLease = times.lease + times.driftMargin;
+Duration const twoLeases = times.lease * 2 + times.driftMargin;
+Duration const instant = Duration::microseconds(1);
+
+WorkerAnnouncement announcement(uint64_t number, std::string const& incarnation = "1")
+{
+    WorkerAnnouncement result;
+    result.number = AnnouncementNumber(number);
+    result.incarnation = incarnation;
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("a start that was sent may lead to an unreported attempt for two leases")
+{
+    AttemptTracker tracker(times);
+    TimePoint const sent = TimePoint() + Duration::minutes(1);
+    tracker.reset(TimePoint());
+    tracker.onStartSent(task, attempt, sent);
+    CHECK(tracker.mayRun(task, attempt, announcement(1), sent + twoLeases - instant));
+    CHECK_FALSE(tracker.mayRun(task, attempt, announcement(1), sent + twoLeases));
+}
+
+TEST_CASE("a new leader counts with starts of the earlier one until it took over")
+{
+    AttemptTracker tracker(times);
+    TimePoint const since = TimePoint() + Duration::minutes(1);
+    tracker.reset(since);
+    CHECK(tracker.mayRun(task, attempt, announcement(1), since + twoLeases - instant));
+    CHECK_FALSE(tracker.mayRun(task, attempt, announcement(1), since + twoLeases));
+}
+
+TEST_CASE("an attempt that its own process leaves out later has ended; another process proves nothing")
+{
+    AttemptTracker tracker(times);
+    TimePoint const reported = TimePoint() + Duration::minutes(1);
+    tracker.reset(TimePoint());
+    tracker.onReported(task, attempt, announcement(5), reported);
+    CHECK_FALSE(tracker.mayRun(task, attempt, announcement(6), reported));
+    CHECK(tracker.mayRun(task, attempt, announcement(4), reported));
+    CHECK(tracker.mayRun(task, attempt, announcement(9, "0"), reported + oneLease - instant));
+    CHECK_FALSE(tracker.mayRun(task, attempt, announcement(9, "0"), reported + oneLease));
+}
--- a/cornelpond/core/tasks/WorkerMessages.cpp
+++ b/cornelpond/core/tasks/WorkerMessages.cpp
@@ -91,7 +91,11 @@
         announcement.labels = labelsFromJson(value.value("labels", nlohmann::json::object()), "/labels");
         announcement.capacity = resourcesFromJson(value.at("capacity"), "/capacity");
         announcement.commandAddress = value.value("commandAddress", std::string());
-        for (auto const& held : value.value("held", nlohmann::json::array()))
+        auto const attempts = value.find("held");
+        if (attempts == value.end())
+            return announcement;
+        announcement.held.reserve(attempts->size());
+        for (auto const& held : *attempts)
             announcement.held.push_back(heldFromJson(held));
         return announcement;
     } catch (nlohmann::json::exception const& error) {
