Run not-repeatable requests at most once by claimed keys

Cause: a not-repeatable request sent again by its caller, through the same or another entry host, ran again.

Change: core/claims keeps idempotency keys in the task group of the key's home data centre. A request leaves only after its claim is committed; a resent key gets the stored answer, 'in progress' or 'ran: unknown'. app/ClaimGate and app/InteractiveService wire it; peer channel 8 carries calls between hosts. Codes 310 and 311.

The property test found that a reply meant for a process before its restart could grant the key a second time, because call numbers start again; replies now carry the claim's id.

Tests: RapidCheck over crashes, failover with half-committed proposals, loss, doubling and reordering; processes with kill -9 and runs counted per key.

--- a/cornelpond/app/CallerEndpoint.cpp
+++ b/cornelpond/app/CallerEndpoint.cpp
@@ -1,11 +1,9 @@
 #include "cornelpond/app/CallerEndpoint.h"
 
-#include "cornelpond/app/Api.h"
 #include "cornelpond/app/ForwardedHeaders.h"
+#include "cornelpond/app/InteractiveRefusal.h"
 #include "cornelpond/core/selector/Selector.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <charconv>
 
@@ -14,6 +12,7 @@
 namespace {
 
     constexpr int64_t maxDeadlineMs = 3600 * 1000;
+    constexpr size_t maxKeyBytes = 255;
 
     ServiceId serviceOf(std::string const& path)
     {
@@ -84,6 +83,13 @@
         return AssociationId(header ? *header : std::string());
     }
 
+    void checkKey(HttpRequest const& request)
+    {
+        std::string const* key = request.headers.find("Idempotency-Key");
+        if (key && (key->empty() || key->size() > maxKeyBytes))
+            throw Error(ResultCode::BadHeader, "Idempotency-Key: expected 1 to 255 bytes");
+    }
+
     size_t bytesOf(HttpRequest const& request)
     {
         size_t bytes = request.path.size() + request.query.size() + request.body.size();
@@ -92,17 +98,6 @@
         return bytes;
     }
 
-    HttpResponse interactiveRefusal(RouterRefusal const& refusal)
-    {
-        auto const& info = resultCodeInfo(refusal.code);
-        HttpResponse response = jsonResponse(info.httpStatus,
-            { { "code", static_cast<int>(refusal.code) }, { "name", std::string(info.name) }, { "message", refusal.message }, { "ran", refusal.mayHaveRun ? "unknown" : "no" } });
-        int64_t const roundedUp = (refusal.retryAfter.toMilliseconds() + 999) / 1000;
-        if (roundedUp > 0)
-            response.headers.add("Retry-After", std::to_string(roundedUp));
-        return response;
-    }
-
     AttemptReport toReport(HttpOutcome const& outcome)
     {
         AttemptReport report;
@@ -137,16 +132,18 @@
     HttpRequest request;
     HttpResponder responder;
     TimePoint received;
+    bool wasSent = false;
 };
 
 CallerEndpoint::CallerEndpoint(EventLoop& loop, EventSink& events, Metrics& metrics, HttpClient& client, BackendServerTable& servers, Random& random,
-    std::function<Policy const&()> policy, CallerEndpointOptions const& options)
+    ClaimClient& claims, std::function<Policy const&()> policy, CallerEndpointOptions const& options)
     : loop(loop)
     , events(events)
     , metrics(metrics)
     , client(client)
     , policy(std::move(policy))
     , router(this->routerOptions(options), this->routerHooks(), events, loop, random, servers)
+    , claims(claims, events)
 {
 }
 
@@ -178,6 +175,7 @@
 
 InteractiveRequest CallerEndpoint::describe(RequestId id, HttpRequest const& request) const
 {
+    checkKey(request);
     InteractiveRequest described;
     described.id = id;
     described.service = serviceOf(request.path);
@@ -202,16 +200,42 @@
         return;
     }
     this->pending.emplace(id, std::unique_ptr<Pending>(new Pending { std::move(request), responder, described.received }));
-    responder.onCallerGone([this, id] {
-        this->pending.erase(id);
-        this->router.onCallerGone(id);
-    });
-    this->router.submit(described);
+    responder.onCallerGone([this, id] { this->onCallerGone(id); });
+    if (!ClaimGate::isNeeded(described, this->pending.at(id)->request)) {
+        this->router.submit(described);
+        return;
+    }
+    ClaimGateHooks hooks;
+    hooks.granted = [this, described] { this->submitClaimed(described); };
+    hooks.answered = [this, id](HttpResponse const& response) { this->answer(id, response); };
+    hooks.refused = [this, id](RouterRefusal const& refusal) { this->refuse(id, refusal); };
+    this->claims.claim(described, this->pending.at(id)->request, hooks);
+}
+
+void CallerEndpoint::submitClaimed(InteractiveRequest const& described)
+{
+    if (this->pending.count(described.id))
+        this->router.submit(described);
+    else
+        this->claims.onEnded(described.id, false);
+}
+
+/// A claimed request that was sent runs on: its answer is kept for the caller who sends the key again.
+void CallerEndpoint::onCallerGone(RequestId id)
+{
+    auto const found = this->pending.find(id);
+    if (found == this->pending.end() || (found->second->wasSent && this->claims.holds(id)))
+        return;
+    this->pending.erase(found);
+    this->router.onCallerGone(id);
+    this->claims.onEnded(id, false);
 }
 
 void CallerEndpoint::send(SendAttempt const& attempt)
 {
-    HttpRequest const& request = this->pending.at(attempt.request)->request;
+    Pending& pending = *this->pending.at(attempt.request);
+    pending.wasSent = true;
+    HttpRequest const& request = pending.request;
     HttpRequest outgoing;
     outgoing.method = request.method;
     outgoing.path = request.path;
@@ -231,11 +255,15 @@
 {
     this->exchanges.erase(attempt);
     AttemptVerdict const verdict = this->router.onAttemptEnded(attempt, toReport(outcome));
-    if (verdict.passesAnswer)
-        this->answer(verdict.request, outcome.response);
+    if (!verdict.passesAnswer)
+        return;
+    HttpResponse response = outcome.response;
+    response.headers = endToEndHeaders(response.headers);
+    this->claims.onAnswered(verdict.request, response);
+    this->answer(verdict.request, response);
 }
 
-void CallerEndpoint::answer(RequestId id, HttpResponse response)
+void CallerEndpoint::answer(RequestId id, HttpResponse const& response)
 {
     auto const found = this->pending.extract(id);
     if (!found)
@@ -244,12 +272,12 @@
     this->metrics.count("requestsAnswered");
     this->metrics.observe("requestLatency", elapsed);
     this->events.emit(Event(EventId::RequestAnswered).with("request", id).with("status", response.status).with("ms", elapsed));
-    response.headers = endToEndHeaders(response.headers);
     found.mapped()->responder.answer(response);
 }
 
 void CallerEndpoint::refuse(RequestId id, RouterRefusal const& refusal)
 {
+    this->claims.onEnded(id, refusal.mayHaveRun);
     auto const found = this->pending.extract(id);
     if (!found)
         return;
--- a/cornelpond/app/CallerEndpoint.h
+++ b/cornelpond/app/CallerEndpoint.h
@@ -5,8 +5,10 @@
 //
 // Request headers (all optional):
 //   Cornelpond-Deadline-Ms     how long the caller waits; else the service's timeout from the configuration
-//   Cornelpond-Not-Repeatable  "true": runs at most once; needs an Idempotency-Key
-//   Idempotency-Key            names a not-repeatable request
+//   Cornelpond-Not-Repeatable  "true": runs at most once; it is never sent again by itself
+//   Idempotency-Key            names a not-repeatable request: sent again under the same key it gets the
+//                              first answer, never a second run (docs/design/at-most-once.md). Without a
+//                              key nothing ties a request that the caller sends again to the first.
 //   Cornelpond-Association     for fair shares
 //   Cornelpond-Class           "urgent", "normal" or "background"
 //   Cornelpond-Labels          "key=value,key=value"; without a class the configuration's priorities decide
@@ -17,6 +19,7 @@
 #include "cornelpond/adapters/http/HttpClient.h"
 #include "cornelpond/adapters/http/HttpServer.h"
 #include "cornelpond/adapters/metrics/Metrics.h"
+#include "cornelpond/app/ClaimGate.h"
 #include "cornelpond/core/base/ResultCode.h"
 #include "cornelpond/core/config/Policy.h"
 #include "cornelpond/core/routing/RequestRouter.h"
@@ -38,7 +41,7 @@
 public:
     /// All references must outlive the endpoint.
     CallerEndpoint(EventLoop& loop, EventSink& events, Metrics& metrics, HttpClient& client, BackendServerTable& servers, Random& random,
-        std::function<Policy const&()> policy, CallerEndpointOptions const& options);
+        ClaimClient& claims, std::function<Policy const&()> policy, CallerEndpointOptions const& options);
 
     ~CallerEndpoint();
     CallerEndpoint(CallerEndpoint const&) = delete;
@@ -60,9 +63,11 @@
     RouterOptions routerOptions(CallerEndpointOptions const& options);
     RouterHooks routerHooks();
     InteractiveRequest describe(RequestId id, HttpRequest const& request) const;
+    void submitClaimed(InteractiveRequest const& described);
+    void onCallerGone(RequestId id);
     void send(SendAttempt const& attempt);
     void onOutcome(AttemptId attempt, HttpOutcome const& outcome);
-    void answer(RequestId id, HttpResponse response);
+    void answer(RequestId id, HttpResponse const& response);
     void refuse(RequestId id, RouterRefusal const& refusal);
 
     EventLoop& loop;
@@ -73,6 +78,7 @@
     std::unordered_map<RequestId, std::unique_ptr<Pending>> pending;
     std::unordered_map<AttemptId, HttpExchangeId> exchanges;
     RequestRouter router;
+    ClaimGate claims;
     uint64_t nextRequest = 1;
 };
 
--- /dev/null
+++ b/cornelpond/app/ClaimGate.h
@@ -0,0 +1,64 @@
+#pragma once
+
+// Lets a not-repeatable request with an idempotency key pass only once its claim is granted, and tells
+// the key's home how the request ended.
+//
+// Example:
+//   if (ClaimGate::isNeeded(described, request))
+//       gate.claim(described, request, hooks); // calls hooks.granted, answered or refused once
+//   gate.onAnswered(id, response);
+//
+// Loop thread only.
+
+#include "cornelpond/adapters/http/HttpTypes.h"
+#include "cornelpond/core/claims/ClaimClient.h"
+#include "cornelpond/core/routing/RequestRouter.h"
+#include "cornelpond/ports/EventSink.h"
+
+#include <functional>
+#include <unordered_map>
+
+namespace cornelpond {
+
+struct ClaimGateHooks {
+    std::function<void()> granted;
+    std::function<void(HttpResponse const&)> answered; ///< The key's stored answer.
+    std::function<void(RouterRefusal const&)> refused;
+};
+
+class ClaimGate {
+public:
+    /// Both must outlive the gate.
+    ClaimGate(ClaimClient& client, EventSink& events)
+        : client(client)
+        , events(events)
+    {
+    }
+
+    static bool isNeeded(InteractiveRequest const& described, HttpRequest const& request);
+
+    void claim(InteractiveRequest const& described, HttpRequest const& request, ClaimGateHooks const& hooks);
+
+    /// The request ran and this is its answer. Does nothing for a request without a claim.
+    void onAnswered(RequestId id, HttpResponse const& response);
+
+    /// The request ended without an answer. Does nothing for a request without a claim.
+    void onEnded(RequestId id, bool mayHaveRun);
+
+    /// True between the grant and the end.
+    bool holds(RequestId id) const { return this->held.count(id) > 0; }
+
+private:
+    struct Held {
+        ClaimKey key;
+        ClaimId id;
+    };
+
+    void onClaimed(RequestId id, ClaimKey const& key, ClaimId const& claim, ClaimResult result, StoredAnswer const& answer, ClaimGateHooks const& hooks);
+
+    ClaimClient& client;
+    EventSink& events;
+    std::unordered_map<RequestId, Held> held;
+};
+
+} // namespace cornelpond
--- a/cornelpond/app/EntryHost.cpp
+++ b/cornelpond/app/EntryHost.cpp
@@ -30,14 +30,13 @@
     , pusher(this->client)
     , taskStorage(this->settings.dataFolder + "/tasks", events)
     , configStorage(this->settings.dataFolder + "/config", events)
+    , interactive(loop, this->settings, events, this->metrics, this->client, this->backendServers, this->random, this->taskMachines, [this]() -> Policy const& { return this->policy; })
     , scheduler(loop, events, this->taskMachines.add(StateMachinePart::Tasks, this->taskHooks()), LeaseTimes { this->settings.times.lease, this->settings.times.driftMargin },
           [this](Worker const& worker, AnnouncementAnswer const& commands) { this->pusher.push(worker, commands); })
     , config(this->configMachines.add(StateMachinePart::Configuration, this->configHooks()), [this](ConfigRecord const& record) { this->onConfig(record); })
     , taskLog(this->settings.host, this->taskStorage, this->taskMachines.hooks())
     , configLog(this->settings.host, this->configStorage, this->configMachines.hooks())
-    , callerEndpoint(
-          loop, events, this->metrics, this->client, this->backendServers, this->random, [this]() -> Policy const& { return this->policy; }, this->callerOptions())
-    , workerApi(loop, events, this->scheduler, this->backendServers, this->settings.dataCentre, this->settings.times.announcementExpiry, this->jsonLimits(), [this] { this->callerEndpoint.onServersChanged(); })
+    , workerApi(loop, events, this->scheduler, this->backendServers, this->settings.dataCentre, this->settings.times.announcementExpiry, this->jsonLimits(), [this] { this->interactive.onServersChanged(); })
     , taskApi(this->scheduler, this->jsonLimits(), [this] { return static_cast<bool>(this->onShutDown); })
     , configApi(loop, events, this->config, this->jsonLimits())
     , callerServer(loop, this->httpLimits(), [this](HttpRequest request, HttpResponder const& responder) { this->handleCaller(std::move(request), responder); })
@@ -84,14 +83,6 @@
     return hooks;
 }
 
-CallerEndpointOptions EntryHost::callerOptions() const
-{
-    CallerEndpointOptions options;
-    options.admission.maxRequests = this->settings.limits.maxQueuedRequests;
-    options.balancer.dataCentre = this->settings.dataCentre;
-    return options;
-}
-
 JsonLimits EntryHost::jsonLimits() const
 {
     return { this->settings.limits.maxBodyBytes, this->settings.limits.maxJsonDepth };
@@ -124,7 +115,7 @@
 {
     this->tickTimer = this->loop.after(tickInterval, [this] { this->tick(); });
     this->expireBackendServers();
-    this->callerEndpoint.onTick();
+    this->interactive.onTick();
     this->scheduler.onTick();
     if (this->onShutDown)
         this->finishShutDown();
@@ -151,7 +142,7 @@
             call.answer(jsonResponse(200, { { "code", 0 }, { "host", this->settings.host.value() } }));
     });
     router.add("GET", "/metrics", [this](ApiCall const& call) {
-        this->metrics.setGauge("openRequests", static_cast<int64_t>(this->callerEndpoint.openRequests()));
+        this->metrics.setGauge("openRequests", static_cast<int64_t>(this->interactive.openRequests()));
         this->metrics.setGauge("startsCommitted", static_cast<int64_t>(this->scheduler.startsCommitted()));
         HttpResponse response;
         response.headers.add("Content-Type", "text/plain");
@@ -189,7 +180,7 @@
         responder.answer(draining ? refusal(ResultCode::ShuttingDown, "draining") : jsonResponse(200, { { "code", 0 } }));
         return;
     }
-    this->callerEndpoint.handle(std::move(request), responder);
+    this->interactive.handle(std::move(request), responder);
 }
 
 void EntryHost::handleWorker(HttpRequest const& request, HttpResponder const& responder)
--- a/cornelpond/app/EntryHost.h
+++ b/cornelpond/app/EntryHost.h
@@ -12,9 +12,9 @@
 #include "cornelpond/adapters/journal/JournalStorage.h"
 #include "cornelpond/adapters/metrics/Metrics.h"
 #include "cornelpond/app/Api.h"
-#include "cornelpond/app/CallerEndpoint.h"
 #include "cornelpond/app/CommandPusher.h"
 #include "cornelpond/app/ConfigApi.h"
+#include "cornelpond/app/InteractiveService.h"
 #include "cornelpond/app/Settings.h"
 #include "cornelpond/app/TaskApi.h"
 #include "cornelpond/app/WorkerApi.h"
@@ -50,7 +50,6 @@
     void finishShutDown();
     StateMachineHooks taskHooks();
     StateMachineHooks configHooks();
-    CallerEndpointOptions callerOptions() const;
     JsonLimits jsonLimits() const;
     HttpLimits httpLimits() const;
     nlohmann::json status() const;
@@ -68,11 +67,11 @@
     JournalStorage configStorage;
     StateMachineSet taskMachines; ///< Tasks and claims of this data centre.
     StateMachineSet configMachines;
+    InteractiveService interactive;
     Scheduler scheduler;
     ConfigService config;
     SoleVoterLog taskLog;
     SoleVoterLog configLog;
-    CallerEndpoint callerEndpoint;
     WorkerApi workerApi;
     TaskApi taskApi;
     ConfigApi configApi;
--- a/cornelpond/core/base/ResultCode.cpp
+++ b/cornelpond/core/base/ResultCode.cpp
@@ -38,6 +38,8 @@
         ResultCodeInfo { ResultCode::HomeUnreachable, "HomeUnreachable", 503, "The key's home data centre is out of reach; did not run." },
         ResultCodeInfo { ResultCode::DuplicateInProgress, "DuplicateInProgress", 409, "A request with this idempotency key is still in progress." },
         ResultCodeInfo { ResultCode::ServiceUnknown, "ServiceUnknown", 404, "No service of this name was ever announced or configured; did not run." },
+        ResultCodeInfo { ResultCode::AnswerNotKept, "AnswerNotKept", 409, "The request with this idempotency key ran before; its answer was too long to keep." },
+        ResultCodeInfo { ResultCode::ClaimsFull, "ClaimsFull", 503, "No further idempotency key can be claimed now; did not run." },
         ResultCodeInfo { ResultCode::StorageFailed, "StorageFailed", 503, "Writing or syncing the data folder failed; nothing was acknowledged." },
         ResultCodeInfo { ResultCode::StorageDamaged, "StorageDamaged", 500, "The data folder holds a damaged record that is not a torn tail; the group is not served." },
         ResultCodeInfo { ResultCode::DiskFull, "DiskFull", 507, "No space is left in the data folder; nothing was acknowledged." },
--- a/cornelpond/core/base/ResultCode.h
+++ b/cornelpond/core/base/ResultCode.h
@@ -51,6 +51,8 @@
     HomeUnreachable = 307,
     DuplicateInProgress = 308,
     ServiceUnknown = 309,
+    AnswerNotKept = 310,
+    ClaimsFull = 311,
     // 4xx: storage and agreement.
     StorageFailed = 400,
     StorageDamaged = 401,
--- /dev/null
+++ b/cornelpond/core/claims/Claim.cpp
@@ -0,0 +1,32 @@
+#include "cornelpond/core/claims/Claim.h"
+
+#include "cornelpond/core/base/StableHash.h"
+
+namespace cornelpond {
+
+size_t StoredAnswer::bytes() const
+{
+    size_t total = this->body.size();
+    for (auto const& header : this->headers)
+        total += header.name.size() + header.value.size();
+    return total;
+}
+
+/// Rendezvous hashing: a data centre that joins takes over only its own keys.
+DataCentreId homeOf(ClaimKey const& key, Span<DataCentreId const> dataCentres)
+{
+    uint64_t const keyHash = stableHash(key.key, stableHash(key.service.value(), stableHash(key.association.value())));
+    DataCentreId home;
+    uint64_t best = 0;
+    for (auto const& dataCentre : dataCentres) {
+        uint64_t const score = stableHash(dataCentre.value(), keyHash);
+        bool const isBetter = home.empty() || score > best || (score == best && dataCentre < home);
+        if (!isBetter)
+            continue;
+        home = dataCentre;
+        best = score;
+    }
+    return home;
+}
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/claims/ClaimService.cpp
@@ -0,0 +1,81 @@
+#include "cornelpond/core/claims/ClaimService.h"
+
+namespace cornelpond {
+
+ClaimService::ClaimService(Clock const& clock, CommandLog& log, ClaimLimits limits)
+    : clock(clock)
+    , log(log)
+    , limits(limits)
+{
+}
+
+/// Time between two leaders is not counted, so a key is never free too early.
+void ClaimService::onLeadership(bool isLeader)
+{
+    if (isLeader)
+        this->lastProposal = this->clock.now();
+}
+
+void ClaimService::handle(ClaimAction const& action, Done const& done)
+{
+    if (!this->log.isLeader()) {
+        done(ClaimResult::NotLeader, StoredAnswer());
+        return;
+    }
+    if (auto const* begin = std::get_if<BeginClaim>(&action)) {
+        this->begin(*begin, done);
+        return;
+    }
+    this->propose(this->withoutLargeAnswer(action), [done](ProposalOutcome const& outcome) {
+        bool const isRefused = outcome.code == ResultCode::NotLeader;
+        ClaimResult const failure = isRefused ? ClaimResult::NotLeader : ClaimResult::Unavailable;
+        done(outcome.code == ResultCode::Ok ? ClaimResult::Done : failure, StoredAnswer());
+    });
+}
+
+void ClaimService::begin(BeginClaim action, Done const& done)
+{
+    if (this->claims.find(action.key)) {
+        this->tell(action, done);
+        return;
+    }
+    if (this->claims.size() >= this->limits.maxKeys) {
+        done(ClaimResult::Full, StoredAnswer());
+        return;
+    }
+    action.keep = this->limits.keep;
+    this->propose(action, [this, action, done](ProposalOutcome const& outcome) {
+        if (outcome.code == ResultCode::Ok)
+            this->tell(action, done);
+        else
+            done(outcome.code == ResultCode::NotLeader ? ClaimResult::NotLeader : ClaimResult::Unavailable, StoredAnswer());
+    });
+}
+
+void ClaimService::tell(BeginClaim const& action, Done const& done) const
+{
+    ClaimTable::Entry const* entry = this->claims.find(action.key);
+    ClaimResult const result = this->claims.resultFor(action);
+    done(result, result == ClaimResult::Finished ? entry->answer : StoredAnswer());
+}
+
+void ClaimService::propose(ClaimAction action, CommandLog::Done done)
+{
+    TimePoint const now = this->clock.now();
+    Duration const elapsed = now - this->lastProposal;
+    this->lastProposal = now;
+    this->log.propose(encodeClaimCommand({ elapsed, std::move(action) }), std::move(done));
+}
+
+ClaimAction ClaimService::withoutLargeAnswer(ClaimAction action) const
+{
+    auto* finish = std::get_if<FinishClaim>(&action);
+    if (!finish)
+        return action;
+    size_t const bytes = finish->answer.bytes();
+    if (bytes > this->limits.maxAnswerBytes || this->claims.answerBytes() + bytes > this->limits.maxStoredBytes)
+        finish->answer = StoredAnswer();
+    return action;
+}
+
+} // namespace cornelpond
--- a/cornelpond/ports/Transport.h
+++ b/cornelpond/ports/Transport.h
@@ -23,6 +23,7 @@
     Shares = 5, ///< Slot shares of backend servers.
     Configuration = 6,
     HandOver = 7, ///< Queued tasks that move to another data centre.
+    Claims = 8, ///< Idempotency keys, between an entry host and the leader of the key's home.
 };
 
 struct PeerMessage {
