--- /dev/null
+++ b/cornelpond/core/routing/SharesTest.cpp
@@ -0,0 +1,259 @@
+#include "cornelpond/core/routing/ShareHolder.h"
+#include "cornelpond/core/routing/ShareOwner.h"
+
+#include "testing/fakes/FakeClock.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <deque>
+#include <memory>
+
+using namespace cornelpond;
+
+namespace {
+
+constexpr uint32_t slots = 8;
+constexpr size_t hostCount = 3;
+BackendServerId const server("s1");
+ShareTimes const times;
+
+std::vector<HostId> hostNames()
+{
+    return { HostId("h0"), HostId("h1"), HostId("h2") };
+}
+
+struct Attempt {
+    TimePoint end;
+};
+
+struct Host {
+    Host(size_t index, uint64_t incarnation, Clock const& clock)
+        : holder(hostNames()[index], hostNames(), incarnation, clock)
+        , owner(hostNames(), times, clock)
+    {
+    }
+
+    ShareHolder holder;
+    ShareOwner owner;
+    std::vector<Attempt> attempts; ///< In flight at the backend server; a crash ends them.
+    bool paused = false;
+    TimePoint confirmedUntil; ///< How long a majority has vouched for this leadership.
+};
+
+struct Message {
+    size_t from;
+    size_t to;
+    ShareMessage content;
+};
+
+/// The entry hosts of one data centre and one backend server. A new leader is elected only once the old
+/// one's confirmation has run out, as check-quorum guarantees; the old one need not have noticed.
+class Site {
+public:
+    Site()
+    {
+        for (size_t i = 0; i < hostCount; i++)
+            this->restart(i);
+        this->elect(0);
+    }
+
+    void restart(size_t index) { this->hosts[index] = std::make_unique<Host>(index, ++this->incarnations, this->clock); }
+
+    void elect(size_t index)
+    {
+        if (this->clock.now() < this->hosts[this->leader]->confirmedUntil || this->hosts[index]->paused)
+            return;
+        this->leader = index;
+        this->hosts[index]->owner.onLeadership(Term(++this->term));
+        this->confirm();
+    }
+
+    void confirm() { this->hosts[this->leader]->confirmedUntil = this->clock.now() + Duration::milliseconds(300); }
+
+    void ask(size_t index, uint32_t wanted)
+    {
+        Host& host = *this->hosts[index];
+        if (host.paused)
+            return;
+        ShareDemand const demand { server, slots, static_cast<uint32_t>(host.attempts.size()), wanted };
+        ShareRequest const request = host.holder.makeRequest({ &demand, 1 });
+        for (size_t to = 0; to < hostCount; to++)
+            this->network.push_back({ index, to, request });
+    }
+
+    void deliver(size_t pick, bool again)
+    {
+        if (this->network.empty())
+            return;
+        auto const chosen = this->network.begin() + static_cast<std::ptrdiff_t>(pick % this->network.size());
+        Message const message = *chosen;
+        Host& host = *this->hosts[message.to];
+        if (host.paused)
+            return;
+        if (!again)
+            this->network.erase(chosen);
+        if (auto const* grant = std::get_if<ShareGrant>(&message.content)) {
+            host.holder.onGrant(std::get<ShareGrant>(decodeShareMessage(encodeShareMessage(*grant))));
+            return;
+        }
+        bool const isConfirmed = this->clock.now() < host.confirmedUntil;
+        auto const grant = host.owner.onRequest(hostNames()[message.from], std::get<ShareRequest>(message.content), isConfirmed);
+        if (grant)
+            this->network.push_back({ message.to, message.from, *grant });
+    }
+
+    void start(size_t index, Duration length)
+    {
+        Host& host = *this->hosts[index];
+        TimePoint const end = this->clock.now() + length;
+        if (!host.paused && host.attempts.size() < host.holder.usableSlots(server, slots, end))
+            host.attempts.push_back({ end });
+    }
+
+    void advance(Duration span)
+    {
+        this->clock.advance(span);
+        for (auto& host : this->hosts) {
+            auto& attempts = host->attempts;
+            attempts.erase(std::remove_if(attempts.begin(), attempts.end(), [&](Attempt const& attempt) { return attempt.end <= this->clock.now(); }), attempts.end());
+        }
+    }
+
+    void deliverAll()
+    {
+        for (; !this->network.empty(); this->network.pop_front())
+            this->deliver(0, true);
+    }
+
+    uint32_t usable(size_t index) const { return this->hosts[index]->holder.usableSlots(server, slots, this->clock.now()); }
+
+    /// What the hosts use or could start to use right now.
+    size_t sum() const
+    {
+        size_t sum = 0;
+        for (size_t i = 0; i < hostCount; i++)
+            sum += std::max<size_t>(this->usable(i), this->hosts[i]->attempts.size());
+        return sum;
+    }
+
+    FakeClock clock;
+    std::array<std::unique_ptr<Host>, hostCount> hosts;
+    std::deque<Message> network;
+    size_t leader = 0;
+    uint64_t term = 0;
+    uint64_t incarnations = 0;
+};
+
+/// Asks and answers several times, as in a second of undisturbed operation.
+void settle(Site& site, std::array<uint32_t, hostCount> const& wanted)
+{
+    for (int round = 0; round < 4; round++) {
+        site.confirm();
+        for (size_t i = 0; i < hostCount; i++)
+            site.ask(i, wanted[i]);
+        site.deliverAll();
+        site.advance(Duration::milliseconds(250));
+    }
+}
+
+} // namespace
+
+TEST_CASE("the sum of usable and used slots never exceeds the server's")
+{
+    rc::prop("through loss, doubling, crash, pause, isolation and change of the owner", [] {
+        Site site;
+        auto const steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 10000));
+        for (int step : steps) {
+            auto const pick = static_cast<size_t>(step / 12);
+            size_t const host = pick % hostCount;
+            switch (step % 12) {
+            case 0:
+            case 1:
+                site.ask(host, static_cast<uint32_t>(pick / 3 % 9));
+                break;
+            case 2:
+            case 3:
+            case 4:
+                site.deliver(pick, false);
+                break;
+            case 5:
+                site.deliver(pick, true);
+                break;
+            case 6:
+                if (!site.network.empty())
+                    site.network.pop_front();
+                break;
+            case 7:
+                site.advance(Duration::milliseconds(static_cast<int64_t>(pick) * 2));
+                break;
+            case 8:
+                site.start(host, Duration::milliseconds(static_cast<int64_t>(pick) * 15));
+                break;
+            case 9:
+                site.hosts[host]->paused = !site.hosts[host]->paused;
+                break;
+            case 10:
+                if (pick % 4 == 0)
+                    site.restart(host);
+                else
+                    site.elect(host);
+                break;
+            default:
+                if (!site.hosts[site.leader]->paused)
+                    site.confirm();
+            }
+            RC_ASSERT(site.sum() <= slots);
+        }
+    });
+}
+
+TEST_CASE("all slots are lent out and follow the demand within a second")
+{
+    Site site;
+    settle(site, { 0, 0, 0 });
+    CHECK(site.sum() == slots);
+    settle(site, { 8, 0, 0 });
+    uint32_t const busy = site.usable(0);
+    settle(site, { 0, 0, 8 });
+    CHECK(site.sum() == slots);
+    CHECK(site.usable(0) < busy);
+    CHECK(site.usable(2) >= 5);
+}
+
+TEST_CASE("slots of a host that crashed are lent again after its lease, its floor is not")
+{
+    Site site;
+    settle(site, { 0, 8, 0 });
+    site.hosts[1]->paused = true;
+    settle(site, { 8, 0, 0 });
+    uint32_t const before = site.usable(0);
+    site.advance(times.lease + times.driftMargin);
+    settle(site, { 8, 0, 0 });
+    CHECK(site.usable(0) > before);
+    auto const hosts = hostNames();
+    CHECK(site.usable(0) + floorOf(server, slots, hosts[1], { hosts.data(), hosts.size() }) + site.usable(2) == slots);
+}
+
+TEST_CASE("a new owner raises shares as soon as every host has taken in its term")
+{
+    Site site;
+    settle(site, { 8, 0, 0 });
+    site.advance(Duration::seconds(1));
+    site.elect(1);
+    settle(site, { 0, 8, 0 });
+    CHECK(site.usable(1) >= 4);
+    CHECK(site.sum() == slots);
+}
+
+TEST_CASE("without an owner every host keeps a floor somewhere and a sole host all slots")
+{
+    auto const hosts = hostNames();
+    for (auto const& host : hosts) {
+        uint32_t floors = 0;
+        for (int i = 0; i < 20; i++)
+            floors += floorOf(BackendServerId("s" + std::to_string(i)), slots, host, { hosts.data(), hosts.size() });
+        CHECK(floors >= 20);
+    }
+    CHECK(floorOf(server, slots, hosts[0], { hosts.data(), 1 }) == slots);
+}
