--- a/cornelpond/app/Commands.cpp
+++ b/cornelpond/app/Commands.cpp
@@ -8,6 +8,7 @@
 #include "cornelpond/app/OperatorClient.h"
 #include "cornelpond/app/Settings.h"
 #include "cornelpond/app/Table.h"
+#include "cornelpond/app/TaskGroupReplica.h"
 #include "cornelpond/core/base/Json.h"
 #include "cornelpond/core/config/ConfigTable.h"
 #include "cornelpond/core/tasks/TaskJson.h"
@@ -435,29 +436,12 @@
         };
     }
 
-    StateMachineHooks inspectionHooks(TaskTable& table)
-    {
-        StateMachineHooks hooks;
-        hooks.apply = [&table](LogIndex, std::string const& encoded) {
-            for (auto const& command : decodeTaskCommands(encoded))
-                table.apply(command);
-        };
-        hooks.restore = [&table](std::string const& state) { table.restore(state); };
-        return hooks;
-    }
-
     nlohmann::json inspectTasks(std::string const& folder)
     {
         size_t tornBytes = 0;
         StoredLog const log = JournalStorage::inspect(folder, tornBytes);
-        TaskTable table;
-        StateMachineSet machines;
-        machines.add(StateMachinePart::Tasks, inspectionHooks(table));
-        StateMachineHooks ignored;
-        ignored.apply = [](LogIndex, std::string const&) {};
-        ignored.restore = [](std::string const&) {};
-        machines.add(StateMachinePart::Claims, ignored);
-        StateMachineHooks const hooks = machines.hooks();
+        TaskGroupReplica replica;
+        StateMachineHooks const hooks = replica.hooks();
         if (log.snapshot.lastIndex > LogIndex(0))
             hooks.restore(log.snapshot.state);
         for (auto const& entry : log.entries) {
@@ -465,7 +449,7 @@
                 hooks.apply(entry.index, entry.payload);
         }
         std::map<std::string, size_t> counts;
-        for (auto const& [id, task] : table.all())
+        for (auto const& [id, task] : replica.tasks().all())
             counts[std::string(taskStateName(task.state))]++;
         return counts;
     }
--- a/cornelpond/app/EntryHost.cpp
+++ b/cornelpond/app/EntryHost.cpp
@@ -50,14 +50,13 @@
     , client(loop, HttpClientLimits())
     , backendServers(this->settings.times.announcementExpiry)
     , pusher(this->client)
+    , interactive(loop, this->settings, events, this->metrics, this->client, this->backendServers, this->random, this->taskMachines, [this]() -> Policy const& { return this->policy; })
     , scheduler(loop, events, this->taskMachines.add(StateMachinePart::Tasks, this->taskHooks()), LeaseTimes { this->settings.times.lease, this->settings.times.driftMargin },
           { [this](Worker const& worker, AnnouncementAnswer const& commands) { this->pusher.push(worker, commands); }, [this]() -> Policy const& { return this->policy; },
               [this] { return this->backendServers.reservedOnWorkers(); } })
     , config(this->configMachines.add(StateMachinePart::Configuration, this->configHooks()), [this](ConfigRecord const& record) { this->network.onConfigCommitted(record); })
     , network(loop, this->random, events, this->settings, this->networkHooks())
-    , callerEndpoint(
-          loop, events, this->metrics, this->client, this->backendServers, this->random, [this]() -> Policy const& { return this->policy; }, this->callerOptions())
-    , workerApi(loop, events, this->scheduler, this->backendServers, this->settings.dataCentre, this->settings.times.announcementExpiry, this->jsonLimits(), [this] { this->callerEndpoint.onServersChanged(); })
+    , workerApi(loop, events, this->scheduler, this->backendServers, this->settings.dataCentre, this->settings.times.announcementExpiry, this->jsonLimits(), [this] { this->interactive.onServersChanged(); })
     , taskApi(this->scheduler, this->jsonLimits(), [this] { return static_cast<bool>(this->onShutDown); })
     , configApi(loop, events, this->config, this->network.configuration(), this->jsonLimits())
     , callerServer(loop, this->httpLimits(), [this](HttpRequest request, HttpResponder const& responder) { this->handleCaller(std::move(request), responder); })
@@ -66,6 +65,10 @@
 {
     this->taskMachines.attach(this->network.openGroup(taskGroupId(this->settings.dataCentre), "tasks", this->taskMachines.hooks()));
     this->configMachines.attach(this->network.openGroup(configGroupId(), "config", this->configMachines.hooks()));
+    if (!this->settings.peers.empty()) {
+        this->network.setReceiver(PeerChannel::Claims, [this](HostId const& from, PeerMessage const& message) { this->interactive.onPeerMessage(from, message); });
+        this->interactive.attach(this->network.transport(), [this](DataCentreId const& dataCentre) { return this->network.leaderOf(taskGroupId(dataCentre)); });
+    }
     this->addHealthRoute(this->workerRouter);
     this->addHealthRoute(this->operatorRouter);
     this->workerApi.addRoutes(this->workerRouter);
@@ -105,14 +108,6 @@
     return hooks;
 }
 
-CallerEndpointOptions EntryHost::callerOptions() const
-{
-    CallerEndpointOptions options;
-    options.admission.maxRequests = this->settings.limits.maxQueuedRequests;
-    options.balancer.dataCentre = this->settings.dataCentre;
-    return options;
-}
-
 JsonLimits EntryHost::jsonLimits() const
 {
     return { this->settings.limits.maxBodyBytes, this->settings.limits.maxJsonDepth };
@@ -147,7 +142,7 @@
     this->tickTimer = this->loop.after(tickInterval, [this] { this->tick(); });
     this->expireBackendServers();
     this->network.onTick();
-    this->callerEndpoint.onTick();
+    this->interactive.onTick();
     this->scheduler.onTick();
     if (this->onShutDown)
         this->finishShutDown();
@@ -172,7 +167,7 @@
         call.answer(this->health());
     });
     router.add("GET", "/metrics", [this](ApiCall const& call) {
-        this->metrics.setGauge("openRequests", static_cast<int64_t>(this->callerEndpoint.openRequests()));
+        this->metrics.setGauge("openRequests", static_cast<int64_t>(this->interactive.openRequests()));
         this->metrics.setGauge("startsCommitted", static_cast<int64_t>(this->scheduler.startsCommitted()));
         this->network.fillMetrics(this->metrics);
         HttpResponse response;
@@ -253,8 +248,7 @@
     hooks.serveHere = [this](ApiKind api, HttpRequest const& request, ApiAnswer const& answer) { this->serveHere(api, request, answer); };
     hooks.onConfiguration = [this](ConfigRecord const& record) { this->onConfig(record); };
     hooks.witnessHooks = [this](DataCentreId const& dataCentre) {
-        LeaseTimes const times { this->settings.times.lease, this->settings.times.driftMargin };
-        return this->witnesses.try_emplace(dataCentre, this->loop, this->events, times).first->second.hooks();
+        return this->witnesses.try_emplace(dataCentre).first->second.hooks();
     };
     return hooks;
 }
@@ -300,7 +294,7 @@
         responder.answer(withNotRun(refusal(ResultCode::ConfigurationMissing, "no configuration from disk or a peer yet")));
         return;
     }
-    this->callerEndpoint.handle(std::move(request), responder);
+    this->interactive.handle(std::move(request), responder);
 }
 
 void EntryHost::handleWorker(HttpRequest const& request, HttpResponder const& responder)
--- a/cornelpond/app/EntryHost.h
+++ b/cornelpond/app/EntryHost.h
@@ -11,13 +11,13 @@
 #include "cornelpond/adapters/http/HttpServer.h"
 #include "cornelpond/adapters/metrics/Metrics.h"
 #include "cornelpond/app/Api.h"
-#include "cornelpond/app/CallerEndpoint.h"
 #include "cornelpond/app/CommandPusher.h"
 #include "cornelpond/app/ConfigApi.h"
 #include "cornelpond/app/HostNetwork.h"
+#include "cornelpond/app/InteractiveService.h"
 #include "cornelpond/app/Settings.h"
 #include "cornelpond/app/TaskApi.h"
-#include "cornelpond/app/WitnessGroup.h"
+#include "cornelpond/app/TaskGroupReplica.h"
 #include "cornelpond/app/WorkerApi.h"
 #include "cornelpond/core/agreement/StateMachineSet.h"
 #include "cornelpond/core/config/ConfigService.h"
@@ -60,7 +60,6 @@
     void finishShutDown();
     StateMachineHooks taskHooks();
     StateMachineHooks configHooks();
-    CallerEndpointOptions callerOptions() const;
     JsonLimits jsonLimits() const;
     HttpLimits httpLimits() const;
 
@@ -75,11 +74,11 @@
     CommandPusher pusher;
     StateMachineSet taskMachines; ///< Tasks and claims of this data centre.
     StateMachineSet configMachines;
+    InteractiveService interactive;
     Scheduler scheduler;
     ConfigService config;
-    std::map<DataCentreId, WitnessGroup> witnesses; ///< Of other data centres' groups.
+    std::map<DataCentreId, TaskGroupReplica> witnesses; ///< Of other data centres' groups.
     HostNetwork network;
-    CallerEndpoint callerEndpoint;
     WorkerApi workerApi;
     TaskApi taskApi;
     ConfigApi configApi;
