--- a/cornelpond/core/agreement/AgreementMessage.cpp
+++ b/cornelpond/core/agreement/AgreementMessage.cpp
@@ -69,6 +69,7 @@
             this->head(MessageKind::SnapshotChunk, message.term);
             this->out.number(message.lastIndex.value());
             this->out.number(message.lastTerm.value());
+            this->time(message.takenAt);
             this->out.number(message.offset);
             this->out.number(message.total);
             this->time(message.sentAt);
@@ -194,6 +195,7 @@
         message.term = term;
         message.lastIndex = takeIndex(in);
         message.lastTerm = takeTerm(in);
+        message.takenAt = takeTime(in);
         message.offset = in.number();
         message.total = in.number();
         message.sentAt = takeTime(in);
--- a/cornelpond/core/agreement/AgreementMessage.h
+++ b/cornelpond/core/agreement/AgreementMessage.h
@@ -56,6 +56,7 @@
     Term term;
     LogIndex lastIndex;
     Term lastTerm;
+    TimePoint takenAt; ///< Tells one transfer from another; the sender's clock.
     uint64_t offset = 0;
     uint64_t total = 0; ///< Bytes of the whole state.
     TimePoint sentAt;
--- a/cornelpond/core/agreement/ReplicatedLog.h
+++ b/cornelpond/core/agreement/ReplicatedLog.h
@@ -119,8 +119,8 @@
     };
 
     struct IncomingSnapshot {
-        HostId from;
-        LogIndex lastIndex;
+        Term term;
+        TimePoint takenAt;
         std::string state;
     };
 
@@ -162,9 +162,11 @@
     void heartbeat(HostId const& to, PeerProgress& progress);
     AppendRequest makeHeartbeat(PeerProgress& progress) const;
     bool isSilent(PeerProgress const& progress) const;
+    void takeOutgoingSnapshot();
     void startSnapshot(HostId const& to, PeerProgress& progress);
     void onAppendReply(HostId const& from, AppendReply const& reply);
     void onSnapshotReply(HostId const& from, SnapshotReply const& reply);
+    void advanceSnapshot(HostId const& to, PeerProgress& progress, SnapshotReply const& reply);
     void onMemberAnswer(PeerProgress& progress, TimePoint sentAt);
     void dropOutgoingSnapshotWhenUnused();
     void advanceCommit();
@@ -234,6 +236,7 @@
     TimePoint leaderSince;
     std::optional<Transfer> transfer;
     std::optional<Snapshot> outgoingSnapshot;
+    TimePoint outgoingTakenAt;
     std::deque<Proposal> proposals;
     size_t proposedBytes = 0;
 
--- a/cornelpond/core/agreement/ReplicatedLogTest.cpp
+++ b/cornelpond/core/agreement/ReplicatedLogTest.cpp
@@ -1,6 +1,6 @@
 #include "cornelpond/core/agreement/ReplicatedLog.h"
 
-#include "testing/fakes/AgreementCluster.h"
+#include "testing/fakes/AgreementSchedule.h"
 
 #include <catch2/catch.hpp>
 
@@ -291,3 +291,39 @@
         CHECK(cluster.acknowledgedCount() == 3);
     }
 }
+
+TEST_CASE("doubled chunks of a snapshot do not breed more messages")
+{
+    ReplicatedLogLimits limits;
+    limits.snapshotEntries = 20;
+    limits.keptEntries = 5;
+    limits.messageBytes = 1;
+    AgreementCluster cluster(seed, { "a", "b", "c" }, {}, limits);
+    useLinks(cluster, 5);
+    HostId const first = awaitLeader(cluster);
+    cluster.isolate(HostId(first == HostId("a") ? "b" : "a"));
+    for (int i = 0; i < 50; i++)
+        commit(cluster, "command " + std::to_string(i));
+    cluster.heal();
+    cluster.network.faults.duplication = 0.9;
+    uint64_t const before = cluster.network.messageCount();
+    CHECK(cluster.runUntil([&] { return cluster.hasConverged(); }, Duration::seconds(10)));
+    CHECK(cluster.network.messageCount() - before < 500);
+}
+
+TEST_CASE("a split vote is settled well before another election timeout")
+{
+    for (uint64_t run = 1; run <= 200; run++) {
+        AgreementCluster cluster(run, { "a", "b", "c" });
+        useLinks(cluster, 5);
+        HostId const first = awaitLeader(cluster);
+        cluster.crash(first);
+        REQUIRE(cluster.runUntil([&] { return cluster.leader().has_value(); }, Duration::milliseconds(1500)));
+    }
+}
+
+TEST_CASE("a member is not sent a snapshot that ends before the leader's log begins")
+{
+    // Two members get the state at a time, and one of them much later than the other.
+    CHECK_NOTHROW(ScheduleRun(2356).run(randomActions(2356, 60)));
+}
--- a/cornelpond/core/agreement/Replication.cpp
+++ b/cornelpond/core/agreement/Replication.cpp
@@ -116,8 +116,9 @@
         progress.probing = true;
         return;
     }
-    if (!this->outgoingSnapshot)
-        this->outgoingSnapshot = this->makeSnapshot();
+    // One that ends before the entries held here would only be followed by the next.
+    if (!this->outgoingSnapshot || this->outgoingSnapshot->lastIndex < this->log.baseIndex())
+        this->takeOutgoingSnapshot();
     progress.mode = PeerProgress::Mode::Snapshot;
     progress.inFlight.clear();
     progress.probing = false;
@@ -126,6 +127,17 @@
     this->sendSnapshotChunk(to, progress);
 }
 
+void ReplicatedLog::takeOutgoingSnapshot()
+{
+    this->outgoingSnapshot = this->makeSnapshot();
+    this->outgoingTakenAt = this->clock.now();
+    for (auto& [host, progress] : this->peers) {
+        // Transfers underway start again with the new one at the next heartbeat.
+        progress.snapshotIndex = this->outgoingSnapshot->lastIndex;
+        progress.snapshotOffset = 0;
+    }
+}
+
 void ReplicatedLog::sendSnapshotChunk(HostId const& to, PeerProgress& progress)
 {
     Snapshot const& snapshot = *this->outgoingSnapshot;
@@ -133,6 +145,7 @@
     chunk.term = this->hardState.term;
     chunk.lastIndex = snapshot.lastIndex;
     chunk.lastTerm = snapshot.lastTerm;
+    chunk.takenAt = this->outgoingTakenAt;
     chunk.offset = progress.snapshotOffset;
     chunk.total = snapshot.state.size();
     chunk.sentAt = progress.lastSent = this->clock.now();
@@ -196,12 +209,10 @@
         return;
     PeerProgress& progress = found->second;
     this->onMemberAnswer(progress, reply.sentAt);
-    bool const isOld = reply.sentAt < progress.lastSent && reply.nextOffset <= progress.snapshotOffset;
-    if (progress.mode != PeerProgress::Mode::Snapshot || reply.lastIndex != progress.snapshotIndex || isOld)
+    if (progress.mode != PeerProgress::Mode::Snapshot || reply.lastIndex != progress.snapshotIndex)
         return;
     if (reply.nextOffset < this->outgoingSnapshot->state.size()) {
-        progress.snapshotOffset = reply.nextOffset;
-        this->sendSnapshotChunk(from, progress);
+        this->advanceSnapshot(from, progress, reply);
         return;
     }
     progress.mode = PeerProgress::Mode::Probe;
@@ -211,6 +222,17 @@
     this->advanceCommit();
 }
 
+void ReplicatedLog::advanceSnapshot(HostId const& to, PeerProgress& progress, SnapshotReply const& reply)
+{
+    // Only progress is answered at once, so that doubled messages do not breed more of them. A member that
+    // has less than was sent gets it again with the next heartbeat.
+    bool const isProgress = reply.nextOffset > progress.snapshotOffset;
+    if (isProgress || reply.sentAt >= progress.lastSent)
+        progress.snapshotOffset = reply.nextOffset;
+    if (isProgress)
+        this->sendSnapshotChunk(to, progress);
+}
+
 void ReplicatedLog::advanceCommit()
 {
     if (this->role != Role::Leader)
@@ -334,9 +356,10 @@
     reply.lastIndex = chunk.lastIndex;
     reply.sentAt = chunk.sentAt;
     if (this->acceptLeader(from, chunk.term) && !this->failed) {
-        if (chunk.offset == 0)
-            this->incomingSnapshot = IncomingSnapshot { from, chunk.lastIndex, std::string() };
-        bool const isExpected = this->incomingSnapshot && this->incomingSnapshot->from == from && this->incomingSnapshot->lastIndex == chunk.lastIndex;
+        auto const isSame = [&] { return this->incomingSnapshot && this->incomingSnapshot->term == chunk.term && this->incomingSnapshot->takenAt == chunk.takenAt; };
+        if (chunk.offset == 0 && !isSame())
+            this->incomingSnapshot = IncomingSnapshot { chunk.term, chunk.takenAt, std::string() };
+        bool const isExpected = isSame();
         if (isExpected && this->incomingSnapshot->state.size() == chunk.offset)
             this->incomingSnapshot->state += chunk.bytes;
         reply.nextOffset = isExpected ? this->incomingSnapshot->state.size() : 0;
--- a/testing/fakes/FakeNetwork.h
+++ b/testing/fakes/FakeNetwork.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <utility>
 
@@ -78,6 +79,9 @@
     NetworkFaults faults;
 
 private:
+    /// More on the way than this is a fault of the protocol.
+    static constexpr size_t mostQueued = 20000;
+
     struct Message {
         HostId from;
         HostId to;
@@ -88,6 +92,8 @@
     {
         auto const spread = static_cast<uint64_t>((this->faults.delayMax - this->faults.delayMin).toMicroseconds());
         Duration const delay = this->faults.delayMin + Duration::microseconds(static_cast<int64_t>(this->random.below(spread + 1)));
+        if (this->queue.size() > mostQueued)
+            throw std::runtime_error("a storm of messages");
         this->queue.emplace(std::make_pair(this->clock.now() + delay, this->nextMessage++), Message { from, to, std::move(bytes) });
     }
 
