--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -53,6 +53,8 @@
     TaskUnplaceable = 312,
     WorkerThrottled = 313,
     TaskHandedOver = 314,
+    EndedTasksRemoved = 320,
+    AttemptWithdrawn = 321,
     LeaderElected = 400,
     LeaderLost = 401,
     JournalOpened = 402,
@@ -68,10 +70,13 @@
     WitnessLeads = 412,
     LeadershipTransferred = 413,
     VoterReplacement = 414,
+    HostStateChanged = 430,
+    PeerAdmitted = 431,
     ConfigurationAccepted = 500,
     ConfigurationRefused = 501,
     DrainChanged = 502,
     ConfigurationInForce = 503,
+    ConfigurationStoreFailed = 504,
 };
 
 /// One row of the event table.
--- a/cornelpond/core/base/ResultCode.cpp
+++ b/cornelpond/core/base/ResultCode.cpp
@@ -28,6 +28,7 @@
         ResultCodeInfo { ResultCode::StaleEpoch, "StaleEpoch", 409, "The message comes from a deposed leader or an ended attempt." },
         ResultCodeInfo { ResultCode::QuotaExceeded, "QuotaExceeded", 429, "The association's quota does not allow it." },
         ResultCodeInfo { ResultCode::TaskEnded, "TaskEnded", 409, "The task has already ended." },
+        ResultCodeInfo { ResultCode::IdRetired, "IdRetired", 410, "The id belonged to a task that ended and whose record was removed; nothing was run." },
         ResultCodeInfo { ResultCode::NoBackendServer, "NoBackendServer", 503, "No backend server of the service is usable; did not run." },
         ResultCodeInfo { ResultCode::QueueFull, "QueueFull", 503, "The admission queue is full; did not run." },
         ResultCodeInfo { ResultCode::DeadlineUnmeetable, "DeadlineUnmeetable", 503, "The expected wait exceeds the deadline; did not run." },
@@ -45,6 +46,8 @@
         ResultCodeInfo { ResultCode::MembershipChangePending, "MembershipChangePending", 409, "An earlier membership change is not committed yet." },
         ResultCodeInfo { ResultCode::MembershipChangeRefused, "MembershipChangeRefused", 409, "The membership change is more than one step, leaves no voter or makes a voter of a host that is not caught up." },
         ResultCodeInfo { ResultCode::MalformedMessage, "MalformedMessage", 400, "A message or record between entry hosts does not decode." },
+        ResultCodeInfo { ResultCode::ConfigurationMissing, "ConfigurationMissing", 503, "This host has no configuration yet, from its disk or a peer; did not run." },
+        ResultCodeInfo { ResultCode::ForwardFailed, "ForwardFailed", 503, "The group's leader gave no answer; the request may have been carried out, send it again." },
         ResultCodeInfo { ResultCode::Internal, "Internal", 500, "A fault in cornelpond itself; the log has the details." },
         ResultCodeInfo { ResultCode::Unreachable, "Unreachable", 503, "The entry host could not be reached." },
     };
--- a/cornelpond/core/base/ResultCode.h
+++ b/cornelpond/core/base/ResultCode.h
@@ -40,6 +40,7 @@
     StaleEpoch = 205,
     QuotaExceeded = 206,
     TaskEnded = 207,
+    IdRetired = 210,
     // 3xx: interactive requests.
     NoBackendServer = 300,
     QueueFull = 301,
@@ -59,6 +60,8 @@
     MembershipChangePending = 410,
     MembershipChangeRefused = 411,
     MalformedMessage = 412,
+    ConfigurationMissing = 420,
+    ForwardFailed = 421,
     // 5xx: internal.
     Internal = 500,
     Unreachable = 501,
--- a/cornelpond/core/routing/BackendServerTable.cpp
+++ b/cornelpond/core/routing/BackendServerTable.cpp
@@ -142,6 +142,16 @@
     return found == this->servers.end() ? nullptr : &found->second;
 }
 
+std::unordered_map<WorkerId, Resources> BackendServerTable::reservedOnWorkers() const
+{
+    std::unordered_map<WorkerId, Resources> reserved;
+    for (auto const& [id, server] : this->servers) {
+        if (!server.last.worker.empty())
+            reserved[server.last.worker] += server.last.resources;
+    }
+    return reserved;
+}
+
 bool BackendServerTable::knowsService(ServiceId const& service) const
 {
     return this->services.count(service) > 0;
--- a/cornelpond/core/routing/BackendServerTable.h
+++ b/cornelpond/core/routing/BackendServerTable.h
@@ -22,6 +22,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace cornelpond {
@@ -84,6 +85,9 @@
     /// The server, or null when it has left.
     BackendServer* find(BackendServerId const& server);
 
+    /// What servers that cornelpond did not start hold, by worker.
+    std::unordered_map<WorkerId, Resources> reservedOnWorkers() const;
+
     /// True when a server of the service announced itself since this process started.
     bool knowsService(ServiceId const& service) const;
 
--- a/cornelpond/core/tasks/WorkerMessages.cpp
+++ b/cornelpond/core/tasks/WorkerMessages.cpp
@@ -91,7 +91,11 @@
         announcement.labels = labelsFromJson(value.value("labels", nlohmann::json::object()), "/labels");
         announcement.capacity = resourcesFromJson(value.at("capacity"), "/capacity");
         announcement.commandAddress = value.value("commandAddress", std::string());
-        for (auto const& held : value.value("held", nlohmann::json::array()))
+        auto const attempts = value.find("held");
+        if (attempts == value.end())
+            return announcement;
+        announcement.held.reserve(attempts->size());
+        for (auto const& held : *attempts)
             announcement.held.push_back(heldFromJson(held));
         return announcement;
     } catch (nlohmann::json::exception const& error) {
@@ -123,6 +127,7 @@
         commands.push_back(toJson(command));
     return {
         { "number", answer.number.value() },
+        { "incarnation", answer.incarnation },
         { "epoch", answer.epoch.value() },
         { "leaseMs", answer.lease.toMilliseconds() },
         { "commands", std::move(commands) },
@@ -134,6 +139,7 @@
     try {
         AnnouncementAnswer answer;
         answer.number = AnnouncementNumber(value.at("number").get<uint64_t>());
+        answer.incarnation = value.value("incarnation", std::string());
         answer.epoch = Term(value.at("epoch").get<uint64_t>());
         answer.lease = Duration::milliseconds(value.at("leaseMs").get<int64_t>());
         for (auto const& command : value.at("commands"))
