--- a/cornelpond/app/EntryHost.cpp
+++ b/cornelpond/app/EntryHost.cpp
@@ -51,11 +51,12 @@
     , backendServers(this->settings.times.announcementExpiry)
     , pusher(this->client)
     , scheduler(loop, events, this->taskMachines.add(StateMachinePart::Tasks, this->taskHooks()), LeaseTimes { this->settings.times.lease, this->settings.times.driftMargin },
-          [this](Worker const& worker, AnnouncementAnswer const& commands) { this->pusher.push(worker, commands); })
+          { [this](Worker const& worker, AnnouncementAnswer const& commands) { this->pusher.push(worker, commands); }, [this]() -> Policy const& { return this->policy; },
+              [this] { return this->backendServers.reservedOnWorkers(); } })
     , config(this->configMachines.add(StateMachinePart::Configuration, this->configHooks()), [this](ConfigRecord const& record) { this->network.onConfigCommitted(record); })
     , network(loop, this->random, events, this->settings, this->networkHooks())
     , callerEndpoint(
-          loop, events, this->metrics, this->client, this->backendServers, this->random, [this]() -> Policy const& { return this->policy; }, this->settings.limits.maxQueuedRequests)
+          loop, events, this->metrics, this->client, this->backendServers, this->random, [this]() -> Policy const& { return this->policy; }, this->callerOptions())
     , workerApi(loop, events, this->scheduler, this->backendServers, this->settings.dataCentre, this->settings.times.announcementExpiry, this->jsonLimits(), [this] { this->callerEndpoint.onServersChanged(); })
     , taskApi(this->scheduler, this->jsonLimits(), [this] { return static_cast<bool>(this->onShutDown); })
     , configApi(loop, events, this->config, this->network.configuration(), this->jsonLimits())
@@ -104,6 +105,14 @@
     return hooks;
 }
 
+CallerEndpointOptions EntryHost::callerOptions() const
+{
+    CallerEndpointOptions options;
+    options.admission.maxRequests = this->settings.limits.maxQueuedRequests;
+    options.balancer.dataCentre = this->settings.dataCentre;
+    return options;
+}
+
 JsonLimits EntryHost::jsonLimits() const
 {
     return { this->settings.limits.maxBodyBytes, this->settings.limits.maxJsonDepth };
@@ -153,6 +162,7 @@
 void EntryHost::onConfig(ConfigRecord const& record)
 {
     this->policy = policyFromJson(parseJson(record.document, JsonLimits()));
+    this->scheduler.onPolicyChanged();
     this->events.emit(Event(EventId::ConfigurationInForce).with("version", record.version));
 }
 
--- a/cornelpond/app/WitnessGroup.h
+++ b/cornelpond/app/WitnessGroup.h
@@ -8,6 +8,7 @@
 //   groups.open(group, members, folder, witness.hooks());
 
 #include "cornelpond/core/agreement/StateMachineSet.h"
+#include "cornelpond/core/config/Policy.h"
 #include "cornelpond/core/tasks/Scheduler.h"
 
 namespace cornelpond {
@@ -16,7 +17,7 @@
 public:
     /// References must outlive the object.
     WitnessGroup(Clock const& clock, EventSink& events, LeaseTimes times)
-        : scheduler(clock, events, this->machines.add(StateMachinePart::Tasks, this->taskHooks()), times, [](Worker const&, AnnouncementAnswer const&) {})
+        : scheduler(clock, events, this->machines.add(StateMachinePart::Tasks, this->taskHooks()), times, this->schedulerHooks())
     {
     }
     WitnessGroup(WitnessGroup const&) = delete;
@@ -35,6 +36,17 @@
         return hooks;
     }
 
+    /// A witness decides nothing, so it pushes nothing and needs no configuration.
+    SchedulerHooks schedulerHooks() const
+    {
+        SchedulerHooks hooks;
+        hooks.push = [](Worker const&, AnnouncementAnswer const&) {};
+        hooks.policy = [this]() -> Policy const& { return this->policy; };
+        hooks.externalReservations = [] { return std::unordered_map<WorkerId, Resources>(); };
+        return hooks;
+    }
+
+    Policy policy;
     StateMachineSet machines;
     Scheduler scheduler;
 };
