--- a/cornelpond/core/routing/BackendServerTable.cpp
+++ b/cornelpond/core/routing/BackendServerTable.cpp
@@ -136,6 +136,12 @@
         found->second.inFlight--;
 }
 
+BackendServer* BackendServerTable::find(BackendServerId const& server)
+{
+    auto const found = this->servers.find(server);
+    return found == this->servers.end() ? nullptr : &found->second;
+}
+
 std::unordered_map<WorkerId, Resources> BackendServerTable::reservedOnWorkers() const
 {
     std::unordered_map<WorkerId, Resources> reserved;
@@ -146,12 +152,6 @@
     return reserved;
 }
 
-BackendServer* BackendServerTable::find(BackendServerId const& server)
-{
-    auto const found = this->servers.find(server);
-    return found == this->servers.end() ? nullptr : &found->second;
-}
-
 bool BackendServerTable::knowsService(ServiceId const& service) const
 {
     return this->services.count(service) > 0;
--- a/cornelpond/core/routing/BackendServerTable.h
+++ b/cornelpond/core/routing/BackendServerTable.h
@@ -82,12 +82,12 @@
     void addInFlight(BackendServerId const& server);
     void removeInFlight(BackendServerId const& server);
 
-    /// What servers that cornelpond did not start hold, by worker.
-    std::unordered_map<WorkerId, Resources> reservedOnWorkers() const;
-
     /// The server, or null when it has left.
     BackendServer* find(BackendServerId const& server);
 
+    /// What servers that cornelpond did not start hold, by worker.
+    std::unordered_map<WorkerId, Resources> reservedOnWorkers() const;
+
     /// True when a server of the service announced itself since this process started.
     bool knowsService(ServiceId const& service) const;
 
--- a/testing/standin/StandinWorker.cpp
+++ b/testing/standin/StandinWorker.cpp
@@ -306,6 +306,7 @@
     for (auto& [task, attempt] : this->attempts) {
         if (attempt.held.state != HeldState::Running)
             continue;
+        this->setRate(attempt, attempt.ratePercent);
         this->recordEnd(attempt, leaseEndOutcome);
         // Reported until the leader forgets it, so that the attempt need not be waited for.
         attempt.held.state = HeldState::Ended;
