--- a/cornelpond/core/config/Policy.cpp
+++ b/cornelpond/core/config/Policy.cpp
@@ -21,7 +21,19 @@
         "properties": {
           "timeoutMs": { "type": "integer", "minimum": 1, "maximum": 3600000 },
           "hedging": { "type": "boolean" },
-          "replicas": { "type": "integer", "minimum": 0, "maximum": 100000 }
+          "replicas": { "type": "integer", "minimum": 0, "maximum": 100000 },
+          "replica": {
+            "type": "object",
+            "additionalProperties": false,
+            "required": ["association", "resources", "command"],
+            "properties": {
+              "association": { "type": "string" },
+              "resources": { "type": "object" },
+              "labels": { "type": "object", "additionalProperties": { "type": "string" } },
+              "workers": { "type": "string" },
+              "command": { "type": "string" }
+            }
+          }
         }
       }
     },
@@ -78,12 +90,43 @@
         return found == values.end() ? fallback : found->second;
     }
 
-    ServicePolicy serviceFromJson(nlohmann::json const& value)
+    /// Replicas that fail are started again for ever, with growing pauses.
+    constexpr uint32_t replicaMaxFailures = 1000;
+
+    TaskSpec replicaFromJson(std::string const& service, nlohmann::json value)
+    {
+        value["id"] = service;
+        value["class"] = std::string(taskClassName(TaskClass::LatencyCritical));
+        value["maxFailures"] = replicaMaxFailures;
+        value["labels"]["service"] = service;
+        return taskSpecFromJson(value);
+    }
+
+    void checkReplicas(nlohmann::json const& services, std::vector<DocumentFault>& faults)
+    {
+        for (auto const& item : services.items()) {
+            std::string const pointer = "/services/" + item.key() + "/replica";
+            bool const described = item.value().contains("replica");
+            if (!described && item.value().value("replicas", int64_t(0)) > 0)
+                faults.push_back({ pointer, "replicas are to be kept but not described" });
+            if (!described || !isLabelWord(item.key()))
+                continue;
+            try {
+                replicaFromJson(item.key(), item.value()["replica"]);
+            } catch (Error const& error) {
+                faults.push_back({ pointer, error.what() });
+            }
+        }
+    }
+
+    ServicePolicy serviceFromJson(std::string const& name, nlohmann::json const& value)
     {
         ServicePolicy policy;
         policy.timeout = Duration::milliseconds(value.value("timeoutMs", policy.timeout.toMilliseconds()));
         policy.hedging = value.value("hedging", policy.hedging);
         policy.replicas = value.value("replicas", policy.replicas);
+        if (value.contains("replica"))
+            policy.replica = replicaFromJson(name, value["replica"]);
         return policy;
     }
 
@@ -137,6 +180,7 @@
     std::vector<DocumentFault> faults;
     checkNames(document, "services", faults);
     checkNames(document, "associations", faults);
+    checkReplicas(document.value("services", nlohmann::json::object()), faults);
     nlohmann::json const rules = document.value("priorities", nlohmann::json::array());
     for (size_t i = 0; i < rules.size(); i++) {
         try {
@@ -153,7 +197,7 @@
     Policy policy;
     nlohmann::json const services = document.value("services", nlohmann::json::object());
     for (auto const& item : services.items())
-        policy.services[ServiceId(item.key())] = serviceFromJson(item.value());
+        policy.services[ServiceId(item.key())] = serviceFromJson(item.key(), item.value());
     nlohmann::json const associations = document.value("associations", nlohmann::json::object());
     for (auto const& item : associations.items())
         policy.associations[AssociationId(item.key())] = associationFromJson(item.value());
--- a/cornelpond/core/config/Policy.h
+++ b/cornelpond/core/config/Policy.h
@@ -10,6 +10,7 @@
 #include "cornelpond/core/base/Ids.h"
 #include "cornelpond/core/base/Resources.h"
 #include "cornelpond/core/selector/Selector.h"
+#include "cornelpond/core/tasks/Task.h"
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -23,7 +24,8 @@
 struct ServicePolicy {
     Duration timeout = Duration::seconds(10); ///< Deadline of a request that names none.
     bool hedging = false;
-    int64_t replicas = 0; ///< Latency-critical replicas that cornelpond keeps running; 0 for none.
+    int64_t replicas = 0; ///< Latency-critical replicas kept running in each data centre; 0 for none.
+    TaskSpec replica; ///< What each replica is; its id is set for each. Valid when replicas > 0.
 };
 
 /// What one association may use and how it weighs.
--- a/cornelpond/core/config/PolicyTest.cpp
+++ b/cornelpond/core/config/PolicyTest.cpp
@@ -37,3 +37,19 @@
     CHECK(faults[1].pointer == "/priorities/0/work");
     CHECK(faults[2].pointer == "/priorities/1/work");
 }
+
+TEST_CASE("replicas are kept only of a service that describes them rightly")
+{
+    nlohmann::json document = nlohmann::json::parse(R"({
+        "services": { "plan": { "replicas": 3, "replica": { "association": "sluices", "resources": { "milliCores": 500 }, "command": "serve" } } }
+    })");
+    REQUIRE(crossCheckPolicy(document).empty());
+    TaskSpec const& replica = policyFromJson(document).service(ServiceId("plan")).replica;
+    CHECK(replica.taskClass == TaskClass::LatencyCritical);
+    CHECK(replica.labels.at("service") == "plan");
+    document["services"]["plan"]["replica"]["workers"] = "disk =";
+    REQUIRE(crossCheckPolicy(document).size() == 1);
+    document["services"]["plan"].erase("replica");
+    REQUIRE(crossCheckPolicy(document).size() == 1);
+    CHECK(crossCheckPolicy(document)[0].pointer == "/services/plan/replica");
+}
--- /dev/null
+++ b/cornelpond/core/tasks/ReplicaKeeper.cpp
@@ -0,0 +1,76 @@
+#include "cornelpond/core/tasks/ReplicaKeeper.h"
+
+#include <algorithm>
+#include <map>
+#include <string_view>
+
+namespace cornelpond {
+
+namespace {
+
+    constexpr std::string_view idPrefix = "replica/";
+    constexpr size_t maxChanges = 256;
+
+    using Replicas = std::map<ServiceId, std::vector<Task const*>>;
+
+    /// Live replicas by service.
+    Replicas liveReplicas(TaskTable const& table)
+    {
+        Replicas replicas;
+        for (auto const& [id, task] : table.all()) {
+            bool const live = !isEnded(task.state) && !task.cancelRequested;
+            if (!live || id.value().compare(0, idPrefix.size(), idPrefix) != 0)
+                continue;
+            auto const service = task.spec.labels.find("service");
+            if (service != task.spec.labels.end())
+                replicas[ServiceId(service->second)].push_back(&task);
+        }
+        return replicas;
+    }
+
+    /// Those to lose first: not yet running, then the newest.
+    bool goesFirst(Task const* left, Task const* right)
+    {
+        bool const leftRuns = holdsWorker(left->state);
+        bool const rightRuns = holdsWorker(right->state);
+        return leftRuns != rightRuns ? rightRuns : left->sequence > right->sequence;
+    }
+
+    bool isOutdated(Task const& task, TaskSpec const& wanted)
+    {
+        TaskSpec spec = wanted;
+        spec.id = task.spec.id;
+        return !(spec == task.spec);
+    }
+
+} // namespace
+
+TaskCommandBatch replicaChanges(Policy const& policy, TaskTable const& table, int64_t nowMs)
+{
+    TaskCommandBatch changes;
+    Replicas replicas = liveReplicas(table);
+    for (auto const& [service, wanted] : policy.services) {
+        auto& live = replicas[service];
+        auto count = static_cast<int64_t>(live.size());
+        std::sort(live.begin(), live.end(), goesFirst);
+        for (int64_t number = 0; count < wanted.replicas && changes.size() < maxChanges; number++, count++) {
+            TaskSpec spec = wanted.replica;
+            spec.id = TaskId(std::string(idPrefix) + service.value() + "/" + std::to_string(nowMs) + "-" + std::to_string(number));
+            changes.push_back(SubmitTask { spec, nowMs });
+        }
+        int64_t surplus = count - wanted.replicas;
+        for (auto const* task : live) {
+            if (surplus-- <= 0 || changes.size() >= maxChanges)
+                break;
+            changes.push_back(CancelTask { task->spec.id, nowMs });
+        }
+        // One replica of an earlier description is replaced at a time, once all run.
+        bool const allRun = std::all_of(live.begin(), live.end(), [](Task const* task) { return task->state == TaskState::Running; });
+        auto const outdated = std::find_if(live.begin(), live.end(), [&](Task const* task) { return isOutdated(*task, wanted.replica); });
+        if (count == wanted.replicas && static_cast<int64_t>(live.size()) == count && allRun && outdated != live.end())
+            changes.push_back(CancelTask { (*outdated)->spec.id, nowMs });
+    }
+    return changes;
+}
+
+} // namespace cornelpond
--- a/cornelpond/core/tasks/Scheduler.cpp
+++ b/cornelpond/core/tasks/Scheduler.cpp
@@ -1,6 +1,7 @@
 #include "cornelpond/core/tasks/Scheduler.h"
 
 #include "cornelpond/core/base/ResultCode.h"
+#include "cornelpond/core/tasks/ReplicaKeeper.h"
 
 #include <algorithm>
 
@@ -11,6 +12,7 @@
     /// An attempt that no worker confirmed within this many leases is withdrawn.
     constexpr int64_t leasesToConfirm = 3;
     constexpr Duration refreshInterval = Duration::milliseconds(200);
+    constexpr Duration replicaCheckInterval = Duration::seconds(1);
     constexpr Duration removalInterval = Duration::minutes(1);
     constexpr Duration firstFailureBackOff = Duration::seconds(1);
     constexpr uint32_t maxBackOffDoublings = 6;
@@ -192,6 +194,8 @@
     this->proposedUse.clear();
     this->nextRefresh = this->leaderSince;
     this->nextRemoval = this->leaderSince;
+    this->nextReplicaCheck = this->leaderSince;
+    this->replicasPending = false;
     if (isLeader)
         this->rebuildQueue();
 }
@@ -443,6 +447,8 @@
         this->refreshSoftState();
     if (this->clock.now() >= this->nextRemoval)
         this->removeEndedTasks();
+    if (this->clock.now() >= this->nextReplicaCheck && !this->replicasPending)
+        this->keepReplicas();
     this->place();
 }
 
@@ -489,6 +495,22 @@
     });
 }
 
+void Scheduler::keepReplicas()
+{
+    this->nextReplicaCheck = this->clock.now() + replicaCheckInterval;
+    TaskCommandBatch const changes = replicaChanges(this->policy(), this->tasks, this->clock.wallMilliseconds());
+    if (changes.empty())
+        return;
+    this->replicasPending = true;
+    this->propose(changes, [this, changes](ResultCode code) {
+        this->replicasPending = false;
+        for (auto const& change : changes) {
+            if (code == ResultCode::Ok)
+                this->events.emit(Event(std::get_if<SubmitTask>(&change) ? EventId::TaskSubmitted : EventId::TaskCancelled).with("task", *taskOf(change)).with("reason", "the service's number of replicas"));
+        }
+    });
+}
+
 void Scheduler::expireWorkers()
 {
     TimePoint const now = this->clock.now();
