--- a/cornelpond/core/tasks/Scheduler.h
+++ b/cornelpond/core/tasks/Scheduler.h
@@ -77,7 +77,7 @@
     /// A worker that is drained gets nothing new; what runs there goes on. Holds over a leader change.
     void setDrained(WorkerId const& worker, bool drained, TaskDone done);
 
-    /// Expires leases, places queued tasks and removes old records.
+    /// Expires leases, places queued tasks, keeps the services' replicas and removes old records.
     void onTick();
 
     /// The configuration changed: queued tasks get their priorities anew.
@@ -123,6 +123,7 @@
     void endLostAttempts(WorkerId const& worker);
     void refreshSoftState();
     void removeEndedTasks();
+    void keepReplicas();
 
     // Placement.
     void place();
@@ -172,6 +173,8 @@
     TimePoint leaderSince;
     TimePoint nextRefresh;
     TimePoint nextRemoval;
+    TimePoint nextReplicaCheck;
+    bool replicasPending = false;
     uint64_t startCount = 0;
 };
 
--- a/cornelpond/core/tasks/SchedulerPlacement.cpp
+++ b/cornelpond/core/tasks/SchedulerPlacement.cpp
@@ -82,6 +82,7 @@
     this->reasons[id] = placement.reason;
     this->events.emit(Event(EventId::TaskPlaced).with("task", id).with("worker", placement.worker).with("reason", placement.reason));
     this->fleet.reserveForStart(placement.worker, task.spec.resources);
+    this->fleet.setLocation(task, placement.worker);
     this->proposedUse[task.spec.association] += task.spec.resources;
     starts.push_back(StartAttempt { id, task.attempt.next(), placement.worker, this->workers.find(placement.worker)->last.incarnation });
     return OfferResult::Placed;
@@ -179,6 +180,10 @@
         this->placementDue = true;
         if (code == ResultCode::Ok)
             this->onStartsCommitted(proposed);
+        for (auto const& start : proposed) {
+            if (code != ResultCode::Ok)
+                this->fleet.dropLocation(std::get<StartAttempt>(start).task);
+        }
         this->fleet.clearStartReservations(this->clock.now());
     });
 }
--- a/cornelpond/core/tasks/SchedulerTest.cpp
+++ b/cornelpond/core/tasks/SchedulerTest.cpp
@@ -30,11 +30,12 @@
         this->log->start();
     }
 
-    AnnouncementAnswer announce(std::string const& worker, std::vector<HeldAttempt> held = {})
+    AnnouncementAnswer announce(std::string const& worker, std::vector<HeldAttempt> held = {}, std::string const& rack = "")
     {
         WorkerAnnouncement announcement;
         announcement.worker = WorkerId(worker);
         announcement.incarnation = "1";
+        announcement.rack = RackId(rack);
         announcement.number = this->number = this->number.next();
         announcement.commandAddress = "127.0.0.1:1";
         announcement.capacity = { 2000, 4096, 0 };
@@ -363,3 +364,45 @@
     CHECK(bench.disk.syncCount() == syncs + 1);
     CHECK(bench.scheduler->table().queued().empty());
 }
+
+TEST_CASE("a service's replicas are kept at their number, spread over racks and replaced when one ends")
+{
+    Bench bench;
+    ServicePolicy& service = bench.policy.services[ServiceId("plan")];
+    service.replicas = 4;
+    service.replica.association = AssociationId("a");
+    service.replica.taskClass = TaskClass::LatencyCritical;
+    service.replica.resources = { 500, 100, 0 };
+    service.replica.labels = { { "service", "plan" } };
+    bench.announce("w1", {}, "r1");
+    bench.announce("w2", {}, "r1");
+    bench.announce("w3", {}, "r2");
+    bench.scheduler->onTick();
+    bench.scheduler->onTick();
+    auto const onWorker = [&](std::string const& worker) { return bench.scheduler->table().onWorker(WorkerId(worker)); };
+    CHECK(onWorker("w3").size() == 2);
+    CHECK(onWorker("w1").size() + onWorker("w2").size() == 2);
+
+    std::string const ends = onWorker("w3").begin()->value();
+    std::string const stays = onWorker("w3").rbegin()->value();
+    bench.announce("w3", { ended(ends, 1, AttemptOutcome::Finished), running(stays, 1) }, "r2");
+    bench.clock.advance(Duration::seconds(1));
+    bench.scheduler->onTick();
+    CHECK(onWorker("w3").size() == 2);
+    CHECK(onWorker("w3").count(TaskId(ends)) == 0);
+
+    service.replicas = 1;
+    bench.clock.advance(Duration::seconds(1));
+    bench.scheduler->onTick();
+    size_t live = 0;
+    for (auto const& [id, task] : bench.scheduler->table().all())
+        live += isEnded(task.state) || task.cancelRequested ? 0 : 1;
+    CHECK(live == 1);
+    bench.policy.services.clear();
+    bench.clock.advance(Duration::seconds(1));
+    bench.scheduler->onTick();
+    size_t liveAfter = 0;
+    for (auto const& [id, task] : bench.scheduler->table().all())
+        liveAfter += isEnded(task.state) || task.cancelRequested ? 0 : 1;
+    CHECK(liveAfter == 1);
+}
