--- a/cornelpond/app/EntryHost.cpp
+++ b/cornelpond/app/EntryHost.cpp
@@ -32,7 +32,8 @@
     , configStorage(this->settings.dataFolder + "/config", events)
     , interactive(loop, this->settings, events, this->metrics, this->client, this->backendServers, this->random, this->taskMachines, [this]() -> Policy const& { return this->policy; })
     , scheduler(loop, events, this->taskMachines.add(StateMachinePart::Tasks, this->taskHooks()), LeaseTimes { this->settings.times.lease, this->settings.times.driftMargin },
-          [this](Worker const& worker, AnnouncementAnswer const& commands) { this->pusher.push(worker, commands); })
+          { [this](Worker const& worker, AnnouncementAnswer const& commands) { this->pusher.push(worker, commands); }, [this]() -> Policy const& { return this->policy; },
+              [this] { return this->backendServers.reservedOnWorkers(); } })
     , config(this->configMachines.add(StateMachinePart::Configuration, this->configHooks()), [this](ConfigRecord const& record) { this->onConfig(record); })
     , taskLog(this->settings.host, this->taskStorage, this->taskMachines.hooks())
     , configLog(this->settings.host, this->configStorage, this->configMachines.hooks())
@@ -130,6 +131,7 @@
 void EntryHost::onConfig(ConfigRecord const& record)
 {
     this->policy = policyFromJson(parseJson(record.document, JsonLimits()));
+    this->scheduler.onPolicyChanged();
     this->events.emit(Event(EventId::ConfigurationInForce).with("version", record.version));
 }
 
@@ -207,15 +209,26 @@
         return;
     this->events.emit(Event(EventId::HostStopping).with("open", this->callerServer.openRequests()));
     this->onShutDown = std::move(done);
-    this->shutDownBound = this->loop.now() + this->settings.times.shutdownBound;
-    for (auto* server : { &this->callerServer, &this->workerServer, &this->operatorServer }) {
-        server->stopListening();
+    this->noticeEnd = this->loop.now() + this->settings.times.drainNotice;
+    this->shutDownBound = this->noticeEnd + this->settings.times.shutdownBound;
+    for (auto* server : { &this->callerServer, &this->workerServer, &this->operatorServer })
         server->setClosing(true);
-    }
+}
+
+/// From now on the balancer has had time to see the health answer.
+void EntryHost::stopAccepting()
+{
+    this->isAccepting = false;
+    for (auto* server : { &this->callerServer, &this->workerServer, &this->operatorServer })
+        server->stopListening();
 }
 
 void EntryHost::finishShutDown()
 {
+    if (this->loop.now() < this->noticeEnd)
+        return;
+    if (this->isAccepting)
+        this->stopAccepting();
     size_t const open = this->callerServer.openRequests();
     if (open && this->loop.now() < this->shutDownBound)
         return;
--- a/cornelpond/app/EntryHost.h
+++ b/cornelpond/app/EntryHost.h
@@ -47,6 +47,7 @@
     void handleOperator(HttpRequest const& request, HttpResponder const& responder);
     void expireBackendServers();
     void tick();
+    void stopAccepting();
     void finishShutDown();
     StateMachineHooks taskHooks();
     StateMachineHooks configHooks();
@@ -82,6 +83,8 @@
     HttpServer operatorServer;
     TimerId tickTimer;
     std::function<void()> onShutDown;
+    bool isAccepting = true;
+    TimePoint noticeEnd; ///< Until then new requests are served while health says 503.
     TimePoint shutDownBound;
 };
 
--- a/cornelpond/app/Settings.cpp
+++ b/cornelpond/app/Settings.cpp
@@ -67,6 +67,7 @@
         "leaseMs": { "type": "integer", "minimum": 500, "maximum": 600000 },
         "driftMarginMs": { "type": "integer", "minimum": 10, "maximum": 60000 },
         "announcementExpiryMs": { "type": "integer", "minimum": 200, "maximum": 60000 },
+        "drainNoticeMs": { "type": "integer", "minimum": 0, "maximum": 600000 },
         "shutdownBoundMs": { "type": "integer", "minimum": 0, "maximum": 3600000 }
       }
     }
@@ -223,6 +224,7 @@
     settings.times.lease = span("leaseMs", settings.times.lease);
     settings.times.driftMargin = span("driftMarginMs", settings.times.driftMargin);
     settings.times.announcementExpiry = span("announcementExpiryMs", settings.times.announcementExpiry);
+    settings.times.drainNotice = span("drainNoticeMs", settings.times.drainNotice);
     settings.times.shutdownBound = span("shutdownBoundMs", settings.times.shutdownBound);
     return settings;
 }
--- a/cornelpond/app/Settings.h
+++ b/cornelpond/app/Settings.h
@@ -43,6 +43,7 @@
     Duration lease = Duration::seconds(5);
     Duration driftMargin = Duration::milliseconds(500);
     Duration announcementExpiry = Duration::seconds(3);
+    Duration drainNotice = Duration::seconds(2); ///< How long health says 503 before nothing new is accepted.
     Duration shutdownBound = Duration::seconds(30); ///< After it a graceful shutdown cuts what is left.
 };
 
--- a/cornelpond/core/base/ResultCode.h
+++ b/cornelpond/core/base/ResultCode.h
@@ -40,6 +40,7 @@
     StaleEpoch = 205,
     QuotaExceeded = 206,
     TaskEnded = 207,
+    IdRetired = 210,
     // 3xx: interactive requests.
     NoBackendServer = 300,
     QueueFull = 301,
@@ -58,6 +59,9 @@
     StorageDamaged = 401,
     DiskFull = 402,
     WrongCluster = 403,
+    MembershipChangePending = 410,
+    MembershipChangeRefused = 411,
+    MalformedMessage = 412,
     // 5xx: internal.
     Internal = 500,
     Unreachable = 501,
--- a/testing/faultproxy/FaultProxy.h
+++ b/testing/faultproxy/FaultProxy.h
@@ -29,6 +29,7 @@
     bool cutToServer = false; ///< Bytes from the client are swallowed while set.
     bool cutToClient = false; ///< Bytes from the server are swallowed while set.
     bool refuseNew = false; ///< New connections are closed at once.
+    size_t truncateToClient = 0; ///< Closes a connection after this many bytes to the client; 0 for never.
 };
 
 class FaultProxy {
@@ -43,6 +44,8 @@
     void setFaults(LinkFaults const& faults) { this->faults = faults; }
     LinkFaults const& currentFaults() const { return this->faults; }
 
+    size_t openLinks() const { return this->links.size(); }
+
     /// All connections open now swallow every further byte, for good; neither end is told.
     void silenceOpen();
 
@@ -62,6 +65,7 @@
     void deliver(uint64_t linkId, bool toServer, std::string const& bytes);
     void close(uint64_t linkId);
     bool isCut(Direction const& direction) const;
+    void send(Direction& direction, std::string const& bytes);
 
     EventLoop& loop;
     Random& random;
