--- a/cornelpond/app/EntryHost.cpp
+++ b/cornelpond/app/EntryHost.cpp
@@ -321,16 +321,27 @@
         return;
     this->events.emit(Event(EventId::HostStopping).with("open", this->callerServer.openRequests()));
     this->onShutDown = std::move(done);
-    this->shutDownBound = this->loop.now() + this->settings.times.shutdownBound;
+    this->noticeEnd = this->loop.now() + this->settings.times.drainNotice;
+    this->shutDownBound = this->noticeEnd + this->settings.times.shutdownBound;
     this->network.leave();
-    for (auto* server : { &this->callerServer, &this->workerServer, &this->operatorServer }) {
-        server->stopListening();
+    for (auto* server : { &this->callerServer, &this->workerServer, &this->operatorServer })
         server->setClosing(true);
-    }
+}
+
+/// From now on the balancer has had time to see the health answer.
+void EntryHost::stopAccepting()
+{
+    this->isAccepting = false;
+    for (auto* server : { &this->callerServer, &this->workerServer, &this->operatorServer })
+        server->stopListening();
 }
 
 void EntryHost::finishShutDown()
 {
+    if (this->loop.now() < this->noticeEnd)
+        return;
+    if (this->isAccepting)
+        this->stopAccepting();
     size_t const open = this->callerServer.openRequests();
     bool const isDone = !open && this->network.hasHandedOver();
     if (!isDone && this->loop.now() < this->shutDownBound)
--- a/cornelpond/app/EntryHost.h
+++ b/cornelpond/app/EntryHost.h
@@ -57,6 +57,7 @@
     void handleOperator(HttpRequest const& request, HttpResponder const& responder);
     void expireBackendServers();
     void tick();
+    void stopAccepting();
     void finishShutDown();
     StateMachineHooks taskHooks();
     StateMachineHooks configHooks();
@@ -89,6 +90,8 @@
     HttpServer operatorServer;
     TimerId tickTimer;
     std::function<void()> onShutDown;
+    bool isAccepting = true;
+    TimePoint noticeEnd; ///< Until then new requests are served while health says 503.
     TimePoint shutDownBound;
 };
 
--- /dev/null
+++ b/cornelpond/app/ShareExchange.h
@@ -0,0 +1,77 @@
+#pragma once
+
+// Keeps this entry host's shares of backend servers' slots up to date: asks the owner several times a
+// second, answers the others while this host owns them, and tells the balancer what may be used.
+//
+// Example:
+//   ShareExchange shares(options, clock, events, servers, hooks);
+//   balancer.slotsFor = [&](BackendServer const& server, TimePoint latestEnd) { return shares.slotsFor(server, latestEnd); };
+//   shares.onTick();
+//
+// Loop thread only.
+
+#include "cornelpond/core/routing/BackendServerTable.h"
+#include "cornelpond/core/routing/ShareHolder.h"
+#include "cornelpond/core/routing/ShareOwner.h"
+#include "cornelpond/ports/EventSink.h"
+
+#include <functional>
+
+namespace cornelpond {
+
+struct ShareExchangeOptions {
+    HostId self;
+    DataCentreId dataCentre;
+    std::vector<HostId> hosts; ///< All entry hosts of the data centre, sorted.
+    uint64_t incarnation = 0; ///< Random for each process.
+    Duration interval = Duration::milliseconds(200);
+};
+
+struct ShareExchangeHooks {
+    /// The owner as far as known; empty when unknown.
+    std::function<HostId()> owner;
+    std::function<void(HostId const&, std::string)> send;
+    /// True while this host's leadership is confirmed.
+    std::function<bool()> isLeadershipConfirmed;
+    /// Requests of the service that wait here for a slot.
+    std::function<size_t(ServiceId const&)> waiting;
+    /// Shares have changed; waiting requests may go.
+    std::function<void()> onChanged;
+};
+
+class ShareExchange {
+public:
+    /// All references must outlive the exchange.
+    ShareExchange(ShareExchangeOptions options, Clock const& clock, EventSink& events, BackendServerTable& servers, ShareExchangeHooks hooks);
+
+    /// Slots of the server for an attempt that has ended by then. Servers of other data centres are used
+    /// when this one has none; their slots cannot be leased from here, so one each is used at most.
+    uint32_t slotsFor(BackendServer const& server, TimePoint latestEnd) const;
+
+    /// This host began or ceased to lead the data centre's task group.
+    void onLeadership(std::optional<Term> term) { this->owner.onLeadership(term); }
+
+    /// Throws Error(MalformedJson).
+    void onMessage(HostId const& from, std::string_view bytes);
+
+    void onTick();
+
+    /// From now on wants nothing, so that the others get this host's slots.
+    void giveBack() { this->isGivingBack = true; }
+
+private:
+    std::vector<ShareDemand> demands() const;
+    void take(ShareGrant const& grant);
+
+    ShareExchangeOptions options;
+    Clock const& clock;
+    EventSink& events;
+    BackendServerTable& servers;
+    ShareExchangeHooks hooks;
+    ShareHolder holder;
+    ShareOwner owner;
+    TimePoint asked;
+    bool isGivingBack = false;
+};
+
+} // namespace cornelpond
--- a/testing/integration/InteractiveTest.cpp
+++ b/testing/integration/InteractiveTest.cpp
@@ -3,6 +3,7 @@
 
 #include "testing/fakes/TemporaryFolder.h"
 #include "testing/integration/ChildProcess.h"
+#include "testing/standin/Record.h"
 
 #include "cornelpond/adapters/http/HttpClient.h"
 #include "cornelpond/app/Settings.h"
@@ -10,6 +11,7 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include <csignal>
 #include <fstream>
 #include <memory>
 
@@ -19,7 +21,6 @@
 
 std::string const binary = std::string(BINARY_FOLDER) + "/cornelpond";
 std::string const standinBinary = std::string(BINARY_FOLDER) + "/standin";
-std::string const proxyBinary = std::string(BINARY_FOLDER) + "/faultproxy";
 
 Address parseAddress(std::string const& text)
 {
@@ -61,10 +62,9 @@
 
     int runsOf(std::string const& key) const
     {
-        std::ifstream in(this->recordPath());
         int count = 0;
-        for (std::string line; std::getline(in, line);)
-            count += line.find(" " + key + " ") != std::string::npos ? 1 : 0;
+        for (auto const& entry : readRecord(this->recordPath()))
+            count += entry.kind == RecordKind::RequestRun && entry.key == key ? 1 : 0;
         return count;
     }
 
@@ -162,3 +162,32 @@
     CHECK(exchange(site.callers(), makeRequest("k3")).response.status == 200);
     CHECK(site.runsOf("k3") == 1);
 }
+
+TEST_CASE("SIGTERM: health says so first while requests are served, then all in flight is finished and the exit is 0")
+{
+    Site site;
+    auto servers = site.servers({ "--servers", "1", "--service-ms", "300" });
+    site.host->waitForOutput("BackendServerJoined");
+    site.host->signal(SIGTERM);
+    site.host->waitForOutput("HostStopping");
+    HttpRequest health;
+    health.method = "GET";
+    health.path = "/health";
+    CHECK(exchange(site.callers(), health).response.status == 503);
+    CHECK(exchange(site.callers(), makeRequest("")).response.status == 200);
+    CHECK(site.host->wait() == 0);
+    CHECK(site.host->output().find("cut=0") != std::string::npos);
+}
+
+TEST_CASE("a request whose connections were all refused is said not to have run")
+{
+    Site site;
+    auto servers = site.servers({ "--servers", "2" });
+    site.host->waitForOutput("BackendServerJoined host=h1 server=s2");
+    servers->kill();
+    HttpRequest request = makeRequest("");
+    request.headers.add("Cornelpond-Deadline-Ms", "3000");
+    HttpOutcome const refused = exchange(site.callers(), request);
+    CHECK(refused.response.status == 502);
+    CHECK(ranOf(refused) == "no");
+}
