--- a/cornelpond/adapters/peer/PeerLink.cpp
+++ b/cornelpond/adapters/peer/PeerLink.cpp
@@ -22,6 +22,7 @@
     std::unique_ptr<WebSocketConnection> socket;
     HostId peer; ///< Who was dialled, or who proved to be at the other end; empty before that.
     bool dialled = false;
+    Address address; ///< What was dialled.
     bool established = false;
     bool dead = false; ///< To be freed by the next sweep.
     TimePoint opened;
@@ -150,6 +151,7 @@
     connection->opened = this->loop.now();
     connection->peer = peer.address.host;
     connection->dialled = true;
+    connection->address = peer.address.address;
     peer.backoff = this->backoffAfter(peer.backoff);
     peer.nextDial = this->loop.now() + peer.backoff;
     try {
@@ -205,6 +207,8 @@
 
 void PeerLink::onHello(Connection& connection, PeerHello const& hello)
 {
+    if (connection.dialled && hello.host != connection.peer)
+        this->leaveAddressTo(hello.host, connection);
     std::string const fault = this->faultOf(connection, hello);
     if (!fault.empty()) {
         this->refuse(connection, hello.host, fault);
@@ -215,6 +219,19 @@
     this->establish(connection, hello);
 }
 
+/// Another host answers at the address of the one dialled: it came in its place. The old name is dialled
+/// seldom from now on.
+void PeerLink::leaveAddressTo(HostId const& newcomer, Connection& connection)
+{
+    auto const former = this->peers.find(connection.peer);
+    if (former == this->peers.end())
+        return;
+    former->second.dialling = 0;
+    former->second.nextDial = this->loop.now() + this->times.formerHostRetry;
+    if (this->self.admitNewHosts)
+        connection.peer = newcomer;
+}
+
 std::string PeerLink::faultOf(Connection const& connection, PeerHello const& hello) const
 {
     if (!constantTimeEqual(this->self.token, hello.token))
@@ -225,7 +242,7 @@
         return "another protocol version";
     if (hello.host == this->self.host)
         return "this host's own name";
-    if (connection.dialled && hello.host != connection.peer)
+    if (connection.dialled && hello.host != connection.peer && !this->self.admitNewHosts)
         return "another host than the one dialled";
     auto const known = this->peers.find(hello.host);
     if (known == this->peers.end())
@@ -251,8 +268,9 @@
     if (!this->peers.count(hello.host))
         this->addPeer({ hello.host, hello.dataCentre, { hello.listenIp, hello.listenPort } });
     Peer& peer = this->peers[hello.host];
+    bool const isAtFormerAddress = connection.dialled && !(peer.address.address == connection.address);
     if (Connection* older = this->established(hello.host)) {
-        if (!this->mayReplace(*older, connection)) {
+        if (isAtFormerAddress || !this->mayReplace(*older, connection)) {
             this->drop(connection, "a connection is open");
             return;
         }
--- a/cornelpond/adapters/peer/PeerLink.h
+++ b/cornelpond/adapters/peer/PeerLink.h
@@ -48,6 +48,7 @@
     Duration handshakeTimeout = Duration::seconds(2);
     Duration backoffMin = Duration::milliseconds(100);
     Duration backoffMax = Duration::seconds(2);
+    Duration formerHostRetry = Duration::seconds(10); ///< For a host whose address another one has taken.
     Duration backupDial = Duration::seconds(3); ///< After it the higher id dials too when new hosts are admitted.
 };
 
@@ -117,6 +118,7 @@
     void onBytes(Connection& connection, std::string const& bytes);
     void onHello(Connection& connection, PeerHello const& hello);
     void onClosed(Connection& connection, std::string const& reason);
+    void leaveAddressTo(HostId const& newcomer, Connection& connection);
     std::string faultOf(Connection const& connection, PeerHello const& hello) const;
     bool mayReplace(Connection const& older, Connection const& newer) const;
     void establish(Connection& connection, PeerHello const& hello);
--- a/cornelpond/adapters/peer/PeerLinkTest.cpp
+++ b/cornelpond/adapters/peer/PeerLinkTest.cpp
@@ -228,6 +228,21 @@
     runUntil(loop, [&] { return isUp(older, "n") && isUp(newcomer, "a"); });
 }
 
+TEST_CASE("a host that answers at the address of a lost one is admitted under its own name")
+{
+    EventLoop loop;
+    PeerSelf admitting;
+    admitting.admitNewHosts = true;
+    End a(loop, "a", admitting);
+    End newcomer(loop, "n", admitting);
+    a.knows("lost", newcomer.port);
+    newcomer.knows("a", a.port);
+    a.link.start();
+    newcomer.link.start();
+    runUntil(loop, [&] { return isUp(a, "n") && isUp(newcomer, "a"); });
+    CHECK_FALSE(isUp(a, "lost"));
+}
+
 TEST_CASE("two hosts that dial each other at once end with one connection")
 {
     EventLoop loop;
--- a/cornelpond/app/GroupHost.cpp
+++ b/cornelpond/app/GroupHost.cpp
@@ -1,5 +1,7 @@
 #include "cornelpond/app/GroupHost.h"
 
+#include "cornelpond/adapters/file/DurableFile.h"
+
 #include <algorithm>
 
 namespace cornelpond {
@@ -62,13 +64,24 @@
     if (this->dataFolder.empty())
         return *this->absentLog;
     auto entry = std::make_unique<Group>(this->dataFolder + "/" + folderName, this->events);
-    Membership const initial { bootstrap.voters, {}, bootstrap.eligibleLeaders };
+    Membership const initial = this->firstBootstrap(bootstrap, folderName);
     auto sendOne = [this, group](HostId const& to, std::string const& bytes) { this->send(to, encodeGroupMessage(group, bytes)); };
     entry->log = std::make_unique<ReplicatedLog>(group, this->self, initial, ReplicatedLogTimes(), this->clock, this->random, this->events, entry->storage, sendOne, std::move(hooks));
     entry->log->setFlushRequest([this, group] { this->groups.at(group)->flushTimer = this->timers.after(Duration(), [this, group] { this->flush(group); }); });
     return *this->groups.emplace(group, std::move(entry)).first->second->log;
 }
 
+Membership GroupHost::firstBootstrap(GroupMembers const& bootstrap, std::string const& folderName) const
+{
+    DurableFile const file(this->dataFolder + "/bootstrap-" + folderName);
+    std::string const stored = file.read();
+    if (!stored.empty())
+        return decodeMembership(stored);
+    Membership const initial { bootstrap.voters, {}, bootstrap.eligibleLeaders };
+    file.replace(encodeMembership(initial));
+    return initial;
+}
+
 void GroupHost::start(bool isAlone)
 {
     for (auto const& [id, group] : this->groups) {
--- a/cornelpond/app/GroupHost.h
+++ b/cornelpond/app/GroupHost.h
@@ -33,7 +33,8 @@
     GroupHost(GroupHost const&) = delete;
     GroupHost& operator=(GroupHost const&) = delete;
 
-    /// Keeps the group's log in `folderName` below the data folder. Without a disk the log never leads
+    /// Keeps the group's log in `folderName` below the data folder. The bootstrap of the first start counts
+    /// for good: later settings name other hosts and must not change it. Without a disk the log never leads
     /// and knows no leader. The log lives as long as this object.
     CommandLog& open(GroupId const& group, GroupMembers const& bootstrap, std::string const& folderName, StateMachineHooks hooks);
 
@@ -65,6 +66,7 @@
     class AbsentLog;
 
     void flush(GroupId const& group);
+    Membership firstBootstrap(GroupMembers const& bootstrap, std::string const& folderName) const;
 
     Clock const& clock;
     Timers& timers;
--- a/cornelpond/app/HostNetwork.cpp
+++ b/cornelpond/app/HostNetwork.cpp
@@ -112,11 +112,18 @@
     return report;
 }
 
-GroupMembers HostNetwork::membersOf(GroupId const& group) const
+GroupMembers HostNetwork::plannedMembers(GroupId const& group) const
 {
     return group == configGroupId() ? configGroupMembers(this->planned) : taskGroupMembers(dataCentreOf(group), this->planned);
 }
 
+/// Two hosts that join in place of others, each with settings of its own day, must not form a group of
+/// their own: they wait until a leader makes them members.
+GroupMembers HostNetwork::bootstrapOf(GroupId const& group) const
+{
+    return this->settings.joins ? GroupMembers() : this->plannedMembers(group);
+}
+
 CommandLog& HostNetwork::openGroup(GroupId const& group, std::string const& folderName, StateMachineHooks groupHooks)
 {
     auto const inner = std::move(groupHooks.onLeadership);
@@ -124,7 +131,7 @@
         inner(isLeader);
         this->onLeadership(group, isLeader);
     };
-    return this->groups.open(group, this->membersOf(group), folderName, std::move(groupHooks));
+    return this->groups.open(group, this->bootstrapOf(group), folderName, std::move(groupHooks));
 }
 
 uint16_t HostNetwork::start()
@@ -132,7 +139,7 @@
     this->readStoredConfiguration();
     for (auto const& dataCentre : dataCentresOf(this->planned)) {
         GroupId const group = taskGroupId(dataCentre);
-        if (dataCentre != this->settings.dataCentre && this->membersOf(group).has(this->settings.host))
+        if (dataCentre != this->settings.dataCentre && this->bootstrapOf(group).has(this->settings.host))
             this->openWitness(group);
     }
     this->groups.start(this->settings.peers.empty());
@@ -356,7 +363,8 @@
 bool HostNetwork::isMajorityReachable(GroupId const& group) const
 {
     ReplicatedLog const* log = this->groups.find(group);
-    std::vector<HostId> const voters = log ? log->membership().voters : this->membersOf(group).voters;
+    bool const isMember = log && !log->membership().voters.empty();
+    std::vector<HostId> const voters = isMember ? log->membership().voters : this->plannedMembers(group).voters;
     auto const reachable = std::count_if(voters.begin(), voters.end(), [&](auto const& voter) { return voter == this->settings.host || this->link.isReachable(voter); });
     return static_cast<size_t>(reachable) >= voters.size() / 2 + 1;
 }
@@ -395,7 +403,7 @@
     GroupView view;
     view.self = this->settings.host;
     view.membership = log.membership();
-    view.voterTarget = this->membersOf(group).voters.size();
+    view.voterTarget = this->plannedMembers(group).voters.size();
     for (auto const& host : candidates)
         view.hosts.push_back(this->viewOf(host, home, log));
     VoterKeeperTimes times;
--- a/cornelpond/app/HostNetwork.h
+++ b/cornelpond/app/HostNetwork.h
@@ -86,7 +86,8 @@
     PeerSelf linkSelf() const;
     PeerLinkHooks linkHooks();
     HostReport report() const;
-    GroupMembers membersOf(GroupId const& group) const;
+    GroupMembers plannedMembers(GroupId const& group) const;
+    GroupMembers bootstrapOf(GroupId const& group) const;
     void onPeerMessage(HostId const& from, PeerMessage const& message);
     void onReport(HostId const& from, std::string const& payload);
     void onLinkChanged(PeerAddress const& peer, bool isUp);
--- a/cornelpond/app/Settings.cpp
+++ b/cornelpond/app/Settings.cpp
@@ -53,6 +53,7 @@
       }
     },
     "admitNewHosts": { "type": "boolean" },
+    "joins": { "type": "boolean" },
     "limits": {
       "type": "object",
       "additionalProperties": false,
@@ -137,7 +138,8 @@
             faults.push_back({ "/listen", "'peers' is required when there are peers" });
         if (!document.contains("peerTokenFile"))
             faults.push_back({ "", "'peerTokenFile' is required when there are peers" });
-        checkDisks(document, peers, faults);
+        if (!document.value("joins", false))
+            checkDisks(document, peers, faults);
     }
 
     void checkTimes(nlohmann::json const& document, std::vector<DocumentFault>& faults)
@@ -229,6 +231,7 @@
         settings.listen.peers = addressFromJson(listen["peers"]);
     for (auto const& peer : document.value("peers", nlohmann::json::array()))
         settings.peers.push_back({ HostId(peer["host"].get<std::string>()), DataCentreId(peer["dataCentre"].get<std::string>()), addressFromJson(peer), peer.value("disk", false) });
+    settings.joins = document.value("joins", false);
     settings.admitNewHosts = document.value("admitNewHosts", false);
     nlohmann::json const limits = document.value("limits", nlohmann::json::object());
     settings.limits.maxBodyBytes = limits.value("maxBodyBytes", settings.limits.maxBodyBytes);
--- a/cornelpond/app/Settings.h
+++ b/cornelpond/app/Settings.h
@@ -56,6 +56,7 @@
     std::string operatorToken; ///< Read from its file.
     std::string peerToken; ///< Read from its file.
     std::vector<PeerSettings> peers;
+    bool joins = false; ///< Comes to a running cluster in place of another host: it bootstraps no group.
     bool admitNewHosts = false; ///< Take entry hosts that no setting names when cluster and peer token are right.
     LimitSettings limits;
     TimeSettings times;
--- a/cornelpond/app/SettingsTest.cpp
+++ b/cornelpond/app/SettingsTest.cpp
@@ -65,3 +65,17 @@
     }
     CHECK_THROWS_AS(loadSettings(folder.path() + "/absent.json"), Error);
 }
+
+TEST_CASE("a data centre without a disk is a fault, but not for a host that joins")
+{
+    nlohmann::json document = defaultSettings("/tmp/x");
+    document["listen"]["peers"] = { { "ip", "127.0.0.1" }, { "port", 7003 } };
+    document["peerTokenFile"] = "/tmp/token";
+    document["peers"] = nlohmann::json::array({ { { "host", "h2" }, { "dataCentre", "dc2" }, { "ip", "127.0.0.1" }, { "port", 1 } } });
+    CHECK(hasFault(checkSettings(document), "/peers"));
+    document["joins"] = true;
+    CHECK(checkSettings(document).empty());
+    document["joins"] = false;
+    document["peers"][0]["disk"] = true;
+    CHECK(checkSettings(document).empty());
+}
--- a/testing/integration/HostsTest.cpp
+++ b/testing/integration/HostsTest.cpp
@@ -4,7 +4,7 @@
 
 #include <catch2/catch.hpp>
 
-#include <fstream>
+#include <algorithm>
 
 using namespace cornelpond;
 
@@ -227,3 +227,31 @@
     CHECK(system.cluster.call("h1", "GET", "/v1/tasks/plan-1?dataCentre=dc2")["state"] == "finished");
     CHECK(system.cluster.status("h6")["workers"].size() == 2);
 }
+
+TEST_CASE("a host that comes in place of a lost one under a new name takes over its vote by itself")
+{
+    System system(nlohmann::json { { "admitNewHosts", true } });
+    REQUIRE(system.change("h1", 0, "op1") == 0);
+    ClusterHost& replaced = system.cluster.host("h3");
+    replaced.kill();
+    replaced.wipeDisk();
+    nlohmann::json settings = replaced.settings();
+    settings["host"] = "h9";
+    settings["joins"] = true;
+    replaced.writeSettings(settings);
+    replaced.start();
+    auto const isVoter = [&](std::string const& group) {
+        nlohmann::json const status = system.cluster.status("h1");
+        for (auto const& each : status.is_null() ? nlohmann::json::array() : status["groups"]) {
+            auto const& voters = each["voters"];
+            if (each["group"] == group && std::count(voters.begin(), voters.end(), "h9") && !std::count(voters.begin(), voters.end(), "h3"))
+                return true;
+        }
+        return false;
+    };
+    waitUntil("the newcomer to vote for the tasks", [&] { return isVoter("tasks/dc1"); });
+    system.cluster.host("h2").kill();
+    nlohmann::json const task = { { "id", "plan-9" }, { "association", "sluices" }, { "resources", { { "milliCores", 1000 } } }, { "command", "run 50" } };
+    waitUntil("the group to go on after a second loss", [&] { return system.cluster.submit("h1", task) == ResultCode::Ok; });
+    system.awaitVersion({ "h3" }, 1);
+}
