--- a/bench/HostsBench.cpp
+++ b/bench/HostsBench.cpp
@@ -124,7 +124,7 @@
         int64_t last = 0;
         for (auto const& name : cluster.allHosts()) {
             std::string const field = "version=" + std::to_string(version) + "\n";
-            cluster.host(name).waitForLog("ConfigurationInForce host=" + name + " " + field);
+            cluster.host(name).waitForLog(fmt::format("ConfigurationInForce host={} {}", name, field));
             last = std::max(last, timeOf(cluster.host(name).log() + "\n", "ConfigurationInForce", "version=" + std::to_string(version)));
         }
         everywhere.push_back(last - started);
--- a/cornelpond/app/GroupHost.cpp
+++ b/cornelpond/app/GroupHost.cpp
@@ -77,7 +77,7 @@
     std::string const stored = file.read();
     if (!stored.empty())
         return decodeMembership(stored);
-    Membership const initial { bootstrap.voters, {}, bootstrap.eligibleLeaders };
+    Membership initial { bootstrap.voters, {}, bootstrap.eligibleLeaders };
     file.replace(encodeMembership(initial));
     return initial;
 }
