--- a/cornelpond/core/placement/WorkerIndexTest.cpp
+++ b/cornelpond/core/placement/WorkerIndexTest.cpp
@@ -51,6 +51,7 @@
             }
         }
         std::vector<WorkerCandidate> candidates;
+        candidates.reserve(model.size());
         for (auto const& [id, candidate] : model)
             candidates.push_back(candidate);
         TaskSpec const spec = anySpec();
--- a/cornelpond/core/tasks/ReplicaKeeper.cpp
+++ b/cornelpond/core/tasks/ReplicaKeeper.cpp
@@ -66,7 +66,8 @@
         }
         // One replica of an earlier description is replaced at a time, once all run.
         bool const allRun = std::all_of(live.begin(), live.end(), [](Task const* task) { return task->state == TaskState::Running; });
-        auto const outdated = std::find_if(live.begin(), live.end(), [&](Task const* task) { return isOutdated(*task, wanted.replica); });
+        TaskSpec const& description = wanted.replica;
+        auto const outdated = std::find_if(live.begin(), live.end(), [&description](Task const* task) { return isOutdated(*task, description); });
         if (count == wanted.replicas && static_cast<int64_t>(live.size()) == count && allRun && outdated != live.end())
             changes.push_back(CancelTask { (*outdated)->spec.id, nowMs });
     }
