--- a/cornelpond/app/CallerEndpoint.h
+++ b/cornelpond/app/CallerEndpoint.h
@@ -55,6 +55,9 @@
     /// Tries queued requests again after a server joined or slots became free.
     void onServersChanged() { this->router.onServersChanged(); }
 
+    /// Requests of the service that wait for a slot.
+    size_t queuedRequests(ServiceId const& service) const { return this->router.queuedRequests(service); }
+
     size_t openRequests() const { return this->pending.size(); }
 
 private:
--- a/cornelpond/app/InteractiveService.cpp
+++ b/cornelpond/app/InteractiveService.cpp
@@ -1,15 +1,23 @@
 #include "cornelpond/app/InteractiveService.h"
 
+#include "cornelpond/core/base/Json.h"
+
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 
 namespace cornelpond {
 
 InteractiveService::InteractiveService(EventLoop& loop, Settings const& settings, EventSink& events, Metrics& metrics, HttpClient& client, BackendServerTable& servers,
     Random& random, StateMachineSet& taskMachines, std::function<Policy const&()> policy)
-    : settings(settings)
+    : clock(loop)
+    , settings(settings)
     , events(events)
-    , claimService(loop, taskMachines.add(StateMachinePart::Claims, this->claimHooks()), ClaimLimits())
+    , servers(servers)
+    , log(taskMachines.add(StateMachinePart::Claims, this->claimHooks()))
+    , claimService(loop, this->log, ClaimLimits())
     , claimClient(this->claimClientOptions(random), this->claimClientHooks(), loop)
+    , shares(this->shareOptions(random), loop, events, servers, this->shareHooks())
     , endpoint(loop, events, metrics, client, servers, random, this->claimClient, std::move(policy), this->endpointOptions())
 {
 }
@@ -26,7 +34,7 @@
     hooks.apply = [this](LogIndex, std::string const& command) { this->claimService.applyCommand(command); };
     hooks.takeSnapshot = [this] { return this->claimService.takeSnapshot(); };
     hooks.restore = [this](std::string const& state) { this->claimService.restore(state); };
-    hooks.onLeadership = [this](bool isLeader) { this->claimService.onLeadership(isLeader); };
+    hooks.onLeadership = [this](bool isLeader) { this->onLeadership(isLeader); };
     return hooks;
 }
 
@@ -48,13 +56,66 @@
     ClaimClientHooks hooks;
     hooks.candidates = [this](DataCentreId const& dataCentre) { return this->candidates(dataCentre); };
     hooks.handleHere = [this](ClaimAction const& action, ClaimService::Done const& done) { this->claimService.handle(action, done); };
-    hooks.send = [this](HostId const& to, std::string bytes) {
-        if (this->transport)
-            this->transport->send(to, PeerMessage { PeerChannel::Claims, std::move(bytes) });
-    };
+    hooks.send = [this](HostId const& to, std::string bytes) { this->send(to, PeerChannel::Claims, std::move(bytes)); };
+    return hooks;
+}
+
+ShareExchangeOptions InteractiveService::shareOptions(Random& random) const
+{
+    ShareExchangeOptions options;
+    options.self = this->settings.host;
+    options.dataCentre = this->settings.dataCentre;
+    options.incarnation = random.next();
+    options.hosts.push_back({ this->settings.host, this->settings.dataCentre });
+    for (auto const& peer : this->settings.peers)
+        options.hosts.push_back({ peer.host, peer.dataCentre });
+    return options;
+}
+
+ShareExchangeHooks InteractiveService::shareHooks()
+{
+    ShareExchangeHooks hooks;
+    hooks.owner = [this] { return this->leaderOf ? this->leaderOf(this->settings.dataCentre) : HostId(); };
+    hooks.send = [this](HostId const& to, std::string bytes) { this->send(to, PeerChannel::Shares, std::move(bytes)); };
+    hooks.isLeadershipConfirmed = [this] { return this->log.isLeader() && this->log.isLeadershipConfirmed(); };
+    hooks.waiting = [this](ServiceId const& service) { return this->endpoint.queuedRequests(service); };
+    hooks.onChanged = [this] { this->endpoint.onServersChanged(); };
     return hooks;
 }
 
+void InteractiveService::onLeadership(bool isLeader)
+{
+    this->claimService.onLeadership(isLeader);
+    this->shares.onLeadership(isLeader ? std::optional(this->log.term()) : std::nullopt);
+}
+
+void InteractiveService::send(HostId const& to, PeerChannel channel, std::string payload)
+{
+    if (this->transport)
+        this->transport->send(to, PeerMessage { channel, std::move(payload) });
+}
+
+void InteractiveService::onAnnouncement(BackendServerAnnouncement announcement)
+{
+    if (announcement.dataCentre.empty())
+        announcement.dataCentre = this->settings.dataCentre;
+    this->take(announcement);
+    std::string const encoded = toCbor(toJson(announcement));
+    for (auto const& peer : this->settings.peers)
+        this->send(peer.host, PeerChannel::Announcements, encoded);
+}
+
+void InteractiveService::take(BackendServerAnnouncement const& announcement)
+{
+    bool const leaves = announcement.leaving && this->servers.find(announcement.server);
+    if (this->servers.announce(announcement, this->clock.now())) {
+        this->events.emit(Event(EventId::BackendServerJoined).with("server", announcement.server).with("service", announcement.service).with("slots", announcement.slots));
+        this->endpoint.onServersChanged();
+    }
+    if (leaves)
+        this->events.emit(Event(EventId::BackendServerLeft).with("server", announcement.server).with("reason", "said so"));
+}
+
 /// The data centre's hosts, its likely leader first.
 std::vector<HostId> InteractiveService::candidates(DataCentreId const& dataCentre) const
 {
@@ -72,25 +133,37 @@
     return hosts;
 }
 
-CallerEndpointOptions InteractiveService::endpointOptions() const
+CallerEndpointOptions InteractiveService::endpointOptions()
 {
     CallerEndpointOptions options;
     options.admission.maxRequests = this->settings.limits.maxQueuedRequests;
     options.balancer.dataCentre = this->settings.dataCentre;
+    options.balancer.slotsFor = [this](BackendServer const& server, TimePoint latestEnd) { return this->shares.slotsFor(server, latestEnd); };
     return options;
 }
 
 void InteractiveService::onPeerMessage(HostId const& from, PeerMessage const& message)
 {
     try {
-        this->claimClient.onMessage(from, message.payload);
+        this->receive(from, message);
     } catch (Error const& error) {
         this->events.emit(Event(EventId::InputRefused).with("code", static_cast<int>(error.code())).with("peer", from).with("reason", std::string(error.what())));
     }
 }
 
+void InteractiveService::receive(HostId const& from, PeerMessage const& message)
+{
+    if (message.channel == PeerChannel::Claims)
+        this->claimClient.onMessage(from, message.payload);
+    else if (message.channel == PeerChannel::Shares)
+        this->shares.onMessage(from, message.payload);
+    else
+        this->take(backendServerAnnouncementFromJson(fromCbor(message.payload)));
+}
+
 void InteractiveService::onTick()
 {
+    this->shares.onTick();
     this->claimClient.onTick();
     this->endpoint.onTick();
 }
--- a/cornelpond/app/InteractiveService.h
+++ b/cornelpond/app/InteractiveService.h
@@ -1,7 +1,8 @@
 #pragma once
 
 // All that an entry host needs to serve interactive requests: the callers' endpoint, the claims of
-// idempotency keys, and the messages about both between entry hosts.
+// idempotency keys, the shares of backend servers' slots, and the messages about all three and about the
+// servers themselves between entry hosts.
 //
 // Example:
 //   InteractiveService interactive(loop, settings, events, metrics, client, servers, random, taskMachines, policy);
@@ -12,6 +13,7 @@
 
 #include "cornelpond/app/CallerEndpoint.h"
 #include "cornelpond/app/Settings.h"
+#include "cornelpond/app/ShareExchange.h"
 #include "cornelpond/core/agreement/StateMachineSet.h"
 #include "cornelpond/core/claims/ClaimClient.h"
 #include "cornelpond/ports/Transport.h"
@@ -30,7 +32,10 @@
     /// Connects the service to the other entry hosts; `transport` must outlive it.
     void attach(Transport& transport, LeaderOf leaderOf);
 
-    /// A message of the channel Claims.
+    /// What a backend server says of itself to this host; the other hosts get it at once.
+    void onAnnouncement(BackendServerAnnouncement announcement);
+
+    /// A message of the channels Announcements, Shares and Claims.
     void onPeerMessage(HostId const& from, PeerMessage const& message);
 
     void handle(HttpRequest request, HttpResponder const& responder) { this->endpoint.handle(std::move(request), responder); }
@@ -38,22 +43,34 @@
     /// Call every 10 to 20 ms.
     void onTick();
 
-    void onServersChanged() { this->endpoint.onServersChanged(); }
+    /// Lets the other entry hosts have this one's slots; what is in flight keeps its own.
+    void giveBackShares() { this->shares.giveBack(); }
+
     size_t openRequests() const { return this->endpoint.openRequests(); }
 
 private:
     StateMachineHooks claimHooks();
+    ShareExchangeOptions shareOptions(Random& random) const;
+    ShareExchangeHooks shareHooks();
+    void onLeadership(bool isLeader);
+    void take(BackendServerAnnouncement const& announcement);
+    void send(HostId const& to, PeerChannel channel, std::string payload);
+    void receive(HostId const& from, PeerMessage const& message);
     ClaimClientOptions claimClientOptions(Random& random) const;
     ClaimClientHooks claimClientHooks();
-    CallerEndpointOptions endpointOptions() const;
+    CallerEndpointOptions endpointOptions();
     std::vector<HostId> candidates(DataCentreId const& dataCentre) const;
 
+    Clock const& clock;
     Settings const& settings;
     EventSink& events;
+    BackendServerTable& servers;
+    CommandLog& log; ///< The claims' part of the data centre's task group.
     Transport* transport = nullptr;
     LeaderOf leaderOf;
     ClaimService claimService;
     ClaimClient claimClient;
+    ShareExchange shares;
     CallerEndpoint endpoint;
 };
 
--- a/cornelpond/app/Settings.h
+++ b/cornelpond/app/Settings.h
@@ -23,6 +23,7 @@
     HostId host;
     DataCentreId dataCentre;
     Address address;
+    bool hasDisk = false;
 };
 
 struct ListenSettings {
@@ -56,6 +57,7 @@
     std::string operatorToken; ///< Read from its file.
     std::string peerToken; ///< Read from its file.
     std::vector<PeerSettings> peers;
+    bool admitNewHosts = false; ///< Take entry hosts that no setting names when cluster and peer token are right.
     LimitSettings limits;
     TimeSettings times;
 };
--- a/cornelpond/app/ShareExchange.h
+++ b/cornelpond/app/ShareExchange.h
@@ -19,10 +19,15 @@
 
 namespace cornelpond {
 
+struct ShareHost {
+    HostId host;
+    DataCentreId dataCentre;
+};
+
 struct ShareExchangeOptions {
     HostId self;
     DataCentreId dataCentre;
-    std::vector<HostId> hosts; ///< All entry hosts of the data centre, sorted.
+    std::vector<ShareHost> hosts; ///< All entry hosts of all data centres, alike on every host.
     uint64_t incarnation = 0; ///< Random for each process.
     Duration interval = Duration::milliseconds(200);
 };
@@ -44,8 +49,8 @@
     /// All references must outlive the exchange.
     ShareExchange(ShareExchangeOptions options, Clock const& clock, EventSink& events, BackendServerTable& servers, ShareExchangeHooks hooks);
 
-    /// Slots of the server for an attempt that has ended by then. Servers of other data centres are used
-    /// when this one has none; their slots cannot be leased from here, so one each is used at most.
+    /// Slots of the server for an attempt that has ended by then. One slot of a server with eight or more
+    /// is kept for one host of another data centre, which has no usable server of its own.
     uint32_t slotsFor(BackendServer const& server, TimePoint latestEnd) const;
 
     /// This host began or ceased to lead the data centre's task group.
@@ -60,6 +65,9 @@
     void giveBack() { this->isGivingBack = true; }
 
 private:
+    std::vector<HostId> hostsIn(DataCentreId const& dataCentre, bool isInside) const;
+    uint32_t sharedSlots(BackendServer const& server) const;
+    bool keepsSlotElsewhere(BackendServer const& server) const;
     std::vector<ShareDemand> demands() const;
     void take(ShareGrant const& grant);
 
@@ -70,6 +78,7 @@
     ShareExchangeHooks hooks;
     ShareHolder holder;
     ShareOwner owner;
+    bool hasOthers; ///< Other entry hosts in this data centre.
     TimePoint asked;
     bool isGivingBack = false;
 };
--- a/cornelpond/app/WorkerApi.h
+++ b/cornelpond/app/WorkerApi.h
@@ -8,8 +8,6 @@
 #include "cornelpond/app/Api.h"
 #include "cornelpond/core/routing/BackendServerTable.h"
 #include "cornelpond/core/tasks/Scheduler.h"
-#include "cornelpond/ports/Clock.h"
-#include "cornelpond/ports/EventSink.h"
 
 #include <functional>
 
@@ -17,23 +15,18 @@
 
 class WorkerApi {
 public:
-    /// All references must outlive the API. `onServersChanged` is called when a backend server joined.
-    WorkerApi(Clock const& clock, EventSink& events, Scheduler& scheduler, BackendServerTable& backendServers, DataCentreId dataCentre, Duration expiry, JsonLimits limits,
-        std::function<void()> onServersChanged);
+    /// `scheduler` must outlive the API. `onBackendServer` takes in what a backend server says of itself.
+    WorkerApi(Scheduler& scheduler, Duration expiry, JsonLimits limits, std::function<void(BackendServerAnnouncement const&)> onBackendServer);
 
     void addRoutes(ApiRouter& router);
 
 private:
     void announceBackendServer(ApiCall const& call);
 
-    Clock const& clock;
-    EventSink& events;
     Scheduler& scheduler;
-    BackendServerTable& backendServers;
-    DataCentreId dataCentre;
     Duration expiry;
     JsonLimits limits;
-    std::function<void()> onServersChanged;
+    std::function<void(BackendServerAnnouncement const&)> onBackendServer;
 };
 
 } // namespace cornelpond
--- a/cornelpond/core/membership/GroupPlanTest.cpp
+++ b/cornelpond/core/membership/GroupPlanTest.cpp
@@ -17,6 +17,7 @@
 std::vector<HostId> ids(std::vector<std::string> const& names)
 {
     std::vector<HostId> result;
+    result.reserve(names.size());
     for (auto const& name : names)
         result.emplace_back(name);
     return result;
--- a/testing/integration/InteractiveTest.cpp
+++ b/testing/integration/InteractiveTest.cpp
@@ -64,7 +64,7 @@
         std::ifstream in(this->recordPath());
         int count = 0;
         for (std::string line; std::getline(in, line);)
-            count += line.find(" " + key + " ") != std::string::npos ? 1 : 0;
+            count += line.find("\"key\":\"" + key + "\"") != std::string::npos ? 1 : 0;
         return count;
     }
 
