--- a/cornelpond/app/EntryHost.cpp
+++ b/cornelpond/app/EntryHost.cpp
@@ -56,7 +56,7 @@
               [this] { return this->backendServers.reservedOnWorkers(); } })
     , config(this->configMachines.add(StateMachinePart::Configuration, this->configHooks()), [this](ConfigRecord const& record) { this->network.onConfigCommitted(record); })
     , network(loop, this->random, events, this->settings, this->networkHooks())
-    , workerApi(loop, events, this->scheduler, this->backendServers, this->settings.dataCentre, this->settings.times.announcementExpiry, this->jsonLimits(), [this] { this->interactive.onServersChanged(); })
+    , workerApi(this->scheduler, this->settings.times.announcementExpiry, this->jsonLimits(), [this](BackendServerAnnouncement const& announcement) { this->interactive.onAnnouncement(announcement); })
     , taskApi(this->scheduler, this->jsonLimits(), [this] { return static_cast<bool>(this->onShutDown); })
     , configApi(loop, events, this->config, this->network.configuration(), this->jsonLimits())
     , callerServer(loop, this->httpLimits(), [this](HttpRequest request, HttpResponder const& responder) { this->handleCaller(std::move(request), responder); })
@@ -65,10 +65,9 @@
 {
     this->taskMachines.attach(this->network.openGroup(taskGroupId(this->settings.dataCentre), "tasks", this->taskMachines.hooks()));
     this->configMachines.attach(this->network.openGroup(configGroupId(), "config", this->configMachines.hooks()));
-    if (!this->settings.peers.empty()) {
-        this->network.setReceiver(PeerChannel::Claims, [this](HostId const& from, PeerMessage const& message) { this->interactive.onPeerMessage(from, message); });
-        this->interactive.attach(this->network.transport(), [this](DataCentreId const& dataCentre) { return this->network.leaderOf(taskGroupId(dataCentre)); });
-    }
+    this->interactive.attach(this->network.transport(), [this](DataCentreId const& dataCentre) { return this->network.leaderOf(taskGroupId(dataCentre)); });
+    for (auto const channel : { PeerChannel::Announcements, PeerChannel::Shares, PeerChannel::Claims })
+        this->network.setReceiver(channel, [this](HostId const& from, PeerMessage const& message) { this->interactive.onPeerMessage(from, message); });
     this->addHealthRoute(this->workerRouter);
     this->addHealthRoute(this->operatorRouter);
     this->workerApi.addRoutes(this->workerRouter);
@@ -323,6 +322,7 @@
     this->onShutDown = std::move(done);
     this->noticeEnd = this->loop.now() + this->settings.times.drainNotice;
     this->shutDownBound = this->noticeEnd + this->settings.times.shutdownBound;
+    this->interactive.giveBackShares();
     this->network.leave();
     for (auto* server : { &this->callerServer, &this->workerServer, &this->operatorServer })
         server->setClosing(true);
--- a/cornelpond/app/ShareExchange.cpp
+++ b/cornelpond/app/ShareExchange.cpp
@@ -1,5 +1,7 @@
 #include "cornelpond/app/ShareExchange.h"
 
+#include "cornelpond/core/base/StableHash.h"
+
 #include <algorithm>
 
 namespace cornelpond {
@@ -7,6 +9,7 @@
 namespace {
 
     constexpr uint32_t slotsElsewhere = 1;
+    constexpr uint32_t minSlotsToKeepOne = 8;
 
 } // namespace
 
@@ -16,16 +19,42 @@
     , events(events)
     , servers(servers)
     , hooks(std::move(hooks))
-    , holder(this->options.self, this->options.hosts, this->options.incarnation, clock)
-    , owner(this->options.hosts, ShareTimes(), clock)
+    , holder(this->options.self, this->hostsIn(this->options.dataCentre, true), this->options.incarnation, clock)
+    , owner(this->hostsIn(this->options.dataCentre, true), ShareTimes(), clock)
+    , hasOthers(this->hostsIn(this->options.dataCentre, true).size() > 1)
+{
+}
+
+/// Sorted; the hosts inside the data centre or those outside it.
+std::vector<HostId> ShareExchange::hostsIn(DataCentreId const& dataCentre, bool isInside) const
+{
+    std::vector<HostId> found;
+    for (auto const& host : this->options.hosts) {
+        if ((host.dataCentre == dataCentre) == isInside)
+            found.push_back(host.host);
+    }
+    std::sort(found.begin(), found.end());
+    return found;
+}
+
+bool ShareExchange::keepsSlotElsewhere(BackendServer const& server) const
+{
+    return server.last.slots >= minSlotsToKeepOne && !this->hostsIn(server.last.dataCentre, false).empty();
+}
+
+uint32_t ShareExchange::sharedSlots(BackendServer const& server) const
 {
+    return server.last.slots - (this->keepsSlotElsewhere(server) ? slotsElsewhere : 0);
 }
 
 uint32_t ShareExchange::slotsFor(BackendServer const& server, TimePoint latestEnd) const
 {
-    if (server.last.dataCentre != this->options.dataCentre)
-        return std::min(server.last.slots, slotsElsewhere);
-    return this->holder.usableSlots(server.last.server, server.last.slots, latestEnd);
+    if (server.last.dataCentre == this->options.dataCentre)
+        return this->holder.usableSlots(server.last.server, this->sharedSlots(server), latestEnd);
+    if (!this->keepsSlotElsewhere(server))
+        return 0;
+    std::vector<HostId> const outside = this->hostsIn(server.last.dataCentre, false);
+    return outside[stableHash(server.last.server.value()) % outside.size()] == this->options.self ? slotsElsewhere : 0;
 }
 
 std::vector<ShareDemand> ShareExchange::demands() const
@@ -39,8 +68,9 @@
             continue;
         size_t const count = serversOf.at(server.last.service);
         size_t const waiting = (this->hooks.waiting(server.last.service) + count - 1) / count;
-        size_t const wanted = std::min<size_t>(server.last.slots, server.inFlight + waiting);
-        demands.push_back({ id, server.last.slots, server.inFlight, this->isGivingBack ? 0 : static_cast<uint32_t>(wanted) });
+        uint32_t const slots = this->sharedSlots(server);
+        size_t const wanted = std::min<size_t>(slots, server.inFlight + waiting);
+        demands.push_back({ id, slots, server.inFlight, this->isGivingBack ? 0 : static_cast<uint32_t>(wanted) });
     }
     return demands;
 }
@@ -48,7 +78,7 @@
 void ShareExchange::onTick()
 {
     TimePoint const now = this->clock.now();
-    if (this->options.hosts.size() < 2 || now - this->asked < this->options.interval)
+    if (!this->hasOthers || now - this->asked < this->options.interval)
         return;
     this->asked = now;
     HostId const to = this->hooks.owner();
--- a/cornelpond/app/WorkerApi.cpp
+++ b/cornelpond/app/WorkerApi.cpp
@@ -6,16 +6,11 @@
 
 namespace cornelpond {
 
-WorkerApi::WorkerApi(Clock const& clock, EventSink& events, Scheduler& scheduler, BackendServerTable& backendServers, DataCentreId dataCentre, Duration expiry, JsonLimits limits,
-    std::function<void()> onServersChanged)
-    : clock(clock)
-    , events(events)
-    , scheduler(scheduler)
-    , backendServers(backendServers)
-    , dataCentre(std::move(dataCentre))
+WorkerApi::WorkerApi(Scheduler& scheduler, Duration expiry, JsonLimits limits, std::function<void(BackendServerAnnouncement const&)> onBackendServer)
+    : scheduler(scheduler)
     , expiry(expiry)
     , limits(limits)
-    , onServersChanged(std::move(onServersChanged))
+    , onBackendServer(std::move(onBackendServer))
 {
 }
 
@@ -30,16 +25,7 @@
 
 void WorkerApi::announceBackendServer(ApiCall const& call)
 {
-    BackendServerAnnouncement announcement = backendServerAnnouncementFromJson(call.body(this->limits));
-    if (announcement.dataCentre.empty())
-        announcement.dataCentre = this->dataCentre;
-    bool const joined = this->backendServers.announce(announcement, this->clock.now());
-    if (joined) {
-        this->events.emit(Event(EventId::BackendServerJoined).with("server", announcement.server).with("service", announcement.service).with("slots", announcement.slots));
-        this->onServersChanged();
-    }
-    if (announcement.leaving)
-        this->events.emit(Event(EventId::BackendServerLeft).with("server", announcement.server).with("reason", "said so"));
+    this->onBackendServer(backendServerAnnouncementFromJson(call.body(this->limits)));
     call.answer(jsonResponse(200, { { "code", 0 }, { "expiryMs", this->expiry.toMilliseconds() } }));
 }
 
