--- a/testing/integration/scenarios/PartitionScenarioTest.cpp
+++ b/testing/integration/scenarios/PartitionScenarioTest.cpp
@@ -73,6 +73,20 @@
         site.cluster.healAll();
 }
 
+/// Waits until the balancer would send callers to the host and it knows a backend server.
+void waitUntilServing(Site& site, std::string const& host)
+{
+    waitUntil(host + " to be healthy", [&] {
+        CallerRequest health;
+        health.path = "/health";
+        return site.cluster.request(host, std::vector<CallerRequest> { health }).front().status == 200;
+    });
+    waitUntil(host + " to know a backend server", [&] {
+        nlohmann::json const status = site.cluster.status(host);
+        return status.is_object() && !status["backendServers"].empty();
+    });
+}
+
 } // namespace
 
 TEST_CASE("a-configuration-reaches-every-host-through-lost-and-isolated-hosts")
@@ -157,10 +171,7 @@
     ChildProcess& fleet = site.addFleet("dc1", { "--workers", "0", "--servers", "2" });
     std::vector<std::string> const hosts = site.cluster.hostsOf("dc1");
     for (auto const& host : hosts)
-        waitUntil(host + " to know a backend server", [&] {
-            nlohmann::json const status = site.cluster.status(host);
-            return status.is_object() && !status["backendServers"].empty();
-        });
+        waitUntilServing(site, host);
     int answered = 0;
     for (int round = 0; round < 4; round++) {
         fleet.say("server dc1-s" + std::to_string(site.draw(1, 2)) + (site.draw(0, 1) ? " slow 300" : " heal"));
@@ -189,10 +200,7 @@
     site.addFleet("dc1", { "--workers", "0", "--servers", "2", "--slots", "8", "--service-ms", "300" });
     std::vector<std::string> const hosts = site.cluster.hostsOf("dc1");
     for (auto const& host : hosts)
-        waitUntil(host + " to know a backend server", [&] {
-            nlohmann::json const status = site.cluster.status(host);
-            return status.is_object() && !status["backendServers"].empty();
-        });
+        waitUntilServing(site, host);
     for (int round = 0; round < 2; round++) {
         if (round)
             site.cluster.isolate("h2");
