--- a/bench/PathBench.cpp
+++ b/bench/PathBench.cpp
@@ -87,7 +87,7 @@
     std::function<void()> const submitNext = [&] {
         if (submitted >= count)
             return;
-        nlohmann::json const task = { { "id", fmt::format("bench-{}-{}", start.toMicroseconds(), submitted++) }, { "association", "bench" }, { "resources", { { "milliCores", 10 } } }, { "command", "run 1" } };
+        nlohmann::json const task = { { "id", fmt::format("bench-{}-{}", start.toMicroseconds(), submitted++) }, { "association", "bench" }, { "resources", { { "milliCores", 10 } } }, { "command", arguments["command"].as<std::string>() } };
         HttpRequest request;
         request.method = "POST";
         request.path = "/v1/tasks";
@@ -136,6 +136,7 @@
         options.add_options()("path", "request path", cxxopts::value<std::string>()->default_value("/plan/x"));
         options.add_options()("connections", "requests at once", cxxopts::value<int>()->default_value("64"));
         options.add_options()("seconds", "how long", cxxopts::value<int>()->default_value("5"));
+        options.add_options()("command", "what each task does on the stand-in", cxxopts::value<std::string>()->default_value("run 1"));
         options.add_options()("count", "tasks", cxxopts::value<int>()->default_value("5000"));
         options.parse_positional({ "what" });
         cxxopts::ParseResult const arguments = options.parse(argc, argv);
--- a/cornelpond/core/membership/HostTable.cpp
+++ b/cornelpond/core/membership/HostTable.cpp
@@ -117,12 +117,12 @@
 {
     for (auto& [id, host] : this->hosts) {
         bool const isOverdue = now - host.lastReport > this->suspicionAfter(host);
-        if (host.state == HostState::Alive && isOverdue)
-            this->change(id, host, HostState::Suspect, now);
-        else if (host.state == HostState::Leaving && isOverdue)
-            this->change(id, host, HostState::Gone, now);
-        else if ((host.state == HostState::Suspect || host.state == HostState::Unseen) && now - host.stateSince > this->times.goneAfter)
+        bool const isUnheard = host.state == HostState::Suspect || host.state == HostState::Unseen;
+        bool const isGone = (host.state == HostState::Leaving && isOverdue) || (isUnheard && now - host.stateSince > this->times.goneAfter);
+        if (isGone)
             this->change(id, host, HostState::Gone, now);
+        else if (host.state == HostState::Alive && isOverdue)
+            this->change(id, host, HostState::Suspect, now);
     }
 }
 
