--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -2,10 +2,11 @@
 # The slopes behind docs/CAPACITY.md: what one entry host pays for workers, running tasks and backend
 # servers, with a stand-in fleet that announces itself every second.
 #
-#   bench/capacity.sh workers | tasks | servers
+#   bench/capacity.sh workers | tasks | servers | changes | starts
 #
 # Prints, for each size, the host's share of a core, its resident memory, and its bytes read from and
-# written to sockets a second (log and journal excluded). Needs ports 7000 to 7002 of 127.0.0.1.
+# written to sockets a second (log and journal excluded); for changes and starts (a task's whole life) the
+# processor time, journal bytes and memory of that many. Needs ports 7000 to 7002 of 127.0.0.1.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin="${BUILD_FOLDER:-build}/bin"
@@ -22,7 +23,10 @@
     "$bin/cornelpond" serve --default "$folder/data" 2> "$folder/host.log" &
     local host=$!
     until grep -q HostStarted "$folder/host.log"; do sleep 0.05; done
-    tail -f /dev/null | "$bin/standin" --entry 127.0.0.1:7001 --workers "$2" --servers "$3" --cores 64 --memory-mib 262144 > /dev/null 2>&1 &
+    # The stand-in ends with its standard input; an open pipe keeps it.
+    mkfifo "$folder/console"
+    exec 3<> "$folder/console"
+    "$bin/standin" --entry 127.0.0.1:7001 --workers "$2" --servers "$3" --cores 64 --memory-mib 262144 < "$folder/console" > /dev/null 2>&1 &
     local fleet=$!
     until [ "$(grep -c WorkerJoined "$folder/host.log")" -ge "$2" ] && [ "$(grep -c BackendServerJoined "$folder/host.log")" -ge "$3" ]; do sleep 0.2; done
     if [ "$4" -gt 0 ]; then
@@ -39,14 +43,66 @@
         printf "%-28s cpu %6.2f %%  rss %6.1f MiB  in %8.0f B/s  out %8.0f B/s\n", label, 100 * cpu / ticks / s, rss / 1024, in_bytes / s, out_bytes / s
     }'
     kill "$host" "$fleet" 2> /dev/null || true
-    pkill -P $$ tail 2> /dev/null || true
+    exec 3>&-
+    wait 2> /dev/null || true
+    rm -rf "$folder"
+}
+
+start_host() {
+    folder=$(mktemp -d)
+    "$bin/cornelpond" serve --default "$folder/data" 2> "$folder/host.log" &
+    host=$!
+    until grep -q HostStarted "$folder/host.log"; do sleep 0.05; done
+}
+
+# spent LABEL COMMAND...: what the host spends while the command runs.
+spent() {
+    local label="$1" cpu0 journal0
+    shift
+    cpu0=$(cpu_ticks "$host"); journal0=$(cat "$folder"/data/*/* | wc -c)
+    "$@"
+    echo "$label: cpu $((($(cpu_ticks "$host") - cpu0) * 1000 / ticks)) ms, journal $(($(cat "$folder"/data/*/* | wc -c) - journal0)) bytes, rss $(awk '/^VmRSS:/ { print $2 }' "/proc/$host/status") KiB"
+}
+
+version=0
+change() {
+    for _ in $(seq "$1"); do
+        curl -s -X PUT http://127.0.0.1:7002/v1/config -d "{\"expectedVersion\": $version, \"operationId\": \"o$version\", \"author\": \"a\", \"document\": {\"services\": {\"plan\": {\"timeoutMs\": $((100 + version % 100))}}}}" > /dev/null
+        version=$((version + 1))
+    done
+}
+
+ended=0
+run_tasks() {
+    "$bin/path_bench" tasks --target 127.0.0.1:7002 --count "$1" > /dev/null
+    ended=$((ended + $1))
+    until [ "$(grep -c AttemptEnded "$folder/host.log")" -ge "$ended" ]; do sleep 0.2; done
+}
+
+finish() {
+    kill "$@"
     wait 2> /dev/null || true
     rm -rf "$folder"
 }
 
 case "${1:-}" in
+changes)
+    start_host
+    for n in 50 150 450; do spent "$n changes" change "$n"; done
+    finish "$host"
+    ;;
+starts)
+    start_host
+    mkfifo "$folder/console"
+    exec 3<> "$folder/console"
+    "$bin/standin" --entry 127.0.0.1:7001 --workers 100 --servers 0 --cores 64 < "$folder/console" > /dev/null 2>&1 &
+    fleet=$!
+    until [ "$(grep -c WorkerJoined "$folder/host.log")" -ge 100 ]; do sleep 0.2; done
+    for n in 1000 3000 9000; do spent "$n tasks" run_tasks "$n"; done
+    finish "$host" "$fleet"
+    ;;
 workers) for n in 100 400 1500; do measure "$n workers" "$n" 0 0; done ;;
 tasks) for n in 0 1300 2600 5200; do measure "400 workers, $n tasks" 400 0 "$n"; done ;;
 servers) for n in 50 200 800; do measure "$n backend servers" 0 "$n" 0; done ;;
-*) sed -n '2,9p' "$0"; exit 2 ;;
+*) sed -n '2,11p' "$0"; exit 2 ;;
 esac
