--- a/cornelpond/core/agreement/ReplicatedLog.h
+++ b/cornelpond/core/agreement/ReplicatedLog.h
@@ -167,7 +167,8 @@
     void onAppendReply(HostId const& from, AppendReply const& reply);
     void onSnapshotReply(HostId const& from, SnapshotReply const& reply);
     void advanceSnapshot(HostId const& to, PeerProgress& progress, SnapshotReply const& reply);
-    void onMemberAnswer(PeerProgress& progress, TimePoint sentAt);
+    /// What this leader knows of the member that answered; null when the answer is not to this leadership.
+    PeerProgress* onMemberAnswer(HostId const& from, Term term, TimePoint sentAt);
     void dropOutgoingSnapshotWhenUnused();
     void advanceCommit();
     TimePoint confirmedByMajority() const;
--- a/cornelpond/core/agreement/Replication.cpp
+++ b/cornelpond/core/agreement/Replication.cpp
@@ -161,23 +161,27 @@
         this->outgoingSnapshot.reset();
 }
 
-void ReplicatedLog::onMemberAnswer(PeerProgress& progress, TimePoint sentAt)
+PeerProgress* ReplicatedLog::onMemberAnswer(HostId const& from, Term term, TimePoint sentAt)
 {
+    if (term > this->hardState.term) {
+        this->becomeFollower(term, HostId());
+        return nullptr;
+    }
+    auto const found = this->peers.find(from);
+    if (this->role != Role::Leader || term != this->hardState.term || found == this->peers.end())
+        return nullptr;
+    PeerProgress& progress = found->second;
     progress.lastHeard = this->clock.now();
     progress.confirmed = std::max(progress.confirmed, std::min(sentAt, this->clock.now()));
+    return &progress;
 }
 
 void ReplicatedLog::onAppendReply(HostId const& from, AppendReply const& reply)
 {
-    if (reply.term > this->hardState.term) {
-        this->becomeFollower(reply.term, HostId());
-        return;
-    }
-    auto const found = this->peers.find(from);
-    if (this->role != Role::Leader || reply.term != this->hardState.term || found == this->peers.end())
+    PeerProgress* const answering = this->onMemberAnswer(from, reply.term, reply.sentAt);
+    if (!answering)
         return;
-    PeerProgress& progress = found->second;
-    this->onMemberAnswer(progress, reply.sentAt);
+    PeerProgress& progress = *answering;
     if (progress.mode == PeerProgress::Mode::Snapshot)
         return;
     if (progress.next <= this->log.baseIndex() && !reply.success) {
@@ -200,15 +204,10 @@
 
 void ReplicatedLog::onSnapshotReply(HostId const& from, SnapshotReply const& reply)
 {
-    if (reply.term > this->hardState.term) {
-        this->becomeFollower(reply.term, HostId());
+    PeerProgress* const answering = this->onMemberAnswer(from, reply.term, reply.sentAt);
+    if (!answering)
         return;
-    }
-    auto const found = this->peers.find(from);
-    if (this->role != Role::Leader || reply.term != this->hardState.term || found == this->peers.end())
-        return;
-    PeerProgress& progress = found->second;
-    this->onMemberAnswer(progress, reply.sentAt);
+    PeerProgress& progress = *answering;
     if (progress.mode != PeerProgress::Mode::Snapshot || reply.lastIndex != progress.snapshotIndex)
         return;
     if (reply.nextOffset < this->outgoingSnapshot->state.size()) {
