Parse addresses of test tools in one place

Cause: path_bench and the interactive tests had their own copies of the stand-ins' parseAddress. Change: both call testing/faultproxy/Console.h; no assertion touched. The product's own readers in Commands.cpp and CommandPusher.cpp accept different texts and stay apart.

--- a/bench/PathBench.cpp
+++ b/bench/PathBench.cpp
@@ -7,28 +7,19 @@
 
 #include "cornelpond/adapters/http/HttpClient.h"
 #include "cornelpond/core/base/Duration.h"
+#include "testing/faultproxy/Console.h"
 
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <vector>
 
 namespace {
 
 using namespace cornelpond;
 
-Address parseAddress(std::string const& text)
-{
-    size_t const colon = text.rfind(':');
-    uint16_t port = 0;
-    if (colon == std::string::npos || std::from_chars(text.data() + colon + 1, text.data() + text.size(), port).ec != std::errc())
-        throw std::runtime_error("expected IP:PORT, got " + text);
-    return { text.substr(0, colon), port };
-}
-
 double quantileMs(std::vector<Duration>& latencies, double p)
 {
     if (latencies.empty())
--- a/testing/integration/InteractiveTest.cpp
+++ b/testing/integration/InteractiveTest.cpp
@@ -2,6 +2,7 @@
 // shutdown and leaving servers.
 
 #include "testing/fakes/TemporaryFolder.h"
+#include "testing/faultproxy/Console.h"
 #include "testing/integration/ChildProcess.h"
 #include "testing/standin/Record.h"
 
@@ -22,12 +23,6 @@
 std::string const binary = std::string(BINARY_FOLDER) + "/cornelpond";
 std::string const standinBinary = std::string(BINARY_FOLDER) + "/standin";
 
-Address parseAddress(std::string const& text)
-{
-    size_t const colon = text.rfind(':');
-    return { text.substr(0, colon), static_cast<uint16_t>(std::stoi(text.substr(colon + 1))) };
-}
-
 /// One entry host, restartable on its disk, and backend servers that record each run.
 class Site {
 public:
