--- /dev/null
+++ b/cornelpond/adapters/http/AddressText.cpp
@@ -0,0 +1,30 @@
+#include "cornelpond/adapters/http/AddressText.h"
+
+#include "cornelpond/core/base/ResultCode.h"
+
+#include <arpa/inet.h>
+
+#include <charconv>
+
+namespace cornelpond {
+
+Address addressFromText(std::string_view text)
+{
+    size_t const colon = text.rfind(':');
+    Address address;
+    if (colon != std::string_view::npos) {
+        std::string_view ip = text.substr(0, colon);
+        if (ip.size() > 1 && ip.front() == '[' && ip.back() == ']')
+            ip = ip.substr(1, ip.size() - 2);
+        address.ip = ip;
+        char const* const end = text.data() + text.size();
+        auto const parsed = std::from_chars(text.data() + colon + 1, end, address.port);
+        in6_addr number {};
+        bool const isNumber = inet_pton(AF_INET, address.ip.c_str(), &number) == 1 || inet_pton(AF_INET6, address.ip.c_str(), &number) == 1;
+        if (parsed.ec == std::errc() && parsed.ptr == end && isNumber)
+            return address;
+    }
+    throw Error(ResultCode::BadArgument, "'" + std::string(text) + "' is not IP:PORT");
+}
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/adapters/http/AddressText.h
@@ -0,0 +1,17 @@
+#pragma once
+
+// "IP:PORT" as text.
+//
+// Example:
+//   Address const address = addressFromText("10.0.0.7:8080");
+
+#include "cornelpond/adapters/http/HttpTypes.h"
+
+#include <string_view>
+
+namespace cornelpond {
+
+/// Throws Error(BadArgument) for anything but an IP number (v6 in brackets) and a port.
+Address addressFromText(std::string_view text);
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/adapters/log/JsonEventSink.cpp
@@ -0,0 +1,139 @@
+#include "cornelpond/adapters/log/JsonEventSink.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <climits>
+#include <ctime>
+#include <iterator>
+#include <poll.h>
+#include <unistd.h>
+
+namespace cornelpond {
+
+namespace {
+
+    constexpr Duration reportInterval = Duration::seconds(1);
+
+    void appendText(std::string& line, std::string_view value)
+    {
+        line += '"';
+        for (char const byte : value) {
+            auto const code = static_cast<unsigned char>(byte);
+            if (byte == '"' || byte == '\\')
+                (line += '\\') += byte;
+            else if (code < ' ' || code == 0x7f)
+                fmt::format_to(std::back_inserter(line), "\\u{:04x}", code);
+            else
+                line += byte;
+        }
+        line += '"';
+    }
+
+    bool isNumber(std::string const& value)
+    {
+        constexpr size_t longestExact = 15; // Digits that every JSON reader keeps.
+        bool const isSigned = !value.empty() && value.front() == '-';
+        std::string_view const digits = std::string_view(value).substr(isSigned ? 1 : 0);
+        bool const hasLeadingZero = digits.size() > 1 && digits.front() == '0';
+        return !digits.empty() && digits.size() <= longestExact && !hasLeadingZero && std::all_of(digits.begin(), digits.end(), [](char byte) { return byte >= '0' && byte <= '9'; });
+    }
+
+} // namespace
+
+std::string formatJsonEvent(Event const& event, HostId const& host, int64_t wallMilliseconds)
+{
+    constexpr int64_t millisecondsPerSecond = 1000;
+    std::time_t const seconds = wallMilliseconds / millisecondsPerSecond;
+    std::tm utc {};
+    gmtime_r(&seconds, &utc);
+    std::string line = fmt::format("{{\"time\":\"{:04}-{:02}-{:02}T{:02}:{:02}:{:02}.{:03}Z\",\"id\":{},\"event\":\"{}\",\"host\":", utc.tm_year + 1900, utc.tm_mon + 1, utc.tm_mday,
+        utc.tm_hour, utc.tm_min, utc.tm_sec, wallMilliseconds % millisecondsPerSecond, static_cast<int>(event.id()), eventInfo(event.id()).name);
+    appendText(line, host.value());
+    for (auto const& field : event.fields()) {
+        line += ",\"";
+        line += field.key;
+        line += "\":";
+        if (isNumber(field.value))
+            line += field.value;
+        else
+            appendText(line, field.value);
+    }
+    line += '}';
+    return line;
+}
+
+JsonEventSink::JsonEventSink(Clock const& clock, HostId host, JsonLogLimits limits, Write write)
+    : clock(clock)
+    , host(std::move(host))
+    , limits(limits)
+    , write(std::move(write))
+{
+}
+
+JsonEventSink::~JsonEventSink()
+{
+    this->flush();
+}
+
+void JsonEventSink::emit(Event const& event)
+{
+    if (!this->isWithinBudget(event.id()) || this->waiting.size() >= this->limits.maxWaitingBytes) {
+        this->suppressed[event.id()]++;
+        return;
+    }
+    this->append(event);
+}
+
+bool JsonEventSink::isWithinBudget(EventId id)
+{
+    constexpr int64_t microsecondsPerSecond = 1000 * 1000;
+    int64_t const second = this->clock.now().toMicroseconds() / microsecondsPerSecond;
+    Budget& budget = this->budgets[id];
+    if (budget.second != second)
+        budget = { second, 0 };
+    return budget.lines++ < this->limits.linesPerEventAndSecond;
+}
+
+void JsonEventSink::append(Event const& event)
+{
+    this->waiting += formatJsonEvent(event, this->host, this->clock.wallMilliseconds());
+    this->waiting += '\n';
+}
+
+void JsonEventSink::reportSuppressed()
+{
+    if (this->suppressed.empty() || this->clock.now() < this->nextReport || this->waiting.size() >= this->limits.maxWaitingBytes)
+        return;
+    this->nextReport = this->clock.now() + reportInterval;
+    for (auto const& [id, count] : this->suppressed)
+        this->append(Event(EventId::EventsSuppressed).with("suppressed", std::string(eventInfo(id).name)).with("lines", count));
+    this->suppressed.clear();
+}
+
+void JsonEventSink::flush()
+{
+    this->reportSuppressed();
+    if (!this->waiting.empty())
+        this->waiting.erase(0, this->write(this->waiting));
+}
+
+size_t writeToStandardOutput(std::string_view bytes)
+{
+    size_t taken = 0;
+    while (taken < bytes.size()) {
+        pollfd ready { STDOUT_FILENO, POLLOUT, 0 };
+        if (::poll(&ready, 1, 0) != 1 || !(ready.revents & POLLOUT))
+            break;
+        // A pipe that is writable takes this much without blocking.
+        size_t const some = std::min(bytes.size() - taken, static_cast<size_t>(PIPE_BUF));
+        ssize_t const written = ::write(STDOUT_FILENO, bytes.data() + taken, some);
+        if (written <= 0)
+            return errno == EPIPE ? bytes.size() : taken; // Nobody will read it any more.
+        taken += static_cast<size_t>(written);
+    }
+    return taken;
+}
+
+} // namespace cornelpond
--- a/cornelpond/adapters/peer/PeerLink.cpp
+++ b/cornelpond/adapters/peer/PeerLink.cpp
@@ -247,7 +247,8 @@
     auto const known = this->peers.find(hello.host);
     if (known == this->peers.end())
         return this->self.admitNewHosts ? "" : "unknown host";
-    return known->second.address.dataCentre == hello.dataCentre ? "" : "another data centre than in the settings";
+    DataCentreId const& expected = known->second.address.dataCentre;
+    return expected.empty() || expected == hello.dataCentre ? "" : "another data centre than in the settings";
 }
 
 /// Both ends decide alike: a newer connection by the same dialler means that the dialler lost the older
@@ -268,6 +269,8 @@
     if (!this->peers.count(hello.host))
         this->addPeer({ hello.host, hello.dataCentre, { hello.listenIp, hello.listenPort } });
     Peer& peer = this->peers[hello.host];
+    if (peer.address.dataCentre.empty())
+        peer.address.dataCentre = hello.dataCentre;
     bool const isAtFormerAddress = connection.dialled && !(peer.address.address == connection.address);
     if (Connection* older = this->established(hello.host)) {
         if (isAtFormerAddress || !this->mayReplace(*older, connection)) {
@@ -389,7 +392,7 @@
     if (peer.connection || peer.dialling || now < peer.nextDial || peer.address.address.ip.empty())
         return;
     bool const isBackupDue = this->self.admitNewHosts && now - peer.downSince > this->times.backupDial;
-    if (this->self.host < peer.address.host || isBackupDue)
+    if (this->self.dialsAll || this->self.host < peer.address.host || isBackupDue)
         this->dial(peer);
 }
 
--- a/cornelpond/adapters/peer/PeerLink.h
+++ b/cornelpond/adapters/peer/PeerLink.h
@@ -11,7 +11,8 @@
 //   link.send(HostId("h2"), { PeerChannel::Agreement, bytes });
 //
 // Loop thread only. The host with the lower id dials. A peer of another cluster or protocol, an unknown
-// host and a wrong token are refused without a word.
+// host and a wrong token are refused without a word. A peer whose data centre is not known yet takes the one
+// it names.
 
 #include "cornelpond/adapters/peer/PeerEnvelope.h"
 #include "cornelpond/adapters/peer/WebSocket.h"
@@ -32,6 +33,7 @@
     DataCentreId dataCentre;
     std::string token;
     bool admitNewHosts = false; ///< Take hosts that no setting names when cluster and token are right.
+    bool dialsAll = false; ///< Others may not know this host yet: it dials them whatever its id.
 };
 
 /// Another entry host and where it accepts peers.
--- a/cornelpond/adapters/runtime/EventLoop.cpp
+++ b/cornelpond/adapters/runtime/EventLoop.cpp
@@ -61,8 +61,12 @@
 
 TimePoint EventLoop::now() const
 {
-    auto const sinceBoot = std::chrono::steady_clock::now().time_since_epoch();
-    return TimePoint::fromMicroseconds(std::chrono::duration_cast<std::chrono::microseconds>(sinceBoot).count());
+    // Leases of others run on while this machine is suspended, and CLOCK_MONOTONIC does not.
+    timespec sinceBoot {};
+    clock_gettime(CLOCK_BOOTTIME, &sinceBoot);
+    constexpr int64_t nanosecondsPerMicrosecond = 1000;
+    constexpr int64_t microsecondsPerSecond = 1000 * 1000;
+    return TimePoint::fromMicroseconds(static_cast<int64_t>(sinceBoot.tv_sec) * microsecondsPerSecond + sinceBoot.tv_nsec / nanosecondsPerMicrosecond);
 }
 
 int64_t EventLoop::wallMilliseconds() const
--- a/cornelpond/app/Commands.cpp
+++ b/cornelpond/app/Commands.cpp
@@ -1,12 +1,17 @@
 #include "cornelpond/app/Commands.h"
 
+#include "cornelpond/adapters/http/AddressText.h"
 #include "cornelpond/adapters/journal/JournalStorage.h"
 #include "cornelpond/adapters/log/FmtEventSink.h"
+#include "cornelpond/adapters/log/JsonEventSink.h"
 #include "cornelpond/adapters/schema/SchemaCheck.h"
 #include "cornelpond/app/Api.h"
+#include "cornelpond/app/ControlHost.h"
+#include "cornelpond/app/EntryGateway.h"
 #include "cornelpond/app/EntryHost.h"
 #include "cornelpond/app/OperatorClient.h"
 #include "cornelpond/app/Settings.h"
+#include "cornelpond/app/SettingsWatch.h"
 #include "cornelpond/app/Table.h"
 #include "cornelpond/app/TaskGroupReplica.h"
 #include "cornelpond/core/base/Json.h"
@@ -29,11 +34,15 @@
 
 namespace {
 
+    constexpr Duration logFlushInterval = Duration::milliseconds(50);
+
     constexpr std::string_view usage = R"(cornelpond: a scheduler for colocated latency-critical and batch work
 
 usage: cornelpond COMMAND [OPTIONS]
 
   serve    run an entry host               cornelpond serve --settings /etc/cornelpond/settings.json
+  fleet    run a host that finds its peers from seeds, in the role of its settings
+                                           cornelpond fleet --settings /etc/cornelpond/settings.json
   check    validate a settings or          cornelpond check settings.json
            configuration document          cornelpond check --configuration config.json
   apply    change the configuration        cornelpond apply config.json --expect 7
@@ -108,16 +117,6 @@
         options.add_options()("json", "print JSON");
     }
 
-    Address parseAddress(std::string const& text)
-    {
-        size_t const colon = text.rfind(':');
-        uint16_t port = 0;
-        char const* const end = text.data() + text.size();
-        if (colon == std::string::npos || std::from_chars(text.data() + colon + 1, end, port).ptr != end || !port)
-            throw Error(ResultCode::BadArgument, "--server: expected IP:PORT");
-        return { text.substr(0, colon), port };
-    }
-
     std::string optionOrEnvironment(Arguments const& arguments, std::string const& option, char const* variable, std::string const& fallback)
     {
         if (arguments.has(option))
@@ -129,7 +128,7 @@
     std::unique_ptr<OperatorClient> makeClient(Arguments const& arguments)
     {
         constexpr int64_t defaultTimeoutMs = 10000;
-        Address const server = parseAddress(optionOrEnvironment(arguments, "server", "CORNELPOND_SERVER", "127.0.0.1:7002"));
+        Address const server = addressFromText(optionOrEnvironment(arguments, "server", "CORNELPOND_SERVER", "127.0.0.1:7002"));
         std::string const tokenFile = optionOrEnvironment(arguments, "token-file", "CORNELPOND_TOKEN_FILE", std::string());
         std::string token = tokenFile.empty() ? std::string() : readTextFile(tokenFile);
         while (!token.empty() && std::isspace(static_cast<unsigned char>(token.back())))
@@ -187,6 +186,58 @@
         return 0;
     }
 
+    std::string settingsPath(Arguments const& arguments)
+    {
+        if (arguments.has("settings") == arguments.has("settings-variable"))
+            throw Error(ResultCode::BadArgument, "give either --settings FILE or --settings-variable NAME");
+        if (arguments.has("settings"))
+            return arguments.text("settings");
+        char const* path = std::getenv(arguments.text("settings-variable").c_str());
+        if (!path)
+            throw Error(ResultCode::BadArgument, "the environment variable " + arguments.text("settings-variable") + " is not set");
+        return path;
+    }
+
+    template <typename Host>
+    int runFleetHost(std::string const& path, FleetSettings const& settings)
+    {
+        EventLoop loop;
+        JsonEventSink events(loop, HostId(settings.name), JsonLogLimits(), writeToStandardOutput);
+        std::function<void()> flushLog = [&] {
+            events.flush();
+            loop.after(logFlushInterval, flushLog);
+        };
+        loop.after(logFlushInterval, flushLog);
+        loop.setExceptionHandler([&](std::exception const& error) { events.emit(Event(EventId::InternalFault).with("what", std::string(error.what()))); });
+        Host host(loop, settings, events);
+        SettingsWatch watch(loop, events, path, [&](FleetSettings const& changed) { host.onSettingsChanged(changed); });
+        auto const stop = [&] { host.shutDown([&] { loop.stop(); }); };
+        loop.onSignal(SIGTERM, stop);
+        loop.onSignal(SIGINT, stop);
+        loop.onSignal(SIGHUP, [&] { watch.reload(); });
+        host.start();
+        watch.start();
+        loop.run();
+        return 0;
+    }
+
+    int fleet(int argc, char const* const* argv)
+    {
+        Arguments const arguments("fleet", "", argc, argv, [](cxxopts::Options& options) {
+            options.add_options()("settings", "settings file", cxxopts::value<std::string>());
+            options.add_options()("settings-variable", "environment variable that holds the settings file's path", cxxopts::value<std::string>());
+        });
+        if (arguments.wantsHelp()) {
+            std::cout << arguments.help();
+            return 0;
+        }
+        std::string const path = settingsPath(arguments);
+        FleetSettings const settings = loadFleetSettings(path);
+        // A peer or the log's reader may be gone before it is written to.
+        std::signal(SIGPIPE, SIG_IGN);
+        return settings.role == FleetRole::Entry ? runFleetHost<EntryGateway>(path, settings) : runFleetHost<ControlHost>(path, settings);
+    }
+
     int check(int argc, char const* const* argv)
     {
         Arguments const arguments("check", "FILE", argc, argv, [](cxxopts::Options& options) {
@@ -197,7 +248,9 @@
             return 0;
         }
         nlohmann::json const document = parseJson(readTextFile(arguments.positional("FILE")), JsonLimits());
-        std::vector<DocumentFault> faults = arguments.has("configuration") ? checkSchema(policySchema(), document) : checkSettings(document);
+        std::vector<DocumentFault> faults = arguments.has("configuration") ? checkSchema(policySchema(), document)
+                                                                              : isFleetSettings(document) ? checkFleetSettings(document)
+                                                                                                          : checkSettings(document);
         if (faults.empty() && arguments.has("configuration"))
             faults = crossCheckPolicy(document);
         if (faults.empty()) {
@@ -488,6 +541,7 @@
 
     constexpr std::array commands = {
         Command { "serve", serve },
+        Command { "fleet", fleet },
         Command { "check", check },
         Command { "apply", apply },
         Command { "get", get },
--- /dev/null
+++ b/cornelpond/app/ControlHost.cpp
@@ -0,0 +1,158 @@
+#include "cornelpond/app/ControlHost.h"
+
+#include "cornelpond/app/FleetMetrics.h"
+#include "cornelpond/app/HostRandom.h"
+
+#include <algorithm>
+
+namespace cornelpond {
+
+namespace {
+
+    constexpr Duration tickInterval = Duration::milliseconds(15); ///< A batch of decisions is committed this often.
+    constexpr size_t maxControlBodyBytes = 4 * 1024 * 1024;
+    /// How long a call from a worker or an operator waits for a leader; they try the next host after a second.
+    constexpr Duration leaderPatience = Duration::milliseconds(800);
+    constexpr Duration shutDownNotice = Duration::milliseconds(300); ///< For peers to hear who leads now.
+    constexpr Duration leaseReserve = Duration::milliseconds(500); ///< Kept from the longest lease that workers grant.
+
+    DispatchTimes dispatchTimes(FleetSettings const& settings)
+    {
+        DispatchTimes times;
+        times.lease = std::min(times.lease, settings.times.maxLease - leaseReserve);
+        return times;
+    }
+
+    HttpLimits controlLimits()
+    {
+        HttpLimits limits;
+        limits.maxBodyBytes = maxControlBodyBytes;
+        return limits;
+    }
+
+} // namespace
+
+ControlHost::ControlHost(EventLoop& loop, FleetSettings givenSettings, EventSink& events)
+    : loop(loop)
+    , settings(std::move(givenSettings))
+    , events(events)
+    , random(hostEntropy())
+    , network(networkSettings(this->settings, hostIdentity(this->settings, identitySuffix(this->random))))
+    , client(loop, HttpClientLimits())
+    , orders(this->client, dispatchTimes(this->settings), this->settings.permitService)
+    , service(loop, events, this->orders, dispatchTimes(this->settings), JobLimits())
+    , api(this->service, this->settings.listen.control.text())
+    , hosts(loop, this->random, events, this->network, this->networkHooks())
+    , controlServer(loop, controlLimits(), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleControl(request, responder); })
+    , metricsServer(loop, HttpLimits(), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleMetrics(request, responder); })
+{
+    this->service.attach(this->hosts.openGroup(configGroupId(), "jobs", this->groupHooks()));
+}
+
+ControlHost::~ControlHost()
+{
+    this->loop.cancel(this->tickTimer);
+}
+
+StateMachineHooks ControlHost::groupHooks()
+{
+    StateMachineHooks hooks = this->service.hooks();
+    auto inner = std::move(hooks.onLeadership);
+    hooks.onLeadership = [this, inner = std::move(inner)](bool isLeader) {
+        this->events.emit(Event(isLeader ? EventId::LeaderElected : EventId::LeaderLost).with("group", configGroupId()));
+        inner(isLeader);
+    };
+    return hooks;
+}
+
+HostNetworkHooks ControlHost::networkHooks()
+{
+    HostNetworkHooks hooks;
+    hooks.serveHere = [this](ApiKind api, HttpRequest const& request, ApiAnswer const& answer) { this->serveHere(api, request, answer); };
+    hooks.onConfiguration = [](ConfigRecord const&) {};
+    hooks.witnessHooks = [](DataCentreId const&) { return StateMachineHooks(); };
+    return hooks;
+}
+
+void ControlHost::start()
+{
+    this->hosts.start();
+    auto const open = [this](HttpServer& server, std::string const& name, Address const& address) {
+        if (address.ip.empty())
+            return;
+        server.listen(address);
+        this->events.emit(Event(EventId::ListenerOpened).with("listener", name).with("address", address.text()));
+    };
+    open(this->controlServer, "control", this->settings.listen.control);
+    open(this->metricsServer, "metrics", this->settings.listen.metrics);
+    this->events.emit(Event(EventId::HostStarted).with("role", "control").with("identity", this->network.host).with("dataCentre", this->settings.dataCentre).with("firstStart", static_cast<int>(this->settings.firstStart)));
+    this->tick();
+}
+
+void ControlHost::tick()
+{
+    this->tickTimer = this->loop.after(tickInterval, [this] { this->tick(); });
+    this->hosts.onTick();
+    this->service.onTick();
+    if (this->onShutDown)
+        this->finishShutDown();
+}
+
+void ControlHost::serveHere(ApiKind kind, HttpRequest const& request, ApiAnswer const& answer)
+{
+    if (kind == ApiKind::Callers)
+        this->api.handleClient(request, answer);
+    else
+        this->api.handle(request, answer);
+}
+
+void ControlHost::handleControl(HttpRequest const& request, HttpResponder const& responder)
+{
+    LeaderCallOptions options;
+    options.wait = leaderPatience;
+    options.waitWithoutQuorum = leaderPatience;
+    options.tryTimeout = leaderPatience;
+    this->hosts.serveByLeader(
+        configGroupId(), ApiKind::Workers, request, [responder](HttpResponse const& response) { responder.answer(response); }, options);
+}
+
+void ControlHost::handleMetrics(HttpRequest const&, HttpResponder const& responder)
+{
+    fillSchedulerMetrics(this->service.scheduler(), this->metrics);
+    this->hosts.fillMetrics(this->metrics);
+    responder.answer(metricsResponse(this->metrics));
+}
+
+void ControlHost::onSettingsChanged(FleetSettings const& changed)
+{
+    for (auto const& peer : seedPeers(changed))
+        this->hosts.learnPeer(peer);
+}
+
+void ControlHost::shutDown(std::function<void()> done)
+{
+    if (this->onShutDown)
+        return;
+    this->onShutDown = std::move(done);
+    this->shutDownEarliest = this->loop.now() + shutDownNotice;
+    this->shutDownBound = this->loop.now() + this->settings.times.shutdownBound;
+    this->events.emit(Event(EventId::HostStopping));
+    this->hosts.leave();
+}
+
+void ControlHost::finishShutDown()
+{
+    TimePoint const now = this->loop.now();
+    if (now < this->shutDownEarliest)
+        return;
+    this->controlServer.stopListening();
+    this->controlServer.setClosing(true);
+    size_t const open = this->controlServer.openRequests();
+    bool const isDone = !open && this->hosts.hasHandedOver();
+    if (!isDone && now < this->shutDownBound)
+        return;
+    this->events.emit(Event(EventId::HostStopped).with("cut", open));
+    this->onShutDown();
+}
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/app/ControlHost.h
@@ -0,0 +1,66 @@
+#pragma once
+
+// One control host of a fleet: votes, stores, and schedules while it leads. Serves workers and operators.
+//
+// Example:
+//   ControlHost host(loop, settings, events);
+//   host.start();
+//   loop.run();
+
+#include "cornelpond/adapters/http/HttpClient.h"
+#include "cornelpond/adapters/http/HttpServer.h"
+#include "cornelpond/adapters/metrics/Metrics.h"
+#include "cornelpond/app/FleetSettings.h"
+#include "cornelpond/app/HostNetwork.h"
+#include "cornelpond/core/scheduling/JobService.h"
+#include "cornelpond/ports/Random.h"
+#include "platform/ControlApi.h"
+#include "platform/WorkerClient.h"
+
+namespace cornelpond {
+
+class ControlHost {
+public:
+    /// `loop` and `events` must outlive the host. Reads and keeps the host's identity on its disk.
+    ControlHost(EventLoop& loop, FleetSettings settings, EventSink& events);
+    ~ControlHost();
+    ControlHost(ControlHost const&) = delete;
+    ControlHost& operator=(ControlHost const&) = delete;
+
+    /// Reads the data folder and opens the listeners. Throws Error.
+    void start();
+
+    /// Hands leadership over, finishes what is in flight, then calls `done`.
+    void shutDown(std::function<void()> done);
+
+    void onSettingsChanged(FleetSettings const& changed);
+
+private:
+    HostNetworkHooks networkHooks();
+    StateMachineHooks groupHooks();
+    void serveHere(ApiKind api, HttpRequest const& request, ApiAnswer const& answer);
+    void handleControl(HttpRequest const& request, HttpResponder const& responder);
+    void handleMetrics(HttpRequest const& request, HttpResponder const& responder);
+    void tick();
+    void finishShutDown();
+
+    EventLoop& loop;
+    FleetSettings settings;
+    EventSink& events;
+    SeededRandom random;
+    Settings network;
+    Metrics metrics;
+    HttpClient client;
+    platform::WorkerClient orders;
+    JobService service;
+    platform::ControlApi api;
+    HostNetwork hosts;
+    HttpServer controlServer;
+    HttpServer metricsServer;
+    TimerId tickTimer;
+    std::function<void()> onShutDown;
+    TimePoint shutDownEarliest;
+    TimePoint shutDownBound;
+};
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/app/EntryGateway.cpp
@@ -0,0 +1,171 @@
+#include "cornelpond/app/EntryGateway.h"
+
+#include "cornelpond/app/FleetMetrics.h"
+#include "cornelpond/app/HostRandom.h"
+#include "platform/ControlApi.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace cornelpond {
+
+namespace {
+
+    constexpr Duration tickInterval = Duration::milliseconds(50);
+    constexpr Duration longestWait = Duration::seconds(10); ///< For clients that do not say how long they wait.
+    constexpr Duration answerMargin = Duration::milliseconds(250); ///< Left for the answer's way to the client.
+    constexpr Duration tryTimeout = Duration::milliseconds(1000); ///< Of one hand-over; a commit takes some 30 ms.
+    /// A change of leader takes 1 to 2 s. Without a leader for longer, waiting is of no use to the client.
+    constexpr Duration leaderlessPatience = Duration::milliseconds(2500);
+    /// Two readiness questions, a second apart, must fail before new connections stay away.
+    constexpr Duration drainNotice = Duration::milliseconds(2500);
+
+} // namespace
+
+EntryGateway::EntryGateway(EventLoop& loop, FleetSettings givenSettings, EventSink& events)
+    : loop(loop)
+    , settings(std::move(givenSettings))
+    , events(events)
+    , random(hostEntropy())
+    , network(networkSettings(this->settings, hostIdentity(this->settings, std::string())))
+    , hosts(loop, this->random, events, this->network, this->networkHooks())
+    , callerServer(loop, HttpLimits(), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleCaller(request, responder); })
+    , readinessServer(loop, HttpLimits(), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleReadiness(request, responder); })
+    , metricsServer(loop, HttpLimits(), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleMetrics(request, responder); })
+    , leaderSeen(loop.now())
+{
+}
+
+EntryGateway::~EntryGateway()
+{
+    this->loop.cancel(this->tickTimer);
+}
+
+HostNetworkHooks EntryGateway::networkHooks() const
+{
+    HostNetworkHooks hooks;
+    hooks.serveHere = [](ApiKind, HttpRequest const&, ApiAnswer const& answer) { answer(refusal(ResultCode::NotLeader, "an entry host leads nothing")); };
+    hooks.onConfiguration = [](ConfigRecord const&) {};
+    hooks.witnessHooks = [](DataCentreId const&) { return StateMachineHooks(); };
+    return hooks;
+}
+
+void EntryGateway::start()
+{
+    this->hosts.start();
+    auto const open = [this](HttpServer& server, std::string const& name, Address const& address) {
+        if (address.ip.empty())
+            return;
+        server.listen(address);
+        this->events.emit(Event(EventId::ListenerOpened).with("listener", name).with("address", address.text()));
+    };
+    open(this->callerServer, "callers", this->settings.listen.callers);
+    open(this->readinessServer, "readiness", this->settings.listen.readiness);
+    open(this->metricsServer, "metrics", this->settings.listen.metrics);
+    this->events.emit(Event(EventId::HostStarted).with("role", "entry").with("dataCentre", this->settings.dataCentre));
+    this->tick();
+}
+
+void EntryGateway::tick()
+{
+    this->tickTimer = this->loop.after(tickInterval, [this] { this->tick(); });
+    this->hosts.onTick();
+    if (this->isReady())
+        this->leaderSeen = this->loop.now();
+    if (this->onShutDown)
+        this->finishShutDown();
+}
+
+bool EntryGateway::isReady() const
+{
+    HostId const leader = this->hosts.leaderOf(configGroupId());
+    return !leader.empty() && this->hosts.isReachable(leader);
+}
+
+void EntryGateway::handleCaller(HttpRequest const& request, HttpResponder const& responder)
+{
+    TimePoint const started = this->loop.now();
+    Duration const patience = std::max(platform::clientPatience(request, longestWait) - answerMargin, Duration());
+    LeaderCallOptions options;
+    options.wait = std::max(std::min(patience, leaderlessPatience - (started - this->leaderSeen)), Duration());
+    options.waitWithoutQuorum = options.wait;
+    options.tryTimeout = std::min(tryTimeout, std::max(patience, answerMargin));
+    options.isIdempotent = true; // A job's id makes every call on it repeatable.
+    HttpRequest const packed = platform::packClientCall(request);
+    this->hosts.serveByLeader(
+        configGroupId(), ApiKind::Callers, packed,
+        [this, packed, responder, started](HttpResponse const& response) {
+            this->logCall(packed, response, this->loop.now() - started);
+            responder.answer(response);
+        },
+        options);
+}
+
+void EntryGateway::logCall(HttpRequest const& request, HttpResponse const& response, Duration lasted)
+{
+    constexpr int firstError = 400;
+    bool const isRead = request.method == "GET";
+    this->metrics.count(response.status < firstError ? "callsServed" : "callsRefused");
+    this->metrics.observe("callLatency", lasted);
+    if (isRead && response.status < firstError)
+        return;
+    this->events.emit(Event(response.status < firstError ? EventId::CallForwarded : EventId::CallRefused)
+                          .with("method", request.method)
+                          .with("path", request.path)
+                          .with("status", response.status)
+                          .with("lastedMs", lasted)
+                          .with("leader", this->hosts.leaderOf(configGroupId()))
+                          .with("leaderAgeMs", this->loop.now() - this->leaderSeen));
+}
+
+void EntryGateway::handleReadiness(HttpRequest const& request, HttpResponder const& responder)
+{
+    if (!platform::isReadinessQuestion(request))
+        responder.answer(refusal(ResultCode::NotFound, "no such call"));
+    else if (this->onShutDown)
+        responder.answer(refusal(ResultCode::ShuttingDown, "draining"));
+    else if (!this->isReady())
+        responder.answer(refusal(ResultCode::NotLeader, "no leader in reach"));
+    else
+        responder.answer(jsonResponse(200, nlohmann::json::object()));
+}
+
+void EntryGateway::handleMetrics(HttpRequest const&, HttpResponder const& responder)
+{
+    this->metrics.setGauge("openCalls", static_cast<int64_t>(this->callerServer.openRequests()));
+    this->hosts.fillMetrics(this->metrics);
+    responder.answer(metricsResponse(this->metrics));
+}
+
+void EntryGateway::onSettingsChanged(FleetSettings const& changed)
+{
+    for (auto const& peer : seedPeers(changed))
+        this->hosts.learnPeer(peer);
+}
+
+void EntryGateway::shutDown(std::function<void()> done)
+{
+    if (this->onShutDown)
+        return;
+    this->onShutDown = std::move(done);
+    this->noticeEnd = this->loop.now() + std::min(drainNotice, this->settings.times.shutdownBound / 2);
+    this->shutDownBound = this->loop.now() + this->settings.times.shutdownBound;
+    this->events.emit(Event(EventId::HostStopping));
+    this->callerServer.setClosing(true);
+}
+
+void EntryGateway::finishShutDown()
+{
+    TimePoint const now = this->loop.now();
+    if (now < this->noticeEnd)
+        return;
+    this->callerServer.stopListening();
+    size_t const open = this->callerServer.openRequests();
+    if (open && now < this->shutDownBound)
+        return;
+    this->events.emit(Event(EventId::HostStopped).with("cut", open));
+    this->onShutDown();
+}
+
+} // namespace cornelpond
--- a/cornelpond/app/EntryHost.cpp
+++ b/cornelpond/app/EntryHost.cpp
@@ -1,12 +1,12 @@
 #include "cornelpond/app/EntryHost.h"
 
+#include "cornelpond/app/HostRandom.h"
 #include "cornelpond/core/tasks/TaskJson.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <array>
-#include <random>
 #include <string_view>
 
 namespace cornelpond {
@@ -34,19 +34,13 @@
         return response;
     }
 
-    uint64_t entropy()
-    {
-        std::random_device device;
-        return (static_cast<uint64_t>(device()) << 32) | device();
-    }
-
 } // namespace
 
 EntryHost::EntryHost(EventLoop& loop, Settings givenSettings, EventSink& events)
     : loop(loop)
     , settings(std::move(givenSettings))
     , events(events)
-    , random(entropy())
+    , random(hostEntropy())
     , client(loop, HttpClientLimits())
     , backendServers(this->settings.times.announcementExpiry)
     , pusher(this->client)
--- /dev/null
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -0,0 +1,30 @@
+#include "cornelpond/app/FleetMetrics.h"
+
+namespace cornelpond {
+
+void fillSchedulerMetrics(JobScheduler const& scheduler, Metrics& metrics)
+{
+    auto const gauge = [&](char const* name, size_t value) { metrics.setGauge(name, static_cast<int64_t>(value)); };
+    gauge("jobsKnown", scheduler.jobs().all().size());
+    gauge("startsDecided", scheduler.startsDecided());
+    gauge("leads", scheduler.dispatcher().isLeading());
+    size_t placed = 0;
+    size_t listed = 0;
+    for (auto const& [id, worker] : scheduler.dispatcher().workers()) {
+        placed += worker.placed.size();
+        listed += worker.isListed;
+    }
+    gauge("workersKnown", scheduler.dispatcher().workers().size());
+    gauge("workersInTouch", listed);
+    gauge("attemptsPlaced", placed);
+}
+
+HttpResponse metricsResponse(Metrics const& metrics)
+{
+    HttpResponse response;
+    response.headers.add("Content-Type", "text/plain");
+    response.body = metrics.text();
+    return response;
+}
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/app/FleetMetrics.h
@@ -0,0 +1,15 @@
+#pragma once
+
+// What the hosts of a fleet serve on their metrics address.
+
+#include "cornelpond/adapters/http/HttpTypes.h"
+#include "cornelpond/adapters/metrics/Metrics.h"
+#include "cornelpond/core/scheduling/JobScheduler.h"
+
+namespace cornelpond {
+
+void fillSchedulerMetrics(JobScheduler const& scheduler, Metrics& metrics);
+
+HttpResponse metricsResponse(Metrics const& metrics);
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/app/FleetSettings.cpp
@@ -0,0 +1,180 @@
+#include "cornelpond/app/FleetSettings.h"
+
+#include "cornelpond/adapters/file/DurableFile.h"
+#include "cornelpond/adapters/http/AddressText.h"
+#include "cornelpond/adapters/schema/SchemaCheck.h"
+#include "cornelpond/core/base/Json.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cornelpond {
+
+namespace {
+
+    constexpr std::string_view schemaText = R"json({
+  "type": "object",
+  "additionalProperties": false,
+  "required": ["role", "cluster", "name", "dataCentre", "seeds", "listen"],
+  "properties": {
+    "role": { "enum": ["entry", "control"] },
+    "cluster": { "type": "string", "minLength": 1, "maxLength": 100 },
+    "name": { "type": "string", "minLength": 1, "maxLength": 100 },
+    "dataCentre": { "type": "string", "minLength": 1, "maxLength": 100 },
+    "dataFolder": { "type": "string", "minLength": 1 },
+    "firstStart": { "type": "boolean" },
+    "seeds": { "type": "array", "minItems": 1, "items": { "type": "string" } },
+    "lossTolerance": { "type": "integer", "minimum": 0, "maximum": 3 },
+    "permitService": { "type": "string" },
+    "listen": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": ["peers"],
+      "properties": {
+        "callers": { "type": "string" },
+        "readiness": { "type": "string" },
+        "control": { "type": "string" },
+        "peers": { "type": "string" },
+        "metrics": { "type": "string" }
+      }
+    },
+    "times": {
+      "type": "object",
+      "additionalProperties": false,
+      "properties": {
+        "maxLeaseMs": { "type": "integer", "minimum": 1000, "maximum": 600000 },
+        "shutdownBoundMs": { "type": "integer", "minimum": 0, "maximum": 600000 }
+      }
+    }
+  }
+})json";
+
+    constexpr Duration peerHeartbeat = Duration::milliseconds(250); ///< A silent link is noticed within a second.
+    /// A machine that came in place of another counts as present a few seconds after its start; by then its
+    /// vote must have replaced the lost one's.
+    constexpr Duration voterLostAfter = Duration::seconds(2);
+
+    void checkAddress(nlohmann::json const& value, std::string const& pointer, std::vector<DocumentFault>& faults)
+    {
+        try {
+            addressFromText(value.get<std::string>());
+        } catch (Error const& error) {
+            faults.push_back({ pointer, error.what() });
+        }
+    }
+
+    void require(nlohmann::json const& object, std::string const& parent, char const* key, std::vector<DocumentFault>& faults)
+    {
+        if (!object.contains(key))
+            faults.push_back({ parent, std::string("'") + key + "' is required for this role" });
+    }
+
+    Address addressAt(nlohmann::json const& object, char const* key)
+    {
+        return object.contains(key) ? addressFromText(object[key].get<std::string>()) : Address();
+    }
+
+} // namespace
+
+std::vector<DocumentFault> checkFleetSettings(nlohmann::json const& document)
+{
+    std::vector<DocumentFault> faults = checkSchema(schemaText, document);
+    if (!faults.empty())
+        return faults;
+    for (auto const& item : document["listen"].items())
+        checkAddress(item.value(), "/listen/" + item.key(), faults);
+    for (size_t i = 0; i < document["seeds"].size(); i++)
+        checkAddress(document["seeds"][i], "/seeds/" + std::to_string(i), faults);
+    if (document.contains("permitService"))
+        checkAddress(document["permitService"], "/permitService", faults);
+    if (document["role"] == "entry") {
+        require(document["listen"], "/listen", "callers", faults);
+        require(document["listen"], "/listen", "readiness", faults);
+    } else {
+        require(document["listen"], "/listen", "control", faults);
+        require(document, "", "dataFolder", faults);
+    }
+    return faults;
+}
+
+bool isFleetSettings(nlohmann::json const& document)
+{
+    return document.is_object() && document.contains("role");
+}
+
+FleetSettings loadFleetSettings(std::string const& path)
+{
+    nlohmann::json const document = parseJson(readTextFile(path), JsonLimits());
+    std::vector<DocumentFault> faults = checkFleetSettings(document);
+    if (!faults.empty())
+        throw DocumentError(ResultCode::BadSettings, std::move(faults));
+    return fleetSettingsFromJson(document);
+}
+
+FleetSettings fleetSettingsFromJson(nlohmann::json const& document)
+{
+    FleetSettings settings;
+    settings.role = document["role"] == "entry" ? FleetRole::Entry : FleetRole::Control;
+    settings.cluster = document["cluster"].get<std::string>();
+    settings.name = document["name"].get<std::string>();
+    settings.dataCentre = DataCentreId(document["dataCentre"].get<std::string>());
+    settings.dataFolder = settings.role == FleetRole::Control ? document["dataFolder"].get<std::string>() : std::string();
+    settings.firstStart = document.value("firstStart", false);
+    for (auto const& seed : document["seeds"])
+        settings.seeds.push_back(addressFromText(seed.get<std::string>()));
+    settings.lossTolerance = document.value("lossTolerance", settings.lossTolerance);
+    auto const& listen = document["listen"];
+    settings.listen = { addressAt(listen, "callers"), addressAt(listen, "readiness"), addressAt(listen, "control"), addressAt(listen, "peers"), addressAt(listen, "metrics") };
+    settings.permitService = addressAt(document, "permitService");
+    nlohmann::json const times = document.value("times", nlohmann::json::object());
+    settings.times.maxLease = Duration::milliseconds(times.value("maxLeaseMs", settings.times.maxLease.toMilliseconds()));
+    settings.times.shutdownBound = Duration::milliseconds(times.value("shutdownBoundMs", settings.times.shutdownBound.toMilliseconds()));
+    return settings;
+}
+
+std::vector<PeerSettings> seedPeers(FleetSettings const& fleet)
+{
+    std::vector<PeerSettings> peers;
+    for (auto const& seed : fleet.seeds) {
+        if (seed.ip != fleet.listen.peers.ip)
+            peers.push_back({ HostId(seed.ip), DataCentreId(), { seed.ip, fleet.listen.peers.port }, true });
+    }
+    return peers;
+}
+
+Settings networkSettings(FleetSettings const& fleet, HostId const& identity)
+{
+    Settings settings;
+    settings.cluster = fleet.cluster;
+    settings.host = identity;
+    settings.dataCentre = fleet.dataCentre;
+    settings.dataFolder = fleet.dataFolder;
+    settings.listen.peers = fleet.listen.peers;
+    settings.peers = seedPeers(fleet);
+    for (auto const& seed : fleet.seeds)
+        settings.founders.emplace_back(seed.ip);
+    bool const isFounder = identity.value() == fleet.listen.peers.ip;
+    settings.joins = !isFounder;
+    settings.voterTarget = 2 * fleet.lossTolerance + 1;
+    settings.voterLostAfter = voterLostAfter;
+    bool const isSeed = std::any_of(fleet.seeds.begin(), fleet.seeds.end(), [&](auto const& seed) { return seed.ip == fleet.listen.peers.ip; });
+    settings.dialsAllPeers = !isFounder || !isSeed;
+    settings.peerHeartbeat = peerHeartbeat;
+    settings.admitNewHosts = true;
+    return settings;
+}
+
+HostId hostIdentity(FleetSettings const& fleet, std::string const& suffix)
+{
+    std::string const& ip = fleet.listen.peers.ip;
+    if (fleet.role == FleetRole::Entry)
+        return HostId(ip);
+    DurableFile const file(fleet.dataFolder + "/identity");
+    std::string identity = file.read();
+    if (!identity.empty())
+        return HostId(identity);
+    identity = fleet.firstStart ? ip : ip + "~" + suffix;
+    file.replace(identity);
+    return HostId(identity);
+}
+
+} // namespace cornelpond
--- a/cornelpond/app/HostNetwork.cpp
+++ b/cornelpond/app/HostNetwork.cpp
@@ -12,14 +12,9 @@
 
     constexpr Duration hostTickInterval = Duration::milliseconds(100);
     constexpr Duration voterCheckInterval = Duration::milliseconds(500);
-    constexpr Duration leaderWait = Duration::seconds(3); ///< For a group without a leader.
-    constexpr Duration quorumWait = Duration::seconds(2); ///< For links that are just being dialled.
     constexpr Duration leaderRetry = Duration::milliseconds(100);
     constexpr Duration transferRetry = Duration::milliseconds(1500); ///< A transfer not done by then was given up.
-    constexpr Duration forwardTimeout = Duration::seconds(5);
     constexpr Duration newcomerForgotten = Duration::minutes(10);
-    /// Voters of the configuration stand in other data centres; a short partition must not move them.
-    constexpr Duration configVoterLostAfter = Duration::seconds(30);
 
     HostTableTimes hostTimes(Duration heartbeat)
     {
@@ -37,12 +32,27 @@
         return hosts;
     }
 
-    bool saysNotLeader(HttpResponse const& response)
+    bool saysCode(HttpResponse const& response, ResultCode code)
     {
-        if (response.status != resultCodeInfo(ResultCode::NotLeader).httpStatus)
+        if (response.status != resultCodeInfo(code).httpStatus)
             return false;
         nlohmann::json const body = nlohmann::json::parse(response.body, nullptr, false);
-        return body.is_object() && body.value("code", 0) == static_cast<int>(ResultCode::NotLeader);
+        return body.is_object() && body.value("code", 0) == static_cast<int>(code);
+    }
+
+    /// An answer that promises that the call was not carried out.
+    bool saysNotCarriedOut(HttpResponse const& response)
+    {
+        constexpr int tooManyRequests = 429;
+        constexpr int unavailable = 503;
+        return response.status == tooManyRequests || response.status == unavailable;
+    }
+
+    PeerLinkTimes linkTimes(Settings const& settings)
+    {
+        PeerLinkTimes times;
+        times.heartbeatMin = settings.peerHeartbeat;
+        return times;
     }
 
     /// A folder name for a group kept for another data centre.
@@ -57,7 +67,9 @@
 struct HostNetwork::Errand {
     ForwardedRequest request;
     ApiAnswer answer;
+    LeaderCallOptions options;
     TimePoint started;
+    bool isUncertain = false; ///< An earlier try may have been carried out.
 };
 
 HostNetwork::HostNetwork(EventLoop& loop, Random& random, EventSink& events, Settings const& settings, HostNetworkHooks givenHooks)
@@ -67,8 +79,8 @@
     , hooks(std::move(givenHooks))
     , incarnation(random.below(UINT32_MAX))
     , planned(plannedHosts(settings))
-    , hostTable(hostTimes(PeerLinkTimes().heartbeatMin), [this](HostChange const& change) { this->onHostChange(change); })
-    , link(loop, random, events, this->linkSelf(), PeerLinkTimes(), PeerLinkLimits(), this->linkHooks())
+    , hostTable(hostTimes(settings.peerHeartbeat), [this](HostChange const& change) { this->onHostChange(change); })
+    , link(loop, random, events, this->linkSelf(), linkTimes(settings), PeerLinkLimits(), this->linkHooks())
     , groups(loop, loop, random, events, settings.host, settings.dataFolder,
           [this](HostId const& to, std::string payload) { this->link.send(to, { PeerChannel::Agreement, std::move(payload) }); })
     , forwarder(loop, this->link, random.next(), [this](ForwardedRequest const& request, ApiAnswer const& answer) { this->serveForwarded(request, answer); })
@@ -87,7 +99,7 @@
 
 PeerSelf HostNetwork::linkSelf() const
 {
-    return { this->settings.cluster, this->settings.host, this->settings.dataCentre, this->settings.peerToken, this->settings.admitNewHosts };
+    return { this->settings.cluster, this->settings.host, this->settings.dataCentre, this->settings.peerToken, this->settings.admitNewHosts, this->settings.dialsAllPeers };
 }
 
 PeerLinkHooks HostNetwork::linkHooks()
@@ -114,6 +126,8 @@
 
 GroupMembers HostNetwork::plannedMembers(GroupId const& group) const
 {
+    if (!this->settings.founders.empty())
+        return group == configGroupId() ? GroupMembers { this->settings.founders, {} } : GroupMembers();
     return group == configGroupId() ? configGroupMembers(this->planned) : taskGroupMembers(dataCentreOf(group), this->planned);
 }
 
@@ -198,6 +212,9 @@
     HostReport const report = decodeHostReport(payload);
     this->hostTable.onReport(from, report, this->loop.now());
     this->leaderTable.learn(from, report.ledGroups);
+    auto const newcomer = this->newcomers.find(from);
+    if (report.hasDisk && newcomer != this->newcomers.end() && this->introduced.insert(from).second)
+        this->introduceToAll(newcomer->second);
     this->exchange.onPeerVersion(from, report.configVersion, report.knowsConfiguration);
 }
 
@@ -207,8 +224,9 @@
         this->hostTable.add(peer.host, peer.dataCentre, this->loop.now());
         if (this->newcomers.emplace(peer.host, peer).second)
             this->events.emit(Event(EventId::PeerAdmitted).with("peer", peer.host).with("dataCentre", peer.dataCentre).with("address", peer.address.text()));
-        this->introduce(peer);
     }
+    if (isUp)
+        this->tellOfNewcomers(peer.host);
     this->hostTable.onLink(peer.host, isUp, this->loop.now());
     if (isUp)
         return;
@@ -230,18 +248,31 @@
     return std::any_of(this->planned.begin(), this->planned.end(), [&](auto const& planned) { return planned.host == host; });
 }
 
-/// Tells all reachable hosts of the newcomer, and the newcomer of the other newcomers; all others it
-/// knows from its own settings.
-void HostNetwork::introduce(PeerAddress const& newcomer)
+namespace {
+
+    std::string encodeIntroduction(PeerAddress const& peer)
+    {
+        return toCbor(nlohmann::json::array({ peer.host.value(), peer.dataCentre.value(), peer.address.ip, peer.address.port }));
+    }
+
+} // namespace
+
+/// Only hosts with a disk vote and lead, so only they need to be known to everyone; hosts without one find
+/// the others by themselves.
+void HostNetwork::introduceToAll(PeerAddress const& newcomer)
 {
-    auto const encode = [](PeerAddress const& peer) { return toCbor(nlohmann::json::array({ peer.host.value(), peer.dataCentre.value(), peer.address.ip, peer.address.port })); };
     for (auto const& [host, known] : this->hostTable.all()) {
         if (host != newcomer.host && known.isLinkUp)
-            this->link.send(host, { PeerChannel::Membership, encode(newcomer) });
+            this->link.send(host, { PeerChannel::Membership, encodeIntroduction(newcomer) });
     }
-    for (auto const& [host, peer] : this->newcomers) {
-        if (host != newcomer.host)
-            this->link.send(newcomer.host, { PeerChannel::Membership, encode(peer) });
+}
+
+/// All other hosts it knows from its own settings.
+void HostNetwork::tellOfNewcomers(HostId const& host)
+{
+    for (auto const& [other, peer] : this->newcomers) {
+        if (other != host && this->introduced.count(other))
+            this->link.send(host, { PeerChannel::Membership, encodeIntroduction(peer) });
     }
 }
 
@@ -274,6 +305,7 @@
         }
         this->link.removePeer(at->first);
         this->hostTable.remove(at->first);
+        this->introduced.erase(at->first);
         at = this->newcomers.erase(at);
     }
 }
@@ -314,13 +346,14 @@
     return this->leaderTable.leaderOf(group);
 }
 
-void HostNetwork::serveByLeader(GroupId const& group, ApiKind api, HttpRequest const& request, ApiAnswer const& answer)
+void HostNetwork::serveByLeader(GroupId const& group, ApiKind api, HttpRequest const& request, ApiAnswer const& answer, LeaderCallOptions const& options)
 {
     auto errand = std::make_shared<Errand>();
     errand->request.group = group;
     errand->request.api = api;
     errand->request.request = request;
     errand->answer = answer;
+    errand->options = options;
     errand->started = this->loop.now();
     this->attempt(errand);
 }
@@ -330,7 +363,10 @@
     GroupId const& group = errand->request.group;
     ReplicatedLog const* log = this->groups.find(group);
     if (log && log->isLeader()) {
-        this->hooks.serveHere(errand->request.api, errand->request.request, errand->answer);
+        this->hooks.serveHere(errand->request.api, errand->request.request, [this, alive = std::weak_ptr<bool>(this->lifetime), errand](HttpResponse const& response) {
+            if (!alive.expired())
+                this->onAttempted(errand, response);
+        });
         return;
     }
     HostId const leader = this->leaderOf(group);
@@ -338,26 +374,38 @@
         this->retryOrRefuse(errand);
         return;
     }
-    this->forwarder.forward(leader, errand->request, forwardTimeout, [this, errand](HttpResponse const& response) {
-        if (saysNotLeader(response))
-            this->retryOrRefuse(errand);
-        else
-            errand->answer(response);
-    });
+    this->forwarder.forward(leader, errand->request, errand->options.tryTimeout, [this, errand](HttpResponse const& response) { this->onAttempted(errand, response); });
+}
+
+void HostNetwork::onAttempted(std::shared_ptr<Errand> const& errand, HttpResponse const& response)
+{
+    bool const isUnknown = saysCode(response, ResultCode::ForwardFailed) || saysCode(response, ResultCode::OutcomeUnknown);
+    errand->isUncertain |= isUnknown;
+    if (saysCode(response, ResultCode::NotLeader) || (isUnknown && errand->options.isIdempotent))
+        this->retryOrRefuse(errand);
+    else
+        finish(*errand, response);
+}
+
+/// A try whose outcome is unknown may still be carried out, so that no later refusal can deny it.
+void HostNetwork::finish(Errand const& errand, HttpResponse const& response)
+{
+    bool const deniesEarlierTry = errand.options.isIdempotent && errand.isUncertain && saysNotCarriedOut(response);
+    errand.answer(deniesEarlierTry ? refusal(ResultCode::OutcomeUnknown, "an earlier try got no answer and may have been carried out") : response);
 }
 
 void HostNetwork::retryOrRefuse(std::shared_ptr<Errand> const& errand)
 {
     bool const hasMajority = this->isMajorityReachable(errand->request.group);
     Duration const waited = this->loop.now() - errand->started;
-    if (waited < (hasMajority ? leaderWait : quorumWait) && !this->isLeaving) {
+    if (waited < (hasMajority ? errand->options.wait : errand->options.waitWithoutQuorum) && !this->isLeaving) {
         this->later(leaderRetry, [this, errand] { this->attempt(errand); });
         return;
     }
     if (hasMajority)
-        errand->answer(refusal(ResultCode::NotLeader, "no leader of group '" + errand->request.group.value() + "' is known"));
+        finish(*errand, refusal(ResultCode::NotLeader, "no leader of group '" + errand->request.group.value() + "' is known"));
     else
-        errand->answer(refusal(ResultCode::NoQuorum, "no majority of group '" + errand->request.group.value() + "' is in reach"));
+        finish(*errand, refusal(ResultCode::NoQuorum, "no majority of group '" + errand->request.group.value() + "' is in reach"));
 }
 
 bool HostNetwork::isMajorityReachable(GroupId const& group) const
@@ -403,12 +451,12 @@
     GroupView view;
     view.self = this->settings.host;
     view.membership = log.membership();
-    view.voterTarget = this->plannedMembers(group).voters.size();
+    view.voterTarget = this->settings.founders.empty() ? this->plannedMembers(group).voters.size() : this->settings.voterTarget;
     for (auto const& host : candidates)
         view.hosts.push_back(this->viewOf(host, home, log));
     VoterKeeperTimes times;
     if (home.empty())
-        times.lostAfter = configVoterLostAfter;
+        times.lostAfter = this->settings.voterLostAfter;
     if (auto const next = nextMembership(view, times))
         log.proposeMembership(*next, [](ProposalOutcome const&) {});
 }
@@ -480,6 +528,15 @@
     }
 }
 
+void HostNetwork::learnPeer(PeerSettings const& peer)
+{
+    bool const isKnown = std::any_of(this->newcomers.begin(), this->newcomers.end(), [&](auto const& newcomer) { return newcomer.second.address == peer.address; });
+    if (isKnown || this->hostTable.find(peer.host) || peer.host == this->settings.host)
+        return;
+    this->hostTable.add(peer.host, peer.dataCentre, this->loop.now());
+    this->link.addPeer({ peer.host, peer.dataCentre, peer.address });
+}
+
 void HostNetwork::leave()
 {
     this->isLeaving = true;
--- a/cornelpond/app/HostNetwork.h
+++ b/cornelpond/app/HostNetwork.h
@@ -24,6 +24,8 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <set>
+
 namespace cornelpond {
 
 struct HostNetworkHooks {
@@ -34,6 +36,16 @@
     std::function<StateMachineHooks(DataCentreId const& dataCentre)> witnessHooks;
 };
 
+/// How hard a call is tried to bring to the leader.
+struct LeaderCallOptions {
+    Duration wait = Duration::seconds(3); ///< For a group without a leader, when a majority is in reach.
+    Duration waitWithoutQuorum = Duration::seconds(2); ///< For links that are just being dialled.
+    Duration tryTimeout = Duration::seconds(5); ///< Of one hand-over and its answer.
+    /// Carrying the call out twice does no harm: after an unknown outcome it is tried again, and ends with
+    /// OutcomeUnknown where no answer comes.
+    bool isIdempotent = false;
+};
+
 class HostNetwork {
 public:
     /// References must outlive the object.
@@ -57,11 +69,15 @@
 
     /// Has the group's leader serve the request, wherever it is; waits a little while the group has none.
     /// Refuses with NoQuorum or NotLeader, and with ForwardFailed where the request may have been carried out.
-    void serveByLeader(GroupId const& group, ApiKind api, HttpRequest const& request, ApiAnswer const& answer);
+    void serveByLeader(GroupId const& group, ApiKind api, HttpRequest const& request, ApiAnswer const& answer, LeaderCallOptions const& options = LeaderCallOptions());
 
     /// True while some host is known to lead the group.
     bool hasLeader(GroupId const& group) const { return !this->leaderOf(group).empty(); }
     HostId leaderOf(GroupId const& group) const;
+    bool isReachable(HostId const& host) const { return this->link.isReachable(host); }
+
+    /// Starts to keep a link to a peer that no setting named at the start.
+    void learnPeer(PeerSettings const& peer);
 
     /// Tells the peers that this host goes, and hands its leaderships over.
     void leave();
@@ -92,14 +108,17 @@
     void onReport(HostId const& from, std::string const& payload);
     void onLinkChanged(PeerAddress const& peer, bool isUp);
     void onHostChange(HostChange const& change);
-    void introduce(PeerAddress const& newcomer);
+    void introduceToAll(PeerAddress const& newcomer);
+    void tellOfNewcomers(HostId const& host);
     void onIntroduction(std::string const& payload);
     void forgetGoneNewcomers();
     void onLeadership(GroupId const& group, bool isLeader);
     void openUnknownGroup(GroupId const& group);
     void openWitness(GroupId const& group);
     void attempt(std::shared_ptr<Errand> const& errand);
+    void onAttempted(std::shared_ptr<Errand> const& errand, HttpResponse const& response);
     void retryOrRefuse(std::shared_ptr<Errand> const& errand);
+    static void finish(Errand const& errand, HttpResponse const& response);
     bool isMajorityReachable(GroupId const& group) const;
     void later(Duration delay, std::function<void()> action);
     void keepVoters();
@@ -118,6 +137,7 @@
     uint64_t incarnation;
     bool isLeaving = false;
     std::vector<PlannedHost> planned; ///< All hosts of the settings, this one included.
+    std::set<HostId> introduced; ///< Newcomers with a disk that all peers were told of.
     std::map<HostId, PeerAddress> newcomers; ///< Admitted hosts that no setting names.
     std::map<PeerChannel, Transport::Receiver> receivers;
     HostTable hostTable;
--- a/cornelpond/app/LeaderForwarder.h
+++ b/cornelpond/app/LeaderForwarder.h
@@ -25,6 +25,7 @@
 enum class ApiKind : uint8_t {
     Workers = 1,
     Operators = 2,
+    Callers = 3,
 };
 
 struct ForwardedRequest {
--- a/cornelpond/app/Settings.h
+++ b/cornelpond/app/Settings.h
@@ -58,6 +58,12 @@
     std::string peerToken; ///< Read from its file.
     std::vector<PeerSettings> peers;
     bool joins = false; ///< Comes to a running cluster in place of another host: it bootstraps no group.
+    /// The voters of the only group at the first start; empty: the groups are planned from the hosts.
+    std::vector<HostId> founders;
+    size_t voterTarget = 3; ///< With founders: how many voters the group is to have.
+    Duration voterLostAfter = Duration::seconds(30); ///< A voter silent for so long is replaced where a spare is there.
+    bool dialsAllPeers = false; ///< Peers may not know this host: it dials them all.
+    Duration peerHeartbeat = Duration::milliseconds(500);
     bool admitNewHosts = false; ///< Take entry hosts that no setting names when cluster and peer token are right.
     LimitSettings limits;
     TimeSettings times;
--- /dev/null
+++ b/cornelpond/app/SettingsWatch.cpp
@@ -0,0 +1,60 @@
+#include "cornelpond/app/SettingsWatch.h"
+
+namespace cornelpond {
+
+namespace {
+
+    constexpr Duration lookInterval = Duration::seconds(1);
+
+} // namespace
+
+SettingsWatch::SettingsWatch(Timers& timers, EventSink& events, std::string path, OnChanged onChanged)
+    : timers(timers)
+    , events(events)
+    , path(std::move(path))
+    , onChanged(std::move(onChanged))
+    , content(readTextFile(this->path))
+{
+}
+
+SettingsWatch::~SettingsWatch()
+{
+    this->timers.cancel(this->timer);
+}
+
+void SettingsWatch::start()
+{
+    this->schedule();
+}
+
+void SettingsWatch::schedule()
+{
+    this->timer = this->timers.after(lookInterval, [this] {
+        this->schedule();
+        this->look(false);
+    });
+}
+
+void SettingsWatch::reload()
+{
+    this->look(true);
+}
+
+void SettingsWatch::look(bool isAsked)
+{
+    try {
+        std::string const found = readTextFile(this->path);
+        bool const hasChanged = found != this->content;
+        if (!hasChanged && !isAsked)
+            return;
+        this->content = found;
+        FleetSettings const settings = loadFleetSettings(this->path);
+        this->events.emit(Event(EventId::SettingsReloaded).with("changed", static_cast<int>(hasChanged)));
+        if (hasChanged)
+            this->onChanged(settings);
+    } catch (Error const& error) {
+        this->events.emit(Event(EventId::SettingsRefused).with("reason", std::string(error.what())));
+    }
+}
+
+} // namespace cornelpond
--- a/cornelpond/core/agreement/Membership.cpp
+++ b/cornelpond/core/agreement/Membership.cpp
@@ -1,6 +1,6 @@
 #include "cornelpond/core/agreement/Membership.h"
 
-#include "cornelpond/core/agreement/ByteCodec.h"
+#include "cornelpond/core/base/ByteCodec.h"
 
 #include <algorithm>
 #include <set>
--- a/cornelpond/core/agreement/StateMachineSet.h
+++ b/cornelpond/core/agreement/StateMachineSet.h
@@ -23,6 +23,9 @@
     Tasks = 1,
     Claims = 2, ///< Idempotency keys of not-repeatable requests.
     Configuration = 3,
+    Queues = 4, ///< Of jobs, and the services behind them.
+    Workers = 5,
+    Jobs = 6,
 };
 
 class StateMachineSet {
--- /dev/null
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -0,0 +1,640 @@
+#include "cornelpond/core/dispatch/Dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cornelpond {
+
+namespace {
+
+    constexpr unsigned maxStartsSent = 3; ///< After it an attempt is withdrawn and placed anew.
+    constexpr Duration startRetry = Duration::milliseconds(100);
+    constexpr Duration stopRetry = Duration::milliseconds(500); ///< A worker takes up to 400 to 900 ms to stop a task.
+    constexpr Duration attemptCheckInterval = Duration::milliseconds(50);
+    constexpr Duration roomRefusedPause = Duration::milliseconds(300);
+    constexpr Duration unacknowledgedPause = Duration::milliseconds(100); ///< For ends that are being committed.
+    constexpr Duration clockReversal = Duration::milliseconds(500); ///< A worker's clock only goes back with a new life.
+
+} // namespace
+
+Dispatcher::Dispatcher(Clock const& clock, EventSink& events, WorkerOrders& orders, DispatchTimes times, JobTable const& jobs, DispatcherHooks hooks)
+    : clock(clock)
+    , events(events)
+    , orders(orders)
+    , times(times)
+    , jobs(jobs)
+    , hooks(std::move(hooks))
+{
+}
+
+Dispatcher::~Dispatcher() = default;
+
+/// Wraps an answer's handler so that it is dropped after a change of leader.
+template <typename Handler>
+WorkerOrders::Done Dispatcher::guarded(Handler handler)
+{
+    return [alive = Lifetime(this->lifetime), handler = std::move(handler)](OrderAnswer const& answer) {
+        if (!alive.expired())
+            handler(answer);
+    };
+}
+
+void Dispatcher::lead(Term newEpoch, WorkerRoster const& roster)
+{
+    this->leading = true;
+    this->epoch = newEpoch;
+    this->lifetime = std::make_shared<bool>(true);
+    this->views.clear();
+    for (auto const& [id, profile] : roster.all())
+        this->views.emplace(id, WorkerView(profile, this->clock.now()));
+    for (auto const& [id, job] : this->jobs.all()) {
+        for (auto const& [number, occurrence] : job.occurrences) {
+            for (uint32_t stage = 0; stage < occurrence.stages.size(); stage++) {
+                auto const& tasks = occurrence.stages[stage].tasks;
+                for (uint32_t index = 0; index < tasks.size(); index++) {
+                    for (auto const& attempt : tasks[index].live) {
+                        TaskRef const task { id, number, stage, index };
+                        if (WorkerView* view = this->find(attempt.worker)) {
+                            PlacedAttempt& placed = this->reserve(*view, task, attempt.number);
+                            placed.phase = PlacedAttempt::Phase::Starting;
+                            placed.isInherited = true;
+                            placed.checkpoint = tasks[index].checkpoint;
+                        } else {
+                            this->hooks.reportEnd({ task, attempt.number, attempt.worker, AttemptEnd::Lost, std::string() });
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
+
+void Dispatcher::resign()
+{
+    this->leading = false;
+    this->lifetime.reset();
+    this->views.clear();
+}
+
+WorkerView* Dispatcher::find(WorkerId const& worker)
+{
+    auto const found = this->views.find(worker);
+    return found == this->views.end() ? nullptr : &found->second;
+}
+
+void Dispatcher::onWorkerChanged(WorkerProfile const& profile)
+{
+    if (!this->leading)
+        return;
+    WorkerView* view = this->find(profile.id);
+    if (!view) {
+        this->views.emplace(profile.id, WorkerView(profile, this->clock.now()));
+        this->events.emit(Event(EventId::WorkerJoined).with("worker", profile.id).with("dataCentre", profile.dataCentre).with("rack", profile.rack).with("bornMs", profile.bornMs));
+        return;
+    }
+    bool const isNewLife = view->profile.bornMs != profile.bornMs;
+    if (profile.isDraining && !view->profile.isDraining)
+        this->events.emit(Event(EventId::DrainChanged).with("worker", profile.id).with("draining", 1));
+    view->profile = profile;
+    if (isNewLife) {
+        this->events.emit(Event(EventId::WorkerJoined).with("worker", profile.id).with("bornMs", profile.bornMs).with("reason", "new life under the old id"));
+        view->startNewLife(this->clock.now(), this->times.lateOrder);
+    }
+    this->hooks.onRoomChanged();
+}
+
+void Dispatcher::onWorkerRemoved(WorkerId const& worker)
+{
+    if (!this->leading)
+        return;
+    this->events.emit(Event(EventId::WorkerLost).with("worker", worker).with("reason", "removed"));
+    auto const found = this->views.find(worker);
+    if (found == this->views.end())
+        return;
+    for (auto& [key, attempt] : found->second.placed) {
+        if (attempt.phase != PlacedAttempt::Phase::Proposed)
+            this->report(found->second, attempt, AttemptEnd::Lost, attempt.checkpoint);
+    }
+    this->views.erase(found);
+}
+
+void Dispatcher::onAnnounced(WorkerId const& worker)
+{
+    if (WorkerView* view = this->find(worker))
+        view->lastAnnounced = this->clock.now();
+}
+
+PlacedAttempt& Dispatcher::reserve(WorkerView& worker, TaskRef const& task, AttemptNumber attempt)
+{
+    PlacedAttempt placed;
+    placed.task = task;
+    placed.number = attempt;
+    placed.stage = &this->jobs.find(task.job)->spec.stages[task.stage];
+    placed.placedAt = this->clock.now();
+    return worker.place(std::move(placed));
+}
+
+void Dispatcher::onStartApplied(CommitStart const& start)
+{
+    if (!this->leading)
+        return;
+    WorkerView* view = this->find(start.worker);
+    if (!view) {
+        this->hooks.reportEnd({ start.task, start.attempt, start.worker, AttemptEnd::Lost, std::string() });
+        return;
+    }
+    AttemptKey const key { start.task, start.attempt };
+    PlacedAttempt* attempt = view->find(key);
+    if (!attempt)
+        attempt = &this->reserve(*view, start.task, start.attempt);
+    attempt->phase = PlacedAttempt::Phase::Starting;
+    attempt->checkpoint = this->jobs.findTask(start.task)->checkpoint;
+    this->sendStart(*view, *attempt);
+}
+
+void Dispatcher::onStartRefused(CommitStart const& start)
+{
+    if (WorkerView* view = this->leading ? this->find(start.worker) : nullptr)
+        view->remove({ start.task, start.attempt });
+}
+
+void Dispatcher::onEndApplied(CommitEnd const& end)
+{
+    WorkerView* view = this->leading ? this->find(end.worker) : nullptr;
+    if (!view)
+        return;
+    view->remove({ end.task, end.attempt });
+    this->acknowledgeEnds(*view);
+    if (view->listedEnds.empty())
+        view->nextRenew = this->clock.now();
+    this->hooks.onRoomChanged();
+}
+
+void Dispatcher::onTick()
+{
+    if (!this->leading || !this->hooks.mayOrder())
+        return;
+    for (auto at = this->views.begin(); at != this->views.end();) {
+        // Giving a worker up may remove it at once.
+        auto const next = std::next(at);
+        this->checkWorker(at->second);
+        at = next;
+    }
+}
+
+void Dispatcher::checkWorker(WorkerView& view)
+{
+    TimePoint const now = this->clock.now();
+    if (view.isSuperseded)
+        return;
+    if (!view.renewIsOpen && now >= view.nextRenew)
+        this->renew(view);
+    if (now < view.nextCheck)
+        return;
+    view.nextCheck = now + attemptCheckInterval;
+    bool const isSilent = now - view.lastAnswer > this->times.touchTimeout;
+    if (isSilent && view.isLeaseOver(now, this->times)) {
+        this->expireLease(view);
+        return;
+    }
+    this->checkStrays(view);
+    this->checkAttempts(view);
+}
+
+void Dispatcher::checkAttempts(WorkerView& view)
+{
+    TimePoint const now = this->clock.now();
+    for (auto& [key, attempt] : view.placed) {
+        if (attempt.isEndReported || attempt.phase == PlacedAttempt::Phase::Proposed)
+            continue;
+        if (!attempt.isStopping && !this->jobs.isWanted(attempt.task, { attempt.number, view.profile.id }))
+            this->stop(view, attempt);
+        if (attempt.isStopping && !attempt.stopIsOpen && now >= attempt.nextStop && view.isListed)
+            this->sendStop(view, attempt);
+        else if (attempt.phase == PlacedAttempt::Phase::Starting && !attempt.isInherited && !attempt.isStopping && !attempt.startIsOpen && now >= attempt.nextStart)
+            this->sendStart(view, attempt);
+        else if (attempt.throttle != attempt.throttleSent && !attempt.throttleIsOpen && attempt.phase == PlacedAttempt::Phase::Running)
+            this->sendThrottle(view, attempt);
+    }
+}
+
+void Dispatcher::checkStrays(WorkerView& view)
+{
+    TimePoint const now = this->clock.now();
+    for (auto at = view.strays.begin(); at != view.strays.end();) {
+        if (!at->second.stopIsOpen && now >= at->second.nextStop && view.isListed)
+            this->stopStray(view, at->first, at->second);
+        bool const isOver = !at->second.isListed && now >= at->second.forgetAt;
+        at = isOver ? view.strays.erase(at) : std::next(at);
+    }
+}
+
+/// All that ran there has been killed with the lease.
+void Dispatcher::expireLease(WorkerView& view)
+{
+    TimePoint const now = this->clock.now();
+    bool hadAttempts = false;
+    for (auto& [key, attempt] : view.placed) {
+        if (attempt.isEndReported || attempt.phase == PlacedAttempt::Phase::Proposed)
+            continue;
+        hadAttempts = true;
+        this->report(view, attempt, AttemptEnd::Lost, attempt.checkpoint);
+    }
+    if (hadAttempts)
+        this->events.emit(Event(EventId::WorkerLost).with("worker", view.profile.id).with("reason", "lease over").with("silentMs", now - view.lastAnswer));
+    constexpr int64_t silentLeases = 3; // Neither answers nor announces itself for so many leases: gone for good.
+    Duration const silence = now - std::max(view.lastAnswer, view.lastAnnounced);
+    if (view.placed.empty() && silence > this->times.lease * silentLeases) {
+        view.nextCheck = now + this->times.lease;
+        this->hooks.removeWorker(view.profile);
+    }
+}
+
+void Dispatcher::renew(WorkerView& view)
+{
+    TimePoint const now = this->clock.now();
+    bool const isSilent = now - view.lastAnswer > this->times.touchTimeout;
+    this->acknowledgeEnds(view);
+    RenewOrder order;
+    order.epoch = this->epoch;
+    order.acknowledgedEnds = view.acknowledgedEnds;
+    order.extendsLease = view.knowsClock && !isSilent;
+    order.wait = view.isListed && !view.failures && view.listedEnds.empty() ? this->times.listWait : Duration();
+    if (order.extendsLease) {
+        order.leaseUntil = view.estimatedClock(now) + this->times.lease;
+        view.lastPromise = now;
+    }
+    view.renewIsOpen = true;
+    this->orders.renew(view.target(), order, [this, alive = Lifetime(this->lifetime), worker = view.profile.id, born = view.profile.bornMs, now](RenewAnswer const& answer) {
+        if (!alive.expired())
+            this->onRenewed(worker, born, now, answer);
+    });
+}
+
+void Dispatcher::onRenewed(WorkerId const& worker, int64_t bornMs, TimePoint sentAt, RenewAnswer const& answer)
+{
+    WorkerView* view = this->find(worker);
+    if (!view)
+        return;
+    view->renewIsOpen = false;
+    if (answer.order.result != OrderResult::Accepted) {
+        this->onRenewFailed(*view, answer.order.result);
+        return;
+    }
+    bool const isOlderLife = view->profile.bornMs != bornMs && answer.listing.bornMs == bornMs;
+    if (isOlderLife) {
+        view->nextRenew = this->clock.now();
+        return;
+    }
+    if (view->failures)
+        this->events.emit(Event(EventId::WorkerReached).with("worker", worker).with("silentMs", this->clock.now() - view->lastAnswer));
+    this->learnClock(*view, answer.order);
+    this->readListing(*view, sentAt, answer.listing);
+}
+
+void Dispatcher::onRenewFailed(WorkerView& view, OrderResult result)
+{
+    TimePoint const now = this->clock.now();
+    if (result == OrderResult::RefusedEpoch) {
+        view.isSuperseded = true;
+        this->events.emit(Event(EventId::WorkerSuperseded).with("worker", view.profile.id).with("epoch", this->epoch));
+        return;
+    }
+    if (result == OrderResult::OtherLife) {
+        this->giveUpWorker(view, "another worker answers at its address");
+        return;
+    }
+    if (!view.failures)
+        this->events.emit(Event(EventId::WorkerSilent).with("worker", view.profile.id).with("result", std::string(orderResultName(result))).with("sinceAnswerMs", now - view.lastAnswer));
+    view.failures++;
+    view.nextRenew = now + std::min(this->times.retryMin * static_cast<int64_t>(view.failures), this->times.retryMax);
+}
+
+/// A clock that went back belongs to a new life, also where the life's start is not told.
+void Dispatcher::learnClock(WorkerView& view, OrderAnswer const& answer)
+{
+    if (!answer.hasClock)
+        return;
+    TimePoint const now = this->clock.now();
+    if (view.knowsClock && answer.workerClock + clockReversal < view.clock)
+        view.startNewLife(now, this->times.lateOrder);
+    view.clock = answer.workerClock;
+    view.clockAt = now;
+    view.knowsClock = true;
+}
+
+void Dispatcher::readListing(WorkerView& view, TimePoint sentAt, WorkerListing const& listing)
+{
+    TimePoint const now = this->clock.now();
+    if (listing.bornMs && view.profile.bornMs && listing.bornMs != view.profile.bornMs) {
+        view.profile.bornMs = listing.bornMs;
+        view.startNewLife(now, this->times.lateOrder);
+    }
+    bool const isFirst = !view.isListed;
+    view.isListed = true;
+    view.failures = 0;
+    view.lastAnswer = now;
+    this->readRunning(view, listing);
+    this->readEnds(view, listing);
+    if (listing.endsAreComplete)
+        this->findMissing(view, sentAt, listing);
+    this->acknowledgeEnds(view);
+    view.nextRenew = view.listedEnds.empty() ? now : now + unacknowledgedPause;
+    this->hooks.onListed(view);
+    if (isFirst)
+        this->hooks.onRoomChanged();
+}
+
+void Dispatcher::readRunning(WorkerView& view, WorkerListing const& listing)
+{
+    TimePoint const now = this->clock.now();
+    for (auto& [key, stray] : view.strays)
+        stray.isListed = false;
+    for (auto const& row : listing.running) {
+        AttemptKey const key { row.task, row.attempt };
+        PlacedAttempt* attempt = view.find(key);
+        if (!attempt || attempt->phase == PlacedAttempt::Phase::Proposed) {
+            auto const [stray, isNew] = view.strays.try_emplace(key);
+            stray->second.isListed = true;
+            if (isNew)
+                this->events.emit(Event(EventId::StrayAttempt).with("worker", view.profile.id).with("task", row.task.text()).with("attempt", row.attempt));
+            continue;
+        }
+        if (attempt->phase != PlacedAttempt::Phase::Running) {
+            attempt->phase = PlacedAttempt::Phase::Running;
+            attempt->confirmedAt = now;
+        }
+        attempt->isInherited = false;
+        attempt->progressPercent = row.progressPercent;
+        attempt->figure = row.figure;
+        attempt->figureAt = now;
+        if (!row.checkpoint.empty())
+            attempt->checkpoint = row.checkpoint;
+    }
+}
+
+void Dispatcher::readEnds(WorkerView& view, WorkerListing const& listing)
+{
+    view.listedEnds.clear();
+    for (auto const& end : listing.ended) {
+        if (end.number <= view.acknowledgedEnds)
+            continue;
+        view.listedEnds.push_back(end);
+        PlacedAttempt* attempt = view.find({ end.task, end.attempt });
+        if (attempt && attempt->phase != PlacedAttempt::Phase::Proposed)
+            this->report(view, *attempt, end.end, end.checkpoint.empty() ? attempt->checkpoint : end.checkpoint);
+    }
+}
+
+/// Attempts that the worker does not list although it should.
+void Dispatcher::findMissing(WorkerView& view, TimePoint sentAt, WorkerListing const& listing)
+{
+    std::set<AttemptKey> listed;
+    for (auto const& row : listing.running)
+        listed.insert({ row.task, row.attempt });
+    for (auto& [key, attempt] : view.placed) {
+        if (attempt.isEndReported || listed.count(key) || !mayConclude(attempt, sentAt))
+            continue;
+        this->report(view, attempt, AttemptEnd::Lost, attempt.checkpoint);
+    }
+}
+
+/// Whether an attempt that is not listed is known never to run again.
+bool Dispatcher::mayConclude(PlacedAttempt const& attempt, TimePoint sentAt)
+{
+    if (attempt.phase == PlacedAttempt::Phase::Proposed)
+        return false;
+    if (attempt.stopConfirmedAt)
+        return *attempt.stopConfirmedAt <= sentAt;
+    if (attempt.startIsUncertain || attempt.startIsOpen)
+        return false;
+    // Starts of earlier leaders are refused by their epoch from the moment the worker has seen this one's.
+    if (attempt.isInherited)
+        return true;
+    return attempt.phase == PlacedAttempt::Phase::Running && attempt.confirmedAt < sentAt;
+}
+
+/// An end may be forgotten by the worker once it is committed, or belongs to an attempt that ended before.
+void Dispatcher::acknowledgeEnds(WorkerView& view)
+{
+    auto const isOpen = [&](ListedEnd const& end) { return this->jobs.isLive(end.task, { end.attempt, view.profile.id }); };
+    auto const firstOpen = std::find_if(view.listedEnds.begin(), view.listedEnds.end(), isOpen);
+    if (firstOpen != view.listedEnds.begin())
+        view.acknowledgedEnds = std::max(view.acknowledgedEnds, std::prev(firstOpen)->number);
+    view.listedEnds.erase(view.listedEnds.begin(), firstOpen);
+}
+
+void Dispatcher::sendStart(WorkerView& view, PlacedAttempt& attempt)
+{
+    TimePoint const now = this->clock.now();
+    if (!this->jobs.isWanted(attempt.task, { attempt.number, view.profile.id })) {
+        if (!attempt.startsSent)
+            this->report(view, attempt, AttemptEnd::Refused, attempt.checkpoint);
+        else
+            this->stop(view, attempt);
+        return;
+    }
+    if (!view.knowsClock || !this->hooks.mayOrder()) {
+        attempt.nextStart = now + startRetry;
+        return;
+    }
+    StartOrder order;
+    order.task = attempt.task;
+    order.attempt = attempt.number;
+    order.payload = this->jobs.find(attempt.task.job)->spec.payload;
+    order.leaseUntil = view.estimatedClock(now) + this->times.lease;
+    order.epoch = this->epoch;
+    order.checkpoint = attempt.stage->savesCheckpoints ? attempt.checkpoint : std::string();
+    order.permit = this->hooks.permitFor(attempt.task, view.profile.id);
+    view.lastPromise = now;
+    attempt.startsSent++;
+    attempt.startIsOpen = true;
+    this->orders.start(view.target(), order, this->guarded([this, worker = view.profile.id, key = AttemptKey { attempt.task, attempt.number }](OrderAnswer const& answer) {
+        this->onStartAnswered(worker, key, answer);
+    }));
+}
+
+void Dispatcher::onStartAnswered(WorkerId const& worker, AttemptKey const& key, OrderAnswer const& answer)
+{
+    WorkerView* view = this->find(worker);
+    PlacedAttempt* attempt = view ? view->find(key) : nullptr;
+    if (!attempt)
+        return;
+    attempt->startIsOpen = false;
+    if (answer.hasClock)
+        this->learnClock(*view, answer);
+    if (answer.result != OrderResult::Accepted) {
+        this->events.emit(Event(EventId::AttemptRefused)
+                              .with("task", key.first.text())
+                              .with("attempt", key.second)
+                              .with("worker", worker)
+                              .with("result", std::string(orderResultName(answer.result)))
+                              .with("starts", attempt->startsSent));
+    }
+    if (!attempt->isEndReported)
+        this->handleStartAnswer(*view, *attempt, answer.result);
+}
+
+void Dispatcher::handleStartAnswer(WorkerView& view, PlacedAttempt& attempt, OrderResult result)
+{
+    TimePoint const now = this->clock.now();
+    switch (result) {
+    case OrderResult::Accepted:
+        if (attempt.phase == PlacedAttempt::Phase::Starting) {
+            attempt.phase = PlacedAttempt::Phase::Running;
+            attempt.confirmedAt = now;
+        }
+        return;
+    case OrderResult::RefusedOld:
+        // It ended there, or was stopped; the lists tell which.
+        attempt.isStopping = true;
+        attempt.stopConfirmedAt = now;
+        attempt.nextStop = TimePoint::infiniteFuture();
+        return;
+    case OrderResult::RefusedRoom:
+    case OrderResult::RefusedPermit:
+    case OrderResult::Invalid:
+        if (result == OrderResult::RefusedPermit)
+            this->hooks.onPermitRefused(attempt.task, view.profile.id);
+        else
+            view.roomRefusedUntil = now + roomRefusedPause;
+        if (attempt.startIsUncertain)
+            this->stop(view, attempt);
+        else
+            this->report(view, attempt, AttemptEnd::Refused, attempt.checkpoint);
+        return;
+    case OrderResult::RefusedEpoch:
+        view.isSuperseded = true;
+        return;
+    case OrderResult::OtherLife:
+        this->giveUpWorker(view, "another worker answers at its address");
+        return;
+    case OrderResult::Unknown:
+        attempt.startIsUncertain = true;
+        this->retryStart(view, attempt);
+        return;
+    case OrderResult::RefusedLate:
+    case OrderResult::NotDone:
+    case OrderResult::NotSent:
+        this->retryStart(view, attempt);
+        return;
+    }
+}
+
+void Dispatcher::retryStart(WorkerView& view, PlacedAttempt& attempt)
+{
+    attempt.nextStart = this->clock.now() + startRetry;
+    if (attempt.startsSent < maxStartsSent)
+        return;
+    view.roomRefusedUntil = this->clock.now() + roomRefusedPause;
+    if (attempt.startIsUncertain)
+        this->stop(view, attempt);
+    else
+        this->report(view, attempt, AttemptEnd::Refused, attempt.checkpoint);
+}
+
+void Dispatcher::stop(WorkerView& view, PlacedAttempt& attempt)
+{
+    if (attempt.isStopping || attempt.isEndReported || attempt.phase == PlacedAttempt::Phase::Proposed)
+        return;
+    attempt.isStopping = true;
+    if (view.isListed && this->hooks.mayOrder())
+        this->sendStop(view, attempt);
+}
+
+void Dispatcher::stopUnwanted(JobId const& job)
+{
+    for (auto& [id, view] : this->views) {
+        auto at = view.placed.lower_bound({ TaskRef { job, 0, 0, 0 }, AttemptNumber() });
+        for (; at != view.placed.end() && at->first.first.job == job; ++at) {
+            if (!this->jobs.isWanted(at->second.task, { at->second.number, id }))
+                this->stop(view, at->second);
+        }
+    }
+}
+
+void Dispatcher::sendStop(WorkerView& view, PlacedAttempt& attempt)
+{
+    attempt.stopIsOpen = true;
+    attempt.nextStop = this->clock.now() + stopRetry;
+    StopOrder const order { attempt.task, attempt.number, this->epoch };
+    this->orders.stop(view.target(), order, this->guarded([this, worker = view.profile.id, key = AttemptKey { attempt.task, attempt.number }](OrderAnswer const& answer) {
+        WorkerView* answering = this->find(worker);
+        PlacedAttempt* stopped = answering ? answering->find(key) : nullptr;
+        if (!stopped)
+            return;
+        stopped->stopIsOpen = false;
+        if (answer.result == OrderResult::Accepted && !stopped->stopConfirmedAt)
+            stopped->stopConfirmedAt = this->clock.now();
+        else if (answer.result == OrderResult::OtherLife)
+            this->giveUpWorker(*answering, "another worker answers at its address");
+        else if (answer.result == OrderResult::RefusedEpoch)
+            answering->isSuperseded = true;
+    }));
+}
+
+void Dispatcher::stopStray(WorkerView& view, AttemptKey const& key, StrayAttempt& stray)
+{
+    stray.stopIsOpen = true;
+    stray.nextStop = this->clock.now() + stopRetry;
+    this->orders.stop(view.target(), { key.first, key.second, this->epoch }, this->guarded([this, worker = view.profile.id, key](OrderAnswer const& answer) {
+        WorkerView* answering = this->find(worker);
+        if (!answering)
+            return;
+        auto const found = answering->strays.find(key);
+        if (found == answering->strays.end())
+            return;
+        found->second.stopIsOpen = false;
+        if (answer.result == OrderResult::Accepted)
+            found->second.forgetAt = this->clock.now();
+    }));
+}
+
+void Dispatcher::throttle(WorkerView& view, PlacedAttempt& attempt, unsigned percent)
+{
+    attempt.throttle = percent;
+    if (!attempt.throttleIsOpen && attempt.phase == PlacedAttempt::Phase::Running && percent != attempt.throttleSent)
+        this->sendThrottle(view, attempt);
+}
+
+void Dispatcher::sendThrottle(WorkerView& view, PlacedAttempt& attempt)
+{
+    attempt.throttleIsOpen = true;
+    unsigned const percent = attempt.throttle;
+    ThrottleOrder const order { attempt.task, attempt.number, percent, this->epoch };
+    this->orders.throttle(view.target(), order, this->guarded([this, worker = view.profile.id, key = AttemptKey { attempt.task, attempt.number }, percent](OrderAnswer const& answer) {
+        WorkerView* answering = this->find(worker);
+        PlacedAttempt* throttled = answering ? answering->find(key) : nullptr;
+        if (!throttled)
+            return;
+        throttled->throttleIsOpen = false;
+        if (answer.result == OrderResult::Accepted)
+            throttled->throttleSent = percent;
+        else
+            this->events.emit(Event(EventId::OrderFailed).with("order", "throttle").with("task", key.first.text()).with("worker", worker).with("result", std::string(orderResultName(answer.result))));
+    }));
+}
+
+void Dispatcher::report(WorkerView& view, PlacedAttempt& attempt, AttemptEnd end, std::string const& checkpoint)
+{
+    if (attempt.isEndReported)
+        return;
+    attempt.isEndReported = true;
+    this->hooks.reportEnd({ attempt.task, attempt.number, view.profile.id, end, checkpoint });
+}
+
+void Dispatcher::giveUpWorker(WorkerView& view, char const* reason)
+{
+    if (view.isSuperseded)
+        return;
+    this->events.emit(Event(EventId::WorkerLost).with("worker", view.profile.id).with("reason", reason));
+    for (auto& [key, attempt] : view.placed) {
+        if (attempt.phase != PlacedAttempt::Phase::Proposed)
+            this->report(view, attempt, AttemptEnd::Lost, attempt.checkpoint);
+    }
+    view.isListed = false;
+    view.nextRenew = this->clock.now() + this->times.touchTimeout;
+    this->hooks.removeWorker(view.profile);
+}
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -0,0 +1,129 @@
+#pragma once
+
+// Carries out on the workers what was committed: starts, stops, renews leases, reads the workers' lists and
+// reports the ends of attempts. Decides nothing about what runs where.
+//
+// Load patterns it answers: orders that get no answer and are carried out seconds later; workers that are
+// cut off and run on, crash, or come back under their old id; a new leader that meets a full fleet.
+//
+// Example:
+//   Dispatcher dispatcher(clock, events, orders, times, jobs, hooks);
+//   dispatcher.lead(epoch, roster);
+//   dispatcher.reserve(worker, attempt); // then commit the start
+//   dispatcher.onStartApplied(start);
+//
+// An attempt is started elsewhere only after its end here is certain: the worker listed the end, confirmed a
+// stop and does not list the attempt, never had it and refuses older epochs, or its lease is over.
+
+#include "cornelpond/core/dispatch/WorkerView.h"
+#include "cornelpond/core/jobs/JobTable.h"
+#include "cornelpond/ports/Clock.h"
+#include "cornelpond/ports/EventSink.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace cornelpond {
+
+struct DispatcherHooks {
+    /// True while this host may give orders as the confirmed leader.
+    std::function<bool()> mayOrder;
+    /// Commits the end of an attempt.
+    std::function<void(CommitEnd const&)> reportEnd;
+    /// Removes a worker of which nothing can be running any more.
+    std::function<void(WorkerProfile const&)> removeWorker;
+    /// The permit for starting a task on a worker; empty where none is needed.
+    std::function<std::string(TaskRef const&, WorkerId const&)> permitFor;
+    std::function<void(TaskRef const&, WorkerId const&)> onPermitRefused;
+    /// A worker's lists were read.
+    std::function<void(WorkerView&)> onListed;
+    /// Room or workers changed, so that waiting tasks may find a place.
+    std::function<void()> onRoomChanged;
+};
+
+class Dispatcher {
+public:
+    /// References must outlive the object. All hooks must be set.
+    Dispatcher(Clock const& clock, EventSink& events, WorkerOrders& orders, DispatchTimes times, JobTable const& jobs, DispatcherHooks hooks);
+    ~Dispatcher();
+    Dispatcher(Dispatcher const&) = delete;
+    Dispatcher& operator=(Dispatcher const&) = delete;
+
+    /// Takes over from earlier leaders: knows what they committed, and reads each worker's lists under the
+    /// new epoch before it starts anything there.
+    void lead(Term epoch, WorkerRoster const& roster);
+    void resign();
+    bool isLeading() const { return this->leading; }
+
+    void onWorkerChanged(WorkerProfile const& profile);
+    void onWorkerRemoved(WorkerId const& worker);
+    void onAnnounced(WorkerId const& worker);
+
+    /// Takes room on the worker for a start that is to be committed.
+    PlacedAttempt& reserve(WorkerView& worker, TaskRef const& task, AttemptNumber attempt);
+
+    void onStartApplied(CommitStart const& start);
+    void onStartRefused(CommitStart const& start);
+    void onEndApplied(CommitEnd const& end);
+
+    /// Starts to stop an attempt. No-op when it is being stopped.
+    void stop(WorkerView& worker, PlacedAttempt& attempt);
+
+    /// Stops all attempts of the job that no longer count.
+    void stopUnwanted(JobId const& job);
+
+    /// Sets the share of its speed that an attempt works at.
+    void throttle(WorkerView& worker, PlacedAttempt& attempt, unsigned percent);
+
+    /// Call every 10 to 20 ms.
+    void onTick();
+
+    std::map<WorkerId, WorkerView>& workers() { return this->views; }
+    std::map<WorkerId, WorkerView> const& workers() const { return this->views; }
+    WorkerView* find(WorkerId const& worker);
+    DispatchTimes const& dispatchTimes() const { return this->times; }
+
+private:
+    using Lifetime = std::weak_ptr<bool>;
+
+    void inherit(WorkerView& view);
+    void checkWorker(WorkerView& view);
+    void checkAttempts(WorkerView& view);
+    void checkStrays(WorkerView& view);
+    void expireLease(WorkerView& view);
+    void renew(WorkerView& view);
+    void onRenewed(WorkerId const& worker, int64_t bornMs, TimePoint sentAt, RenewAnswer const& answer);
+    void onRenewFailed(WorkerView& view, OrderResult result);
+    void learnClock(WorkerView& view, OrderAnswer const& answer);
+    void readListing(WorkerView& view, TimePoint sentAt, WorkerListing const& listing);
+    void readRunning(WorkerView& view, WorkerListing const& listing);
+    void readEnds(WorkerView& view, WorkerListing const& listing);
+    void findMissing(WorkerView& view, TimePoint sentAt, WorkerListing const& listing);
+    static bool mayConclude(PlacedAttempt const& attempt, TimePoint sentAt);
+    void acknowledgeEnds(WorkerView& view);
+    void sendStart(WorkerView& view, PlacedAttempt& attempt);
+    void onStartAnswered(WorkerId const& worker, AttemptKey const& key, OrderAnswer const& answer);
+    void handleStartAnswer(WorkerView& view, PlacedAttempt& attempt, OrderResult result);
+    void retryStart(WorkerView& view, PlacedAttempt& attempt);
+    void sendStop(WorkerView& view, PlacedAttempt& attempt);
+    void stopStray(WorkerView& view, AttemptKey const& key, StrayAttempt& stray);
+    void sendThrottle(WorkerView& view, PlacedAttempt& attempt);
+    void report(WorkerView& view, PlacedAttempt& attempt, AttemptEnd end, std::string const& checkpoint);
+    void giveUpWorker(WorkerView& view, char const* reason);
+    template <typename Handler>
+    WorkerOrders::Done guarded(Handler handler);
+
+    Clock const& clock;
+    EventSink& events;
+    WorkerOrders& orders;
+    DispatchTimes times;
+    JobTable const& jobs;
+    DispatcherHooks hooks;
+    bool leading = false;
+    Term epoch;
+    std::map<WorkerId, WorkerView> views;
+    std::shared_ptr<bool> lifetime; ///< Replaced with each leadership: answers to earlier orders are dropped.
+};
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -0,0 +1,154 @@
+#pragma once
+
+// What a leader believes of one worker: its life, its clock, its lease, what is placed on it, and how much
+// room that leaves.
+//
+// Example:
+//   WorkerView view(profile, now);
+//   view.place(attempt);
+//   if (need.fitsIn(view.freeRoom()))
+//       placeAnother();
+
+#include "cornelpond/core/jobs/JobSpec.h"
+#include "cornelpond/core/jobs/WorkerRoster.h"
+#include "cornelpond/ports/WorkerOrders.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace cornelpond {
+
+/// How long leases last and when a worker counts as out of touch.
+struct DispatchTimes {
+    /// Long enough to outlast a change of leader, short enough that the work of a crashed worker is soon
+    /// free to start elsewhere.
+    Duration lease = Duration::milliseconds(3500);
+    /// Covers a worker clock that is 2 % slow over one lease, and the error of the estimate of that clock.
+    Duration leaseMargin = Duration::milliseconds(250);
+    /// How long a worker may wait for an end before it answers a renewal. Bounds the age of its lists.
+    Duration listWait = Duration::milliseconds(500);
+    /// Of an answer beyond what the worker may wait; several round trips between data centres.
+    Duration orderTimeout = Duration::milliseconds(600);
+    /// A worker silent for longer gets no new tasks, and its lease is no longer extended.
+    Duration touchTimeout = Duration::milliseconds(1500);
+    /// Between attempts to reach a worker that does not answer.
+    Duration retryMin = Duration::milliseconds(100);
+    Duration retryMax = Duration::milliseconds(500);
+    /// Orders without an answer may be carried out this much later.
+    Duration lateOrder = Duration::seconds(15);
+};
+
+/// One attempt on a worker, from the decision to place it until its end is committed.
+struct PlacedAttempt {
+    enum class Phase {
+        Proposed, ///< The start is not committed yet.
+        Starting, ///< Committed; the worker has not confirmed it.
+        Running, ///< The worker accepted it or lists it.
+    };
+
+    TaskRef task;
+    AttemptNumber number;
+    StageSpec const* stage = nullptr; ///< Lives as long as the job's record.
+    Phase phase = Phase::Proposed;
+    bool isInherited = false; ///< Committed by an earlier leader.
+    bool isEndReported = false; ///< Its end is proposed and not committed yet.
+    TimePoint placedAt;
+    TimePoint confirmedAt; ///< Running since, as far as this leader knows.
+
+    unsigned startsSent = 0;
+    bool startIsOpen = false; ///< A start order is under way.
+    bool startIsUncertain = false; ///< One of them got no answer and may be carried out late.
+    TimePoint nextStart;
+
+    bool isStopping = false;
+    bool stopIsOpen = false;
+    TimePoint nextStop;
+    std::optional<TimePoint> stopConfirmedAt;
+
+    std::string checkpoint; ///< The latest listed.
+    unsigned progressPercent = 0;
+    int64_t figure = -1;
+    TimePoint figureAt;
+    unsigned throttle = 100; ///< Wanted.
+    unsigned throttleSent = 100; ///< Acknowledged.
+    bool throttleIsOpen = false;
+
+    bool isService() const { return this->stage->isService; }
+    bool isBestEffort() const { return this->stage->isBestEffort; }
+    /// What counts against the worker's capacity.
+    Resources reserved() const;
+};
+
+using AttemptKey = std::pair<TaskRef, AttemptNumber>;
+
+struct StrayAttempt {
+    bool stopIsOpen = false;
+    TimePoint nextStop;
+    TimePoint forgetAt;
+    bool isListed = true;
+};
+
+class WorkerView {
+public:
+    WorkerView(WorkerProfile profile, TimePoint now);
+
+    PlacedAttempt& place(PlacedAttempt attempt);
+    void remove(AttemptKey const& key);
+    PlacedAttempt* find(AttemptKey const& key);
+
+    /// Capacity less all reservations. Negative where a worker came back smaller.
+    Resources freeRoom() const { return this->profile.capacity - this->reserved; }
+
+    /// The worker's steady clock now, as far as it can be told. Precondition: knowsClock.
+    Duration estimatedClock(TimePoint now) const { return this->clock + (now - this->clockAt); }
+
+    /// True once everything that ran there when the last order left must have ended with its lease.
+    bool isLeaseOver(TimePoint now, DispatchTimes const& times) const;
+
+    bool isAnswering(TimePoint now, DispatchTimes const& times) const { return this->failures == 0 && now - this->lastAnswer <= times.touchTimeout; }
+
+    /// True when a task may be started there.
+    bool takesTasks(TimePoint now, DispatchTimes const& times) const;
+
+    /// Tasks of one stage of one occurrence placed here.
+    size_t countOfStage(TaskRef const& stage) const;
+
+    /// Forgets what only held for the former life.
+    void startNewLife(TimePoint now, Duration lateOrder);
+
+    WorkerTarget target() const { return { this->profile.id, this->profile.address }; }
+
+    WorkerProfile profile;
+    std::map<AttemptKey, PlacedAttempt> placed;
+    std::map<AttemptKey, StrayAttempt> strays; ///< Runs that nobody wants, to be stopped.
+    Resources reserved;
+    int64_t bestEffortMilliCores = 0; ///< Asked for by best-effort tasks.
+    int64_t serviceMilliCores = 0; ///< Reserved by service tasks.
+
+    bool knowsClock = false;
+    Duration clock;
+    TimePoint clockAt;
+    TimePoint lastPromise; ///< When the last order that extended the lease left.
+    TimePoint lastAnswer;
+    TimePoint lastAnnounced;
+    bool isListed = false; ///< Its lists of this life were read under this leader.
+    bool isSuperseded = false; ///< It knows a higher epoch.
+    unsigned failures = 0; ///< Renewals without an answer in a row.
+
+    bool renewIsOpen = false;
+    TimePoint nextRenew;
+    TimePoint nextCheck; ///< Of what is placed.
+    uint64_t acknowledgedEnds = 0;
+    std::vector<ListedEnd> listedEnds; ///< Not acknowledged yet.
+
+    TimePoint roomRefusedUntil; ///< It refused a start for want of room, or did not take one.
+    unsigned throttle = 100; ///< Of all best-effort tasks here.
+    TimePoint throttleChanged;
+    TimePoint lastBestEffortPlaced;
+    TimePoint harmedUntil; ///< A service task was near or over its target not long ago.
+    double harmRatio = 0; ///< Worst tail over target at the last look; 0 without a service task.
+};
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/jobs/JobSpec.h
@@ -0,0 +1,97 @@
+#pragma once
+
+// What a client submits: a job of stages, each with a number of equal tasks, run once or on a schedule.
+//
+// Example:
+//   JobSpec job;
+//   job.id = JobId("plan-7");
+//   job.stages.push_back(StageSpec());
+//   job.stages.back().taskCount = 4;
+//   checkJobSpec(job);
+
+#include "cornelpond/core/base/ByteCodec.h"
+#include "cornelpond/core/base/Duration.h"
+#include "cornelpond/core/base/Ids.h"
+#include "cornelpond/core/base/Resources.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cornelpond {
+
+using JobId = TextId<struct JobIdTag>;
+using QueueId = TextId<struct QueueIdTag>; ///< A queue's name in the configuration.
+
+/// One stage of a job. All its tasks are alike.
+struct StageSpec {
+    uint32_t taskCount = 1;
+    Resources need; ///< Of one task.
+    Duration estimate; ///< The client's rough guess of one task's run time.
+    std::vector<uint32_t> after; ///< Earlier stages that must be done first.
+    std::string requiredLabel; ///< Empty: any worker.
+    RackId dataRack; ///< Tasks run slower on any other rack; empty: no preference.
+    uint32_t maxPerWorker = 0; ///< Of one occurrence; 0: no limit.
+    uint32_t maxUnavailable = 0; ///< Service tasks that the system may take away at once; 0: no limit given.
+    bool isGang = false; ///< All tasks start together under one attempt number and end together.
+    bool wantsOneRack = false; ///< The gang runs slower over several racks.
+    bool savesCheckpoints = false;
+    bool allowsCopies = false; ///< Two attempts of one task may run at once; the first to finish counts.
+    bool isService = false; ///< Runs until the job is cancelled; restarted however it ends.
+    bool isBestEffort = false; ///< Its cores are not reserved: it gets what other tasks leave unused.
+    std::string image; ///< Tasks of one image behave alike.
+    Duration latencyTarget; ///< A service task's tail latency must stay below it; zero: no target.
+};
+
+/// When a job's stages run. Without occurrences they run once, at once.
+struct ScheduleSpec {
+    int64_t firstWallMs = 0; ///< Milliseconds since the Unix epoch.
+    Duration interval;
+    uint32_t occurrences = 0; ///< 0: no schedule.
+};
+
+struct JobSpec {
+    JobId id;
+    std::string payload; ///< Opaque; passed to the workers.
+    std::vector<StageSpec> stages;
+    ScheduleSpec schedule;
+
+    bool isScheduled() const { return this->schedule.occurrences > 0; }
+};
+
+/// One task of one occurrence of a job.
+struct TaskRef {
+    JobId job;
+    uint32_t occurrence = 0;
+    uint32_t stage = 0;
+    uint32_t index = 0;
+
+    bool operator==(TaskRef const& other) const
+    {
+        return this->occurrence == other.occurrence && this->stage == other.stage && this->index == other.index && this->job == other.job;
+    }
+    bool operator!=(TaskRef const& other) const { return !(*this == other); }
+    bool operator<(TaskRef const& other) const;
+
+    /// "JOB.OCCURRENCE.STAGE.INDEX", for logs.
+    std::string text() const;
+};
+
+constexpr size_t maxStages = 256;
+constexpr uint32_t maxTasksPerStage = 100000;
+
+/// Throws Error(SchemaViolation) for a job that cannot be run as described.
+void checkJobSpec(JobSpec const& job);
+
+void write(ByteWriter& out, JobSpec const& job);
+
+/// Throws Error(MalformedMessage).
+JobSpec readJobSpec(ByteReader& in);
+
+void write(ByteWriter& out, TaskRef const& task);
+TaskRef readTaskRef(ByteReader& in);
+
+void write(ByteWriter& out, Resources const& resources);
+Resources readResources(ByteReader& in);
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/jobs/JobTable.cpp
@@ -0,0 +1,398 @@
+#include "cornelpond/core/jobs/JobTable.h"
+
+#include <algorithm>
+
+namespace cornelpond {
+
+namespace {
+
+    constexpr size_t maxCopies = 2; ///< Attempts of one task at once where copies are allowed.
+
+    OccurrenceRecord newOccurrence(JobSpec const& spec)
+    {
+        OccurrenceRecord occurrence;
+        for (auto const& stage : spec.stages) {
+            StageRecord record;
+            record.tasks.resize(stage.taskCount);
+            record.waitingCount = stage.taskCount;
+            occurrence.stages.push_back(std::move(record));
+        }
+        return occurrence;
+    }
+
+    void takeOver(JobRecord& job, QueueTable const& queues)
+    {
+        QueueSpec const* queue = queues.find(job.queue);
+        if (!queue)
+            return;
+        job.service = queue->service;
+        job.priority = queue->priority;
+        job.maxAttempts = queue->maxAttempts;
+    }
+
+    void write(ByteWriter& out, TaskRecord const& task)
+    {
+        out.number(task.lastAttempt.value());
+        out.number(task.failures);
+        out.number(task.isDone);
+        out.text(task.checkpoint);
+        out.number(task.live.size());
+        for (auto const& attempt : task.live) {
+            out.number(attempt.number.value());
+            out.text(attempt.worker.value());
+        }
+    }
+
+    TaskRecord readTask(ByteReader& in)
+    {
+        TaskRecord task;
+        task.lastAttempt = AttemptNumber(in.number());
+        task.failures = static_cast<uint32_t>(in.number());
+        task.isDone = in.number();
+        task.checkpoint = in.text();
+        for (uint64_t left = in.number(); left; left--) {
+            AttemptNumber const number(in.number());
+            task.live.push_back({ number, WorkerId(std::string(in.text())) });
+        }
+        return task;
+    }
+
+    void write(ByteWriter& out, StageRecord const& stage)
+    {
+        out.number(stage.gangFailures);
+        out.number(stage.tasks.size());
+        for (auto const& task : stage.tasks)
+            write(out, task);
+    }
+
+    StageRecord readStage(ByteReader& in)
+    {
+        StageRecord stage;
+        stage.gangFailures = static_cast<uint32_t>(in.number());
+        for (uint64_t left = in.number(); left; left--) {
+            stage.tasks.push_back(readTask(in));
+            stage.doneCount += stage.tasks.back().isDone;
+            stage.waitingCount += stage.tasks.back().isWaiting();
+        }
+        return stage;
+    }
+
+    void write(ByteWriter& out, JobRecord const& job)
+    {
+        write(out, job.spec);
+        out.text(job.queue.value());
+        out.text(job.service.value());
+        out.number(job.priority);
+        out.number(job.maxAttempts);
+        out.number(static_cast<uint64_t>(job.state));
+        out.number(job.hasStarted);
+        out.number(static_cast<uint64_t>(job.acceptedWallMs));
+        out.number(static_cast<uint64_t>(job.endedWallMs));
+        out.number(job.occurrencesOpened);
+        out.number(job.occurrencesDone);
+        out.number(job.liveAttempts);
+        out.number(job.occurrences.size());
+        for (auto const& [number, occurrence] : job.occurrences) {
+            out.number(number);
+            out.number(occurrence.stages.size());
+            for (auto const& stage : occurrence.stages)
+                write(out, stage);
+        }
+    }
+
+    JobRecord readJob(ByteReader& in)
+    {
+        JobRecord job;
+        job.spec = readJobSpec(in);
+        job.queue = QueueId(std::string(in.text()));
+        job.service = ServiceId(std::string(in.text()));
+        job.priority = static_cast<uint32_t>(in.number());
+        job.maxAttempts = static_cast<uint32_t>(in.number());
+        job.state = static_cast<JobState>(in.number());
+        job.hasStarted = in.number();
+        job.acceptedWallMs = static_cast<int64_t>(in.number());
+        job.endedWallMs = static_cast<int64_t>(in.number());
+        job.occurrencesOpened = static_cast<uint32_t>(in.number());
+        job.occurrencesDone = static_cast<uint32_t>(in.number());
+        job.liveAttempts = static_cast<uint32_t>(in.number());
+        for (uint64_t left = in.number(); left; left--) {
+            auto const number = static_cast<uint32_t>(in.number());
+            OccurrenceRecord occurrence;
+            for (uint64_t stages = in.number(); stages; stages--)
+                occurrence.stages.push_back(readStage(in));
+            job.occurrences.emplace(number, std::move(occurrence));
+        }
+        return job;
+    }
+
+} // namespace
+
+bool JobRecord::isStageReady(OccurrenceRecord const& occurrence, size_t stage) const
+{
+    auto const& after = this->spec.stages[stage].after;
+    return std::all_of(after.begin(), after.end(), [&](uint32_t earlier) { return occurrence.stages[earlier].isDone(); });
+}
+
+JobTable::JobTable(JobTableHooks hooks)
+    : hooks(std::move(hooks))
+{
+}
+
+void JobTable::apply(JobCommand const& command, QueueTable const& queues)
+{
+    std::visit([&](auto const& value) { this->apply(value, queues); }, command);
+}
+
+void JobTable::apply(SubmitJob const& command, QueueTable const& queues)
+{
+    if (this->jobs.count(command.job.id))
+        return;
+    JobRecord job;
+    job.spec = command.job;
+    job.queue = command.queue;
+    job.acceptedWallMs = command.acceptedWallMs;
+    takeOver(job, queues);
+    if (!job.spec.isScheduled()) {
+        job.occurrences.emplace(0, newOccurrence(job.spec));
+        job.occurrencesOpened = 1;
+    }
+    JobRecord const& kept = this->jobs.emplace(command.job.id, std::move(job)).first->second;
+    this->changed(kept);
+}
+
+void JobTable::apply(CancelJob const& command, QueueTable const&)
+{
+    JobRecord* job = this->findMutable(command.job);
+    if (job && job->state == JobState::Active)
+        this->endJob(*job, JobState::Cancelled, command.wallMs);
+}
+
+void JobTable::apply(UpdateTasks const& command, QueueTable const&)
+{
+    for (auto const& update : command.updates)
+        std::visit([&](auto const& value) { this->applyUpdate(value, command.wallMs); }, update);
+}
+
+void JobTable::applyUpdate(CommitStart const& start, int64_t)
+{
+    auto const& hook = this->startIfAllowed(start) ? this->hooks.onStarted : this->hooks.onStartRefused;
+    if (hook)
+        hook(start);
+}
+
+bool JobTable::startIfAllowed(CommitStart const& start)
+{
+    JobRecord* job = this->findMutable(start.task.job);
+    StageRecord* stage = job && job->state == JobState::Active ? findStage(*job, start.task) : nullptr;
+    if (!stage || !job->isStageReady(job->occurrences.at(start.task.occurrence), start.task.stage))
+        return false;
+    TaskRecord& task = stage->tasks[start.task.index];
+    size_t const most = job->spec.stages[start.task.stage].allowsCopies ? maxCopies : 1;
+    if (task.isDone || task.live.size() >= most || start.attempt <= task.lastAttempt)
+        return false;
+    stage->waitingCount -= task.isWaiting();
+    task.lastAttempt = start.attempt;
+    task.live.push_back({ start.attempt, start.worker });
+    job->liveAttempts++;
+    job->hasStarted = true;
+    return true;
+}
+
+void JobTable::applyUpdate(CommitEnd const& end, int64_t wallMs)
+{
+    JobRecord* job = this->findMutable(end.task.job);
+    StageRecord* stage = job ? findStage(*job, end.task) : nullptr;
+    if (stage) {
+        TaskRecord& task = stage->tasks[end.task.index];
+        auto const attempt = std::find(task.live.begin(), task.live.end(), Attempt { end.attempt, end.worker });
+        if (attempt != task.live.end()) {
+            task.live.erase(attempt);
+            stage->waitingCount += task.isWaiting();
+            job->liveAttempts--;
+            StageSpec const& spec = job->spec.stages[end.task.stage];
+            if (!end.checkpoint.empty()) {
+                for (size_t i = 0; i < stage->tasks.size(); i++) {
+                    if (spec.isGang || i == end.task.index)
+                        stage->tasks[i].checkpoint = end.checkpoint;
+                }
+            }
+            if (end.end == AttemptEnd::Done && !spec.isService && job->state == JobState::Active)
+                this->finishTask(*job, job->occurrences.at(end.task.occurrence), end.task, wallMs);
+            else if (end.end == AttemptEnd::Failed && !spec.isService && job->state == JobState::Active)
+                this->countFailure(*job, *stage, end.task, wallMs);
+            this->trim(*job);
+        }
+    }
+    if (this->hooks.onEnded)
+        this->hooks.onEnded(end);
+}
+
+void JobTable::finishTask(JobRecord& job, OccurrenceRecord& occurrence, TaskRef const& task, int64_t wallMs)
+{
+    StageRecord& stage = occurrence.stages[task.stage];
+    bool const isGang = job.spec.stages[task.stage].isGang;
+    for (size_t i = 0; i < stage.tasks.size(); i++) {
+        TaskRecord& record = stage.tasks[i];
+        if (record.isDone || (!isGang && i != task.index))
+            continue;
+        stage.waitingCount -= record.isWaiting();
+        record.isDone = true;
+        stage.doneCount++;
+    }
+    if (!stage.isDone())
+        return;
+    bool const isOver = std::all_of(occurrence.stages.begin(), occurrence.stages.end(), [](auto const& each) { return each.isDone(); });
+    if (isOver) {
+        job.occurrencesDone++;
+        uint32_t const all = std::max(job.spec.schedule.occurrences, 1U);
+        if (job.occurrencesDone == all) {
+            this->endJob(job, JobState::Completed, wallMs);
+            return;
+        }
+    }
+    this->changed(job);
+}
+
+void JobTable::countFailure(JobRecord& job, StageRecord& stage, TaskRef const& task, int64_t wallMs)
+{
+    uint32_t const failures = job.spec.stages[task.stage].isGang ? ++stage.gangFailures : ++stage.tasks[task.index].failures;
+    if (failures >= job.maxAttempts)
+        this->endJob(job, JobState::Failed, wallMs);
+}
+
+void JobTable::applyUpdate(OpenOccurrence const& open, int64_t)
+{
+    JobRecord* job = this->findMutable(open.job);
+    if (!job || job->state != JobState::Active || open.occurrence != job->occurrencesOpened || open.occurrence >= job->spec.schedule.occurrences)
+        return;
+    job->occurrences.emplace(open.occurrence, newOccurrence(job->spec));
+    job->occurrencesOpened++;
+    this->changed(*job);
+}
+
+void JobTable::applyUpdate(ForgetJob const& forget, int64_t)
+{
+    JobRecord const* job = this->find(forget.job);
+    if (!job || job->state == JobState::Active || job->liveAttempts)
+        return;
+    this->jobs.erase(forget.job);
+    if (this->hooks.onJobForgotten)
+        this->hooks.onJobForgotten(forget.job);
+}
+
+void JobTable::endJob(JobRecord& job, JobState state, int64_t wallMs)
+{
+    job.state = state;
+    job.endedWallMs = wallMs;
+    this->trim(job);
+    this->changed(job);
+}
+
+/// Drops what nobody asks for any more: occurrences that are done, and all of an ended job, once no
+/// attempt of them can be running.
+void JobTable::trim(JobRecord& job)
+{
+    if (job.state != JobState::Active && !job.liveAttempts) {
+        job.occurrences.clear();
+        return;
+    }
+    for (auto at = job.occurrences.begin(); at != job.occurrences.end();) {
+        bool const isOver = std::all_of(at->second.stages.begin(), at->second.stages.end(), [](StageRecord const& stage) {
+            return stage.isDone() && std::all_of(stage.tasks.begin(), stage.tasks.end(), [](auto const& task) { return task.live.empty(); });
+        });
+        at = isOver ? job.occurrences.erase(at) : std::next(at);
+    }
+}
+
+void JobTable::changed(JobRecord const& job) const
+{
+    if (this->hooks.onJobChanged)
+        this->hooks.onJobChanged(job);
+}
+
+void JobTable::onQueuesChanged(QueueTable const& queues)
+{
+    for (auto& [id, job] : this->jobs)
+        takeOver(job, queues);
+}
+
+JobRecord const* JobTable::find(JobId const& id) const
+{
+    auto const found = this->jobs.find(id);
+    return found == this->jobs.end() ? nullptr : &found->second;
+}
+
+JobRecord* JobTable::findMutable(JobId const& id)
+{
+    auto const found = this->jobs.find(id);
+    return found == this->jobs.end() ? nullptr : &found->second;
+}
+
+StageRecord* JobTable::findStage(JobRecord& job, TaskRef const& task)
+{
+    auto const occurrence = job.occurrences.find(task.occurrence);
+    if (occurrence == job.occurrences.end() || task.stage >= occurrence->second.stages.size())
+        return nullptr;
+    StageRecord& stage = occurrence->second.stages[task.stage];
+    return task.index < stage.tasks.size() ? &stage : nullptr;
+}
+
+TaskRecord const* JobTable::findTask(TaskRef const& task) const
+{
+    JobRecord const* job = this->find(task.job);
+    if (!job)
+        return nullptr;
+    auto const occurrence = job->occurrences.find(task.occurrence);
+    if (occurrence == job->occurrences.end() || task.stage >= occurrence->second.stages.size())
+        return nullptr;
+    StageRecord const& stage = occurrence->second.stages[task.stage];
+    return task.index < stage.tasks.size() ? &stage.tasks[task.index] : nullptr;
+}
+
+bool JobTable::isLive(TaskRef const& task, Attempt const& attempt) const
+{
+    TaskRecord const* record = this->findTask(task);
+    return record && std::find(record->live.begin(), record->live.end(), attempt) != record->live.end();
+}
+
+bool JobTable::isWanted(TaskRef const& task, Attempt const& attempt) const
+{
+    JobRecord const* job = this->find(task.job);
+    TaskRecord const* record = this->findTask(task);
+    if (!record || job->state != JobState::Active || !this->isLive(task, attempt))
+        return false;
+    // The members of a gang that is done end by themselves.
+    return !record->isDone || job->spec.stages[task.stage].isGang;
+}
+
+size_t JobTable::pendingCount(QueueId const& queue) const
+{
+    return static_cast<size_t>(std::count_if(this->jobs.begin(), this->jobs.end(), [&](auto const& entry) {
+        JobRecord const& job = entry.second;
+        return job.queue == queue && job.state == JobState::Active && !job.hasStarted && !job.spec.isScheduled();
+    }));
+}
+
+std::string JobTable::takeSnapshot() const
+{
+    ByteWriter out;
+    out.number(this->jobs.size());
+    for (auto const& [id, job] : this->jobs)
+        write(out, job);
+    return out.take();
+}
+
+void JobTable::restore(std::string const& snapshot)
+{
+    std::unordered_map<JobId, JobRecord> restored;
+    ByteReader in(snapshot);
+    for (uint64_t left = in.number(); left; left--) {
+        JobRecord job = readJob(in);
+        JobId const id = job.spec.id;
+        restored.emplace(id, std::move(job));
+    }
+    in.end();
+    this->jobs = std::move(restored);
+}
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/jobs/JobTable.h
@@ -0,0 +1,138 @@
+#pragma once
+
+// All jobs and the attempts of their tasks: the replicated state behind a group's log. Every host applies
+// the same commands in the same order.
+//
+// Example:
+//   JobTable jobs(hooks);
+//   jobs.apply(decodeJobCommand(bytes), queues);
+//   jobs.find(JobId("plan-7"))->state;
+//
+// Pure and deterministic: no clock, no randomness. A command that no longer applies changes nothing.
+
+#include "cornelpond/core/jobs/JobCommand.h"
+#include "cornelpond/core/jobs/QueueTable.h"
+
+#include <functional>
+#include <map>
+#include <unordered_map>
+
+namespace cornelpond {
+
+enum class JobState : uint8_t {
+    Active = 1,
+    Completed = 2,
+    Failed = 3,
+    Cancelled = 4,
+};
+
+/// One attempt that may be running.
+struct Attempt {
+    AttemptNumber number;
+    WorkerId worker;
+
+    bool operator==(Attempt const& other) const { return this->number == other.number && this->worker == other.worker; }
+};
+
+struct TaskRecord {
+    AttemptNumber lastAttempt;
+    uint32_t failures = 0;
+    bool isDone = false;
+    std::string checkpoint; ///< The latest that an ended attempt left; empty: none.
+    std::vector<Attempt> live;
+
+    bool isWaiting() const { return !this->isDone && this->live.empty(); }
+};
+
+struct StageRecord {
+    std::vector<TaskRecord> tasks;
+    uint32_t doneCount = 0;
+    uint32_t waitingCount = 0;
+    uint32_t gangFailures = 0;
+
+    bool isDone() const { return this->doneCount == this->tasks.size(); }
+};
+
+/// One run through a job's stages.
+struct OccurrenceRecord {
+    std::vector<StageRecord> stages;
+};
+
+struct JobRecord {
+    JobSpec spec;
+    QueueId queue;
+    ServiceId service; ///< From the configuration in force.
+    uint32_t priority = 0;
+    uint32_t maxAttempts = 1;
+    JobState state = JobState::Active;
+    bool hasStarted = false; ///< Some task has had an attempt.
+    int64_t acceptedWallMs = 0;
+    int64_t endedWallMs = 0;
+    uint32_t occurrencesOpened = 0;
+    uint32_t occurrencesDone = 0;
+    uint32_t liveAttempts = 0;
+    std::map<uint32_t, OccurrenceRecord> occurrences; ///< Opened and not done.
+
+    /// True when all stages that must come first are done.
+    bool isStageReady(OccurrenceRecord const& occurrence, size_t stage) const;
+};
+
+/// What a leader hears while commands are applied. Unset hooks are skipped.
+struct JobTableHooks {
+    std::function<void(CommitStart const&)> onStarted;
+    std::function<void(CommitStart const&)> onStartRefused; ///< The start no longer applied.
+    std::function<void(CommitEnd const&)> onEnded; ///< Also for an attempt that was not live any more.
+    std::function<void(JobRecord const&)> onJobChanged; ///< Submitted, a stage done, ended.
+    std::function<void(JobId const&)> onJobForgotten;
+};
+
+class JobTable {
+public:
+    explicit JobTable(JobTableHooks hooks = JobTableHooks());
+
+    void apply(JobCommand const& command, QueueTable const& queues);
+
+    /// Takes over services, priorities and limits of a new configuration.
+    void onQueuesChanged(QueueTable const& queues);
+
+    std::string takeSnapshot() const;
+
+    /// Throws Error(MalformedMessage).
+    void restore(std::string const& snapshot);
+
+    JobRecord const* find(JobId const& id) const;
+    TaskRecord const* findTask(TaskRef const& task) const;
+
+    /// True while the attempt is committed and not ended, and its outcome still matters.
+    bool isWanted(TaskRef const& task, Attempt const& attempt) const;
+
+    /// True while the attempt is committed and not ended.
+    bool isLive(TaskRef const& task, Attempt const& attempt) const;
+
+    /// Accepted jobs without a schedule of which no task has started.
+    size_t pendingCount(QueueId const& queue) const;
+
+    std::unordered_map<JobId, JobRecord> const& all() const { return this->jobs; }
+
+private:
+    void apply(SubmitJob const& command, QueueTable const& queues);
+    void apply(CancelJob const& command, QueueTable const& queues);
+    void apply(UpdateTasks const& command, QueueTable const& queues);
+    void applyUpdate(CommitStart const& start, int64_t wallMs);
+    void applyUpdate(CommitEnd const& end, int64_t wallMs);
+    void applyUpdate(OpenOccurrence const& open, int64_t wallMs);
+    void applyUpdate(ForgetJob const& forget, int64_t wallMs);
+    bool startIfAllowed(CommitStart const& start);
+    void finishTask(JobRecord& job, OccurrenceRecord& occurrence, TaskRef const& task, int64_t wallMs);
+    void countFailure(JobRecord& job, StageRecord& stage, TaskRef const& task, int64_t wallMs);
+    void endJob(JobRecord& job, JobState state, int64_t wallMs);
+    void trim(JobRecord& job);
+    void changed(JobRecord const& job) const;
+    JobRecord* findMutable(JobId const& id);
+    static StageRecord* findStage(JobRecord& job, TaskRef const& task);
+
+    JobTableHooks hooks;
+    std::unordered_map<JobId, JobRecord> jobs;
+};
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/jobs/WorkerRoster.cpp
@@ -0,0 +1,162 @@
+#include "cornelpond/core/jobs/WorkerRoster.h"
+
+#include <tuple>
+
+namespace cornelpond {
+
+namespace {
+
+    /// First number of a stored command; numbers never change meaning.
+    enum class Tag : uint64_t {
+        Put = 1,
+        Remove = 2,
+    };
+
+    void write(ByteWriter& out, WorkerProfile const& profile)
+    {
+        out.text(profile.id.value());
+        out.number(static_cast<uint64_t>(profile.bornMs));
+        out.text(profile.service.value());
+        out.text(profile.dataCentre.value());
+        out.text(profile.address);
+        out.text(profile.rack.value());
+        out.number(profile.labels.size());
+        for (auto const& label : profile.labels)
+            out.text(label);
+        write(out, profile.capacity);
+        out.number(profile.isDraining);
+    }
+
+    WorkerProfile readProfile(ByteReader& in)
+    {
+        WorkerProfile profile;
+        profile.id = WorkerId(std::string(in.text()));
+        profile.bornMs = static_cast<int64_t>(in.number());
+        profile.service = ServiceId(std::string(in.text()));
+        profile.dataCentre = DataCentreId(std::string(in.text()));
+        profile.address = in.text();
+        profile.rack = RackId(std::string(in.text()));
+        for (uint64_t left = in.number(); left; left--)
+            profile.labels.emplace_back(in.text());
+        profile.capacity = readResources(in);
+        profile.isDraining = in.number();
+        return profile;
+    }
+
+} // namespace
+
+bool WorkerProfile::operator==(WorkerProfile const& other) const
+{
+    auto const all = [](WorkerProfile const& profile) {
+        return std::tie(profile.id, profile.bornMs, profile.service, profile.dataCentre, profile.address, profile.rack, profile.labels, profile.capacity, profile.isDraining);
+    };
+    return all(*this) == all(other);
+}
+
+std::string encodeRosterCommand(RosterCommand const& command)
+{
+    ByteWriter out;
+    if (auto const* put = std::get_if<PutWorker>(&command)) {
+        out.number(static_cast<uint64_t>(Tag::Put));
+        write(out, put->profile);
+    } else {
+        auto const& remove = std::get<RemoveWorker>(command);
+        out.number(static_cast<uint64_t>(Tag::Remove));
+        out.text(remove.id.value());
+        out.number(static_cast<uint64_t>(remove.bornMs));
+    }
+    return out.take();
+}
+
+RosterCommand decodeRosterCommand(std::string_view bytes)
+{
+    ByteReader in(bytes);
+    RosterCommand command;
+    auto const tag = static_cast<Tag>(in.number());
+    if (tag == Tag::Put) {
+        command = PutWorker { readProfile(in) };
+    } else if (tag == Tag::Remove) {
+        RemoveWorker remove;
+        remove.id = WorkerId(std::string(in.text()));
+        remove.bornMs = static_cast<int64_t>(in.number());
+        command = remove;
+    } else {
+        in.fail();
+    }
+    in.end();
+    return command;
+}
+
+WorkerRoster::WorkerRoster(RosterHooks hooks)
+    : hooks(std::move(hooks))
+{
+}
+
+void WorkerRoster::apply(RosterCommand const& command)
+{
+    std::visit([&](auto const& value) { this->apply(value); }, command);
+}
+
+void WorkerRoster::apply(PutWorker const& command)
+{
+    auto const [entry, isNew] = this->workers.try_emplace(command.profile.id, command.profile);
+    WorkerProfile& held = entry->second;
+    if (!isNew) {
+        if (held.bornMs > command.profile.bornMs)
+            return;
+        bool const staysDraining = held.isDraining && held.bornMs == command.profile.bornMs;
+        held = command.profile;
+        held.isDraining |= staysDraining;
+    }
+    if (this->hooks.onWorkerChanged)
+        this->hooks.onWorkerChanged(held);
+}
+
+void WorkerRoster::apply(RemoveWorker const& command)
+{
+    auto const found = this->workers.find(command.id);
+    if (found == this->workers.end() || found->second.bornMs > command.bornMs)
+        return;
+    this->workers.erase(found);
+    if (this->hooks.onWorkerRemoved)
+        this->hooks.onWorkerRemoved(command.id);
+}
+
+std::string WorkerRoster::takeSnapshot() const
+{
+    ByteWriter out;
+    out.number(this->workers.size());
+    for (auto const& [id, profile] : this->workers)
+        write(out, profile);
+    return out.take();
+}
+
+void WorkerRoster::restore(std::string const& snapshot)
+{
+    std::map<WorkerId, WorkerProfile> restored;
+    ByteReader in(snapshot);
+    for (uint64_t left = in.number(); left; left--) {
+        WorkerProfile profile = readProfile(in);
+        WorkerId const id = profile.id;
+        restored.emplace(id, std::move(profile));
+    }
+    in.end();
+    this->workers = std::move(restored);
+}
+
+WorkerProfile const* WorkerRoster::find(WorkerId const& id) const
+{
+    auto const found = this->workers.find(id);
+    return found == this->workers.end() ? nullptr : &found->second;
+}
+
+WorkerProfile const* WorkerRoster::findAtAddress(std::string_view address, WorkerId const& otherThan) const
+{
+    for (auto const& [id, profile] : this->workers) {
+        if (profile.address == address && id != otherThan)
+            return &profile;
+    }
+    return nullptr;
+}
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/jobs/WorkerRoster.h
@@ -0,0 +1,85 @@
+#pragma once
+
+// The workers that announced themselves: the replicated state that lets a new leader reach them at once.
+//
+// Example:
+//   WorkerRoster roster(hooks);
+//   roster.apply(decodeRosterCommand(bytes));
+//   roster.find(WorkerId("w-17"))->address;
+//
+// A worker may come back under its old id with nothing of before: `bornMs` tells its lives apart.
+
+#include "cornelpond/core/jobs/JobSpec.h"
+
+#include <functional>
+#include <map>
+#include <variant>
+
+namespace cornelpond {
+
+/// What one life of a worker says of itself.
+struct WorkerProfile {
+    WorkerId id;
+    int64_t bornMs = 0; ///< Start of this life, milliseconds since the Unix epoch; 0 when not given.
+    ServiceId service;
+    DataCentreId dataCentre;
+    std::string address; ///< "IP:PORT", where it takes orders.
+    RackId rack;
+    std::vector<std::string> labels;
+    Resources capacity;
+    bool isDraining = false; ///< Stays so for the rest of the life.
+
+    bool operator==(WorkerProfile const& other) const;
+    bool operator!=(WorkerProfile const& other) const { return !(*this == other); }
+};
+
+/// Adds a worker, or replaces what is known of it unless that is of a later life.
+struct PutWorker {
+    WorkerProfile profile;
+};
+
+/// Removes a worker on which nothing can be running any more.
+struct RemoveWorker {
+    WorkerId id;
+    int64_t bornMs = 0; ///< Of the life that is over; a later one stays.
+};
+
+using RosterCommand = std::variant<PutWorker, RemoveWorker>;
+
+std::string encodeRosterCommand(RosterCommand const& command);
+
+/// Throws Error(MalformedMessage).
+RosterCommand decodeRosterCommand(std::string_view bytes);
+
+struct RosterHooks {
+    std::function<void(WorkerProfile const&)> onWorkerChanged;
+    std::function<void(WorkerId const&)> onWorkerRemoved;
+};
+
+class WorkerRoster {
+public:
+    explicit WorkerRoster(RosterHooks hooks = RosterHooks());
+
+    void apply(RosterCommand const& command);
+
+    std::string takeSnapshot() const;
+
+    /// Throws Error(MalformedMessage).
+    void restore(std::string const& snapshot);
+
+    WorkerProfile const* find(WorkerId const& id) const;
+
+    /// Another worker known at the same address, or null.
+    WorkerProfile const* findAtAddress(std::string_view address, WorkerId const& otherThan) const;
+
+    std::map<WorkerId, WorkerProfile> const& all() const { return this->workers; }
+
+private:
+    void apply(PutWorker const& command);
+    void apply(RemoveWorker const& command);
+
+    RosterHooks hooks;
+    std::map<WorkerId, WorkerProfile> workers;
+};
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/placement/TaskPlacer.h
@@ -0,0 +1,62 @@
+#pragma once
+
+// Chooses the worker for one task among those that take tasks.
+//
+// Load patterns it answers: service tasks that fill most of the fleet beside short urgent tasks; best-effort
+// tasks that live on what others leave unused; data that lies on one rack.
+//
+// Example:
+//   TaskPlacer placer(dispatcher.workers(), times, limits);
+//   if (WorkerView* worker = placer.choose(request, clock.now()))
+//       dispatcher.reserve(*worker, request.task, attempt);
+
+#include "cornelpond/core/dispatch/WorkerView.h"
+
+#include <map>
+
+namespace cornelpond {
+
+struct PlacementLimits {
+    /// Of their reservation that service tasks are taken to use; the rest is open to best-effort tasks.
+    double serviceUse = 0.5;
+    /// A best-effort task is placed where at least so much of what it asks for is left.
+    double bestEffortShare = 0.8;
+    /// Between two best-effort tasks put beside service tasks, so that harm shows before the next comes.
+    Duration bestEffortPause = Duration::milliseconds(120);
+};
+
+struct PlacementRequest {
+    TaskRef task;
+    StageSpec const* stage = nullptr;
+    ServiceId service;
+    bool mayLeaveDataRack = true; ///< Waiting for the data's rack costs more than running elsewhere.
+    RackId onlyRack; ///< Empty: any.
+    WorkerId avoid; ///< Where another attempt of the task runs; empty: none.
+    std::set<WorkerId> const* permitted = nullptr; ///< Null: all.
+};
+
+class TaskPlacer {
+public:
+    /// References must outlive the object.
+    TaskPlacer(std::map<WorkerId, WorkerView>& workers, DispatchTimes const& times, PlacementLimits limits);
+
+    /// Null when no worker fits now.
+    WorkerView* choose(PlacementRequest const& request, TimePoint now) const;
+
+    /// True when some worker that is not drained could hold the task if it were empty.
+    bool couldEverFit(PlacementRequest const& request) const;
+
+    /// Cores of the worker that nobody is taken to use.
+    double unusedMilliCores(WorkerView const& worker) const;
+
+private:
+    bool fits(WorkerView const& worker, PlacementRequest const& request, TimePoint now) const;
+    static bool isAllowed(WorkerView const& worker, PlacementRequest const& request);
+    double score(WorkerView const& worker, PlacementRequest const& request) const;
+
+    std::map<WorkerId, WorkerView>& workers;
+    DispatchTimes const& times;
+    PlacementLimits limits;
+};
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/queueing/WorkOrder.h
@@ -0,0 +1,51 @@
+#pragma once
+
+// In which order ready stages get room.
+//
+// Load pattern it answers: bursts of long jobs beside short urgent ones, and more work than fits: what can
+// still be done in time comes before what is late already, and what nobody waits for any more comes last.
+//
+// Example:
+//   std::sort(ready.begin(), ready.end(), [](auto const& a, auto const& b) { return a.rank < b.rank; });
+
+#include "cornelpond/core/jobs/JobTable.h"
+
+#include <vector>
+
+namespace cornelpond {
+
+/// When a job ought to be done, as the leader reckons it on its own steady clock.
+struct JobObjective {
+    TimePoint acceptedAt;
+    Duration chain; ///< Estimated run time of the longest chain of stages.
+    Duration objective; ///< From acceptance.
+};
+
+/// Lower comes first.
+struct WorkRank {
+    unsigned band = 0; ///< Service tasks, then by priority.
+    unsigned lateness = 0; ///< 0 in time, 1 late, 2 too late to count.
+    TimePoint due;
+
+    bool operator<(WorkRank const& other) const;
+};
+
+/// One stage of one occurrence that has tasks waiting for a worker.
+struct ReadyStage {
+    JobRecord const* job = nullptr;
+    uint32_t occurrence = 0;
+    uint32_t stage = 0;
+    WorkRank rank;
+};
+
+/// The estimated run time of the longest chain of stages from `stage` on.
+Duration remainingChain(JobSpec const& job, size_t stage);
+
+/// The longest chain of the whole job.
+Duration longestChain(JobSpec const& job);
+
+JobObjective objectiveOf(JobSpec const& job, QueueSpec const* queue, TimePoint acceptedAt);
+
+WorkRank rankOf(JobRecord const& job, uint32_t stage, JobObjective const& objective, TimePoint now);
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -0,0 +1,455 @@
+#include "cornelpond/core/scheduling/JobScheduler.h"
+
+#include "cornelpond/core/base/ResultCode.h"
+
+#include <algorithm>
+#include <array>
+
+namespace cornelpond {
+
+namespace {
+
+    /// Waiting tasks are looked at again at least this often, for what changes with time alone.
+    constexpr Duration idlePass = Duration::milliseconds(100);
+    constexpr Duration slowCheckInterval = Duration::milliseconds(250);
+    /// A task whose checkpoint is saved by a stop is stopped this long before its worker leaves.
+    constexpr Duration evacuationLead = Duration::milliseconds(900);
+    /// What an inherited job may have waited at most, whatever the clocks say.
+    constexpr Duration longestInheritedWait = Duration::seconds(30);
+    constexpr Duration overloadRetryAfter = Duration::seconds(2);
+
+    CallResult resultOf(ResultCode code)
+    {
+        switch (code) {
+        case ResultCode::Ok:
+            return CallResult::Done;
+        case ResultCode::OutcomeUnknown:
+            return CallResult::Unknown;
+        default:
+            return CallResult::NotLeader;
+        }
+    }
+
+} // namespace
+
+JobScheduler::JobScheduler(Clock const& clock, EventSink& events, CommandLog& jobLog, CommandLog& rosterLog, QueueTable const& queues, WorkerOrders& orders, DispatchTimes times, JobLimits limits)
+    : clock(clock)
+    , events(events)
+    , jobLog(jobLog)
+    , rosterLog(rosterLog)
+    , queues(queues)
+    , times(times)
+    , limits(limits)
+    , jobTable(this->tableHooks())
+    , workerRoster(this->rosterHooks())
+    , permits(orders, clock, [this] { this->isDirty = true; })
+    , dispatch(clock, events, orders, times, this->jobTable, this->dispatcherHooks())
+    , placer(this->dispatch.workers(), this->times, PlacementLimits())
+{
+}
+
+JobScheduler::~JobScheduler() = default;
+
+JobTableHooks JobScheduler::tableHooks()
+{
+    JobTableHooks hooks;
+    hooks.onStarted = [this](CommitStart const& start) { this->onStartApplied(start); };
+    hooks.onStartRefused = [this](CommitStart const& start) {
+        this->proposed.erase(start.task);
+        this->dispatch.onStartRefused(start);
+        this->isDirty = true;
+    };
+    hooks.onEnded = [this](CommitEnd const& end) { this->onEndApplied(end); };
+    hooks.onJobChanged = [this](JobRecord const& job) { this->onJobChanged(job); };
+    hooks.onJobForgotten = [this](JobId const& job) { this->permits.forgetJob(job); };
+    return hooks;
+}
+
+RosterHooks JobScheduler::rosterHooks()
+{
+    RosterHooks hooks;
+    hooks.onWorkerChanged = [this](WorkerProfile const& profile) { this->dispatch.onWorkerChanged(profile); };
+    hooks.onWorkerRemoved = [this](WorkerId const& worker) { this->dispatch.onWorkerRemoved(worker); };
+    return hooks;
+}
+
+DispatcherHooks JobScheduler::dispatcherHooks()
+{
+    DispatcherHooks hooks;
+    hooks.mayOrder = [this] { return this->jobLog.isLeadershipConfirmed(); };
+    hooks.reportEnd = [this](CommitEnd const& end) { this->updates.emplace_back(end); };
+    hooks.removeWorker = [this](WorkerProfile const& profile) { this->removeWorker(profile); };
+    hooks.permitFor = [this](TaskRef const& task, WorkerId const& worker) { return this->permits.ticket(task, worker); };
+    hooks.onPermitRefused = [this](TaskRef const& task, WorkerId const& worker) { this->permits.invalidate(task, worker); };
+    hooks.onListed = [this](WorkerView& worker) { this->review(worker); };
+    hooks.onRoomChanged = [this] { this->isDirty = true; };
+    return hooks;
+}
+
+void JobScheduler::applyJobCommand(std::string const& command)
+{
+    this->jobTable.apply(decodeJobCommand(command), this->queues);
+}
+
+void JobScheduler::applyRosterCommand(std::string const& command)
+{
+    this->workerRoster.apply(decodeRosterCommand(command));
+}
+
+void JobScheduler::onQueuesChanged()
+{
+    this->jobTable.onQueuesChanged(this->queues);
+    for (auto& [id, tracked] : this->active) {
+        JobRecord const& job = *this->jobTable.find(id);
+        tracked.objective = objectiveOf(job.spec, this->queues.find(job.queue), tracked.objective.acceptedAt);
+    }
+    this->isDirty = true;
+}
+
+void JobScheduler::onLeadership(bool isLeader)
+{
+    this->active.clear();
+    this->proposed.clear();
+    this->updates.clear();
+    this->lastSequence.clear();
+    this->drainEnds.clear();
+    this->permits.clear();
+    if (!isLeader) {
+        this->dispatch.resign();
+        return;
+    }
+    this->dispatch.lead(this->jobLog.term(), this->workerRoster);
+    for (auto const& [id, job] : this->jobTable.all()) {
+        if (job.state == JobState::Active)
+            this->track(job);
+    }
+    this->isDirty = true;
+}
+
+void JobScheduler::track(JobRecord const& job)
+{
+    if (this->active.count(job.spec.id))
+        return;
+    Duration const waited = Duration::milliseconds(this->clock.wallMilliseconds() - job.acceptedWallMs);
+    TimePoint const acceptedAt = this->clock.now() - std::clamp(waited, Duration(), longestInheritedWait);
+    this->active[job.spec.id].objective = objectiveOf(job.spec, this->queues.find(job.queue), acceptedAt);
+}
+
+JobObjective const& JobScheduler::objective(JobRecord const& job)
+{
+    this->track(job);
+    return this->active[job.spec.id].objective;
+}
+
+void JobScheduler::onJobChanged(JobRecord const& job)
+{
+    if (!this->dispatch.isLeading())
+        return;
+    if (job.state == JobState::Active) {
+        this->track(job);
+        this->isDirty = true;
+        return;
+    }
+    auto const tracked = this->active.find(job.spec.id);
+    Duration const lasted = tracked == this->active.end() ? Duration() : this->clock.now() - tracked->second.objective.acceptedAt;
+    Duration const objective = tracked == this->active.end() ? Duration() : tracked->second.objective.objective;
+    constexpr std::array<char const*, 5> names = { "", "active", "completed", "failed", "cancelled" };
+    this->events.emit(Event(EventId::JobEnded)
+                          .with("job", job.spec.id)
+                          .with("queue", job.queue)
+                          .with("state", names.at(static_cast<size_t>(job.state)))
+                          .with("lastedMs", lasted)
+                          .with("objectiveMs", objective));
+    if (tracked != this->active.end())
+        this->active.erase(tracked);
+    this->dispatch.stopUnwanted(job.spec.id);
+    this->isDirty = true;
+}
+
+void JobScheduler::onStartApplied(CommitStart const& start)
+{
+    this->proposed.erase(start.task);
+    this->dispatch.onStartApplied(start);
+}
+
+void JobScheduler::onEndApplied(CommitEnd const& end)
+{
+    if (!this->dispatch.isLeading())
+        return;
+    this->events.emit(Event(EventId::AttemptEnded)
+                          .with("task", end.task.text())
+                          .with("attempt", end.attempt)
+                          .with("worker", end.worker)
+                          .with("outcome", std::string(attemptEndName(end.end)))
+                          .with("checkpoint", end.checkpoint));
+    this->dispatch.onEndApplied(end);
+    this->stopRestOfGang(end);
+    this->isDirty = true;
+}
+
+/// A gang works only whole: once one member is gone, the others would only wait for their time to run out.
+void JobScheduler::stopRestOfGang(CommitEnd const& end)
+{
+    JobRecord const* job = this->jobTable.find(end.task.job);
+    if (!job || end.end == AttemptEnd::Done || !job->spec.stages[end.task.stage].isGang)
+        return;
+    auto const occurrence = job->occurrences.find(end.task.occurrence);
+    if (occurrence == job->occurrences.end())
+        return;
+    auto const& tasks = occurrence->second.stages[end.task.stage].tasks;
+    for (uint32_t index = 0; index < tasks.size(); index++) {
+        for (auto const& attempt : tasks[index].live) {
+            TaskRef member = end.task;
+            member.index = index;
+            WorkerView* worker = this->dispatch.find(attempt.worker);
+            PlacedAttempt* placed = worker ? worker->find({ member, attempt.number }) : nullptr;
+            if (placed)
+                this->dispatch.stop(*worker, *placed);
+        }
+    }
+}
+
+void JobScheduler::submit(JobSpec job, QueueSpec const& queue, std::function<void(SubmitResult const&)> done)
+{
+    if (this->jobTable.find(job.id)) {
+        done({ CallResult::Done, Duration() });
+        return;
+    }
+    if (!this->jobLog.isLeader()) {
+        done({ CallResult::NotLeader, Duration() });
+        return;
+    }
+    if (this->active.size() >= this->limits.maxActiveJobs) {
+        this->events.emit(Event(EventId::JobRefused).with("job", job.id).with("queue", queue.name).with("reason", "too many jobs").with("active", this->active.size()));
+        done({ CallResult::Refused, overloadRetryAfter });
+        return;
+    }
+    JobId const id = job.id;
+    size_t const stages = job.stages.size();
+    SubmitJob command { std::move(job), queue.name, this->clock.wallMilliseconds() };
+    this->jobLog.propose(encodeJobCommand(std::move(command)), [this, id, stages, name = queue.name, done = std::move(done)](ProposalOutcome const& outcome) {
+        CallResult const result = resultOf(outcome.code);
+        this->events.emit(Event(result == CallResult::Done ? EventId::JobAccepted : EventId::JobRefused)
+                              .with("job", id)
+                              .with("queue", name)
+                              .with("stages", stages)
+                              .with("configuration", this->queues.config().version)
+                              .with("code", static_cast<int>(outcome.code)));
+        done({ result, Duration() });
+    });
+}
+
+void JobScheduler::cancel(JobId const& id, Done done)
+{
+    JobRecord const* job = this->jobTable.find(id);
+    if (!job) {
+        done(this->jobLog.isLeadershipConfirmed() ? CallResult::NotFound : CallResult::NotLeader);
+        return;
+    }
+    if (job->state != JobState::Active) {
+        done(CallResult::Done);
+        return;
+    }
+    this->jobLog.propose(encodeJobCommand(CancelJob { id, this->clock.wallMilliseconds() }), [done = std::move(done)](ProposalOutcome const& outcome) { done(resultOf(outcome.code)); });
+}
+
+JobLookup JobScheduler::lookUp(JobId const& id) const
+{
+    JobLookup found;
+    if (!this->jobLog.isLeadershipConfirmed()) {
+        found.result = CallResult::NotLeader;
+        return found;
+    }
+    JobRecord const* job = this->jobTable.find(id);
+    if (!job)
+        return found;
+    found.result = CallResult::Done;
+    found.state = job->state;
+    found.hasStarted = job->hasStarted;
+    return found;
+}
+
+CallResult JobScheduler::countPending(QueueId const& queue, size_t& count) const
+{
+    if (!this->jobLog.isLeadershipConfirmed())
+        return CallResult::NotLeader;
+    count = this->jobTable.pendingCount(queue);
+    return CallResult::Done;
+}
+
+void JobScheduler::announce(WorkerReport const& announcement, Done done)
+{
+    if (!this->jobLog.isLeader()) {
+        done(CallResult::NotLeader);
+        return;
+    }
+    WorkerProfile const& profile = announcement.profile;
+    WorkerProfile const* known = this->workerRoster.find(profile.id);
+    auto& [life, sequence] = this->lastSequence[profile.id];
+    bool const isStale = (known && known->bornMs > profile.bornMs) || (life == profile.bornMs && announcement.sequence && announcement.sequence < sequence);
+    if (isStale) {
+        done(CallResult::Done);
+        return;
+    }
+    life = profile.bornMs;
+    sequence = announcement.sequence;
+    // One process listens at an address: an earlier one there has ended with all that ran on it.
+    WorkerProfile const* former = this->workerRoster.findAtAddress(profile.address, profile.id);
+    if (former && former->bornMs > profile.bornMs) {
+        done(CallResult::Done);
+        return;
+    }
+    if (former)
+        this->removeWorker(*former);
+    if (profile.isDraining)
+        this->drainEnds[profile.id] = this->clock.now() + announcement.drainRemaining;
+    this->dispatch.onAnnounced(profile.id);
+    WorkerProfile expected = profile;
+    if (known && known->bornMs == profile.bornMs)
+        expected.isDraining |= known->isDraining;
+    if (known && *known == expected)
+        done(CallResult::Done);
+    else
+        this->putWorker(expected, std::move(done));
+}
+
+void JobScheduler::putWorker(WorkerProfile const& profile, Done done)
+{
+    this->rosterLog.propose(encodeRosterCommand(PutWorker { profile }), [done = std::move(done)](ProposalOutcome const& outcome) { done(resultOf(outcome.code)); });
+}
+
+void JobScheduler::leave(WorkerId const& worker, Done done)
+{
+    if (!this->jobLog.isLeader()) {
+        done(CallResult::NotLeader);
+        return;
+    }
+    WorkerProfile const* known = this->workerRoster.find(worker);
+    if (!known) {
+        done(CallResult::Done);
+        return;
+    }
+    this->rosterLog.propose(encodeRosterCommand(RemoveWorker { worker, known->bornMs }), [done = std::move(done)](ProposalOutcome const& outcome) { done(resultOf(outcome.code)); });
+}
+
+void JobScheduler::removeWorker(WorkerProfile const& profile)
+{
+    // Nobody waits for it: a removal that is not committed is decided again.
+    this->rosterLog.propose(encodeRosterCommand(RemoveWorker { profile.id, profile.bornMs }), [](ProposalOutcome const&) {});
+}
+
+void JobScheduler::onTick()
+{
+    if (!this->dispatch.isLeading())
+        return;
+    this->dispatch.onTick();
+    TimePoint const now = this->clock.now();
+    if (now >= this->nextSlowCheck) {
+        this->nextSlowCheck = now + slowCheckInterval;
+        this->openDueOccurrences();
+        this->evacuateDraining();
+        this->forgetEnded();
+    }
+    if (this->isDirty || now >= this->nextPass) {
+        this->nextPass = now + idlePass;
+        this->isDirty = false;
+        if (this->jobLog.isLeadershipConfirmed())
+            this->pass();
+    }
+    this->commitUpdates();
+}
+
+void JobScheduler::commitUpdates()
+{
+    if (this->updates.empty())
+        return;
+    auto batch = std::make_shared<UpdateTasks>();
+    batch->updates.swap(this->updates);
+    batch->wallMs = this->clock.wallMilliseconds();
+    Term const term = this->jobLog.term();
+    this->jobLog.propose(encodeJobCommand(*batch), [this, batch, term](ProposalOutcome const& outcome) {
+        // What is lost with the leadership is read back from the workers' lists by the next leader. A batch
+        // that the log did not take for now is proposed again.
+        bool const wasNotTaken = outcome.code != ResultCode::Ok && outcome.code != ResultCode::OutcomeUnknown;
+        if (wasNotTaken && this->dispatch.isLeading() && this->jobLog.term() == term)
+            this->updates.insert(this->updates.begin(), batch->updates.begin(), batch->updates.end());
+    });
+}
+
+void JobScheduler::openDueOccurrences()
+{
+    int64_t const wall = this->clock.wallMilliseconds();
+    for (auto const& [id, tracked] : this->active) {
+        JobRecord const& job = *this->jobTable.find(id);
+        ScheduleSpec const& schedule = job.spec.schedule;
+        if (job.occurrencesOpened >= schedule.occurrences)
+            continue;
+        if (wall >= schedule.firstWallMs + schedule.interval.toMilliseconds() * static_cast<int64_t>(job.occurrencesOpened))
+            this->updates.emplace_back(OpenOccurrence { id, job.occurrencesOpened });
+    }
+}
+
+/// Moves work off workers that are about to leave: service tasks as soon as they have another place, tasks
+/// that save checkpoints shortly before the end.
+void JobScheduler::evacuateDraining()
+{
+    TimePoint const now = this->clock.now();
+    for (auto& [id, worker] : this->dispatch.workers()) {
+        if (!worker.profile.isDraining)
+            continue;
+        auto const ends = this->drainEnds.find(id);
+        bool const isSoon = ends != this->drainEnds.end() && now + evacuationLead >= ends->second;
+        for (auto& [key, attempt] : worker.placed) {
+            if (attempt.isStopping || attempt.isEndReported || attempt.phase != PlacedAttempt::Phase::Running)
+                continue;
+            if (attempt.isService()) {
+                PlacementRequest request;
+                request.task = attempt.task;
+                request.stage = attempt.stage;
+                request.service = worker.profile.service;
+                if (!this->placer.choose(request, now))
+                    continue;
+            } else if (!isSoon || !attempt.stage->savesCheckpoints) {
+                continue;
+            }
+            this->events.emit(Event(EventId::EvictionRequested).with("task", attempt.task.text()).with("attempt", attempt.number).with("worker", id).with("reason", "worker drains"));
+            this->dispatch.stop(worker, attempt);
+        }
+    }
+}
+
+void JobScheduler::forgetEnded()
+{
+    int64_t const horizon = this->clock.wallMilliseconds() - this->limits.keepEnded.toMilliseconds();
+    for (auto const& [id, job] : this->jobTable.all()) {
+        if (job.state != JobState::Active && !job.liveAttempts && job.endedWallMs < horizon)
+            this->updates.emplace_back(ForgetJob { id });
+    }
+}
+
+void JobScheduler::review(WorkerView& worker)
+{
+    InterferenceLimits const harmLimits;
+    TimePoint const now = this->clock.now();
+    HarmReport const report = measureHarm(worker);
+    worker.harmRatio = report.worstRatio;
+    if (report.worstRatio >= harmLimits.slowAt)
+        worker.harmedUntil = now + harmLimits.avoidFor;
+    unsigned const next = nextThrottle(worker, report, now, harmLimits);
+    if (next != worker.throttle) {
+        this->events.emit(Event(EventId::WorkerThrottled)
+                              .with("worker", worker.profile.id)
+                              .with("percent", next)
+                              .with("before", worker.throttle)
+                              .with("ratio", report.worstRatio)
+                              .with("bestEffortMilliCores", worker.bestEffortMilliCores));
+        worker.throttle = next;
+        worker.throttleChanged = now;
+    }
+    for (auto& [key, attempt] : worker.placed) {
+        if (attempt.isBestEffort() && attempt.throttle != worker.throttle)
+            this->dispatch.throttle(worker, attempt, worker.throttle);
+    }
+}
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -0,0 +1,151 @@
+#pragma once
+
+// The scheduler of one group: accepts jobs, places their tasks on workers and follows them to their end.
+// Strings the steps together: replicated jobs, order of work, placement, orders, recovery.
+//
+// Example:
+//   JobScheduler scheduler(clock, events, jobLog, rosterLog, queues, orders, times);
+//   scheduler.submit(job, queue, [](SubmitResult const& result) { answer(result); });
+//   scheduler.onTick(); // every 10 to 20 ms
+//
+// Runs on every voter; only the leader places and orders. Loop thread only.
+
+#include "cornelpond/core/agreement/CommandLog.h"
+#include "cornelpond/core/dispatch/Dispatcher.h"
+#include "cornelpond/core/placement/InterferenceGuard.h"
+#include "cornelpond/core/placement/TaskPlacer.h"
+#include "cornelpond/core/queueing/WorkOrder.h"
+#include "cornelpond/core/scheduling/PermitBook.h"
+
+namespace cornelpond {
+
+struct JobLimits {
+    size_t maxActiveJobs = 5000; ///< Bounds memory; more are refused.
+    size_t maxStartsPerPass = 200; ///< Bounds one turn of the loop.
+    Duration keepEnded = Duration::seconds(180); ///< How long ended jobs can be asked for.
+};
+
+/// How a call that changes something ended.
+enum class CallResult {
+    Done,
+    NotLeader, ///< Nothing was changed; ask the leader.
+    Refused, ///< Nothing was changed and nothing will be.
+    Unknown, ///< It may have been carried out; send it again.
+    NotFound,
+};
+
+struct SubmitResult {
+    CallResult result = CallResult::Done;
+    Duration retryAfter; ///< With Refused.
+};
+
+/// What a worker says of itself.
+struct WorkerReport {
+    WorkerProfile profile;
+    uint64_t sequence = 0; ///< Rises within one life.
+    Duration drainRemaining; ///< The least time left to a draining worker.
+};
+
+struct JobLookup {
+    CallResult result = CallResult::NotFound;
+    JobState state = JobState::Active;
+    bool hasStarted = false;
+};
+
+class JobScheduler {
+public:
+    using Done = std::function<void(CallResult)>;
+
+    /// References must outlive the object; the logs carry this object's commands and nothing else.
+    JobScheduler(Clock const& clock, EventSink& events, CommandLog& jobLog, CommandLog& rosterLog, QueueTable const& queues, WorkerOrders& orders, DispatchTimes times, JobLimits limits);
+    ~JobScheduler();
+    JobScheduler(JobScheduler const&) = delete;
+    JobScheduler& operator=(JobScheduler const&) = delete;
+
+    // State machine hooks.
+    void applyJobCommand(std::string const& command);
+    void applyRosterCommand(std::string const& command);
+    std::string takeJobSnapshot() const { return this->jobTable.takeSnapshot(); }
+    std::string takeRosterSnapshot() const { return this->workerRoster.takeSnapshot(); }
+    void restoreJobs(std::string const& state) { this->jobTable.restore(state); }
+    void restoreRoster(std::string const& state) { this->workerRoster.restore(state); }
+    void onQueuesChanged();
+    void onLeadership(bool isLeader);
+
+    /// Accepted once committed. An id that is known is answered as accepted again.
+    void submit(JobSpec job, QueueSpec const& queue, std::function<void(SubmitResult const&)> done);
+    void cancel(JobId const& job, Done done);
+    JobLookup lookUp(JobId const& job) const;
+    CallResult countPending(QueueId const& queue, size_t& count) const;
+
+    /// Done once it is safe to tell the worker that it was heard.
+    void announce(WorkerReport const& announcement, Done done);
+
+    /// The worker ends now, and all that runs on it.
+    void leave(WorkerId const& worker, Done done);
+
+    /// Call every 10 to 20 ms.
+    void onTick();
+
+    JobTable const& jobs() const { return this->jobTable; }
+    Dispatcher const& dispatcher() const { return this->dispatch; }
+    uint64_t startsDecided() const { return this->starts; }
+
+private:
+    /// A job that is not ended.
+    struct Tracked {
+        JobObjective objective;
+    };
+
+    JobTableHooks tableHooks();
+    RosterHooks rosterHooks();
+    DispatcherHooks dispatcherHooks();
+    void onJobChanged(JobRecord const& job);
+    void onStartApplied(CommitStart const& start);
+    void onEndApplied(CommitEnd const& end);
+    void stopRestOfGang(CommitEnd const& end);
+    void track(JobRecord const& job);
+    JobObjective const& objective(JobRecord const& job);
+    void putWorker(WorkerProfile const& profile, Done done);
+    void removeWorker(WorkerProfile const& profile);
+
+    void pass();
+    std::vector<ReadyStage> collectReady(TimePoint now);
+    void collectReadyOf(JobRecord const& job, TimePoint now, std::vector<ReadyStage>& ready);
+    size_t placeStage(ReadyStage const& ready, TimePoint now);
+    size_t placeGang(ReadyStage const& ready, PlacementRequest request, TimePoint now);
+    bool placeGangOn(ReadyStage const& ready, PlacementRequest const& request, TimePoint now, std::vector<CommitStart>& placed);
+    bool preparePermits(ReadyStage const& ready, PlacementRequest& request);
+    PlacementRequest requestFor(ReadyStage const& ready, TimePoint now);
+    void decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now);
+    void openDueOccurrences();
+    void evacuateDraining();
+    void forgetEnded();
+    void review(WorkerView& worker);
+    void commitUpdates();
+
+    Clock const& clock;
+    EventSink& events;
+    CommandLog& jobLog;
+    CommandLog& rosterLog;
+    QueueTable const& queues;
+    DispatchTimes times;
+    JobLimits limits;
+    JobTable jobTable;
+    WorkerRoster workerRoster;
+    PermitBook permits;
+    Dispatcher dispatch;
+    TaskPlacer placer;
+
+    std::map<JobId, Tracked> active; ///< On the leader: jobs that are not ended.
+    std::set<TaskRef> proposed; ///< Tasks whose start is being committed.
+    std::map<WorkerId, std::pair<int64_t, uint64_t>> lastSequence; ///< Of each worker's life.
+    std::map<WorkerId, TimePoint> drainEnds;
+    std::vector<TaskUpdate> updates; ///< To be committed with the next batch.
+    bool isDirty = false; ///< Waiting tasks may find a place.
+    TimePoint nextPass;
+    TimePoint nextSlowCheck;
+    uint64_t starts = 0;
+};
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/scheduling/JobService.cpp
@@ -0,0 +1,98 @@
+#include "cornelpond/core/scheduling/JobService.h"
+
+#include "cornelpond/core/base/ResultCode.h"
+
+namespace cornelpond {
+
+JobService::JobService(Clock const& clock, EventSink& events, WorkerOrders& orders, DispatchTimes times, JobLimits limits)
+    : events(events)
+    , queueLog(this->machines.add(StateMachinePart::Queues, this->queueHooks()))
+    , workerLog(this->machines.add(StateMachinePart::Workers, this->workerHooks()))
+    , jobLog(this->machines.add(StateMachinePart::Jobs, this->jobHooks()))
+    , jobScheduler(clock, events, this->jobLog, this->workerLog, this->queues, orders, times, limits)
+{
+}
+
+void JobService::attach(CommandLog& carrier)
+{
+    this->log = &carrier;
+    this->machines.attach(carrier);
+}
+
+StateMachineHooks JobService::queueHooks()
+{
+    StateMachineHooks hooks;
+    hooks.apply = [this](LogIndex, std::string const& command) {
+        if (!this->queues.replace(decodeQueueConfig(command)))
+            return;
+        this->events.emit(Event(EventId::ConfigurationInForce).with("version", this->queues.config().version).with("queues", this->queues.config().queues.size()));
+        this->jobScheduler.onQueuesChanged();
+    };
+    hooks.takeSnapshot = [this] { return this->queues.takeSnapshot(); };
+    hooks.restore = [this](std::string const& state) { this->queues.restore(state); };
+    hooks.onLeadership = [](bool) {};
+    return hooks;
+}
+
+StateMachineHooks JobService::workerHooks()
+{
+    StateMachineHooks hooks;
+    hooks.apply = [this](LogIndex, std::string const& command) { this->jobScheduler.applyRosterCommand(command); };
+    hooks.takeSnapshot = [this] { return this->jobScheduler.takeRosterSnapshot(); };
+    hooks.restore = [this](std::string const& state) { this->jobScheduler.restoreRoster(state); };
+    hooks.onLeadership = [](bool) {};
+    return hooks;
+}
+
+StateMachineHooks JobService::jobHooks()
+{
+    StateMachineHooks hooks;
+    hooks.apply = [this](LogIndex, std::string const& command) { this->jobScheduler.applyJobCommand(command); };
+    hooks.takeSnapshot = [this] { return this->jobScheduler.takeJobSnapshot(); };
+    hooks.restore = [this](std::string const& state) { this->jobScheduler.restoreJobs(state); };
+    hooks.onLeadership = [this](bool isLeader) { this->jobScheduler.onLeadership(isLeader); };
+    return hooks;
+}
+
+QueueLookup JobService::findQueue(std::string_view host, std::string_view path, QueueSpec& queue) const
+{
+    if (!this->log || !this->log->isLeadershipConfirmed())
+        return QueueLookup::NotLeader;
+    if (!this->queues.isKnown())
+        return QueueLookup::NoConfiguration;
+    QueueSpec const* found = this->queues.match(host, path);
+    if (!found)
+        return QueueLookup::Unknown;
+    queue = *found;
+    return QueueLookup::Found;
+}
+
+void JobService::replaceQueues(QueueConfig config, JobScheduler::Done done)
+{
+    checkQueueConfig(config);
+    if (!this->isLeader()) {
+        done(CallResult::NotLeader);
+        return;
+    }
+    if (config.version <= this->queues.config().version) {
+        done(CallResult::Done);
+        return;
+    }
+    ConfigVersion const version = config.version;
+    this->queueLog.propose(encodeQueueConfig(config), [this, version, done = std::move(done)](ProposalOutcome const& outcome) {
+        bool const isCommitted = outcome.code == ResultCode::Ok;
+        this->events.emit(Event(isCommitted ? EventId::ConfigurationAccepted : EventId::ConfigurationRefused).with("version", version).with("code", static_cast<int>(outcome.code)));
+        if (isCommitted)
+            done(CallResult::Done);
+        else
+            done(outcome.code == ResultCode::OutcomeUnknown ? CallResult::Unknown : CallResult::NotLeader);
+    });
+}
+
+QueueConfig const* JobService::readQueues() const
+{
+    bool const isSure = this->log && this->log->isLeadershipConfirmed();
+    return isSure && this->queues.isKnown() ? &this->queues.config() : nullptr;
+}
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -0,0 +1,190 @@
+// One pass of the scheduler over the waiting tasks: what gets which room now.
+
+#include "cornelpond/core/scheduling/JobScheduler.h"
+
+#include <algorithm>
+
+namespace cornelpond {
+
+namespace {
+
+    /// A task leaves its data's rack when it has waited for so much of its estimated run time.
+    constexpr int64_t rackPatienceShare = 2;
+
+} // namespace
+
+void JobScheduler::pass()
+{
+    TimePoint const now = this->clock.now();
+    std::vector<ReadyStage> ready = this->collectReady(now);
+    std::stable_sort(ready.begin(), ready.end(), [](ReadyStage const& left, ReadyStage const& right) { return left.rank < right.rank; });
+    size_t placed = 0;
+    for (auto const& stage : ready) {
+        placed += this->placeStage(stage, now);
+        if (placed >= this->limits.maxStartsPerPass)
+            break;
+    }
+    this->isDirty = this->isDirty || placed >= this->limits.maxStartsPerPass;
+}
+
+std::vector<ReadyStage> JobScheduler::collectReady(TimePoint now)
+{
+    std::vector<ReadyStage> ready;
+    for (auto const& [id, tracked] : this->active)
+        this->collectReadyOf(*this->jobTable.find(id), now, ready);
+    return ready;
+}
+
+void JobScheduler::collectReadyOf(JobRecord const& job, TimePoint now, std::vector<ReadyStage>& ready)
+{
+    for (auto const& [number, occurrence] : job.occurrences) {
+        for (uint32_t stage = 0; stage < occurrence.stages.size(); stage++) {
+            if (!occurrence.stages[stage].waitingCount || !job.isStageReady(occurrence, stage))
+                continue;
+            JobObjective objective = this->objective(job);
+            if (job.spec.isScheduled()) {
+                int64_t const dueIn = job.spec.schedule.firstWallMs + job.spec.schedule.interval.toMilliseconds() * static_cast<int64_t>(number) - this->clock.wallMilliseconds();
+                objective.acceptedAt = now + Duration::milliseconds(dueIn);
+            }
+            ready.push_back({ &job, number, stage, rankOf(job, stage, objective, now) });
+        }
+    }
+}
+
+PlacementRequest JobScheduler::requestFor(ReadyStage const& ready, TimePoint now)
+{
+    PlacementRequest request;
+    request.task = { ready.job->spec.id, ready.occurrence, ready.stage, 0 };
+    request.stage = &ready.job->spec.stages[ready.stage];
+    request.service = ready.job->service;
+    if (!request.stage->dataRack.empty()) {
+        Duration const waited = now - this->objective(*ready.job).acceptedAt;
+        bool const hasRack = std::any_of(this->dispatch.workers().begin(), this->dispatch.workers().end(), [&](auto const& entry) {
+            return entry.second.profile.rack == request.stage->dataRack && entry.second.takesTasks(now, this->times);
+        });
+        request.mayLeaveDataRack = !hasRack || waited > request.stage->estimate * rackPatienceShare;
+    }
+    return request;
+}
+
+size_t JobScheduler::placeStage(ReadyStage const& ready, TimePoint now)
+{
+    PlacementRequest request = this->requestFor(ready, now);
+    if (!this->preparePermits(ready, request))
+        return 0;
+    if (request.stage->isGang)
+        return this->placeGang(ready, request, now);
+    auto const& tasks = ready.job->occurrences.at(ready.occurrence).stages[ready.stage].tasks;
+    size_t placed = 0;
+    for (uint32_t index = 0; index < tasks.size(); index++) {
+        request.task.index = index;
+        if (!tasks[index].isWaiting() || this->proposed.count(request.task))
+            continue;
+        WorkerView* worker = this->placer.choose(request, now);
+        if (!worker)
+            break;
+        this->decideStart(*worker, { request.task, tasks[index].lastAttempt.next(), worker->profile.id }, ready, now);
+        placed++;
+    }
+    return placed;
+}
+
+/// Asks early for permits where the queue needs them; false while there are none.
+bool JobScheduler::preparePermits(ReadyStage const& ready, PlacementRequest& request)
+{
+    QueueSpec const* queue = this->queues.find(ready.job->queue);
+    if (!queue || !queue->permits.isRequired)
+        return true;
+    std::vector<WorkerView const*> workers;
+    for (auto const& [id, worker] : this->dispatch.workers()) {
+        if (worker.profile.service == request.service && worker.takesTasks(this->clock.now(), this->times))
+            workers.push_back(&worker);
+    }
+    constexpr size_t candidates = 12; // Each worker named costs the policy service time.
+    size_t const asked = std::min(candidates, workers.size());
+    std::partial_sort(workers.begin(), workers.begin() + static_cast<std::ptrdiff_t>(asked), workers.end(),
+        [](auto const* left, auto const* right) { return left->freeRoom().milliCores > right->freeRoom().milliCores; });
+    std::vector<WorkerId> named;
+    for (size_t i = 0; i < asked; i++)
+        named.push_back(workers[i]->profile.id);
+    if (!this->permits.request(request.task, queue->permits, named))
+        return false;
+    request.permitted = &this->permits.allowed(request.task);
+    return true;
+}
+
+/// All members or none: on one rack where that is wanted and possible, else anywhere.
+size_t JobScheduler::placeGang(ReadyStage const& ready, PlacementRequest request, TimePoint now)
+{
+    auto const& tasks = ready.job->occurrences.at(ready.occurrence).stages[ready.stage].tasks;
+    bool const isWhole = std::all_of(tasks.begin(), tasks.end(), [](auto const& task) { return task.isWaiting(); });
+    if (!isWhole || this->proposed.count(request.task))
+        return 0;
+    std::vector<CommitStart> placed;
+    bool done = false;
+    if (request.stage->wantsOneRack) {
+        std::set<RackId> racks;
+        for (auto const& [id, worker] : this->dispatch.workers())
+            racks.insert(worker.profile.rack);
+        for (auto const& rack : racks) {
+            request.onlyRack = rack;
+            done = this->placeGangOn(ready, request, now, placed);
+            if (done)
+                break;
+        }
+        request.onlyRack = RackId();
+    }
+    bool const isPatient = request.stage->wantsOneRack && now - this->objective(*ready.job).acceptedAt < request.stage->estimate;
+    if (!done && !isPatient)
+        done = this->placeGangOn(ready, request, now, placed);
+    if (!done)
+        return 0;
+    for (auto const& start : placed)
+        this->decideStart(*this->dispatch.find(start.worker), start, ready, now);
+    return placed.size();
+}
+
+bool JobScheduler::placeGangOn(ReadyStage const& ready, PlacementRequest const& request, TimePoint now, std::vector<CommitStart>& placed)
+{
+    auto const& tasks = ready.job->occurrences.at(ready.occurrence).stages[ready.stage].tasks;
+    AttemptNumber last;
+    for (auto const& task : tasks)
+        last = std::max(last, task.lastAttempt);
+    PlacementRequest member = request;
+    placed.clear();
+    for (uint32_t index = 0; index < tasks.size(); index++) {
+        member.task.index = index;
+        WorkerView* worker = this->placer.choose(member, now);
+        if (!worker)
+            break;
+        this->dispatch.reserve(*worker, member.task, last.next());
+        placed.push_back({ member.task, last.next(), worker->profile.id });
+    }
+    for (auto const& start : placed)
+        this->dispatch.find(start.worker)->remove({ start.task, start.attempt });
+    return placed.size() == tasks.size();
+}
+
+void JobScheduler::decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now)
+{
+    StageSpec const& stage = ready.job->spec.stages[ready.stage];
+    JobObjective const& objective = this->objective(*ready.job);
+    this->events.emit(Event(EventId::TaskPlaced)
+                          .with("task", start.task.text())
+                          .with("attempt", start.attempt)
+                          .with("worker", start.worker)
+                          .with("listedMs", now - worker.lastAnswer)
+                          .with("freeMilliCores", worker.freeRoom().milliCores)
+                          .with("harm", static_cast<int>(worker.harmRatio * 100))
+                          .with("sinceAcceptedMs", now - objective.acceptedAt)
+                          .with("objectiveMs", objective.objective)
+                          .with("lateness", ready.rank.lateness));
+    this->dispatch.reserve(worker, start.task, start.attempt);
+    if (stage.isBestEffort)
+        worker.lastBestEffortPlaced = now;
+    this->proposed.insert(start.task);
+    this->updates.emplace_back(start);
+    this->starts++;
+}
+
+} // namespace cornelpond
