--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -163,6 +163,9 @@
     WorkerView* view = this->leading ? this->find(end.worker) : nullptr;
     if (!view)
         return;
+    PlacedAttempt const* ended = view->find({ end.task, end.attempt });
+    if (ended && ended->isBestEffort())
+        view->bestEffortLeft = this->clock.now();
     view->remove({ end.task, end.attempt });
     this->acknowledgeEnds(*view);
     if (view->listedEnds.empty())
@@ -608,10 +611,12 @@
         if (!throttled)
             return;
         throttled->throttleIsOpen = false;
-        if (answer.result == OrderResult::Accepted)
+        if (answer.result == OrderResult::Accepted) {
             throttled->throttleSent = percent;
-        else
-            this->events.emit(Event(EventId::OrderFailed).with("order", "throttle").with("task", key.first.text()).with("worker", worker).with("result", std::string(orderResultName(answer.result))));
+            throttled->throttledAt = this->clock.now();
+            return;
+        }
+        this->events.emit(Event(EventId::OrderFailed).with("order", "throttle").with("task", key.first.text()).with("worker", worker).with("result", std::string(orderResultName(answer.result))));
     }));
 }
 
--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -25,23 +25,50 @@
     AttemptKey const key { attempt.task, attempt.number };
     auto const [entry, isNew] = this->placed.emplace(key, std::move(attempt));
     PlacedAttempt& held = entry->second;
-    if (isNew) {
-        this->reserved += held.reserved();
-        this->bestEffortMilliCores += held.isBestEffort() ? held.stage->need.milliCores : 0;
-        this->serviceMilliCores += held.isService() ? held.stage->need.milliCores : 0;
-    }
+    if (isNew)
+        this->count(held, 1);
     return held;
 }
 
+namespace {
+
+    void countImage(std::map<std::string, ImageLoad>& images, StageSpec const& stage, int direction)
+    {
+        auto const entry = images.try_emplace(stage.image).first;
+        entry->second.tasks += direction;
+        entry->second.milliCores += stage.need.milliCores * direction;
+        if (!entry->second.tasks)
+            images.erase(entry);
+    }
+
+} // namespace
+
+/// Adds the attempt to the sums, or takes it out again.
+void WorkerView::count(PlacedAttempt const& attempt, int direction)
+{
+    Resources const amount = attempt.reserved();
+    if (direction > 0)
+        this->reserved += amount;
+    else
+        this->reserved -= amount;
+    int64_t const milliCores = attempt.stage->need.milliCores * direction;
+    if (attempt.isBestEffort()) {
+        this->bestEffortMilliCores += milliCores;
+        countImage(this->bestEffortImages, *attempt.stage, direction);
+    }
+    if (attempt.isService()) {
+        this->serviceMilliCores += milliCores;
+        if (attempt.stage->latencyTarget > Duration())
+            countImage(this->serviceImages, *attempt.stage, direction);
+    }
+}
+
 void WorkerView::remove(AttemptKey const& key)
 {
     auto const found = this->placed.find(key);
     if (found == this->placed.end())
         return;
-    PlacedAttempt const& gone = found->second;
-    this->reserved -= gone.reserved();
-    this->bestEffortMilliCores -= gone.isBestEffort() ? gone.stage->need.milliCores : 0;
-    this->serviceMilliCores -= gone.isService() ? gone.stage->need.milliCores : 0;
+    this->count(found->second, -1);
     this->placed.erase(found);
 }
 
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -74,6 +74,7 @@
     unsigned throttle = 100; ///< Wanted.
     unsigned throttleSent = 100; ///< Acknowledged.
     bool throttleIsOpen = false;
+    TimePoint throttledAt; ///< When the worker last confirmed a change.
 
     bool isService() const { return this->stage->isService; }
     bool isBestEffort() const { return this->stage->isBestEffort; }
@@ -90,6 +91,12 @@
     bool isListed = true;
 };
 
+/// Tasks of one image on a worker.
+struct ImageLoad {
+    int tasks = 0;
+    int64_t milliCores = 0; ///< Asked for.
+};
+
 class WorkerView {
 public:
     WorkerView(WorkerProfile profile, TimePoint now);
@@ -126,6 +133,8 @@
     Resources reserved;
     int64_t bestEffortMilliCores = 0; ///< Asked for by best-effort tasks.
     int64_t serviceMilliCores = 0; ///< Reserved by service tasks.
+    std::map<std::string, ImageLoad> serviceImages; ///< Placed service tasks with a latency target, by image.
+    std::map<std::string, ImageLoad> bestEffortImages; ///< Placed best-effort tasks, by image.
 
     bool knowsClock = false;
     Duration clock;
@@ -147,8 +156,11 @@
     unsigned throttle = 100; ///< Of all best-effort tasks here.
     TimePoint throttleChanged;
     TimePoint lastBestEffortPlaced;
-    TimePoint harmedUntil; ///< A service task was near or over its target not long ago.
-    double harmRatio = 0; ///< Worst tail over target at the last look; 0 without a service task.
+    TimePoint bestEffortLeft; ///< When a best-effort task last left.
+    double tailRatio = 0; ///< Worst tail over target at the last look; 0 without a service task.
+
+private:
+    void count(PlacedAttempt const& attempt, int direction);
 };
 
 } // namespace cornelpond
--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -4,8 +4,9 @@
 
 namespace cornelpond {
 
-TaskPlacer::TaskPlacer(std::map<WorkerId, WorkerView>& workers, DispatchTimes const& times, PlacementLimits limits)
+TaskPlacer::TaskPlacer(std::map<WorkerId, WorkerView>& workers, InterferenceModel const& interference, DispatchTimes const& times, PlacementLimits limits)
     : workers(workers)
+    , interference(interference)
     , times(times)
     , limits(limits)
 {
@@ -62,13 +63,37 @@
         return false;
     if (stage.maxPerWorker && worker.countOfStage(request.task) >= stage.maxPerWorker)
         return false;
-    if (!stage.isBestEffort)
-        return true;
-    if (worker.throttle < 100 || now < worker.harmedUntil)
+    return !stage.isBestEffort || this->mayRunBestEffort(worker, stage, now);
+}
+
+bool TaskPlacer::mayRunBestEffort(WorkerView const& worker, StageSpec const& stage, TimePoint now) const
+{
+    if (worker.throttle < 100)
         return false;
-    if (worker.serviceMilliCores && now - worker.lastBestEffortPlaced < this->limits.bestEffortPause)
+    if (this->unusedMilliCores(worker) < static_cast<double>(stage.need.milliCores) * this->limits.bestEffortShare)
         return false;
-    return this->unusedMilliCores(worker) >= static_cast<double>(stage.need.milliCores) * this->limits.bestEffortShare;
+    auto const present = worker.bestEffortImages.find(stage.image);
+    int64_t const milliCores = stage.need.milliCores + (present == worker.bestEffortImages.end() ? 0 : present->second.milliCores);
+    double const use = static_cast<double>(milliCores) / static_cast<double>(std::max<int64_t>(worker.profile.capacity.milliCores, 1));
+    return std::all_of(worker.serviceImages.begin(), worker.serviceImages.end(), [&](auto const& entry) {
+        std::string const& service = entry.first;
+        if (this->interference.isOnTrial(service, stage.image)) {
+            // Tried with nothing else beside it that would blur the picture, on few workers at a time.
+            bool const isBlurred = worker.bestEffortImages.size() > (present == worker.bestEffortImages.end() ? 0U : 1U);
+            if (isBlurred || (present == worker.bestEffortImages.end() && this->trialsOf(service, stage.image) >= this->limits.trialWorkers))
+                return false;
+            if (present == worker.bestEffortImages.end())
+                return !this->interference.isHarmful(service, stage.image, now);
+        }
+        return use <= this->interference.allowedUse(service, stage.image, now);
+    });
+}
+
+unsigned TaskPlacer::trialsOf(std::string const& service, std::string const& image) const
+{
+    return static_cast<unsigned>(std::count_if(this->workers.begin(), this->workers.end(), [&](auto const& entry) {
+        return entry.second.serviceImages.count(service) && entry.second.bestEffortImages.count(image);
+    }));
 }
 
 double TaskPlacer::unusedMilliCores(WorkerView const& worker) const
@@ -78,18 +103,35 @@
     return static_cast<double>(worker.profile.capacity.milliCores - worker.bestEffortMilliCores) - others - service * this->limits.serviceUse;
 }
 
-/// The higher the better: on the data's rack first, then where most is left.
+/// The higher the better: on the data's rack first. Service tasks stand with their like, so that many
+/// workers stay open to any one best-effort image; best-effort tasks go where most is left; other tasks
+/// where they leave the least, so that large holes stay for large tasks.
 double TaskPlacer::score(WorkerView const& worker, PlacementRequest const& request) const
 {
     constexpr double rackBonus = 10;
+    StageSpec const& stage = *request.stage;
     auto const capacity = static_cast<double>(std::max<int64_t>(worker.profile.capacity.milliCores, 1));
-    double const left = request.stage->isBestEffort ? this->unusedMilliCores(worker) : static_cast<double>(worker.freeRoom().milliCores);
-    double score = left / capacity;
-    if (!request.stage->dataRack.empty() && worker.profile.rack == request.stage->dataRack)
+    double score = 0;
+    if (stage.isBestEffort)
+        score = this->unusedMilliCores(worker) / capacity - worker.tailRatio;
+    else
+        score = serviceScore(worker, stage) - static_cast<double>(worker.freeRoom().milliCores) / capacity;
+    if (!stage.dataRack.empty() && worker.profile.rack == stage.dataRack)
         score += rackBonus;
-    if (request.stage->isBestEffort)
-        score -= worker.harmRatio;
     return score;
 }
 
+double TaskPlacer::serviceScore(WorkerView const& worker, StageSpec const& stage)
+{
+    constexpr double amongItsLike = 4;
+    constexpr double amongNone = 2;
+    if (!stage.isService || stage.latencyTarget <= Duration())
+        return 0;
+    if (worker.serviceImages.empty())
+        return amongNone;
+    auto const same = worker.serviceImages.find(stage.image);
+    double const others = static_cast<double>(worker.serviceImages.size() - (same == worker.serviceImages.end() ? 0 : 1));
+    return (same == worker.serviceImages.end() ? 0 : amongItsLike) - others;
+}
+
 } // namespace cornelpond
--- a/cornelpond/core/placement/TaskPlacer.h
+++ b/cornelpond/core/placement/TaskPlacer.h
@@ -11,6 +11,7 @@
 //       dispatcher.reserve(*worker, request.task, attempt);
 
 #include "cornelpond/core/dispatch/WorkerView.h"
+#include "cornelpond/core/placement/InterferenceModel.h"
 
 #include <map>
 
@@ -21,8 +22,8 @@
     double serviceUse = 0.5;
     /// A best-effort task is placed where at least so much of what it asks for is left.
     double bestEffortShare = 0.8;
-    /// Between two best-effort tasks put beside service tasks, so that harm shows before the next comes.
-    Duration bestEffortPause = Duration::milliseconds(120);
+    /// On so many workers at once a best-effort image is tried beside a service image that it may harm.
+    unsigned trialWorkers = 2;
 };
 
 struct PlacementRequest {
@@ -38,7 +39,7 @@
 class TaskPlacer {
 public:
     /// References must outlive the object.
-    TaskPlacer(std::map<WorkerId, WorkerView>& workers, DispatchTimes const& times, PlacementLimits limits);
+    TaskPlacer(std::map<WorkerId, WorkerView>& workers, InterferenceModel const& interference, DispatchTimes const& times, PlacementLimits limits);
 
     /// Null when no worker fits now.
     WorkerView* choose(PlacementRequest const& request, TimePoint now) const;
@@ -52,9 +53,13 @@
 private:
     bool fits(WorkerView const& worker, PlacementRequest const& request, TimePoint now) const;
     static bool isAllowed(WorkerView const& worker, PlacementRequest const& request);
+    bool mayRunBestEffort(WorkerView const& worker, StageSpec const& stage, TimePoint now) const;
+    unsigned trialsOf(std::string const& service, std::string const& image) const;
     double score(WorkerView const& worker, PlacementRequest const& request) const;
+    static double serviceScore(WorkerView const& worker, StageSpec const& stage);
 
     std::map<WorkerId, WorkerView>& workers;
+    InterferenceModel const& interference;
     DispatchTimes const& times;
     PlacementLimits limits;
 };
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -44,7 +44,7 @@
     , workerRoster(this->rosterHooks())
     , permits(orders, clock, [this] { this->isDirty = true; })
     , dispatch(clock, events, orders, times, this->jobTable, this->dispatcherHooks())
-    , placer(this->dispatch.workers(), this->times, PlacementLimits())
+    , placer(this->dispatch.workers(), this->interference, this->times, PlacementLimits())
 {
 }
 
@@ -114,6 +114,7 @@
     this->lastSequence.clear();
     this->drainEnds.clear();
     this->permits.clear();
+    this->interference.clear();
     if (!isLeader) {
         this->dispatch.resign();
         return;
@@ -427,29 +428,66 @@
     }
 }
 
+/// Takes in what a worker listed: best-effort tasks that harm a service task there go elsewhere.
 void JobScheduler::review(WorkerView& worker)
 {
-    InterferenceLimits const harmLimits;
     TimePoint const now = this->clock.now();
-    HarmReport const report = measureHarm(worker);
-    worker.harmRatio = report.worstRatio;
-    if (report.worstRatio >= harmLimits.slowAt)
-        worker.harmedUntil = now + harmLimits.avoidFor;
-    unsigned const next = nextThrottle(worker, report, now, harmLimits);
-    if (next != worker.throttle) {
-        this->events.emit(Event(EventId::WorkerThrottled)
-                              .with("worker", worker.profile.id)
-                              .with("percent", next)
-                              .with("before", worker.throttle)
-                              .with("ratio", report.worstRatio)
-                              .with("bestEffortMilliCores", worker.bestEffortMilliCores));
-        worker.throttle = next;
-        worker.throttleChanged = now;
-    }
+    worker.tailRatio = worstTailRatio(worker);
+    this->interference.observe(worker, now);
+    this->easeOrSlow(worker, now);
     for (auto& [key, attempt] : worker.placed) {
-        if (attempt.isBestEffort() && attempt.throttle != worker.throttle)
-            this->dispatch.throttle(worker, attempt, worker.throttle);
+        if (!attempt.isBestEffort() || attempt.isStopping || attempt.isEndReported)
+            continue;
+        bool const isHarmful = this->interference.harmsAny(worker, attempt.stage->image, now);
+        unsigned const percent = isHarmful ? 0 : worker.throttle;
+        if (attempt.throttle != percent)
+            this->dispatch.throttle(worker, attempt, percent);
+        if (!isHarmful || attempt.phase != PlacedAttempt::Phase::Running)
+            continue;
+        this->events.emit(Event(EventId::EvictionRequested)
+                              .with("task", attempt.task.text())
+                              .with("attempt", attempt.number)
+                              .with("worker", worker.profile.id)
+                              .with("image", attempt.stage->image)
+                              .with("tailPercent", static_cast<int>(worker.tailRatio * 100))
+                              .with("reason", "harms a service task"));
+        this->dispatch.stop(worker, attempt);
     }
 }
 
+/// Slows all best-effort tasks of a worker whose service tasks come near their targets though no pair of
+/// images is to blame, and lets them go again.
+void JobScheduler::easeOrSlow(WorkerView& worker, TimePoint now)
+{
+    constexpr double slowAt = 0.95; ///< Tail over target.
+    constexpr double easeBelow = 0.75;
+    constexpr double aimAt = 0.8; ///< Harm falls about in line with what best-effort tasks use.
+    constexpr double hardestCut = 0.1;
+    constexpr unsigned easeStep = 25; // Percent points.
+    constexpr unsigned least = 10; // Percent; less counts as a full stop.
+    constexpr unsigned full = 100;
+    constexpr Duration settle = Duration::milliseconds(700); // The throttle's own delay and the span of the figures.
+    unsigned next = worker.throttle;
+    if (worker.serviceImages.empty())
+        next = full;
+    else if (now - worker.throttleChanged < settle)
+        return;
+    else if (worker.tailRatio >= slowAt && !worker.bestEffortImages.empty())
+        next = static_cast<unsigned>(next * std::max(aimAt / worker.tailRatio, hardestCut));
+    else if (worker.tailRatio < easeBelow)
+        next = std::min(full, next + easeStep);
+    if (next < least)
+        next = 0;
+    if (next == worker.throttle)
+        return;
+    this->events.emit(Event(EventId::WorkerThrottled)
+                          .with("worker", worker.profile.id)
+                          .with("percent", next)
+                          .with("before", worker.throttle)
+                          .with("tailPercent", static_cast<int>(worker.tailRatio * 100))
+                          .with("bestEffortMilliCores", worker.bestEffortMilliCores));
+    worker.throttle = next;
+    worker.throttleChanged = now;
+}
+
 } // namespace cornelpond
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -12,7 +12,7 @@
 
 #include "cornelpond/core/agreement/CommandLog.h"
 #include "cornelpond/core/dispatch/Dispatcher.h"
-#include "cornelpond/core/placement/InterferenceGuard.h"
+#include "cornelpond/core/placement/InterferenceModel.h"
 #include "cornelpond/core/placement/TaskPlacer.h"
 #include "cornelpond/core/queueing/WorkOrder.h"
 #include "cornelpond/core/scheduling/PermitBook.h"
@@ -122,6 +122,7 @@
     void evacuateDraining();
     void forgetEnded();
     void review(WorkerView& worker);
+    void easeOrSlow(WorkerView& worker, TimePoint now);
     void commitUpdates();
 
     Clock const& clock;
@@ -135,6 +136,7 @@
     WorkerRoster workerRoster;
     PermitBook permits;
     Dispatcher dispatch;
+    InterferenceModel interference;
     TaskPlacer placer;
 
     std::map<JobId, Tracked> active; ///< On the leader: jobs that are not ended.
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -175,7 +175,7 @@
                           .with("worker", start.worker)
                           .with("listedMs", now - worker.lastAnswer)
                           .with("freeMilliCores", worker.freeRoom().milliCores)
-                          .with("harm", static_cast<int>(worker.harmRatio * 100))
+                          .with("tailPercent", static_cast<int>(worker.tailRatio * 100))
                           .with("sinceAcceptedMs", now - objective.acceptedAt)
                           .with("objectiveMs", objective.objective)
                           .with("lateness", ready.rank.lateness));
