Keep some workers free of service tasks for short ones

Ruled out: order of work (short tasks ranked first already) and workers refusing starts (none rejected). 6 % of a service's workers are no longer opened to service tasks.

--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -16,9 +16,13 @@
 {
     WorkerView* best = nullptr;
     double bestScore = 0;
+    int64_t const openMilliCores = request.stage->isService ? this->openToServices(request) : 0;
     for (auto& [id, worker] : this->workers) {
         if (!this->fits(worker, request, now))
             continue;
+        bool const opensWorker = request.stage->isService && !worker.serviceMilliCores;
+        if (opensWorker && worker.profile.capacity.milliCores > openMilliCores)
+            continue;
         double const score = this->score(worker, request);
         if (best && score <= bestScore)
             continue;
@@ -28,6 +32,20 @@
     return best;
 }
 
+/// Cores of workers without service tasks that may be opened to them.
+int64_t TaskPlacer::openToServices(PlacementRequest const& request) const
+{
+    int64_t all = 0;
+    int64_t unopened = 0;
+    for (auto const& [id, worker] : this->workers) {
+        if (worker.profile.service != request.service || worker.profile.isDraining || !worker.isListed)
+            continue;
+        all += worker.profile.capacity.milliCores;
+        unopened += worker.serviceMilliCores ? 0 : worker.profile.capacity.milliCores;
+    }
+    return unopened - static_cast<int64_t>(static_cast<double>(all) * this->limits.shortTaskShare);
+}
+
 bool TaskPlacer::couldEverFit(PlacementRequest const& request) const
 {
     return std::any_of(this->workers.begin(), this->workers.end(), [&](auto const& entry) {
--- a/cornelpond/core/placement/TaskPlacer.h
+++ b/cornelpond/core/placement/TaskPlacer.h
@@ -22,6 +22,9 @@
     double serviceUse = 0.5;
     /// A best-effort task is placed where at least so much of what it asks for is left.
     double bestEffortShare = 0.8;
+    /// Of a service's workers, kept free of service tasks: these stay for long, and without it short tasks
+    /// would only find what is left over between them.
+    double shortTaskShare = 0.06;
     /// On so many workers at once a best-effort image is tried beside a service image that it may harm.
     unsigned trialWorkers = 2;
 };
@@ -52,6 +55,7 @@
 
 private:
     bool fits(WorkerView const& worker, PlacementRequest const& request, TimePoint now) const;
+    int64_t openToServices(PlacementRequest const& request) const;
     static bool isAllowed(WorkerView const& worker, PlacementRequest const& request);
     bool mayRunBestEffort(WorkerView const& worker, StageSpec const& stage, TimePoint now) const;
     unsigned trialsOf(std::string const& service, std::string const& image) const;
