Let service tasks that ran before take the room kept for short ones

Ruled out: leases and dispatch (the stop was confirmed, nothing was sent). First starts of services still leave the room free.

--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -16,11 +16,12 @@
 {
     WorkerView* best = nullptr;
     double bestScore = 0;
-    int64_t const openMilliCores = request.stage->isService ? this->openToServices(request) : 0;
+    bool const keepsRoom = request.stage->isService && !request.isRestart;
+    int64_t const openMilliCores = keepsRoom ? this->openToServices(request) : 0;
     for (auto& [id, worker] : this->workers) {
         if (!this->fits(worker, request, now))
             continue;
-        bool const opensWorker = request.stage->isService && !worker.serviceMilliCores;
+        bool const opensWorker = keepsRoom && !worker.serviceMilliCores;
         if (opensWorker && worker.profile.capacity.milliCores > openMilliCores)
             continue;
         double const score = this->score(worker, request);
--- a/cornelpond/core/placement/TaskPlacer.h
+++ b/cornelpond/core/placement/TaskPlacer.h
@@ -34,6 +34,7 @@
     StageSpec const* stage = nullptr;
     ServiceId service;
     bool mayLeaveDataRack = true; ///< Waiting for the data's rack costs more than running elsewhere.
+    bool isRestart = false; ///< The task has run before: it may take the room kept free of service tasks.
     RackId onlyRack; ///< Empty: any.
     WorkerId avoid; ///< Where another attempt of the task runs; empty: none.
     std::set<WorkerId> const* permitted = nullptr; ///< Null: all.
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -3,6 +3,7 @@
 #include "cornelpond/core/scheduling/JobScheduler.h"
 
 #include <algorithm>
+#include <array>
 
 namespace cornelpond {
 
@@ -76,13 +77,20 @@
         return this->placeGang(ready, request, now);
     auto const& tasks = ready.job->occurrences.at(ready.occurrence).stages[ready.stage].tasks;
     size_t placed = 0;
+    std::array<bool, 2> noRoom {}; // For first starts, for restarts.
     for (uint32_t index = 0; index < tasks.size(); index++) {
         request.task.index = index;
         if (!tasks[index].isWaiting() || this->proposed.count(request.task))
             continue;
+        bool const isRestart = tasks[index].lastAttempt > AttemptNumber();
+        if (noRoom[isRestart])
+            continue;
+        request.isRestart = isRestart;
         WorkerView* worker = this->placer.choose(request, now);
-        if (!worker)
-            break;
+        if (!worker) {
+            noRoom[isRestart] = true;
+            continue;
+        }
         this->decideStart(*worker, { request.task, tasks[index].lastAttempt.next(), worker->profile.id }, ready, now);
         placed++;
     }
