--- a/cornelpond/app/FleetSettings.cpp
+++ b/cornelpond/app/FleetSettings.cpp
@@ -52,6 +52,11 @@
     /// A machine that came in place of another counts as present a few seconds after its start; by then its
     /// vote must have replaced the lost one's.
     constexpr Duration voterLostAfter = Duration::seconds(2);
+    /// A host that was cut off must be back among the voters within the second after the cut heals, as the
+    /// next loss may follow at once: the steps of a replacement are not waited for longer than a round trip.
+    constexpr Duration voterCheckInterval = Duration::milliseconds(60);
+    constexpr Duration peerHandshake = Duration::milliseconds(500);
+    constexpr Duration peerBackoff = Duration::milliseconds(300);
 
     void checkAddress(nlohmann::json const& value, std::string const& pointer, std::vector<DocumentFault>& faults)
     {
@@ -158,7 +163,10 @@
     settings.voterLostAfter = voterLostAfter;
     bool const isSeed = std::any_of(fleet.seeds.begin(), fleet.seeds.end(), [&](auto const& seed) { return seed.ip == fleet.listen.peers.ip; });
     settings.dialsAllPeers = !isFounder || !isSeed;
+    settings.voterCheckInterval = voterCheckInterval;
     settings.peerHeartbeat = peerHeartbeat;
+    settings.peerHandshake = peerHandshake;
+    settings.peerBackoff = peerBackoff;
     settings.admitNewHosts = true;
     return settings;
 }
--- a/cornelpond/app/HostNetwork.cpp
+++ b/cornelpond/app/HostNetwork.cpp
@@ -11,7 +11,6 @@
 namespace {
 
     constexpr Duration hostTickInterval = Duration::milliseconds(100);
-    constexpr Duration voterCheckInterval = Duration::milliseconds(500);
     constexpr Duration leaderRetry = Duration::milliseconds(100);
     constexpr Duration transferRetry = Duration::milliseconds(1500); ///< A transfer not done by then was given up.
     constexpr Duration newcomerForgotten = Duration::minutes(10);
@@ -52,6 +51,8 @@
     {
         PeerLinkTimes times;
         times.heartbeatMin = settings.peerHeartbeat;
+        times.handshakeTimeout = settings.peerHandshake;
+        times.backoffMax = settings.peerBackoff;
         return times;
     }
 
@@ -179,7 +180,7 @@
         this->groups.transferLeaderships();
     }
     if (now >= this->nextVoterCheck) {
-        this->nextVoterCheck = now + voterCheckInterval;
+        this->nextVoterCheck = now + this->settings.voterCheckInterval;
         this->keepVoters();
     }
 }
--- a/cornelpond/app/Settings.h
+++ b/cornelpond/app/Settings.h
@@ -63,7 +63,10 @@
     size_t voterTarget = 3; ///< With founders: how many voters the group is to have.
     Duration voterLostAfter = Duration::seconds(30); ///< A voter silent for so long is replaced where a spare is there.
     bool dialsAllPeers = false; ///< Peers may not know this host: it dials them all.
+    Duration voterCheckInterval = Duration::milliseconds(500);
     Duration peerHeartbeat = Duration::milliseconds(500);
+    Duration peerHandshake = Duration::seconds(2); ///< A dial that takes longer is given up.
+    Duration peerBackoff = Duration::seconds(2); ///< Longest pause between two dials.
     bool admitNewHosts = false; ///< Take entry hosts that no setting names when cluster and peer token are right.
     LimitSettings limits;
     TimeSettings times;
--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -154,7 +154,10 @@
 
 void Dispatcher::onStartRefused(CommitStart const& start)
 {
-    if (WorkerView* view = this->leading ? this->find(start.worker) : nullptr)
+    WorkerView* view = this->leading ? this->find(start.worker) : nullptr;
+    PlacedAttempt const* attempt = view ? view->find({ start.task, start.attempt }) : nullptr;
+    // A start that is applied a second time is refused though the first has taken effect.
+    if (attempt && attempt->phase == PlacedAttempt::Phase::Proposed)
         view->remove({ start.task, start.attempt });
 }
 
@@ -260,21 +263,24 @@
     this->acknowledgeEnds(view);
     RenewOrder order;
     order.epoch = this->epoch;
-    order.acknowledgedEnds = view.acknowledgedEnds;
-    order.extendsLease = view.knowsClock && !isSilent;
-    order.wait = view.isListed && !view.failures && view.listedEnds.empty() ? this->times.listWait : Duration();
+    // An acknowledgement waits for nothing: were it still open when the worker comes back under its old id,
+    // the new life would forget ends of its own.
+    bool const acknowledges = view.acknowledgedEnds > view.acknowledgementTaken;
+    order.acknowledgedEnds = acknowledges ? view.acknowledgedEnds : 0;
+    order.extendsLease = view.knowsClock && !isSilent && !view.failures;
+    order.wait = view.isListed && !view.failures && !acknowledges && view.listedEnds.empty() ? this->times.listWait : Duration();
     if (order.extendsLease) {
         order.leaseUntil = view.estimatedClock(now) + this->times.lease;
         view.lastPromise = now;
     }
     view.renewIsOpen = true;
-    this->orders.renew(view.target(), order, [this, alive = Lifetime(this->lifetime), worker = view.profile.id, born = view.profile.bornMs, now](RenewAnswer const& answer) {
+    this->orders.renew(view.target(), order, [this, alive = Lifetime(this->lifetime), worker = view.profile.id, born = view.profile.bornMs, now, acknowledged = order.acknowledgedEnds](RenewAnswer const& answer) {
         if (!alive.expired())
-            this->onRenewed(worker, born, now, answer);
+            this->onRenewed(worker, born, now, acknowledged, answer);
     });
 }
 
-void Dispatcher::onRenewed(WorkerId const& worker, int64_t bornMs, TimePoint sentAt, RenewAnswer const& answer)
+void Dispatcher::onRenewed(WorkerId const& worker, int64_t bornMs, TimePoint sentAt, uint64_t acknowledged, RenewAnswer const& answer)
 {
     WorkerView* view = this->find(worker);
     if (!view)
@@ -291,6 +297,7 @@
     }
     if (view->failures)
         this->events.emit(Event(EventId::WorkerReached).with("worker", worker).with("silentMs", this->clock.now() - view->lastAnswer));
+    view->acknowledgementTaken = std::max(view->acknowledgementTaken, acknowledged);
     this->learnClock(*view, answer.order);
     this->readListing(*view, sentAt, answer.listing);
 }
@@ -380,8 +387,10 @@
 {
     view.listedEnds.clear();
     for (auto const& end : listing.ended) {
-        if (end.number <= view.acknowledgedEnds)
+        if (end.number <= view.acknowledgedEnds) {
+            view.acknowledgementTaken = 0; // It got lost.
             continue;
+        }
         view.listedEnds.push_back(end);
         PlacedAttempt* attempt = view.find({ end.task, end.attempt });
         if (attempt && attempt->phase != PlacedAttempt::Phase::Proposed)
@@ -527,7 +536,8 @@
 void Dispatcher::retryStart(WorkerView& view, PlacedAttempt& attempt)
 {
     attempt.nextStart = this->clock.now() + startRetry;
-    if (attempt.startsSent < maxStartsSent)
+    // One for a former life of the worker is not sent again.
+    if (attempt.startsSent < maxStartsSent && !attempt.isInherited)
         return;
     view.roomRefusedUntil = this->clock.now() + roomRefusedPause;
     if (attempt.startIsUncertain)
--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -102,6 +102,7 @@
     this->knowsClock = false;
     this->isListed = false;
     this->acknowledgedEnds = 0;
+    this->acknowledgementTaken = 0;
     this->listedEnds.clear();
     this->throttle = 100;
     this->nextRenew = now;
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -149,7 +149,8 @@
     bool renewIsOpen = false;
     TimePoint nextRenew;
     TimePoint nextCheck; ///< Of what is placed.
-    uint64_t acknowledgedEnds = 0;
+    uint64_t acknowledgedEnds = 0; ///< Ends up to here are committed.
+    uint64_t acknowledgementTaken = 0; ///< Up to here the worker was told to forget them.
     std::vector<ListedEnd> listedEnds; ///< Not acknowledged yet.
 
     TimePoint roomRefusedUntil; ///< It refused a start for want of room, or did not take one.
--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -36,14 +36,22 @@
 /// Cores of workers without service tasks that may be opened to them.
 int64_t TaskPlacer::openToServices(PlacementRequest const& request) const
 {
+    constexpr int64_t unbounded = INT64_MAX;
     int64_t all = 0;
     int64_t unopened = 0;
+    int64_t workerCount = 0;
     for (auto const& [id, worker] : this->workers) {
         if (worker.profile.service != request.service || worker.profile.isDraining || !worker.isListed)
             continue;
+        workerCount++;
         all += worker.profile.capacity.milliCores;
         unopened += worker.serviceMilliCores ? 0 : worker.profile.capacity.milliCores;
     }
+    // In a small fleet a whole worker is too much to keep.
+    double const keptWorkers = static_cast<double>(workerCount) * this->limits.shortTaskShare;
+    constexpr double leastKept = 0.5;
+    if (keptWorkers < leastKept)
+        return unbounded;
     return unopened - static_cast<int64_t>(static_cast<double>(all) * this->limits.shortTaskShare);
 }
 
--- /dev/null
+++ b/cornelpond/core/scheduling/JobFaultsTest.cpp
@@ -0,0 +1,161 @@
+#include "cornelpond/core/scheduling/JobService.h"
+
+#include "testing/fakes/JobBench.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace cornelpond;
+
+namespace {
+
+constexpr Duration second = Duration::seconds(1);
+
+} // namespace
+
+TEST_CASE("a start that is carried out late, after the task went elsewhere, never makes it run twice")
+{
+    JobBench bench(1);
+    bench.addWorkers(4, 16000);
+    FakeFleet::Faults late;
+    late.lateOrders = 0.3;
+    bench.fleet.setFaults(late);
+    for (int i = 0; i < 10; i++) {
+        bench.submit(makeJob("plan" + std::to_string(i), 10, 1000, Duration::milliseconds(700)));
+        bench.run(second);
+    }
+    bench.fleet.setFaults(FakeFleet::Faults());
+    REQUIRE(bench.runUntilIdle(second * 60));
+    bench.run(late.lateMax);
+    CHECK(bench.fleet.record().doubleRuns == 0);
+    CHECK(bench.fleet.record().startsAfterDone == 0);
+}
+
+TEST_CASE("tasks of a worker that is cut off start elsewhere only once its lease is over")
+{
+    JobBench bench(2);
+    bench.addWorkers(2, 16000);
+    JobSpec const job = makeJob("plan", 8, 2000, second * 20);
+    bench.submit(job);
+    bench.run(second);
+    bool const isFirst = bench.fleet.runningOn(WorkerId("w0"));
+    WorkerId const lost(isFirst ? "w0" : "w1");
+    WorkerId const other(isFirst ? "w1" : "w0");
+    REQUIRE(bench.fleet.runningOn(lost) == 8);
+    bench.fleet.setCut(lost, true);
+    bench.run(DispatchTimes().lease - second);
+    CHECK(bench.fleet.record().starts == 8);
+    bench.run(second * 4);
+    CHECK(bench.fleet.runningOn(lost) == 0);
+    CHECK(bench.fleet.runningOn(other) == 8);
+    CHECK(bench.fleet.record().starts == 16);
+    CHECK(bench.fleet.record().doubleRuns == 0);
+}
+
+TEST_CASE("a new leader keeps what runs and starts none of it again")
+{
+    JobBench bench(3);
+    bench.addWorkers(4, 16000);
+    JobSpec const job = makeJob("plan", 20, 1000, second * 5);
+    bench.submit(job);
+    bench.run(second);
+    bench.crashLeader();
+    bench.run(second);
+    bench.elect(1);
+    REQUIRE(bench.runUntilIdle(second * 10));
+    CHECK(bench.fleet.record().starts == 20);
+    CHECK(bench.state(job.id) == JobState::Completed);
+}
+
+TEST_CASE("a worker that comes back under its old id with nothing of before gets its tasks again, once")
+{
+    JobBench bench(4);
+    bench.addWorkers(1, 16000);
+    JobSpec const job = makeJob("plan", 4, 1000, second * 2);
+    bench.submit(job);
+    bench.run(second);
+    bench.fleet.restart(WorkerId("w0"));
+    REQUIRE(bench.runUntilIdle(second * 20));
+    CHECK(bench.fleet.record().starts == 8);
+    CHECK(bench.fleet.record().doubleRuns == 0);
+}
+
+TEST_CASE("a lost task resumes from the last checkpoint its worker listed")
+{
+    JobBench bench(5);
+    bench.addWorkers(2, 16000);
+    JobSpec job = makeJob("plan", 1, 1000, second * 8);
+    job.stages[0].savesCheckpoints = true;
+    bench.submit(job);
+    bench.run(second * 5);
+    WorkerId const worker = bench.fleet.runningOn(WorkerId("w0")) ? WorkerId("w0") : WorkerId("w1");
+    bench.fleet.crash(worker);
+    bench.run(second * 6);
+    TaskRecord const* task = bench.leader().scheduler().jobs().findTask({ job.id, 0, 0, 0 });
+    REQUIRE(task);
+    CHECK_FALSE(task->checkpoint.empty());
+}
+
+TEST_CASE("no schedule of crashes, cuts, rebirths, late orders and changes of leader runs a task twice or loses a job")
+{
+    rc::prop("", [] {
+        auto const seed = *rc::gen::arbitrary<uint32_t>();
+        JobBench bench(seed, 3);
+        SeededRandom random(seed + 1U);
+        bench.addWorkers(5, 8000);
+        bench.fleet.setForgetCheck([&](ListedEnd const& end, WorkerId const& worker) {
+            return !bench.group.hasALeader() || !bench.leader().scheduler().jobs().isLive(end.task, { end.attempt, worker });
+        });
+        FakeFleet::Faults faults;
+        faults.lateOrders = 0.1;
+        faults.failures = 0.02;
+        bench.fleet.setFaults(faults);
+        size_t jobs = 0;
+        for (int round = 0; round < 25; round++) {
+            WorkerId const worker("w" + std::to_string(random.below(5)));
+            switch (random.below(8)) {
+            case 0:
+                bench.fleet.crash(worker);
+                break;
+            case 1:
+                bench.fleet.restart(worker);
+                break;
+            case 2:
+                bench.fleet.setCut(worker, true);
+                break;
+            case 3:
+                bench.fleet.setCut(worker, false);
+                break;
+            case 4:
+                if (bench.group.hasALeader())
+                    bench.crashLeader();
+                break;
+            case 5:
+                bench.elect(random.below(3));
+                break;
+            default:
+                if (!bench.group.hasALeader())
+                    bench.elect(random.below(3));
+                JobSpec job = makeJob("j" + std::to_string(jobs++), 1 + static_cast<uint32_t>(random.below(6)), 1000, Duration::milliseconds(300 + static_cast<int64_t>(random.below(2000))));
+                job.stages.push_back(job.stages[0]);
+                job.stages[1].after = { 0 };
+                bench.submit(job);
+            }
+            bench.run(Duration::milliseconds(static_cast<int64_t>(random.below(900))));
+        }
+        bench.fleet.setFaults(FakeFleet::Faults());
+        for (int i = 0; i < 5; i++) {
+            bench.fleet.setCut(WorkerId("w" + std::to_string(i)), false);
+            bench.fleet.restart(WorkerId("w" + std::to_string(i)));
+        }
+        if (!bench.group.hasALeader())
+            bench.elect(0);
+        RC_ASSERT(bench.runUntilIdle(second * 120));
+        FakeFleet::Record const& record = bench.fleet.record();
+        RC_ASSERT(record.doubleRuns == 0U);
+        RC_ASSERT(record.startsAfterDone == 0U);
+        RC_ASSERT(record.brokenOrder == 0U);
+        RC_ASSERT(record.acknowledgedTooEarly == 0U);
+        RC_ASSERT(record.overCapacity == 0U);
+    });
+}
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -408,6 +408,7 @@
                 request.task = attempt.task;
                 request.stage = attempt.stage;
                 request.service = worker.profile.service;
+                request.isRestart = true;
                 if (!this->placer.choose(request, now))
                     continue;
             } else if (!isSoon || !attempt.stage->savesCheckpoints) {
--- /dev/null
+++ b/cornelpond/core/scheduling/JobServiceTest.cpp
@@ -0,0 +1,274 @@
+#include "cornelpond/core/scheduling/JobService.h"
+
+#include "testing/fakes/JobBench.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cornelpond;
+
+namespace {
+
+constexpr Duration second = Duration::seconds(1);
+
+void checkNothingForbidden(FakeFleet::Record const& record)
+{
+    CHECK(record.doubleRuns == 0);
+    CHECK(record.startsAfterDone == 0);
+    CHECK(record.unknownStarts == 0);
+    CHECK(record.brokenOrder == 0);
+    CHECK(record.acknowledgedTooEarly == 0);
+}
+
+} // namespace
+
+TEST_CASE("a job of stages runs from submission to completion, each stage after those it comes after")
+{
+    JobBench bench(1);
+    bench.addWorkers(4, 16000);
+    JobSpec job = makeJob("plan", 8, 1000, Duration::milliseconds(500));
+    job.stages.push_back(job.stages[0]);
+    job.stages[1].after = { 0 };
+    bench.submit(job);
+    REQUIRE(bench.runUntilIdle(second * 5));
+    CHECK(bench.state(job.id) == JobState::Completed);
+    CHECK(bench.fleet.record().starts == 16);
+    CHECK(bench.fleet.record().overCapacity == 0);
+    checkNothingForbidden(bench.fleet.record());
+}
+
+TEST_CASE("a submission is answered as accepted only once it is committed")
+{
+    JobBench bench(2);
+    bench.addWorkers(1, 16000);
+    bench.commits = false;
+    bench.submit(makeJob("plan", 1, 1000, second));
+    bench.run(second);
+    CHECK(bench.results.empty());
+    bench.commits = true;
+    bench.run(Duration::milliseconds(20));
+    REQUIRE(bench.results.size() == 1);
+    CHECK(bench.results[0].result == CallResult::Done);
+}
+
+TEST_CASE("a submission whose leader is lost before the commit is answered as unknown, never as refused")
+{
+    JobBench bench(3);
+    bench.addWorkers(1, 16000);
+    bench.commits = false;
+    bench.submit(makeJob("plan", 1, 1000, second));
+    bench.group.elect(1);
+    REQUIRE(bench.results.size() == 1);
+    CHECK(bench.results[0].result == CallResult::Unknown);
+}
+
+TEST_CASE("the same id sent again at another leader stays one job that runs once")
+{
+    JobBench bench(4);
+    bench.addWorkers(2, 16000);
+    JobSpec const job = makeJob("plan", 4, 1000, second);
+    bench.submit(job);
+    bench.run(Duration::milliseconds(300));
+    bench.elect(1);
+    bench.submit(job);
+    REQUIRE(bench.runUntilIdle(second * 10));
+    bench.submit(job);
+    bench.run(second);
+    CHECK(bench.results.size() == 3);
+    CHECK(bench.results.back().result == CallResult::Done);
+    CHECK(bench.fleet.record().starts == 4);
+    CHECK(bench.fleet.runningCount(job.id) == 0);
+}
+
+TEST_CASE("a host that does not lead neither accepts nor denies")
+{
+    JobBench bench(5);
+    SubmitResult result;
+    QueueSpec queue;
+    bench.services[1]->scheduler().submit(makeJob("plan", 1, 1000, second), queue, [&](SubmitResult const& given) { result = given; });
+    CHECK(result.result == CallResult::NotLeader);
+    CHECK(bench.services[1]->scheduler().lookUp(JobId("plan")).result == CallResult::NotLeader);
+    CHECK(bench.services[1]->findQueue("jobs.example", "/urgent/", queue) == QueueLookup::NotLeader);
+    CHECK(bench.services[1]->readQueues() == nullptr);
+}
+
+TEST_CASE("a refused job never runs")
+{
+    JobBench bench(6);
+    bench.addWorkers(1, 1000);
+    JobLimits const limits;
+    for (size_t i = 0; i < limits.maxActiveJobs; i++)
+        bench.submit(makeJob("waiting" + std::to_string(i), 1, 1000, second * 100));
+    bench.run(second);
+    JobSpec const late = makeJob("late", 1, 1000, second);
+    bench.results.clear();
+    bench.submit(late);
+    REQUIRE(bench.results.size() == 1);
+    CHECK(bench.results[0].result == CallResult::Refused);
+    CHECK(bench.results[0].retryAfter > Duration());
+    bench.run(second);
+    CHECK(bench.find(late.id) == nullptr);
+}
+
+TEST_CASE("an end is acknowledged to the worker only after its commit")
+{
+    JobBench bench(7);
+    bench.addWorkers(1, 16000);
+    bench.fleet.setForgetCheck([&](ListedEnd const& end, WorkerId const& worker) { return !bench.leader().scheduler().jobs().isLive(end.task, { end.attempt, worker }); });
+    JobSpec const job = makeJob("plan", 1, 1000, Duration::milliseconds(300));
+    bench.submit(job);
+    bench.run(Duration::milliseconds(200));
+    bench.commits = false;
+    bench.run(second);
+    CHECK(bench.state(job.id) == JobState::Active);
+    bench.commits = true;
+    REQUIRE(bench.runUntilIdle(second));
+    bench.run(second);
+    checkNothingForbidden(bench.fleet.record());
+}
+
+TEST_CASE("a cancelled job's tasks are stopped and none is started any more")
+{
+    JobBench bench(8);
+    bench.addWorkers(2, 4000);
+    JobSpec const job = makeJob("plan", 20, 1000, second * 30);
+    bench.submit(job);
+    bench.run(second);
+    CHECK(bench.fleet.runningCount(job.id) == 8);
+    bench.cancel(job.id);
+    bench.run(Duration::milliseconds(200));
+    unsigned const starts = bench.fleet.record().starts;
+    CHECK(bench.fleet.runningCount(job.id) == 0);
+    bench.run(second * 2);
+    CHECK(bench.fleet.record().starts == starts);
+    CHECK(bench.state(job.id) == JobState::Cancelled);
+    CHECK(bench.find(job.id)->liveAttempts == 0);
+}
+
+TEST_CASE("a task is given up after its queue's number of failed attempts, and only failures count")
+{
+    JobBench bench(9);
+    bench.addWorkers(2, 16000);
+    FakeFleet::Faults faults;
+    faults.failures = 1;
+    bench.fleet.setFaults(faults);
+    JobSpec const job = makeJob("plan", 1, 1000, Duration::milliseconds(100));
+    bench.submit(job);
+    REQUIRE(bench.runUntilIdle(second * 10));
+    CHECK(bench.state(job.id) == JobState::Failed);
+    CHECK(bench.fleet.record().starts == 3);
+}
+
+TEST_CASE("a service task is restarted however it ends, without limit")
+{
+    JobBench bench(10);
+    bench.addWorkers(3, 16000);
+    JobSpec const job = makeServiceJob("watch", 2, 2000, "image");
+    bench.submit(job);
+    bench.run(second);
+    REQUIRE(bench.fleet.runningCount(job.id) == 2);
+    for (int round = 0; round < 5; round++) {
+        for (auto const& worker : bench.fleet.workersUp()) {
+            if (bench.fleet.runningOn(worker))
+                bench.fleet.restart(worker);
+        }
+        bench.run(second * 6);
+        CHECK(bench.fleet.runningCount(job.id) == 2);
+    }
+    CHECK(bench.state(job.id) == JobState::Active);
+}
+
+TEST_CASE("a draining worker gets no new tasks, also under the next leader, and its service tasks move")
+{
+    JobBench bench(11);
+    bench.addWorkers(2, 16000);
+    JobSpec const watch = makeServiceJob("watch", 4, 1000, "image");
+    bench.submit(watch);
+    bench.run(second);
+    WorkerId const leaving = bench.fleet.runningOn(WorkerId("w0")) ? WorkerId("w0") : WorkerId("w1");
+    bench.fleet.setDraining(leaving);
+    bench.run(bench.announceInterval + Duration::milliseconds(200));
+    bench.elect(1);
+    bench.submit(makeJob("plan", 8, 1000, Duration::milliseconds(200)));
+    bench.run(second * 4);
+    CHECK(bench.fleet.record().startsWhileDraining == 0);
+    CHECK(bench.fleet.runningOn(leaving) == 0);
+    CHECK(bench.fleet.runningCount(watch.id) == 4);
+}
+
+TEST_CASE("members of a gang start together or not at all")
+{
+    JobBench bench(12);
+    bench.addWorkers(2, 4000);
+    JobSpec gang = makeJob("gang", 9, 1000, second);
+    gang.stages[0].isGang = true;
+    bench.submit(gang);
+    bench.run(second);
+    CHECK(bench.fleet.runningCount(gang.id) == 0);
+    JobSpec fitting = makeJob("fitting", 8, 1000, second);
+    fitting.stages[0].isGang = true;
+    bench.submit(fitting);
+    bench.run(Duration::milliseconds(300));
+    CHECK(bench.fleet.runningCount(fitting.id) == 8);
+}
+
+TEST_CASE("at most the given number of a stage's tasks stand on one worker")
+{
+    JobBench bench(13);
+    bench.addWorkers(3, 16000);
+    JobSpec job = makeJob("plan", 6, 1000, second * 10);
+    job.stages[0].maxPerWorker = 2;
+    bench.submit(job);
+    bench.run(second);
+    for (auto const& worker : bench.fleet.workersUp())
+        CHECK(bench.fleet.runningOn(worker) == 2);
+}
+
+TEST_CASE("a configuration of a lower or equal version is acknowledged and changes nothing")
+{
+    JobBench bench(14);
+    QueueConfig const held = *bench.leader().readQueues();
+    for (uint64_t const version : { uint64_t(1), uint64_t(2), uint64_t(1) }) {
+        QueueConfig other;
+        other.version = ConfigVersion(version);
+        CallResult result = CallResult::Refused;
+        bench.leader().replaceQueues(other, [&](CallResult given) { result = given; });
+        bench.run(Duration::milliseconds(20));
+        CHECK(result == CallResult::Done);
+        CHECK(bench.leader().readQueues()->version == ConfigVersion(version == 2 ? 2 : bench.leader().readQueues()->version.value()));
+    }
+    CHECK(bench.leader().readQueues()->version == ConfigVersion(2));
+    CHECK(held.version == ConfigVersion(1));
+}
+
+TEST_CASE("pending counts accepted jobs of which no task has started")
+{
+    JobBench bench(15);
+    bench.submit(makeJob("a", 1, 1000, second));
+    bench.submit(makeJob("b", 1, 1000, second));
+    bench.run(Duration::milliseconds(50));
+    size_t count = 0;
+    CHECK(bench.leader().scheduler().countPending(QueueId("urgent"), count) == CallResult::Done);
+    CHECK(count == 2);
+    bench.addWorkers(1, 1000);
+    bench.run(Duration::milliseconds(200));
+    bench.leader().scheduler().countPending(QueueId("urgent"), count);
+    CHECK(count == 1);
+}
+
+TEST_CASE("occurrences of a schedule start when they are due and may overlap")
+{
+    JobBench bench(16);
+    bench.addWorkers(2, 16000);
+    JobSpec job = makeJob("rounds", 1, 1000, second * 3);
+    job.schedule = { bench.clock.wallMilliseconds() + 1000, second * 2, 3 };
+    bench.submit(job);
+    bench.run(Duration::milliseconds(800));
+    CHECK(bench.fleet.record().starts == 0);
+    bench.run(Duration::milliseconds(700));
+    CHECK(bench.fleet.record().starts == 1);
+    bench.run(second * 2);
+    CHECK(bench.fleet.runningCount(job.id) == 2);
+    REQUIRE(bench.runUntilIdle(second * 10));
+    CHECK(bench.state(job.id) == JobState::Completed);
+    CHECK(bench.fleet.record().starts == 3);
+}
--- /dev/null
+++ b/testing/fakes/FakeFleet.h
@@ -0,0 +1,141 @@
+#pragma once
+
+// Workers that keep the rules of orders, leases and epochs, without sockets: they run tasks for their time,
+// list them, disturb each other by image, and can crash, come back, be cut off, or leave orders unanswered
+// and carry them out late. Records what must never happen.
+//
+// Example:
+//   FakeFleet fleet(clock, random);
+//   fleet.addWorker(profile);
+//   JobService service(clock, events, fleet, DispatchTimes(), JobLimits());
+//   fleet.step(); // every 10 ms
+
+#include "cornelpond/ports/Random.h"
+#include "cornelpond/ports/WorkerOrders.h"
+#include "cornelpond/core/scheduling/JobScheduler.h"
+#include "testing/fakes/FakeClock.h"
+
+#include <list>
+#include <map>
+#include <set>
+
+namespace cornelpond {
+
+class FakeFleet final : public WorkerOrders {
+public:
+    struct Faults {
+        double lateOrders = 0; ///< Share of orders that get no answer and are carried out late.
+        Duration lateMin = Duration::seconds(2);
+        Duration lateMax = Duration::seconds(12);
+        double failures = 0; ///< Share of runs that end failed.
+    };
+
+    struct Record {
+        unsigned starts = 0;
+        unsigned doubleRuns = 0; ///< Two runs of a task that allows no copies, at once.
+        unsigned startsAfterDone = 0; ///< A start after an acknowledged end as done.
+        unsigned overCapacity = 0; ///< Starts that were refused for want of room.
+        unsigned unknownStarts = 0; ///< Of jobs that nobody submitted.
+        unsigned startsWhileDraining = 0;
+        unsigned brokenOrder = 0; ///< Starts of a stage before the ones it comes after were done.
+        unsigned acknowledgedTooEarly = 0; ///< Ends that a check found forgotten before they were committed.
+        Duration overTarget; ///< Time of service tasks at work over their target.
+    };
+
+    FakeFleet(FakeClock& clock, Random& random);
+
+    void addWorker(WorkerProfile const& profile, double speed = 1);
+    /// The job's tasks may be started; `factor` times their estimate is how long they really take.
+    void expect(JobSpec const& job, double factor = 1);
+    /// Tail latency grows by `slope` times the target for each whole worker that the image uses.
+    void setHarm(std::string const& service, std::string const& bestEffort, double slope);
+
+    WorkerReport report(WorkerId const& worker);
+    std::vector<WorkerId> workersUp() const;
+
+    void crash(WorkerId const& worker);
+    /// The same id, with nothing of before.
+    void restart(WorkerId const& worker);
+    void setCut(WorkerId const& worker, bool isCut);
+    void setDraining(WorkerId const& worker) { this->workers.at(worker).profile.isDraining = true; }
+    void setFaults(Faults const& given) { this->faults = given; }
+
+    /// Lets everything run on to the clock's present time.
+    void step();
+
+    Record const& record() const { return this->seen; }
+    size_t runningCount(JobId const& job) const;
+    size_t runningOn(WorkerId const& worker) const { return this->workers.at(worker).runs.size(); }
+    std::set<std::string> imagesOn(WorkerId const& worker) const;
+    /// Asked whenever a worker is told to forget an end; false is recorded as a fault.
+    void setForgetCheck(std::function<bool(ListedEnd const&, WorkerId const&)> check) { this->mayForget = std::move(check); }
+
+    void start(WorkerTarget const& worker, StartOrder const& order, Done done) override;
+    void stop(WorkerTarget const& worker, StopOrder const& order, Done done) override;
+    void throttle(WorkerTarget const& worker, ThrottleOrder const& order, Done done) override;
+    void renew(WorkerTarget const& worker, RenewOrder const& order, std::function<void(RenewAnswer const&)> done) override;
+    void askPermits(TaskRef const& stage, std::vector<WorkerId> const& workers, Duration timeout, std::function<void(PermitAnswer const&)> done) override;
+
+private:
+    struct Run {
+        StageSpec stage;
+        Duration left;
+        Duration worked; ///< Since the last checkpoint.
+        Duration age;
+        std::string checkpoint;
+        unsigned throttle = 100;
+        double usedMilliCores = 0;
+        int64_t tailMs = 0;
+        bool willFail = false;
+    };
+
+    struct Waiting {
+        RenewOrder order;
+        std::function<void(RenewAnswer const&)> done;
+        TimePoint until;
+    };
+
+    struct Worker {
+        WorkerProfile profile;
+        double speed = 1;
+        bool isUp = true;
+        bool isCut = false;
+        TimePoint bornAt;
+        TimePoint leaseEnd;
+        Term epoch;
+        std::map<AttemptKey, Run> runs;
+        std::map<TaskRef, AttemptNumber> closed; ///< No attempt up to this one may start any more.
+        std::vector<ListedEnd> ended;
+        uint64_t voidEnds = 0; ///< Ends up to this number were followed by the lapse of the lease.
+        uint64_t endCount = 0;
+        uint64_t sequence = 0;
+        std::list<Waiting> waiting;
+    };
+
+    void breakWaiting(Worker& worker);
+    OrderAnswer answer(Worker const& worker, OrderResult result) const;
+    void deliver(WorkerTarget const& target, std::function<OrderAnswer(Worker&)> action, Done done);
+    OrderAnswer carryOutStart(Worker& worker, StartOrder const& order);
+    void recordStart(TaskRef const& task, StageSpec const& stage, Worker const& worker);
+    OrderAnswer carryOutStop(Worker& worker, StopOrder const& order);
+    RenewAnswer list(Worker& worker, RenewOrder const& order);
+    void answerWaiting(Worker& worker, bool isForced);
+    void end(Worker& worker, AttemptKey const& key, AttemptEnd how);
+    void work(Worker& worker, Duration span);
+    Resources reservedOn(Worker const& worker) const;
+
+    FakeClock& clock;
+    Random& random;
+    Faults faults;
+    Record seen;
+    std::map<WorkerId, Worker> workers;
+    std::map<JobId, std::pair<JobSpec, double>> jobs;
+    std::map<std::pair<std::string, std::string>, double> harm;
+    std::set<TaskRef> doneAcknowledged;
+    std::map<TaskRef, bool> doneSeen;
+    std::function<bool(ListedEnd const&, WorkerId const&)> mayForget;
+    TimePoint lastStep;
+    uint64_t nextCheckpoint = 1;
+};
+
+} // namespace cornelpond
--- /dev/null
+++ b/testing/fakes/JobBench.cpp
@@ -0,0 +1,188 @@
+#include "testing/fakes/JobBench.h"
+
+#include <algorithm>
+
+namespace cornelpond {
+
+namespace {
+
+    constexpr Duration step = Duration::milliseconds(10);
+
+    QueueConfig benchQueues()
+    {
+        QueueConfig config;
+        config.version = ConfigVersion(1);
+        config.services.push_back({ ServiceId("fleet"), true, false });
+        QueueSpec urgent;
+        urgent.name = QueueId("urgent");
+        urgent.host = "jobs.example";
+        urgent.pathPrefix = "/urgent/";
+        urgent.service = ServiceId("fleet");
+        urgent.maxAttempts = 3;
+        urgent.stretch = 1.5;
+        urgent.latencyTarget = Duration::milliseconds(250);
+        QueueSpec plans = urgent;
+        plans.name = QueueId("plans");
+        plans.pathPrefix = "/plans/";
+        plans.priority = 2;
+        plans.stretch = 2;
+        plans.latencyTarget = Duration::seconds(1);
+        config.queues = { urgent, plans };
+        return config;
+    }
+
+} // namespace
+
+JobBench::JobBench(uint64_t seed, size_t hosts)
+    : random(seed)
+    , group(hosts, this->random)
+    , fleet(this->clock, this->random)
+    , services(hosts)
+{
+    for (size_t host = 0; host < hosts; host++)
+        this->open(host);
+    this->elect(0);
+    this->leader().replaceQueues(benchQueues(), [](CallResult) {});
+    this->run(step * 2);
+}
+
+void JobBench::open(size_t host)
+{
+    this->services[host] = std::make_unique<JobService>(this->clock, this->events, this->fleet, DispatchTimes(), JobLimits());
+    this->group.setHooks(host, this->services[host]->hooks());
+    this->services[host]->attach(this->group.log(host));
+}
+
+void JobBench::elect(size_t host)
+{
+    this->group.elect(host);
+    this->announceAll();
+}
+
+void JobBench::crashLeader()
+{
+    size_t const crashed = this->group.leader();
+    this->group.crashLeader();
+    this->open(crashed);
+}
+
+void JobBench::addWorkers(size_t count, int64_t milliCores)
+{
+    constexpr size_t perRack = 8;
+    constexpr int64_t memoryMiB = 62000;
+    for (size_t i = 0; i < count; i++) {
+        WorkerProfile profile;
+        profile.id = WorkerId("w" + std::to_string(i));
+        profile.bornMs = 1;
+        profile.service = ServiceId("fleet");
+        profile.address = "10.0.0." + std::to_string(i) + ":80";
+        profile.rack = RackId("r" + std::to_string(i / perRack));
+        profile.labels = { "a", profile.rack.value() };
+        profile.capacity = { milliCores, memoryMiB, 0 };
+        this->fleet.addWorker(profile);
+    }
+    this->announceAll();
+    this->run(Duration::milliseconds(200));
+}
+
+QueueSpec JobBench::queueOf(JobSpec const& job) const
+{
+    std::vector<QueueSpec> const queues = benchQueues().queues;
+    return job.stages.front().isBestEffort ? queues[1] : queues[0];
+}
+
+void JobBench::submit(JobSpec const& job, double realTimeFactor)
+{
+    this->fleet.expect(job, realTimeFactor);
+    this->submittedAt.try_emplace(job.id, this->clock.now());
+    this->leader().scheduler().submit(job, this->queueOf(job), [this](SubmitResult const& result) { this->results.push_back(result); });
+}
+
+void JobBench::cancel(JobId const& job)
+{
+    this->leader().scheduler().cancel(job, [](CallResult) {});
+}
+
+void JobBench::run(Duration span)
+{
+    for (TimePoint const end = this->clock.now() + span; this->clock.now() < end;)
+        this->tick();
+}
+
+bool JobBench::runUntilIdle(Duration most)
+{
+    for (TimePoint const end = this->clock.now() + most; this->clock.now() < end;) {
+        this->tick();
+        if (!this->group.hasALeader())
+            continue;
+        auto const& all = this->leader().scheduler().jobs().all();
+        if (std::all_of(all.begin(), all.end(), [](auto const& job) { return job.second.state != JobState::Active; }))
+            return true;
+    }
+    return false;
+}
+
+void JobBench::tick()
+{
+    this->clock.advance(step);
+    this->fleet.step();
+    if (this->commits)
+        this->group.commit(SIZE_MAX);
+    for (auto const& service : this->services)
+        service->onTick();
+    if (this->clock.now() >= this->nextAnnouncement)
+        this->announceAll();
+    if (!this->group.hasALeader())
+        return;
+    for (auto const& [id, job] : this->leader().scheduler().jobs().all()) {
+        if (job.state != JobState::Active)
+            this->endedAt.try_emplace(id, this->clock.now());
+    }
+}
+
+void JobBench::announceAll()
+{
+    this->nextAnnouncement = this->clock.now() + this->announceInterval;
+    if (!this->group.hasALeader())
+        return;
+    for (auto const& worker : this->fleet.workersUp())
+        this->leader().scheduler().announce(this->fleet.report(worker), [](CallResult) {});
+}
+
+Duration JobBench::lasted(JobId const& job) const
+{
+    auto const ended = this->endedAt.find(job);
+    return ended == this->endedAt.end() ? Duration::infinite() : ended->second - this->submittedAt.at(job);
+}
+
+JobSpec makeJob(std::string const& id, uint32_t tasks, int64_t milliCores, Duration estimate)
+{
+    JobSpec job;
+    job.id = JobId(id);
+    StageSpec stage;
+    stage.taskCount = tasks;
+    stage.need = { milliCores, 500, 0 };
+    stage.estimate = estimate;
+    job.stages.push_back(stage);
+    return job;
+}
+
+JobSpec makeServiceJob(std::string const& id, uint32_t tasks, int64_t milliCores, std::string const& image)
+{
+    JobSpec job = makeJob(id, tasks, milliCores, Duration::milliseconds(400));
+    job.stages[0].isService = true;
+    job.stages[0].image = image;
+    job.stages[0].latencyTarget = Duration::milliseconds(18);
+    return job;
+}
+
+JobSpec makeBestEffortJob(std::string const& id, uint32_t tasks, int64_t milliCores, Duration estimate, std::string const& image)
+{
+    JobSpec job = makeJob(id, tasks, milliCores, estimate);
+    job.stages[0].isBestEffort = true;
+    job.stages[0].savesCheckpoints = true;
+    job.stages[0].image = image;
+    return job;
+}
+
+} // namespace cornelpond
