Let best-effort jobs trickle where every worker has a service they harm

One task of such a job now works at 1.5 % of a worker and moves once another worker lets it work. Replay test failed before. Also: a host whose former name is dialled every ten seconds at the address that its successor holds lost that connection each time, and the calls on it.

--- a/cornelpond/adapters/peer/PeerLink.cpp
+++ b/cornelpond/adapters/peer/PeerLink.cpp
@@ -389,13 +389,23 @@
 void PeerLink::dialWhenDue(Peer& peer)
 {
     TimePoint const now = this->loop.now();
-    if (peer.connection || peer.dialling || now < peer.nextDial || peer.address.address.ip.empty())
+    if (peer.connection || peer.dialling || now < peer.nextDial || peer.address.address.ip.empty() || this->isAddressTaken(peer))
         return;
     bool const isBackupDue = this->self.admitNewHosts && now - peer.downSince > this->times.backupDial;
     if (this->self.dialsAll || this->self.host < peer.address.host || isBackupDue)
         this->dial(peer);
 }
 
+/// True while a host that came in place of `former` is connected: dialling its address again would only
+/// replace that connection.
+bool PeerLink::isAddressTaken(Peer const& former) const
+{
+    return std::any_of(this->peers.begin(), this->peers.end(), [&](auto const& entry) {
+        PeerAddress const& address = entry.second.address;
+        return entry.second.connection && address.host != former.address.host && address.address == former.address.address;
+    });
+}
+
 void PeerLink::sweep()
 {
     for (auto at = this->connections.begin(); at != this->connections.end();) {
--- a/cornelpond/adapters/peer/PeerLink.h
+++ b/cornelpond/adapters/peer/PeerLink.h
@@ -133,6 +133,7 @@
     void forgiveOwnStall();
     void watch(Connection& connection);
     void dialWhenDue(Peer& peer);
+    bool isAddressTaken(Peer const& former) const;
     void sweep();
     size_t unknownConnections() const;
     Connection* established(HostId const& peer) const;
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -71,6 +71,8 @@
     unsigned progressPercent = 0;
     int64_t figure = -1;
     TimePoint figureAt;
+    /// Most that it may be given where it stands, although it harms a service there; 100: no bound.
+    unsigned throttleBound = 100;
     unsigned throttle = 100; ///< Wanted.
     unsigned throttleSent = 100; ///< Acknowledged.
     bool throttleIsOpen = false;
--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -90,7 +90,14 @@
         return false;
     if (stage.maxPerWorker && worker.countOfStage(request.task) >= stage.maxPerWorker)
         return false;
-    return !stage.isBestEffort || this->mayRunBestEffort(worker, stage, now);
+    return !stage.isBestEffort || request.mayTrickle || this->mayRunBestEffort(worker, stage, now);
+}
+
+unsigned TaskPlacer::tricklePercent(WorkerView const& worker, StageSpec const& stage) const
+{
+    constexpr double full = 100;
+    double const allowed = static_cast<double>(worker.profile.capacity.milliCores) * this->limits.trickleUse;
+    return static_cast<unsigned>(std::clamp(full * allowed / static_cast<double>(std::max<int64_t>(stage.need.milliCores, 1)), 1.0, full));
 }
 
 bool TaskPlacer::mayRunBestEffort(WorkerView const& worker, StageSpec const& stage, TimePoint now) const
--- a/cornelpond/core/placement/TaskPlacer.h
+++ b/cornelpond/core/placement/TaskPlacer.h
@@ -25,6 +25,8 @@
     /// Of a service's workers, kept free of service tasks: these stay for long, and without it short tasks
     /// would only find what is left over between them.
     double shortTaskShare = 0.06;
+    /// Of a worker's cores that a best-effort task is left where every worker has a service that it harms.
+    double trickleUse = 0.015;
     /// On so many workers at once a best-effort image is tried beside a service image that it may harm.
     unsigned trialWorkers = 2;
 };
@@ -35,6 +37,7 @@
     ServiceId service;
     bool mayLeaveDataRack = true; ///< Waiting for the data's rack costs more than running elsewhere.
     bool isRestart = false; ///< The task has run before: it may take the room kept free of service tasks.
+    bool mayTrickle = false; ///< A best-effort task may stand beside a service that it harms, hardly working.
     RackId onlyRack; ///< Empty: any.
     WorkerId avoid; ///< Where another attempt of the task runs; empty: none.
     std::set<WorkerId> const* permitted = nullptr; ///< Null: all.
@@ -51,6 +54,9 @@
     /// True when some worker that is not drained could hold the task if it were empty.
     bool couldEverFit(PlacementRequest const& request) const;
 
+    /// Percent of its speed at which a best-effort task may trickle on the worker.
+    unsigned tricklePercent(WorkerView const& worker, StageSpec const& stage) const;
+
     /// Cores of the worker that nobody is taken to use.
     double unusedMilliCores(WorkerView const& worker) const;
 
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -110,6 +110,7 @@
 {
     this->active.clear();
     this->proposed.clear();
+    this->waitingSince.clear();
     this->updates.clear();
     this->lastSequence.clear();
     this->drainEnds.clear();
@@ -163,6 +164,7 @@
                           .with("objectiveMs", objective));
     if (tracked != this->active.end())
         this->active.erase(tracked);
+    this->waitingSince.erase(this->waitingSince.lower_bound({ job.spec.id, 0, 0, 0 }), this->waitingSince.lower_bound({ job.spec.id, UINT32_MAX, 0, 0 }));
     this->dispatch.stopUnwanted(job.spec.id);
     this->isDirty = true;
 }
@@ -349,6 +351,7 @@
         this->nextSlowCheck = now + slowCheckInterval;
         this->openDueOccurrences();
         this->evacuateDraining();
+        this->leaveTrickling();
         this->forgetEnded();
     }
     if (this->isDirty || now >= this->nextPass) {
@@ -439,11 +442,13 @@
     for (auto& [key, attempt] : worker.placed) {
         if (!attempt.isBestEffort() || attempt.isStopping || attempt.isEndReported)
             continue;
+        bool const trickles = attempt.throttleBound < 100;
         bool const isHarmful = this->interference.harmsAny(worker, attempt.stage->image, now);
-        unsigned const percent = isHarmful ? 0 : worker.throttle;
+        bool const isOverTarget = worker.tailRatio >= 1;
+        unsigned const percent = trickles ? (isOverTarget ? 0 : attempt.throttleBound) : isHarmful ? 0 : worker.throttle;
         if (attempt.throttle != percent)
             this->dispatch.throttle(worker, attempt, percent);
-        if (!isHarmful || attempt.phase != PlacedAttempt::Phase::Running)
+        if (!isHarmful || trickles || attempt.phase != PlacedAttempt::Phase::Running)
             continue;
         this->events.emit(Event(EventId::EvictionRequested)
                               .with("task", attempt.task.text())
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -115,9 +115,11 @@
     size_t placeStage(ReadyStage const& ready, TimePoint now);
     size_t placeGang(ReadyStage const& ready, PlacementRequest request, TimePoint now);
     bool placeGangOn(ReadyStage const& ready, PlacementRequest const& request, TimePoint now, std::vector<CommitStart>& placed);
+    bool trickle(ReadyStage const& ready, PlacementRequest request, TimePoint now);
+    void leaveTrickling();
     bool preparePermits(ReadyStage const& ready, PlacementRequest& request);
     PlacementRequest requestFor(ReadyStage const& ready, TimePoint now);
-    void decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now);
+    PlacedAttempt& decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now);
     void openDueOccurrences();
     void evacuateDraining();
     void forgetEnded();
@@ -140,6 +142,7 @@
     TaskPlacer placer;
 
     std::map<JobId, Tracked> active; ///< On the leader: jobs that are not ended.
+    std::map<TaskRef, TimePoint> waitingSince; ///< Best-effort stages of which nothing runs, by their first task.
     std::set<TaskRef> proposed; ///< Tasks whose start is being committed.
     std::map<WorkerId, std::pair<int64_t, uint64_t>> lastSequence; ///< Of each worker's life.
     std::map<WorkerId, TimePoint> drainEnds;
--- a/cornelpond/core/scheduling/LoadReplayTest.cpp
+++ b/cornelpond/core/scheduling/LoadReplayTest.cpp
@@ -91,3 +91,22 @@
     // 48 core-pairs of work on 16: two thirds of the jobs can be done within three seconds.
     CHECK(inTime >= 8);
 }
+
+TEST_CASE("load: a best-effort job that harms a service on every worker still gets on, and the services stay under target")
+{
+    JobBench bench(5);
+    bench.addWorkers(4, 16000);
+    bench.fleet.setHarm("odd", "f", 30);
+    bench.fleet.setHarm("even", "f", 30);
+    fillWithServices(bench, 4);
+    bench.submit(makeBestEffortJob("plan", 4, 1800, second * 2, "f"));
+    bench.run(second * 8);
+    Duration const before = bench.fleet.record().overTarget;
+    bench.run(second * 10);
+    CHECK(bench.leader().scheduler().jobs().findTask({ JobId("plan"), 0, 0, 0 })->isDone);
+    CHECK((bench.fleet.record().overTarget - before).toMilliseconds() < 6000);
+    for (int i = 0; i < 4; i++)
+        bench.cancel(JobId("watch" + std::to_string(i)));
+    REQUIRE(bench.runUntilIdle(second * 10));
+    CHECK(bench.state(JobId("plan")) == JobState::Completed);
+}
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -12,6 +12,10 @@
     /// A task leaves its data's rack when it has waited for so much of its estimated run time.
     constexpr int64_t rackPatienceShare = 2;
 
+    /// A best-effort job of which nothing runs for so long gets one task to trickle.
+    constexpr Duration tricklePatience = Duration::milliseconds(1200);
+    constexpr size_t maxLeavingTrickle = 4; ///< At one check, so that their moves do not come in one wave.
+
 } // namespace
 
 void JobScheduler::pass()
@@ -94,9 +98,55 @@
         this->decideStart(*worker, { request.task, tasks[index].lastAttempt.next(), worker->profile.id }, ready, now);
         placed++;
     }
+    if (!placed && request.stage->isBestEffort && !ready.job->liveAttempts && this->trickle(ready, request, now))
+        placed++;
     return placed;
 }
 
+/// Every worker has a service that the stage's image harms: one task works there at a pace that the service
+/// hardly notices, so that the job gets on.
+bool JobScheduler::trickle(ReadyStage const& ready, PlacementRequest request, TimePoint now)
+{
+    request.task.index = 0;
+    TimePoint const since = this->waitingSince.emplace(request.task, now).first->second;
+    if (now - since < tricklePatience)
+        return false;
+    auto const& tasks = ready.job->occurrences.at(ready.occurrence).stages[ready.stage].tasks;
+    auto const waiting = std::find_if(tasks.begin(), tasks.end(), [](auto const& task) { return task.isWaiting(); });
+    request.task.index = static_cast<uint32_t>(waiting - tasks.begin());
+    request.mayTrickle = true;
+    WorkerView* worker = waiting == tasks.end() || this->proposed.count(request.task) ? nullptr : this->placer.choose(request, now);
+    if (!worker)
+        return false;
+    PlacedAttempt& attempt = this->decideStart(*worker, { request.task, waiting->lastAttempt.next(), worker->profile.id }, ready, now);
+    attempt.throttleBound = this->placer.tricklePercent(*worker, *request.stage);
+    attempt.throttle = attempt.throttleBound;
+    return true;
+}
+
+/// Tasks that trickle move as soon as some worker would let them work.
+void JobScheduler::leaveTrickling()
+{
+    TimePoint const now = this->clock.now();
+    size_t left = 0;
+    for (auto& [id, worker] : this->dispatch.workers()) {
+        for (auto& [key, attempt] : worker.placed) {
+            bool const trickles = attempt.throttleBound < 100 && attempt.phase == PlacedAttempt::Phase::Running && !attempt.isStopping && !attempt.isEndReported;
+            if (!trickles || left >= maxLeavingTrickle)
+                continue;
+            PlacementRequest request;
+            request.task = attempt.task;
+            request.stage = attempt.stage;
+            request.service = worker.profile.service;
+            if (!this->placer.choose(request, now))
+                continue;
+            this->events.emit(Event(EventId::EvictionRequested).with("task", attempt.task.text()).with("attempt", attempt.number).with("worker", id).with("reason", "another worker lets it work"));
+            this->dispatch.stop(worker, attempt);
+            left++;
+        }
+    }
+}
+
 /// Asks early for permits where the queue needs them; false while there are none.
 bool JobScheduler::preparePermits(ReadyStage const& ready, PlacementRequest& request)
 {
@@ -173,7 +223,7 @@
     return placed.size() == tasks.size();
 }
 
-void JobScheduler::decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now)
+PlacedAttempt& JobScheduler::decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now)
 {
     StageSpec const& stage = ready.job->spec.stages[ready.stage];
     JobObjective const& objective = this->objective(*ready.job);
@@ -187,12 +237,14 @@
                           .with("sinceAcceptedMs", now - objective.acceptedAt)
                           .with("objectiveMs", objective.objective)
                           .with("lateness", ready.rank.lateness));
-    this->dispatch.reserve(worker, start.task, start.attempt);
+    PlacedAttempt& placed = this->dispatch.reserve(worker, start.task, start.attempt);
     if (stage.isBestEffort)
         worker.lastBestEffortPlaced = now;
     this->proposed.insert(start.task);
     this->updates.emplace_back(start);
+    this->waitingSince.erase({ start.task.job, start.task.occurrence, start.task.stage, 0 });
     this->starts++;
+    return placed;
 }
 
 } // namespace cornelpond
