--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -124,13 +124,15 @@
         view->lastAnnounced = this->clock.now();
 }
 
-PlacedAttempt& Dispatcher::reserve(WorkerView& worker, TaskRef const& task, AttemptNumber attempt)
+PlacedAttempt& Dispatcher::reserve(WorkerView& worker, TaskRef const& task, AttemptNumber attempt, unsigned throttleBound)
 {
     PlacedAttempt placed;
     placed.task = task;
     placed.number = attempt;
     placed.stage = &this->jobs.find(task.job)->spec.stages[task.stage];
     placed.placedAt = this->clock.now();
+    placed.throttleBound = throttleBound;
+    placed.throttle = throttleBound;
     return worker.place(std::move(placed));
 }
 
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -61,7 +61,8 @@
     void onAnnounced(WorkerId const& worker);
 
     /// Takes room on the worker for a start that is to be committed.
-    PlacedAttempt& reserve(WorkerView& worker, TaskRef const& task, AttemptNumber attempt);
+    /// `throttleBound`: percent of its speed that it may be given at most.
+    PlacedAttempt& reserve(WorkerView& worker, TaskRef const& task, AttemptNumber attempt, unsigned throttleBound = 100);
 
     void onStartApplied(CommitStart const& start);
     void onStartRefused(CommitStart const& start);
--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -52,7 +52,7 @@
     else
         this->reserved -= amount;
     int64_t const milliCores = attempt.stage->need.milliCores * direction;
-    if (attempt.isBestEffort()) {
+    if (attempt.isBestEffort() && !attempt.trickles()) {
         this->bestEffortMilliCores += milliCores;
         countImage(this->bestEffortImages, *attempt.stage, direction);
     }
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -80,6 +80,8 @@
 
     bool isService() const { return this->stage->isService; }
     bool isBestEffort() const { return this->stage->isBestEffort; }
+    /// A best-effort task that hardly works: it takes next to nothing from others.
+    bool trickles() const { return this->throttleBound < 100; }
     /// What counts against the worker's capacity.
     Resources reserved() const;
 };
@@ -133,10 +135,10 @@
     std::map<AttemptKey, PlacedAttempt> placed;
     std::map<AttemptKey, StrayAttempt> strays; ///< Runs that nobody wants, to be stopped.
     Resources reserved;
-    int64_t bestEffortMilliCores = 0; ///< Asked for by best-effort tasks.
+    int64_t bestEffortMilliCores = 0; ///< Asked for by best-effort tasks that do not trickle.
     int64_t serviceMilliCores = 0; ///< Reserved by service tasks.
     std::map<std::string, ImageLoad> serviceImages; ///< Placed service tasks with a latency target, by image.
-    std::map<std::string, ImageLoad> bestEffortImages; ///< Placed best-effort tasks, by image.
+    std::map<std::string, ImageLoad> bestEffortImages; ///< Placed best-effort tasks that do not trickle, by image.
 
     bool knowsClock = false;
     Duration clock;
--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -90,7 +90,10 @@
         return false;
     if (stage.maxPerWorker && worker.countOfStage(request.task) >= stage.maxPerWorker)
         return false;
-    return !stage.isBestEffort || request.mayTrickle || this->mayRunBestEffort(worker, stage, now);
+    if (!stage.isBestEffort)
+        return true;
+    bool const isLeftEnough = this->unusedMilliCores(worker) >= static_cast<double>(stage.need.milliCores) * this->limits.bestEffortShare;
+    return isLeftEnough && (request.mayTrickle || this->mayRunBestEffort(worker, stage, now));
 }
 
 unsigned TaskPlacer::tricklePercent(WorkerView const& worker, StageSpec const& stage) const
@@ -104,8 +107,6 @@
 {
     if (worker.throttle < 100)
         return false;
-    if (this->unusedMilliCores(worker) < static_cast<double>(stage.need.milliCores) * this->limits.bestEffortShare)
-        return false;
     auto const present = worker.bestEffortImages.find(stage.image);
     int64_t const milliCores = stage.need.milliCores + (present == worker.bestEffortImages.end() ? 0 : present->second.milliCores);
     double const use = static_cast<double>(milliCores) / static_cast<double>(std::max<int64_t>(worker.profile.capacity.milliCores, 1));
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -442,7 +442,7 @@
     for (auto& [key, attempt] : worker.placed) {
         if (!attempt.isBestEffort() || attempt.isStopping || attempt.isEndReported)
             continue;
-        bool const trickles = attempt.throttleBound < 100;
+        bool const trickles = attempt.trickles();
         bool const isHarmful = this->interference.harmsAny(worker, attempt.stage->image, now);
         bool const isOverTarget = worker.tailRatio >= 1;
         unsigned const percent = trickles ? (isOverTarget ? 0 : attempt.throttleBound) : isHarmful ? 0 : worker.throttle;
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -119,7 +119,7 @@
     void leaveTrickling();
     bool preparePermits(ReadyStage const& ready, PlacementRequest& request);
     PlacementRequest requestFor(ReadyStage const& ready, TimePoint now);
-    PlacedAttempt& decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now);
+    void decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now, unsigned throttleBound = 100);
     void openDueOccurrences();
     void evacuateDraining();
     void forgetEnded();
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -13,7 +13,7 @@
     constexpr int64_t rackPatienceShare = 2;
 
     /// A best-effort job of which nothing runs for so long gets one task to trickle.
-    constexpr Duration tricklePatience = Duration::milliseconds(1200);
+    constexpr Duration tricklePatience = Duration::milliseconds(2000);
     constexpr size_t maxLeavingTrickle = 4; ///< At one check, so that their moves do not come in one wave.
 
 } // namespace
@@ -118,9 +118,7 @@
     WorkerView* worker = waiting == tasks.end() || this->proposed.count(request.task) ? nullptr : this->placer.choose(request, now);
     if (!worker)
         return false;
-    PlacedAttempt& attempt = this->decideStart(*worker, { request.task, waiting->lastAttempt.next(), worker->profile.id }, ready, now);
-    attempt.throttleBound = this->placer.tricklePercent(*worker, *request.stage);
-    attempt.throttle = attempt.throttleBound;
+    this->decideStart(*worker, { request.task, waiting->lastAttempt.next(), worker->profile.id }, ready, now, this->placer.tricklePercent(*worker, *request.stage));
     return true;
 }
 
@@ -131,7 +129,7 @@
     size_t left = 0;
     for (auto& [id, worker] : this->dispatch.workers()) {
         for (auto& [key, attempt] : worker.placed) {
-            bool const trickles = attempt.throttleBound < 100 && attempt.phase == PlacedAttempt::Phase::Running && !attempt.isStopping && !attempt.isEndReported;
+            bool const trickles = attempt.trickles() && attempt.phase == PlacedAttempt::Phase::Running && !attempt.isStopping && !attempt.isEndReported;
             if (!trickles || left >= maxLeavingTrickle)
                 continue;
             PlacementRequest request;
@@ -223,7 +221,7 @@
     return placed.size() == tasks.size();
 }
 
-PlacedAttempt& JobScheduler::decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now)
+void JobScheduler::decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now, unsigned throttleBound)
 {
     StageSpec const& stage = ready.job->spec.stages[ready.stage];
     JobObjective const& objective = this->objective(*ready.job);
@@ -237,14 +235,13 @@
                           .with("sinceAcceptedMs", now - objective.acceptedAt)
                           .with("objectiveMs", objective.objective)
                           .with("lateness", ready.rank.lateness));
-    PlacedAttempt& placed = this->dispatch.reserve(worker, start.task, start.attempt);
+    this->dispatch.reserve(worker, start.task, start.attempt, throttleBound);
     if (stage.isBestEffort)
         worker.lastBestEffortPlaced = now;
     this->proposed.insert(start.task);
     this->updates.emplace_back(start);
     this->waitingSince.erase({ start.task.job, start.task.occurrence, start.task.stage, 0 });
     this->starts++;
-    return placed;
 }
 
 } // namespace cornelpond
