--- /dev/null
+++ b/cornelpond/adapters/log/JsonEventSinkTest.cpp
@@ -0,0 +1,84 @@
+#include "cornelpond/adapters/log/JsonEventSink.h"
+
+#include "testing/fakes/FakeClock.h"
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace cornelpond;
+
+namespace {
+
+/// A pipe that takes `room` bytes at each call.
+struct Pipe {
+    size_t room = SIZE_MAX;
+    std::string taken;
+
+    JsonEventSink::Write writer()
+    {
+        return [this](std::string_view bytes) {
+            size_t const some = std::min(this->room, bytes.size());
+            this->taken.append(bytes.substr(0, some));
+            return some;
+        };
+    }
+};
+
+size_t countLines(std::string const& text)
+{
+    return static_cast<size_t>(std::count(text.begin(), text.end(), '\n'));
+}
+
+} // namespace
+
+TEST_CASE("an event is one JSON object: numbers bare, texts escaped")
+{
+    Event const event = Event(EventId::TaskPlaced).with("task", std::string("7.0.0.1")).with("waitMs", Duration::milliseconds(12)).with("reason", "a \"b\"\n").with("key", "007").with("minus", -3);
+    CHECK(formatJsonEvent(event, HostId("h1"), 1234)
+        == R"({"time":"1970-01-01T00:00:01.234Z","id":301,"event":"TaskPlaced","host":"h1","task":"7.0.0.1","waitMs":12,"reason":"a \"b\"\u000a","key":"007","minus":-3})");
+}
+
+TEST_CASE("a pipe that nobody reads neither blocks nor lets memory grow, and what was dropped is counted")
+{
+    FakeClock clock;
+    Pipe pipe;
+    pipe.room = 0;
+    JsonLogLimits limits;
+    limits.maxWaitingBytes = 1000;
+    limits.linesPerEventAndSecond = 100000;
+    JsonEventSink sink(clock, HostId("h1"), limits, pipe.writer());
+    for (int i = 0; i < 10000; i++) {
+        sink.emit(Event(EventId::TaskPlaced).with("task", i));
+        sink.flush();
+    }
+    CHECK(sink.waitingBytes() < 2 * limits.maxWaitingBytes);
+    CHECK(pipe.taken.empty());
+    pipe.room = SIZE_MAX;
+    sink.flush();
+    clock.advance(Duration::seconds(2));
+    sink.emit(Event(EventId::HostStarted));
+    sink.flush();
+    CHECK(pipe.taken.find(R"("event":"EventsSuppressed")") != std::string::npos);
+    CHECK(pipe.taken.find(R"("suppressed":"TaskPlaced")") != std::string::npos);
+}
+
+TEST_CASE("one event's flood does not drown the others")
+{
+    FakeClock clock;
+    Pipe pipe;
+    JsonLogLimits limits;
+    limits.linesPerEventAndSecond = 10;
+    JsonEventSink sink(clock, HostId("h1"), limits, pipe.writer());
+    for (int i = 0; i < 1000; i++)
+        sink.emit(Event(EventId::TaskPlaced));
+    sink.emit(Event(EventId::JobEnded));
+    sink.flush();
+    CHECK(countLines(pipe.taken) == 12);
+    CHECK(pipe.taken.find("\"lines\":990") != std::string::npos);
+    CHECK(pipe.taken.find("JobEnded") != std::string::npos);
+    clock.advance(Duration::seconds(1));
+    sink.emit(Event(EventId::TaskPlaced));
+    sink.flush();
+    CHECK(countLines(pipe.taken) == 13);
+}
--- /dev/null
+++ b/cornelpond/app/FleetSettingsTest.cpp
@@ -0,0 +1,91 @@
+#include "cornelpond/app/FleetSettings.h"
+
+#include "testing/fakes/TemporaryFolder.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+
+using namespace cornelpond;
+
+namespace {
+
+nlohmann::json controlDocument()
+{
+    return nlohmann::json::parse(R"({"role":"control","cluster":"fleet","name":"core-1","dataCentre":"z1","dataFolder":"/data","firstStart":true,
+        "seeds":["10.1.0.1:8166","10.2.0.1:8166","10.3.0.1:8166"],"lossTolerance":1,
+        "listen":{"control":"10.1.0.1:8166","peers":"10.1.0.1:7720"},"times":{"maxLeaseMs":6000}})");
+}
+
+std::vector<std::string> pointersOf(nlohmann::json const& document)
+{
+    std::vector<std::string> pointers;
+    for (auto const& fault : checkFleetSettings(document))
+        pointers.push_back(fault.pointer);
+    return pointers;
+}
+
+} // namespace
+
+TEST_CASE("settings of a fleet host are checked, each fault with its place")
+{
+    CHECK(pointersOf(controlDocument()).empty());
+    nlohmann::json document = controlDocument();
+    document["seeds"][1] = "nowhere";
+    document["listen"]["peers"] = "10.1.0.1";
+    CHECK(pointersOf(document) == std::vector<std::string> { "/listen/peers", "/seeds/1" });
+    document = controlDocument();
+    document.erase("dataFolder");
+    CHECK(pointersOf(document) == std::vector<std::string> { "" });
+    document = controlDocument();
+    document["role"] = "entry";
+    CHECK(pointersOf(document) == std::vector<std::string> { "/listen", "/listen" });
+    document = controlDocument();
+    document["surprise"] = 1;
+    CHECK_FALSE(pointersOf(document).empty());
+}
+
+TEST_CASE("the seeds of the first start are its voters, known by their IP numbers on every host")
+{
+    FleetSettings const fleet = fleetSettingsFromJson(controlDocument());
+    Settings const settings = networkSettings(fleet, HostId("10.1.0.1"));
+    CHECK(settings.founders == std::vector<HostId> { HostId("10.1.0.1"), HostId("10.2.0.1"), HostId("10.3.0.1") });
+    CHECK_FALSE(settings.joins);
+    CHECK(settings.voterTarget == 3);
+    REQUIRE(settings.peers.size() == 2);
+    CHECK(settings.peers[0].address == Address { "10.2.0.1", 7720 });
+}
+
+TEST_CASE("a host with an empty disk that is not part of the first start gets a new identity and no vote")
+{
+    TemporaryFolder const folder;
+    nlohmann::json document = controlDocument();
+    document["dataFolder"] = folder.path();
+    document["firstStart"] = false;
+    FleetSettings const later = fleetSettingsFromJson(document);
+    HostId const identity = hostIdentity(later, "aa");
+    CHECK(identity == HostId("10.1.0.1~aa"));
+    CHECK(hostIdentity(later, "bb") == identity);
+    CHECK(networkSettings(later, identity).joins);
+}
+
+TEST_CASE("a founder keeps its identity over restarts")
+{
+    TemporaryFolder const folder;
+    nlohmann::json document = controlDocument();
+    document["dataFolder"] = folder.path();
+    CHECK(hostIdentity(fleetSettingsFromJson(document), "aa") == HostId("10.1.0.1"));
+    document["firstStart"] = false;
+    CHECK(hostIdentity(fleetSettingsFromJson(document), "bb") == HostId("10.1.0.1"));
+}
+
+TEST_CASE("a host that was cut off is among the voters again within a second of the cut's end")
+{
+    // The next disk may be lost right then (skyggni-hub trouble-2, seed 517346294950): a dial that hangs in the
+    // cut, the pause before the next one, and four checks of the voters, each followed by a commit.
+    Settings const settings = networkSettings(fleetSettingsFromJson(controlDocument()), HostId("10.1.0.1"));
+    constexpr Duration commit = Duration::milliseconds(40);
+    Duration const longest = settings.peerHandshake + settings.peerBackoff + (settings.voterCheckInterval + commit) * 4;
+    CHECK(longest.toMilliseconds() <= 1300);
+}
