Try again on a new connection when a pooled one has gone silent

Ruled out: a budget that refills with time (a test says it must not), TCP_INFO (the peer's kernel acknowledges what the peer never answers). A retry after silence on a connection that had answered before is not charged: each must answer once before it can go silent once, and a silent one takes its pool along. The unit test failed before.

--- a/cornelpond/adapters/http/HttpClient.cpp
+++ b/cornelpond/adapters/http/HttpClient.cpp
@@ -287,9 +287,11 @@
         this->keepConnection(exchange.to, exchange.connection);
     else if (exchange.connection)
         this->freeLater(exchange.connection);
+    HttpOutcome reported = outcome;
+    reported.wasPooled = exchange.wasIdle;
     Done const done = std::move(exchange.done);
     this->exchanges.erase(exchange.id);
-    this->loop.guard([&] { done(outcome); });
+    this->loop.guard([&] { done(reported); });
 }
 
 evhttp_connection* HttpClient::takeIdle(Address const& to)
--- a/cornelpond/adapters/http/HttpClient.h
+++ b/cornelpond/adapters/http/HttpClient.h
@@ -54,6 +54,7 @@
     };
 
     Kind kind = Kind::Answered;
+    bool wasPooled = false; ///< It ran on a connection that had answered before.
     bool mayHaveRun = true; ///< False only when no byte of the request can have reached the server.
     HttpResponse response;
 };
--- a/cornelpond/app/CallerEndpoint.cpp
+++ b/cornelpond/app/CallerEndpoint.cpp
@@ -102,6 +102,7 @@
     {
         AttemptReport report;
         report.mayHaveRun = outcome.mayHaveRun;
+        report.onPooledConnection = outcome.wasPooled;
         switch (outcome.kind) {
         case HttpOutcome::Kind::Answered:
             report.result = outcome.response.status >= 502 && outcome.response.status <= 504 ? AttemptResult::Unavailable : AttemptResult::Answered;
--- a/cornelpond/core/routing/RequestFlow.cpp
+++ b/cornelpond/core/routing/RequestFlow.cpp
@@ -31,7 +31,7 @@
         return { FlowStep::Answer, ResultCode::Ok };
     if (!this->attempts.empty())
         return {};
-    if (this->mayRetry(now) && retries.take())
+    if (this->mayRetry(now) && (report.isLostConnection() || retries.take()))
         return { FlowStep::Retry, ResultCode::Ok };
     if (isWhole)
         return { FlowStep::Answer, ResultCode::Ok };
--- a/cornelpond/core/routing/RequestFlow.h
+++ b/cornelpond/core/routing/RequestFlow.h
@@ -37,6 +37,12 @@
 struct AttemptReport {
     AttemptResult result = AttemptResult::Answered;
     bool mayHaveRun = true;
+    /// It ran on a connection that had answered before and that is closed now.
+    bool onPooledConnection = false;
+
+    /// Something between the two ends may have lost track of the connection. Trying again multiplies no load:
+    /// each connection must have answered before it can go silent once.
+    bool isLostConnection() const { return this->onPooledConnection && this->result == AttemptResult::Silent; }
 };
 
 enum class FlowStep {
--- a/cornelpond/core/routing/RequestRouterTest.cpp
+++ b/cornelpond/core/routing/RequestRouterTest.cpp
@@ -231,3 +231,20 @@
         }
     });
 }
+
+TEST_CASE("a request on a pooled connection that went silent is tried again though the retry budget is spent")
+{
+    RetryBudget spent(RetryBudgetLimits { 0, 0 });
+    InteractiveRequest request;
+    request.repeatable = true;
+    request.deadline = TimePoint::fromMicroseconds(0) + Duration::seconds(6);
+    for (bool const isPooled : { false, true }) {
+        RequestFlow flow(request);
+        flow.addAttempt(AttemptId(1), { BackendServerId("s1"), TimePoint(), false, false });
+        AttemptReport report;
+        report.result = AttemptResult::Silent;
+        report.onPooledConnection = isPooled;
+        FlowDecision const decision = flow.onAttemptEnded(AttemptId(1), report, spent, TimePoint::fromMicroseconds(0) + Duration::seconds(3));
+        CHECK(decision.step == (isPooled ? FlowStep::Retry : FlowStep::Refuse));
+    }
+}
