--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -55,6 +55,19 @@
     return unopened - static_cast<int64_t>(static_cast<double>(all) * this->limits.shortTaskShare);
 }
 
+double TaskPlacer::reservedShare(ServiceId const& service) const
+{
+    double all = 0;
+    double reserved = 0;
+    for (auto const& [id, worker] : this->workers) {
+        if (worker.profile.service != service)
+            continue;
+        all += static_cast<double>(worker.profile.capacity.milliCores);
+        reserved += static_cast<double>(worker.reserved.milliCores);
+    }
+    return all > 0 ? reserved / all : 1;
+}
+
 bool TaskPlacer::couldEverFit(PlacementRequest const& request) const
 {
     return std::any_of(this->workers.begin(), this->workers.end(), [&](auto const& entry) {
@@ -93,7 +106,7 @@
     if (!stage.isBestEffort)
         return true;
     bool const isLeftEnough = this->unusedMilliCores(worker) >= static_cast<double>(stage.need.milliCores) * this->limits.bestEffortShare;
-    return isLeftEnough && (request.mayTrickle || this->mayRunBestEffort(worker, stage, now));
+    return (isLeftEnough || request.ignoresBestEffort) && (request.mayTrickle || this->mayRunBestEffort(worker, stage, now));
 }
 
 unsigned TaskPlacer::tricklePercent(WorkerView const& worker, StageSpec const& stage) const
--- a/cornelpond/core/placement/TaskPlacer.h
+++ b/cornelpond/core/placement/TaskPlacer.h
@@ -38,6 +38,7 @@
     bool mayLeaveDataRack = true; ///< Waiting for the data's rack costs more than running elsewhere.
     bool isRestart = false; ///< The task has run before: it may take the room kept free of service tasks.
     bool mayTrickle = false; ///< A best-effort task may stand beside a service that it harms, hardly working.
+    bool ignoresBestEffort = false; ///< A best-effort task may share what other such tasks use already.
     RackId onlyRack; ///< Empty: any.
     WorkerId avoid; ///< Where another attempt of the task runs; empty: none.
     std::set<WorkerId> const* permitted = nullptr; ///< Null: all.
@@ -51,6 +52,9 @@
     /// Null when no worker fits now.
     WorkerView* choose(PlacementRequest const& request, TimePoint now) const;
 
+    /// Share of the service's cores that is reserved.
+    double reservedShare(ServiceId const& service) const;
+
     /// True when some worker that is not drained could hold the task if it were empty.
     bool couldEverFit(PlacementRequest const& request) const;
 
--- a/cornelpond/core/scheduling/LoadReplayTest.cpp
+++ b/cornelpond/core/scheduling/LoadReplayTest.cpp
@@ -110,3 +110,14 @@
     REQUIRE(bench.runUntilIdle(second * 10));
     CHECK(bench.state(JobId("plan")) == JobState::Completed);
 }
+
+TEST_CASE("load: each best-effort job has something running within seconds while the workers' room is mostly free")
+{
+    JobBench bench(6);
+    bench.addWorkers(2, 16000);
+    for (int i = 0; i < 10; i++)
+        bench.submit(makeBestEffortJob("plan" + std::to_string(i), 4, 4000, second * 20, "f"));
+    bench.run(second * 4);
+    for (int i = 0; i < 10; i++)
+        CHECK(bench.fleet.runningCount(JobId("plan" + std::to_string(i))) >= 1);
+}
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -115,6 +115,8 @@
     auto const waiting = std::find_if(tasks.begin(), tasks.end(), [](auto const& task) { return task.isWaiting(); });
     request.task.index = static_cast<uint32_t>(waiting - tasks.begin());
     request.mayTrickle = true;
+    constexpr double mostlyFree = 0.5; // Then even a saturated worker is better than none.
+    request.ignoresBestEffort = this->placer.reservedShare(request.service) < mostlyFree;
     WorkerView* worker = waiting == tasks.end() || this->proposed.count(request.task) ? nullptr : this->placer.choose(request, now);
     if (!worker)
         return false;
