Believe only a worker's own address that it is gone, never an announcement

Ruled out on the way: leases (last promise 238 ms old), missing list rows, changes of leader (none near). A worker at an address now only ends another's life by answering for it; announcements of services that nobody configured are refused. Test failed before.

--- a/cornelpond/core/base/Event.cpp
+++ b/cornelpond/core/base/Event.cpp
@@ -54,6 +54,7 @@
         EventInfo { EventId::StrayAttempt, "StrayAttempt", "A worker lists an attempt that is not in force; it is stopped." },
         EventInfo { EventId::OrderFailed, "OrderFailed", "An order to a worker was not confirmed; it is sent again." },
         EventInfo { EventId::JobCancelled, "JobCancelled", "A cancellation was committed." },
+        EventInfo { EventId::AttemptConcluded, "AttemptConcluded", "An attempt counts as ended though its worker did not list its end; `reason` says by what." },
         EventInfo { EventId::LeaderElected, "LeaderElected", "This host leads a group." },
         EventInfo { EventId::LeaderLost, "LeaderLost", "This host no longer leads a group." },
         EventInfo { EventId::JournalOpened, "JournalOpened", "A journal was read from disk." },
--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -67,6 +67,7 @@
     StrayAttempt = 336,
     OrderFailed = 337,
     JobCancelled = 338,
+    AttemptConcluded = 339,
     LeaderElected = 400,
     LeaderLost = 401,
     JournalOpened = 402,
--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -113,7 +113,7 @@
         return;
     for (auto& [key, attempt] : found->second.placed) {
         if (attempt.phase != PlacedAttempt::Phase::Proposed)
-            this->report(found->second, attempt, AttemptEnd::Lost, attempt.checkpoint);
+            this->conclude(found->second, attempt, AttemptEnd::Lost, "worker removed");
     }
     this->views.erase(found);
 }
@@ -130,6 +130,7 @@
     placed.task = task;
     placed.number = attempt;
     placed.stage = &this->jobs.find(task.job)->spec.stages[task.stage];
+    placed.image = this->images.idOf(placed.stage->image);
     placed.placedAt = this->clock.now();
     placed.throttleBound = throttleBound;
     placed.throttle = throttleBound;
@@ -246,7 +247,7 @@
         if (attempt.isEndReported || attempt.phase == PlacedAttempt::Phase::Proposed)
             continue;
         hadAttempts = true;
-        this->report(view, attempt, AttemptEnd::Lost, attempt.checkpoint);
+        this->conclude(view, attempt, AttemptEnd::Lost, "lease over");
     }
     if (hadAttempts)
         this->events.emit(Event(EventId::WorkerLost).with("worker", view.profile.id).with("reason", "lease over").with("silentMs", now - view.lastAnswer));
@@ -409,7 +410,7 @@
     for (auto& [key, attempt] : view.placed) {
         if (attempt.isEndReported || listed.count(key) || !mayConclude(attempt, sentAt))
             continue;
-        this->report(view, attempt, AttemptEnd::Lost, attempt.checkpoint);
+        this->conclude(view, attempt, AttemptEnd::Lost, "not listed");
     }
 }
 
@@ -443,7 +444,7 @@
     TimePoint const now = this->clock.now();
     if (!this->jobs.isWanted(attempt.task, { attempt.number, view.profile.id })) {
         if (!attempt.startsSent)
-            this->report(view, attempt, AttemptEnd::Refused, attempt.checkpoint);
+            this->conclude(view, attempt, AttemptEnd::Refused, "not started");
         else
             this->stop(view, attempt);
         return;
@@ -515,7 +516,7 @@
         if (attempt.startIsUncertain)
             this->stop(view, attempt);
         else
-            this->report(view, attempt, AttemptEnd::Refused, attempt.checkpoint);
+            this->conclude(view, attempt, AttemptEnd::Refused, "not started");
         return;
     case OrderResult::RefusedEpoch:
         view.isSuperseded = true;
@@ -545,7 +546,7 @@
     if (attempt.startIsUncertain)
         this->stop(view, attempt);
     else
-        this->report(view, attempt, AttemptEnd::Refused, attempt.checkpoint);
+        this->conclude(view, attempt, AttemptEnd::Refused, "not started");
 }
 
 void Dispatcher::stop(WorkerView& view, PlacedAttempt& attempt)
@@ -632,6 +633,26 @@
     }));
 }
 
+/// An end that the worker did not list itself.
+void Dispatcher::conclude(WorkerView& view, PlacedAttempt& attempt, AttemptEnd end, char const* reason)
+{
+    if (attempt.isEndReported)
+        return;
+    TimePoint const now = this->clock.now();
+    this->events.emit(Event(EventId::AttemptConcluded)
+                          .with("task", attempt.task.text())
+                          .with("attempt", attempt.number)
+                          .with("worker", view.profile.id)
+                          .with("reason", reason)
+                          .with("answerAgeMs", now - view.lastAnswer)
+                          .with("promiseAgeMs", now - view.lastPromise)
+                          .with("bornMs", view.profile.bornMs)
+                          .with("inherited", static_cast<int>(attempt.isInherited))
+                          .with("starts", attempt.startsSent)
+                          .with("stopping", static_cast<int>(attempt.isStopping)));
+    this->report(view, attempt, end, attempt.checkpoint);
+}
+
 void Dispatcher::report(WorkerView& view, PlacedAttempt& attempt, AttemptEnd end, std::string const& checkpoint)
 {
     if (attempt.isEndReported)
@@ -647,7 +668,7 @@
     this->events.emit(Event(EventId::WorkerLost).with("worker", view.profile.id).with("reason", reason));
     for (auto& [key, attempt] : view.placed) {
         if (attempt.phase != PlacedAttempt::Phase::Proposed)
-            this->report(view, attempt, AttemptEnd::Lost, attempt.checkpoint);
+            this->conclude(view, attempt, AttemptEnd::Lost, reason);
     }
     view.isListed = false;
     view.nextRenew = this->clock.now() + this->times.touchTimeout;
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -80,6 +80,7 @@
     /// Call every 10 to 20 ms.
     void onTick();
 
+    ImageId imageId(std::string const& image) { return this->images.idOf(image); }
     std::map<WorkerId, WorkerView>& workers() { return this->views; }
     std::map<WorkerId, WorkerView> const& workers() const { return this->views; }
     WorkerView* find(WorkerId const& worker);
@@ -110,6 +111,7 @@
     void sendStop(WorkerView& view, PlacedAttempt& attempt);
     void stopStray(WorkerView& view, AttemptKey const& key, StrayAttempt& stray);
     void sendThrottle(WorkerView& view, PlacedAttempt& attempt);
+    void conclude(WorkerView& view, PlacedAttempt& attempt, AttemptEnd end, char const* reason);
     void report(WorkerView& view, PlacedAttempt& attempt, AttemptEnd end, std::string const& checkpoint);
     void giveUpWorker(WorkerView& view, char const* reason);
     template <typename Handler>
@@ -123,6 +125,7 @@
     DispatcherHooks hooks;
     bool leading = false;
     Term epoch;
+    ImageNames images;
     std::map<WorkerId, WorkerView> views;
     std::shared_ptr<bool> lifetime; ///< Replaced with each leadership: answers to earlier orders are dropped.
 };
--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -30,19 +30,6 @@
     return held;
 }
 
-namespace {
-
-    void countImage(std::map<std::string, ImageLoad>& images, StageSpec const& stage, int direction)
-    {
-        auto const entry = images.try_emplace(stage.image).first;
-        entry->second.tasks += direction;
-        entry->second.milliCores += stage.need.milliCores * direction;
-        if (!entry->second.tasks)
-            images.erase(entry);
-    }
-
-} // namespace
-
 /// Adds the attempt to the sums, or takes it out again.
 void WorkerView::count(PlacedAttempt const& attempt, int direction)
 {
@@ -54,12 +41,12 @@
     int64_t const milliCores = attempt.stage->need.milliCores * direction;
     if (attempt.isBestEffort() && !attempt.trickles()) {
         this->bestEffortMilliCores += milliCores;
-        countImage(this->bestEffortImages, *attempt.stage, direction);
+        this->bestEffortImages.add(attempt.image, attempt.stage->need.milliCores, direction);
     }
     if (attempt.isService()) {
         this->serviceMilliCores += milliCores;
         if (attempt.stage->latencyTarget > Duration())
-            countImage(this->serviceImages, *attempt.stage, direction);
+            this->serviceImages.add(attempt.image, attempt.stage->need.milliCores, direction);
     }
 }
 
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -9,6 +9,7 @@
 //   if (need.fitsIn(view.freeRoom()))
 //       placeAnother();
 
+#include "cornelpond/core/dispatch/ImageLoads.h"
 #include "cornelpond/core/jobs/JobSpec.h"
 #include "cornelpond/core/jobs/WorkerRoster.h"
 #include "cornelpond/ports/WorkerOrders.h"
@@ -51,6 +52,7 @@
     TaskRef task;
     AttemptNumber number;
     StageSpec const* stage = nullptr; ///< Lives as long as the job's record.
+    ImageId image;
     Phase phase = Phase::Proposed;
     bool isInherited = false; ///< Committed by an earlier leader.
     bool isEndReported = false; ///< Its end is proposed and not committed yet.
@@ -95,12 +97,6 @@
     bool isListed = true;
 };
 
-/// Tasks of one image on a worker.
-struct ImageLoad {
-    int tasks = 0;
-    int64_t milliCores = 0; ///< Asked for.
-};
-
 class WorkerView {
 public:
     WorkerView(WorkerProfile profile, TimePoint now);
@@ -137,8 +133,8 @@
     Resources reserved;
     int64_t bestEffortMilliCores = 0; ///< Asked for by best-effort tasks that do not trickle.
     int64_t serviceMilliCores = 0; ///< Reserved by service tasks.
-    std::map<std::string, ImageLoad> serviceImages; ///< Placed service tasks with a latency target, by image.
-    std::map<std::string, ImageLoad> bestEffortImages; ///< Placed best-effort tasks that do not trickle, by image.
+    ImageLoads serviceImages; ///< Placed service tasks with a latency target, by image.
+    ImageLoads bestEffortImages; ///< Placed best-effort tasks that do not trickle, by image.
 
     bool knowsClock = false;
     Duration clock;
--- a/cornelpond/core/jobs/WorkerRoster.cpp
+++ b/cornelpond/core/jobs/WorkerRoster.cpp
@@ -150,13 +150,4 @@
     return found == this->workers.end() ? nullptr : &found->second;
 }
 
-WorkerProfile const* WorkerRoster::findAtAddress(std::string_view address, WorkerId const& otherThan) const
-{
-    for (auto const& [id, profile] : this->workers) {
-        if (profile.address == address && id != otherThan)
-            return &profile;
-    }
-    return nullptr;
-}
-
 } // namespace cornelpond
--- a/cornelpond/core/jobs/WorkerRoster.h
+++ b/cornelpond/core/jobs/WorkerRoster.h
@@ -69,9 +69,6 @@
 
     WorkerProfile const* find(WorkerId const& id) const;
 
-    /// Another worker known at the same address, or null.
-    WorkerProfile const* findAtAddress(std::string_view address, WorkerId const& otherThan) const;
-
     std::map<WorkerId, WorkerProfile> const& all() const { return this->workers; }
 
 private:
--- a/cornelpond/core/placement/InterferenceModel.cpp
+++ b/cornelpond/core/placement/InterferenceModel.cpp
@@ -54,18 +54,18 @@
         bool const isSettled = now - attempt.confirmedAt >= this->limits.settle && now - attempt.throttledAt >= this->limits.settle;
         if (!isSettled)
             return;
-        uses[attempt.stage->image] += static_cast<double>(attempt.figure) / static_cast<double>(std::max<int64_t>(worker.profile.capacity.milliCores, 1));
+        uses[attempt.image] += static_cast<double>(attempt.figure) / static_cast<double>(std::max<int64_t>(worker.profile.capacity.milliCores, 1));
     }
     if (uses.empty() || now - worker.bestEffortLeft < this->limits.settle)
         return;
     this->lastJudged[worker.profile.id] = now;
     for (auto const& [key, attempt] : worker.placed) {
         if (hasTarget(attempt) && hasFigure(attempt) && attempt.progressPercent >= atWork && now - attempt.confirmedAt >= this->limits.settle)
-            this->judge(attempt.stage->image, tailRatio(attempt), uses, now);
+            this->judge(attempt.image, tailRatio(attempt), uses, now);
     }
 }
 
-void InterferenceModel::judge(std::string const& service, double ratio, Uses const& uses, TimePoint now)
+void InterferenceModel::judge(ImageId service, double ratio, Uses const& uses, TimePoint now)
 {
     if (ratio < this->limits.clearBelow)
         this->acquit(service, uses);
@@ -73,23 +73,23 @@
         this->accuse(service, uses, now);
 }
 
-void InterferenceModel::acquit(std::string const& service, Uses const& uses)
+void InterferenceModel::acquit(ImageId service, Uses const& uses)
 {
     for (auto const& [image, use] : uses) {
-        Evidence& evidence = this->pairs[{ service, image }];
+        Evidence& evidence = this->pairs[pairOf(service, image)];
         evidence.clearedUse = std::max(evidence.clearedUse, use);
     }
 }
 
-void InterferenceModel::accuse(std::string const& service, Uses const& uses, TimePoint now)
+void InterferenceModel::accuse(ImageId service, Uses const& uses, TimePoint now)
 {
-    std::vector<std::string> accused;
+    std::vector<ImageId> accused;
     for (auto const& [image, use] : uses) {
-        if (use >= this->limits.leastUse && use > this->pairs[{ service, image }].clearedUse * this->limits.suspectAbove)
+        if (use >= this->limits.leastUse && use > this->pairs[pairOf(service, image)].clearedUse * this->limits.suspectAbove)
             accused.push_back(image);
     }
-    for (auto const& image : accused) {
-        Evidence& evidence = this->pairs[{ service, image }];
+    for (ImageId const image : accused) {
+        Evidence& evidence = this->pairs[pairOf(service, image)];
         double const sum = this->accusationsOf(evidence, now) + 1.0 / static_cast<double>(accused.size());
         evidence.accusations = std::min(sum, this->limits.mostAccusations);
         evidence.accusedAt = now;
@@ -98,12 +98,18 @@
         return;
     // All are cleared for what they use: together it is too much, or the service is busier than it was.
     for (auto const& [image, use] : uses)
-        this->pairs[{ service, image }].clearedUse /= this->limits.growth;
+        this->pairs[pairOf(service, image)].clearedUse /= this->limits.growth;
 }
 
-InterferenceModel::Evidence const* InterferenceModel::find(std::string const& service, std::string const& bestEffort) const
+uint64_t InterferenceModel::pairOf(ImageId service, ImageId bestEffort)
 {
-    auto const found = this->pairs.find({ service, bestEffort });
+    constexpr unsigned half = 32;
+    return (service.value() << half) | bestEffort.value();
+}
+
+InterferenceModel::Evidence const* InterferenceModel::find(ImageId service, ImageId bestEffort) const
+{
+    auto const found = this->pairs.find(pairOf(service, bestEffort));
     return found == this->pairs.end() ? nullptr : &found->second;
 }
 
@@ -113,18 +119,18 @@
     return std::max(evidence.accusations - forgiven, 0.0);
 }
 
-bool InterferenceModel::isHarmful(std::string const& service, std::string const& bestEffort, TimePoint now) const
+bool InterferenceModel::isHarmful(ImageId service, ImageId bestEffort, TimePoint now) const
 {
     Evidence const* evidence = this->find(service, bestEffort);
     return evidence && evidence->accusations >= this->limits.guilt && this->accusationsOf(*evidence, now) > 0;
 }
 
-bool InterferenceModel::harmsAny(WorkerView const& worker, std::string const& bestEffort, TimePoint now) const
+bool InterferenceModel::harmsAny(WorkerView const& worker, ImageId bestEffort, TimePoint now) const
 {
-    return std::any_of(worker.serviceImages.begin(), worker.serviceImages.end(), [&](auto const& entry) { return this->isHarmful(entry.first, bestEffort, now); });
+    return std::any_of(worker.serviceImages.begin(), worker.serviceImages.end(), [&](auto const& entry) { return this->isHarmful(entry.image, bestEffort, now); });
 }
 
-double InterferenceModel::allowedUse(std::string const& service, std::string const& bestEffort, TimePoint now) const
+double InterferenceModel::allowedUse(ImageId service, ImageId bestEffort, TimePoint now) const
 {
     if (this->isHarmful(service, bestEffort, now))
         return 0;
@@ -132,7 +138,7 @@
     return std::max(this->limits.trialUse, evidence ? evidence->clearedUse * this->limits.growth : 0.0);
 }
 
-bool InterferenceModel::isOnTrial(std::string const& service, std::string const& bestEffort) const
+bool InterferenceModel::isOnTrial(ImageId service, ImageId bestEffort) const
 {
     Evidence const* evidence = this->find(service, bestEffort);
     return !evidence || evidence->clearedUse < this->limits.provenUse;
--- a/cornelpond/core/placement/InterferenceModel.h
+++ b/cornelpond/core/placement/InterferenceModel.h
@@ -13,14 +13,13 @@
 // Example:
 //   InterferenceModel model;
 //   model.observe(worker, now);
-//   if (model.isHarmful("gate-watch", "season-plan"))
+//   if (model.isHarmful(gateWatch, seasonPlan, now))
 //       placeElsewhere();
 
 #include "cornelpond/core/dispatch/WorkerView.h"
 
 #include <map>
-#include <string>
-#include <utility>
+#include <unordered_map>
 
 namespace cornelpond {
 
@@ -51,16 +50,16 @@
     /// Takes in what the worker has just listed.
     void observe(WorkerView const& worker, TimePoint now);
 
-    bool isHarmful(std::string const& service, std::string const& bestEffort, TimePoint now) const;
+    bool isHarmful(ImageId service, ImageId bestEffort, TimePoint now) const;
 
     /// True when some service task on the worker is harmed by the image.
-    bool harmsAny(WorkerView const& worker, std::string const& bestEffort, TimePoint now) const;
+    bool harmsAny(WorkerView const& worker, ImageId bestEffort, TimePoint now) const;
 
     /// Share of a worker's cores that the image may take beside the service; 0 for a harmful pair.
-    double allowedUse(std::string const& service, std::string const& bestEffort, TimePoint now) const;
+    double allowedUse(ImageId service, ImageId bestEffort, TimePoint now) const;
 
     /// True while little is known of the pair.
-    bool isOnTrial(std::string const& service, std::string const& bestEffort) const;
+    bool isOnTrial(ImageId service, ImageId bestEffort) const;
 
     void clear();
 
@@ -71,17 +70,17 @@
         TimePoint accusedAt;
     };
 
-    using Pair = std::pair<std::string, std::string>; ///< Service image, best-effort image.
-    using Uses = std::map<std::string, double>; ///< Share of a worker's cores by best-effort image.
+    using Uses = std::map<ImageId, double>; ///< Share of a worker's cores by best-effort image.
 
-    Evidence const* find(std::string const& service, std::string const& bestEffort) const;
+    static uint64_t pairOf(ImageId service, ImageId bestEffort);
+    Evidence const* find(ImageId service, ImageId bestEffort) const;
     double accusationsOf(Evidence const& evidence, TimePoint now) const;
-    void judge(std::string const& service, double ratio, Uses const& uses, TimePoint now);
-    void acquit(std::string const& service, Uses const& uses);
-    void accuse(std::string const& service, Uses const& uses, TimePoint now);
+    void judge(ImageId service, double ratio, Uses const& uses, TimePoint now);
+    void acquit(ImageId service, Uses const& uses);
+    void accuse(ImageId service, Uses const& uses, TimePoint now);
 
     InterferenceLimits limits;
-    std::map<Pair, Evidence> pairs;
+    std::unordered_map<uint64_t, Evidence> pairs; ///< By pairOf.
     std::map<WorkerId, TimePoint> lastJudged;
 };
 
--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -16,10 +16,11 @@
 {
     WorkerView* best = nullptr;
     double bestScore = 0;
+    Trials const trials = request.stage->isBestEffort ? this->trialsOf(request.image) : Trials();
     bool const keepsRoom = request.stage->isService && !request.isRestart;
     int64_t const openMilliCores = keepsRoom ? this->openToServices(request) : 0;
     for (auto& [id, worker] : this->workers) {
-        if (!this->fits(worker, request, now))
+        if (!this->fits(worker, request, now) || !this->mayShare(worker, request, trials, now))
             continue;
         bool const opensWorker = keepsRoom && !worker.serviceMilliCores;
         if (opensWorker && worker.profile.capacity.milliCores > openMilliCores)
@@ -103,10 +104,16 @@
         return false;
     if (stage.maxPerWorker && worker.countOfStage(request.task) >= stage.maxPerWorker)
         return false;
-    if (!stage.isBestEffort)
+    return true;
+}
+
+/// For best-effort tasks: whether enough is left unused, and no service there is harmed.
+bool TaskPlacer::mayShare(WorkerView const& worker, PlacementRequest const& request, Trials const& trials, TimePoint now) const
+{
+    if (!request.stage->isBestEffort)
         return true;
-    bool const isLeftEnough = this->unusedMilliCores(worker) >= static_cast<double>(stage.need.milliCores) * this->limits.bestEffortShare;
-    return (isLeftEnough || request.ignoresBestEffort) && (request.mayTrickle || this->mayRunBestEffort(worker, stage, now));
+    bool const isLeftEnough = this->unusedMilliCores(worker) >= static_cast<double>(request.stage->need.milliCores) * this->limits.bestEffortShare;
+    return (isLeftEnough || request.ignoresBestEffort) && (request.mayTrickle || this->mayRunBestEffort(worker, request, trials, now));
 }
 
 unsigned TaskPlacer::tricklePercent(WorkerView const& worker, StageSpec const& stage) const
@@ -116,32 +123,39 @@
     return static_cast<unsigned>(std::clamp(full * allowed / static_cast<double>(std::max<int64_t>(stage.need.milliCores, 1)), 1.0, full));
 }
 
-bool TaskPlacer::mayRunBestEffort(WorkerView const& worker, StageSpec const& stage, TimePoint now) const
+bool TaskPlacer::mayRunBestEffort(WorkerView const& worker, PlacementRequest const& request, Trials const& trials, TimePoint now) const
 {
-    if (worker.throttle < 100)
+    constexpr unsigned unthrottled = 100;
+    if (worker.throttle < unthrottled)
         return false;
-    auto const present = worker.bestEffortImages.find(stage.image);
-    int64_t const milliCores = stage.need.milliCores + (present == worker.bestEffortImages.end() ? 0 : present->second.milliCores);
+    ImageLoad const* present = worker.bestEffortImages.find(request.image);
+    int64_t const milliCores = request.stage->need.milliCores + (present ? present->milliCores : 0);
     double const use = static_cast<double>(milliCores) / static_cast<double>(std::max<int64_t>(worker.profile.capacity.milliCores, 1));
-    return std::all_of(worker.serviceImages.begin(), worker.serviceImages.end(), [&](auto const& entry) {
-        std::string const& service = entry.first;
-        if (this->interference.isOnTrial(service, stage.image)) {
+    return std::all_of(worker.serviceImages.begin(), worker.serviceImages.end(), [&](ImageLoad const& service) {
+        if (this->interference.isOnTrial(service.image, request.image)) {
             // Tried with nothing else beside it that would blur the picture, on few workers at a time.
-            bool const isBlurred = worker.bestEffortImages.size() > (present == worker.bestEffortImages.end() ? 0U : 1U);
-            if (isBlurred || (present == worker.bestEffortImages.end() && this->trialsOf(service, stage.image) >= this->limits.trialWorkers))
+            bool const isBlurred = worker.bestEffortImages.size() > (present ? 1U : 0U);
+            auto const tried = trials.find(service.image);
+            bool const isTriedEnough = tried != trials.end() && tried->second >= this->limits.trialWorkers;
+            if (isBlurred || (!present && isTriedEnough))
                 return false;
-            if (present == worker.bestEffortImages.end())
-                return !this->interference.isHarmful(service, stage.image, now);
+            if (!present)
+                return !this->interference.isHarmful(service.image, request.image, now);
         }
-        return use <= this->interference.allowedUse(service, stage.image, now);
+        return use <= this->interference.allowedUse(service.image, request.image, now);
     });
 }
 
-unsigned TaskPlacer::trialsOf(std::string const& service, std::string const& image) const
+TaskPlacer::Trials TaskPlacer::trialsOf(ImageId image) const
 {
-    return static_cast<unsigned>(std::count_if(this->workers.begin(), this->workers.end(), [&](auto const& entry) {
-        return entry.second.serviceImages.count(service) && entry.second.bestEffortImages.count(image);
-    }));
+    Trials trials;
+    for (auto const& [id, worker] : this->workers) {
+        if (!worker.bestEffortImages.find(image))
+            continue;
+        for (auto const& service : worker.serviceImages)
+            trials[service.image]++;
+    }
+    return trials;
 }
 
 double TaskPlacer::unusedMilliCores(WorkerView const& worker) const
@@ -163,23 +177,24 @@
     if (stage.isBestEffort)
         score = this->unusedMilliCores(worker) / capacity - worker.tailRatio;
     else
-        score = serviceScore(worker, stage) - static_cast<double>(worker.freeRoom().milliCores) / capacity;
+        score = serviceScore(worker, request) - static_cast<double>(worker.freeRoom().milliCores) / capacity;
     if (!stage.dataRack.empty() && worker.profile.rack == stage.dataRack)
         score += rackBonus;
     return score;
 }
 
-double TaskPlacer::serviceScore(WorkerView const& worker, StageSpec const& stage)
+double TaskPlacer::serviceScore(WorkerView const& worker, PlacementRequest const& request)
 {
     constexpr double amongItsLike = 4;
     constexpr double amongNone = 2;
+    StageSpec const& stage = *request.stage;
     if (!stage.isService || stage.latencyTarget <= Duration())
         return 0;
     if (worker.serviceImages.empty())
         return amongNone;
-    auto const same = worker.serviceImages.find(stage.image);
-    double const others = static_cast<double>(worker.serviceImages.size() - (same == worker.serviceImages.end() ? 0 : 1));
-    return (same == worker.serviceImages.end() ? 0 : amongItsLike) - others;
+    bool const hasLike = worker.serviceImages.find(request.image);
+    double const others = static_cast<double>(worker.serviceImages.size() - (hasLike ? 1 : 0));
+    return (hasLike ? amongItsLike : 0) - others;
 }
 
 } // namespace cornelpond
--- a/cornelpond/core/placement/TaskPlacer.h
+++ b/cornelpond/core/placement/TaskPlacer.h
@@ -34,6 +34,7 @@
 struct PlacementRequest {
     TaskRef task;
     StageSpec const* stage = nullptr;
+    ImageId image; ///< Of the stage.
     ServiceId service;
     bool mayLeaveDataRack = true; ///< Waiting for the data's rack costs more than running elsewhere.
     bool isRestart = false; ///< The task has run before: it may take the room kept free of service tasks.
@@ -65,13 +66,17 @@
     double unusedMilliCores(WorkerView const& worker) const;
 
 private:
+    /// Workers on which the image stands beside each service image.
+    using Trials = std::map<ImageId, unsigned>;
+
     bool fits(WorkerView const& worker, PlacementRequest const& request, TimePoint now) const;
+    bool mayShare(WorkerView const& worker, PlacementRequest const& request, Trials const& trials, TimePoint now) const;
     int64_t openToServices(PlacementRequest const& request) const;
     static bool isAllowed(WorkerView const& worker, PlacementRequest const& request);
-    bool mayRunBestEffort(WorkerView const& worker, StageSpec const& stage, TimePoint now) const;
-    unsigned trialsOf(std::string const& service, std::string const& image) const;
+    bool mayRunBestEffort(WorkerView const& worker, PlacementRequest const& request, Trials const& trials, TimePoint now) const;
+    Trials trialsOf(ImageId image) const;
     double score(WorkerView const& worker, PlacementRequest const& request) const;
-    static double serviceScore(WorkerView const& worker, StageSpec const& stage);
+    static double serviceScore(WorkerView const& worker, PlacementRequest const& request);
 
     std::map<WorkerId, WorkerView>& workers;
     InterferenceModel const& interference;
--- a/cornelpond/core/scheduling/JobFaultsTest.cpp
+++ b/cornelpond/core/scheduling/JobFaultsTest.cpp
@@ -159,3 +159,28 @@
         RC_ASSERT(record.overCapacity == 0U);
     });
 }
+
+TEST_CASE("a forged announcement at a worker's address ends nothing that runs there, and names no worker to use")
+{
+    JobBench bench(6);
+    bench.addWorkers(1, 16000);
+    JobSpec const job = makeJob("plan", 4, 1000, second * 2);
+    bench.submit(job);
+    bench.run(second);
+    for (int64_t const born : { 0, 1, 1000 }) {
+        WorkerReport forged = bench.fleet.report(WorkerId("w0"));
+        forged.profile.id = WorkerId("w0a");
+        forged.profile.bornMs = born;
+        bench.leader().scheduler().announce(forged, [](CallResult) {});
+    }
+    WorkerReport unknown = bench.fleet.report(WorkerId("w0"));
+    unknown.profile.service = ServiceId("nobody");
+    unknown.profile.bornMs = 1000;
+    CallResult result = CallResult::Done;
+    bench.leader().scheduler().announce(unknown, [&](CallResult given) { result = given; });
+    CHECK(result == CallResult::Refused);
+    REQUIRE(bench.runUntilIdle(second * 5));
+    CHECK(bench.fleet.record().starts == 4);
+    CHECK(bench.fleet.record().doubleRuns == 0);
+    CHECK(bench.leader().scheduler().dispatcher().workers().size() == 1);
+}
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -253,7 +253,10 @@
         done(CallResult::Done);
         return;
     }
-    this->jobLog.propose(encodeJobCommand(CancelJob { id, this->clock.wallMilliseconds() }), [done = std::move(done)](ProposalOutcome const& outcome) { done(resultOf(outcome.code)); });
+    this->jobLog.propose(encodeJobCommand(CancelJob { id, this->clock.wallMilliseconds() }), [this, id, done = std::move(done)](ProposalOutcome const& outcome) {
+        this->events.emit(Event(EventId::JobCancelled).with("job", id).with("code", static_cast<int>(outcome.code)));
+        done(resultOf(outcome.code));
+    });
 }
 
 JobLookup JobScheduler::lookUp(JobId const& id) const
@@ -287,6 +290,12 @@
         return;
     }
     WorkerProfile const& profile = announcement.profile;
+    // Anyone may send announcements. One of a service that nobody configured names no worker; one that names
+    // another worker's address proves nothing about that worker: only an answer from the address does.
+    if (this->queues.isKnown() && !this->queues.findService(profile.service)) {
+        done(CallResult::Refused);
+        return;
+    }
     WorkerProfile const* known = this->workerRoster.find(profile.id);
     auto& [life, sequence] = this->lastSequence[profile.id];
     bool const isStale = (known && known->bornMs > profile.bornMs) || (life == profile.bornMs && announcement.sequence && announcement.sequence < sequence);
@@ -296,14 +305,6 @@
     }
     life = profile.bornMs;
     sequence = announcement.sequence;
-    // One process listens at an address: an earlier one there has ended with all that ran on it.
-    WorkerProfile const* former = this->workerRoster.findAtAddress(profile.address, profile.id);
-    if (former && former->bornMs > profile.bornMs) {
-        done(CallResult::Done);
-        return;
-    }
-    if (former)
-        this->removeWorker(*former);
     if (profile.isDraining)
         this->drainEnds[profile.id] = this->clock.now() + announcement.drainRemaining;
     this->dispatch.onAnnounced(profile.id);
@@ -410,6 +411,7 @@
                 PlacementRequest request;
                 request.task = attempt.task;
                 request.stage = attempt.stage;
+                request.image = attempt.image;
                 request.service = worker.profile.service;
                 request.isRestart = true;
                 if (!this->placer.choose(request, now))
@@ -443,7 +445,7 @@
         if (!attempt.isBestEffort() || attempt.isStopping || attempt.isEndReported)
             continue;
         bool const trickles = attempt.trickles();
-        bool const isHarmful = this->interference.harmsAny(worker, attempt.stage->image, now);
+        bool const isHarmful = this->interference.harmsAny(worker, attempt.image, now);
         bool const isOverTarget = worker.tailRatio >= 1;
         unsigned const percent = trickles ? (isOverTarget ? 0 : attempt.throttleBound) : isHarmful ? 0 : worker.throttle;
         if (attempt.throttle != percent)
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -61,6 +61,7 @@
     PlacementRequest request;
     request.task = { ready.job->spec.id, ready.occurrence, ready.stage, 0 };
     request.stage = &ready.job->spec.stages[ready.stage];
+    request.image = this->dispatch.imageId(request.stage->image);
     request.service = ready.job->service;
     if (!request.stage->dataRack.empty()) {
         Duration const waited = now - this->objective(*ready.job).acceptedAt;
@@ -137,6 +138,7 @@
             PlacementRequest request;
             request.task = attempt.task;
             request.stage = attempt.stage;
+            request.image = attempt.image;
             request.service = worker.profile.service;
             if (!this->placer.choose(request, now))
                 continue;
--- a/testing/fakes/FakeFleet.cpp
+++ b/testing/fakes/FakeFleet.cpp
@@ -123,6 +123,12 @@
     Duration const way = isLate ? this->faults.lateMin + Duration::microseconds(static_cast<int64_t>(this->random.below(span))) : oneWay;
     if (isLate)
         this->clock.after(answerTimeout, [done] { done(OrderAnswer()); });
+    if (this->answersOtherLife(target)) {
+        OrderAnswer other;
+        other.result = OrderResult::OtherLife;
+        this->clock.after(oneWay * 2, [done, other] { done(other); });
+        return;
+    }
     int64_t const life = this->workers.at(target.id).profile.bornMs;
     this->clock.after(way, [this, id = target.id, life, isLate, action = std::move(action), done = std::move(done)] {
         Worker& worker = this->workers.at(id);
@@ -137,6 +143,12 @@
     });
 }
 
+/// Nobody of that name is there: the worker at the address says so.
+bool FakeFleet::answersOtherLife(WorkerTarget const& target) const
+{
+    return !this->workers.count(target.id);
+}
+
 void FakeFleet::start(WorkerTarget const& worker, StartOrder const& order, Done done)
 {
     this->deliver(worker, [this, order](Worker& target) { return this->carryOutStart(target, order); }, std::move(done));
@@ -229,6 +241,12 @@
 
 void FakeFleet::renew(WorkerTarget const& target, RenewOrder const& order, std::function<void(RenewAnswer const&)> done)
 {
+    if (this->answersOtherLife(target)) {
+        RenewAnswer other;
+        other.order.result = OrderResult::OtherLife;
+        this->clock.after(oneWay * 2, [done, other] { done(other); });
+        return;
+    }
     bool const isLost = this->random.unit() < this->faults.lateOrders;
     this->clock.after(oneWay, [this, id = target.id, order, isLost, done = std::move(done)] {
         Worker& worker = this->workers.at(id);
--- a/testing/fakes/FakeFleet.h
+++ b/testing/fakes/FakeFleet.h
@@ -112,6 +112,7 @@
         std::list<Waiting> waiting;
     };
 
+    bool answersOtherLife(WorkerTarget const& target) const;
     void breakWaiting(Worker& worker);
     OrderAnswer answer(Worker const& worker, OrderResult result) const;
     void deliver(WorkerTarget const& target, std::function<OrderAnswer(Worker&)> action, Done done);
