--- a/cornelpond/adapters/http/HttpClient.cpp
+++ b/cornelpond/adapters/http/HttpClient.cpp
@@ -294,15 +294,25 @@
     this->loop.guard([&] { done(reported); });
 }
 
+bool HttpClient::hasIdle(Address const& to) const
+{
+    auto const found = this->idle.find(to);
+    return found != this->idle.end() && std::any_of(found->second.begin(), found->second.end(), [&](auto const& connection) { return this->isUsable(connection); });
+}
+
+/// A pooled connection that evhttp saw closing would reconnect by itself; a new one is taken instead.
+bool HttpClient::isUsable(IdleConnection const& connection) const
+{
+    return this->loop.now() - connection.since <= this->limits.maxIdleAge && isConnected(connection.connection);
+}
+
 evhttp_connection* HttpClient::takeIdle(Address const& to)
 {
     auto const found = this->idle.find(to);
     while (found != this->idle.end() && !found->second.empty()) {
         IdleConnection const newest = found->second.back();
         found->second.pop_back();
-        bool const tooOld = this->loop.now() - newest.since > this->limits.maxIdleAge;
-        // A pooled connection that evhttp saw closing would reconnect by itself; take a new one instead.
-        if (!tooOld && isConnected(newest.connection))
+        if (this->isUsable(newest))
             return newest.connection;
         this->freeLater(newest.connection);
     }
--- a/cornelpond/adapters/http/HttpClient.h
+++ b/cornelpond/adapters/http/HttpClient.h
@@ -77,6 +77,10 @@
     /// Closes the exchange's connection; `done` is called with Cancelled. No-op when it has ended.
     void cancel(HttpExchangeId exchange);
 
+    /// True when the next request to the address would run on a connection that has answered before, and so
+    /// reach the same process.
+    bool hasIdle(Address const& to) const;
+
     size_t openExchanges() const { return this->exchanges.size(); }
 
 private:
@@ -90,6 +94,7 @@
     void checkTime(uint64_t id);
     void armTimer(Exchange& exchange);
 
+    bool isUsable(IdleConnection const& connection) const;
     evhttp_connection* takeIdle(Address const& to);
     evhttp_connection* makeConnection(Address const& to);
     void keepConnection(Address const& to, evhttp_connection* connection);
--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -266,24 +266,21 @@
     this->acknowledgeEnds(view);
     RenewOrder order;
     order.epoch = this->epoch;
-    // An acknowledgement waits for nothing: were it still open when the worker comes back under its old id,
-    // the new life would forget ends of its own.
-    bool const acknowledges = view.acknowledgedEnds > view.acknowledgementTaken;
-    order.acknowledgedEnds = acknowledges ? view.acknowledgedEnds : 0;
+    order.acknowledgedEnds = view.acknowledgedEnds > view.acknowledgementTaken ? view.acknowledgedEnds : 0;
     order.extendsLease = view.knowsClock && !isSilent && !view.failures;
-    order.wait = view.isListed && !view.failures && !acknowledges && view.listedEnds.empty() ? this->times.listWait : Duration();
+    order.wait = view.isListed && !view.failures && view.listedEnds.empty() ? this->times.listWait : Duration();
     if (order.extendsLease) {
         order.leaseUntil = view.estimatedClock(now) + this->times.lease;
         view.lastPromise = now;
     }
     view.renewIsOpen = true;
-    this->orders.renew(view.target(), order, [this, alive = Lifetime(this->lifetime), worker = view.profile.id, born = view.profile.bornMs, now, acknowledged = order.acknowledgedEnds](RenewAnswer const& answer) {
+    this->orders.renew(view.target(), order, [this, alive = Lifetime(this->lifetime), worker = view.profile.id, born = view.profile.bornMs, now](RenewAnswer const& answer) {
         if (!alive.expired())
-            this->onRenewed(worker, born, now, acknowledged, answer);
+            this->onRenewed(worker, born, now, answer);
     });
 }
 
-void Dispatcher::onRenewed(WorkerId const& worker, int64_t bornMs, TimePoint sentAt, uint64_t acknowledged, RenewAnswer const& answer)
+void Dispatcher::onRenewed(WorkerId const& worker, int64_t bornMs, TimePoint sentAt, RenewAnswer const& answer)
 {
     WorkerView* view = this->find(worker);
     if (!view)
@@ -300,7 +297,7 @@
     }
     if (view->failures)
         this->events.emit(Event(EventId::WorkerReached).with("worker", worker).with("silentMs", this->clock.now() - view->lastAnswer));
-    view->acknowledgementTaken = std::max(view->acknowledgementTaken, acknowledged);
+    view->acknowledgementTaken = std::max(view->acknowledgementTaken, answer.acknowledgedEnds);
     this->learnClock(*view, answer.order);
     this->readListing(*view, sentAt, answer.listing);
 }
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -95,7 +95,7 @@
     void checkStrays(WorkerView& view);
     void expireLease(WorkerView& view);
     void renew(WorkerView& view);
-    void onRenewed(WorkerId const& worker, int64_t bornMs, TimePoint sentAt, uint64_t acknowledged, RenewAnswer const& answer);
+    void onRenewed(WorkerId const& worker, int64_t bornMs, TimePoint sentAt, RenewAnswer const& answer);
     void onRenewFailed(WorkerView& view, OrderResult result);
     void learnClock(WorkerView& view, OrderAnswer const& answer);
     void readListing(WorkerView& view, TimePoint sentAt, WorkerListing const& listing);
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -29,7 +29,7 @@
     /// Covers a worker clock that is 2 % slow over one lease, and the error of the estimate of that clock.
     Duration leaseMargin = Duration::milliseconds(250);
     /// How long a worker may wait for an end before it answers a renewal. Bounds the age of its lists.
-    Duration listWait = Duration::milliseconds(500);
+    Duration listWait = Duration::milliseconds(700);
     /// Of an answer beyond what the worker may wait; several round trips between data centres.
     Duration orderTimeout = Duration::milliseconds(600);
     /// A worker silent for longer gets no new tasks, and its lease is no longer extended.
--- a/cornelpond/ports/WorkerOrders.h
+++ b/cornelpond/ports/WorkerOrders.h
@@ -78,7 +78,9 @@
     bool extendsLease = true;
     Duration leaseUntil; ///< On the worker's clock.
     Term epoch;
-    uint64_t acknowledgedEnds = 0; ///< Ends up to this number may be forgotten.
+    /// Ends up to this number may be forgotten. Only passed on where the order is sure to reach the process that
+    /// listed them: another life of the worker would forget ends of its own.
+    uint64_t acknowledgedEnds = 0;
     Duration wait; ///< How long the worker may wait for an end before it answers.
 };
 
@@ -107,6 +109,7 @@
 
 struct RenewAnswer {
     OrderAnswer order;
+    uint64_t acknowledgedEnds = 0; ///< What was passed on.
     WorkerListing listing; ///< Meaningful when accepted.
 };
 
--- a/testing/fakes/FakeFleet.cpp
+++ b/testing/fakes/FakeFleet.cpp
@@ -239,7 +239,7 @@
         std::move(done));
 }
 
-void FakeFleet::renew(WorkerTarget const& target, RenewOrder const& order, std::function<void(RenewAnswer const&)> done)
+void FakeFleet::renew(WorkerTarget const& target, RenewOrder const& given, std::function<void(RenewAnswer const&)> done)
 {
     if (this->answersOtherLife(target)) {
         RenewAnswer other;
@@ -248,9 +248,17 @@
         return;
     }
     bool const isLost = this->random.unit() < this->faults.lateOrders;
-    this->clock.after(oneWay, [this, id = target.id, order, isLost, done = std::move(done)] {
+    Worker const& addressed = this->workers.at(target.id);
+    bool const isSameProcess = addressed.hasAnswered;
+    RenewOrder order = given;
+    if (!isSameProcess) {
+        order.acknowledgedEnds = 0;
+        order.wait = Duration();
+    }
+    this->clock.after(oneWay, [this, id = target.id, life = addressed.profile.bornMs, isSameProcess, order, isLost, done = std::move(done)] {
         Worker& worker = this->workers.at(id);
-        if (!worker.isUp || worker.isCut || isLost) {
+        bool const isBroken = isSameProcess && worker.profile.bornMs != life;
+        if (!worker.isUp || worker.isCut || isLost || isBroken) {
             RenewAnswer lost;
             lost.order.result = worker.isUp ? OrderResult::Unknown : OrderResult::NotSent;
             this->clock.after(answerTimeout, [done, lost] { done(lost); });
@@ -298,6 +306,8 @@
     }
     worker.ended.erase(std::remove_if(worker.ended.begin(), worker.ended.end(), isForgotten), worker.ended.end());
     RenewAnswer answer;
+    worker.hasAnswered = true;
+    answer.acknowledgedEnds = order.acknowledgedEnds;
     answer.order = this->answer(worker, OrderResult::Accepted);
     answer.listing.bornMs = worker.profile.bornMs;
     for (auto const& [key, run] : worker.runs) {
--- a/testing/fakes/FakeFleet.h
+++ b/testing/fakes/FakeFleet.h
@@ -110,6 +110,7 @@
         uint64_t endCount = 0;
         uint64_t sequence = 0;
         std::list<Waiting> waiting;
+        bool hasAnswered = false; ///< This life; a connection to it is open.
     };
 
     bool answersOtherLife(WorkerTarget const& target) const;
