Hand libevhtp whole headers only: it misreads paths that arrive in two pieces

Ruled out: an older configuration (version 5 in force everywhere), swapped answers (the entry's own log has the wrong path). The test sends a request split at every byte; it failed before.

--- a/cornelpond/adapters/http/HttpServer.cpp
+++ b/cornelpond/adapters/http/HttpServer.cpp
@@ -38,8 +38,48 @@
         HttpLimits limits;
         size_t headerBytes = 0;
         bool refused = false;
+        bool inMessage = false; ///< The header of a message was handed to libevhtp, and the message is not over.
+        bufferevent_data_cb parse = nullptr; ///< libevhtp's own reader.
     };
 
+    ConnectionState* stateOf(evhtp_connection_t* connection)
+    {
+        return connection->hooks ? static_cast<ConnectionState*>(connection->hooks->on_headers_start_arg) : nullptr;
+    }
+
+    bool holdsWholeHeader(evbuffer* input)
+    {
+        constexpr char end[] = "\r\n\r\n";
+        return evbuffer_search(input, end, sizeof(end) - 1, nullptr).pos >= 0;
+    }
+
+    /// False for a first line that no HTTP request has: libevhtp is to refuse it at once.
+    bool mayBecomeRequest(evbuffer* input)
+    {
+        size_t lineEndBytes = 0;
+        evbuffer_ptr const lineEnd = evbuffer_search_eol(input, nullptr, &lineEndBytes, EVBUFFER_EOL_CRLF);
+        if (lineEnd.pos < 0)
+            return true;
+        constexpr char version[] = " HTTP/1.";
+        evbuffer_ptr const found = evbuffer_search(input, version, sizeof(version) - 1, nullptr);
+        return found.pos >= 0 && found.pos < lineEnd.pos;
+    }
+
+    /// libevhtp 1.2.18 reads past the end of what has arrived when a path is split between two reads, and so
+    /// takes a wrong byte into it: a header is kept back until it is whole.
+    void readWholeHeaders(bufferevent* bev, void* argument)
+    {
+        auto* connection = static_cast<evhtp_connection_t*>(argument);
+        ConnectionState* state = stateOf(connection);
+        if (!state)
+            return;
+        evbuffer* input = bufferevent_get_input(bev);
+        bool const isBounded = evbuffer_get_length(input) <= state->limits.maxHeaderBytes * 2;
+        if (!state->inMessage && !holdsWholeHeader(input) && isBounded && mayBecomeRequest(input))
+            return;
+        state->parse(bev, argument);
+    }
+
     std::string refusalBody(ResultCode code, std::string const& message)
     {
         auto const& info = resultCodeInfo(code);
@@ -60,7 +100,9 @@
 
     evhtp_res onHeadersStart(evhtp_request_t*, void* argument)
     {
-        static_cast<ConnectionState*>(argument)->headerBytes = 0;
+        auto* state = static_cast<ConnectionState*>(argument);
+        state->headerBytes = 0;
+        state->inMessage = true;
         return EVHTP_RES_OK;
     }
 
@@ -115,6 +157,11 @@
         evhtp_connection_set_hook(connection, evhtp_hook_on_header, asHook(onHeader), state);
         evhtp_connection_set_hook(connection, evhtp_hook_on_headers, asHook(onHeaders), state);
         evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini, asHook(onConnectionEnd), state);
+        bufferevent_event_cb onEvent = nullptr;
+        bufferevent_data_cb onWrite = nullptr;
+        void* owner = nullptr;
+        bufferevent_getcb(connection->bev, &state->parse, &onWrite, &onEvent, &owner);
+        bufferevent_setcb(connection->bev, readWholeHeaders, onWrite, onEvent, owner);
         return EVHTP_RES_OK;
     }
 
@@ -141,10 +188,12 @@
         });
     }
 
-    evhtp_res onRequestEnd(evhtp_request_t*, void* argument)
+    evhtp_res onRequestEnd(evhtp_request_t* request, void* argument)
     {
         std::unique_ptr<PendingPointer> const holder(static_cast<PendingPointer*>(argument));
         (*holder)->request = nullptr;
+        if (ConnectionState* state = request->conn ? stateOf(request->conn) : nullptr)
+            state->inMessage = false;
         tellGone(**holder);
         return EVHTP_RES_OK;
     }
--- a/cornelpond/adapters/http/HttpTest.cpp
+++ b/cornelpond/adapters/http/HttpTest.cpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <vector>
 
 using namespace cornelpond;
 
@@ -146,6 +147,39 @@
     CHECK(exchange(loop, client, port, makeRequest("/")).response.body == "ok");
 }
 
+TEST_CASE("a request is read as it was sent wherever its bytes are split")
+{
+    EventLoop loop;
+    std::vector<HttpRequest> seen;
+    HttpServer server(loop, HttpLimits(), [&](HttpRequest const& request, HttpResponder const& responder) {
+        seen.push_back(request);
+        responder.answer({ 200, {}, "{}" });
+    });
+    uint16_t const port = server.listen({ "127.0.0.1", 0 });
+    std::string const text = "POST /3sve9sqx/7f3a91c2?a=b&c=d HTTP/1.1\r\nHost: gora26.example\r\nX-Deadline-Ms: 3000\r\nContent-Length: 5\r\n\r\nhello";
+    int const handle = connectTo(port);
+    for (size_t split = 1; split < text.size(); split++) {
+        seen.clear();
+        for (auto const& part : { text.substr(0, split), text.substr(split) }) {
+            REQUIRE(send(handle, part.data(), part.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(part.size()));
+            for (int turn = 0; turn < 3; turn++) {
+                usleep(100);
+                loop.runOnce();
+            }
+        }
+        runUntil(loop, [&] { return !seen.empty(); });
+        INFO("split after " << split << " bytes");
+        CHECK(seen[0].path == "/3sve9sqx/7f3a91c2");
+        CHECK(seen[0].query == "a=b&c=d");
+        CHECK(seen[0].body == "hello");
+        REQUIRE(seen[0].headers.find("Host"));
+        CHECK(*seen[0].headers.find("Host") == "gora26.example");
+        REQUIRE(seen[0].headers.find("X-Deadline-Ms"));
+        CHECK(*seen[0].headers.find("X-Deadline-Ms") == "3000");
+    }
+    close(handle);
+}
+
 TEST_CASE("the outcome tells whether the request may have run")
 {
     EventLoop loop;
