Spend less of a pass on what cannot be placed; bound syncs to 40 a second

A profile showed a third of the program's time in choosing workers, most of it for tasks that find no room again and again, and in counting trials.

--- a/cornelpond/app/FleetSettings.cpp
+++ b/cornelpond/app/FleetSettings.cpp
@@ -55,6 +55,8 @@
     /// A host that was cut off must be back among the voters within the second after the cut heals, as the
     /// next loss may follow at once: the steps of a replacement are not waited for longer than a round trip.
     constexpr Duration voterCheckInterval = Duration::milliseconds(60);
+    /// A sync stops the loop for some 6 ms: more of them a second than this leave too little time for the rest.
+    constexpr Duration logFlushInterval = Duration::milliseconds(25);
     constexpr Duration peerHandshake = Duration::milliseconds(500);
     constexpr Duration peerBackoff = Duration::milliseconds(300);
 
@@ -164,6 +166,7 @@
     bool const isSeed = std::any_of(fleet.seeds.begin(), fleet.seeds.end(), [&](auto const& seed) { return seed.ip == fleet.listen.peers.ip; });
     settings.dialsAllPeers = !isFounder || !isSeed;
     settings.voterCheckInterval = voterCheckInterval;
+    settings.logFlushInterval = logFlushInterval;
     settings.peerHeartbeat = peerHeartbeat;
     settings.peerHandshake = peerHandshake;
     settings.peerBackoff = peerBackoff;
--- a/cornelpond/app/GroupHost.cpp
+++ b/cornelpond/app/GroupHost.cpp
@@ -29,6 +29,7 @@
     std::unique_ptr<ReplicatedLog> log;
     bool isServed = false;
     TimerId flushTimer;
+    TimePoint lastFlush = TimePoint::distantPast();
 };
 
 /// The log of a group on a host without a disk.
@@ -41,13 +42,14 @@
     void propose(std::string, Done done) override { done({ ResultCode::NotLeader, LogIndex() }); }
 };
 
-GroupHost::GroupHost(Clock const& clock, Timers& timers, Random& random, EventSink& events, HostId self, std::string dataFolder, Send send)
+GroupHost::GroupHost(Clock const& clock, Timers& timers, Random& random, EventSink& events, HostId self, std::string dataFolder, Duration flushInterval, Send send)
     : clock(clock)
     , timers(timers)
     , random(random)
     , events(events)
     , self(std::move(self))
     , dataFolder(std::move(dataFolder))
+    , flushInterval(flushInterval)
     , send(std::move(send))
     , absentLog(std::make_unique<AbsentLog>())
 {
@@ -67,7 +69,7 @@
     Membership const initial = this->firstBootstrap(bootstrap, folderName);
     auto sendOne = [this, group](HostId const& to, std::string const& bytes) { this->send(to, encodeGroupMessage(group, bytes)); };
     entry->log = std::make_unique<ReplicatedLog>(group, this->self, initial, ReplicatedLogTimes(), this->clock, this->random, this->events, entry->storage, sendOne, std::move(hooks));
-    entry->log->setFlushRequest([this, group] { this->groups.at(group)->flushTimer = this->timers.after(Duration(), [this, group] { this->flush(group); }); });
+    entry->log->setFlushRequest([this, group] { this->scheduleFlush(group); });
     return *this->groups.emplace(group, std::move(entry)).first->second->log;
 }
 
@@ -105,9 +107,18 @@
     }
 }
 
+void GroupHost::scheduleFlush(GroupId const& group)
+{
+    Group& entry = *this->groups.at(group);
+    Duration const wait = std::max(entry.lastFlush + this->flushInterval - this->clock.now(), Duration());
+    entry.flushTimer = this->timers.after(wait, [this, group] { this->flush(group); });
+}
+
 void GroupHost::flush(GroupId const& group)
 {
-    this->groups.at(group)->log->flush();
+    Group& entry = *this->groups.at(group);
+    entry.log->flush();
+    entry.lastFlush = this->clock.now();
 }
 
 void GroupHost::onMessage(HostId const& from, std::string const& payload)
--- a/cornelpond/app/GroupHost.h
+++ b/cornelpond/app/GroupHost.h
@@ -28,7 +28,8 @@
     using Send = std::function<void(HostId const& to, std::string payload)>;
 
     /// References must outlive the object. `dataFolder` is empty for a host without a disk.
-    GroupHost(Clock const& clock, Timers& timers, Random& random, EventSink& events, HostId self, std::string dataFolder, Send send);
+    /// Between two syncs of one log at least `flushInterval` passes: what arrives meanwhile shares the next.
+    GroupHost(Clock const& clock, Timers& timers, Random& random, EventSink& events, HostId self, std::string dataFolder, Duration flushInterval, Send send);
     ~GroupHost();
     GroupHost(GroupHost const&) = delete;
     GroupHost& operator=(GroupHost const&) = delete;
@@ -66,6 +67,7 @@
     class AbsentLog;
 
     void flush(GroupId const& group);
+    void scheduleFlush(GroupId const& group);
     Membership firstBootstrap(GroupMembers const& bootstrap, std::string const& folderName) const;
 
     Clock const& clock;
@@ -74,6 +76,7 @@
     EventSink& events;
     HostId self;
     std::string dataFolder;
+    Duration flushInterval;
     Send send;
     std::map<GroupId, std::unique_ptr<Group>> groups;
     std::unique_ptr<AbsentLog> absentLog;
--- a/cornelpond/app/HostNetwork.cpp
+++ b/cornelpond/app/HostNetwork.cpp
@@ -82,7 +82,7 @@
     , planned(plannedHosts(settings))
     , hostTable(hostTimes(settings.peerHeartbeat), [this](HostChange const& change) { this->onHostChange(change); })
     , link(loop, random, events, this->linkSelf(), linkTimes(settings), PeerLinkLimits(), this->linkHooks())
-    , groups(loop, loop, random, events, settings.host, settings.dataFolder,
+    , groups(loop, loop, random, events, settings.host, settings.dataFolder, settings.logFlushInterval,
           [this](HostId const& to, std::string payload) { this->link.send(to, { PeerChannel::Agreement, std::move(payload) }); })
     , forwarder(loop, this->link, random.next(), [this](ForwardedRequest const& request, ApiAnswer const& answer) { this->serveForwarded(request, answer); })
     , follower({ [this](ConfigRecord const& record) { this->hooks.onConfiguration(record); }, [this](std::string const& bytes) { this->storeConfiguration(bytes); } })
--- a/cornelpond/app/Settings.h
+++ b/cornelpond/app/Settings.h
@@ -64,6 +64,7 @@
     Duration voterLostAfter = Duration::seconds(30); ///< A voter silent for so long is replaced where a spare is there.
     bool dialsAllPeers = false; ///< Peers may not know this host: it dials them all.
     Duration voterCheckInterval = Duration::milliseconds(500);
+    Duration logFlushInterval; ///< Least time between two syncs of a log.
     Duration peerHeartbeat = Duration::milliseconds(500);
     Duration peerHandshake = Duration::seconds(2); ///< A dial that takes longer is given up.
     Duration peerBackoff = Duration::seconds(2); ///< Longest pause between two dials.
--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -12,11 +12,55 @@
 {
 }
 
-WorkerView* TaskPlacer::choose(PlacementRequest const& request, TimePoint now) const
+namespace {
+
+    /// Whether room is all that such a request needs of a worker.
+    bool isPlain(PlacementRequest const& request)
+    {
+        StageSpec const& stage = *request.stage;
+        bool const hasWishes = !stage.requiredLabel.empty() || !stage.dataRack.empty() || stage.maxPerWorker || request.permitted;
+        return !hasWishes && !request.mayTrickle && request.onlyRack.empty() && request.avoid.empty();
+    }
+
+} // namespace
+
+void TaskPlacer::beginPass()
+{
+    this->noRoom.clear();
+    this->serviceImages.clear();
+    for (auto const& [id, worker] : this->workers) {
+        for (auto const& service : worker.serviceImages) {
+            if (std::find(this->serviceImages.begin(), this->serviceImages.end(), service.image) == this->serviceImages.end())
+                this->serviceImages.push_back(service.image);
+        }
+    }
+}
+
+bool TaskPlacer::foundNoRoom(PlacementRequest const& request) const
+{
+    StageSpec const& stage = *request.stage;
+    return std::any_of(this->noRoom.begin(), this->noRoom.end(), [&](NoRoom const& failed) {
+        return failed.image == request.image && failed.isBestEffort == stage.isBestEffort && failed.isService == stage.isService && failed.isRestart == request.isRestart
+            && failed.service == request.service && failed.need.fitsIn(stage.need);
+    });
+}
+
+WorkerView* TaskPlacer::choose(PlacementRequest const& request, TimePoint now)
+{
+    bool const remembers = isPlain(request);
+    if (remembers && this->foundNoRoom(request))
+        return nullptr;
+    WorkerView* worker = this->search(request, now);
+    if (!worker && remembers)
+        this->noRoom.push_back({ request.image, request.service, request.stage->isBestEffort, request.stage->isService, request.isRestart, request.stage->need });
+    return worker;
+}
+
+WorkerView* TaskPlacer::search(PlacementRequest const& request, TimePoint now) const
 {
     WorkerView* best = nullptr;
     double bestScore = 0;
-    Trials const trials = request.stage->isBestEffort ? this->trialsOf(request.image) : Trials();
+    Trials const trials = request.stage->isBestEffort && this->isOnTrialAnywhere(request.image) ? this->trialsOf(request.image) : Trials();
     bool const keepsRoom = request.stage->isService && !request.isRestart;
     int64_t const openMilliCores = keepsRoom ? this->openToServices(request) : 0;
     for (auto& [id, worker] : this->workers) {
@@ -146,6 +190,11 @@
     });
 }
 
+bool TaskPlacer::isOnTrialAnywhere(ImageId image) const
+{
+    return std::any_of(this->serviceImages.begin(), this->serviceImages.end(), [&](ImageId service) { return this->interference.isOnTrial(service, image); });
+}
+
 TaskPlacer::Trials TaskPlacer::trialsOf(ImageId image) const
 {
     Trials trials;
--- a/cornelpond/core/placement/TaskPlacer.h
+++ b/cornelpond/core/placement/TaskPlacer.h
@@ -50,8 +50,11 @@
     /// References must outlive the object.
     TaskPlacer(std::map<WorkerId, WorkerView>& workers, InterferenceModel const& interference, DispatchTimes const& times, PlacementLimits limits);
 
+    /// Call before the choices of one pass: forgets what found no room in the last one.
+    void beginPass();
+
     /// Null when no worker fits now.
-    WorkerView* choose(PlacementRequest const& request, TimePoint now) const;
+    WorkerView* choose(PlacementRequest const& request, TimePoint now);
 
     /// Share of the service's cores that is reserved.
     double reservedShare(ServiceId const& service) const;
@@ -75,10 +78,25 @@
     static bool isAllowed(WorkerView const& worker, PlacementRequest const& request);
     bool mayRunBestEffort(WorkerView const& worker, PlacementRequest const& request, Trials const& trials, TimePoint now) const;
     Trials trialsOf(ImageId image) const;
+    bool isOnTrialAnywhere(ImageId image) const;
+    WorkerView* search(PlacementRequest const& request, TimePoint now) const;
+    bool foundNoRoom(PlacementRequest const& request) const;
     double score(WorkerView const& worker, PlacementRequest const& request) const;
     static double serviceScore(WorkerView const& worker, PlacementRequest const& request);
 
+    /// A task that no worker had room for in this pass: nor for a like one that asks for as much.
+    struct NoRoom {
+        ImageId image;
+        ServiceId service;
+        bool isBestEffort = false;
+        bool isService = false;
+        bool isRestart = false;
+        Resources need;
+    };
+
     std::map<WorkerId, WorkerView>& workers;
+    std::vector<NoRoom> noRoom;
+    std::vector<ImageId> serviceImages; ///< Of all workers, as the pass began.
     InterferenceModel const& interference;
     DispatchTimes const& times;
     PlacementLimits limits;
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -399,6 +399,7 @@
 void JobScheduler::evacuateDraining()
 {
     TimePoint const now = this->clock.now();
+    this->placer.beginPass();
     for (auto& [id, worker] : this->dispatch.workers()) {
         if (!worker.profile.isDraining)
             continue;
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -21,6 +21,7 @@
 void JobScheduler::pass()
 {
     TimePoint const now = this->clock.now();
+    this->placer.beginPass();
     std::vector<ReadyStage> ready = this->collectReady(now);
     std::stable_sort(ready.begin(), ready.end(), [](ReadyStage const& left, ReadyStage const& right) { return left.rank < right.rank; });
     size_t placed = 0;
@@ -129,6 +130,7 @@
 void JobScheduler::leaveTrickling()
 {
     TimePoint const now = this->clock.now();
+    this->placer.beginPass();
     size_t left = 0;
     for (auto& [id, worker] : this->dispatch.workers()) {
         for (auto& [key, attempt] : worker.placed) {
