--- a/cornelpond/adapters/metrics/Metrics.cpp
+++ b/cornelpond/adapters/metrics/Metrics.cpp
@@ -71,6 +71,11 @@
     findOrAdd(this->latencies, name).observe(value);
 }
 
+void Metrics::setHistogram(std::string_view name, Histogram const& value)
+{
+    this->histograms.insert_or_assign(std::string(name), value);
+}
+
 std::string Metrics::text() const
 {
     std::string out;
@@ -85,6 +90,13 @@
         line(name + "_p99_us", summary.quantile(0.99).toMicroseconds());
         line(name + "_p999_us", summary.quantile(0.999).toMicroseconds());
     }
+    for (auto const& [name, histogram] : this->histograms) {
+        for (size_t index = 0; index < Histogram::bounds.size(); index++)
+            out += name + "_bucket{le=\"" + std::to_string(Histogram::bounds[index]) + "\"} " + std::to_string(histogram.countUpTo(index)) + "\n";
+        out += name + "_bucket{le=\"+Inf\"} " + std::to_string(histogram.count()) + "\n";
+        out += name + "_sum " + std::to_string(histogram.total().toMilliseconds()) + "\n";
+        out += name + "_count " + std::to_string(histogram.count()) + "\n";
+    }
     return out;
 }
 
--- a/cornelpond/adapters/metrics/Metrics.h
+++ b/cornelpond/adapters/metrics/Metrics.h
@@ -9,6 +9,7 @@
 // Loop thread only.
 
 #include "cornelpond/core/base/Duration.h"
+#include "cornelpond/core/base/Histogram.h"
 
 #include <cstdint>
 #include <map>
@@ -41,6 +42,9 @@
     void setGauge(std::string_view name, int64_t value);
     void observe(std::string_view name, Duration value);
 
+    /// Shows the histogram as it is now, in milliseconds: NAME_bucket{le="BOUND"}, NAME_sum, NAME_count.
+    void setHistogram(std::string_view name, Histogram const& value);
+
     /// "name value" lines in order of name; latencies in microseconds as name_p50, _p99, _p999, _count.
     std::string text() const;
 
@@ -48,6 +52,7 @@
     std::map<std::string, uint64_t, std::less<>> counters;
     std::map<std::string, int64_t, std::less<>> gauges;
     std::map<std::string, LatencySummary, std::less<>> latencies;
+    std::map<std::string, Histogram, std::less<>> histograms;
 };
 
 } // namespace cornelpond
--- a/cornelpond/app/Commands.cpp
+++ b/cornelpond/app/Commands.cpp
@@ -249,8 +249,8 @@
         }
         nlohmann::json const document = parseJson(readTextFile(arguments.positional("FILE")), JsonLimits());
         std::vector<DocumentFault> faults = arguments.has("configuration") ? checkSchema(policySchema(), document)
-                                                                              : isFleetSettings(document) ? checkFleetSettings(document)
-                                                                                                          : checkSettings(document);
+            : isFleetSettings(document)                                    ? checkFleetSettings(document)
+                                                                           : checkSettings(document);
         if (faults.empty() && arguments.has("configuration"))
             faults = crossCheckPolicy(document);
         if (faults.empty()) {
--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -6,7 +6,20 @@
 {
     auto const gauge = [&](char const* name, size_t value) { metrics.setGauge(name, static_cast<int64_t>(value)); };
     gauge("jobsKnown", scheduler.jobs().all().size());
-    gauge("startsDecided", scheduler.startsDecided());
+    SchedulerCounters const& counters = scheduler.counters();
+    gauge("jobsActive", scheduler.activeJobs());
+    gauge("jobsAccepted", counters.jobsAccepted);
+    gauge("jobsRefused", counters.jobsRefused);
+    gauge("jobsCompleted", counters.jobsCompleted);
+    gauge("jobsFailed", counters.jobsFailed);
+    gauge("jobsCancelled", counters.jobsCancelled);
+    gauge("startsDecided", counters.startsDecided);
+    gauge("evictions", counters.evictions);
+    for (auto const& [end, count] : counters.ends)
+        metrics.setGauge("attemptsEnded{outcome=\"" + std::string(attemptEndName(end)) + "\"}", static_cast<int64_t>(count));
+    metrics.setHistogram("submitLatencyMs", counters.submitLatency);
+    metrics.setHistogram("placeLatencyMs", counters.placeLatency);
+    metrics.setHistogram("completionLatencyMs", counters.completionLatency);
     gauge("leads", scheduler.dispatcher().isLeading());
     size_t placed = 0;
     size_t listed = 0;
--- a/cornelpond/core/agreement/AgreementMessage.cpp
+++ b/cornelpond/core/agreement/AgreementMessage.cpp
@@ -1,7 +1,7 @@
 #include "cornelpond/core/agreement/AgreementMessage.h"
 
-#include "cornelpond/core/base/ByteCodec.h"
 #include "cornelpond/core/agreement/Membership.h"
+#include "cornelpond/core/base/ByteCodec.h"
 
 namespace cornelpond {
 
--- /dev/null
+++ b/cornelpond/core/base/Histogram.h
@@ -0,0 +1,48 @@
+#pragma once
+
+// Counts spans of time by fixed bounds.
+//
+// Example:
+//   Histogram latency;
+//   latency.observe(Duration::milliseconds(12));
+
+#include "cornelpond/core/base/Duration.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace cornelpond {
+
+class Histogram {
+public:
+    /// Upper bounds in milliseconds; a last bucket takes what is longer.
+    static constexpr std::array<int64_t, 13> bounds { 5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000, 10000, 30000, 60000 };
+
+    void observe(Duration span)
+    {
+        size_t bucket = 0;
+        while (bucket < bounds.size() && span > Duration::milliseconds(bounds[bucket]))
+            bucket++;
+        this->counts[bucket]++;
+        this->sum = this->sum + span;
+    }
+
+    /// Observations of at most `bounds[index]`, or all with index bounds.size().
+    uint64_t countUpTo(size_t index) const
+    {
+        uint64_t total = 0;
+        for (size_t bucket = 0; bucket <= index; bucket++)
+            total += this->counts[bucket];
+        return total;
+    }
+
+    uint64_t count() const { return this->countUpTo(bounds.size()); }
+    Duration total() const { return this->sum; }
+
+private:
+    std::array<uint64_t, bounds.size() + 1> counts {};
+    Duration sum;
+};
+
+} // namespace cornelpond
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -162,6 +162,11 @@
                           .with("state", names.at(static_cast<size_t>(job.state)))
                           .with("lastedMs", lasted)
                           .with("objectiveMs", objective));
+    this->counted.jobsCompleted += job.state == JobState::Completed;
+    this->counted.jobsFailed += job.state == JobState::Failed;
+    this->counted.jobsCancelled += job.state == JobState::Cancelled;
+    if (job.state == JobState::Completed)
+        this->counted.completionLatency.observe(lasted);
     if (tracked != this->active.end())
         this->active.erase(tracked);
     this->waitingSince.erase(this->waitingSince.lower_bound({ job.spec.id, 0, 0, 0 }), this->waitingSince.lower_bound({ job.spec.id, UINT32_MAX, 0, 0 }));
@@ -185,6 +190,7 @@
                           .with("worker", end.worker)
                           .with("outcome", std::string(attemptEndName(end.end)))
                           .with("checkpoint", end.checkpoint));
+    this->counted.ends[end.end]++;
     this->dispatch.onEndApplied(end);
     this->stopRestOfGang(end);
     this->isDirty = true;
@@ -224,14 +230,17 @@
     }
     if (this->active.size() >= this->limits.maxActiveJobs) {
         this->events.emit(Event(EventId::JobRefused).with("job", job.id).with("queue", queue.name).with("reason", "too many jobs").with("active", this->active.size()));
+        this->counted.jobsRefused++;
         done({ CallResult::Refused, overloadRetryAfter });
         return;
     }
     JobId const id = job.id;
     size_t const stages = job.stages.size();
     SubmitJob command { std::move(job), queue.name, this->clock.wallMilliseconds() };
-    this->jobLog.propose(encodeJobCommand(std::move(command)), [this, id, stages, name = queue.name, done = std::move(done)](ProposalOutcome const& outcome) {
+    this->jobLog.propose(encodeJobCommand(std::move(command)), [this, id, stages, name = queue.name, since = this->clock.now(), done = std::move(done)](ProposalOutcome const& outcome) {
         CallResult const result = resultOf(outcome.code);
+        this->counted.jobsAccepted += result == CallResult::Done;
+        this->counted.submitLatency.observe(this->clock.now() - since);
         this->events.emit(Event(result == CallResult::Done ? EventId::JobAccepted : EventId::JobRefused)
                               .with("job", id)
                               .with("queue", name)
@@ -421,6 +430,7 @@
                 continue;
             }
             this->events.emit(Event(EventId::EvictionRequested).with("task", attempt.task.text()).with("attempt", attempt.number).with("worker", id).with("reason", "worker drains"));
+            this->counted.evictions++;
             this->dispatch.stop(worker, attempt);
         }
     }
@@ -448,7 +458,8 @@
         bool const trickles = attempt.trickles();
         bool const isHarmful = this->interference.harmsAny(worker, attempt.image, now);
         bool const isOverTarget = worker.tailRatio >= 1;
-        unsigned const percent = trickles ? (isOverTarget ? 0 : attempt.throttleBound) : isHarmful ? 0 : worker.throttle;
+        unsigned const percent = trickles ? (isOverTarget ? 0 : attempt.throttleBound) : isHarmful ? 0
+                                                                                                   : worker.throttle;
         if (attempt.throttle != percent)
             this->dispatch.throttle(worker, attempt, percent);
         if (!isHarmful || trickles || attempt.phase != PlacedAttempt::Phase::Running)
@@ -460,6 +471,7 @@
                               .with("image", attempt.stage->image)
                               .with("tailPercent", static_cast<int>(worker.tailRatio * 100))
                               .with("reason", "harms a service task"));
+        this->counted.evictions++;
         this->dispatch.stop(worker, attempt);
     }
 }
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -11,6 +11,7 @@
 // Runs on every voter; only the leader places and orders. Loop thread only.
 
 #include "cornelpond/core/agreement/CommandLog.h"
+#include "cornelpond/core/base/Histogram.h"
 #include "cornelpond/core/dispatch/Dispatcher.h"
 #include "cornelpond/core/placement/InterferenceModel.h"
 #include "cornelpond/core/placement/TaskPlacer.h"
@@ -39,6 +40,21 @@
     Duration retryAfter; ///< With Refused.
 };
 
+/// What a leader has counted since it was started, for metrics.
+struct SchedulerCounters {
+    uint64_t startsDecided = 0;
+    uint64_t jobsAccepted = 0;
+    uint64_t jobsRefused = 0;
+    uint64_t jobsCompleted = 0;
+    uint64_t jobsFailed = 0;
+    uint64_t jobsCancelled = 0;
+    uint64_t evictions = 0;
+    std::map<AttemptEnd, uint64_t> ends;
+    Histogram submitLatency; ///< From the call to the commit.
+    Histogram placeLatency; ///< From a job's acceptance to the decision to start a task of it.
+    Histogram completionLatency; ///< From a job's acceptance to its completion.
+};
+
 /// What a worker says of itself.
 struct WorkerReport {
     WorkerProfile profile;
@@ -89,7 +105,8 @@
 
     JobTable const& jobs() const { return this->jobTable; }
     Dispatcher const& dispatcher() const { return this->dispatch; }
-    uint64_t startsDecided() const { return this->starts; }
+    SchedulerCounters const& counters() const { return this->counted; }
+    size_t activeJobs() const { return this->active.size(); }
 
 private:
     /// A job that is not ended.
@@ -150,7 +167,7 @@
     bool isDirty = false; ///< Waiting tasks may find a place.
     TimePoint nextPass;
     TimePoint nextSlowCheck;
-    uint64_t starts = 0;
+    SchedulerCounters counted;
 };
 
 } // namespace cornelpond
--- a/cornelpond/core/scheduling/JobService.cpp
+++ b/cornelpond/core/scheduling/JobService.cpp
@@ -67,7 +67,7 @@
     return QueueLookup::Found;
 }
 
-void JobService::replaceQueues(QueueConfig config, JobScheduler::Done done)
+void JobService::replaceQueues(QueueConfig const& config, JobScheduler::Done done)
 {
     checkQueueConfig(config);
     if (!this->isLeader()) {
--- a/cornelpond/core/scheduling/JobService.h
+++ b/cornelpond/core/scheduling/JobService.h
@@ -40,7 +40,7 @@
 
     /// Done when a version at least as high is committed. Throws Error(SchemaViolation) for one that cannot
     /// come into force.
-    void replaceQueues(QueueConfig config, JobScheduler::Done done);
+    void replaceQueues(QueueConfig const& config, JobScheduler::Done done);
 
     /// The newest configuration, or null where this host cannot be sure or there is none.
     QueueConfig const* readQueues() const;
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -145,6 +145,7 @@
             if (!this->placer.choose(request, now))
                 continue;
             this->events.emit(Event(EventId::EvictionRequested).with("task", attempt.task.text()).with("attempt", attempt.number).with("worker", id).with("reason", "another worker lets it work"));
+            this->counted.evictions++;
             this->dispatch.stop(worker, attempt);
             left++;
         }
@@ -247,7 +248,8 @@
     this->proposed.insert(start.task);
     this->updates.emplace_back(start);
     this->waitingSince.erase({ start.task.job, start.task.occurrence, start.task.stage, 0 });
-    this->starts++;
+    this->counted.startsDecided++;
+    this->counted.placeLatency.observe(now - objective.acceptedAt);
 }
 
 } // namespace cornelpond
--- a/testing/fakes/FakeFleet.cpp
+++ b/testing/fakes/FakeFleet.cpp
@@ -151,7 +151,8 @@
 
 void FakeFleet::start(WorkerTarget const& worker, StartOrder const& order, Done done)
 {
-    this->deliver(worker, [this, order](Worker& target) { return this->carryOutStart(target, order); }, std::move(done));
+    this->deliver(
+        worker, [this, order](Worker& target) { return this->carryOutStart(target, order); }, std::move(done));
 }
 
 OrderAnswer FakeFleet::carryOutStart(Worker& worker, StartOrder const& order)
@@ -210,7 +211,8 @@
 
 void FakeFleet::stop(WorkerTarget const& worker, StopOrder const& order, Done done)
 {
-    this->deliver(worker, [this, order](Worker& target) { return this->carryOutStop(target, order); }, std::move(done));
+    this->deliver(
+        worker, [this, order](Worker& target) { return this->carryOutStop(target, order); }, std::move(done));
 }
 
 OrderAnswer FakeFleet::carryOutStop(Worker& worker, StopOrder const& order)
--- a/testing/fakes/FakeFleet.h
+++ b/testing/fakes/FakeFleet.h
@@ -10,9 +10,9 @@
 //   JobService service(clock, events, fleet, DispatchTimes(), JobLimits());
 //   fleet.step(); // every 10 ms
 
+#include "cornelpond/core/scheduling/JobScheduler.h"
 #include "cornelpond/ports/Random.h"
 #include "cornelpond/ports/WorkerOrders.h"
-#include "cornelpond/core/scheduling/JobScheduler.h"
 #include "testing/fakes/FakeClock.h"
 
 #include <list>
