--- /dev/null
+++ b/testing/integration/FleetTest.cpp
@@ -0,0 +1,197 @@
+// A fleet of real processes that find each other from seeds: three control hosts and one entry host.
+
+#include "testing/fakes/TemporaryFolder.h"
+#include "testing/integration/ChildProcess.h"
+
+#include "cornelpond/adapters/http/HttpClient.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <optional>
+#include <unistd.h>
+
+using namespace cornelpond;
+
+namespace {
+
+std::string const binary = std::string(BINARY_FOLDER) + "/cornelpond";
+
+constexpr uint16_t controlPort = 8166;
+constexpr uint16_t peerPort = 7720;
+constexpr uint16_t callerPort = 8161;
+constexpr uint16_t readinessPort = 8167;
+
+/// Hosts on loopback addresses of their own.
+class Fleet {
+public:
+    Fleet()
+    {
+        constexpr int octet = 250;
+        int const number = getpid();
+        this->net = "127." + std::to_string(1 + number % octet) + "." + std::to_string(number / octet % octet) + ".";
+    }
+
+    std::string ip(int host) const { return this->net + std::to_string(host); }
+
+    void startControl(int host, bool isFirstStart)
+    {
+        nlohmann::json settings = this->common(host, "control");
+        settings["dataFolder"] = this->folder.path() + "/data" + std::to_string(host);
+        settings["firstStart"] = isFirstStart;
+        settings["listen"]["control"] = this->address(host, controlPort);
+        this->start(host, settings);
+    }
+
+    void startEntry(int host)
+    {
+        nlohmann::json settings = this->common(host, "entry");
+        settings["listen"]["callers"] = this->address(host, callerPort);
+        settings["listen"]["readiness"] = this->address(host, readinessPort);
+        this->start(host, settings);
+    }
+
+    std::string settingsPath(int host) const { return this->folder.path() + "/settings" + std::to_string(host) + ".json"; }
+
+    void kill(int host) { this->hosts.erase(host); }
+
+    ChildProcess& process(int host) { return *this->hosts.at(host); }
+
+    int leader()
+    {
+        for (auto const& [host, process] : this->hosts) {
+            std::string const log = process->output();
+            size_t const elected = log.rfind("LeaderElected");
+            size_t const lost = log.rfind("LeaderLost");
+            if (elected != std::string::npos && (lost == std::string::npos || lost < elected))
+                return host;
+        }
+        return 0;
+    }
+
+    HttpResponse call(int host, uint16_t port, std::string const& method, std::string const& path, std::string const& body = "")
+    {
+        HttpRequest request { method, path, "", {}, body };
+        request.headers.add("Host", "jobs.example");
+        std::optional<HttpOutcome> result;
+        this->client.send({ this->ip(host), port }, request, HttpSendOptions(), [&](HttpOutcome const& outcome) { result = outcome; });
+        while (!result) {
+            this->loop.runOnce();
+            usleep(1000);
+        }
+        return result->kind == HttpOutcome::Kind::Answered ? result->response : HttpResponse { 0, {}, "" };
+    }
+
+    /// Repeats the call until it is answered with `status`.
+    HttpResponse callUntil(int status, int host, uint16_t port, std::string const& method, std::string const& path, std::string const& body = "")
+    {
+        HttpResponse response;
+        waitUntil(method + " " + path, [&] {
+            response = this->call(host, port, method, path, body);
+            return response.status == status;
+        });
+        return response;
+    }
+
+private:
+    std::string address(int host, uint16_t port) const { return this->ip(host) + ":" + std::to_string(port); }
+
+    nlohmann::json common(int host, std::string const& role) const
+    {
+        nlohmann::json seeds = nlohmann::json::array();
+        for (int seed = 1; seed <= 3; seed++)
+            seeds.push_back(this->address(seed, controlPort));
+        return { { "role", role }, { "cluster", "test" }, { "name", role + std::to_string(host) }, { "dataCentre", "z1" }, { "seeds", seeds }, { "listen", { { "peers", this->address(host, peerPort) } } } };
+    }
+
+    void start(int host, nlohmann::json const& settings)
+    {
+        std::string const path = this->settingsPath(host);
+        std::ofstream(path) << settings.dump();
+        this->hosts[host] = std::make_unique<ChildProcess>(std::vector<std::string> { binary, "fleet", "--settings", path }, this->folder.path() + "/host" + std::to_string(host) + "-" + std::to_string(this->runs++));
+        this->hosts[host]->waitForOutput("HostStarted");
+    }
+
+    TemporaryFolder folder;
+    std::string net;
+    std::map<int, std::unique_ptr<ChildProcess>> hosts;
+    int runs = 0;
+    EventLoop loop;
+    HttpClient client { loop, HttpClientLimits() };
+};
+
+std::string const configuration = R"({"version":3,"routes":[{"name":"plans","host":"jobs.example","path-prefix":"/plans/","timeout-ms":3000,"service":"s","max-attempts":2}],"services":[{"name":"s"}]})";
+std::string const job = R"({"task-spec":"x","steps":[{"count":2,"cpu":100,"memory-request-mb":10,"estimated-ms":100}]})";
+std::string const path = "/plans/5c0e7a21d94b36f8";
+
+} // namespace
+
+TEST_CASE("an accepted job and configuration outlive the leader, then a lost disk, then the next leader")
+{
+    Fleet fleet;
+    constexpr int entry = 9;
+    constexpr int newcomer = 4;
+    for (int host = 1; host <= 3; host++)
+        fleet.startControl(host, true);
+    fleet.startEntry(entry);
+    fleet.callUntil(200, 1, controlPort, "POST", "/v1/configuration/replace", configuration);
+    fleet.callUntil(200, entry, readinessPort, "GET", "/v1/readiness");
+    fleet.callUntil(200, entry, callerPort, "POST", path, job);
+
+    int const first = fleet.leader();
+    REQUIRE(first);
+    fleet.kill(first);
+    CHECK(nlohmann::json::parse(fleet.callUntil(200, entry, callerPort, "GET", path).body)["state"] == "queued");
+
+    // An empty host at another address takes the lost one's vote; then the next leader is lost as well.
+    fleet.startControl(newcomer, false);
+    int const second = fleet.leader();
+    REQUIRE(second);
+    waitUntil("the newcomer's vote", [&] {
+        std::string const log = fleet.process(second).output();
+        size_t const changed = log.rfind("MembershipChanged");
+        std::string const line = changed == std::string::npos ? "" : log.substr(changed, log.find('\n', changed) - changed);
+        bool const hasNewcomer = line.find(fleet.ip(newcomer) + "~") != std::string::npos && line.find("\"learners\":\"\"") != std::string::npos;
+        return hasNewcomer && line.find(fleet.ip(first) + ",") == std::string::npos && line.find(fleet.ip(first) + "\"") == std::string::npos;
+    });
+    fleet.kill(second);
+    CHECK(nlohmann::json::parse(fleet.callUntil(200, entry, callerPort, "GET", path).body)["state"] == "queued");
+    int const third = first == 1 || second == 1 ? (first == 2 || second == 2 ? 3 : 2) : 1;
+    CHECK(fleet.callUntil(200, third, controlPort, "GET", "/v1/configuration/read").body == configuration);
+    fleet.callUntil(200, entry, callerPort, "DELETE", path);
+    CHECK(nlohmann::json::parse(fleet.callUntil(200, entry, callerPort, "GET", path).body)["state"] == "cancelled");
+}
+
+TEST_CASE("a graceful stop of the leader hands over and the entry host goes on serving")
+{
+    Fleet fleet;
+    constexpr int entry = 9;
+    for (int host = 1; host <= 3; host++)
+        fleet.startControl(host, true);
+    fleet.startEntry(entry);
+    fleet.callUntil(200, 1, controlPort, "POST", "/v1/configuration/replace", configuration);
+    fleet.callUntil(200, entry, callerPort, "POST", path, job);
+    int const leader = fleet.leader();
+    REQUIRE(leader);
+    fleet.process(leader).signal(SIGTERM);
+    CHECK(fleet.process(leader).wait() == 0);
+    CHECK(fleet.process(leader).output().find("\"cut\":0") != std::string::npos);
+    CHECK(nlohmann::json::parse(fleet.callUntil(200, entry, callerPort, "GET", path).body)["state"] == "queued");
+    fleet.process(entry).signal(SIGTERM);
+    CHECK(fleet.process(entry).wait() == 0);
+}
+
+TEST_CASE("settings that cannot be used leave the former ones in force, with a log line")
+{
+    Fleet fleet;
+    fleet.startControl(1, true);
+    fleet.process(1).signal(SIGHUP);
+    fleet.process(1).waitForOutput("SettingsReloaded");
+    std::ofstream(fleet.settingsPath(1)) << "{";
+    fleet.process(1).waitForOutput("SettingsRefused");
+    CHECK(fleet.call(1, controlPort, "GET", "/v1/configuration/read").status == 503);
+}
