--- a/cornelpond/app/ControlHost.cpp
+++ b/cornelpond/app/ControlHost.cpp
@@ -2,6 +2,7 @@
 
 #include "cornelpond/app/FleetMetrics.h"
 #include "cornelpond/app/HostRandom.h"
+#include "cornelpond/app/Listeners.h"
 
 #include <algorithm>
 
@@ -77,14 +78,8 @@
 void ControlHost::start()
 {
     this->hosts.start();
-    auto const open = [this](HttpServer& server, std::string const& name, Address const& address) {
-        if (address.ip.empty())
-            return;
-        server.listen(address);
-        this->events.emit(Event(EventId::ListenerOpened).with("listener", name).with("address", address.text()));
-    };
-    open(this->controlServer, "control", this->settings.listen.control);
-    open(this->metricsServer, "metrics", this->settings.listen.metrics);
+    openListener(this->controlServer, "control", this->settings.listen.control, this->events);
+    openListener(this->metricsServer, "metrics", this->settings.listen.metrics, this->events);
     this->events.emit(Event(EventId::HostStarted).with("role", "control").with("identity", this->network.host).with("dataCentre", this->settings.dataCentre).with("firstStart", static_cast<int>(this->settings.firstStart)));
     this->tick();
 }
--- a/cornelpond/app/EntryGateway.cpp
+++ b/cornelpond/app/EntryGateway.cpp
@@ -2,6 +2,7 @@
 
 #include "cornelpond/app/FleetMetrics.h"
 #include "cornelpond/app/HostRandom.h"
+#include "cornelpond/app/Listeners.h"
 #include "platform/ControlApi.h"
 
 #include <nlohmann/json.hpp>
@@ -54,15 +55,9 @@
 void EntryGateway::start()
 {
     this->hosts.start();
-    auto const open = [this](HttpServer& server, std::string const& name, Address const& address) {
-        if (address.ip.empty())
-            return;
-        server.listen(address);
-        this->events.emit(Event(EventId::ListenerOpened).with("listener", name).with("address", address.text()));
-    };
-    open(this->callerServer, "callers", this->settings.listen.callers);
-    open(this->readinessServer, "readiness", this->settings.listen.readiness);
-    open(this->metricsServer, "metrics", this->settings.listen.metrics);
+    openListener(this->callerServer, "callers", this->settings.listen.callers, this->events);
+    openListener(this->readinessServer, "readiness", this->settings.listen.readiness, this->events);
+    openListener(this->metricsServer, "metrics", this->settings.listen.metrics, this->events);
     this->events.emit(Event(EventId::HostStarted).with("role", "entry").with("dataCentre", this->settings.dataCentre));
     this->tick();
 }
--- a/cornelpond/app/EntryHost.cpp
+++ b/cornelpond/app/EntryHost.cpp
@@ -1,6 +1,7 @@
 #include "cornelpond/app/EntryHost.h"
 
 #include "cornelpond/app/HostRandom.h"
+#include "cornelpond/app/Listeners.h"
 #include "cornelpond/core/tasks/TaskJson.h"
 
 #include <nlohmann/json.hpp>
@@ -119,13 +120,9 @@
     uint16_t const peerPort = this->network.start();
     if (peerPort)
         this->events.emit(Event(EventId::ListenerOpened).with("listener", "peers").with("address", Address { this->settings.listen.peers.ip, peerPort }.text()));
-    auto const open = [this](HttpServer& server, std::string const& name, Address const& address) {
-        uint16_t const port = server.listen(address);
-        this->events.emit(Event(EventId::ListenerOpened).with("listener", name).with("address", Address { address.ip, port }.text()));
-    };
-    open(this->callerServer, "callers", this->settings.listen.callers);
-    open(this->workerServer, "workers", this->settings.listen.workers);
-    open(this->operatorServer, "operators", this->settings.listen.operators);
+    openListener(this->callerServer, "callers", this->settings.listen.callers, this->events);
+    openListener(this->workerServer, "workers", this->settings.listen.workers, this->events);
+    openListener(this->operatorServer, "operators", this->settings.listen.operators, this->events);
     this->events.emit(Event(EventId::HostStarted).with("dataCentre", this->settings.dataCentre).with("cluster", this->settings.cluster));
     this->tick();
 }
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -156,7 +156,6 @@
     TimePoint roomRefusedUntil; ///< It refused a start for want of room, or did not take one.
     unsigned throttle = 100; ///< Of all best-effort tasks here.
     TimePoint throttleChanged;
-    TimePoint lastBestEffortPlaced;
     TimePoint bestEffortLeft; ///< When a best-effort task last left.
     double tailRatio = 0; ///< Worst tail over target at the last look; 0 without a service task.
 
--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -19,7 +19,7 @@
     {
         StageSpec const& stage = *request.stage;
         bool const hasWishes = !stage.requiredLabel.empty() || !stage.dataRack.empty() || stage.maxPerWorker || request.permitted;
-        return !hasWishes && !request.mayTrickle && request.onlyRack.empty() && request.avoid.empty();
+        return !hasWishes && !request.mayTrickle && request.onlyRack.empty();
     }
 
 } // namespace
@@ -113,14 +113,6 @@
     return all > 0 ? reserved / all : 1;
 }
 
-bool TaskPlacer::couldEverFit(PlacementRequest const& request) const
-{
-    return std::any_of(this->workers.begin(), this->workers.end(), [&](auto const& entry) {
-        WorkerView const& worker = entry.second;
-        return isAllowed(worker, request) && !worker.profile.isDraining && request.stage->need.fitsIn(worker.profile.capacity);
-    });
-}
-
 bool TaskPlacer::isAllowed(WorkerView const& worker, PlacementRequest const& request)
 {
     if (worker.profile.service != request.service)
@@ -133,7 +125,7 @@
 bool TaskPlacer::fits(WorkerView const& worker, PlacementRequest const& request, TimePoint now) const
 {
     StageSpec const& stage = *request.stage;
-    if (!isAllowed(worker, request) || !worker.takesTasks(now, this->times) || worker.profile.id == request.avoid)
+    if (!isAllowed(worker, request) || !worker.takesTasks(now, this->times))
         return false;
     if (request.permitted && !request.permitted->count(worker.profile.id))
         return false;
--- a/cornelpond/core/placement/TaskPlacer.h
+++ b/cornelpond/core/placement/TaskPlacer.h
@@ -41,7 +41,6 @@
     bool mayTrickle = false; ///< A best-effort task may stand beside a service that it harms, hardly working.
     bool ignoresBestEffort = false; ///< A best-effort task may share what other such tasks use already.
     RackId onlyRack; ///< Empty: any.
-    WorkerId avoid; ///< Where another attempt of the task runs; empty: none.
     std::set<WorkerId> const* permitted = nullptr; ///< Null: all.
 };
 
@@ -59,9 +58,6 @@
     /// Share of the service's cores that is reserved.
     double reservedShare(ServiceId const& service) const;
 
-    /// True when some worker that is not drained could hold the task if it were empty.
-    bool couldEverFit(PlacementRequest const& request) const;
-
     /// Percent of its speed at which a best-effort task may trickle on the worker.
     unsigned tricklePercent(WorkerView const& worker, StageSpec const& stage) const;
 
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -230,7 +230,6 @@
 
 void JobScheduler::decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now, unsigned throttleBound)
 {
-    StageSpec const& stage = ready.job->spec.stages[ready.stage];
     JobObjective const& objective = this->objective(*ready.job);
     this->events.emit(Event(EventId::TaskPlaced)
                           .with("task", start.task.text())
@@ -243,8 +242,6 @@
                           .with("objectiveMs", objective.objective)
                           .with("lateness", ready.rank.lateness));
     this->dispatch.reserve(worker, start.task, start.attempt, throttleBound);
-    if (stage.isBestEffort)
-        worker.lastBestEffortPlaced = now;
     this->proposed.insert(start.task);
     this->updates.emplace_back(start);
     this->waitingSince.erase({ start.task.job, start.task.occurrence, start.task.stage, 0 });
