--- a/cornelpond/adapters/http/HttpTest.cpp
+++ b/cornelpond/adapters/http/HttpTest.cpp
@@ -156,7 +156,7 @@
         responder.answer({ 200, {}, "{}" });
     });
     uint16_t const port = server.listen({ "127.0.0.1", 0 });
-    std::string const text = "POST /3sve9sqx/7f3a91c2?a=b&c=d HTTP/1.1\r\nHost: gora26.example\r\nX-Deadline-Ms: 3000\r\nContent-Length: 5\r\n\r\nhello";
+    std::string const text = "POST /3sve9sqx/7f3a91c2?a=b&c=d HTTP/1.1\r\nHost: gora26.example\r\nX-Patience: 3000\r\nContent-Length: 5\r\n\r\nhello";
     int const handle = connectTo(port);
     for (size_t split = 1; split < text.size(); split++) {
         seen.clear();
@@ -174,8 +174,8 @@
         CHECK(seen[0].body == "hello");
         REQUIRE(seen[0].headers.find("Host"));
         CHECK(*seen[0].headers.find("Host") == "gora26.example");
-        REQUIRE(seen[0].headers.find("X-Deadline-Ms"));
-        CHECK(*seen[0].headers.find("X-Deadline-Ms") == "3000");
+        REQUIRE(seen[0].headers.find("X-Patience"));
+        CHECK(*seen[0].headers.find("X-Patience") == "3000");
     }
     close(handle);
 }
