--- a/cornelpond/app/ControlHost.cpp
+++ b/cornelpond/app/ControlHost.cpp
@@ -24,6 +24,13 @@
         return times;
     }
 
+    HttpClientLimits workerClientLimits()
+    {
+        HttpClientLimits limits;
+        limits.maxIdlePerAddress = idleConnectionsPerWorker;
+        return limits;
+    }
+
     HttpLimits controlLimits()
     {
         HttpLimits limits;
@@ -39,7 +46,7 @@
     , events(events)
     , random(hostEntropy())
     , network(networkSettings(this->settings, hostIdentity(this->settings, identitySuffix(this->random))))
-    , client(loop, HttpClientLimits())
+    , client(loop, workerClientLimits())
     , orders(this->client, dispatchTimes(this->settings), this->settings.permitService)
     , service(loop, events, this->orders, dispatchTimes(this->settings), JobLimits())
     , api(this->service, this->settings.listen.control.text())
--- a/cornelpond/app/ControlHost.h
+++ b/cornelpond/app/ControlHost.h
@@ -19,6 +19,10 @@
 
 namespace cornelpond {
 
+/// Connections kept open to each worker: its long poll and a few orders at once. With hundreds of workers more
+/// would use up the process's descriptors, and the log could not be written any more.
+constexpr size_t idleConnectionsPerWorker = 5;
+
 class ControlHost {
 public:
     /// `loop` and `events` must outlive the host. Reads and keeps the host's identity on its disk.
--- a/cornelpond/app/FleetSettings.cpp
+++ b/cornelpond/app/FleetSettings.cpp
@@ -52,6 +52,8 @@
     /// A machine that came in place of another counts as present a few seconds after its start; by then its
     /// vote must have replaced the lost one's.
     constexpr Duration voterLostAfter = Duration::seconds(2);
+    /// Longer than a first snapshot of a large fleet takes; meanwhile no other spare is tried.
+    constexpr Duration learnerLostAfter = Duration::seconds(6);
     /// A host that was cut off must be back among the voters within the second after the cut heals, as the
     /// next loss may follow at once: the steps of a replacement are not waited for longer than a round trip.
     constexpr Duration voterCheckInterval = Duration::milliseconds(60);
@@ -163,6 +165,7 @@
     settings.joins = !isFounder;
     settings.voterTarget = 2 * fleet.lossTolerance + 1;
     settings.voterLostAfter = voterLostAfter;
+    settings.learnerLostAfter = learnerLostAfter;
     bool const isSeed = std::any_of(fleet.seeds.begin(), fleet.seeds.end(), [&](auto const& seed) { return seed.ip == fleet.listen.peers.ip; });
     settings.dialsAllPeers = !isFounder || !isSeed;
     settings.voterCheckInterval = voterCheckInterval;
--- a/cornelpond/app/FleetSettingsTest.cpp
+++ b/cornelpond/app/FleetSettingsTest.cpp
@@ -1,5 +1,7 @@
 #include "cornelpond/app/FleetSettings.h"
 
+#include "cornelpond/app/ControlHost.h"
+
 #include "testing/fakes/TemporaryFolder.h"
 
 #include <catch2/catch.hpp>
@@ -89,3 +91,13 @@
     Duration const longest = settings.peerHandshake + settings.peerBackoff + (settings.voterCheckInterval + commit) * 4;
     CHECK(longest.toMilliseconds() <= 1300);
 }
+
+TEST_CASE("the connections of a leader of 500 workers fit the descriptors of its process")
+{
+    // skyggni-hub-grown trouble-2: a leader with 4,096 descriptors, 200 of them reserved, ran out of them and
+    // could not write its log. Beside the pool: an order and an announcement under way for each worker, peers.
+    constexpr size_t workers = 500;
+    constexpr size_t peers = 60;
+    constexpr size_t descriptors = 4096 - 200;
+    CHECK(workers * (idleConnectionsPerWorker + 2) + peers <= descriptors);
+}
--- a/cornelpond/app/HostNetwork.cpp
+++ b/cornelpond/app/HostNetwork.cpp
@@ -458,6 +458,7 @@
     VoterKeeperTimes times;
     if (home.empty())
         times.lostAfter = this->settings.voterLostAfter;
+    times.learnerLostAfter = this->settings.learnerLostAfter;
     if (auto const next = nextMembership(view, times))
         log.proposeMembership(*next, [](ProposalOutcome const&) {});
 }
--- a/cornelpond/app/Settings.h
+++ b/cornelpond/app/Settings.h
@@ -63,6 +63,7 @@
     size_t voterTarget = 3; ///< With founders: how many voters the group is to have.
     Duration voterLostAfter = Duration::seconds(30); ///< A voter silent for so long is replaced where a spare is there.
     bool dialsAllPeers = false; ///< Peers may not know this host: it dials them all.
+    Duration learnerLostAfter = Duration::seconds(10);
     Duration voterCheckInterval = Duration::milliseconds(500);
     Duration logFlushInterval; ///< Least time between two syncs of a log.
     Duration peerHeartbeat = Duration::milliseconds(500);
--- a/cornelpond/core/agreement/VoterKeeper.cpp
+++ b/cornelpond/core/agreement/VoterKeeper.cpp
@@ -105,7 +105,10 @@
         std::optional<HostId> goneLearner() const
         {
             auto const& learners = this->view.membership.learners;
-            auto const gone = std::find_if(learners.begin(), learners.end(), [&](auto const& learner) { return this->isLost(learner); });
+            auto const gone = std::find_if(learners.begin(), learners.end(), [&](auto const& learner) {
+                HostView const* entry = this->find(learner);
+                return !entry || entry->silentFor >= this->times.learnerLostAfter;
+            });
             return gone == learners.end() ? std::nullopt : std::optional<HostId>(*gone);
         }
 
--- a/cornelpond/core/agreement/VoterKeeper.h
+++ b/cornelpond/core/agreement/VoterKeeper.h
@@ -19,6 +19,8 @@
 
 struct VoterKeeperTimes {
     Duration lostAfter = Duration::seconds(10); ///< A voter silent for this long is lost.
+    /// A learner silent for this long is given up; its first snapshot may take it several seconds.
+    Duration learnerLostAfter = Duration::seconds(10);
     Duration presentWithin = Duration::seconds(2); ///< A host that answered within this time is present.
 };
 
--- a/cornelpond/core/agreement/VoterKeeperTest.cpp
+++ b/cornelpond/core/agreement/VoterKeeperTest.cpp
@@ -83,3 +83,16 @@
     CHECK(next->learners == std::vector<HostId> { e });
     CHECK(next->eligibleLeaders == std::vector<HostId> { a, e });
 }
+
+TEST_CASE("a learner that is silent over its first snapshot is not given up as soon as a voter would be")
+{
+    VoterKeeperTimes times;
+    times.lostAfter = Duration::seconds(2);
+    times.learnerLostAfter = Duration::seconds(6);
+    auto view = makeView({ a, b, c }, { d }, { { a, Duration() }, { b, present }, { c, lost }, { d, Duration::seconds(4) } });
+    CHECK_FALSE(nextMembership(view, times));
+    view.hosts.back().silentFor = Duration::seconds(6);
+    auto const next = nextMembership(view, times);
+    REQUIRE(next);
+    CHECK(next->learners.empty());
+}
--- a/cornelpond/core/jobs/JobTable.cpp
+++ b/cornelpond/core/jobs/JobTable.cpp
@@ -294,6 +294,7 @@
 {
     if (job.state != JobState::Active && !job.liveAttempts) {
         job.occurrences.clear();
+        job.spec.payload = std::string(); // Kept in every snapshot otherwise, for nobody.
         return;
     }
     for (auto at = job.occurrences.begin(); at != job.occurrences.end();) {
