Fleet test: wait for the leader's log line

A host hands its lines to the pipe every 50 ms, so calls answered by the leader can be seen before its LeaderElected line. Ruled out: nothing for certain. The cause is from reading the code; the old test passed in 12 runs side by side and so did not show it again. Change: leader() waits, with the bound the other waits of the file have, and throws when no leader is found. The assertions stay.

--- a/testing/integration/FleetTest.cpp
+++ b/testing/integration/FleetTest.cpp
@@ -61,16 +61,16 @@
 
     ChildProcess& process(int host) { return *this->hosts.at(host); }
 
+    /// Waits for the log line of the host that leads: a host hands its lines to the pipe every 50 ms, and may have
+    /// answered calls as the leader before.
     int leader()
     {
-        for (auto const& [host, process] : this->hosts) {
-            std::string const log = process->output();
-            size_t const elected = log.rfind("LeaderElected");
-            size_t const lost = log.rfind("LeaderLost");
-            if (elected != std::string::npos && (lost == std::string::npos || lost < elected))
-                return host;
-        }
-        return 0;
+        int found = 0;
+        waitUntil("a leader", [&] {
+            found = this->leaderInLogs();
+            return found != 0;
+        });
+        return found;
     }
 
     HttpResponse call(int host, uint16_t port, std::string const& method, std::string const& path, std::string const& body = "")
@@ -98,6 +98,19 @@
     }
 
 private:
+    /// 0: none.
+    int leaderInLogs() const
+    {
+        for (auto const& [host, process] : this->hosts) {
+            std::string const log = process->output();
+            size_t const elected = log.rfind("LeaderElected");
+            size_t const lost = log.rfind("LeaderLost");
+            if (elected != std::string::npos && (lost == std::string::npos || lost < elected))
+                return host;
+        }
+        return 0;
+    }
+
     std::string address(int host, uint16_t port) const { return this->ip(host) + ":" + std::to_string(port); }
 
     nlohmann::json common(int host, std::string const& role) const
