Clean-up after reading the whole change: one copy of each, less done twice

Log lines: every eviction now carries image and tailPercent, and WorkerSuperseded is written on all three paths that supersede a worker. Left: forgetEnded scans all jobs each 250 ms; the draining mark is kept by both announce and WorkerRoster::apply; pairs of test shape; the two runs of lines in AgreementMessage; "timeout-ms" in Commands is the command line's own option, older than the platform's field.

--- a/cornelpond/adapters/log/FmtEventSink.cpp
+++ b/cornelpond/adapters/log/FmtEventSink.cpp
@@ -1,11 +1,11 @@
 #include "cornelpond/adapters/log/FmtEventSink.h"
 
+#include "cornelpond/adapters/log/LogText.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <cstdio>
-#include <ctime>
-#include <iterator>
 
 namespace cornelpond {
 
@@ -18,32 +18,17 @@
 
     void appendValue(std::string& line, std::string const& value)
     {
-        if (!needsQuotes(value)) {
+        if (needsQuotes(value))
+            appendQuoted(line, value, "\\x");
+        else
             line += value;
-            return;
-        }
-        line += '"';
-        for (char const byte : value) {
-            auto const code = static_cast<unsigned char>(byte);
-            if (byte == '"' || byte == '\\')
-                (line += '\\') += byte;
-            else if (code < ' ' || code == 0x7f)
-                fmt::format_to(std::back_inserter(line), "\\x{:02x}", code);
-            else
-                line += byte;
-        }
-        line += '"';
     }
 
 } // namespace
 
 std::string formatEvent(Event const& event, HostId const& host, int64_t wallMilliseconds)
 {
-    std::time_t const seconds = wallMilliseconds / 1000;
-    std::tm utc {};
-    gmtime_r(&seconds, &utc);
-    std::string line = fmt::format("{:04}-{:02}-{:02}T{:02}:{:02}:{:02}.{:03}Z {} {} host=", utc.tm_year + 1900, utc.tm_mon + 1, utc.tm_mday,
-        utc.tm_hour, utc.tm_min, utc.tm_sec, wallMilliseconds % 1000, static_cast<int>(event.id()), eventInfo(event.id()).name);
+    std::string line = fmt::format("{} {} {} host=", utcTimeText(wallMilliseconds), static_cast<int>(event.id()), eventInfo(event.id()).name);
     appendValue(line, host.value());
     for (auto const& field : event.fields()) {
         ((line += ' ') += field.key) += '=';
--- a/cornelpond/adapters/log/JsonEventSink.cpp
+++ b/cornelpond/adapters/log/JsonEventSink.cpp
@@ -1,12 +1,12 @@
 #include "cornelpond/adapters/log/JsonEventSink.h"
 
+#include "cornelpond/adapters/log/LogText.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <cerrno>
 #include <climits>
-#include <ctime>
-#include <iterator>
 #include <poll.h>
 #include <unistd.h>
 
@@ -18,17 +18,7 @@
 
     void appendText(std::string& line, std::string_view value)
     {
-        line += '"';
-        for (char const byte : value) {
-            auto const code = static_cast<unsigned char>(byte);
-            if (byte == '"' || byte == '\\')
-                (line += '\\') += byte;
-            else if (code < ' ' || code == 0x7f)
-                fmt::format_to(std::back_inserter(line), "\\u{:04x}", code);
-            else
-                line += byte;
-        }
-        line += '"';
+        appendQuoted(line, value, "\\u00");
     }
 
     bool isNumber(std::string const& value)
@@ -44,12 +34,7 @@
 
 std::string formatJsonEvent(Event const& event, HostId const& host, int64_t wallMilliseconds)
 {
-    constexpr int64_t millisecondsPerSecond = 1000;
-    std::time_t const seconds = wallMilliseconds / millisecondsPerSecond;
-    std::tm utc {};
-    gmtime_r(&seconds, &utc);
-    std::string line = fmt::format("{{\"time\":\"{:04}-{:02}-{:02}T{:02}:{:02}:{:02}.{:03}Z\",\"id\":{},\"event\":\"{}\",\"host\":", utc.tm_year + 1900, utc.tm_mon + 1, utc.tm_mday,
-        utc.tm_hour, utc.tm_min, utc.tm_sec, wallMilliseconds % millisecondsPerSecond, static_cast<int>(event.id()), eventInfo(event.id()).name);
+    std::string line = fmt::format("{{\"time\":\"{}\",\"id\":{},\"event\":\"{}\",\"host\":", utcTimeText(wallMilliseconds), static_cast<int>(event.id()), eventInfo(event.id()).name);
     appendText(line, host.value());
     for (auto const& field : event.fields()) {
         line += ",\"";
--- a/cornelpond/app/Commands.cpp
+++ b/cornelpond/app/Commands.cpp
@@ -9,6 +9,7 @@
 #include "cornelpond/app/ControlHost.h"
 #include "cornelpond/app/EntryGateway.h"
 #include "cornelpond/app/EntryHost.h"
+#include "cornelpond/app/HostRandom.h"
 #include "cornelpond/app/OperatorClient.h"
 #include "cornelpond/app/Settings.h"
 #include "cornelpond/app/SettingsWatch.h"
@@ -28,7 +29,6 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
-#include <random>
 
 namespace cornelpond {
 
@@ -151,8 +151,7 @@
 
     std::string randomOperationId()
     {
-        std::random_device device;
-        return fmt::format("op-{:08x}{:08x}", device(), device());
+        return fmt::format("op-{:016x}", hostEntropy());
     }
 
     void printFaults(std::vector<DocumentFault> const& faults)
--- a/cornelpond/app/ControlHost.cpp
+++ b/cornelpond/app/ControlHost.cpp
@@ -77,8 +77,6 @@
 {
     HostNetworkHooks hooks;
     hooks.serveHere = [this](ApiKind api, HttpRequest const& request, ApiAnswer const& answer) { this->serveHere(api, request, answer); };
-    hooks.onConfiguration = [](ConfigRecord const&) {};
-    hooks.witnessHooks = [](DataCentreId const&) { return StateMachineHooks(); };
     return hooks;
 }
 
--- a/cornelpond/app/EntryGateway.cpp
+++ b/cornelpond/app/EntryGateway.cpp
@@ -47,8 +47,6 @@
 {
     HostNetworkHooks hooks;
     hooks.serveHere = [](ApiKind, HttpRequest const&, ApiAnswer const& answer) { answer(refusal(ResultCode::NotLeader, "an entry host leads nothing")); };
-    hooks.onConfiguration = [](ConfigRecord const&) {};
-    hooks.witnessHooks = [](DataCentreId const&) { return StateMachineHooks(); };
     return hooks;
 }
 
--- a/cornelpond/app/HostNetwork.h
+++ b/cornelpond/app/HostNetwork.h
@@ -31,9 +31,9 @@
 struct HostNetworkHooks {
     /// Serves an API request on this host.
     std::function<void(ApiKind api, HttpRequest const& request, ApiAnswer const& answer)> serveHere;
-    std::function<void(ConfigRecord const&)> onConfiguration; ///< A version is in force.
+    std::function<void(ConfigRecord const&)> onConfiguration = [](ConfigRecord const&) {}; ///< A version is in force.
     /// The state machines of another data centre's group that this host keeps without leading it.
-    std::function<StateMachineHooks(DataCentreId const& dataCentre)> witnessHooks;
+    std::function<StateMachineHooks(DataCentreId const& dataCentre)> witnessHooks = [](DataCentreId const&) { return StateMachineHooks(); };
 };
 
 /// How hard a call is tried to bring to the leader.
--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -47,26 +47,21 @@
     this->views.clear();
     for (auto const& [id, profile] : roster.all())
         this->views.emplace(id, WorkerView(profile, this->clock.now()));
-    for (auto const& [id, job] : this->jobs.all()) {
-        for (auto const& [number, occurrence] : job.occurrences) {
-            for (uint32_t stage = 0; stage < occurrence.stages.size(); stage++) {
-                auto const& tasks = occurrence.stages[stage].tasks;
-                for (uint32_t index = 0; index < tasks.size(); index++) {
-                    for (auto const& attempt : tasks[index].live) {
-                        TaskRef const task { id, number, stage, index };
-                        if (WorkerView* view = this->find(attempt.worker)) {
-                            PlacedAttempt& placed = this->reserve(*view, task, attempt.number);
-                            placed.phase = PlacedAttempt::Phase::Starting;
-                            placed.isInherited = true;
-                            placed.checkpoint = tasks[index].checkpoint;
-                        } else {
-                            this->hooks.reportEnd({ task, attempt.number, attempt.worker, AttemptEnd::Lost, std::string() });
-                        }
-                    }
-                }
-            }
-        }
+    this->jobs.forEachLive([this](TaskRef const& task, TaskRecord const& record, Attempt const& attempt) { this->inherit(task, record, attempt); });
+}
+
+/// An attempt that an earlier leader committed.
+void Dispatcher::inherit(TaskRef const& task, TaskRecord const& record, Attempt const& attempt)
+{
+    WorkerView* view = this->find(attempt.worker);
+    if (!view) {
+        this->hooks.reportEnd({ task, attempt.number, attempt.worker, AttemptEnd::Lost, std::string() });
+        return;
     }
+    PlacedAttempt& placed = this->reserve(*view, task, attempt.number);
+    placed.phase = PlacedAttempt::Phase::Starting;
+    placed.isInherited = true;
+    placed.checkpoint = record.checkpoint;
 }
 
 void Dispatcher::resign()
@@ -111,10 +106,7 @@
     auto const found = this->views.find(worker);
     if (found == this->views.end())
         return;
-    for (auto& [key, attempt] : found->second.placed) {
-        if (attempt.phase != PlacedAttempt::Phase::Proposed)
-            this->conclude(found->second, attempt, AttemptEnd::Lost, "worker removed");
-    }
+    this->concludeAll(found->second, "worker removed");
     this->views.erase(found);
 }
 
@@ -131,7 +123,6 @@
     placed.number = attempt;
     placed.stage = &this->jobs.find(task.job)->spec.stages[task.stage];
     placed.image = this->images.idOf(placed.stage->image);
-    placed.placedAt = this->clock.now();
     placed.throttleBound = throttleBound;
     placed.throttle = throttleBound;
     return worker.place(std::move(placed));
@@ -242,14 +233,7 @@
 void Dispatcher::expireLease(WorkerView& view)
 {
     TimePoint const now = this->clock.now();
-    bool hadAttempts = false;
-    for (auto& [key, attempt] : view.placed) {
-        if (attempt.isEndReported || attempt.phase == PlacedAttempt::Phase::Proposed)
-            continue;
-        hadAttempts = true;
-        this->conclude(view, attempt, AttemptEnd::Lost, "lease over");
-    }
-    if (hadAttempts)
+    if (this->concludeAll(view, "lease over"))
         this->events.emit(Event(EventId::WorkerLost).with("worker", view.profile.id).with("reason", "lease over").with("silentMs", now - view.lastAnswer));
     constexpr int64_t silentLeases = 3; // Neither answers nor announces itself for so many leases: gone for good.
     Duration const silence = now - std::max(view.lastAnswer, view.lastAnnounced);
@@ -306,12 +290,11 @@
 {
     TimePoint const now = this->clock.now();
     if (result == OrderResult::RefusedEpoch) {
-        view.isSuperseded = true;
-        this->events.emit(Event(EventId::WorkerSuperseded).with("worker", view.profile.id).with("epoch", this->epoch));
+        this->supersede(view);
         return;
     }
     if (result == OrderResult::OtherLife) {
-        this->giveUpWorker(view, "another worker answers at its address");
+        this->giveUpWorker(view);
         return;
     }
     if (!view.failures)
@@ -320,6 +303,15 @@
     view.nextRenew = now + std::min(this->times.retryMin * static_cast<int64_t>(view.failures), this->times.retryMax);
 }
 
+/// The worker knows a higher epoch: this leader orders it no more.
+void Dispatcher::supersede(WorkerView& view)
+{
+    if (view.isSuperseded)
+        return;
+    view.isSuperseded = true;
+    this->events.emit(Event(EventId::WorkerSuperseded).with("worker", view.profile.id).with("epoch", this->epoch));
+}
+
 /// A clock that went back belongs to a new life, also where the life's start is not told.
 void Dispatcher::learnClock(WorkerView& view, OrderAnswer const& answer)
 {
@@ -377,7 +369,6 @@
         attempt->isInherited = false;
         attempt->progressPercent = row.progressPercent;
         attempt->figure = row.figure;
-        attempt->figureAt = now;
         if (!row.checkpoint.empty())
             attempt->checkpoint = row.checkpoint;
     }
@@ -473,8 +464,7 @@
     if (!attempt)
         return;
     attempt->startIsOpen = false;
-    if (answer.hasClock)
-        this->learnClock(*view, answer);
+    this->learnClock(*view, answer);
     if (answer.result != OrderResult::Accepted) {
         this->events.emit(Event(EventId::AttemptRefused)
                               .with("task", key.first.text())
@@ -516,10 +506,10 @@
             this->conclude(view, attempt, AttemptEnd::Refused, "not started");
         return;
     case OrderResult::RefusedEpoch:
-        view.isSuperseded = true;
+        this->supersede(view);
         return;
     case OrderResult::OtherLife:
-        this->giveUpWorker(view, "another worker answers at its address");
+        this->giveUpWorker(view);
         return;
     case OrderResult::Unknown:
         attempt.startIsUncertain = true;
@@ -580,9 +570,9 @@
         if (answer.result == OrderResult::Accepted && !stopped->stopConfirmedAt)
             stopped->stopConfirmedAt = this->clock.now();
         else if (answer.result == OrderResult::OtherLife)
-            this->giveUpWorker(*answering, "another worker answers at its address");
+            this->giveUpWorker(*answering);
         else if (answer.result == OrderResult::RefusedEpoch)
-            answering->isSuperseded = true;
+            this->supersede(*answering);
     }));
 }
 
@@ -650,6 +640,19 @@
     this->report(view, attempt, end, attempt.checkpoint);
 }
 
+/// Every committed attempt on the worker is lost; true when there was one whose end was not reported.
+bool Dispatcher::concludeAll(WorkerView& view, char const* reason)
+{
+    bool hadAttempts = false;
+    for (auto& [key, attempt] : view.placed) {
+        if (attempt.isEndReported || attempt.phase == PlacedAttempt::Phase::Proposed)
+            continue;
+        hadAttempts = true;
+        this->conclude(view, attempt, AttemptEnd::Lost, reason);
+    }
+    return hadAttempts;
+}
+
 void Dispatcher::report(WorkerView& view, PlacedAttempt& attempt, AttemptEnd end, std::string const& checkpoint)
 {
     if (attempt.isEndReported)
@@ -658,15 +661,14 @@
     this->hooks.reportEnd({ attempt.task, attempt.number, view.profile.id, end, checkpoint });
 }
 
-void Dispatcher::giveUpWorker(WorkerView& view, char const* reason)
+/// Another worker answers at its address: this one is gone.
+void Dispatcher::giveUpWorker(WorkerView& view)
 {
     if (view.isSuperseded)
         return;
+    constexpr char const* reason = "another worker answers at its address";
     this->events.emit(Event(EventId::WorkerLost).with("worker", view.profile.id).with("reason", reason));
-    for (auto& [key, attempt] : view.placed) {
-        if (attempt.phase != PlacedAttempt::Phase::Proposed)
-            this->conclude(view, attempt, AttemptEnd::Lost, reason);
-    }
+    this->concludeAll(view, reason);
     view.isListed = false;
     view.nextRenew = this->clock.now() + this->times.touchTimeout;
     this->hooks.removeWorker(view.profile);
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -89,7 +89,7 @@
 private:
     using Lifetime = std::weak_ptr<bool>;
 
-    void inherit(WorkerView& view);
+    void inherit(TaskRef const& task, TaskRecord const& record, Attempt const& attempt);
     void checkWorker(WorkerView& view);
     void checkAttempts(WorkerView& view);
     void checkStrays(WorkerView& view);
@@ -113,7 +113,9 @@
     void sendThrottle(WorkerView& view, PlacedAttempt& attempt);
     void conclude(WorkerView& view, PlacedAttempt& attempt, AttemptEnd end, char const* reason);
     void report(WorkerView& view, PlacedAttempt& attempt, AttemptEnd end, std::string const& checkpoint);
-    void giveUpWorker(WorkerView& view, char const* reason);
+    bool concludeAll(WorkerView& view, char const* reason);
+    void supersede(WorkerView& view);
+    void giveUpWorker(WorkerView& view);
     template <typename Handler>
     WorkerOrders::Done guarded(Handler handler);
 
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -56,7 +56,6 @@
     Phase phase = Phase::Proposed;
     bool isInherited = false; ///< Committed by an earlier leader.
     bool isEndReported = false; ///< Its end is proposed and not committed yet.
-    TimePoint placedAt;
     TimePoint confirmedAt; ///< Running since, as far as this leader knows.
 
     unsigned startsSent = 0;
@@ -72,7 +71,6 @@
     std::string checkpoint; ///< The latest listed.
     unsigned progressPercent = 0;
     int64_t figure = -1;
-    TimePoint figureAt;
     /// Most that it may be given where it stands, although it harms a service there; 100: no bound.
     unsigned throttleBound = 100;
     unsigned throttle = 100; ///< Wanted.
--- a/cornelpond/core/jobs/JobTable.cpp
+++ b/cornelpond/core/jobs/JobTable.cpp
@@ -8,6 +8,25 @@
 
     constexpr size_t maxCopies = 2; ///< Attempts of one task at once where copies are allowed.
 
+    /// The stage that the task belongs to, or null where there is no such task.
+    template <typename Job>
+    auto stageOf(Job& job, TaskRef const& task) -> decltype(&job.occurrences.begin()->second.stages.front())
+    {
+        auto const occurrence = job.occurrences.find(task.occurrence);
+        if (occurrence == job.occurrences.end() || task.stage >= occurrence->second.stages.size())
+            return nullptr;
+        auto& stage = occurrence->second.stages[task.stage];
+        return task.index < stage.tasks.size() ? &stage : nullptr;
+    }
+
+    void visitLive(TaskRef task, StageRecord const& stage, std::function<void(TaskRef const&, TaskRecord const&, Attempt const&)> const& visit)
+    {
+        for (; task.index < stage.tasks.size(); task.index++) {
+            for (auto const& attempt : stage.tasks[task.index].live)
+                visit(task, stage.tasks[task.index], attempt);
+        }
+    }
+
     OccurrenceRecord newOccurrence(JobSpec const& spec)
     {
         OccurrenceRecord occurrence;
@@ -183,7 +202,7 @@
 bool JobTable::startIfAllowed(CommitStart const& start)
 {
     JobRecord* job = this->findMutable(start.task.job);
-    StageRecord* stage = job && job->state == JobState::Active ? findStage(*job, start.task) : nullptr;
+    StageRecord* stage = job && job->state == JobState::Active ? stageOf(*job, start.task) : nullptr;
     if (!stage || !job->isStageReady(job->occurrences.at(start.task.occurrence), start.task.stage))
         return false;
     TaskRecord& task = stage->tasks[start.task.index];
@@ -201,7 +220,7 @@
 void JobTable::applyUpdate(CommitEnd const& end, int64_t wallMs)
 {
     JobRecord* job = this->findMutable(end.task.job);
-    StageRecord* stage = job ? findStage(*job, end.task) : nullptr;
+    StageRecord* stage = job ? stageOf(*job, end.task) : nullptr;
     if (stage) {
         TaskRecord& task = stage->tasks[end.task.index];
         auto const attempt = std::find(task.live.begin(), task.live.end(), Attempt { end.attempt, end.worker });
@@ -329,25 +348,23 @@
     return found == this->jobs.end() ? nullptr : &found->second;
 }
 
-StageRecord* JobTable::findStage(JobRecord& job, TaskRef const& task)
+TaskRecord const* JobTable::findTask(TaskRef const& task) const
 {
-    auto const occurrence = job.occurrences.find(task.occurrence);
-    if (occurrence == job.occurrences.end() || task.stage >= occurrence->second.stages.size())
-        return nullptr;
-    StageRecord& stage = occurrence->second.stages[task.stage];
-    return task.index < stage.tasks.size() ? &stage : nullptr;
+    JobRecord const* job = this->find(task.job);
+    StageRecord const* stage = job ? stageOf(*job, task) : nullptr;
+    return stage ? &stage->tasks[task.index] : nullptr;
 }
 
-TaskRecord const* JobTable::findTask(TaskRef const& task) const
+void JobTable::forEachLive(std::function<void(TaskRef const&, TaskRecord const&, Attempt const&)> const& visit) const
 {
-    JobRecord const* job = this->find(task.job);
-    if (!job)
-        return nullptr;
-    auto const occurrence = job->occurrences.find(task.occurrence);
-    if (occurrence == job->occurrences.end() || task.stage >= occurrence->second.stages.size())
-        return nullptr;
-    StageRecord const& stage = occurrence->second.stages[task.stage];
-    return task.index < stage.tasks.size() ? &stage.tasks[task.index] : nullptr;
+    for (auto const& [id, job] : this->jobs) {
+        if (!job.liveAttempts)
+            continue;
+        for (auto const& [number, occurrence] : job.occurrences) {
+            for (uint32_t stage = 0; stage < occurrence.stages.size(); stage++)
+                visitLive({ id, number, stage, 0 }, occurrence.stages[stage], visit);
+        }
+    }
 }
 
 bool JobTable::isLive(TaskRef const& task, Attempt const& attempt) const
--- a/cornelpond/core/jobs/JobTable.h
+++ b/cornelpond/core/jobs/JobTable.h
@@ -109,6 +109,8 @@
     /// True while the attempt is committed and not ended.
     bool isLive(TaskRef const& task, Attempt const& attempt) const;
 
+    void forEachLive(std::function<void(TaskRef const&, TaskRecord const&, Attempt const&)> const& visit) const;
+
     /// Accepted jobs without a schedule of which no task has started.
     size_t pendingCount(QueueId const& queue) const;
 
@@ -129,7 +131,6 @@
     void trim(JobRecord& job);
     void changed(JobRecord const& job) const;
     JobRecord* findMutable(JobId const& id);
-    static StageRecord* findStage(JobRecord& job, TaskRef const& task);
 
     JobTableHooks hooks;
     std::unordered_map<JobId, JobRecord> jobs;
--- a/cornelpond/core/queueing/WorkOrder.cpp
+++ b/cornelpond/core/queueing/WorkOrder.cpp
@@ -29,40 +29,30 @@
     return std::tie(this->band, this->lateness, this->due) < std::tie(other.band, other.lateness, other.due);
 }
 
-Duration remainingChain(JobSpec const& job, size_t stage)
-{
-    return chainsFrom(job)[stage];
-}
-
-Duration longestChain(JobSpec const& job)
-{
-    std::vector<Duration> const chains = chainsFrom(job);
-    return *std::max_element(chains.begin(), chains.end());
-}
-
 JobObjective objectiveOf(JobSpec const& job, QueueSpec const* queue, TimePoint acceptedAt)
 {
     JobObjective objective;
     objective.acceptedAt = acceptedAt;
-    objective.chain = longestChain(job);
+    objective.chains = chainsFrom(job);
+    Duration const longest = *std::max_element(objective.chains.begin(), objective.chains.end());
     double const stretch = queue ? queue->stretch : 1;
     Duration const target = queue ? queue->latencyTarget : Duration();
-    objective.objective = Duration::microseconds(static_cast<int64_t>(static_cast<double>(objective.chain.toMicroseconds()) * stretch)) + target;
+    objective.objective = Duration::microseconds(static_cast<int64_t>(static_cast<double>(longest.toMicroseconds()) * stretch)) + target;
     return objective;
 }
 
-WorkRank rankOf(JobRecord const& job, uint32_t stage, JobObjective const& objective, TimePoint now)
+WorkRank rankOf(JobRecord const& job, uint32_t stage, JobObjective const& objective, TimePoint acceptedAt, TimePoint now)
 {
     WorkRank rank;
     if (job.spec.stages[stage].isService) {
-        rank.due = objective.acceptedAt;
+        rank.due = acceptedAt;
         return rank;
     }
     rank.band = 1 + job.priority;
-    TimePoint const due = objective.acceptedAt + objective.objective;
-    TimePoint const finish = now + remainingChain(job.spec, stage);
+    TimePoint const due = acceptedAt + objective.objective;
+    TimePoint const finish = now + objective.chains[stage];
     rank.due = due;
-    if (finish > objective.acceptedAt + objective.objective * lateFactor)
+    if (finish > acceptedAt + objective.objective * lateFactor)
         rank.lateness = 2;
     else if (finish > due)
         rank.lateness = 1;
--- a/cornelpond/core/queueing/WorkOrder.h
+++ b/cornelpond/core/queueing/WorkOrder.h
@@ -17,7 +17,7 @@
 /// When a job ought to be done, as the leader reckons it on its own steady clock.
 struct JobObjective {
     TimePoint acceptedAt;
-    Duration chain; ///< Estimated run time of the longest chain of stages.
+    std::vector<Duration> chains; ///< By stage: estimated run time of the longest chain from it to the end.
     Duration objective; ///< From acceptance.
 };
 
@@ -38,14 +38,9 @@
     WorkRank rank;
 };
 
-/// The estimated run time of the longest chain of stages from `stage` on.
-Duration remainingChain(JobSpec const& job, size_t stage);
-
-/// The longest chain of the whole job.
-Duration longestChain(JobSpec const& job);
-
 JobObjective objectiveOf(JobSpec const& job, QueueSpec const* queue, TimePoint acceptedAt);
 
-WorkRank rankOf(JobRecord const& job, uint32_t stage, JobObjective const& objective, TimePoint now);
+/// `acceptedAt`: of the job, or when its occurrence fell due.
+WorkRank rankOf(JobRecord const& job, uint32_t stage, JobObjective const& objective, TimePoint acceptedAt, TimePoint now);
 
 } // namespace cornelpond
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -78,7 +78,8 @@
     DispatcherHooks hooks;
     hooks.mayOrder = [this] { return this->jobLog.isLeadershipConfirmed(); };
     hooks.reportEnd = [this](CommitEnd const& end) { this->updates.emplace_back(end); };
-    hooks.removeWorker = [this](WorkerProfile const& profile) { this->removeWorker(profile); };
+    // Nobody waits for it: a removal that is not committed is decided again.
+    hooks.removeWorker = [this](WorkerProfile const& profile) { this->removeWorker(profile, [](CallResult) {}); };
     hooks.permitFor = [this](TaskRef const& task, WorkerId const& worker) { return this->permits.ticket(task, worker); };
     hooks.onPermitRefused = [this](TaskRef const& task, WorkerId const& worker) { this->permits.invalidate(task, worker); };
     hooks.onListed = [this](WorkerView& worker) { this->review(worker); };
@@ -99,9 +100,9 @@
 void JobScheduler::onQueuesChanged()
 {
     this->jobTable.onQueuesChanged(this->queues);
-    for (auto& [id, tracked] : this->active) {
+    for (auto& [id, objective] : this->active) {
         JobRecord const& job = *this->jobTable.find(id);
-        tracked.objective = objectiveOf(job.spec, this->queues.find(job.queue), tracked.objective.acceptedAt);
+        objective = objectiveOf(job.spec, this->queues.find(job.queue), objective.acceptedAt);
     }
     this->isDirty = true;
 }
@@ -123,24 +124,21 @@
     this->dispatch.lead(this->jobLog.term(), this->workerRoster);
     for (auto const& [id, job] : this->jobTable.all()) {
         if (job.state == JobState::Active)
-            this->track(job);
+            this->objective(job);
     }
     this->isDirty = true;
 }
 
-void JobScheduler::track(JobRecord const& job)
-{
-    if (this->active.count(job.spec.id))
-        return;
-    Duration const waited = Duration::milliseconds(this->clock.wallMilliseconds() - job.acceptedWallMs);
-    TimePoint const acceptedAt = this->clock.now() - std::clamp(waited, Duration(), longestInheritedWait);
-    this->active[job.spec.id].objective = objectiveOf(job.spec, this->queues.find(job.queue), acceptedAt);
-}
-
+/// What the leader keeps of an active job; from now on, where it met it for the first time.
 JobObjective const& JobScheduler::objective(JobRecord const& job)
 {
-    this->track(job);
-    return this->active[job.spec.id].objective;
+    auto const [entry, isNew] = this->active.try_emplace(job.spec.id);
+    if (isNew) {
+        Duration const waited = Duration::milliseconds(this->clock.wallMilliseconds() - job.acceptedWallMs);
+        TimePoint const acceptedAt = this->clock.now() - std::clamp(waited, Duration(), longestInheritedWait);
+        entry->second = objectiveOf(job.spec, this->queues.find(job.queue), acceptedAt);
+    }
+    return entry->second;
 }
 
 void JobScheduler::onJobChanged(JobRecord const& job)
@@ -148,13 +146,13 @@
     if (!this->dispatch.isLeading())
         return;
     if (job.state == JobState::Active) {
-        this->track(job);
+        this->objective(job);
         this->isDirty = true;
         return;
     }
     auto const tracked = this->active.find(job.spec.id);
-    Duration const lasted = tracked == this->active.end() ? Duration() : this->clock.now() - tracked->second.objective.acceptedAt;
-    Duration const objective = tracked == this->active.end() ? Duration() : tracked->second.objective.objective;
+    Duration const lasted = tracked == this->active.end() ? Duration() : this->clock.now() - tracked->second.acceptedAt;
+    Duration const objective = tracked == this->active.end() ? Duration() : tracked->second.objective;
     constexpr std::array<char const*, 5> names = { "", "active", "completed", "failed", "cancelled" };
     this->events.emit(Event(EventId::JobEnded)
                           .with("job", job.spec.id)
@@ -342,13 +340,12 @@
         done(CallResult::Done);
         return;
     }
-    this->rosterLog.propose(encodeRosterCommand(RemoveWorker { worker, known->bornMs }), [done = std::move(done)](ProposalOutcome const& outcome) { done(resultOf(outcome.code)); });
+    this->removeWorker(*known, std::move(done));
 }
 
-void JobScheduler::removeWorker(WorkerProfile const& profile)
+void JobScheduler::removeWorker(WorkerProfile const& profile, Done done)
 {
-    // Nobody waits for it: a removal that is not committed is decided again.
-    this->rosterLog.propose(encodeRosterCommand(RemoveWorker { profile.id, profile.bornMs }), [](ProposalOutcome const&) {});
+    this->rosterLog.propose(encodeRosterCommand(RemoveWorker { profile.id, profile.bornMs }), [done = std::move(done)](ProposalOutcome const& outcome) { done(resultOf(outcome.code)); });
 }
 
 void JobScheduler::onTick()
@@ -393,7 +390,7 @@
 void JobScheduler::openDueOccurrences()
 {
     int64_t const wall = this->clock.wallMilliseconds();
-    for (auto const& [id, tracked] : this->active) {
+    for (auto const& [id, objective] : this->active) {
         JobRecord const& job = *this->jobTable.find(id);
         ScheduleSpec const& schedule = job.spec.schedule;
         if (job.occurrencesOpened >= schedule.occurrences)
@@ -418,24 +415,42 @@
             if (attempt.isStopping || attempt.isEndReported || attempt.phase != PlacedAttempt::Phase::Running)
                 continue;
             if (attempt.isService()) {
-                PlacementRequest request;
-                request.task = attempt.task;
-                request.stage = attempt.stage;
-                request.image = attempt.image;
-                request.service = worker.profile.service;
+                PlacementRequest request = requestToMove(worker, attempt);
                 request.isRestart = true;
                 if (!this->placer.choose(request, now))
                     continue;
             } else if (!isSoon || !attempt.stage->savesCheckpoints) {
                 continue;
             }
-            this->events.emit(Event(EventId::EvictionRequested).with("task", attempt.task.text()).with("attempt", attempt.number).with("worker", id).with("reason", "worker drains"));
-            this->counted.evictions++;
-            this->dispatch.stop(worker, attempt);
+            this->evict(worker, attempt, "worker drains");
         }
     }
 }
 
+/// For a like place on another worker.
+PlacementRequest JobScheduler::requestToMove(WorkerView const& worker, PlacedAttempt const& attempt)
+{
+    PlacementRequest request;
+    request.task = attempt.task;
+    request.stage = attempt.stage;
+    request.image = attempt.image;
+    request.service = worker.profile.service;
+    return request;
+}
+
+void JobScheduler::evict(WorkerView& worker, PlacedAttempt& attempt, char const* reason)
+{
+    this->events.emit(Event(EventId::EvictionRequested)
+                          .with("task", attempt.task.text())
+                          .with("attempt", attempt.number)
+                          .with("worker", worker.profile.id)
+                          .with("image", attempt.stage->image)
+                          .with("tailPercent", static_cast<int>(worker.tailRatio * 100))
+                          .with("reason", reason));
+    this->counted.evictions++;
+    this->dispatch.stop(worker, attempt);
+}
+
 void JobScheduler::forgetEnded()
 {
     int64_t const horizon = this->clock.wallMilliseconds() - this->limits.keepEnded.toMilliseconds();
@@ -464,15 +479,7 @@
             this->dispatch.throttle(worker, attempt, percent);
         if (!isHarmful || trickles || attempt.phase != PlacedAttempt::Phase::Running)
             continue;
-        this->events.emit(Event(EventId::EvictionRequested)
-                              .with("task", attempt.task.text())
-                              .with("attempt", attempt.number)
-                              .with("worker", worker.profile.id)
-                              .with("image", attempt.stage->image)
-                              .with("tailPercent", static_cast<int>(worker.tailRatio * 100))
-                              .with("reason", "harms a service task"));
-        this->counted.evictions++;
-        this->dispatch.stop(worker, attempt);
+        this->evict(worker, attempt, "harms a service task");
     }
 }
 
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -109,11 +109,6 @@
     size_t activeJobs() const { return this->active.size(); }
 
 private:
-    /// A job that is not ended.
-    struct Tracked {
-        JobObjective objective;
-    };
-
     JobTableHooks tableHooks();
     RosterHooks rosterHooks();
     DispatcherHooks dispatcherHooks();
@@ -121,14 +116,15 @@
     void onStartApplied(CommitStart const& start);
     void onEndApplied(CommitEnd const& end);
     void stopRestOfGang(CommitEnd const& end);
-    void track(JobRecord const& job);
     JobObjective const& objective(JobRecord const& job);
     void putWorker(WorkerProfile const& profile, Done done);
-    void removeWorker(WorkerProfile const& profile);
+    void removeWorker(WorkerProfile const& profile, Done done);
+    static PlacementRequest requestToMove(WorkerView const& worker, PlacedAttempt const& attempt);
+    void evict(WorkerView& worker, PlacedAttempt& attempt, char const* reason);
 
     void pass();
     std::vector<ReadyStage> collectReady(TimePoint now);
-    void collectReadyOf(JobRecord const& job, TimePoint now, std::vector<ReadyStage>& ready);
+    void collectReadyOf(JobRecord const& job, JobObjective const& objective, TimePoint now, std::vector<ReadyStage>& ready);
     size_t placeStage(ReadyStage const& ready, TimePoint now);
     size_t placeGang(ReadyStage const& ready, PlacementRequest request, TimePoint now);
     bool placeGangOn(ReadyStage const& ready, PlacementRequest const& request, TimePoint now, std::vector<CommitStart>& placed);
@@ -158,7 +154,7 @@
     InterferenceModel interference;
     TaskPlacer placer;
 
-    std::map<JobId, Tracked> active; ///< On the leader: jobs that are not ended.
+    std::map<JobId, JobObjective> active; ///< On the leader: of the jobs that are not ended.
     std::map<TaskRef, TimePoint> waitingSince; ///< Best-effort stages of which nothing runs, by their first task.
     std::set<TaskRef> proposed; ///< Tasks whose start is being committed.
     std::map<WorkerId, std::pair<int64_t, uint64_t>> lastSequence; ///< Of each worker's life.
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -36,23 +36,23 @@
 std::vector<ReadyStage> JobScheduler::collectReady(TimePoint now)
 {
     std::vector<ReadyStage> ready;
-    for (auto const& [id, tracked] : this->active)
-        this->collectReadyOf(*this->jobTable.find(id), now, ready);
+    for (auto const& [id, objective] : this->active)
+        this->collectReadyOf(*this->jobTable.find(id), objective, now, ready);
     return ready;
 }
 
-void JobScheduler::collectReadyOf(JobRecord const& job, TimePoint now, std::vector<ReadyStage>& ready)
+void JobScheduler::collectReadyOf(JobRecord const& job, JobObjective const& objective, TimePoint now, std::vector<ReadyStage>& ready)
 {
     for (auto const& [number, occurrence] : job.occurrences) {
+        TimePoint acceptedAt = objective.acceptedAt;
+        if (job.spec.isScheduled()) {
+            int64_t const dueIn = job.spec.schedule.firstWallMs + job.spec.schedule.interval.toMilliseconds() * static_cast<int64_t>(number) - this->clock.wallMilliseconds();
+            acceptedAt = now + Duration::milliseconds(dueIn);
+        }
         for (uint32_t stage = 0; stage < occurrence.stages.size(); stage++) {
             if (!occurrence.stages[stage].waitingCount || !job.isStageReady(occurrence, stage))
                 continue;
-            JobObjective objective = this->objective(job);
-            if (job.spec.isScheduled()) {
-                int64_t const dueIn = job.spec.schedule.firstWallMs + job.spec.schedule.interval.toMilliseconds() * static_cast<int64_t>(number) - this->clock.wallMilliseconds();
-                objective.acceptedAt = now + Duration::milliseconds(dueIn);
-            }
-            ready.push_back({ &job, number, stage, rankOf(job, stage, objective, now) });
+            ready.push_back({ &job, number, stage, rankOf(job, stage, objective, acceptedAt, now) });
         }
     }
 }
@@ -137,16 +137,9 @@
             bool const trickles = attempt.trickles() && attempt.phase == PlacedAttempt::Phase::Running && !attempt.isStopping && !attempt.isEndReported;
             if (!trickles || left >= maxLeavingTrickle)
                 continue;
-            PlacementRequest request;
-            request.task = attempt.task;
-            request.stage = attempt.stage;
-            request.image = attempt.image;
-            request.service = worker.profile.service;
-            if (!this->placer.choose(request, now))
+            if (!this->placer.choose(requestToMove(worker, attempt), now))
                 continue;
-            this->events.emit(Event(EventId::EvictionRequested).with("task", attempt.task.text()).with("attempt", attempt.number).with("worker", id).with("reason", "another worker lets it work"));
-            this->counted.evictions++;
-            this->dispatch.stop(worker, attempt);
+            this->evict(worker, attempt, "another worker lets it work");
             left++;
         }
     }
