Send the throttle again to tasks that an earlier leader may have slowed

Cause: a new leader took every inherited attempt to work at full speed and sent no order while it wanted just that.

Change: the throttle of an inherited best-effort task counts as not known, so the first one that is wanted is sent. The test fails without the change (16 percent instead of 100 after the change of leader).

--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -62,6 +62,9 @@
     placed.phase = PlacedAttempt::Phase::Starting;
     placed.isInherited = true;
     placed.checkpoint = record.checkpoint;
+    // The worker's lists do not tell the throttle; only best-effort tasks get one.
+    if (placed.isBestEffort())
+        placed.throttleSent.reset();
 }
 
 void Dispatcher::resign()
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -74,7 +74,7 @@
     /// Most that it may be given where it stands, although it harms a service there; 100: no bound.
     unsigned throttleBound = 100;
     unsigned throttle = 100; ///< Wanted.
-    unsigned throttleSent = 100; ///< Acknowledged.
+    std::optional<unsigned> throttleSent = 100; ///< Acknowledged, 100 at the start; none: an earlier leader may have changed it.
     bool throttleIsOpen = false;
     TimePoint throttledAt; ///< When the worker last confirmed a change.
 
--- a/cornelpond/core/scheduling/JobFaultsTest.cpp
+++ b/cornelpond/core/scheduling/JobFaultsTest.cpp
@@ -80,6 +80,46 @@
     CHECK(bench.fleet.record().doubleRuns == 0);
 }
 
+namespace {
+
+/// Services on every worker that the best-effort image "f" harms, and one task of that image.
+void slowDownBestEffortTask(JobBench& bench, JobSpec const& job)
+{
+    bench.addWorkers(4, 16000);
+    bench.fleet.setHarm("odd", "f", 30);
+    bench.fleet.setHarm("even", "f", 30);
+    for (int i = 0; i < 4; i++)
+        bench.submit(makeServiceJob("watch" + std::to_string(i), 6, 3200, i % 2 ? "odd" : "even"));
+    bench.run(second * 3);
+    bench.submit(job);
+}
+
+void cancelServices(JobBench& bench)
+{
+    for (int i = 0; i < 4; i++)
+        bench.cancel(JobId("watch" + std::to_string(i)));
+}
+
+} // namespace
+
+TEST_CASE("a new leader lets a task that its predecessor slowed down work again")
+{
+    JobBench bench(7);
+    JobSpec const job = makeBestEffortJob("plan", 1, 1800, second * 10, "f");
+    slowDownBestEffortTask(bench, job);
+    bench.run(second * 6);
+    REQUIRE(bench.fleet.slowestThrottle(job.id) < 100);
+    // The services are gone before the predecessor sees that the task may work again.
+    cancelServices(bench);
+    bench.run(Duration::milliseconds(10));
+    bench.crashLeader();
+    bench.run(second);
+    bench.elect(1);
+    bench.run(second * 3);
+    CHECK(bench.fleet.runningCount(job.id) == 1);
+    CHECK(bench.fleet.slowestThrottle(job.id) == 100);
+}
+
 TEST_CASE("a lost task resumes from the last checkpoint its worker listed")
 {
     JobBench bench(5);
--- a/testing/fakes/FakeFleet.cpp
+++ b/testing/fakes/FakeFleet.cpp
@@ -101,6 +101,18 @@
     return count;
 }
 
+unsigned FakeFleet::slowestThrottle(JobId const& job) const
+{
+    unsigned slowest = 100;
+    for (auto const& [id, worker] : this->workers) {
+        for (auto const& [key, run] : worker.runs) {
+            if (key.first.job == job)
+                slowest = std::min(slowest, run.throttle);
+        }
+    }
+    return slowest;
+}
+
 std::set<std::string> FakeFleet::imagesOn(WorkerId const& id) const
 {
     std::set<std::string> images;
--- a/testing/fakes/FakeFleet.h
+++ b/testing/fakes/FakeFleet.h
@@ -66,6 +66,8 @@
     Record const& record() const { return this->seen; }
     size_t runningCount(JobId const& job) const;
     size_t runningOn(WorkerId const& worker) const { return this->workers.at(worker).runs.size(); }
+    /// Percent at which the job's slowest task works; 100 with none running.
+    unsigned slowestThrottle(JobId const& job) const;
     std::set<std::string> imagesOn(WorkerId const& worker) const;
     /// Asked whenever a worker is told to forget an end; false is recorded as a fault.
     void setForgetCheck(std::function<bool(ListedEnd const&, WorkerId const&)> check) { this->mayForget = std::move(check); }
