Pass orders to workers through the other control hosts; answer heartbeats there

Cause: the leader alone talked HTTP to every worker and answered every heartbeat.

Weighed: several groups, each owning a data centre (splits packing and harm), and handing whole workers to other hosts (their decisions need the leader's view).

Change: core/relay. The leader sends orders in batches to the control host of the worker's data centre, which keeps the connections and sends the answers back in batches. A follower answers the heartbeat of a worker of which nothing has changed. A worker clock that goes back within one known life is an overtaken answer, no new life.

--- a/cornelpond/app/ControlHost.cpp
+++ b/cornelpond/app/ControlHost.cpp
@@ -15,6 +15,7 @@
     /// How long a call from a worker or an operator waits for a leader; they try the next host after a second.
     constexpr Duration leaderPatience = Duration::milliseconds(800);
     constexpr Duration shutDownNotice = Duration::milliseconds(300); ///< For peers to hear who leads now.
+    constexpr Duration relayChoiceInterval = Duration::milliseconds(100); ///< Links that break are noticed after a second.
     constexpr Duration leaseReserve = Duration::milliseconds(500); ///< Kept from the longest lease that workers grant.
 
     DispatchTimes dispatchTimes(FleetSettings const& settings)
@@ -48,12 +49,14 @@
     , network(networkSettings(this->settings, hostIdentity(this->settings, identitySuffix(this->random))))
     , client(loop, workerClientLimits())
     , orders(this->client, dispatchTimes(this->settings), this->settings.permitService)
-    , service(loop, events, this->orders, dispatchTimes(this->settings), JobLimits())
-    , api(this->service, this->settings.listen.control.text())
+    , relay(loop, loop, this->orders, dispatchTimes(this->settings), this->random.next(), this->relayHooks())
+    , service(loop, events, this->relay, dispatchTimes(this->settings), JobLimits())
+    , api(this->service, [this](WorkerProfile const& worker) { return this->heartbeatAddress(worker); })
     , hosts(loop, this->random, events, this->network, this->networkHooks())
     , controlServer(loop, controlLimits(), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleControl(request, responder); })
     , metricsServer(loop, HttpLimits(), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleMetrics(request, responder); })
 {
+    this->hosts.setReceiver(PeerChannel::Orders, [this](HostId const& from, PeerMessage const& message) { this->relay.onMessage(from, message.payload); });
     this->service.attach(this->hosts.openGroup(configGroupId(), "jobs", this->groupHooks()));
 }
 
@@ -77,9 +80,44 @@
 {
     HostNetworkHooks hooks;
     hooks.serveHere = [this](ApiKind api, HttpRequest const& request, ApiAnswer const& answer) { this->serveHere(api, request, answer); };
+    hooks.onPeerDown = [this](HostId const& peer) { this->relay.onPeerDown(peer); };
     return hooks;
 }
 
+OrderRelayHooks ControlHost::relayHooks()
+{
+    OrderRelayHooks hooks;
+    hooks.relayFor = [this](WorkerTarget const& worker) {
+        HostId const host = this->relayChoice.relayFor(worker.id, worker.dataCentre);
+        return host == this->network.host ? HostId() : host;
+    };
+    hooks.isReachable = [this](HostId const& host) { return this->hosts.isReachable(host); };
+    hooks.send = [this](HostId const& to, std::string payload) { this->hosts.transport().send(to, { PeerChannel::Orders, std::move(payload) }); };
+    return hooks;
+}
+
+void ControlHost::chooseRelays()
+{
+    TimePoint const now = this->loop.now();
+    if (now < this->nextRelayChoice)
+        return;
+    this->nextRelayChoice = now + relayChoiceInterval;
+    this->relayChoice.update(this->hosts.controlHostsInReach(), this->hosts.leaderOf(configGroupId()));
+}
+
+/// The host that passes on the worker's orders; the control port is the same on all hosts.
+std::string ControlHost::heartbeatAddress(WorkerProfile const& worker) const
+{
+    std::string const ip = this->hosts.ipOf(this->relayChoice.relayFor(worker.id, worker.dataCentre));
+    return ip.empty() ? ip : Address { ip, this->settings.listen.control.port }.text();
+}
+
+bool ControlHost::followsLeader() const
+{
+    HostId const leader = this->hosts.leaderOf(configGroupId());
+    return !leader.empty() && leader != this->network.host && this->hosts.isReachable(leader);
+}
+
 void ControlHost::start()
 {
     this->hosts.start();
@@ -93,6 +131,7 @@
 {
     this->tickTimer = this->loop.after(tickInterval, [this] { this->tick(); });
     this->hosts.onTick();
+    this->chooseRelays();
     this->service.onTick();
     if (this->onShutDown)
         this->finishShutDown();
@@ -108,6 +147,8 @@
 
 void ControlHost::handleControl(HttpRequest const& request, HttpResponder const& responder)
 {
+    if (this->followsLeader() && this->api.acknowledgeUnchanged(request, [responder](HttpResponse const& response) { responder.answer(response); }))
+        return;
     LeaderCallOptions options;
     options.wait = leaderPatience;
     options.waitWithoutQuorum = leaderPatience;
--- a/cornelpond/app/ControlHost.h
+++ b/cornelpond/app/ControlHost.h
@@ -12,6 +12,8 @@
 #include "cornelpond/adapters/metrics/Metrics.h"
 #include "cornelpond/app/FleetSettings.h"
 #include "cornelpond/app/HostNetwork.h"
+#include "cornelpond/core/relay/OrderRelay.h"
+#include "cornelpond/core/relay/RelayChoice.h"
 #include "cornelpond/core/scheduling/JobService.h"
 #include "cornelpond/ports/Random.h"
 #include "platform/ControlApi.h"
@@ -41,6 +43,10 @@
 
 private:
     HostNetworkHooks networkHooks();
+    OrderRelayHooks relayHooks();
+    void chooseRelays();
+    std::string heartbeatAddress(WorkerProfile const& worker) const;
+    bool followsLeader() const;
     StateMachineHooks groupHooks();
     void serveHere(ApiKind api, HttpRequest const& request, ApiAnswer const& answer);
     void handleControl(HttpRequest const& request, HttpResponder const& responder);
@@ -56,12 +62,15 @@
     Metrics metrics;
     HttpClient client;
     platform::WorkerClient orders;
+    RelayChoice relayChoice;
+    OrderRelay relay;
     JobService service;
     platform::ControlApi api;
     HostNetwork hosts;
     HttpServer controlServer;
     HttpServer metricsServer;
     TimerId tickTimer;
+    TimePoint nextRelayChoice;
     std::function<void()> onShutDown;
     TimePoint shutDownEarliest;
     TimePoint shutDownBound;
--- a/cornelpond/app/HostNetwork.cpp
+++ b/cornelpond/app/HostNetwork.cpp
@@ -221,8 +221,9 @@
 
 void HostNetwork::onLinkChanged(PeerAddress const& peer, bool isUp)
 {
+    if (isUp)
+        this->hostTable.add(peer.host, peer.dataCentre, this->loop.now()); // Seeds do not tell the data centre.
     if (isUp && !this->isInSettings(peer.host)) {
-        this->hostTable.add(peer.host, peer.dataCentre, this->loop.now());
         if (this->newcomers.emplace(peer.host, peer).second)
             this->events.emit(Event(EventId::PeerAdmitted).with("peer", peer.host).with("dataCentre", peer.dataCentre).with("address", peer.address.text()));
     }
@@ -233,6 +234,7 @@
         return;
     this->leaderTable.forget(peer.host);
     this->forwarder.onPeerDown(peer.host);
+    this->hooks.onPeerDown(peer.host);
 }
 
 void HostNetwork::onHostChange(HostChange const& change)
@@ -492,6 +494,30 @@
     return found;
 }
 
+std::vector<RelayHost> HostNetwork::controlHostsInReach() const
+{
+    std::vector<RelayHost> found;
+    if (!this->settings.dataFolder.empty() && !this->isLeaving)
+        found.push_back({ this->settings.host, this->settings.dataCentre });
+    for (auto const& [host, known] : this->hostTable.all()) {
+        if (known.isLinkUp && known.state == HostState::Alive && known.report.hasDisk && !known.report.isLeaving)
+            found.push_back({ host, known.dataCentre });
+    }
+    return found;
+}
+
+std::string HostNetwork::ipOf(HostId const& host) const
+{
+    if (host == this->settings.host)
+        return this->settings.listen.peers.ip;
+    auto const newcomer = this->newcomers.find(host);
+    if (newcomer != this->newcomers.end())
+        return newcomer->second.address.ip;
+    auto const isIt = [&](PeerSettings const& peer) { return peer.host == host; };
+    auto const peer = std::find_if(this->settings.peers.begin(), this->settings.peers.end(), isIt);
+    return peer == this->settings.peers.end() ? std::string() : peer->address.ip;
+}
+
 void HostNetwork::onConfigCommitted(ConfigRecord const& record)
 {
     bool const isNew = this->follower.accept(record);
--- a/cornelpond/app/HostNetwork.h
+++ b/cornelpond/app/HostNetwork.h
@@ -21,6 +21,7 @@
 #include "cornelpond/core/config/ConfigExchange.h"
 #include "cornelpond/core/membership/HostTable.h"
 #include "cornelpond/core/membership/LeaderTable.h"
+#include "cornelpond/core/relay/RelayChoice.h"
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -32,6 +33,7 @@
     /// Serves an API request on this host.
     std::function<void(ApiKind api, HttpRequest const& request, ApiAnswer const& answer)> serveHere;
     std::function<void(ConfigRecord const&)> onConfiguration = [](ConfigRecord const&) {}; ///< A version is in force.
+    std::function<void(HostId const& peer)> onPeerDown = [](HostId const&) {};
     /// The state machines of another data centre's group that this host keeps without leading it.
     std::function<StateMachineHooks(DataCentreId const& dataCentre)> witnessHooks = [](DataCentreId const&) { return StateMachineHooks(); };
 };
@@ -76,6 +78,12 @@
     HostId leaderOf(GroupId const& group) const;
     bool isReachable(HostId const& host) const { return this->link.isReachable(host); }
 
+    /// Hosts with a disk that are in reach and do not leave; this one too unless it leaves.
+    std::vector<RelayHost> controlHostsInReach() const;
+
+    /// The IP number of a host named by controlHostsInReach, or empty.
+    std::string ipOf(HostId const& host) const;
+
     /// Starts to keep a link to a peer that no setting named at the start.
     void learnPeer(PeerSettings const& peer);
 
--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -285,7 +285,7 @@
     if (view->failures)
         this->events.emit(Event(EventId::WorkerReached).with("worker", worker).with("silentMs", this->clock.now() - view->lastAnswer));
     view->acknowledgementTaken = std::max(view->acknowledgementTaken, answer.acknowledgedEnds);
-    this->learnClock(*view, answer.order);
+    this->learnClock(*view, answer.order, answer.listing.bornMs);
     this->readListing(*view, sentAt, answer.listing);
 }
 
@@ -315,13 +315,17 @@
     this->events.emit(Event(EventId::WorkerSuperseded).with("worker", view.profile.id).with("epoch", this->epoch));
 }
 
-/// A clock that went back belongs to a new life, also where the life's start is not told.
-void Dispatcher::learnClock(WorkerView& view, OrderAnswer const& answer)
+/// A clock that went back belongs to a new life where the life's start is not told; else the answer was
+/// overtaken on its way, and its clock is old.
+void Dispatcher::learnClock(WorkerView& view, OrderAnswer const& answer, bool tellsLife)
 {
     if (!answer.hasClock)
         return;
     TimePoint const now = this->clock.now();
-    if (view.knowsClock && answer.workerClock + clockReversal < view.clock)
+    bool const wentBack = view.knowsClock && answer.workerClock + clockReversal < view.clock;
+    if (wentBack && tellsLife)
+        return;
+    if (wentBack)
         view.startNewLife(now, this->times.lateOrder);
     view.clock = answer.workerClock;
     view.clockAt = now;
@@ -467,7 +471,7 @@
     if (!attempt)
         return;
     attempt->startIsOpen = false;
-    this->learnClock(*view, answer);
+    this->learnClock(*view, answer, view->profile.bornMs);
     if (answer.result != OrderResult::Accepted) {
         this->events.emit(Event(EventId::AttemptRefused)
                               .with("task", key.first.text())
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -97,7 +97,7 @@
     void renew(WorkerView& view);
     void onRenewed(WorkerId const& worker, int64_t bornMs, TimePoint sentAt, RenewAnswer const& answer);
     void onRenewFailed(WorkerView& view, OrderResult result);
-    void learnClock(WorkerView& view, OrderAnswer const& answer);
+    void learnClock(WorkerView& view, OrderAnswer const& answer, bool tellsLife);
     void readListing(WorkerView& view, TimePoint sentAt, WorkerListing const& listing);
     void readRunning(WorkerView& view, WorkerListing const& listing);
     void readEnds(WorkerView& view, WorkerListing const& listing);
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -123,7 +123,7 @@
     /// Forgets what only held for the former life.
     void startNewLife(TimePoint now, Duration lateOrder);
 
-    WorkerTarget target() const { return { this->profile.id, this->profile.address }; }
+    WorkerTarget target() const { return { this->profile.id, this->profile.address, this->profile.dataCentre }; }
 
     WorkerProfile profile;
     std::map<AttemptKey, PlacedAttempt> placed;
--- /dev/null
+++ b/cornelpond/core/relay/RelayMessage.cpp
@@ -0,0 +1,288 @@
+#include "cornelpond/core/relay/RelayMessage.h"
+
+#include "cornelpond/core/base/ByteCodec.h"
+
+namespace cornelpond {
+
+namespace {
+
+    /// First number of an order or answer; the same in every version.
+    enum class Tag : uint64_t {
+        Start = 1,
+        Stop = 2,
+        Throttle = 3,
+        Renew = 4,
+        Answer = 5,
+        RenewAnswer = 6,
+    };
+
+    void write(ByteWriter& out, Tag tag)
+    {
+        out.number(static_cast<uint64_t>(tag));
+    }
+
+    /// Worker clocks travel as whole milliseconds, which is what workers tell and take.
+    void writeMilliseconds(ByteWriter& out, Duration span)
+    {
+        out.number(static_cast<uint64_t>(span.toMilliseconds()));
+    }
+
+    Duration readMilliseconds(ByteReader& in)
+    {
+        return Duration::milliseconds(static_cast<int64_t>(in.number()));
+    }
+
+    std::string readText(ByteReader& in)
+    {
+        return std::string(in.text());
+    }
+
+    void writeAttempt(ByteWriter& out, TaskRef const& task, AttemptNumber attempt)
+    {
+        write(out, task);
+        out.number(attempt.value());
+    }
+
+    void write(ByteWriter& out, StartOrder const& start)
+    {
+        write(out, Tag::Start);
+        writeAttempt(out, start.task, start.attempt);
+        out.text(start.payload);
+        writeMilliseconds(out, start.leaseUntil);
+        out.number(start.epoch.value());
+        out.text(start.checkpoint);
+        out.text(start.permit);
+    }
+
+    void write(ByteWriter& out, StopOrder const& stop)
+    {
+        write(out, Tag::Stop);
+        writeAttempt(out, stop.task, stop.attempt);
+        out.number(stop.epoch.value());
+    }
+
+    void write(ByteWriter& out, ThrottleOrder const& throttle)
+    {
+        write(out, Tag::Throttle);
+        writeAttempt(out, throttle.task, throttle.attempt);
+        out.number(throttle.percent);
+        out.number(throttle.epoch.value());
+    }
+
+    void write(ByteWriter& out, RenewOrder const& renew)
+    {
+        write(out, Tag::Renew);
+        out.number(renew.extendsLease);
+        writeMilliseconds(out, renew.leaseUntil);
+        out.number(renew.epoch.value());
+        out.number(renew.acknowledgedEnds);
+        writeMilliseconds(out, renew.wait);
+    }
+
+    StartOrder readStart(ByteReader& in)
+    {
+        StartOrder start;
+        start.task = readTaskRef(in);
+        start.attempt = AttemptNumber(in.number());
+        start.payload = readText(in);
+        start.leaseUntil = readMilliseconds(in);
+        start.epoch = Term(in.number());
+        start.checkpoint = readText(in);
+        start.permit = readText(in);
+        return start;
+    }
+
+    StopOrder readStop(ByteReader& in)
+    {
+        StopOrder stop;
+        stop.task = readTaskRef(in);
+        stop.attempt = AttemptNumber(in.number());
+        stop.epoch = Term(in.number());
+        return stop;
+    }
+
+    ThrottleOrder readThrottle(ByteReader& in)
+    {
+        ThrottleOrder throttle;
+        throttle.task = readTaskRef(in);
+        throttle.attempt = AttemptNumber(in.number());
+        throttle.percent = static_cast<unsigned>(in.number());
+        throttle.epoch = Term(in.number());
+        return throttle;
+    }
+
+    RenewOrder readRenew(ByteReader& in)
+    {
+        RenewOrder renew;
+        renew.extendsLease = in.number();
+        renew.leaseUntil = readMilliseconds(in);
+        renew.epoch = Term(in.number());
+        renew.acknowledgedEnds = in.number();
+        renew.wait = readMilliseconds(in);
+        return renew;
+    }
+
+    RelayedOrder readOrder(ByteReader& in)
+    {
+        RelayedOrder relayed;
+        relayed.id = in.number();
+        relayed.worker.id = WorkerId(readText(in));
+        relayed.worker.dataCentre = DataCentreId(readText(in));
+        relayed.worker.address = readText(in);
+        switch (static_cast<Tag>(in.number())) {
+        case Tag::Start:
+            relayed.order = readStart(in);
+            return relayed;
+        case Tag::Stop:
+            relayed.order = readStop(in);
+            return relayed;
+        case Tag::Throttle:
+            relayed.order = readThrottle(in);
+            return relayed;
+        case Tag::Renew:
+            relayed.order = readRenew(in);
+            return relayed;
+        default:
+            in.fail();
+        }
+    }
+
+    void writeOutcome(ByteWriter& out, OrderAnswer const& answer)
+    {
+        out.number(static_cast<uint64_t>(answer.result));
+        out.number(answer.hasClock);
+        writeMilliseconds(out, answer.workerClock);
+    }
+
+    void write(ByteWriter& out, OrderAnswer const& answer)
+    {
+        write(out, Tag::Answer);
+        writeOutcome(out, answer);
+    }
+
+    OrderAnswer readOutcome(ByteReader& in)
+    {
+        OrderAnswer answer;
+        answer.result = static_cast<OrderResult>(in.number());
+        answer.hasClock = in.number();
+        answer.workerClock = readMilliseconds(in);
+        return answer;
+    }
+
+    void write(ByteWriter& out, ListedAttempt const& listed)
+    {
+        writeAttempt(out, listed.task, listed.attempt);
+        out.text(listed.checkpoint);
+        out.number(listed.progressPercent);
+        out.number(static_cast<uint64_t>(listed.figure + 1)); // -1 stands for none.
+    }
+
+    ListedAttempt readListedAttempt(ByteReader& in)
+    {
+        ListedAttempt listed;
+        listed.task = readTaskRef(in);
+        listed.attempt = AttemptNumber(in.number());
+        listed.checkpoint = readText(in);
+        listed.progressPercent = static_cast<unsigned>(in.number());
+        listed.figure = static_cast<int64_t>(in.number()) - 1;
+        return listed;
+    }
+
+    void write(ByteWriter& out, ListedEnd const& end)
+    {
+        out.number(end.number);
+        writeAttempt(out, end.task, end.attempt);
+        out.number(static_cast<uint64_t>(end.end));
+        out.text(end.checkpoint);
+    }
+
+    ListedEnd readListedEnd(ByteReader& in)
+    {
+        ListedEnd end;
+        end.number = in.number();
+        end.task = readTaskRef(in);
+        end.attempt = AttemptNumber(in.number());
+        end.end = static_cast<AttemptEnd>(in.number());
+        end.checkpoint = readText(in);
+        return end;
+    }
+
+    void write(ByteWriter& out, RenewAnswer const& answer)
+    {
+        write(out, Tag::RenewAnswer);
+        writeOutcome(out, answer.order);
+        out.number(answer.acknowledgedEnds);
+        out.number(static_cast<uint64_t>(answer.listing.bornMs));
+        out.number(answer.listing.endsAreComplete);
+        out.number(answer.listing.running.size());
+        for (auto const& listed : answer.listing.running)
+            write(out, listed);
+        out.number(answer.listing.ended.size());
+        for (auto const& end : answer.listing.ended)
+            write(out, end);
+    }
+
+    RenewAnswer readRenewAnswer(ByteReader& in)
+    {
+        RenewAnswer answer;
+        answer.order = readOutcome(in);
+        answer.acknowledgedEnds = in.number();
+        answer.listing.bornMs = static_cast<int64_t>(in.number());
+        answer.listing.endsAreComplete = in.number();
+        for (uint64_t left = in.number(); left; left--)
+            answer.listing.running.push_back(readListedAttempt(in));
+        for (uint64_t left = in.number(); left; left--)
+            answer.listing.ended.push_back(readListedEnd(in));
+        return answer;
+    }
+
+    RelayedAnswer readAnswer(ByteReader& in)
+    {
+        RelayedAnswer relayed;
+        relayed.id = in.number();
+        switch (static_cast<Tag>(in.number())) {
+        case Tag::Answer:
+            relayed.answer = readOutcome(in);
+            return relayed;
+        case Tag::RenewAnswer:
+            relayed.answer = readRenewAnswer(in);
+            return relayed;
+        default:
+            in.fail();
+        }
+    }
+
+} // namespace
+
+std::string encodeRelayBatch(RelayBatch const& batch)
+{
+    ByteWriter out;
+    out.number(batch.orders.size());
+    for (auto const& relayed : batch.orders) {
+        out.number(relayed.id);
+        out.text(relayed.worker.id.value());
+        out.text(relayed.worker.dataCentre.value());
+        out.text(relayed.worker.address);
+        std::visit([&](auto const& order) { write(out, order); }, relayed.order);
+    }
+    out.number(batch.answers.size());
+    for (auto const& relayed : batch.answers) {
+        out.number(relayed.id);
+        std::visit([&](auto const& answer) { write(out, answer); }, relayed.answer);
+    }
+    return out.take();
+}
+
+RelayBatch decodeRelayBatch(std::string_view bytes)
+{
+    RelayBatch batch;
+    ByteReader in(bytes);
+    for (uint64_t left = in.number(); left; left--)
+        batch.orders.push_back(readOrder(in));
+    for (uint64_t left = in.number(); left; left--)
+        batch.answers.push_back(readAnswer(in));
+    in.end();
+    return batch;
+}
+
+} // namespace cornelpond
--- /dev/null
+++ b/cornelpond/core/relay/RelayMessageTest.cpp
@@ -0,0 +1,73 @@
+#include "cornelpond/core/relay/RelayMessage.h"
+
+#include "cornelpond/core/base/ResultCode.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace cornelpond;
+
+namespace {
+
+TaskRef const task { JobId("5c0e7a21d94b36f8"), 2, 1, 17 };
+WorkerTarget const target { WorkerId("w1"), "10.0.0.1:80", DataCentreId("north") };
+
+RelayBatch wholeBatch()
+{
+    RelayBatch batch;
+    batch.orders.push_back({ 1, target, StartOrder { task, AttemptNumber(3), "payload", Duration::milliseconds(486000), Term(7), "saved", "ticket" } });
+    batch.orders.push_back({ 2, target, StopOrder { task, AttemptNumber(3), Term(7) } });
+    batch.orders.push_back({ 3, target, ThrottleOrder { task, AttemptNumber(3), 40, Term(7) } });
+    batch.orders.push_back({ 4, target, RenewOrder { true, Duration::milliseconds(486000), Term(7), 57, Duration::milliseconds(700) } });
+    batch.answers.push_back({ 5, OrderAnswer { OrderResult::RefusedRoom, true, Duration::milliseconds(482113) } });
+    RenewAnswer renewed { { OrderResult::Accepted, true, Duration::milliseconds(482113) }, 57, {} };
+    renewed.listing.bornMs = 1700000000000;
+    renewed.listing.running.push_back({ task, AttemptNumber(3), "saved", 41, -1 });
+    renewed.listing.running.push_back({ task, AttemptNumber(4), "", 100, 0 });
+    renewed.listing.ended.push_back({ 58, task, AttemptNumber(2), AttemptEnd::Failed, "saved" });
+    renewed.listing.endsAreComplete = false;
+    batch.answers.push_back({ 6, renewed });
+    return batch;
+}
+
+} // namespace
+
+TEST_CASE("a batch comes out as it went in")
+{
+    std::string const bytes = encodeRelayBatch(wholeBatch());
+    RelayBatch const read = decodeRelayBatch(bytes);
+    REQUIRE(read.orders.size() == 4);
+    CHECK(read.orders[0].worker.address == target.address);
+    CHECK(read.orders[0].worker.dataCentre == target.dataCentre);
+    auto const& start = std::get<StartOrder>(read.orders[0].order);
+    CHECK(start.task == task);
+    CHECK(start.leaseUntil == Duration::milliseconds(486000));
+    CHECK(start.permit == "ticket");
+    CHECK(std::get<ThrottleOrder>(read.orders[2].order).percent == 40);
+    CHECK(std::get<RenewOrder>(read.orders[3].order).acknowledgedEnds == 57);
+    REQUIRE(read.answers.size() == 2);
+    CHECK(std::get<OrderAnswer>(read.answers[0].answer).result == OrderResult::RefusedRoom);
+    auto const& renewed = std::get<RenewAnswer>(read.answers[1].answer);
+    CHECK(renewed.listing.running[0].figure == -1);
+    CHECK(renewed.listing.running[1].figure == 0);
+    CHECK(renewed.listing.ended[0].end == AttemptEnd::Failed);
+    CHECK_FALSE(renewed.listing.endsAreComplete);
+    CHECK(encodeRelayBatch(read) == bytes);
+}
+
+TEST_CASE("property: bytes that are no batch are refused, never worse")
+{
+    rc::prop("cut or changed bytes decode or throw a typed error", [] {
+        std::string bytes = encodeRelayBatch(wholeBatch());
+        auto const at = *rc::gen::inRange<size_t>(0, bytes.size());
+        if (*rc::gen::arbitrary<bool>())
+            bytes.resize(at);
+        else
+            bytes[at] = *rc::gen::arbitrary<char>();
+        try {
+            decodeRelayBatch(bytes);
+        } catch (Error const& error) {
+            RC_ASSERT(error.code() == ResultCode::MalformedMessage);
+        }
+    });
+}
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -324,6 +324,12 @@
         this->putWorker(expected, std::move(done));
 }
 
+bool JobScheduler::holdsUnchanged(WorkerReport const& announcement) const
+{
+    WorkerProfile const* known = this->workerRoster.find(announcement.profile.id);
+    return known && !known->isDraining && *known == announcement.profile && this->queues.findService(known->service);
+}
+
 void JobScheduler::putWorker(WorkerProfile const& profile, Done done)
 {
     this->rosterLog.propose(encodeRosterCommand(PutWorker { profile }), [done = std::move(done)](ProposalOutcome const& outcome) { done(resultOf(outcome.code)); });
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -97,6 +97,10 @@
     /// Done once it is safe to tell the worker that it was heard.
     void announce(WorkerReport const& announcement, Done done);
 
+    /// True where the replicated state holds just what a worker that does not drain says: the leader has
+    /// nothing to learn from it. On any host.
+    bool holdsUnchanged(WorkerReport const& announcement) const;
+
     /// The worker ends now, and all that runs on it.
     void leave(WorkerId const& worker, Done done);
 
--- a/cornelpond/ports/Transport.h
+++ b/cornelpond/ports/Transport.h
@@ -24,6 +24,7 @@
     Configuration = 6,
     HandOver = 7, ///< Queued tasks that move to another data centre.
     Claims = 8, ///< Idempotency keys, between an entry host and the leader of the key's home.
+    Orders = 9, ///< Orders to workers that the leader has another host carry out, and the answers.
 };
 
 struct PeerMessage {
--- a/cornelpond/ports/WorkerOrders.h
+++ b/cornelpond/ports/WorkerOrders.h
@@ -25,6 +25,7 @@
 struct WorkerTarget {
     WorkerId id;
     std::string address; ///< "IP:PORT".
+    DataCentreId dataCentre;
 };
 
 enum class OrderResult {
