Let tasks that trickle find their pace, one for each ready stage; learn what images really use

Best-effort tasks also waited for workers whose declared but unused cores counted as taken, and all tasks of a worker over target were slowed though only new images were suspect.

Ruled out: lost starts (all were accepted), stops that hang, leader changes.

Change: each idle ready stage trickles, further tasks too while most room is free; the pace rises and falls with the services' tail and never to nothing (Pace.h); ImageUse learns the share of the asked cores that is used; of a worker over target only images that were never seen harmless at their use are slowed.

--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -119,15 +119,15 @@
         view->lastAnnounced = this->clock.now();
 }
 
-PlacedAttempt& Dispatcher::reserve(WorkerView& worker, TaskRef const& task, AttemptNumber attempt, unsigned throttleBound)
+PlacedAttempt& Dispatcher::reserve(WorkerView& worker, TaskRef const& task, AttemptNumber attempt, std::optional<unsigned> tricklePercent)
 {
     PlacedAttempt placed;
     placed.task = task;
     placed.number = attempt;
     placed.stage = &this->jobs.find(task.job)->spec.stages[task.stage];
     placed.image = this->images.idOf(placed.stage->image);
-    placed.throttleBound = throttleBound;
-    placed.throttle = throttleBound;
+    placed.isTrickling = tricklePercent.has_value();
+    placed.throttle = tricklePercent.value_or(placed.throttle);
     return worker.place(std::move(placed));
 }
 
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -23,6 +23,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace cornelpond {
 
@@ -61,8 +62,8 @@
     void onAnnounced(WorkerId const& worker);
 
     /// Takes room on the worker for a start that is to be committed.
-    /// `throttleBound`: percent of its speed that it may be given at most.
-    PlacedAttempt& reserve(WorkerView& worker, TaskRef const& task, AttemptNumber attempt, unsigned throttleBound = 100);
+    /// `tricklePercent`: of its speed, at which a task that trickles begins; none: it does not trickle.
+    PlacedAttempt& reserve(WorkerView& worker, TaskRef const& task, AttemptNumber attempt, std::optional<unsigned> tricklePercent = std::nullopt);
 
     void onStartApplied(CommitStart const& start);
     void onStartRefused(CommitStart const& start);
--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -39,10 +39,12 @@
     else
         this->reserved -= amount;
     int64_t const milliCores = attempt.stage->need.milliCores * direction;
-    if (attempt.isBestEffort() && !attempt.trickles()) {
+    if (attempt.isBestEffort() && !attempt.isTrickling) {
         this->bestEffortMilliCores += milliCores;
         this->bestEffortImages.add(attempt.image, attempt.stage->need.milliCores, direction);
     }
+    if (attempt.isTrickling)
+        this->tricklingTasks += static_cast<unsigned>(direction);
     if (attempt.isService()) {
         this->serviceMilliCores += milliCores;
         if (attempt.stage->latencyTarget > Duration())
@@ -91,7 +93,7 @@
     this->acknowledgedEnds = 0;
     this->acknowledgementTaken = 0;
     this->listedEnds.clear();
-    this->throttle = 100;
+    this->throttle = fullSpeed;
     this->nextRenew = now;
     // A start for the former life that got no answer may still be carried out by this one.
     for (auto& [key, attempt] : this->placed) {
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -41,6 +41,8 @@
     Duration lateOrder = Duration::seconds(15);
 };
 
+constexpr unsigned fullSpeed = 100; ///< Percent: a task that is not slowed down.
+
 /// One attempt on a worker, from the decision to place it until its end is committed.
 struct PlacedAttempt {
     enum class Phase {
@@ -71,17 +73,15 @@
     std::string checkpoint; ///< The latest listed.
     unsigned progressPercent = 0;
     int64_t figure = -1;
-    /// Most that it may be given where it stands, although it harms a service there; 100: no bound.
-    unsigned throttleBound = 100;
-    unsigned throttle = 100; ///< Wanted.
-    std::optional<unsigned> throttleSent = 100; ///< Acknowledged, 100 at the start; none: an earlier leader may have changed it.
+    /// A best-effort task beside a service that it harms: it works at a pace that the service bears.
+    bool isTrickling = false;
+    unsigned throttle = fullSpeed; ///< Wanted, in percent.
+    std::optional<unsigned> throttleSent = fullSpeed; ///< Acknowledged; none: an earlier leader may have changed it.
     bool throttleIsOpen = false;
     TimePoint throttledAt; ///< When the worker last confirmed a change.
 
     bool isService() const { return this->stage->isService; }
     bool isBestEffort() const { return this->stage->isBestEffort; }
-    /// A best-effort task that hardly works: it takes next to nothing from others.
-    bool trickles() const { return this->throttleBound < 100; }
     /// What counts against the worker's capacity.
     Resources reserved() const;
 };
@@ -133,6 +133,7 @@
     int64_t serviceMilliCores = 0; ///< Reserved by service tasks.
     ImageLoads serviceImages; ///< Placed service tasks with a latency target, by image.
     ImageLoads bestEffortImages; ///< Placed best-effort tasks that do not trickle, by image.
+    unsigned tricklingTasks = 0;
 
     bool knowsClock = false;
     Duration clock;
@@ -152,7 +153,7 @@
     std::vector<ListedEnd> listedEnds; ///< Not acknowledged yet.
 
     TimePoint roomRefusedUntil; ///< It refused a start for want of room, or did not take one.
-    unsigned throttle = 100; ///< Of all best-effort tasks here.
+    unsigned throttle = fullSpeed; ///< Of all best-effort tasks here.
     TimePoint throttleChanged;
     TimePoint bestEffortLeft; ///< When a best-effort task last left.
     double tailRatio = 0; ///< Worst tail over target at the last look; 0 without a service task.
--- a/cornelpond/core/placement/InterferenceModel.cpp
+++ b/cornelpond/core/placement/InterferenceModel.cpp
@@ -138,6 +138,12 @@
     return std::max(this->limits.trialUse, evidence ? evidence->clearedUse * this->limits.growth : 0.0);
 }
 
+bool InterferenceModel::isCleared(ImageId service, ImageId bestEffort, double use) const
+{
+    Evidence const* evidence = this->find(service, bestEffort);
+    return evidence && use <= evidence->clearedUse * this->limits.suspectAbove;
+}
+
 bool InterferenceModel::isOnTrial(ImageId service, ImageId bestEffort) const
 {
     Evidence const* evidence = this->find(service, bestEffort);
--- a/cornelpond/core/placement/InterferenceModel.h
+++ b/cornelpond/core/placement/InterferenceModel.h
@@ -58,6 +58,9 @@
     /// Share of a worker's cores that the image may take beside the service; 0 for a harmful pair.
     double allowedUse(ImageId service, ImageId bestEffort, TimePoint now) const;
 
+    /// True when the service was seen well under its target beside about so much of the image.
+    bool isCleared(ImageId service, ImageId bestEffort, double use) const;
+
     /// True while little is known of the pair.
     bool isOnTrial(ImageId service, ImageId bestEffort) const;
 
--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -4,9 +4,10 @@
 
 namespace cornelpond {
 
-TaskPlacer::TaskPlacer(std::map<WorkerId, WorkerView>& workers, InterferenceModel const& interference, DispatchTimes const& times, PlacementLimits limits)
+TaskPlacer::TaskPlacer(std::map<WorkerId, WorkerView>& workers, InterferenceModel const& interference, ImageUse const& imageUse, DispatchTimes const& times, PlacementLimits limits)
     : workers(workers)
     , interference(interference)
+    , imageUse(imageUse)
     , times(times)
     , limits(limits)
 {
@@ -27,6 +28,7 @@
 void TaskPlacer::beginPass()
 {
     this->noRoom.clear();
+    this->reservedShares.clear();
     this->serviceImages.clear();
     for (auto const& [id, worker] : this->workers) {
         for (auto const& service : worker.serviceImages) {
@@ -100,8 +102,11 @@
     return unopened - static_cast<int64_t>(static_cast<double>(all) * this->limits.shortTaskShare);
 }
 
-double TaskPlacer::reservedShare(ServiceId const& service) const
+double TaskPlacer::reservedShare(ServiceId const& service)
 {
+    auto const known = this->reservedShares.find(service);
+    if (known != this->reservedShares.end())
+        return known->second;
     double all = 0;
     double reserved = 0;
     for (auto const& [id, worker] : this->workers) {
@@ -110,7 +115,7 @@
         all += static_cast<double>(worker.profile.capacity.milliCores);
         reserved += static_cast<double>(worker.reserved.milliCores);
     }
-    return all > 0 ? reserved / all : 1;
+    return this->reservedShares[service] = all > 0 ? reserved / all : 1;
 }
 
 bool TaskPlacer::isAllowed(WorkerView const& worker, PlacementRequest const& request)
@@ -148,7 +153,8 @@
 {
     if (!request.stage->isBestEffort)
         return true;
-    bool const isLeftEnough = this->unusedMilliCores(worker) >= static_cast<double>(request.stage->need.milliCores) * this->limits.bestEffortShare;
+    double const use = this->imageUse.expected(request.image, request.stage->need.milliCores);
+    bool const isLeftEnough = this->unusedMilliCores(worker) >= use * this->limits.bestEffortShare;
     return (isLeftEnough || request.ignoresBestEffort) && (request.mayTrickle || this->mayRunBestEffort(worker, request, trials, now));
 }
 
@@ -161,13 +167,13 @@
 
 bool TaskPlacer::mayRunBestEffort(WorkerView const& worker, PlacementRequest const& request, Trials const& trials, TimePoint now) const
 {
-    constexpr unsigned unthrottled = 100;
-    if (worker.throttle < unthrottled)
-        return false;
+    bool const isThrottled = worker.throttle < fullSpeed;
     ImageLoad const* present = worker.bestEffortImages.find(request.image);
     int64_t const milliCores = request.stage->need.milliCores + (present ? present->milliCores : 0);
-    double const use = static_cast<double>(milliCores) / static_cast<double>(std::max<int64_t>(worker.profile.capacity.milliCores, 1));
+    double const use = this->imageUse.expected(request.image, milliCores) / static_cast<double>(std::max<int64_t>(worker.profile.capacity.milliCores, 1));
     return std::all_of(worker.serviceImages.begin(), worker.serviceImages.end(), [&](ImageLoad const& service) {
+        if (isThrottled && this->interference.isOnTrial(service.image, request.image))
+            return false;
         if (this->interference.isOnTrial(service.image, request.image)) {
             // Tried with nothing else beside it that would blur the picture, on few workers at a time.
             bool const isBlurred = worker.bestEffortImages.size() > (present ? 1U : 0U);
@@ -178,7 +184,7 @@
             if (!present)
                 return !this->interference.isHarmful(service.image, request.image, now);
         }
-        return use <= this->interference.allowedUse(service.image, request.image, now);
+        return use <= this->interference.allowedUse(service.image, request.image, now) && (!isThrottled || this->interference.isCleared(service.image, request.image, use));
     });
 }
 
@@ -203,7 +209,10 @@
 {
     auto const service = static_cast<double>(worker.serviceMilliCores);
     auto const others = static_cast<double>(worker.reserved.milliCores) - service;
-    return static_cast<double>(worker.profile.capacity.milliCores - worker.bestEffortMilliCores) - others - service * this->limits.serviceUse;
+    double bestEffort = 0;
+    for (auto const& load : worker.bestEffortImages)
+        bestEffort += this->imageUse.expected(load.image, load.milliCores);
+    return static_cast<double>(worker.profile.capacity.milliCores) - bestEffort - others - service * this->limits.serviceUse;
 }
 
 /// The higher the better: on the data's rack first. Service tasks stand with their like, so that many
@@ -216,7 +225,7 @@
     auto const capacity = static_cast<double>(std::max<int64_t>(worker.profile.capacity.milliCores, 1));
     double score = 0;
     if (stage.isBestEffort)
-        score = this->unusedMilliCores(worker) / capacity - worker.tailRatio;
+        score = this->unusedMilliCores(worker) / capacity - worker.tailRatio - (request.mayTrickle ? worker.tricklingTasks : 0);
     else
         score = serviceScore(worker, request) - static_cast<double>(worker.freeRoom().milliCores) / capacity;
     if (!stage.dataRack.empty() && worker.profile.rack == stage.dataRack)
--- a/cornelpond/core/placement/TaskPlacer.h
+++ b/cornelpond/core/placement/TaskPlacer.h
@@ -11,6 +11,7 @@
 //       dispatcher.reserve(*worker, request.task, attempt);
 
 #include "cornelpond/core/dispatch/WorkerView.h"
+#include "cornelpond/core/placement/ImageUse.h"
 #include "cornelpond/core/placement/InterferenceModel.h"
 
 #include <map>
@@ -19,7 +20,7 @@
 
 struct PlacementLimits {
     /// Of their reservation that service tasks are taken to use; the rest is open to best-effort tasks.
-    double serviceUse = 0.5;
+    double serviceUse = 0.42;
     /// A best-effort task is placed where at least so much of what it asks for is left.
     double bestEffortShare = 0.8;
     /// Of a service's workers, kept free of service tasks: these stay for long, and without it short tasks
@@ -47,7 +48,7 @@
 class TaskPlacer {
 public:
     /// References must outlive the object.
-    TaskPlacer(std::map<WorkerId, WorkerView>& workers, InterferenceModel const& interference, DispatchTimes const& times, PlacementLimits limits);
+    TaskPlacer(std::map<WorkerId, WorkerView>& workers, InterferenceModel const& interference, ImageUse const& imageUse, DispatchTimes const& times, PlacementLimits limits);
 
     /// Call before the choices of one pass: forgets what found no room in the last one.
     void beginPass();
@@ -55,8 +56,8 @@
     /// Null when no worker fits now.
     WorkerView* choose(PlacementRequest const& request, TimePoint now);
 
-    /// Share of the service's cores that is reserved.
-    double reservedShare(ServiceId const& service) const;
+    /// Share of the service's cores that was reserved when it was first asked for in this pass.
+    double reservedShare(ServiceId const& service);
 
     /// Percent of its speed at which a best-effort task may trickle on the worker.
     unsigned tricklePercent(WorkerView const& worker, StageSpec const& stage) const;
@@ -92,8 +93,10 @@
 
     std::map<WorkerId, WorkerView>& workers;
     std::vector<NoRoom> noRoom;
+    std::map<ServiceId, double> reservedShares;
     std::vector<ImageId> serviceImages; ///< Of all workers, as the pass began.
     InterferenceModel const& interference;
+    ImageUse const& imageUse;
     DispatchTimes const& times;
     PlacementLimits limits;
 };
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -1,6 +1,7 @@
 #include "cornelpond/core/scheduling/JobScheduler.h"
 
 #include "cornelpond/core/base/ResultCode.h"
+#include "cornelpond/core/placement/Pace.h"
 
 #include <algorithm>
 #include <array>
@@ -44,7 +45,7 @@
     , workerRoster(this->rosterHooks())
     , permits(orders, clock, [this] { this->isDirty = true; })
     , dispatch(clock, events, orders, times, this->jobTable, this->dispatcherHooks())
-    , placer(this->dispatch.workers(), this->interference, this->times, PlacementLimits())
+    , placer(this->dispatch.workers(), this->interference, this->imageUse, this->times, PlacementLimits())
 {
 }
 
@@ -117,6 +118,7 @@
     this->drainEnds.clear();
     this->permits.clear();
     this->interference.clear();
+    this->imageUse.clear();
     if (!isLeader) {
         this->dispatch.resign();
         return;
@@ -472,46 +474,50 @@
     TimePoint const now = this->clock.now();
     worker.tailRatio = worstTailRatio(worker);
     this->interference.observe(worker, now);
+    this->imageUse.observe(worker, now);
     this->easeOrSlow(worker, now);
+    std::vector<ImageId> suspects;
+    for (auto const& load : worker.bestEffortImages) {
+        if (this->isSuspect(worker, load))
+            suspects.push_back(load.image);
+    }
     for (auto& [key, attempt] : worker.placed) {
         if (!attempt.isBestEffort() || attempt.isStopping || attempt.isEndReported)
             continue;
-        bool const trickles = attempt.trickles();
         bool const isHarmful = this->interference.harmsAny(worker, attempt.image, now);
-        bool const isOverTarget = worker.tailRatio >= 1;
-        unsigned const percent = trickles ? (isOverTarget ? 0 : attempt.throttleBound) : isHarmful ? 0
-                                                                                                   : worker.throttle;
+        bool const isSlowed = suspects.empty() || std::find(suspects.begin(), suspects.end(), attempt.image) != suspects.end();
+        unsigned const share = isSlowed ? worker.throttle : fullSpeed;
+        unsigned const percent = attempt.isTrickling ? tricklePace(attempt.throttle, worker.tailRatio, now - std::max(attempt.throttledAt, attempt.confirmedAt)) : isHarmful ? 0
+                                                                                                                                                                             : share;
         if (attempt.throttle != percent)
             this->dispatch.throttle(worker, attempt, percent);
-        if (!isHarmful || trickles || attempt.phase != PlacedAttempt::Phase::Running)
+        if (!isHarmful || attempt.isTrickling || attempt.phase != PlacedAttempt::Phase::Running)
             continue;
         this->evict(worker, attempt, "harms a service task");
     }
 }
 
-/// Slows all best-effort tasks of a worker whose service tasks come near their targets though no pair of
-/// images is to blame, and lets them go again.
+/// An image that was never seen at its full use beside some service of the worker: if one is near its target,
+/// this image is slowed and those that proved harmless go on.
+bool JobScheduler::isSuspect(WorkerView const& worker, ImageLoad const& load) const
+{
+    double const use = this->imageUse.expected(load.image, load.milliCores) / static_cast<double>(std::max<int64_t>(worker.profile.capacity.milliCores, 1));
+    return std::any_of(worker.serviceImages.begin(), worker.serviceImages.end(), [&](ImageLoad const& service) { return !this->interference.isCleared(service.image, load.image, use); });
+}
+
+/// A known harmful image is on its way off the worker: with it goes the harm.
+bool JobScheduler::hasCulprit(WorkerView const& worker, TimePoint now) const
+{
+    auto const& loads = worker.bestEffortImages;
+    return std::any_of(loads.begin(), loads.end(), [&](ImageLoad const& load) { return this->interference.harmsAny(worker, load.image, now); });
+}
+
+/// Slows best-effort tasks of a worker whose service tasks come near their targets though no pair of images is
+/// known to be to blame, and lets them go again.
 void JobScheduler::easeOrSlow(WorkerView& worker, TimePoint now)
 {
-    constexpr double slowAt = 0.95; ///< Tail over target.
-    constexpr double easeBelow = 0.75;
-    constexpr double aimAt = 0.8; ///< Harm falls about in line with what best-effort tasks use.
-    constexpr double hardestCut = 0.1;
-    constexpr unsigned easeStep = 25; // Percent points.
-    constexpr unsigned least = 10; // Percent; less counts as a full stop.
-    constexpr unsigned full = 100;
-    constexpr Duration settle = Duration::milliseconds(700); // The throttle's own delay and the span of the figures.
-    unsigned next = worker.throttle;
-    if (worker.serviceImages.empty())
-        next = full;
-    else if (now - worker.throttleChanged < settle)
-        return;
-    else if (worker.tailRatio >= slowAt && !worker.bestEffortImages.empty())
-        next = static_cast<unsigned>(next * std::max(aimAt / worker.tailRatio, hardestCut));
-    else if (worker.tailRatio < easeBelow)
-        next = std::min(full, next + easeStep);
-    if (next < least)
-        next = 0;
+    bool const canSlow = !worker.bestEffortImages.empty() && !this->hasCulprit(worker, now);
+    unsigned const next = worker.serviceImages.empty() ? fullSpeed : workerPace(worker.throttle, worker.tailRatio, now - worker.throttleChanged, canSlow);
     if (next == worker.throttle)
         return;
     this->events.emit(Event(EventId::WorkerThrottled)
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -136,11 +136,13 @@
     void leaveTrickling();
     bool preparePermits(ReadyStage const& ready, PlacementRequest& request);
     PlacementRequest requestFor(ReadyStage const& ready, TimePoint now);
-    void decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now, unsigned throttleBound = 100);
+    void decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now, std::optional<unsigned> tricklePercent = std::nullopt);
     void openDueOccurrences();
     void evacuateDraining();
     void forgetEnded();
     void review(WorkerView& worker);
+    bool isSuspect(WorkerView const& worker, ImageLoad const& load) const;
+    bool hasCulprit(WorkerView const& worker, TimePoint now) const;
     void easeOrSlow(WorkerView& worker, TimePoint now);
     void commitUpdates();
 
@@ -156,6 +158,7 @@
     PermitBook permits;
     Dispatcher dispatch;
     InterferenceModel interference;
+    ImageUse imageUse;
     TaskPlacer placer;
 
     std::map<JobId, JobObjective> active; ///< On the leader: of the jobs that are not ended.
--- a/cornelpond/core/scheduling/LoadReplayTest.cpp
+++ b/cornelpond/core/scheduling/LoadReplayTest.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace cornelpond;
 
 namespace {
@@ -111,6 +113,26 @@
     CHECK(bench.state(JobId("plan")) == JobState::Completed);
 }
 
+TEST_CASE("load: each ready stage of a best-effort job has something running, not only the job")
+{
+    JobBench bench(5);
+    bench.addWorkers(4, 16200);
+    bench.fleet.setHarm("odd", "f", 30);
+    bench.fleet.setHarm("even", "f", 30);
+    fillWithServices(bench, 4);
+    JobSpec plan = makeBestEffortJob("plan", 4, 1800, second * 60, "f");
+    // A second such stage gets its turn while the first trickles.
+    plan.stages.push_back(makeJob("", 1, 100, second * 8).stages[0]);
+    plan.stages.push_back(plan.stages[0]);
+    plan.stages[2].after = { 1 };
+    bench.submit(plan);
+    bench.run(second * 14);
+    for (size_t stage : { 0, 2 }) {
+        auto const& tasks = bench.find(plan.id)->occurrences.at(0).stages[stage].tasks;
+        CHECK(std::any_of(tasks.begin(), tasks.end(), [](auto const& task) { return !task.live.empty(); }));
+    }
+}
+
 TEST_CASE("load: each best-effort job has something running within seconds while the workers' room is mostly free")
 {
     JobBench bench(6);
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -12,8 +12,11 @@
     /// A task leaves its data's rack when it has waited for so much of its estimated run time.
     constexpr int64_t rackPatienceShare = 2;
 
-    /// A best-effort job of which nothing runs for so long gets one task to trickle.
+    /// A best-effort stage of which nothing runs for so long gets one task to trickle.
     constexpr Duration tricklePatience = Duration::milliseconds(2000);
+    constexpr Duration leaveTrickleAfter = Duration::seconds(3); ///< A move costs a restart; a slow task gains by it.
+    constexpr unsigned paceWorthStaying = 50; ///< Percent.
+    constexpr double mostlyFree = 0.7; ///< Of the cores: then even a saturated worker is better than none.
     constexpr size_t maxLeavingTrickle = 4; ///< At one check, so that their moves do not come in one wave.
 
 } // namespace
@@ -100,13 +103,15 @@
         this->decideStart(*worker, { request.task, tasks[index].lastAttempt.next(), worker->profile.id }, ready, now);
         placed++;
     }
-    if (!placed && request.stage->isBestEffort && !ready.job->liveAttempts && this->trickle(ready, request, now))
+    bool const isIdle = std::all_of(tasks.begin(), tasks.end(), [](auto const& task) { return task.live.empty(); });
+    bool const mayTrickle = isIdle || this->placer.reservedShare(request.service) < mostlyFree;
+    if (!placed && request.stage->isBestEffort && mayTrickle && this->trickle(ready, request, now))
         placed++;
     return placed;
 }
 
 /// Every worker has a service that the stage's image harms: one task works there at a pace that the service
-/// hardly notices, so that the job gets on.
+/// hardly notices, so that the stage gets on.
 bool JobScheduler::trickle(ReadyStage const& ready, PlacementRequest request, TimePoint now)
 {
     request.task.index = 0;
@@ -117,7 +122,6 @@
     auto const waiting = std::find_if(tasks.begin(), tasks.end(), [](auto const& task) { return task.isWaiting(); });
     request.task.index = static_cast<uint32_t>(waiting - tasks.begin());
     request.mayTrickle = true;
-    constexpr double mostlyFree = 0.5; // Then even a saturated worker is better than none.
     request.ignoresBestEffort = this->placer.reservedShare(request.service) < mostlyFree;
     WorkerView* worker = waiting == tasks.end() || this->proposed.count(request.task) ? nullptr : this->placer.choose(request, now);
     if (!worker)
@@ -134,7 +138,7 @@
     size_t left = 0;
     for (auto& [id, worker] : this->dispatch.workers()) {
         for (auto& [key, attempt] : worker.placed) {
-            bool const trickles = attempt.trickles() && attempt.phase == PlacedAttempt::Phase::Running && !attempt.isStopping && !attempt.isEndReported;
+            bool const trickles = attempt.isTrickling && now - attempt.confirmedAt >= leaveTrickleAfter && attempt.throttle < paceWorthStaying && attempt.phase == PlacedAttempt::Phase::Running && !attempt.isStopping && !attempt.isEndReported;
             if (!trickles || left >= maxLeavingTrickle)
                 continue;
             if (!this->placer.choose(requestToMove(worker, attempt), now))
@@ -221,7 +225,7 @@
     return placed.size() == tasks.size();
 }
 
-void JobScheduler::decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now, unsigned throttleBound)
+void JobScheduler::decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now, std::optional<unsigned> tricklePercent)
 {
     JobObjective const& objective = this->objective(*ready.job);
     this->events.emit(Event(EventId::TaskPlaced)
@@ -231,10 +235,11 @@
                           .with("listedMs", now - worker.lastAnswer)
                           .with("freeMilliCores", worker.freeRoom().milliCores)
                           .with("tailPercent", static_cast<int>(worker.tailRatio * 100))
+                          .with("speedPercent", tricklePercent.value_or(fullSpeed))
                           .with("sinceAcceptedMs", now - objective.acceptedAt)
                           .with("objectiveMs", objective.objective)
                           .with("lateness", ready.rank.lateness));
-    this->dispatch.reserve(worker, start.task, start.attempt, throttleBound);
+    this->dispatch.reserve(worker, start.task, start.attempt, tricklePercent);
     this->proposed.insert(start.task);
     this->updates.emplace_back(start);
     this->waitingSince.erase({ start.task.job, start.task.occurrence, start.task.stage, 0 });
