Count a task as done that was done on a worker given up as out of reach

Ruled out: trickling (the stages were not ready in the scheduler's view and never asked for a worker), lost starts, memory, strays.

Change: a listed end as done of a closed attempt is committed while its task is not done (JobTable::wouldFinish; not for gangs and services); it is acknowledged after its commit only, and the newer attempt is stopped.

--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -393,9 +393,17 @@
         PlacedAttempt* attempt = view.find({ end.task, end.attempt });
         if (attempt && attempt->phase != PlacedAttempt::Phase::Proposed)
             this->report(view, *attempt, end.end, end.checkpoint.empty() ? attempt->checkpoint : end.checkpoint);
+        else if (!attempt && this->isLateFinish(end))
+            this->hooks.reportEnd({ end.task, end.attempt, view.profile.id, end.end, end.checkpoint });
     }
 }
 
+/// The attempt was given up while its worker was out of reach, but the task was done there.
+bool Dispatcher::isLateFinish(ListedEnd const& end) const
+{
+    return end.end == AttemptEnd::Done && this->jobs.wouldFinish(end.task, end.attempt);
+}
+
 /// Attempts that the worker does not list although it should.
 void Dispatcher::findMissing(WorkerView& view, TimePoint sentAt, WorkerListing const& listing)
 {
@@ -427,7 +435,7 @@
 /// An end may be forgotten by the worker once it is committed, or belongs to an attempt that ended before.
 void Dispatcher::acknowledgeEnds(WorkerView& view)
 {
-    auto const isOpen = [&](ListedEnd const& end) { return this->jobs.isLive(end.task, { end.attempt, view.profile.id }); };
+    auto const isOpen = [&](ListedEnd const& end) { return this->jobs.isLive(end.task, { end.attempt, view.profile.id }) || this->isLateFinish(end); };
     auto const firstOpen = std::find_if(view.listedEnds.begin(), view.listedEnds.end(), isOpen);
     if (firstOpen != view.listedEnds.begin())
         view.acknowledgedEnds = std::max(view.acknowledgedEnds, std::prev(firstOpen)->number);
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -102,6 +102,7 @@
     void readListing(WorkerView& view, TimePoint sentAt, WorkerListing const& listing);
     void readRunning(WorkerView& view, WorkerListing const& listing);
     void readEnds(WorkerView& view, WorkerListing const& listing);
+    bool isLateFinish(ListedEnd const& end) const;
     void findMissing(WorkerView& view, TimePoint sentAt, WorkerListing const& listing);
     static bool mayConclude(PlacedAttempt const& attempt, TimePoint sentAt);
     void acknowledgeEnds(WorkerView& view);
--- a/cornelpond/core/jobs/JobTable.cpp
+++ b/cornelpond/core/jobs/JobTable.cpp
@@ -240,6 +240,9 @@
             else if (end.end == AttemptEnd::Failed && !spec.isService && job->state == JobState::Active)
                 this->countFailure(*job, *stage, end.task, wallMs);
             this->trim(*job);
+        } else if (end.end == AttemptEnd::Done && this->wouldFinish(end.task, end.attempt)) {
+            this->finishTask(*job, job->occurrences.at(end.task.occurrence), end.task, wallMs);
+            this->trim(*job);
         }
     }
     if (this->hooks.onEnded)
@@ -367,6 +370,17 @@
     }
 }
 
+bool JobTable::wouldFinish(TaskRef const& task, AttemptNumber attempt) const
+{
+    JobRecord const* job = this->find(task.job);
+    TaskRecord const* record = this->findTask(task);
+    if (!record || job->state != JobState::Active || record->isDone)
+        return false;
+    StageSpec const& stage = job->spec.stages[task.stage];
+    bool const isLive = std::any_of(record->live.begin(), record->live.end(), [&](Attempt const& live) { return live.number == attempt; });
+    return !isLive && attempt <= record->lastAttempt && !stage.isService && !stage.isGang;
+}
+
 bool JobTable::isLive(TaskRef const& task, Attempt const& attempt) const
 {
     TaskRecord const* record = this->findTask(task);
--- a/cornelpond/core/jobs/JobTable.h
+++ b/cornelpond/core/jobs/JobTable.h
@@ -106,6 +106,9 @@
     /// True while the attempt is committed and not ended, and its outcome still matters.
     bool isWanted(TaskRef const& task, Attempt const& attempt) const;
 
+    /// True where the attempt was given up, as its worker was out of reach, and its end as done would still count.
+    bool wouldFinish(TaskRef const& task, AttemptNumber attempt) const;
+
     /// True while the attempt is committed and not ended.
     bool isLive(TaskRef const& task, Attempt const& attempt) const;
 
