Estimate the harm by pair of images; keep open workers for images that need them

Cause: a pair of images was either cleared or banned. Images that harm nothing took the few workers where the others may stand.

Change: InterferenceModel estimates each pair's harm by normalised least mean squares and predicts a service's tail; tasks are placed up to 0.65 of the target, moved above 0.95. Images that may stand in many places prefer workers open to few.

--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -156,6 +156,7 @@
     unsigned throttle = fullSpeed; ///< Of all best-effort tasks here.
     TimePoint throttleChanged;
     TimePoint bestEffortLeft; ///< When a best-effort task last left.
+    std::optional<TimePoint> overTargetSince; ///< A service task is over its target at every look since then.
     double tailRatio = 0; ///< Worst tail over target at the last look; 0 without a service task.
 
 private:
--- a/cornelpond/core/placement/InterferenceModel.cpp
+++ b/cornelpond/core/placement/InterferenceModel.cpp
@@ -1,12 +1,14 @@
 #include "cornelpond/core/placement/InterferenceModel.h"
 
 #include <algorithm>
-#include <vector>
+#include <cmath>
+#include <utility>
 
 namespace cornelpond {
 
 namespace {
 
+    constexpr unsigned halfKey = 32; ///< Bits of a pair's key for each image.
     constexpr unsigned atWork = 100; ///< Percent of a service task that serves.
 
     bool hasTarget(PlacedAttempt const& attempt)
@@ -42,98 +44,137 @@
 {
 }
 
+namespace {
+
+    /// What the worker's best-effort images use now; empty and false while some of them have not settled.
+    bool settledUses(WorkerView const& worker, InterferenceLimits const& limits, TimePoint now, ImageUses& uses)
+    {
+        for (auto const& [key, attempt] : worker.placed) {
+            if (!attempt.isBestEffort() || !hasFigure(attempt))
+                continue;
+            bool const isSettled = now - attempt.confirmedAt >= limits.settle && now - attempt.throttledAt >= limits.settle;
+            if (!isSettled)
+                return false;
+            double const share = static_cast<double>(attempt.figure) / static_cast<double>(std::max<int64_t>(worker.profile.capacity.milliCores, 1));
+            auto const known = std::find_if(uses.begin(), uses.end(), [image = attempt.image](auto const& use) { return use.image == image; });
+            if (known == uses.end())
+                uses.push_back({ attempt.image, share });
+            else
+                known->share += share;
+        }
+        return now - worker.bestEffortLeft >= limits.settle;
+    }
+
+    /// Mean tail over target by service image, of tasks at work long enough for their figures.
+    std::map<ImageId, double> meanTails(WorkerView const& worker, InterferenceLimits const& limits, TimePoint now)
+    {
+        std::map<ImageId, std::pair<double, int>> sums;
+        for (auto const& [key, attempt] : worker.placed) {
+            if (!hasTarget(attempt) || !hasFigure(attempt) || attempt.progressPercent < atWork || now - attempt.confirmedAt < limits.settle)
+                continue;
+            auto& [sum, count] = sums[attempt.image];
+            sum += tailRatio(attempt);
+            count++;
+        }
+        std::map<ImageId, double> means;
+        for (auto const& [image, sum] : sums)
+            means[image] = sum.first / sum.second;
+        return means;
+    }
+
+} // namespace
+
 void InterferenceModel::observe(WorkerView const& worker, TimePoint now)
 {
     auto const last = this->lastJudged.find(worker.profile.id);
-    if (last != this->lastJudged.end() && now - last->second < this->limits.perWorker)
+    if (worker.serviceImages.empty() || (last != this->lastJudged.end() && now - last->second < this->limits.perWorker))
         return;
-    Uses uses;
-    for (auto const& [key, attempt] : worker.placed) {
-        if (!attempt.isBestEffort() || !hasFigure(attempt))
-            continue;
-        bool const isSettled = now - attempt.confirmedAt >= this->limits.settle && now - attempt.throttledAt >= this->limits.settle;
-        if (!isSettled)
-            return;
-        uses[attempt.image] += static_cast<double>(attempt.figure) / static_cast<double>(std::max<int64_t>(worker.profile.capacity.milliCores, 1));
-    }
-    if (uses.empty() || now - worker.bestEffortLeft < this->limits.settle)
+    ImageUses uses;
+    if (!settledUses(worker, this->limits, now, uses))
         return;
     this->lastJudged[worker.profile.id] = now;
-    for (auto const& [key, attempt] : worker.placed) {
-        if (hasTarget(attempt) && hasFigure(attempt) && attempt.progressPercent >= atWork && now - attempt.confirmedAt >= this->limits.settle)
-            this->judge(attempt.image, tailRatio(attempt), uses, now);
+    for (auto const& [service, ratio] : meanTails(worker, this->limits, now))
+        this->judge(service, ratio, uses, now);
+}
+
+void InterferenceModel::judge(ImageId service, double ratio, ImageUses const& uses, TimePoint now)
+{
+    if (uses.empty()) {
+        auto const [base, isNew] = this->bases.emplace(service.value(), ratio);
+        base->second += (ratio - base->second) * this->limits.baseRate;
+        return;
+    }
+    double const error = ratio - this->predictedTail(service, uses, now);
+    double const rate = std::clamp(std::abs(error) / this->limits.noise, this->limits.leastRate, this->limits.mostRate);
+    double norm = this->limits.leastUse * this->limits.leastUse;
+    for (auto const& use : uses)
+        norm += use.share * use.share;
+    for (auto const& use : uses) {
+        Evidence& evidence = this->pairs[pairOf(service, use.image)];
+        evidence.harm = std::clamp(this->harmOf(evidence, now) + rate * error * use.share / norm, 0.0, this->limits.mostHarm);
+        evidence.seenAt = now;
+        if (ratio < this->limits.mostTail)
+            evidence.clearedUse = std::max(evidence.clearedUse, use.share);
     }
 }
 
-void InterferenceModel::judge(ImageId service, double ratio, Uses const& uses, TimePoint now)
+double InterferenceModel::predictedTail(ImageId service, ImageUses const& uses, TimePoint now) const
 {
-    if (ratio < this->limits.clearBelow)
-        this->acquit(service, uses);
-    else if (ratio >= this->limits.accuseAbove)
-        this->accuse(service, uses, now);
+    double tail = this->baseOf(service);
+    for (auto const& use : uses)
+        tail += this->harm(service, use.image, now) * use.share;
+    return tail;
 }
 
-void InterferenceModel::acquit(ImageId service, Uses const& uses)
+ImageUseShare const* InterferenceModel::worstUse(ImageId service, ImageUses const& uses, TimePoint now) const
 {
-    for (auto const& [image, use] : uses) {
-        Evidence& evidence = this->pairs[pairOf(service, image)];
-        evidence.clearedUse = std::max(evidence.clearedUse, use);
+    ImageUseShare const* worst = nullptr;
+    double most = 0;
+    for (auto const& use : uses) {
+        double const added = this->harm(service, use.image, now) * use.share;
+        if (added <= most)
+            continue;
+        most = added;
+        worst = &use;
     }
+    return worst;
 }
 
-void InterferenceModel::accuse(ImageId service, Uses const& uses, TimePoint now)
+double InterferenceModel::harm(ImageId service, ImageId bestEffort, TimePoint now) const
 {
-    std::vector<ImageId> accused;
-    for (auto const& [image, use] : uses) {
-        if (use >= this->limits.leastUse && use > this->pairs[pairOf(service, image)].clearedUse * this->limits.suspectAbove)
-            accused.push_back(image);
-    }
-    for (ImageId const image : accused) {
-        Evidence& evidence = this->pairs[pairOf(service, image)];
-        double const sum = this->accusationsOf(evidence, now) + 1.0 / static_cast<double>(accused.size());
-        evidence.accusations = std::min(sum, this->limits.mostAccusations);
-        evidence.accusedAt = now;
-    }
-    if (!accused.empty())
-        return;
-    // All are cleared for what they use: together it is too much, or the service is busier than it was.
-    for (auto const& [image, use] : uses)
-        this->pairs[pairOf(service, image)].clearedUse /= this->limits.growth;
+    Evidence const* evidence = this->find(service, bestEffort);
+    return evidence ? this->harmOf(*evidence, now) : 0;
 }
 
-uint64_t InterferenceModel::pairOf(ImageId service, ImageId bestEffort)
+double InterferenceModel::harmOf(Evidence const& evidence, TimePoint now) const
 {
-    constexpr unsigned half = 32;
-    return (service.value() << half) | bestEffort.value();
+    return evidence.harm * std::exp2(-(now - evidence.seenAt).toSeconds() / this->limits.halfLife.toSeconds());
 }
 
-InterferenceModel::Evidence const* InterferenceModel::find(ImageId service, ImageId bestEffort) const
+double InterferenceModel::baseOf(ImageId service) const
 {
-    auto const found = this->pairs.find(pairOf(service, bestEffort));
-    return found == this->pairs.end() ? nullptr : &found->second;
+    auto const known = this->bases.find(service.value());
+    return known == this->bases.end() ? this->limits.restingTail : known->second;
 }
 
-double InterferenceModel::accusationsOf(Evidence const& evidence, TimePoint now) const
+uint64_t InterferenceModel::pairOf(ImageId service, ImageId bestEffort)
 {
-    double const forgiven = (now - evidence.accusedAt).toSeconds() / this->limits.forgive.toSeconds();
-    return std::max(evidence.accusations - forgiven, 0.0);
+    return (service.value() << halfKey) | bestEffort.value();
 }
 
-bool InterferenceModel::isHarmful(ImageId service, ImageId bestEffort, TimePoint now) const
+ImageId InterferenceModel::serviceOf(uint64_t pair)
 {
-    Evidence const* evidence = this->find(service, bestEffort);
-    return evidence && evidence->accusations >= this->limits.guilt && this->accusationsOf(*evidence, now) > 0;
+    return ImageId(pair >> halfKey);
 }
 
-bool InterferenceModel::harmsAny(WorkerView const& worker, ImageId bestEffort, TimePoint now) const
+InterferenceModel::Evidence const* InterferenceModel::find(ImageId service, ImageId bestEffort) const
 {
-    return std::any_of(worker.serviceImages.begin(), worker.serviceImages.end(), [&](auto const& entry) { return this->isHarmful(entry.image, bestEffort, now); });
+    auto const found = this->pairs.find(pairOf(service, bestEffort));
+    return found == this->pairs.end() ? nullptr : &found->second;
 }
 
-double InterferenceModel::allowedUse(ImageId service, ImageId bestEffort, TimePoint now) const
+double InterferenceModel::allowedUse(ImageId service, ImageId bestEffort) const
 {
-    if (this->isHarmful(service, bestEffort, now))
-        return 0;
     Evidence const* evidence = this->find(service, bestEffort);
     return std::max(this->limits.trialUse, evidence ? evidence->clearedUse * this->limits.growth : 0.0);
 }
@@ -150,9 +191,23 @@
     return !evidence || evidence->clearedUse < this->limits.provenUse;
 }
 
+double InterferenceModel::openness(ImageId service, TimePoint now) const
+{
+    double seen = 0;
+    double harmless = 0;
+    for (auto const& [pair, evidence] : this->pairs) {
+        if (serviceOf(pair) != service)
+            continue;
+        seen++;
+        harmless += this->harmOf(evidence, now) < this->limits.notableHarm;
+    }
+    return seen > 0 ? harmless / seen : 1;
+}
+
 void InterferenceModel::clear()
 {
     this->pairs.clear();
+    this->bases.clear();
     this->lastJudged.clear();
 }
 
--- a/cornelpond/core/placement/InterferenceModel.h
+++ b/cornelpond/core/placement/InterferenceModel.h
@@ -1,11 +1,11 @@
 #pragma once
 
-// Learns which best-effort images harm which service images, from the rough figures that workers list.
+// Learns how much which best-effort images harm which service images, from the rough figures that workers list.
 //
-// Harm is far from even: most pairs of images hardly notice each other, some multiply the service's tail
-// latency at a few percent of a worker. It grows with what the best-effort image uses. So each pair keeps the
-// highest use at which the service was seen well under its target: about twice as much may be placed next. A
-// service over its target accuses the images beside it that use more than they were cleared for.
+// A service's tail latency over its target is taken as a base plus, for each best-effort image beside it, a harm
+// times the share of the worker's cores that the image uses. Most pairs hardly notice each other, some multiply
+// the tail at a few percent of a worker. Each listing moves the estimates of the pairs on that worker towards
+// what it shows (normalised least mean squares): by little within the noise of the figures, by much beyond it.
 //
 // Load pattern it answers: many best-effort tasks beside service tasks whose load swings, with figures that
 // lag half a second.
@@ -13,28 +13,41 @@
 // Example:
 //   InterferenceModel model;
 //   model.observe(worker, now);
-//   if (model.isHarmful(gateWatch, seasonPlan, now))
+//   if (model.predictedTail(gateWatch, uses, now) > limits.mostTail)
 //       placeElsewhere();
 
 #include "cornelpond/core/dispatch/WorkerView.h"
 
 #include <map>
 #include <unordered_map>
+#include <vector>
 
 namespace cornelpond {
 
+/// What a best-effort image uses on a worker, as a share of the worker's cores.
+struct ImageUseShare {
+    ImageId image;
+    double share = 0;
+};
+
+using ImageUses = std::vector<ImageUseShare>; ///< A handful; each image once.
+
 struct InterferenceLimits {
-    double clearBelow = 0.75; ///< Tail over target under which the images beside a service task are cleared,
-    double accuseAbove = 1.0; ///< and over which they are accused.
-    /// Headroom under the target is about as much again as what was used up when a pair was cleared.
+    double restingTail = 0.5; ///< Tail over target that a service is taken to have before it was seen alone.
+    double mostTail = 0.65; ///< Best-effort tasks are placed up to this predicted tail; the rest is for swings of load.
+    double baseRate = 0.05; ///< Weight of one figure of a service that nothing disturbs.
+    double noise = 0.35; ///< Of a tail over target: an error of this size is believed fully,
+    double leastRate = 0.15; ///< and one within the noise by so much.
+    double mostRate = 0.9;
+    double leastUse = 0.03; ///< Of a worker's cores: what is learned at less use counts for less.
+    double mostHarm = 60;
+    double notableHarm = 1.5; ///< Of a pair that rules out more than a task or two on a worker.
+    /// An image may next take this many times the use that it was seen harmless at beside the service.
     double growth = 2.0;
-    double suspectAbove = 1.25; ///< Of what it was cleared for: less is within the error of the figures.
-    double leastUse = 0.005; ///< Of a worker's cores: an image that used less proves nothing and is not to blame.
     double trialUse = 0.12; ///< Of a worker's cores that an image may take beside a service it was never seen with.
-    double provenUse = 0.1; ///< A pair that was cleared for less is on trial.
-    double guilt = 1.0; ///< Accusations, shared among the images beside, that make a pair harmful.
-    double mostAccusations = 2.0;
-    Duration forgive = Duration::seconds(30); ///< One accusation is forgotten in this time.
+    double provenUse = 0.1; ///< A pair that was seen harmless at less is on trial.
+    double suspectAbove = 1.25; ///< Of the use it was seen harmless at: less is within the error of the figures.
+    Duration halfLife = Duration::seconds(20); ///< Of a harm that is not seen any more, so that it is tried again.
     /// The figures cover the last half second; what changed within it is not judged.
     Duration settle = Duration::milliseconds(900);
     Duration perWorker = Duration::milliseconds(400); ///< Between two judgements from one worker.
@@ -50,13 +63,17 @@
     /// Takes in what the worker has just listed.
     void observe(WorkerView const& worker, TimePoint now);
 
-    bool isHarmful(ImageId service, ImageId bestEffort, TimePoint now) const;
+    /// Tail over target of the service beside such use of its worker.
+    double predictedTail(ImageId service, ImageUses const& uses, TimePoint now) const;
+
+    /// The use of which the service's tail suffers most; null where none adds to it.
+    ImageUseShare const* worstUse(ImageId service, ImageUses const& uses, TimePoint now) const;
 
-    /// True when some service task on the worker is harmed by the image.
-    bool harmsAny(WorkerView const& worker, ImageId bestEffort, TimePoint now) const;
+    /// Growth of the service's tail over target for each whole worker that the image uses.
+    double harm(ImageId service, ImageId bestEffort, TimePoint now) const;
 
-    /// Share of a worker's cores that the image may take beside the service; 0 for a harmful pair.
-    double allowedUse(ImageId service, ImageId bestEffort, TimePoint now) const;
+    /// Share of a worker's cores that the image may take next beside the service, whatever else is there.
+    double allowedUse(ImageId service, ImageId bestEffort) const;
 
     /// True when the service was seen well under its target beside about so much of the image.
     bool isCleared(ImageId service, ImageId bestEffort, double use) const;
@@ -64,26 +81,30 @@
     /// True while little is known of the pair.
     bool isOnTrial(ImageId service, ImageId bestEffort) const;
 
+    /// Share of the best-effort images seen so far that hardly harm the service.
+    double openness(ImageId service, TimePoint now) const;
+
+    InterferenceLimits const& bounds() const { return this->limits; }
+
     void clear();
 
 private:
     struct Evidence {
-        double clearedUse = 0;
-        double accusations = 0;
-        TimePoint accusedAt;
+        double harm = 0;
+        double clearedUse = 0; ///< The highest at which the service was seen well under its target.
+        TimePoint seenAt;
     };
 
-    using Uses = std::map<ImageId, double>; ///< Share of a worker's cores by best-effort image.
-
     static uint64_t pairOf(ImageId service, ImageId bestEffort);
+    static ImageId serviceOf(uint64_t pair);
     Evidence const* find(ImageId service, ImageId bestEffort) const;
-    double accusationsOf(Evidence const& evidence, TimePoint now) const;
-    void judge(ImageId service, double ratio, Uses const& uses, TimePoint now);
-    void acquit(ImageId service, Uses const& uses);
-    void accuse(ImageId service, Uses const& uses, TimePoint now);
+    double harmOf(Evidence const& evidence, TimePoint now) const;
+    double baseOf(ImageId service) const;
+    void judge(ImageId service, double ratio, ImageUses const& uses, TimePoint now);
 
     InterferenceLimits limits;
     std::unordered_map<uint64_t, Evidence> pairs; ///< By pairOf.
+    std::unordered_map<uint64_t, double> bases; ///< Tail over target without best-effort tasks, by service image.
     std::map<WorkerId, TimePoint> lastJudged;
 };
 
--- a/cornelpond/core/placement/Pace.cpp
+++ b/cornelpond/core/placement/Pace.cpp
@@ -20,6 +20,8 @@
     constexpr unsigned least = 1;
     if (tailRatio > lowerAbove && steady >= settle)
         return std::max(percent / 2, least);
+    if (percent < least)
+        return least;
     if (tailRatio < raiseBelow && steady >= raiseInterval)
         return std::min(percent * 3 / 2 + 1, full);
     return percent;
--- a/cornelpond/core/placement/PaceTest.cpp
+++ b/cornelpond/core/placement/PaceTest.cpp
@@ -33,6 +33,7 @@
 {
     CHECK(tricklePace(1, 5, longSteady) == 1);
     CHECK(tricklePace(3, 5, longSteady) == 1);
+    CHECK(tricklePace(0, 0.8, longSteady) == 1);
 }
 
 TEST_CASE("a pace is not changed before its effect can be seen")
--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -25,15 +25,16 @@
 
 } // namespace
 
-void TaskPlacer::beginPass()
+void TaskPlacer::beginPass(TimePoint now)
 {
     this->noRoom.clear();
     this->reservedShares.clear();
     this->serviceImages.clear();
     for (auto const& [id, worker] : this->workers) {
         for (auto const& service : worker.serviceImages) {
-            if (std::find(this->serviceImages.begin(), this->serviceImages.end(), service.image) == this->serviceImages.end())
-                this->serviceImages.push_back(service.image);
+            auto const [known, isNew] = this->serviceImages.try_emplace(service.image);
+            if (isNew)
+                known->second = this->interference.openness(service.image, now);
         }
     }
 }
@@ -167,30 +168,47 @@
 
 bool TaskPlacer::mayRunBestEffort(WorkerView const& worker, PlacementRequest const& request, Trials const& trials, TimePoint now) const
 {
-    bool const isThrottled = worker.throttle < fullSpeed;
-    ImageLoad const* present = worker.bestEffortImages.find(request.image);
-    int64_t const milliCores = request.stage->need.milliCores + (present ? present->milliCores : 0);
-    double const use = this->imageUse.expected(request.image, milliCores) / static_cast<double>(std::max<int64_t>(worker.profile.capacity.milliCores, 1));
+    ImageUses uses;
+    for (auto const& load : worker.bestEffortImages)
+        uses.push_back({ load.image, this->shareOf(worker, load.image, load.milliCores) });
+    auto own = std::find_if(uses.begin(), uses.end(), [&](auto const& use) { return use.image == request.image; });
+    bool const isPresent = own != uses.end();
+    if (!isPresent)
+        own = uses.insert(uses.end(), { request.image, 0 });
+    double const added = this->shareOf(worker, request.image, request.stage->need.milliCores);
+    own->share += added;
     return std::all_of(worker.serviceImages.begin(), worker.serviceImages.end(), [&](ImageLoad const& service) {
-        if (isThrottled && this->interference.isOnTrial(service.image, request.image))
+        bool const isProven = !this->interference.isOnTrial(service.image, request.image);
+        if (!isProven && !this->mayTry(worker, service.image, isPresent, uses.size(), trials))
             return false;
-        if (this->interference.isOnTrial(service.image, request.image)) {
-            // Tried with nothing else beside it that would blur the picture, on few workers at a time.
-            bool const isBlurred = worker.bestEffortImages.size() > (present ? 1U : 0U);
-            auto const tried = trials.find(service.image);
-            bool const isTriedEnough = tried != trials.end() && tried->second >= this->limits.trialWorkers;
-            if (isBlurred || (!present && isTriedEnough))
-                return false;
-            if (!present)
-                return !this->interference.isHarmful(service.image, request.image, now);
-        }
-        return use <= this->interference.allowedUse(service.image, request.image, now) && (!isThrottled || this->interference.isCleared(service.image, request.image, use));
+        if (worker.throttle < fullSpeed && !(isProven && this->interference.isCleared(service.image, request.image, own->share)))
+            return false;
+        constexpr double noticeable = 0.01; // Tail over target; less is not worth waiting for.
+        bool const isFelt = this->interference.harm(service.image, request.image, now) * added > noticeable;
+        bool const isTooMuch = isFelt && this->interference.predictedTail(service.image, uses, now) > this->interference.bounds().mostTail;
+        return !isTooMuch && own->share <= this->interference.allowedUse(service.image, request.image);
     });
 }
 
+/// A pair of which little is known is tried with nothing else beside it that would blur the picture, on few
+/// workers at a time.
+bool TaskPlacer::mayTry(WorkerView const& worker, ImageId service, bool isPresent, size_t images, Trials const& trials) const
+{
+    if (worker.throttle < fullSpeed || images > 1)
+        return false;
+    auto const tried = trials.find(service);
+    return isPresent || tried == trials.end() || tried->second < this->limits.trialWorkers;
+}
+
+/// Of the worker's cores.
+double TaskPlacer::shareOf(WorkerView const& worker, ImageId image, int64_t askedMilliCores) const
+{
+    return this->imageUse.expected(image, askedMilliCores) / static_cast<double>(std::max<int64_t>(worker.profile.capacity.milliCores, 1));
+}
+
 bool TaskPlacer::isOnTrialAnywhere(ImageId image) const
 {
-    return std::any_of(this->serviceImages.begin(), this->serviceImages.end(), [&](ImageId service) { return this->interference.isOnTrial(service, image); });
+    return std::any_of(this->serviceImages.begin(), this->serviceImages.end(), [&](auto const& service) { return this->interference.isOnTrial(service.first, image); });
 }
 
 TaskPlacer::Trials TaskPlacer::trialsOf(ImageId image) const
@@ -225,7 +243,7 @@
     auto const capacity = static_cast<double>(std::max<int64_t>(worker.profile.capacity.milliCores, 1));
     double score = 0;
     if (stage.isBestEffort)
-        score = this->unusedMilliCores(worker) / capacity - worker.tailRatio - (request.mayTrickle ? worker.tricklingTasks : 0);
+        score = this->unusedMilliCores(worker) / capacity - worker.tailRatio - this->openness(worker) - (request.mayTrickle ? worker.tricklingTasks : 0);
     else
         score = serviceScore(worker, request) - static_cast<double>(worker.freeRoom().milliCores) / capacity;
     if (!stage.dataRack.empty() && worker.profile.rack == stage.dataRack)
@@ -233,6 +251,19 @@
     return score;
 }
 
+/// How many best-effort images may stand on the worker: one that may stand in many places goes where few others
+/// may, and leaves the open workers to those.
+double TaskPlacer::openness(WorkerView const& worker) const
+{
+    double least = 1;
+    for (auto const& service : worker.serviceImages) {
+        auto const known = this->serviceImages.find(service.image);
+        if (known != this->serviceImages.end())
+            least = std::min(least, known->second);
+    }
+    return least;
+}
+
 double TaskPlacer::serviceScore(WorkerView const& worker, PlacementRequest const& request)
 {
     constexpr double amongItsLike = 4;
--- a/cornelpond/core/placement/TaskPlacer.h
+++ b/cornelpond/core/placement/TaskPlacer.h
@@ -51,7 +51,7 @@
     TaskPlacer(std::map<WorkerId, WorkerView>& workers, InterferenceModel const& interference, ImageUse const& imageUse, DispatchTimes const& times, PlacementLimits limits);
 
     /// Call before the choices of one pass: forgets what found no room in the last one.
-    void beginPass();
+    void beginPass(TimePoint now);
 
     /// Null when no worker fits now.
     WorkerView* choose(PlacementRequest const& request, TimePoint now);
@@ -62,6 +62,9 @@
     /// Percent of its speed at which a best-effort task may trickle on the worker.
     unsigned tricklePercent(WorkerView const& worker, StageSpec const& stage) const;
 
+    /// What tasks of an image that ask for so much are expected to use, as a share of the worker's cores.
+    double shareOf(WorkerView const& worker, ImageId image, int64_t askedMilliCores) const;
+
     /// Cores of the worker that nobody is taken to use.
     double unusedMilliCores(WorkerView const& worker) const;
 
@@ -74,11 +77,13 @@
     int64_t openToServices(PlacementRequest const& request) const;
     static bool isAllowed(WorkerView const& worker, PlacementRequest const& request);
     bool mayRunBestEffort(WorkerView const& worker, PlacementRequest const& request, Trials const& trials, TimePoint now) const;
+    bool mayTry(WorkerView const& worker, ImageId service, bool isPresent, size_t images, Trials const& trials) const;
     Trials trialsOf(ImageId image) const;
     bool isOnTrialAnywhere(ImageId image) const;
     WorkerView* search(PlacementRequest const& request, TimePoint now) const;
     bool foundNoRoom(PlacementRequest const& request) const;
     double score(WorkerView const& worker, PlacementRequest const& request) const;
+    double openness(WorkerView const& worker) const;
     static double serviceScore(WorkerView const& worker, PlacementRequest const& request);
 
     /// A task that no worker had room for in this pass: nor for a like one that asks for as much.
@@ -94,7 +99,7 @@
     std::map<WorkerId, WorkerView>& workers;
     std::vector<NoRoom> noRoom;
     std::map<ServiceId, double> reservedShares;
-    std::vector<ImageId> serviceImages; ///< Of all workers, as the pass began.
+    std::map<ImageId, double> serviceImages; ///< Of all workers, as the pass began, with their openness to best-effort images.
     InterferenceModel const& interference;
     ImageUse const& imageUse;
     DispatchTimes const& times;
--- a/cornelpond/core/scheduling/JobFaultsTest.cpp
+++ b/cornelpond/core/scheduling/JobFaultsTest.cpp
@@ -107,7 +107,8 @@
     JobBench bench(7);
     JobSpec const job = makeBestEffortJob("plan", 1, 1800, second * 10, "f");
     slowDownBestEffortTask(bench, job);
-    bench.run(second * 6);
+    for (int i = 0; i < 100 && bench.fleet.slowestThrottle(job.id) == 100; i++)
+        bench.run(second / 10);
     REQUIRE(bench.fleet.slowestThrottle(job.id) < 100);
     // The services are gone before the predecessor sees that the task may work again.
     cancelServices(bench);
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace cornelpond {
 
@@ -17,6 +18,9 @@
     constexpr Duration evacuationLead = Duration::milliseconds(900);
     /// What an inherited job may have waited at most, whatever the clocks say.
     constexpr Duration longestInheritedWait = Duration::seconds(30);
+    /// Of a service task over its target: then everything that may be to blame stands still. Users feel it from
+    /// a few seconds on, and what is seen here is a second old.
+    constexpr Duration lastingHarm = Duration::milliseconds(1400);
     constexpr Duration overloadRetryAfter = Duration::seconds(2);
 
     CallResult resultOf(ResultCode code)
@@ -413,7 +417,7 @@
 void JobScheduler::evacuateDraining()
 {
     TimePoint const now = this->clock.now();
-    this->placer.beginPass();
+    this->placer.beginPass(now);
     for (auto& [id, worker] : this->dispatch.workers()) {
         if (!worker.profile.isDraining)
             continue;
@@ -475,7 +479,13 @@
     worker.tailRatio = worstTailRatio(worker);
     this->interference.observe(worker, now);
     this->imageUse.observe(worker, now);
+    if (worker.tailRatio < 1)
+        worker.overTargetSince.reset();
+    else if (!worker.overTargetSince)
+        worker.overTargetSince = now;
+    this->relieve(worker, now);
     this->easeOrSlow(worker, now);
+    bool const isHarmLasting = worker.overTargetSince && now - *worker.overTargetSince >= lastingHarm;
     std::vector<ImageId> suspects;
     for (auto const& load : worker.bestEffortImages) {
         if (this->isSuspect(worker, load))
@@ -484,16 +494,48 @@
     for (auto& [key, attempt] : worker.placed) {
         if (!attempt.isBestEffort() || attempt.isStopping || attempt.isEndReported)
             continue;
-        bool const isHarmful = this->interference.harmsAny(worker, attempt.image, now);
         bool const isSlowed = suspects.empty() || std::find(suspects.begin(), suspects.end(), attempt.image) != suspects.end();
-        unsigned const share = isSlowed ? worker.throttle : fullSpeed;
-        unsigned const percent = attempt.isTrickling ? tricklePace(attempt.throttle, worker.tailRatio, now - std::max(attempt.throttledAt, attempt.confirmedAt)) : isHarmful ? 0
-                                                                                                                                                                             : share;
+        unsigned percent = isSlowed ? worker.throttle : fullSpeed;
+        if (attempt.isTrickling)
+            percent = tricklePace(attempt.throttle, worker.tailRatio, now - std::max(attempt.throttledAt, attempt.confirmedAt));
+        if (isHarmLasting)
+            percent = 0;
         if (attempt.throttle != percent)
             this->dispatch.throttle(worker, attempt, percent);
-        if (!isHarmful || attempt.isTrickling || attempt.phase != PlacedAttempt::Phase::Running)
+    }
+}
+
+/// Moves tasks of the image that harms a service most, where what is known says that it will be over its target.
+void JobScheduler::relieve(WorkerView& worker, TimePoint now)
+{
+    constexpr double tooMuch = 0.95; ///< Predicted tail over target.
+    ImageUses uses;
+    std::map<ImageId, std::vector<PlacedAttempt*>> tasks;
+    for (auto& [key, attempt] : worker.placed) {
+        bool const counts = attempt.isBestEffort() && !attempt.isTrickling && !attempt.isStopping && !attempt.isEndReported && attempt.phase == PlacedAttempt::Phase::Running;
+        if (counts)
+            tasks[attempt.image].push_back(&attempt);
+    }
+    for (auto const& [image, attempts] : tasks) {
+        double share = 0;
+        for (auto const* attempt : attempts)
+            share += this->placer.shareOf(worker, image, attempt->stage->need.milliCores);
+        uses.push_back({ image, share });
+    }
+    for (auto const& service : worker.serviceImages) {
+        double const predicted = this->interference.predictedTail(service.image, uses, now);
+        ImageUseShare const* worst = this->interference.worstUse(service.image, uses, now);
+        if (predicted <= tooMuch || !worst)
             continue;
-        this->evict(worker, attempt, "harms a service task");
+        double const added = this->interference.harm(service.image, worst->image, now) * worst->share;
+        double const excess = std::min((predicted - this->interference.bounds().mostTail) / added, 1.0);
+        auto const& culprits = tasks.at(worst->image);
+        auto const leaving = static_cast<size_t>(std::ceil(excess * static_cast<double>(culprits.size())));
+        for (size_t i = culprits.size() - leaving; i < culprits.size(); i++) {
+            this->dispatch.throttle(worker, *culprits[i], 0);
+            this->evict(worker, *culprits[i], "harms a service task");
+        }
+        return; // What is left is judged at the next look.
     }
 }
 
@@ -505,18 +547,17 @@
     return std::any_of(worker.serviceImages.begin(), worker.serviceImages.end(), [&](ImageLoad const& service) { return !this->interference.isCleared(service.image, load.image, use); });
 }
 
-/// A known harmful image is on its way off the worker: with it goes the harm.
-bool JobScheduler::hasCulprit(WorkerView const& worker, TimePoint now) const
+/// A task that harms a service is on its way off the worker: with it goes the harm.
+bool JobScheduler::isBeingRelieved(WorkerView const& worker)
 {
-    auto const& loads = worker.bestEffortImages;
-    return std::any_of(loads.begin(), loads.end(), [&](ImageLoad const& load) { return this->interference.harmsAny(worker, load.image, now); });
+    return std::any_of(worker.placed.begin(), worker.placed.end(), [](auto const& entry) { return entry.second.isBestEffort() && entry.second.isStopping; });
 }
 
 /// Slows best-effort tasks of a worker whose service tasks come near their targets though no pair of images is
 /// known to be to blame, and lets them go again.
 void JobScheduler::easeOrSlow(WorkerView& worker, TimePoint now)
 {
-    bool const canSlow = !worker.bestEffortImages.empty() && !this->hasCulprit(worker, now);
+    bool const canSlow = !worker.bestEffortImages.empty() && !isBeingRelieved(worker);
     unsigned const next = worker.serviceImages.empty() ? fullSpeed : workerPace(worker.throttle, worker.tailRatio, now - worker.throttleChanged, canSlow);
     if (next == worker.throttle)
         return;
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -141,8 +141,9 @@
     void evacuateDraining();
     void forgetEnded();
     void review(WorkerView& worker);
+    void relieve(WorkerView& worker, TimePoint now);
     bool isSuspect(WorkerView const& worker, ImageLoad const& load) const;
-    bool hasCulprit(WorkerView const& worker, TimePoint now) const;
+    static bool isBeingRelieved(WorkerView const& worker);
     void easeOrSlow(WorkerView& worker, TimePoint now);
     void commitUpdates();
 
--- a/cornelpond/core/scheduling/LoadReplayTest.cpp
+++ b/cornelpond/core/scheduling/LoadReplayTest.cpp
@@ -80,6 +80,24 @@
     CHECK(over.toMilliseconds() < 60000);
 }
 
+TEST_CASE("load: a burst of images that harm everything by different amounts keeps no service over target for long")
+{
+    JobBench bench(9);
+    bench.addWorkers(16, 16000);
+    for (char const* service : { "odd", "even" }) {
+        for (int image = 0; image < 9; image++)
+            bench.fleet.setHarm(service, "f" + std::to_string(image), 5 * (1 + image * (service[0] == 'o' ? 1 : 2)));
+    }
+    fillWithServices(bench, 14);
+    for (int i = 0; i < 120; i++) {
+        bench.submit(makeBestEffortJob("plan" + std::to_string(i), 8, 1800, second * 2, "f" + std::to_string(i % 9)));
+        bench.run(Duration::milliseconds(100));
+    }
+    bench.run(second * 30);
+    // Users bear 4 s; three quarters of it leave room for figures that lag.
+    CHECK(bench.fleet.record().longestOverTarget.toMilliseconds() < 3000);
+}
+
 TEST_CASE("load: a burst of best-effort jobs is placed in the order in which they can still be in time")
 {
     JobBench bench(4);
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -24,7 +24,7 @@
 void JobScheduler::pass()
 {
     TimePoint const now = this->clock.now();
-    this->placer.beginPass();
+    this->placer.beginPass(now);
     std::vector<ReadyStage> ready = this->collectReady(now);
     std::stable_sort(ready.begin(), ready.end(), [](ReadyStage const& left, ReadyStage const& right) { return left.rank < right.rank; });
     size_t placed = 0;
@@ -134,7 +134,7 @@
 void JobScheduler::leaveTrickling()
 {
     TimePoint const now = this->clock.now();
-    this->placer.beginPass();
+    this->placer.beginPass(now);
     size_t left = 0;
     for (auto& [id, worker] : this->dispatch.workers()) {
         for (auto& [key, attempt] : worker.placed) {
--- a/testing/fakes/FakeFleet.cpp
+++ b/testing/fakes/FakeFleet.cpp
@@ -208,6 +208,8 @@
 void FakeFleet::recordStart(TaskRef const& task, StageSpec const& stage, Worker const& worker)
 {
     this->seen.starts++;
+    if (this->onStart)
+        this->onStart(task);
     this->seen.startsWhileDraining += worker.profile.isDraining;
     this->seen.startsAfterDone += this->doneAcknowledged.count(task);
     for (auto const& [id, other] : this->workers) {
@@ -427,6 +429,8 @@
             ratio += slope == this->harm.end() ? 0 : slope->second * use;
         }
         run.tailMs = static_cast<int64_t>(static_cast<double>(run.stage.latencyTarget.toMilliseconds()) * ratio);
+        run.overFor = ratio > 1 ? run.overFor + span : Duration();
+        this->seen.longestOverTarget = std::max(this->seen.longestOverTarget, run.overFor);
         if (ratio > 1)
             this->seen.overTarget = this->seen.overTarget + span;
     }
--- a/testing/fakes/FakeFleet.h
+++ b/testing/fakes/FakeFleet.h
@@ -40,6 +40,7 @@
         unsigned brokenOrder = 0; ///< Starts of a stage before the ones it comes after were done.
         unsigned acknowledgedTooEarly = 0; ///< Ends that a check found forgotten before they were committed.
         Duration overTarget; ///< Time of service tasks at work over their target.
+        Duration longestOverTarget; ///< Of one of them on end.
     };
 
     FakeFleet(FakeClock& clock, Random& random);
@@ -69,6 +70,8 @@
     /// Percent at which the job's slowest task works; 100 with none running.
     unsigned slowestThrottle(JobId const& job) const;
     std::set<std::string> imagesOn(WorkerId const& worker) const;
+    /// Hears of each task that a worker starts.
+    void setStartObserver(std::function<void(TaskRef const&)> observer) { this->onStart = std::move(observer); }
     /// Asked whenever a worker is told to forget an end; false is recorded as a fault.
     void setForgetCheck(std::function<bool(ListedEnd const&, WorkerId const&)> check) { this->mayForget = std::move(check); }
 
@@ -88,6 +91,7 @@
         unsigned throttle = 100;
         double usedMilliCores = 0;
         int64_t tailMs = 0;
+        Duration overFor; ///< Over its target for so long on end.
         bool willFail = false;
     };
 
@@ -138,6 +142,7 @@
     std::set<TaskRef> doneAcknowledged;
     std::map<TaskRef, bool> doneSeen;
     std::function<bool(ListedEnd const&, WorkerId const&)> mayForget;
+    std::function<void(TaskRef const&)> onStart;
     TimePoint lastStep;
     uint64_t nextCheckpoint = 1;
 };
