Soak: real processes under faults drawn from a seed

The fleet harness of FleetTest becomes FleetProcesses, the fake fleet of the unit tests gets an HTTP front, and a proxy stands on each link between control hosts by the new setting peerRoutes (where to dial a peer behind a port forwarding).

Not covered: steps of the time of day, failing disks.

--- a/cornelpond/adapters/peer/PeerLink.cpp
+++ b/cornelpond/adapters/peer/PeerLink.cpp
@@ -154,8 +154,10 @@
     connection->address = peer.address.address;
     peer.backoff = this->backoffAfter(peer.backoff);
     peer.nextDial = this->loop.now() + peer.backoff;
+    auto const route = this->self.routes.find(peer.address.address);
+    Address const& target = route == this->self.routes.end() ? peer.address.address : route->second;
     try {
-        connection->socket = WebSocketConnection::dial(this->loop, peer.address.address, this->connectionHooks(connection->id));
+        connection->socket = WebSocketConnection::dial(this->loop, target, this->connectionHooks(connection->id));
     } catch (Error const&) {
         return; // The next dial is due after the back-off.
     }
--- a/cornelpond/adapters/peer/PeerLink.h
+++ b/cornelpond/adapters/peer/PeerLink.h
@@ -34,6 +34,7 @@
     std::string token;
     bool admitNewHosts = false; ///< Take hosts that no setting names when cluster and token are right.
     bool dialsAll = false; ///< Others may not know this host yet: it dials them whatever its id.
+    std::map<Address, Address> routes; ///< Where to dial a peer that cannot be reached at its own address.
 };
 
 /// Another entry host and where it accepts peers.
--- a/cornelpond/app/FleetSettings.cpp
+++ b/cornelpond/app/FleetSettings.cpp
@@ -25,6 +25,7 @@
     "seeds": { "type": "array", "minItems": 1, "items": { "type": "string" } },
     "lossTolerance": { "type": "integer", "minimum": 0, "maximum": 3 },
     "permitService": { "type": "string" },
+    "peerRoutes": { "type": "object", "additionalProperties": { "type": "string" } },
     "listen": {
       "type": "object",
       "additionalProperties": false,
@@ -93,6 +94,11 @@
         checkAddress(item.value(), "/listen/" + item.key(), faults);
     for (size_t i = 0; i < document["seeds"].size(); i++)
         checkAddress(document["seeds"][i], "/seeds/" + std::to_string(i), faults);
+    nlohmann::json const routes = document.value("peerRoutes", nlohmann::json::object());
+    for (auto const& route : routes.items()) {
+        checkAddress(route.key(), "/peerRoutes/" + route.key(), faults);
+        checkAddress(route.value(), "/peerRoutes/" + route.key(), faults);
+    }
     if (document.contains("permitService"))
         checkAddress(document["permitService"], "/permitService", faults);
     if (document["role"] == "entry") {
@@ -134,6 +140,9 @@
     auto const& listen = document["listen"];
     settings.listen = { addressAt(listen, "callers"), addressAt(listen, "readiness"), addressAt(listen, "control"), addressAt(listen, "peers"), addressAt(listen, "metrics") };
     settings.permitService = addressAt(document, "permitService");
+    nlohmann::json const routes = document.value("peerRoutes", nlohmann::json::object());
+    for (auto const& route : routes.items())
+        settings.peerRoutes[addressFromText(route.key())] = addressFromText(route.value().get<std::string>());
     nlohmann::json const times = document.value("times", nlohmann::json::object());
     settings.times.maxLease = Duration::milliseconds(times.value("maxLeaseMs", settings.times.maxLease.toMilliseconds()));
     settings.times.shutdownBound = Duration::milliseconds(times.value("shutdownBoundMs", settings.times.shutdownBound.toMilliseconds()));
@@ -159,6 +168,7 @@
     settings.dataFolder = fleet.dataFolder;
     settings.listen.peers = fleet.listen.peers;
     settings.peers = seedPeers(fleet);
+    settings.peerRoutes = fleet.peerRoutes;
     for (auto const& seed : fleet.seeds)
         settings.founders.emplace_back(seed.ip);
     bool const isFounder = identity.value() == fleet.listen.peers.ip;
--- a/cornelpond/app/FleetSettings.h
+++ b/cornelpond/app/FleetSettings.h
@@ -11,6 +11,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,7 @@
     size_t lossTolerance = 1; ///< Control hosts that may be lost at once.
     FleetListeners listen;
     Address permitService;
+    std::map<Address, Address> peerRoutes; ///< Where to dial a peer that cannot be reached at its own address, behind a port forwarding.
     FleetTimes times;
 };
 
--- a/cornelpond/app/FleetSettingsTest.cpp
+++ b/cornelpond/app/FleetSettingsTest.cpp
@@ -44,6 +44,9 @@
     document["role"] = "entry";
     CHECK(pointersOf(document) == std::vector<std::string> { "/listen", "/listen" });
     document = controlDocument();
+    document["peerRoutes"] = { { "10.2.0.1:7720", "127.0.0.1:7721" }, { "10.3.0.1", "127.0.0.1:7722" } };
+    CHECK(pointersOf(document) == std::vector<std::string> { "/peerRoutes/10.3.0.1" });
+    document = controlDocument();
     document["surprise"] = 1;
     CHECK_FALSE(pointersOf(document).empty());
 }
--- a/cornelpond/app/HostNetwork.cpp
+++ b/cornelpond/app/HostNetwork.cpp
@@ -100,7 +100,7 @@
 
 PeerSelf HostNetwork::linkSelf() const
 {
-    return { this->settings.cluster, this->settings.host, this->settings.dataCentre, this->settings.peerToken, this->settings.admitNewHosts, this->settings.dialsAllPeers };
+    return { this->settings.cluster, this->settings.host, this->settings.dataCentre, this->settings.peerToken, this->settings.admitNewHosts, this->settings.dialsAllPeers, this->settings.peerRoutes };
 }
 
 PeerLinkHooks HostNetwork::linkHooks()
--- a/cornelpond/app/Settings.h
+++ b/cornelpond/app/Settings.h
@@ -13,6 +13,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -62,6 +63,7 @@
     std::vector<HostId> founders;
     size_t voterTarget = 3; ///< With founders: how many voters the group is to have.
     Duration voterLostAfter = Duration::seconds(30); ///< A voter silent for so long is replaced where a spare is there.
+    std::map<Address, Address> peerRoutes; ///< Where to dial a peer that cannot be reached at its own address.
     bool dialsAllPeers = false; ///< Peers may not know this host: it dials them all.
     Duration learnerLostAfter = Duration::seconds(10);
     Duration voterCheckInterval = Duration::milliseconds(500);
--- a/testing/integration/ChildProcess.cpp
+++ b/testing/integration/ChildProcess.cpp
@@ -75,11 +75,17 @@
 
 int ChildProcess::wait()
 {
-    int status = 0;
     if (this->process > 0)
-        waitpid(this->process, &status, 0);
+        waitpid(this->process, &this->endStatus, 0);
     this->process = -1;
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return WIFEXITED(this->endStatus) ? WEXITSTATUS(this->endStatus) : -1;
+}
+
+bool ChildProcess::hasEnded()
+{
+    if (this->process > 0 && waitpid(this->process, &this->endStatus, WNOHANG) == this->process)
+        this->process = -1;
+    return this->process < 0;
 }
 
 std::string ChildProcess::output() const
--- a/testing/integration/ChildProcess.h
+++ b/testing/integration/ChildProcess.h
@@ -35,6 +35,9 @@
     /// Waits for the end and returns the exit code; -1 when a signal ended it.
     int wait();
 
+    /// True once it has ended; does not wait.
+    bool hasEnded();
+
     /// Waits until the text stands in either output. Throws after a generous bound.
     void waitForOutput(std::string const& text) const;
 
@@ -51,6 +54,7 @@
 private:
     std::string outputBase;
     int process = -1;
+    int endStatus = 0; ///< As waitpid gave it.
     int inputPipe = -1; ///< -1 for none.
     int linesSaid = 0;
 };
--- /dev/null
+++ b/testing/integration/FleetProcesses.h
@@ -0,0 +1,71 @@
+#pragma once
+
+// The processes of a fleet on loopback addresses of their own: control hosts and entry hosts that find each
+// other from seeds.
+//
+// Example:
+//   FleetProcesses fleet;
+//   fleet.startControl(1, true);
+//   fleet.startEntry(9);
+//   fleet.process(1).signal(SIGSTOP);
+
+#include "testing/fakes/TemporaryFolder.h"
+#include "testing/integration/ChildProcess.h"
+
+#include "cornelpond/adapters/http/HttpTypes.h"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace cornelpond {
+
+class FleetProcesses {
+public:
+    static constexpr uint16_t controlPort = 8166;
+    static constexpr uint16_t peerPort = 7720;
+    static constexpr uint16_t callerPort = 8161;
+    static constexpr uint16_t readinessPort = 8167;
+
+    /// `program`: path of the cornelpond binary.
+    explicit FleetProcesses(std::string program);
+
+    std::string ip(int host) const { return this->net + std::to_string(host); }
+    /// An address between two hosts, for a proxy on the way.
+    std::string ipBetween(int from, int to) const { return this->net + std::to_string(100 + from * 10 + to); }
+
+    /// Hosts 1 to 3 are the seeds. Does not wait until the host listens.
+    void startControl(int host, bool isFirstStart);
+    void startEntry(int host);
+
+    /// From the next start on, `host` dials the peer by way of ipBetween.
+    void setPeerRoute(int host, int peer);
+
+    void kill(int host) { this->hosts.erase(host); }
+    bool isStarted(int host) const { return this->hosts.count(host); }
+    ChildProcess& process(int host) { return *this->hosts.at(host); }
+
+    /// Settings, data and output of all hosts.
+    std::string folderPath() const { return this->folder.path(); }
+    std::string dataFolder(int host) const { return this->folder.path() + "/data" + std::to_string(host); }
+    std::string settingsPath(int host) const { return this->folder.path() + "/settings" + std::to_string(host) + ".json"; }
+
+    /// The host whose log says that it leads; 0: none.
+    int leaderInLogs() const;
+
+private:
+    std::string address(int host, uint16_t port) const { return this->ip(host) + ":" + std::to_string(port); }
+    nlohmann::json common(int host, std::string const& role) const;
+    void start(int host, nlohmann::json const& settings);
+
+    std::string program;
+    TemporaryFolder folder;
+    std::string net;
+    std::map<int, std::map<std::string, std::string>> routes;
+    std::map<int, std::unique_ptr<ChildProcess>> hosts;
+    int runs = 0;
+};
+
+} // namespace cornelpond
--- a/testing/integration/FleetTest.cpp
+++ b/testing/integration/FleetTest.cpp
@@ -1,7 +1,6 @@
 // A fleet of real processes that find each other from seeds: three control hosts and one entry host.
 
-#include "testing/fakes/TemporaryFolder.h"
-#include "testing/integration/ChildProcess.h"
+#include "testing/integration/FleetProcesses.h"
 
 #include "cornelpond/adapters/http/HttpClient.h"
 
@@ -10,8 +9,6 @@
 
 #include <csignal>
 #include <fstream>
-#include <map>
-#include <memory>
 #include <optional>
 #include <unistd.h>
 
@@ -21,46 +18,26 @@
 
 std::string const binary = std::string(BINARY_FOLDER) + "/cornelpond";
 
-constexpr uint16_t controlPort = 8166;
-constexpr uint16_t peerPort = 7720;
-constexpr uint16_t callerPort = 8161;
-constexpr uint16_t readinessPort = 8167;
-
-/// Hosts on loopback addresses of their own.
-class Fleet {
+/// A fleet with a client that waits for its answers.
+class Fleet : public FleetProcesses {
 public:
     Fleet()
+        : FleetProcesses(binary)
     {
-        constexpr int octet = 250;
-        int const number = getpid();
-        this->net = "127." + std::to_string(1 + number % octet) + "." + std::to_string(number / octet % octet) + ".";
     }
 
-    std::string ip(int host) const { return this->net + std::to_string(host); }
-
     void startControl(int host, bool isFirstStart)
     {
-        nlohmann::json settings = this->common(host, "control");
-        settings["dataFolder"] = this->folder.path() + "/data" + std::to_string(host);
-        settings["firstStart"] = isFirstStart;
-        settings["listen"]["control"] = this->address(host, controlPort);
-        this->start(host, settings);
+        this->FleetProcesses::startControl(host, isFirstStart);
+        this->process(host).waitForOutput("HostStarted");
     }
 
     void startEntry(int host)
     {
-        nlohmann::json settings = this->common(host, "entry");
-        settings["listen"]["callers"] = this->address(host, callerPort);
-        settings["listen"]["readiness"] = this->address(host, readinessPort);
-        this->start(host, settings);
+        this->FleetProcesses::startEntry(host);
+        this->process(host).waitForOutput("HostStarted");
     }
 
-    std::string settingsPath(int host) const { return this->folder.path() + "/settings" + std::to_string(host) + ".json"; }
-
-    void kill(int host) { this->hosts.erase(host); }
-
-    ChildProcess& process(int host) { return *this->hosts.at(host); }
-
     /// Waits for the log line of the host that leads: a host hands its lines to the pipe every 50 ms, and may have
     /// answered calls as the leader before.
     int leader()
@@ -98,45 +75,14 @@
     }
 
 private:
-    /// 0: none.
-    int leaderInLogs() const
-    {
-        for (auto const& [host, process] : this->hosts) {
-            std::string const log = process->output();
-            size_t const elected = log.rfind("LeaderElected");
-            size_t const lost = log.rfind("LeaderLost");
-            if (elected != std::string::npos && (lost == std::string::npos || lost < elected))
-                return host;
-        }
-        return 0;
-    }
-
-    std::string address(int host, uint16_t port) const { return this->ip(host) + ":" + std::to_string(port); }
-
-    nlohmann::json common(int host, std::string const& role) const
-    {
-        nlohmann::json seeds = nlohmann::json::array();
-        for (int seed = 1; seed <= 3; seed++)
-            seeds.push_back(this->address(seed, controlPort));
-        return { { "role", role }, { "cluster", "test" }, { "name", role + std::to_string(host) }, { "dataCentre", "z1" }, { "seeds", seeds }, { "listen", { { "peers", this->address(host, peerPort) } } } };
-    }
-
-    void start(int host, nlohmann::json const& settings)
-    {
-        std::string const path = this->settingsPath(host);
-        std::ofstream(path) << settings.dump();
-        this->hosts[host] = std::make_unique<ChildProcess>(std::vector<std::string> { binary, "fleet", "--settings", path }, this->folder.path() + "/host" + std::to_string(host) + "-" + std::to_string(this->runs++));
-        this->hosts[host]->waitForOutput("HostStarted");
-    }
-
-    TemporaryFolder folder;
-    std::string net;
-    std::map<int, std::unique_ptr<ChildProcess>> hosts;
-    int runs = 0;
     EventLoop loop;
     HttpClient client { loop, HttpClientLimits() };
 };
 
+constexpr uint16_t controlPort = FleetProcesses::controlPort;
+constexpr uint16_t callerPort = FleetProcesses::callerPort;
+constexpr uint16_t readinessPort = FleetProcesses::readinessPort;
+
 std::string const configuration = R"({"version":3,"routes":[{"name":"plans","host":"jobs.example","path-prefix":"/plans/","timeout-ms":3000,"service":"s","max-attempts":2}],"services":[{"name":"s"}]})";
 std::string const job = R"({"task-spec":"x","steps":[{"count":2,"cpu":100,"memory-request-mb":10,"estimated-ms":100}]})";
 std::string const path = "/plans/5c0e7a21d94b36f8";
--- /dev/null
+++ b/testing/soak/FaultPlan.cpp
@@ -0,0 +1,62 @@
+#include "testing/soak/FaultPlan.h"
+
+#include "cornelpond/ports/Random.h"
+
+#include <algorithm>
+#include <array>
+
+namespace cornelpond {
+
+namespace {
+
+    constexpr std::array<std::string_view, 17> names { "KillHost", "StopHost", "PauseHost", "WipeHost", "TearJournal", "ReloadHost", "ResetLinks", "SilenceLinks", "CutOneWay", "SlowLinks",
+        "CrashWorker", "CutWorker", "SilenceWorker", "DrainWorker", "LateOrders", "CancelWave", "RaceOperators" };
+
+    constexpr Duration gapMin = Duration::milliseconds(150);
+    constexpr Duration gapSpread = Duration::milliseconds(1200);
+    constexpr Duration lastsMin = Duration::milliseconds(300);
+    constexpr Duration lastsSpread = Duration::milliseconds(3500);
+    /// A host that was away counts as back once it has caught up.
+    constexpr Duration catchUp = Duration::seconds(4);
+
+    Duration below(Random& random, Duration bound)
+    {
+        return Duration::microseconds(static_cast<int64_t>(random.below(static_cast<uint64_t>(bound.toMicroseconds()))));
+    }
+
+} // namespace
+
+std::string_view faultName(FaultKind kind)
+{
+    return names.at(static_cast<size_t>(kind));
+}
+
+bool takesControlHost(FaultKind kind)
+{
+    constexpr std::array<FaultKind, 9> taking { FaultKind::KillHost, FaultKind::StopHost, FaultKind::PauseHost, FaultKind::WipeHost, FaultKind::TearJournal, FaultKind::ResetLinks, FaultKind::SilenceLinks,
+        FaultKind::CutOneWay, FaultKind::SlowLinks };
+    return std::find(taking.begin(), taking.end(), kind) != taking.end();
+}
+
+std::vector<FaultStep> drawFaults(uint64_t seed, Duration span)
+{
+    SeededRandom random(seed);
+    std::vector<FaultStep> steps;
+    Duration hostBack;
+    for (Duration at = gapMin; at < span; at = at + gapMin + below(random, gapSpread)) {
+        FaultStep step;
+        step.at = at;
+        step.kind = static_cast<FaultKind>(random.below(names.size()));
+        step.lasts = lastsMin + below(random, lastsSpread);
+        step.pick = random.next();
+        if (takesControlHost(step.kind)) {
+            if (at < hostBack)
+                continue;
+            hostBack = at + step.lasts + catchUp;
+        }
+        steps.push_back(step);
+    }
+    return steps;
+}
+
+} // namespace cornelpond
--- /dev/null
+++ b/testing/soak/Soak.cpp
@@ -0,0 +1,398 @@
+#include "testing/soak/Soak.h"
+
+#include "cornelpond/core/base/ResultCode.h"
+#include "testing/faultproxy/FaultProxy.h"
+#include "testing/integration/FleetProcesses.h"
+#include "testing/integration/JournalFiles.h"
+#include "testing/soak/FaultPlan.h"
+#include "testing/soak/SoakClients.h"
+#include "testing/soak/WorkerServer.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
+
+namespace cornelpond {
+
+namespace {
+
+    constexpr int controlHosts = 3;
+    constexpr int firstEntry = 8;
+    constexpr int entryHosts = 2;
+    constexpr size_t workerCount = 6;
+    constexpr Duration workerStep = Duration::milliseconds(5);
+    constexpr Duration heartbeatInterval = Duration::milliseconds(500);
+    constexpr Duration answerBound = Duration::seconds(1);
+    constexpr double lateShare = 0.1;
+    constexpr size_t cancelWave = 12;
+    constexpr size_t garbageBytes = 37;
+    constexpr Duration processCheck = Duration::milliseconds(100);
+
+    /// One worker: its server, and the proxy through which the fleet reaches it.
+    struct SoakWorker {
+        WorkerId id;
+        std::unique_ptr<WorkerServer> server;
+        std::unique_ptr<FaultProxy> proxy;
+        std::string address;
+        TimePoint nextHeartbeat;
+        std::string heartbeatAddress; ///< As the last answer said.
+    };
+
+    class SoakRun {
+    public:
+        explicit SoakRun(SoakOptions const& options);
+        SoakResult run();
+
+    private:
+        void startFleet();
+        void linkPeers();
+        void addWorkers();
+        void step();
+        void sendHeartbeats();
+        void inject(FaultStep const& fault);
+        void injectHost(FaultStep const& fault, int host);
+        void injectWorker(FaultStep const& fault, SoakWorker& worker);
+        void restartControl(int host, Duration after, std::function<void()> prepare);
+        void restartStopped(int host, TimePoint bound);
+        void forEachLink(int host, std::function<void(FaultProxy&, bool isOutgoing)> const& action);
+        void tearJournal(int host);
+        void runFor(Duration span);
+        void collect(SoakResult& result);
+        void keepLogs() const;
+        SoakAddresses addresses() const;
+
+        SoakOptions options;
+        EventLoop loop;
+        SeededRandom random;
+        FakeClock workerClock;
+        FakeFleet workers;
+        FleetProcesses fleet;
+        HttpClient client;
+        SoakClients clients;
+        std::map<std::pair<int, int>, std::unique_ptr<FaultProxy>> links; ///< From the dialling host to its peer.
+        std::vector<SoakWorker> workerServers;
+        std::vector<std::string> faults;
+        TimePoint started;
+        TimePoint lastStep;
+        int pendingRestarts = 0;
+    };
+
+    SoakRun::SoakRun(SoakOptions const& options)
+        : options(options)
+        , random(options.seed)
+        , workers(this->workerClock, this->random)
+        , fleet(options.program)
+        , client(this->loop, HttpClientLimits())
+        , clients(this->loop, this->client, this->random, this->addresses(), [this](JobSpec const& job) { this->workers.expect(job); })
+        , lastStep(this->loop.now())
+    {
+        this->workers.setStartObserver([this](TaskRef const& task) { this->clients.onStarted(task.job); });
+    }
+
+    SoakAddresses SoakRun::addresses() const
+    {
+        SoakAddresses found;
+        for (int host = 1; host <= controlHosts; host++)
+            found.controls.push_back({ this->fleet.ip(host), FleetProcesses::controlPort });
+        for (int host = firstEntry; host < firstEntry + entryHosts; host++)
+            found.entries.push_back({ this->fleet.ip(host), FleetProcesses::callerPort });
+        return found;
+    }
+
+    /// A proxy on the way from each control host to each other one.
+    void SoakRun::linkPeers()
+    {
+        for (int from = 1; from <= controlHosts; from++) {
+            for (int to = 1; to <= controlHosts; to++) {
+                if (from == to)
+                    continue;
+                Address const listen { this->fleet.ipBetween(from, to), FleetProcesses::peerPort };
+                this->links[{ from, to }] = std::make_unique<FaultProxy>(this->loop, this->random, listen, Address { this->fleet.ip(to), FleetProcesses::peerPort });
+                this->fleet.setPeerRoute(from, to);
+            }
+        }
+    }
+
+    void SoakRun::startFleet()
+    {
+        this->linkPeers();
+        for (int host = 1; host <= controlHosts; host++)
+            this->fleet.startControl(host, true);
+        for (int host = firstEntry; host < firstEntry + entryHosts; host++)
+            this->fleet.startEntry(host);
+        this->addWorkers();
+    }
+
+    void SoakRun::addWorkers()
+    {
+        constexpr int64_t milliCores = 4000;
+        constexpr int64_t memoryMiB = 8000;
+        constexpr size_t perRack = 3;
+        for (size_t i = 0; i < workerCount; i++) {
+            WorkerProfile profile;
+            profile.id = WorkerId("w" + std::to_string(i));
+            profile.bornMs = 1;
+            profile.service = ServiceId("fleet");
+            profile.rack = RackId("r" + std::to_string(i / perRack));
+            profile.labels = { "a", profile.rack.value() };
+            profile.capacity = { milliCores, memoryMiB, 0 };
+            this->workers.addWorker(profile);
+            SoakWorker worker;
+            worker.id = profile.id;
+            worker.server = std::make_unique<WorkerServer>(this->loop, this->workers, profile.id);
+            uint16_t const port = worker.server->listen({ "127.0.0.1", 0 });
+            worker.proxy = std::make_unique<FaultProxy>(this->loop, this->random, Address { "127.0.0.1", 0 }, Address { "127.0.0.1", port });
+            worker.address = "127.0.0.1:" + std::to_string(worker.proxy->port());
+            this->workerServers.push_back(std::move(worker));
+        }
+    }
+
+    /// The workers' paused clock follows the real one in small steps.
+    void SoakRun::step()
+    {
+        this->loop.runOnce();
+        TimePoint const now = this->loop.now();
+        while (now - this->lastStep >= workerStep) {
+            this->lastStep = this->lastStep + workerStep;
+            this->workerClock.advance(workerStep);
+            this->workers.step();
+        }
+        this->sendHeartbeats();
+        this->clients.onTick();
+        usleep(1000);
+    }
+
+    void SoakRun::runFor(Duration span)
+    {
+        for (TimePoint const end = this->loop.now() + span; this->loop.now() < end;)
+            this->step();
+    }
+
+    void SoakRun::sendHeartbeats()
+    {
+        std::vector<WorkerId> const up = this->workers.workersUp();
+        std::vector<Address> const controls = this->addresses().controls;
+        for (auto& worker : this->workerServers) {
+            if (this->loop.now() < worker.nextHeartbeat || std::find(up.begin(), up.end(), worker.id) == up.end())
+                continue;
+            worker.nextHeartbeat = this->loop.now() + heartbeatInterval;
+            HttpSendOptions sending;
+            sending.timeout = answerBound;
+            HttpRequest const request = WorkerServer::heartbeat(this->workers.report(worker.id), worker.address);
+            this->client.send(controls[this->random.below(controls.size())], request, sending, [](HttpOutcome const&) {});
+        }
+    }
+
+    void SoakRun::inject(FaultStep const& fault)
+    {
+        int const host = 1 + static_cast<int>(fault.pick % controlHosts);
+        SoakWorker& worker = this->workerServers[fault.pick % workerCount];
+        std::string const target = takesControlHost(fault.kind) || fault.kind == FaultKind::ReloadHost ? std::to_string(host) : worker.id.value();
+        this->faults.push_back(fmt::format("{:6.2f} s {} {} for {} ms", (this->loop.now() - this->started).toSeconds(), faultName(fault.kind), target, fault.lasts.toMilliseconds()));
+        if (this->options.isVerbose)
+            fmt::print("{}\n", this->faults.back());
+        this->injectHost(fault, host);
+        this->injectWorker(fault, worker);
+    }
+
+    void SoakRun::restartControl(int host, Duration after, std::function<void()> prepare)
+    {
+        this->pendingRestarts++;
+        this->loop.after(after, [this, host, prepare = std::move(prepare)] {
+            prepare();
+            this->fleet.startControl(host, false);
+            this->pendingRestarts--;
+        });
+    }
+
+    /// Starts a host again that ends by itself after SIGTERM. One that does not within the grace is killed.
+    void SoakRun::restartStopped(int host, TimePoint bound)
+    {
+        bool const hasEnded = this->fleet.process(host).hasEnded();
+        if (!hasEnded && this->loop.now() < bound) {
+            this->loop.after(processCheck, [this, host, bound] { this->restartStopped(host, bound); });
+            return;
+        }
+        this->fleet.kill(host);
+        this->fleet.startControl(host, false);
+        this->pendingRestarts--;
+    }
+
+    void SoakRun::injectHost(FaultStep const& fault, int host)
+    {
+        constexpr Duration grace = Duration::seconds(6);
+        switch (fault.kind) {
+        case FaultKind::KillHost:
+            this->fleet.kill(host);
+            return this->restartControl(host, fault.lasts, [] {});
+        case FaultKind::WipeHost:
+            this->fleet.kill(host);
+            return this->restartControl(host, fault.lasts, [this, host] { std::filesystem::remove_all(this->fleet.dataFolder(host)); });
+        case FaultKind::TearJournal:
+            this->fleet.kill(host);
+            return this->restartControl(host, fault.lasts, [this, host] { this->tearJournal(host); });
+        case FaultKind::StopHost:
+            this->fleet.process(host).signal(SIGTERM);
+            this->pendingRestarts++;
+            return this->restartStopped(host, this->loop.now() + grace);
+        case FaultKind::PauseHost:
+            this->fleet.process(host).signal(SIGSTOP);
+            this->loop.after(fault.lasts, [this, host] { this->fleet.process(host).signal(SIGCONT); });
+            return;
+        case FaultKind::ReloadHost:
+            if (this->fleet.isStarted(host))
+                this->fleet.process(host).signal(SIGHUP);
+            return;
+        case FaultKind::ResetLinks:
+            return this->forEachLink(host, [](FaultProxy& link, bool) { link.closeOpen(); });
+        case FaultKind::SilenceLinks:
+            return this->forEachLink(host, [](FaultProxy& link, bool) { link.silenceOpen(); });
+        case FaultKind::CutOneWay:
+        case FaultKind::SlowLinks: {
+            LinkFaults slow;
+            slow.delay = Duration::milliseconds(20);
+            slow.jitter = Duration::milliseconds(40);
+            slow.stallProbability = 0.02;
+            slow.stall = Duration::milliseconds(400);
+            bool const isCut = fault.kind == FaultKind::CutOneWay;
+            this->forEachLink(host, [&](FaultProxy& link, bool isOutgoing) {
+                LinkFaults cut;
+                (isOutgoing ? cut.cutToServer : cut.cutToClient) = true;
+                link.setFaults(isCut ? cut : slow);
+            });
+            this->loop.after(fault.lasts, [this, host] { this->forEachLink(host, [](FaultProxy& link, bool) { link.setFaults(LinkFaults()); }); });
+            return;
+        }
+        default:
+            return;
+        }
+    }
+
+    void SoakRun::forEachLink(int host, std::function<void(FaultProxy&, bool isOutgoing)> const& action)
+    {
+        for (auto const& [ends, link] : this->links) {
+            if (ends.first == host || ends.second == host)
+                action(*link, ends.first == host);
+        }
+    }
+
+    /// What a power loss may leave behind the synced bytes of the newest journal file.
+    void SoakRun::tearJournal(int host)
+    {
+        std::string const newest = newestJournal(this->fleet.dataFolder(host) + "/jobs");
+        if (newest.empty())
+            throw Error(ResultCode::Internal, "no journal file to tear in " + this->fleet.dataFolder(host));
+        std::string garbage;
+        for (size_t i = 0; i < garbageBytes; i++)
+            garbage.push_back(static_cast<char>(this->random.below(256)));
+        std::ofstream(newest, std::ios::app | std::ios::binary) << garbage;
+    }
+
+    void SoakRun::injectWorker(FaultStep const& fault, SoakWorker& worker)
+    {
+        switch (fault.kind) {
+        case FaultKind::CrashWorker:
+        case FaultKind::DrainWorker: {
+            auto const crash = [this, &worker] {
+                this->workers.crash(worker.id);
+                worker.proxy->closeOpen();
+            };
+            if (fault.kind == FaultKind::CrashWorker)
+                crash();
+            else
+                this->workers.setDraining(worker.id);
+            this->loop.after(fault.lasts, [this, &worker, crash] {
+                crash();
+                this->workers.restart(worker.id);
+            });
+            return;
+        }
+        case FaultKind::CutWorker: {
+            this->workers.setCut(worker.id, true);
+            this->loop.after(fault.lasts, [this, &worker] { this->workers.setCut(worker.id, false); });
+            return;
+        }
+        case FaultKind::SilenceWorker:
+            return worker.proxy->silenceOpen();
+        case FaultKind::LateOrders: {
+            FakeFleet::Faults late;
+            late.lateOrders = lateShare;
+            this->workers.setFaults(late);
+            this->loop.after(fault.lasts, [this] { this->workers.setFaults(FakeFleet::Faults()); });
+            return;
+        }
+        case FaultKind::CancelWave:
+            return this->clients.cancelSome(cancelWave);
+        case FaultKind::RaceOperators:
+            return this->clients.raceConfigurations();
+        default:
+            return;
+        }
+    }
+
+    SoakResult SoakRun::run()
+    {
+        this->startFleet();
+        this->runFor(Duration::seconds(2));
+        this->clients.raceConfigurations();
+        this->runFor(Duration::seconds(2));
+        this->started = this->loop.now();
+        for (auto const& fault : drawFaults(this->options.seed, this->options.load))
+            this->loop.after(fault.at, [this, fault] { this->inject(fault); });
+        this->runFor(this->options.load);
+        this->clients.stopSubmitting();
+        TimePoint const bound = this->loop.now() + this->options.settle;
+        while (this->loop.now() < bound && (this->pendingRestarts || !this->clients.isSettled()))
+            this->step();
+        SoakResult result;
+        this->collect(result);
+        return result;
+    }
+
+    void SoakRun::collect(SoakResult& result)
+    {
+        result.violations = this->clients.violations();
+        auto const expectNone = [&](unsigned count, char const* what) {
+            if (count)
+                result.violations.push_back(fmt::format("{} {}", count, what));
+        };
+        FakeFleet::Record const& record = this->workers.record();
+        expectNone(record.doubleRuns, "tasks ran in two places at once");
+        expectNone(record.startsAfterDone, "starts after an acknowledged end as done");
+        expectNone(record.brokenOrder, "starts of a stage before an earlier one was done");
+        expectNone(record.unknownStarts, "starts of jobs that nobody submitted");
+        std::string const unsettled = this->clients.unsettled();
+        if (!unsettled.empty())
+            result.violations.push_back("not settled: " + unsettled);
+        if (!this->clients.acceptedJobs())
+            result.violations.emplace_back("no job was accepted");
+        result.faults = this->faults;
+        result.acceptedJobs = this->clients.acceptedJobs();
+        result.refusedJobs = this->clients.refusedJobs();
+        result.configurations = this->clients.acknowledgedVersion();
+        result.starts = record.starts;
+        if (!result.violations.empty())
+            this->keepLogs();
+    }
+
+    void SoakRun::keepLogs() const
+    {
+        if (this->options.logFolder.empty())
+            return;
+        std::filesystem::path const target = std::filesystem::path(this->options.logFolder) / ("seed-" + std::to_string(this->options.seed));
+        std::filesystem::create_directories(target);
+        std::filesystem::copy(this->fleet.folderPath(), target, std::filesystem::copy_options::recursive | std::filesystem::copy_options::overwrite_existing);
+    }
+
+} // namespace
+
+SoakResult runSoak(SoakOptions const& options)
+{
+    return SoakRun(options).run();
+}
+
+} // namespace cornelpond
--- /dev/null
+++ b/testing/soak/SoakClients.cpp
@@ -0,0 +1,323 @@
+#include "testing/soak/SoakClients.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace cornelpond {
+
+using Json = nlohmann::json;
+
+namespace {
+
+    constexpr Duration submitInterval = Duration::milliseconds(60);
+    constexpr Duration askInterval = Duration::milliseconds(700);
+    constexpr Duration resendPause = Duration::milliseconds(300);
+    constexpr Duration readInterval = Duration::milliseconds(250);
+    constexpr Duration configurationInForce = Duration::milliseconds(2000);
+    constexpr unsigned mostTries = 5;
+    constexpr unsigned mostOperatorTries = 20;
+    constexpr int clientDeadlineMs = 3000;
+
+    constexpr int ok = 200;
+    constexpr int gone = 410;
+    constexpr int tooMany = 429;
+    constexpr int unavailable = 503;
+    constexpr int firstClientError = 400;
+    constexpr int firstServerError = 500;
+
+    int statusOf(HttpOutcome const& outcome)
+    {
+        return outcome.kind == HttpOutcome::Kind::Answered ? outcome.response.status : 0;
+    }
+
+    bool isRefusal(int status)
+    {
+        return status == tooMany || status == unavailable;
+    }
+
+    std::string configurationBody(uint64_t version)
+    {
+        Json const body { { "version", version },
+            { "routes", { { { "name", "jobs" }, { "host", "jobs.example" }, { "path-prefix", "/jobs/" }, { "timeout-ms", 2000 + version }, { "target-latency-ms", 500 }, { "service", "fleet" }, { "max-attempts", 3 }, { "stretch-factor", 2.0 } } } },
+            { "services", { { { "name", "fleet" }, { "enforces-capacity", true } } } } };
+        return body.dump();
+    }
+
+    std::string submissionBody(JobSpec const& job)
+    {
+        Json steps = Json::array();
+        for (auto const& stage : job.stages) {
+            Json step { { "count", stage.taskCount }, { "cpu", stage.need.milliCores }, { "memory-request-mb", stage.need.memoryMiB }, { "estimated-ms", stage.estimate.toMilliseconds() } };
+            if (!stage.after.empty())
+                step["after"] = stage.after;
+            if (stage.savesCheckpoints)
+                step["checkpointing"] = true;
+            if (stage.isService)
+                step["long-running"] = true;
+            steps.push_back(step);
+        }
+        return Json { { "task-spec", job.payload }, { "steps", steps } }.dump();
+    }
+
+} // namespace
+
+SoakClients::SoakClients(EventLoop& loop, HttpClient& client, Random& random, SoakAddresses addresses, std::function<void(JobSpec const&)> onSubmit)
+    : loop(loop)
+    , client(client)
+    , random(random)
+    , addresses(std::move(addresses))
+    , onSubmit(std::move(onSubmit))
+{
+}
+
+void SoakClients::onTick()
+{
+    TimePoint const now = this->loop.now();
+    if (this->isSubmitting && this->acknowledged && now >= this->nextSubmit) {
+        this->nextSubmit = now + submitInterval;
+        this->submitNew();
+    }
+    if (now >= this->nextRead) {
+        this->nextRead = now + readInterval;
+        this->readConfiguration();
+    }
+    for (auto& [id, job] : this->jobs) {
+        if (job.isCallOpen || job.isEnded || now < job.nextCall)
+            continue;
+        if (job.fate == Fate::Submitting)
+            this->submit(job);
+        else if (job.fate == Fate::Accepted && job.isCancelSent && !job.isCancelled)
+            this->cancel(job);
+        else if (job.fate == Fate::Accepted)
+            this->ask(job);
+    }
+}
+
+JobSpec SoakClients::drawJob()
+{
+    constexpr uint64_t mostTasks = 4;
+    constexpr uint64_t serviceShare = 40; // One job in so many lasts.
+    constexpr char const* digits = "0123456789abcdef";
+    JobSpec job;
+    std::string id;
+    while (id.size() < 16)
+        id += digits[this->random.below(16)];
+    job.id = JobId(id);
+    job.payload = "payload";
+    bool const isService = this->random.below(serviceShare) == 0;
+    size_t const stages = isService ? 1 : 1 + this->random.below(2);
+    for (uint32_t i = 0; i < stages; i++) {
+        StageSpec stage;
+        stage.taskCount = static_cast<uint32_t>(1 + this->random.below(mostTasks));
+        stage.need = { static_cast<int64_t>(200 + this->random.below(800)), 100, 0 };
+        stage.estimate = Duration::milliseconds(static_cast<int64_t>(100 + this->random.below(900)));
+        stage.savesCheckpoints = !isService && this->random.below(2);
+        stage.isService = isService;
+        if (i)
+            stage.after = { i - 1 };
+        job.stages.push_back(stage);
+    }
+    return job;
+}
+
+void SoakClients::submitNew()
+{
+    Job job;
+    job.spec = this->drawJob();
+    this->onSubmit(job.spec);
+    this->submit(this->jobs.emplace(job.spec.id, job).first->second);
+}
+
+Address const& SoakClients::anyEntry()
+{
+    return this->addresses.entries[this->random.below(this->addresses.entries.size())];
+}
+
+void SoakClients::call(Job& job, std::string const& method, std::string const& body, std::function<void(HttpOutcome const&)> done)
+{
+    HttpRequest request { method, "/jobs/" + job.spec.id.value(), "", {}, body };
+    request.headers.add("Host", "jobs.example");
+    request.headers.add("Content-Type", "application/json");
+    request.headers.add("X-Deadline-Ms", std::to_string(clientDeadlineMs));
+    HttpSendOptions options;
+    options.timeout = Duration::milliseconds(clientDeadlineMs);
+    job.isCallOpen = true;
+    this->client.send(this->anyEntry(), request, options, [this, id = job.spec.id, done = std::move(done)](HttpOutcome const& outcome) {
+        Job& called = this->jobs.at(id);
+        called.isCallOpen = false;
+        called.nextCall = this->loop.now() + resendPause;
+        done(outcome);
+    });
+}
+
+void SoakClients::submit(Job& job)
+{
+    job.tries++;
+    this->call(job, "POST", submissionBody(job.spec), [this, id = job.spec.id](HttpOutcome const& outcome) { this->onSubmitted(id, outcome); });
+}
+
+void SoakClients::onSubmitted(JobId const& id, HttpOutcome const& outcome)
+{
+    Job& job = this->jobs.at(id);
+    int const status = statusOf(outcome);
+    if (status == ok) {
+        job.fate = Fate::Accepted;
+        job.isCancelSent |= !this->isSubmitting && job.spec.stages.front().isService;
+        return;
+    }
+    if (status >= firstClientError && status < firstServerError && status != tooMany)
+        this->violate("submission of " + id.value() + " was answered " + std::to_string(status));
+    bool const neverArrived = outcome.kind == HttpOutcome::Kind::ConnectFailed;
+    job.isUnclear |= !isRefusal(status) && !neverArrived;
+    if (job.tries < mostTries)
+        return;
+    job.fate = job.isUnclear ? Fate::GivenUp : Fate::Refused;
+    if (job.fate == Fate::Refused && job.hasStarted)
+        this->violate("job " + id.value() + " ran though every try to submit it was refused");
+}
+
+void SoakClients::onStarted(JobId const& id)
+{
+    auto const found = this->jobs.find(id);
+    if (found == this->jobs.end())
+        return;
+    found->second.hasStarted = true;
+    if (found->second.fate == Fate::Refused)
+        this->violate("job " + id.value() + " ran though every try to submit it was refused");
+}
+
+void SoakClients::ask(Job& job)
+{
+    this->call(job, "GET", "", [this, id = job.spec.id](HttpOutcome const& outcome) { this->onAsked(id, outcome); });
+}
+
+void SoakClients::onAsked(JobId const& id, HttpOutcome const& outcome)
+{
+    Job& job = this->jobs.at(id);
+    job.nextCall = this->loop.now() + askInterval;
+    int const status = statusOf(outcome);
+    if (status == gone)
+        this->violate("accepted job " + id.value() + " is not known any more");
+    if (status != ok)
+        return;
+    Json const body = Json::parse(outcome.response.body, nullptr, false);
+    std::string const state = body.is_object() ? body.value("state", "") : "";
+    bool const isOver = job.state == "completed" || job.state == "cancelled";
+    if (isOver && state != job.state)
+        this->violate("job " + id.value() + " went from " + job.state + " back to " + state);
+    if (state == "failed" || (state == "cancelled" && !job.isCancelSent))
+        this->violate("job " + id.value() + " is " + state + " without cause");
+    job.state = state;
+    job.isEnded = state == "completed" || state == "cancelled";
+}
+
+void SoakClients::cancel(Job& job)
+{
+    job.isCancelSent = true;
+    this->call(job, "DELETE", "", [this, id = job.spec.id](HttpOutcome const& outcome) {
+        int const status = statusOf(outcome);
+        this->jobs.at(id).isCancelled = status == ok;
+        if (status == gone)
+            this->violate("accepted job " + id.value() + " is not known when it is cancelled");
+    });
+}
+
+void SoakClients::stopSubmitting()
+{
+    this->isSubmitting = false;
+    for (auto& [id, job] : this->jobs)
+        job.isCancelSent |= job.fate == Fate::Accepted && job.spec.stages.front().isService;
+}
+
+void SoakClients::cancelSome(size_t count)
+{
+    for (auto& [id, job] : this->jobs) {
+        if (!count)
+            return;
+        if (job.fate != Fate::Accepted || job.isEnded || job.isCancelSent)
+            continue;
+        job.isCancelSent = true;
+        count--;
+    }
+}
+
+void SoakClients::raceConfigurations()
+{
+    uint64_t const version = this->nextVersion;
+    this->nextVersion += 2;
+    this->sendConfiguration(version, this->random.below(this->addresses.controls.size()), mostOperatorTries);
+    this->sendConfiguration(version + 1, this->random.below(this->addresses.controls.size()), mostOperatorTries);
+}
+
+void SoakClients::sendConfiguration(uint64_t version, size_t host, unsigned triesLeft)
+{
+    std::string const body = configurationBody(version);
+    this->sent[version] = body;
+    HttpRequest request { "POST", "/v1/configuration/replace", "", {}, body };
+    request.headers.add("Content-Type", "application/json");
+    HttpSendOptions options;
+    options.timeout = Duration::seconds(1);
+    this->client.send(this->addresses.controls[host], request, options, [this, version, host, triesLeft](HttpOutcome const& outcome) {
+        int const status = statusOf(outcome);
+        if (status == ok) {
+            this->acknowledged = std::max(this->acknowledged, version);
+            this->acknowledgedAt.emplace(version, this->loop.now());
+        } else if (status >= firstClientError && status < firstServerError) {
+            this->violate("valid configuration " + std::to_string(version) + " was answered " + std::to_string(status));
+        } else if (triesLeft) {
+            size_t const next = (host + 1) % this->addresses.controls.size();
+            this->loop.after(resendPause, [this, version, next, triesLeft] { this->sendConfiguration(version, next, triesLeft - 1); });
+        }
+    });
+}
+
+void SoakClients::readConfiguration()
+{
+    HttpSendOptions options;
+    options.timeout = Duration::seconds(1);
+    size_t const host = this->random.below(this->addresses.controls.size());
+    this->client.send(this->addresses.controls[host], { "GET", "/v1/configuration/read", "", {}, "" }, options, [this, asked = this->loop.now()](HttpOutcome const& outcome) { this->onConfigurationRead(asked, outcome); });
+}
+
+void SoakClients::onConfigurationRead(TimePoint askedAt, HttpOutcome const& outcome)
+{
+    if (statusOf(outcome) != ok)
+        return;
+    Json const body = Json::parse(outcome.response.body, nullptr, false);
+    uint64_t const version = body.is_object() ? body.value("version", uint64_t()) : 0;
+    this->lastRead = version;
+    auto const known = this->sent.find(version);
+    if (known == this->sent.end() || Json::parse(known->second) != body)
+        this->violate("configuration " + std::to_string(version) + " is not what was sent");
+    for (auto const& [older, at] : this->acknowledgedAt) {
+        if (older > version && askedAt > at + configurationInForce)
+            this->violate("configuration " + std::to_string(version) + " was read after " + std::to_string(older) + " was acknowledged");
+    }
+}
+
+bool SoakClients::isSettled() const
+{
+    return this->unsettled().empty();
+}
+
+std::string SoakClients::unsettled() const
+{
+    for (auto const& [id, job] : this->jobs) {
+        if (job.fate == Fate::Submitting || (job.fate == Fate::Accepted && !job.isEnded))
+            return "job " + id.value() + " is '" + job.state + "'";
+    }
+    return this->lastRead >= this->acknowledged ? "" : "configuration " + std::to_string(this->lastRead) + " is read, " + std::to_string(this->acknowledged) + " was acknowledged";
+}
+
+size_t SoakClients::acceptedJobs() const
+{
+    return static_cast<size_t>(std::count_if(this->jobs.begin(), this->jobs.end(), [](auto const& entry) { return entry.second.fate == Fate::Accepted; }));
+}
+
+size_t SoakClients::refusedJobs() const
+{
+    return static_cast<size_t>(std::count_if(this->jobs.begin(), this->jobs.end(), [](auto const& entry) { return entry.second.fate == Fate::Refused; }));
+}
+
+} // namespace cornelpond
--- /dev/null
+++ b/testing/soak/SoakTest.cpp
@@ -0,0 +1,48 @@
+// A short soak with fixed seeds, and every seed that ever failed. Longer runs: testing/soak/main.cpp.
+
+#include "testing/soak/Soak.h"
+#include "testing/soak/FaultPlan.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cornelpond;
+
+namespace {
+
+void checkSeed(uint64_t seed, Duration load)
+{
+    SoakOptions options;
+    options.program = std::string(BINARY_FOLDER) + "/cornelpond";
+    options.seed = seed;
+    options.load = load;
+    SoakResult const result = runSoak(options);
+    for (auto const& fault : result.faults)
+        UNSCOPED_INFO(fault);
+    for (auto const& violation : result.violations)
+        UNSCOPED_INFO(violation);
+    CHECK(result.violations.empty());
+    CHECK(result.acceptedJobs > 0);
+}
+
+} // namespace
+
+TEST_CASE("a plan of faults is the same for the same seed, and takes one control host at a time")
+{
+    std::vector<FaultStep> const steps = drawFaults(5, Duration::seconds(60));
+    std::vector<FaultStep> const again = drawFaults(5, Duration::seconds(60));
+    REQUIRE(steps.size() == again.size());
+    Duration back;
+    for (size_t i = 0; i < steps.size(); i++) {
+        CHECK(steps[i].kind == again[i].kind);
+        CHECK(steps[i].at == again[i].at);
+        if (!takesControlHost(steps[i].kind))
+            continue;
+        CHECK(steps[i].at >= back);
+        back = steps[i].at + steps[i].lasts;
+    }
+}
+
+TEST_CASE("soak: promises hold under a short series of faults")
+{
+    checkSeed(20261204, Duration::seconds(8));
+}
--- /dev/null
+++ b/testing/soak/WorkerServer.cpp
@@ -0,0 +1,165 @@
+#include "testing/soak/WorkerServer.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <sstream>
+
+namespace cornelpond {
+
+using Json = nlohmann::json;
+
+namespace {
+
+    constexpr int conflict = 409;
+    constexpr int misdirected = 421;
+    constexpr int badRequest = 400;
+
+    /// "JOB.OCCURRENCE.STAGE.INDEX"
+    TaskRef taskFrom(std::string const& text)
+    {
+        std::istringstream parts(text);
+        std::array<std::string, 4> part;
+        for (auto& each : part)
+            std::getline(parts, each, '.');
+        auto const number = [](std::string const& digits) { return static_cast<uint32_t>(std::stoul(digits)); };
+        return { JobId(part[0]), number(part[1]), number(part[2]), number(part[3]) };
+    }
+
+    HttpResponse json(int status, Json const& body)
+    {
+        HttpResponse response;
+        response.status = status;
+        response.headers.add("Content-Type", "application/json");
+        response.body = body.dump();
+        return response;
+    }
+
+    bool isLeftUnanswered(OrderResult result)
+    {
+        return result == OrderResult::Unknown || result == OrderResult::NotSent;
+    }
+
+    void answerOrder(OrderAnswer const& answer, HttpResponder const& responder)
+    {
+        Json body { { "clock-ms", answer.workerClock.toMilliseconds() } };
+        auto const refuse = [&](char const* reason) {
+            body["reason"] = reason;
+            responder.answer(json(conflict, body));
+        };
+        switch (answer.result) {
+        case OrderResult::Accepted:
+            return responder.answer(json(200, body));
+        case OrderResult::RefusedEpoch:
+            return refuse("fence");
+        case OrderResult::RefusedOld:
+            return refuse("old");
+        case OrderResult::RefusedLate:
+            return refuse("late");
+        case OrderResult::RefusedRoom:
+            return refuse("room");
+        case OrderResult::OtherLife:
+            return responder.answer(json(misdirected, body));
+        case OrderResult::Invalid:
+            return responder.answer(json(badRequest, body));
+        default:
+            return;
+        }
+    }
+
+    char const* endWord(AttemptEnd end)
+    {
+        switch (end) {
+        case AttemptEnd::Done:
+            return "done";
+        case AttemptEnd::Failed:
+            return "failed";
+        case AttemptEnd::Stopped:
+            return "stopped";
+        default:
+            return "lapsed";
+        }
+    }
+
+    Json listingJson(RenewAnswer const& answer)
+    {
+        Json running = Json::array();
+        for (auto const& row : answer.listing.running)
+            running.push_back({ row.task.text(), row.attempt.value(), row.checkpoint, row.progressPercent, row.figure });
+        Json ended = Json::array();
+        for (auto const& end : answer.listing.ended)
+            ended.push_back({ end.number, end.task.text(), end.attempt.value(), endWord(end.end), end.checkpoint });
+        return { { "clock-ms", answer.order.workerClock.toMilliseconds() }, { "born", answer.listing.bornMs }, { "running", running }, { "ended", ended } };
+    }
+
+} // namespace
+
+WorkerServer::WorkerServer(EventLoop& loop, FakeFleet& fleet, WorkerId worker)
+    : fleet(fleet)
+    , target { std::move(worker), "", DataCentreId() }
+    , server(loop, HttpLimits(), [this](HttpRequest const& request, HttpResponder const& responder) { this->handle(request, responder); })
+{
+}
+
+HttpRequest WorkerServer::heartbeat(WorkerReport const& report, std::string const& address)
+{
+    WorkerProfile const& profile = report.profile;
+    Json body { { "service", profile.service.value() }, { "address", address }, { "zone", "z1" }, { "version", "v1" }, { "slots", 8 }, { "state", profile.isDraining ? "draining" : "ready" },
+        { "cold-remaining-ms", 0 }, { "capacity", { { "cpu", profile.capacity.milliCores }, { "memory-request-mb", profile.capacity.memoryMiB }, { "gpu", 0 } } },
+        { "labels", profile.labels }, { "born", profile.bornMs }, { "sequence", report.sequence } };
+    if (profile.isDraining)
+        body["drain-remaining-ms"] = report.drainRemaining.toMilliseconds();
+    HttpRequest request { "POST", "/v1/instances/" + profile.id.value() + "/heartbeat", "", {}, body.dump() };
+    request.headers.add("Content-Type", "application/json");
+    return request;
+}
+
+void WorkerServer::handle(HttpRequest const& request, HttpResponder const& responder)
+{
+    std::string const* expected = request.headers.find("X-Expected-Instance");
+    Json const body = Json::parse(request.body, nullptr, false);
+    if (expected && *expected != this->target.id.value())
+        responder.answer(json(misdirected, Json::object()));
+    else if (!body.is_object())
+        responder.answer(json(badRequest, Json::object()));
+    else if (request.path == "/v1/hold")
+        this->renew(body, responder);
+    else
+        this->handleOrder(request.path, body, responder);
+}
+
+void WorkerServer::handleOrder(std::string const& path, Json const& body, HttpResponder const& responder)
+{
+    auto const answer = [responder](OrderAnswer const& given) { answerOrder(given, responder); };
+    TaskRef const task = taskFrom(body.at("task").get<std::string>());
+    AttemptNumber const attempt(body.at("run").get<uint64_t>());
+    Term const epoch(body.value("fencing-token", uint64_t()));
+    if (path == "/v1/run-start") {
+        StartOrder start { task, attempt, body.value("task-spec", ""), Duration::milliseconds(body.at("until-ms").get<int64_t>()), epoch, body.value("checkpoint", ""), "" };
+        this->fleet.start(this->target, start, answer);
+    } else if (path == "/v1/run-stop") {
+        this->fleet.stop(this->target, { task, attempt, epoch }, answer);
+    } else if (path == "/v1/pace") {
+        this->fleet.throttle(this->target, { task, attempt, body.at("percent").get<unsigned>(), epoch }, answer);
+    } else {
+        responder.answer(json(badRequest, Json::object()));
+    }
+}
+
+void WorkerServer::renew(Json const& body, HttpResponder const& responder)
+{
+    RenewOrder order;
+    order.extendsLease = body.contains("until-ms");
+    order.leaseUntil = Duration::milliseconds(body.value("until-ms", int64_t()));
+    order.epoch = Term(body.value("fencing-token", uint64_t()));
+    order.acknowledgedEnds = body.value("last-seen", uint64_t());
+    order.wait = Duration::milliseconds(body.value("wait-ms", int64_t()));
+    this->fleet.renew(this->target, order, [responder](RenewAnswer const& answer) {
+        if (answer.order.result == OrderResult::Accepted)
+            responder.answer(json(200, listingJson(answer)));
+        else if (!isLeftUnanswered(answer.order.result))
+            answerOrder(answer.order, responder);
+    });
+}
+
+} // namespace cornelpond
