Fake fleet: keep the key of a run whose lease lapses

Cause: FakeFleet::step passed end() a reference to the key of the run that end() erases, and end() read it afterwards. In the unit tests the freed bytes were mostly still there, so that a lapsed run was listed under its own name.

Change: a copy of the key.

--- a/testing/fakes/FakeFleet.cpp
+++ b/testing/fakes/FakeFleet.cpp
@@ -380,7 +380,7 @@
         if (this->clock.now() >= worker.leaseEnd) {
             worker.voidEnds = worker.endCount;
             while (!worker.runs.empty())
-                this->end(worker, worker.runs.begin()->first, AttemptEnd::LeaseExpired);
+                this->end(worker, AttemptKey(worker.runs.begin()->first), AttemptEnd::LeaseExpired); // A copy: the run goes.
         }
         this->work(worker, span);
         this->answerWaiting(worker, false);
