Log texts of digits as texts, so that a key is always of one type

Cause: the JSON log guessed numbers from the text of a value; an image named by six digits was logged as a number (387902), its neighbour 1ae4fb as a text, and readers that expect one type per key fail.

Change: Event keeps whether a value was given as a number.

--- a/cornelpond/adapters/log/JsonEventSink.cpp
+++ b/cornelpond/adapters/log/JsonEventSink.cpp
@@ -21,15 +21,6 @@
         appendQuoted(line, value, "\\u00");
     }
 
-    bool isNumber(std::string const& value)
-    {
-        constexpr size_t longestExact = 15; // Digits that every JSON reader keeps.
-        bool const isSigned = !value.empty() && value.front() == '-';
-        std::string_view const digits = std::string_view(value).substr(isSigned ? 1 : 0);
-        bool const hasLeadingZero = digits.size() > 1 && digits.front() == '0';
-        return !digits.empty() && digits.size() <= longestExact && !hasLeadingZero && std::all_of(digits.begin(), digits.end(), [](char byte) { return byte >= '0' && byte <= '9'; });
-    }
-
 } // namespace
 
 std::string formatJsonEvent(Event const& event, HostId const& host, int64_t wallMilliseconds)
@@ -40,7 +31,7 @@
         line += ",\"";
         line += field.key;
         line += "\":";
-        if (isNumber(field.value))
+        if (field.isNumber)
             line += field.value;
         else
             appendText(line, field.value);
--- a/cornelpond/adapters/log/JsonEventSinkTest.cpp
+++ b/cornelpond/adapters/log/JsonEventSinkTest.cpp
@@ -39,6 +39,13 @@
         == R"({"time":"1970-01-01T00:00:01.234Z","id":301,"event":"TaskPlaced","host":"h1","task":"7.0.0.1","waitMs":12,"reason":"a \"b\"\u000a","key":"007","minus":-3})");
 }
 
+TEST_CASE("a text of digits stays a text, so that a key is always of one type")
+{
+    Event const event = Event(EventId::EvictionRequested).with("image", "387902").with("worker", WorkerId("17")).with("attempt", AttemptNumber(17));
+    std::string const line = formatJsonEvent(event, HostId("h1"), 0);
+    CHECK(line.find(R"("image":"387902","worker":"17","attempt":17})") != std::string::npos);
+}
+
 TEST_CASE("a pipe that nobody reads neither blocks nor lets memory grow, and what was dropped is counted")
 {
     FakeClock clock;
--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -111,6 +111,7 @@
 struct EventField {
     std::string_view key;
     std::string value;
+    bool isNumber = false; ///< Logged as a number: each key is always of one type.
 };
 
 /// One log line before it is formatted.
@@ -123,7 +124,7 @@
 
     Event& with(std::string_view key, std::string value)
     {
-        this->eventFields.push_back({ key, std::move(value) });
+        this->eventFields.push_back({ key, std::move(value), false });
         return *this;
     }
 
@@ -136,22 +137,28 @@
     template <typename Tag>
     Event& with(std::string_view key, NumberId<Tag> id)
     {
-        return this->with(key, std::to_string(id.value()));
+        return this->withNumber(key, std::to_string(id.value()));
     }
 
     /// Spans are logged in whole milliseconds; name the key accordingly ("waitMs").
-    Event& with(std::string_view key, Duration span) { return this->with(key, std::to_string(span.toMilliseconds())); }
+    Event& with(std::string_view key, Duration span) { return this->withNumber(key, std::to_string(span.toMilliseconds())); }
 
     template <typename Number, std::enable_if_t<std::is_arithmetic_v<Number>, int> = 0>
     Event& with(std::string_view key, Number number)
     {
-        return this->with(key, std::to_string(number));
+        return this->withNumber(key, std::to_string(number));
     }
 
     EventId id() const { return this->eventId; }
     std::vector<EventField> const& fields() const { return this->eventFields; }
 
 private:
+    Event& withNumber(std::string_view key, std::string digits)
+    {
+        this->eventFields.push_back({ key, std::move(digits), true });
+        return *this;
+    }
+
     EventId eventId;
     std::vector<EventField> eventFields;
 };
