Forget an end as done only once no other attempt of its task may start

The end of an attempt that had been given up was acknowledged at once or with its commit, while the start of the next attempt, committed before, could still be on its way to another worker.

Ruled out as the only cause: late finishes. Before them such an end was acknowledged at once, so that the window was there already.

Change: an end as done stays open while another attempt of its task is live; that one is stopped, and concluded when its worker confirms it or its lease is over. Not for service tasks, whose next attempt lives on. The test fails without it.

--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -432,10 +432,14 @@
     return attempt.phase == PlacedAttempt::Phase::Running && attempt.confirmedAt < sentAt;
 }
 
-/// An end may be forgotten by the worker once it is committed, or belongs to an attempt that ended before.
+/// An end may be forgotten by the worker once it is committed, or belongs to an attempt that ended before. One as
+/// done only once no other attempt of its task is left: a start of it may still be on its way.
 void Dispatcher::acknowledgeEnds(WorkerView& view)
 {
-    auto const isOpen = [&](ListedEnd const& end) { return this->jobs.isLive(end.task, { end.attempt, view.profile.id }) || this->isLateFinish(end); };
+    auto const isOpen = [&](ListedEnd const& end) {
+        bool const isFollowed = end.end == AttemptEnd::Done && this->jobs.mayStillStart(end.task);
+        return isFollowed || this->jobs.isLive(end.task, { end.attempt, view.profile.id }) || this->isLateFinish(end);
+    };
     auto const firstOpen = std::find_if(view.listedEnds.begin(), view.listedEnds.end(), isOpen);
     if (firstOpen != view.listedEnds.begin())
         view.acknowledgedEnds = std::max(view.acknowledgedEnds, std::prev(firstOpen)->number);
--- a/cornelpond/core/jobs/JobTable.cpp
+++ b/cornelpond/core/jobs/JobTable.cpp
@@ -381,6 +381,12 @@
     return !isLive && attempt <= record->lastAttempt && !stage.isService && !stage.isGang;
 }
 
+bool JobTable::mayStillStart(TaskRef const& task) const
+{
+    TaskRecord const* record = this->findTask(task);
+    return record && !record->live.empty() && !this->find(task.job)->spec.stages[task.stage].isService;
+}
+
 bool JobTable::isLive(TaskRef const& task, Attempt const& attempt) const
 {
     TaskRecord const* record = this->findTask(task);
--- a/cornelpond/core/jobs/JobTable.h
+++ b/cornelpond/core/jobs/JobTable.h
@@ -109,6 +109,9 @@
     /// True where the attempt was given up, as its worker was out of reach, and its end as done would still count.
     bool wouldFinish(TaskRef const& task, AttemptNumber attempt) const;
 
+    /// True while an attempt of a task that ends by itself is committed and not ended: its start may be on its way.
+    bool mayStillStart(TaskRef const& task) const;
+
     /// True while the attempt is committed and not ended.
     bool isLive(TaskRef const& task, Attempt const& attempt) const;
 
--- a/cornelpond/core/scheduling/JobFaultsTest.cpp
+++ b/cornelpond/core/scheduling/JobFaultsTest.cpp
@@ -140,6 +140,27 @@
     CHECK(bench.fleet.record().startsAfterDone == 0);
 }
 
+TEST_CASE("an end as done is not forgotten while another attempt of its task may still start")
+{
+    JobBench bench(11);
+    bench.addWorkers(2, 16000);
+    JobSpec const job = makeJob("plan", 1, 1000, second * 3);
+    bench.submit(job);
+    bench.run(second);
+    auto const live = [&] { return bench.find(job.id)->occurrences.at(0).stages[0].tasks[0].live.at(0).worker; };
+    WorkerId const first = live();
+    bench.fleet.setCut(first, true);
+    for (int i = 0; i < 100 && bench.fleet.record().starts < 2; i++)
+        bench.run(second / 10);
+    REQUIRE(bench.fleet.record().starts == 2);
+    bench.fleet.setCut(live(), true);
+    bench.fleet.setForgetCheck([&](ListedEnd const&, WorkerId const&) { return bench.fleet.runningCount(job.id) == 0; });
+    bench.fleet.setCut(first, false);
+    bench.run(second * 8);
+    CHECK(bench.state(job.id) == JobState::Completed);
+    CHECK(bench.fleet.record().acknowledgedTooEarly == 0);
+}
+
 TEST_CASE("a lost task resumes from the last checkpoint its worker listed")
 {
     JobBench bench(5);
