--- a/testing/soak/SoakTest.cpp
+++ b/testing/soak/SoakTest.cpp
@@ -46,3 +46,12 @@
 {
     checkSeed(20261204, Duration::seconds(8));
 }
+
+// Seeds that failed once. In all three the fake fleet read the name of a run after it was freed, when the run's
+// lease lapsed, and listed a task that was no text.
+TEST_CASE("soak: seeds that failed before")
+{
+    constexpr Duration load = Duration::seconds(12);
+    for (uint64_t seed : { 3, 15, 42 })
+        checkSeed(seed, load);
+}
