--- a/cornelpond/core/dispatch/ImageLoads.h
+++ b/cornelpond/core/dispatch/ImageLoads.h
@@ -11,6 +11,7 @@
 #include "cornelpond/core/base/Ids.h"
 
 #include <algorithm>
+#include <numeric>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -54,6 +55,11 @@
             this->loads.erase(found);
     }
 
+    int64_t milliCores() const
+    {
+        return std::accumulate(this->loads.begin(), this->loads.end(), int64_t(), [](int64_t sum, ImageLoad const& load) { return sum + load.milliCores; });
+    }
+
     bool empty() const { return this->loads.empty(); }
     size_t size() const { return this->loads.size(); }
     auto begin() const { return this->loads.begin(); }
--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -39,10 +39,8 @@
     else
         this->reserved -= amount;
     int64_t const milliCores = attempt.stage->need.milliCores * direction;
-    if (attempt.isBestEffort() && !attempt.isTrickling) {
-        this->bestEffortMilliCores += milliCores;
+    if (attempt.isBestEffort() && !attempt.isTrickling)
         this->bestEffortImages.add(attempt.image, attempt.stage->need.milliCores, direction);
-    }
     if (attempt.isTrickling)
         this->tricklingTasks += static_cast<unsigned>(direction);
     if (attempt.isService()) {
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -82,6 +82,8 @@
 
     bool isService() const { return this->stage->isService; }
     bool isBestEffort() const { return this->stage->isBestEffort; }
+    /// It runs and is neither being stopped nor known to have ended.
+    bool isRunning() const { return this->phase == Phase::Running && !this->isStopping && !this->isEndReported; }
     /// What counts against the worker's capacity.
     Resources reserved() const;
 };
@@ -129,7 +131,6 @@
     std::map<AttemptKey, PlacedAttempt> placed;
     std::map<AttemptKey, StrayAttempt> strays; ///< Runs that nobody wants, to be stopped.
     Resources reserved;
-    int64_t bestEffortMilliCores = 0; ///< Asked for by best-effort tasks that do not trickle.
     int64_t serviceMilliCores = 0; ///< Reserved by service tasks.
     ImageLoads serviceImages; ///< Placed service tasks with a latency target, by image.
     ImageLoads bestEffortImages; ///< Placed best-effort tasks that do not trickle, by image.
--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -179,7 +179,7 @@
     own->share += added;
     return std::all_of(worker.serviceImages.begin(), worker.serviceImages.end(), [&](ImageLoad const& service) {
         bool const isProven = !this->interference.isOnTrial(service.image, request.image);
-        if (!isProven && !this->mayTry(worker, service.image, isPresent, uses.size(), trials))
+        if (!isProven && !this->mayTry(service.image, isPresent, uses.size(), trials))
             return false;
         if (worker.throttle < fullSpeed && !(isProven && this->interference.isCleared(service.image, request.image, own->share)))
             return false;
@@ -192,9 +192,9 @@
 
 /// A pair of which little is known is tried with nothing else beside it that would blur the picture, on few
 /// workers at a time.
-bool TaskPlacer::mayTry(WorkerView const& worker, ImageId service, bool isPresent, size_t images, Trials const& trials) const
+bool TaskPlacer::mayTry(ImageId service, bool isPresent, size_t images, Trials const& trials) const
 {
-    if (worker.throttle < fullSpeed || images > 1)
+    if (images > 1)
         return false;
     auto const tried = trials.find(service);
     return isPresent || tried == trials.end() || tried->second < this->limits.trialWorkers;
--- a/cornelpond/core/placement/TaskPlacer.h
+++ b/cornelpond/core/placement/TaskPlacer.h
@@ -77,7 +77,7 @@
     int64_t openToServices(PlacementRequest const& request) const;
     static bool isAllowed(WorkerView const& worker, PlacementRequest const& request);
     bool mayRunBestEffort(WorkerView const& worker, PlacementRequest const& request, Trials const& trials, TimePoint now) const;
-    bool mayTry(WorkerView const& worker, ImageId service, bool isPresent, size_t images, Trials const& trials) const;
+    bool mayTry(ImageId service, bool isPresent, size_t images, Trials const& trials) const;
     Trials trialsOf(ImageId image) const;
     bool isOnTrialAnywhere(ImageId image) const;
     WorkerView* search(PlacementRequest const& request, TimePoint now) const;
--- a/cornelpond/core/relay/OrderRelay.cpp
+++ b/cornelpond/core/relay/OrderRelay.cpp
@@ -1,7 +1,7 @@
 #include "cornelpond/core/relay/OrderRelay.h"
 
-#include <algorithm>
 #include <type_traits>
+#include <utility>
 
 namespace cornelpond {
 
@@ -86,40 +86,48 @@
 
 void OrderRelay::start(WorkerTarget const& worker, StartOrder const& order, Done done)
 {
-    HostId const relay = this->relayOf(worker);
-    if (relay.empty())
-        this->direct.start(worker, order, std::move(done));
-    else
-        this->pass(relay, worker, order, this->orderTimes.orderTimeout, orderOnly(std::move(done)));
+    this->send(worker, order, this->orderTimes.orderTimeout, std::move(done));
 }
 
 void OrderRelay::stop(WorkerTarget const& worker, StopOrder const& order, Done done)
 {
-    HostId const relay = this->relayOf(worker);
-    if (relay.empty())
-        this->direct.stop(worker, order, std::move(done));
-    else
-        this->pass(relay, worker, order, this->orderTimes.orderTimeout, orderOnly(std::move(done)));
+    this->send(worker, order, this->orderTimes.orderTimeout, std::move(done));
 }
 
 void OrderRelay::throttle(WorkerTarget const& worker, ThrottleOrder const& order, Done done)
 {
-    HostId const relay = this->relayOf(worker);
-    if (relay.empty())
-        this->direct.throttle(worker, order, std::move(done));
-    else
-        this->pass(relay, worker, order, this->orderTimes.orderTimeout, orderOnly(std::move(done)));
+    this->send(worker, order, this->orderTimes.orderTimeout, std::move(done));
 }
 
 /// Only renewals judge the ways: there is always one under way, and other orders fail for reasons of their own.
 void OrderRelay::renew(WorkerTarget const& worker, RenewOrder const& order, RenewDone done)
+{
+    this->send(worker, order, order.wait + this->orderTimes.orderTimeout, this->watched(worker.id, std::move(done)));
+}
+
+template <typename Order, typename Answered>
+void OrderRelay::send(WorkerTarget const& worker, Order const& order, Duration timeout, Answered done)
 {
     HostId const relay = this->relayOf(worker);
-    RenewDone judged = this->watched(worker.id, std::move(done));
     if (relay.empty())
-        this->direct.renew(worker, order, std::move(judged));
+        this->sendDirectly(worker, order, std::move(done));
+    else if constexpr (std::is_same_v<Answered, Done>)
+        this->pass(relay, worker, order, timeout, orderOnly(std::move(done)));
+    else
+        this->pass(relay, worker, order, timeout, std::move(done));
+}
+
+template <typename Order, typename Answered>
+void OrderRelay::sendDirectly(WorkerTarget const& worker, Order const& order, Answered done)
+{
+    if constexpr (std::is_same_v<Order, StartOrder>)
+        this->direct.start(worker, order, std::move(done));
+    else if constexpr (std::is_same_v<Order, StopOrder>)
+        this->direct.stop(worker, order, std::move(done));
+    else if constexpr (std::is_same_v<Order, ThrottleOrder>)
+        this->direct.throttle(worker, order, std::move(done));
     else
-        this->pass(relay, worker, order, order.wait + this->orderTimes.orderTimeout, std::move(judged));
+        this->direct.renew(worker, order, std::move(done));
 }
 
 /// Rare, and only the leader's own address has a turn at the policy service.
@@ -132,7 +140,7 @@
 void OrderRelay::pass(HostId const& relay, WorkerTarget const& worker, Order const& order, Duration timeout, RenewDone done)
 {
     uint64_t const id = this->nextId++;
-    this->open.emplace(id, Open { relay, worker.id, this->clock.now() + timeout + this->times.margin, std::move(done) });
+    this->open.emplace(id, Open { relay, this->clock.now() + timeout + this->times.margin, std::move(done) });
     this->outgoing(relay, this->times.orderBatch).orders.push_back({ id, worker, order });
     if (this->open.size() == 1)
         this->checkTimeouts();
@@ -182,19 +190,7 @@
         if (!alive.expired())
             this->answer(from, { id, answer });
     };
-    std::visit(
-        [&](auto const& order) {
-            using Order = std::decay_t<decltype(order)>;
-            if constexpr (std::is_same_v<Order, StartOrder>)
-                this->direct.start(relayed.worker, order, reply);
-            else if constexpr (std::is_same_v<Order, StopOrder>)
-                this->direct.stop(relayed.worker, order, reply);
-            else if constexpr (std::is_same_v<Order, ThrottleOrder>)
-                this->direct.throttle(relayed.worker, order, reply);
-            else
-                this->direct.renew(relayed.worker, order, reply);
-        },
-        relayed.order);
+    std::visit([&](auto const& order) { this->sendDirectly(relayed.worker, order, reply); }, relayed.order);
 }
 
 void OrderRelay::answer(HostId const& to, RelayedAnswer answer)
--- a/cornelpond/core/relay/OrderRelay.h
+++ b/cornelpond/core/relay/OrderRelay.h
@@ -74,7 +74,6 @@
 
     struct Open {
         HostId relay;
-        WorkerId worker;
         TimePoint deadline;
         RenewDone done; ///< The listing stays empty for other orders.
     };
@@ -86,6 +85,10 @@
     };
 
     HostId relayOf(WorkerTarget const& worker);
+    template <typename Order, typename Answered>
+    void send(WorkerTarget const& worker, Order const& order, Duration timeout, Answered done);
+    template <typename Order, typename Answered>
+    void sendDirectly(WorkerTarget const& worker, Order const& order, Answered done);
     template <typename Order>
     void pass(HostId const& relay, WorkerTarget const& worker, Order const& order, Duration timeout, RenewDone done);
     RenewDone watched(WorkerId const& worker, RenewDone done);
--- a/cornelpond/core/scheduling/JobFaultsTest.cpp
+++ b/cornelpond/core/scheduling/JobFaultsTest.cpp
@@ -121,18 +121,35 @@
     CHECK(bench.fleet.slowestThrottle(job.id) == 100);
 }
 
-TEST_CASE("a task that was done on a worker cut off beyond its lease is not done again")
+namespace {
+
+/// Where the job's only task has its attempt.
+WorkerId workerOf(JobBench& bench, JobSpec const& job)
+{
+    return bench.find(job.id)->occurrences.at(0).stages[0].tasks[0].live.at(0).worker;
+}
+
+/// Submits a job of one task and cuts its worker off until the task was started on another one.
+WorkerId cutOffFirstWorker(JobBench& bench, JobSpec const& job)
 {
-    JobBench bench(11);
-    bench.addWorkers(2, 16000);
-    JobSpec const job = makeJob("plan", 1, 1000, second * 3);
     bench.submit(job);
     bench.run(second);
-    WorkerId const first = bench.find(job.id)->occurrences.at(0).stages[0].tasks[0].live.at(0).worker;
+    WorkerId const first = workerOf(bench, job);
     bench.fleet.setCut(first, true);
     for (int i = 0; i < 100 && bench.fleet.record().starts < 2; i++)
         bench.run(second / 10);
     REQUIRE(bench.fleet.record().starts == 2);
+    return first;
+}
+
+} // namespace
+
+TEST_CASE("a task that was done on a worker cut off beyond its lease is not done again")
+{
+    JobBench bench(11);
+    bench.addWorkers(2, 16000);
+    JobSpec const job = makeJob("plan", 1, 1000, second * 3);
+    WorkerId const first = cutOffFirstWorker(bench, job);
     bench.fleet.setCut(first, false);
     bench.run(second * 2);
     CHECK(bench.state(job.id) == JobState::Completed);
@@ -145,15 +162,8 @@
     JobBench bench(11);
     bench.addWorkers(2, 16000);
     JobSpec const job = makeJob("plan", 1, 1000, second * 3);
-    bench.submit(job);
-    bench.run(second);
-    auto const live = [&] { return bench.find(job.id)->occurrences.at(0).stages[0].tasks[0].live.at(0).worker; };
-    WorkerId const first = live();
-    bench.fleet.setCut(first, true);
-    for (int i = 0; i < 100 && bench.fleet.record().starts < 2; i++)
-        bench.run(second / 10);
-    REQUIRE(bench.fleet.record().starts == 2);
-    bench.fleet.setCut(live(), true);
+    WorkerId const first = cutOffFirstWorker(bench, job);
+    bench.fleet.setCut(workerOf(bench, job), true);
     bench.fleet.setForgetCheck([&](ListedEnd const&, WorkerId const&) { return bench.fleet.runningCount(job.id) == 0; });
     bench.fleet.setCut(first, false);
     bench.run(second * 8);
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -424,7 +424,7 @@
         auto const ends = this->drainEnds.find(id);
         bool const isSoon = ends != this->drainEnds.end() && now + evacuationLead >= ends->second;
         for (auto& [key, attempt] : worker.placed) {
-            if (attempt.isStopping || attempt.isEndReported || attempt.phase != PlacedAttempt::Phase::Running)
+            if (!attempt.isRunning())
                 continue;
             if (attempt.isService()) {
                 PlacementRequest request = requestToMove(worker, attempt);
@@ -486,9 +486,9 @@
     this->relieve(worker, now);
     this->easeOrSlow(worker, now);
     bool const isHarmLasting = worker.overTargetSince && now - *worker.overTargetSince >= lastingHarm;
-    std::vector<ImageId> suspects;
+    std::vector<ImageId> suspects; // Only of use where the worker is slowed.
     for (auto const& load : worker.bestEffortImages) {
-        if (this->isSuspect(worker, load))
+        if (worker.throttle < fullSpeed && this->isSuspect(worker, load))
             suspects.push_back(load.image);
     }
     for (auto& [key, attempt] : worker.placed) {
@@ -509,11 +509,12 @@
 void JobScheduler::relieve(WorkerView& worker, TimePoint now)
 {
     constexpr double tooMuch = 0.95; ///< Predicted tail over target.
+    if (worker.serviceImages.empty())
+        return;
     ImageUses uses;
     std::map<ImageId, std::vector<PlacedAttempt*>> tasks;
     for (auto& [key, attempt] : worker.placed) {
-        bool const counts = attempt.isBestEffort() && !attempt.isTrickling && !attempt.isStopping && !attempt.isEndReported && attempt.phase == PlacedAttempt::Phase::Running;
-        if (counts)
+        if (attempt.isBestEffort() && !attempt.isTrickling && attempt.isRunning())
             tasks[attempt.image].push_back(&attempt);
     }
     for (auto const& [image, attempts] : tasks) {
@@ -543,7 +544,7 @@
 /// this image is slowed and those that proved harmless go on.
 bool JobScheduler::isSuspect(WorkerView const& worker, ImageLoad const& load) const
 {
-    double const use = this->imageUse.expected(load.image, load.milliCores) / static_cast<double>(std::max<int64_t>(worker.profile.capacity.milliCores, 1));
+    double const use = this->placer.shareOf(worker, load.image, load.milliCores);
     return std::any_of(worker.serviceImages.begin(), worker.serviceImages.end(), [&](ImageLoad const& service) { return !this->interference.isCleared(service.image, load.image, use); });
 }
 
@@ -566,7 +567,7 @@
                           .with("percent", next)
                           .with("before", worker.throttle)
                           .with("tailPercent", static_cast<int>(worker.tailRatio * 100))
-                          .with("bestEffortMilliCores", worker.bestEffortMilliCores));
+                          .with("bestEffortMilliCores", worker.bestEffortImages.milliCores()));
     worker.throttle = next;
     worker.throttleChanged = now;
 }
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -103,11 +103,11 @@
         this->decideStart(*worker, { request.task, tasks[index].lastAttempt.next(), worker->profile.id }, ready, now);
         placed++;
     }
+    if (placed || !request.stage->isBestEffort)
+        return placed;
     bool const isIdle = std::all_of(tasks.begin(), tasks.end(), [](auto const& task) { return task.live.empty(); });
     bool const mayTrickle = isIdle || this->placer.reservedShare(request.service) < mostlyFree;
-    if (!placed && request.stage->isBestEffort && mayTrickle && this->trickle(ready, request, now))
-        placed++;
-    return placed;
+    return mayTrickle && this->trickle(ready, request, now) ? 1 : 0;
 }
 
 /// Every worker has a service that the stage's image harms: one task works there at a pace that the service
@@ -138,8 +138,8 @@
     size_t left = 0;
     for (auto& [id, worker] : this->dispatch.workers()) {
         for (auto& [key, attempt] : worker.placed) {
-            bool const trickles = attempt.isTrickling && now - attempt.confirmedAt >= leaveTrickleAfter && attempt.throttle < paceWorthStaying && attempt.phase == PlacedAttempt::Phase::Running && !attempt.isStopping && !attempt.isEndReported;
-            if (!trickles || left >= maxLeavingTrickle)
+            bool const isStuck = attempt.isTrickling && attempt.isRunning() && attempt.throttle < paceWorthStaying && now - attempt.confirmedAt >= leaveTrickleAfter;
+            if (!isStuck || left >= maxLeavingTrickle)
                 continue;
             if (!this->placer.choose(requestToMove(worker, attempt), now))
                 continue;
--- a/testing/soak/Soak.cpp
+++ b/testing/soak/Soak.cpp
@@ -9,11 +9,14 @@
 #include "testing/soak/WorkerServer.h"
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <functional>
+#include <map>
+#include <memory>
 #include <unistd.h>
 
 namespace cornelpond {
@@ -39,7 +42,6 @@
         std::unique_ptr<FaultProxy> proxy;
         std::string address;
         TimePoint nextHeartbeat;
-        std::string heartbeatAddress; ///< As the last answer said.
     };
 
     class SoakRun {
--- a/testing/soak/SoakClients.h
+++ b/testing/soak/SoakClients.h
@@ -14,7 +14,6 @@
 
 #include <functional>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
