--- a/cornelpond/core/scheduling/JobFaultsTest.cpp
+++ b/cornelpond/core/scheduling/JobFaultsTest.cpp
@@ -134,7 +134,7 @@
 {
     bench.submit(job);
     bench.run(second);
-    WorkerId const first = workerOf(bench, job);
+    WorkerId first = workerOf(bench, job);
     bench.fleet.setCut(first, true);
     for (int i = 0; i < 100 && bench.fleet.record().starts < 2; i++)
         bench.run(second / 10);
