The log and metrics tell a job's size, its starts and the starts that passed it over

JobAccepted and JobEnded carry tasks, estimated work and the largest need of a task; JobEnded counts own starts and the starts that passed the job over, by both causes; jobsEnded{coreSeconds,outcome} and jobsUnfinished{coreSeconds} on the metrics address. No logic changed.

--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -2,6 +2,16 @@
 
 namespace cornelpond {
 
+namespace {
+
+    /// The upper bound of the size class as a label value, "inf" for the last class.
+    std::string sizeLabel(size_t sizeClass)
+    {
+        return sizeClass < sizeClassBoundsCoreSeconds.size() ? std::to_string(sizeClassBoundsCoreSeconds.at(sizeClass)) : "inf";
+    }
+
+} // namespace
+
 void fillSchedulerMetrics(JobScheduler const& scheduler, Metrics& metrics)
 {
     auto const gauge = [&](char const* name, size_t value) { metrics.setGauge(name, static_cast<int64_t>(value)); };
@@ -17,6 +27,11 @@
     gauge("evictions", counters.evictions);
     for (auto const& [end, count] : counters.attemptEnds)
         metrics.setGauge("attemptsEnded{outcome=\"" + std::string(attemptEndName(end)) + "\"}", static_cast<int64_t>(count));
+    for (auto const& [key, count] : counters.jobEnds)
+        metrics.setGauge("jobsEnded{coreSeconds=\"" + sizeLabel(key.first) + "\",outcome=\"" + std::string(jobOutcomeName(key.second)) + "\"}", static_cast<int64_t>(count));
+    auto const unfinished = scheduler.activeJobsBySize();
+    for (size_t sizeClass = 0; sizeClass < unfinished.size(); sizeClass++)
+        metrics.setGauge("jobsUnfinished{coreSeconds=\"" + sizeLabel(sizeClass) + "\"}", static_cast<int64_t>(unfinished.at(sizeClass)));
     metrics.setHistogram("submitLatencyMs", counters.submitLatency);
     metrics.setHistogram("placeLatencyMs", counters.placeLatency);
     metrics.setHistogram("completionLatencyMs", counters.completionLatency);
--- a/cornelpond/core/jobs/JobSpec.cpp
+++ b/cornelpond/core/jobs/JobSpec.cpp
@@ -2,6 +2,7 @@
 
 #include "cornelpond/core/base/ResultCode.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace cornelpond {
@@ -97,6 +98,11 @@
     return std::tie(this->job, this->occurrence, this->stage, this->index) < std::tie(other.job, other.occurrence, other.stage, other.index);
 }
 
+bool JobSpec::hasServiceStage() const
+{
+    return std::any_of(this->stages.begin(), this->stages.end(), [](StageSpec const& stage) { return stage.isService; });
+}
+
 std::string TaskRef::text() const
 {
     return this->job.value() + '.' + std::to_string(this->occurrence) + '.' + std::to_string(this->stage) + '.' + std::to_string(this->index);
--- a/cornelpond/core/jobs/JobSpec.h
+++ b/cornelpond/core/jobs/JobSpec.h
@@ -57,6 +57,8 @@
     ScheduleSpec schedule;
 
     bool isScheduled() const { return this->schedule.occurrences > 0; }
+    /// True when the job runs until it is cancelled.
+    bool hasServiceStage() const;
 };
 
 /// One task of one occurrence of a job.
--- a/cornelpond/core/queueing/StageRank.cpp
+++ b/cornelpond/core/queueing/StageRank.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-    /// A job that takes longer than this many times its objective is too late to be useful.
-    constexpr int64_t tooLateFactor = 3;
-
     /// By stage: run time of the longest dependency chain from it to the end. Stages depend on earlier ones only.
     std::vector<Duration> criticalPathsOf(JobSpec const& job)
     {
--- a/cornelpond/core/queueing/StageRank.h
+++ b/cornelpond/core/queueing/StageRank.h
@@ -14,6 +14,9 @@
 
 namespace cornelpond {
 
+/// A job that takes longer than this many times its objective is too late to be useful.
+constexpr int64_t tooLateFactor = 3;
+
 /// By when a job should be done, in the leader's steady time.
 struct JobObjective {
     TimePoint acceptedAt;
@@ -36,6 +39,7 @@
     uint32_t occurrence = 0;
     uint32_t stage = 0;
     StageRank rank;
+    TimePoint acceptedAt; ///< When the job was accepted, or when the scheduled occurrence was due.
 };
 
 /// The latency objective is the longest critical path times the queue's stretch factor, plus the queue's latency
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -105,16 +105,16 @@
 void JobScheduler::onQueuesChanged()
 {
     this->jobTable.onQueuesChanged(this->queues);
-    for (auto& [id, objective] : this->activeObjectives) {
+    for (auto& [id, active] : this->activeJobs) {
         JobRecord const& job = *this->jobTable.find(id);
-        objective = objectiveOf(job.spec, this->queues.find(job.queue), objective.acceptedAt);
+        active.objective = objectiveOf(job.spec, this->queues.find(job.queue), active.objective.acceptedAt);
     }
     this->isPassNeeded = true;
 }
 
 void JobScheduler::onLeadership(bool isLeader)
 {
-    this->activeObjectives.clear();
+    this->activeJobs.clear();
     this->proposedTasks.clear();
     this->waitingSince.clear();
     this->pendingUpdates.clear();
@@ -130,19 +130,20 @@
     this->dispatch.lead(this->jobLog.term(), this->workerRoster);
     for (auto const& [id, job] : this->jobTable.all()) {
         if (job.state == JobState::Active)
-            this->objectiveFor(job);
+            this->activeJob(job);
     }
     this->isPassNeeded = true;
 }
 
-/// The leader's objective of an active job; created at the first call for the job.
-JobObjective const& JobScheduler::objectiveFor(JobRecord const& job)
+/// The leader's record of an active job; created at the first call for the job.
+JobScheduler::ActiveJob& JobScheduler::activeJob(JobRecord const& job)
 {
-    auto const [entry, isNew] = this->activeObjectives.try_emplace(job.spec.id);
+    auto const [entry, isNew] = this->activeJobs.try_emplace(job.spec.id);
     if (isNew) {
         Duration const waited = Duration::milliseconds(this->clock.wallMilliseconds() - job.acceptedWallMs);
         TimePoint const acceptedAt = this->clock.now() - std::clamp(waited, Duration(), maxInheritedWait);
-        entry->second = objectiveOf(job.spec, this->queues.find(job.queue), acceptedAt);
+        entry->second.objective = objectiveOf(job.spec, this->queues.find(job.queue), acceptedAt);
+        entry->second.progress.size = sizeOf(job.spec);
     }
     return entry->second;
 }
@@ -152,30 +153,56 @@
     if (!this->dispatch.isLeading())
         return;
     if (job.state == JobState::Active) {
-        this->objectiveFor(job);
+        this->activeJob(job);
         this->isPassNeeded = true;
         return;
     }
-    auto const tracked = this->activeObjectives.find(job.spec.id);
-    Duration const lasted = tracked == this->activeObjectives.end() ? Duration() : this->clock.now() - tracked->second.acceptedAt;
-    Duration const objective = tracked == this->activeObjectives.end() ? Duration() : tracked->second.latencyObjective;
+    this->reportEnd(job);
+    this->activeJobs.erase(job.spec.id);
+    this->waitingSince.erase(this->waitingSince.lower_bound({ job.spec.id, 0, 0, 0 }), this->waitingSince.lower_bound({ job.spec.id, UINT32_MAX, 0, 0 }));
+    this->dispatch.stopUnwanted(job.spec.id);
+    this->isPassNeeded = true;
+}
+
+/// Logs and counts the end of a job.
+void JobScheduler::reportEnd(JobRecord const& job)
+{
+    ActiveJob const& active = this->activeJob(job);
+    JobProgress const& progress = active.progress;
+    Duration const lasted = this->clock.now() - active.objective.acceptedAt;
+    JobOutcome const outcome = outcomeOf(job.state, lasted, active.objective.latencyObjective);
     constexpr std::array<char const*, 5> names = { "", "active", "completed", "failed", "cancelled" };
     this->events.emit(Event(EventId::JobEnded)
                           .with("job", job.spec.id)
                           .with("queue", job.queue)
                           .with("state", names.at(static_cast<size_t>(job.state)))
                           .with("lastedMs", lasted)
-                          .with("objectiveMs", objective));
+                          .with("objectiveMs", active.objective.latencyObjective)
+                          .with("tasks", progress.size.taskCount)
+                          .with("coreMs", progress.size.coreMs)
+                          .with("taskMilliCores", progress.size.largestTaskMilliCores)
+                          .with("starts", progress.starts)
+                          .with("firstStartMs", progress.firstStart)
+                          .with("lastStartMs", progress.lastStart)
+                          .with("passedByLaterJobs", progress.passedOver.byLaterJobs)
+                          .with("passedByLowerRank", progress.passedOver.byLowerRank));
     this->schedulerCounters.jobsCompleted += job.state == JobState::Completed;
     this->schedulerCounters.jobsFailed += job.state == JobState::Failed;
     this->schedulerCounters.jobsCancelled += job.state == JobState::Cancelled;
     if (job.state == JobState::Completed)
         this->schedulerCounters.completionLatency.observe(lasted);
-    if (tracked != this->activeObjectives.end())
-        this->activeObjectives.erase(tracked);
-    this->waitingSince.erase(this->waitingSince.lower_bound({ job.spec.id, 0, 0, 0 }), this->waitingSince.lower_bound({ job.spec.id, UINT32_MAX, 0, 0 }));
-    this->dispatch.stopUnwanted(job.spec.id);
-    this->isPassNeeded = true;
+    if (!job.spec.hasServiceStage())
+        this->schedulerCounters.jobEnds[{ sizeClassOf(progress.size), outcome }]++;
+}
+
+std::array<size_t, sizeClassCount> JobScheduler::activeJobsBySize() const
+{
+    std::array<size_t, sizeClassCount> counts {};
+    for (auto const& [id, active] : this->activeJobs) {
+        if (!this->jobTable.find(id)->spec.hasServiceStage())
+            counts.at(sizeClassOf(active.progress.size))++;
+    }
+    return counts;
 }
 
 void JobScheduler::onStartApplied(CommitStart const& start)
@@ -233,16 +260,17 @@
         done({ CallResult::NotLeader, Duration() });
         return;
     }
-    if (this->activeObjectives.size() >= this->limits.maxActiveJobs) {
-        this->events.emit(Event(EventId::JobRefused).with("job", job.id).with("queue", queue.name).with("reason", "too many jobs").with("active", this->activeObjectives.size()));
+    if (this->activeJobs.size() >= this->limits.maxActiveJobs) {
+        this->events.emit(Event(EventId::JobRefused).with("job", job.id).with("queue", queue.name).with("reason", "too many jobs").with("active", this->activeJobs.size()));
         this->schedulerCounters.jobsRefused++;
         done({ CallResult::Refused, overloadRetryAfter });
         return;
     }
     JobId const id = job.id;
     size_t const stages = job.stages.size();
+    JobSize const size = sizeOf(job);
     SubmitJob command { std::move(job), queue.name, this->clock.wallMilliseconds() };
-    this->jobLog.propose(encodeJobCommand(std::move(command)), [this, id, stages, name = queue.name, since = this->clock.now(), done = std::move(done)](ProposalOutcome const& outcome) {
+    this->jobLog.propose(encodeJobCommand(std::move(command)), [this, id, stages, size, name = queue.name, since = this->clock.now(), done = std::move(done)](ProposalOutcome const& outcome) {
         CallResult const result = resultOf(outcome.code);
         this->schedulerCounters.jobsAccepted += result == CallResult::Done;
         this->schedulerCounters.submitLatency.observe(this->clock.now() - since);
@@ -250,6 +278,9 @@
                               .with("job", id)
                               .with("queue", name)
                               .with("stages", stages)
+                              .with("tasks", size.taskCount)
+                              .with("coreMs", size.coreMs)
+                              .with("taskMilliCores", size.largestTaskMilliCores)
                               .with("configuration", this->queues.config().version)
                               .with("code", static_cast<int>(outcome.code)));
         done({ result, Duration() });
@@ -403,7 +434,7 @@
 void JobScheduler::openDueOccurrences()
 {
     int64_t const wall = this->clock.wallMilliseconds();
-    for (auto const& [id, objective] : this->activeObjectives) {
+    for (auto const& [id, active] : this->activeJobs) {
         JobRecord const& job = *this->jobTable.find(id);
         ScheduleSpec const& schedule = job.spec.schedule;
         if (job.occurrencesOpened >= schedule.occurrences)
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -15,6 +15,7 @@
 #include "cornelpond/core/dispatch/Dispatcher.h"
 #include "cornelpond/core/placement/InterferenceModel.h"
 #include "cornelpond/core/placement/TaskPlacer.h"
+#include "cornelpond/core/queueing/JobProgress.h"
 #include "cornelpond/core/queueing/StageRank.h"
 #include "cornelpond/core/scheduling/PermitCache.h"
 
@@ -50,6 +51,7 @@
     uint64_t jobsCancelled = 0;
     uint64_t evictions = 0;
     std::map<AttemptEnd, uint64_t> attemptEnds;
+    std::map<std::pair<size_t, JobOutcome>, uint64_t> jobEnds; ///< By size class and outcome; without service jobs.
     Histogram submitLatency; ///< From the call to the commit.
     Histogram placeLatency; ///< From a job's acceptance to each decision to start one of its tasks.
     Histogram completionLatency; ///< From a job's acceptance to its completion.
@@ -115,7 +117,9 @@
     JobTable const& jobs() const { return this->jobTable; }
     Dispatcher const& dispatcher() const { return this->dispatch; }
     SchedulerCounters const& counters() const { return this->schedulerCounters; }
-    size_t activeJobCount() const { return this->activeObjectives.size(); }
+    size_t activeJobCount() const { return this->activeJobs.size(); }
+    /// Accepted jobs that have not ended, by size class; without service jobs. Zeros on a follower.
+    std::array<size_t, sizeClassCount> activeJobsBySize() const;
 
 private:
     JobTableHooks tableHooks();
@@ -125,7 +129,15 @@
     void onStartApplied(CommitStart const& start);
     void onEndApplied(CommitEnd const& end);
     void stopRestOfGang(CommitEnd const& end);
-    JobObjective const& objectiveFor(JobRecord const& job);
+    /// What only the leader keeps of a job that has not ended.
+    struct ActiveJob {
+        JobObjective objective;
+        JobProgress progress;
+    };
+
+    ActiveJob& activeJob(JobRecord const& job);
+    JobObjective const& objectiveFor(JobRecord const& job) { return this->activeJob(job).objective; }
+    void reportEnd(JobRecord const& job);
     void putWorker(WorkerProfile const& profile, Done done);
     void removeWorker(WorkerProfile const& profile, Done done);
     static PlacementRequest requestToMove(WorkerView const& worker, PlacedAttempt const& attempt);
@@ -134,8 +146,8 @@
     void runPass();
     std::vector<ReadyStage> collectReadyStages(TimePoint now);
     void collectReadyStagesOf(JobRecord const& job, JobObjective const& objective, TimePoint now, std::vector<ReadyStage>& ready);
-    size_t placeStage(ReadyStage const& ready, TimePoint now);
-    size_t placeGang(ReadyStage const& ready, PlacementRequest request, TimePoint now);
+    StagePlacement placeStage(ReadyStage const& ready, TimePoint now);
+    StagePlacement placeGang(ReadyStage const& ready, PlacementRequest request, TimePoint now);
     bool chooseGangWorkers(ReadyStage const& ready, PlacementRequest const& request, TimePoint now, std::vector<CommitStart>& placed);
     bool startThrottled(ReadyStage const& ready, PlacementRequest request, TimePoint now);
     void moveThrottledTasks();
@@ -167,7 +179,7 @@
     CpuUsageModel cpuUsage;
     TaskPlacer placer;
 
-    std::map<JobId, JobObjective> activeObjectives; ///< Of the jobs that have not ended; kept on the leader only.
+    std::map<JobId, ActiveJob> activeJobs; ///< Kept on the leader only.
     std::map<TaskRef, TimePoint> waitingSince; ///< Best-effort stages that found no room, by their first task.
     std::set<TaskRef> proposedTasks; ///< Tasks whose start is being committed.
     std::map<WorkerId, std::pair<int64_t, uint64_t>> lastSequences; ///< By worker: when its incarnation was born (ms) and the sequence of its last announcement.
--- a/cornelpond/core/scheduling/JobServiceTest.cpp
+++ b/cornelpond/core/scheduling/JobServiceTest.cpp
@@ -36,6 +36,34 @@
     checkNoViolations(bench.fleet.record());
 }
 
+TEST_CASE("the log line of an ended job tells its size, its starts and the starts that passed it over")
+{
+    JobBench bench(1);
+    bench.addWorkers(1, 4000);
+    bench.submit(makeJob("first", 4, 1000, second));
+    bench.run(Duration::milliseconds(50));
+    bench.submit(makeJob("second", 2, 2000, second));
+    REQUIRE(bench.runUntilIdle(second * 10));
+    std::map<std::string, std::map<std::string, std::string>> ended;
+    for (auto const& event : bench.events.all()) {
+        std::map<std::string, std::string> fields;
+        for (auto const& field : event.fields())
+            fields[std::string(field.key)] = field.value;
+        if (event.id() == EventId::JobEnded)
+            ended[fields["job"]] = fields;
+    }
+    CHECK(ended["first"]["tasks"] == "4");
+    CHECK(ended["first"]["coreMs"] == "4000");
+    CHECK(ended["first"]["starts"] == "4");
+    CHECK(ended["first"]["passedByLaterJobs"] == "0");
+    CHECK(ended["second"]["taskMilliCores"] == "2000");
+    CHECK(ended["second"]["passedByLowerRank"] == "0");
+    CHECK(std::stoi(ended["second"]["firstStartMs"]) >= 900);
+    CHECK(std::stoi(ended["second"]["lastStartMs"]) >= std::stoi(ended["second"]["firstStartMs"]));
+    CHECK(bench.leader().scheduler().counters().jobEnds.at({ 1, JobOutcome::Late }) == 1);
+    CHECK(bench.leader().scheduler().activeJobsBySize() == std::array<size_t, sizeClassCount> {});
+}
+
 TEST_CASE("a submission is answered as accepted only once it is committed")
 {
     JobBench bench(2);
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -30,20 +30,23 @@
     this->placer.beginPass(now);
     std::vector<ReadyStage> ready = this->collectReadyStages(now);
     std::stable_sort(ready.begin(), ready.end(), [](ReadyStage const& left, ReadyStage const& right) { return left.rank < right.rank; });
+    std::vector<StagePlacement> placements;
     size_t placed = 0;
     for (auto const& stage : ready) {
-        placed += this->placeStage(stage, now);
+        placements.push_back(this->placeStage(stage, now));
+        placed += placements.back().starts;
         if (placed >= this->limits.maxStartsPerPass)
             break;
     }
+    countPassedOver(ready, placements, [this](JobId const& job, PassedOver const& count) { this->activeJobs.at(job).progress.passedOver += count; });
     this->isPassNeeded = this->isPassNeeded || placed >= this->limits.maxStartsPerPass;
 }
 
 std::vector<ReadyStage> JobScheduler::collectReadyStages(TimePoint now)
 {
     std::vector<ReadyStage> ready;
-    for (auto const& [id, objective] : this->activeObjectives)
-        this->collectReadyStagesOf(*this->jobTable.find(id), objective, now, ready);
+    for (auto const& [id, active] : this->activeJobs)
+        this->collectReadyStagesOf(*this->jobTable.find(id), active.objective, now, ready);
     return ready;
 }
 
@@ -58,7 +61,7 @@
         for (uint32_t stage = 0; stage < occurrence.stages.size(); stage++) {
             if (!occurrence.stages[stage].waitingCount || !job.isStageReady(occurrence, stage))
                 continue;
-            ready.push_back({ &job, number, stage, rankOf(job, stage, objective, acceptedAt, now) });
+            ready.push_back({ &job, number, stage, rankOf(job, stage, objective, acceptedAt, now), acceptedAt });
         }
     }
 }
@@ -80,15 +83,15 @@
     return request;
 }
 
-size_t JobScheduler::placeStage(ReadyStage const& ready, TimePoint now)
+StagePlacement JobScheduler::placeStage(ReadyStage const& ready, TimePoint now)
 {
     PlacementRequest request = this->requestFor(ready, now);
+    StagePlacement placement;
     if (!this->preparePermits(ready, request))
-        return 0;
+        return placement;
     if (request.stage->isGang)
         return this->placeGang(ready, request, now);
     auto const& tasks = ready.job->occurrences.at(ready.occurrence).stages[ready.stage].tasks;
-    size_t placed = 0;
     std::array<bool, 2> hasNoRoom {}; // By isRestart.
     for (uint32_t index = 0; index < tasks.size(); index++) {
         request.task.index = index;
@@ -101,16 +104,18 @@
         WorkerView* worker = this->placer.choose(request, now);
         if (!worker) {
             hasNoRoom[isRestart] = true;
+            placement.lacksWorker = true;
             continue;
         }
         this->decideStart(*worker, { request.task, tasks[index].lastAttempt.next(), worker->profile.id }, ready, now);
-        placed++;
+        placement.starts++;
     }
-    if (placed || !request.stage->isBestEffort)
-        return placed;
+    if (placement.starts || !request.stage->isBestEffort)
+        return placement;
     bool const isIdle = std::all_of(tasks.begin(), tasks.end(), [](auto const& task) { return task.liveAttempts.empty(); });
     bool const canStartThrottled = isIdle || this->placer.reservedShare(request.service) < lowReservedShare;
-    return canStartThrottled && this->startThrottled(ready, request, now) ? 1 : 0;
+    placement.starts = canStartThrottled && this->startThrottled(ready, request, now) ? 1 : 0;
+    return placement;
 }
 
 /// For a stage that found no room beside the services that its image interferes with: after a delay, starts one
@@ -180,12 +185,12 @@
 
 /// Starts all members or none. A stage that prefers one rack starts on workers of several racks only once its
 /// estimated run time has passed since the job's acceptance.
-size_t JobScheduler::placeGang(ReadyStage const& ready, PlacementRequest request, TimePoint now)
+StagePlacement JobScheduler::placeGang(ReadyStage const& ready, PlacementRequest request, TimePoint now)
 {
     auto const& tasks = ready.job->occurrences.at(ready.occurrence).stages[ready.stage].tasks;
     bool const isAllWaiting = std::all_of(tasks.begin(), tasks.end(), [](auto const& task) { return task.isWaiting(); });
     if (!isAllWaiting || this->proposedTasks.count(request.task))
-        return 0;
+        return {};
     std::vector<CommitStart> placed;
     bool isPlaced = false;
     if (request.stage->prefersOneRack) {
@@ -204,10 +209,10 @@
     if (!isPlaced && !isWaitingForRack)
         isPlaced = this->chooseGangWorkers(ready, request, now, placed);
     if (!isPlaced)
-        return 0;
+        return { 0, true };
     for (auto const& start : placed)
         this->decideStart(*this->dispatch.findWorker(start.worker), start, ready, now);
-    return placed.size();
+    return { placed.size(), false };
 }
 
 bool JobScheduler::chooseGangWorkers(ReadyStage const& ready, PlacementRequest const& request, TimePoint now, std::vector<CommitStart>& placed)
@@ -233,7 +238,8 @@
 
 void JobScheduler::decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now, std::optional<unsigned> startSpeedPercent)
 {
-    JobObjective const& objective = this->objectiveFor(*ready.job);
+    auto& [objective, progress] = this->activeJob(*ready.job);
+    Duration const sinceAccepted = now - objective.acceptedAt;
     this->events.emit(Event(EventId::TaskPlaced)
                           .with("task", start.task.text())
                           .with("attempt", start.attempt)
@@ -242,7 +248,7 @@
                           .with("freeMilliCores", worker.freeResources().milliCores)
                           .with("tailPercent", static_cast<int>(worker.tailRatio * 100))
                           .with("speedPercent", startSpeedPercent.value_or(fullSpeedPercent))
-                          .with("sinceAcceptedMs", now - objective.acceptedAt)
+                          .with("sinceAcceptedMs", sinceAccepted)
                           .with("objectiveMs", objective.latencyObjective)
                           .with("lateness", ready.rank.lateness));
     this->dispatch.reserve(worker, start.task, start.attempt, startSpeedPercent);
@@ -250,7 +256,10 @@
     this->pendingUpdates.emplace_back(start);
     this->waitingSince.erase({ start.task.job, start.task.occurrence, start.task.stage, 0 });
     this->schedulerCounters.startsDecided++;
-    this->schedulerCounters.placeLatency.observe(now - objective.acceptedAt);
+    this->schedulerCounters.placeLatency.observe(sinceAccepted);
+    progress.firstStart = progress.starts ? progress.firstStart : sinceAccepted;
+    progress.lastStart = sinceAccepted;
+    progress.starts++;
 }
 
 } // namespace cornelpond
