--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -32,6 +32,15 @@
     auto const unfinished = scheduler.activeJobsBySize();
     for (size_t sizeClass = 0; sizeClass < unfinished.size(); sizeClass++)
         metrics.setGauge("jobsUnfinished{coreSeconds=\"" + sizeLabel(sizeClass) + "\"}", static_cast<int64_t>(unfinished.at(sizeClass)));
+    RoomSummary const room = scheduler.room();
+    metrics.setGauge("capacityMilliCores", room.capacityMilliCores);
+    metrics.setGauge("reservedMilliCores", room.reservedMilliCores);
+    metrics.setGauge("serviceMilliCores", room.serviceMilliCores);
+    for (size_t i = 0; i < summarizedNeedsCores.size(); i++) {
+        std::string const label = "{cores=\"" + std::to_string(summarizedNeedsCores.at(i)) + "\"}";
+        metrics.setGauge("freePlaces" + label, room.freePlaces.at(i));
+        metrics.setGauge("placesBesideServices" + label, room.placesBesideServices.at(i));
+    }
     metrics.setHistogram("submitLatencyMs", counters.submitLatency);
     metrics.setHistogram("placeLatencyMs", counters.placeLatency);
     metrics.setHistogram("completionLatencyMs", counters.completionLatency);
--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -68,6 +68,7 @@
     OrderFailed = 337,
     JobCancelled = 338,
     AttemptConcluded = 339,
+    RoomReported = 340,
     LeaderElected = 400,
     LeaderLost = 401,
     JournalOpened = 402,
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -14,6 +14,7 @@
     /// A pass runs at least this often, for conditions that change with time alone.
     constexpr Duration maxPassInterval = Duration::milliseconds(100);
     constexpr Duration slowCheckInterval = Duration::milliseconds(250);
+    constexpr Duration roomReportInterval = Duration::seconds(1);
     /// A task that saves a checkpoint when stopped is stopped this long before its worker leaves.
     constexpr Duration evacuationLeadTime = Duration::milliseconds(900);
     /// Upper bound on the wait assumed for a job of an earlier leader, however far the wall clocks differ.
@@ -404,6 +405,8 @@
         this->evacuateDrainingWorkers();
         this->moveThrottledTasks();
         this->forgetEndedJobs();
+        if (this->hasLackedWorker && now >= this->nextRoomReport)
+            this->reportRoom();
     }
     if (this->isPassNeeded || now >= this->nextPass) {
         this->nextPass = now + maxPassInterval;
@@ -414,6 +417,26 @@
     this->proposeUpdates();
 }
 
+void JobScheduler::reportRoom()
+{
+    this->nextRoomReport = this->clock.now() + roomReportInterval;
+    this->hasLackedWorker = false;
+    RoomSummary const room = this->room();
+    this->events.emit(Event(EventId::RoomReported)
+                          .with("workers", room.workerCount)
+                          .with("capacityMilliCores", room.capacityMilliCores)
+                          .with("reservedMilliCores", room.reservedMilliCores)
+                          .with("serviceMilliCores", room.serviceMilliCores)
+                          .with("places1", room.freePlaces[0])
+                          .with("places2", room.freePlaces[1])
+                          .with("places4", room.freePlaces[2])
+                          .with("places8", room.freePlaces[3])
+                          .with("placesBesideServices1", room.placesBesideServices[0])
+                          .with("placesBesideServices2", room.placesBesideServices[1])
+                          .with("placesBesideServices4", room.placesBesideServices[2])
+                          .with("placesBesideServices8", room.placesBesideServices[3]));
+}
+
 void JobScheduler::proposeUpdates()
 {
     if (this->pendingUpdates.empty())
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -14,6 +14,7 @@
 #include "cornelpond/core/base/Histogram.h"
 #include "cornelpond/core/dispatch/Dispatcher.h"
 #include "cornelpond/core/placement/InterferenceModel.h"
+#include "cornelpond/core/placement/RoomSummary.h"
 #include "cornelpond/core/placement/TaskPlacer.h"
 #include "cornelpond/core/queueing/JobProgress.h"
 #include "cornelpond/core/queueing/StageRank.h"
@@ -120,6 +121,7 @@
     size_t activeJobCount() const { return this->activeJobs.size(); }
     /// Accepted jobs that have not ended, by size class; without service jobs. Zeros on a follower.
     std::array<size_t, sizeClassCount> activeJobsBySize() const;
+    RoomSummary room() const { return summarizeRoom(this->dispatch.workers(), this->clock.now(), this->times); }
 
 private:
     JobTableHooks tableHooks();
@@ -163,6 +165,7 @@
     static bool hasStoppingBestEffortTask(WorkerView const& worker);
     void updateWorkerThrottle(WorkerView& worker, TimePoint now);
     void proposeUpdates();
+    void reportRoom();
 
     Clock const& clock;
     EventSink& events;
@@ -188,6 +191,8 @@
     bool isPassNeeded = false; ///< Something changed, so that waiting tasks may find a worker.
     TimePoint nextPass;
     TimePoint nextSlowCheck;
+    bool hasLackedWorker = false; ///< A task found no worker since the room was last reported.
+    TimePoint nextRoomReport;
     SchedulerCounters schedulerCounters;
 };
 
--- a/cornelpond/core/scheduling/JobServiceTest.cpp
+++ b/cornelpond/core/scheduling/JobServiceTest.cpp
@@ -36,12 +36,13 @@
     checkNoViolations(bench.fleet.record());
 }
 
-TEST_CASE("the log line of an ended job tells its size, its starts and the starts that passed it over")
+TEST_CASE("the log tells the size of an ended job, its starts, the starts that passed it over and the room while it waited")
 {
     JobBench bench(1);
     bench.addWorkers(1, 4000);
     bench.submit(makeJob("first", 4, 1000, second));
     bench.run(Duration::milliseconds(50));
+    CHECK(bench.events.count(EventId::RoomReported) == 0);
     bench.submit(makeJob("second", 2, 2000, second));
     REQUIRE(bench.runUntilIdle(second * 10));
     std::map<std::string, std::map<std::string, std::string>> ended;
@@ -52,6 +53,7 @@
         if (event.id() == EventId::JobEnded)
             ended[fields["job"]] = fields;
     }
+    CHECK(bench.events.count(EventId::RoomReported) >= 1);
     CHECK(ended["first"]["tasks"] == "4");
     CHECK(ended["first"]["coreMs"] == "4000");
     CHECK(ended["first"]["starts"] == "4");
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -35,6 +35,7 @@
     for (auto const& stage : ready) {
         placements.push_back(this->placeStage(stage, now));
         placed += placements.back().starts;
+        this->hasLackedWorker = this->hasLackedWorker || placements.back().lacksWorker;
         if (placed >= this->limits.maxStartsPerPass)
             break;
     }
