--- a/testing/fakes/JobBench.cpp
+++ b/testing/fakes/JobBench.cpp
@@ -38,11 +38,12 @@
     , group(hosts, this->random)
     , fleet(this->clock, this->random)
     , services(hosts)
+    , queues(benchQueues())
 {
     for (size_t host = 0; host < hosts; host++)
         this->startService(host);
     this->elect(0);
-    this->leader().replaceQueues(benchQueues(), [](CallResult) {});
+    this->leader().replaceQueues(this->queues, [](CallResult) {});
     this->run(step * 2);
 }
 
@@ -85,10 +86,9 @@
     this->run(Duration::milliseconds(200));
 }
 
-QueueSpec JobBench::queueOf(JobSpec const& job) const
+QueueSpec const& JobBench::queueOf(JobSpec const& job) const
 {
-    std::vector<QueueSpec> const queues = benchQueues().queues;
-    return job.stages.front().isBestEffort ? queues[1] : queues[0];
+    return this->queues.queues[job.stages.front().isBestEffort ? 1 : 0];
 }
 
 void JobBench::submit(JobSpec const& job, double runTimeFactor)
--- a/testing/fakes/JobBench.h
+++ b/testing/fakes/JobBench.h
@@ -39,6 +39,8 @@
     bool runUntilIdle(Duration bound);
 
     JobService& leader() { return *this->services[this->group.leader()]; }
+    /// The queue that `submit` puts the job into.
+    QueueSpec const& queueOf(JobSpec const& job) const;
     JobRecord const* find(JobId const& job) { return this->leader().scheduler().jobs().find(job); }
     JobState state(JobId const& job) { return this->find(job)->state; }
     /// Time from the first submission to the end of the job as the leader records it; infinite if it has not ended.
@@ -58,8 +60,8 @@
     void tick();
     void announceWorkers();
     void startService(size_t host);
-    QueueSpec queueOf(JobSpec const& job) const;
 
+    QueueConfig queues;
     std::map<JobId, TimePoint> submittedAt;
     std::map<JobId, TimePoint> endedAt;
     TimePoint nextAnnouncement;
