Hold a worker for a short task that finds none

Callers saw: of the jobs of short tasks, those with large needs in cores wait longest, however few their tasks are.

Cause: when the first stage in order finds no worker with enough free cores, stages behind it take each gap as it appears, so that a large gap never forms. Class: backfill without a reservation for the head of the queue.

Change: a stage that finds no worker and is not too late holds the worker with the most free cores on which it would fit without other short tasks; stages behind it do not get that worker in this pass.

Test: 'a task with a large need is not passed by small tasks that rank behind it' (failed before: the large task never started).

Tried: holding for a quarter or a half of the workers only (less gain).

--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -35,10 +35,15 @@
 void WorkerView::updateTotals(PlacedAttempt const& attempt, int direction)
 {
     Resources const amount = attempt.reserved();
-    if (direction > 0)
+    bool const isShort = !attempt.isService() && !attempt.isBestEffort();
+    Resources const shortAmount = isShort ? amount : Resources();
+    if (direction > 0) {
         this->reserved += amount;
-    else
+        this->shortTaskReserved += shortAmount;
+    } else {
         this->reserved -= amount;
+        this->shortTaskReserved -= shortAmount;
+    }
     int64_t const milliCores = attempt.stage->need.milliCores * direction;
     if (attempt.isBestEffort() && !attempt.isThrottledStart)
         this->bestEffortImages.add(attempt.image, attempt.stage->need.milliCores, direction);
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -140,6 +140,7 @@
     std::map<AttemptKey, OrphanedAttempt> orphanedAttempts; ///< Removed once the worker no longer lists them and cannot start them any more.
     Resources reserved;
     int64_t serviceMilliCores = 0; ///< Reserved by service tasks.
+    Resources shortTaskReserved; ///< By tasks that are neither service tasks nor best-effort.
     ImageLoads serviceImages; ///< Placed service tasks with a latency target, by image.
     ImageLoads bestEffortImages; ///< Placed best-effort tasks except throttled starts, by image.
     unsigned throttledStartCount = 0; ///< Placed attempts with isThrottledStart.
--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -25,12 +25,20 @@
         return !hasConstraints && !request.canStartThrottled && request.requiredRack.empty();
     }
 
+    /// True for a task that ends soon and whose cores are reserved.
+    bool isShort(StageSpec const& stage)
+    {
+        return !stage.isService && !stage.isBestEffort;
+    }
+
 } // namespace
 
 void TaskPlacer::beginPass(TimePoint now)
 {
     this->reserve.beginPass(now);
     this->failedRequests.clear();
+    this->heldWorkers.clear();
+    this->holdCandidates.clear();
     this->reservedShares.clear();
     this->harmlessImageShares.clear();
     for (auto const& [id, worker] : this->workers) {
@@ -106,7 +114,8 @@
     return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-bool TaskPlacer::fits(WorkerView const& worker, PlacementRequest const& request, TimePoint now) const
+/// True when nothing but the free resources stands against the worker.
+bool TaskPlacer::isAllowed(WorkerView const& worker, PlacementRequest const& request, TimePoint now) const
 {
     StageSpec const& stage = *request.stage;
     if (!isEligible(worker, request) || !worker.canTakeTasks(now, this->times))
@@ -117,14 +126,45 @@
         return false;
     if (!request.canLeaveDataRack && worker.profile.rack != stage.dataRack)
         return false;
-    Resources need = stage.need;
-    if (stage.isBestEffort)
+    return !stage.maxTasksPerWorker || worker.countTasksOfStage(request.task) < stage.maxTasksPerWorker;
+}
+
+bool TaskPlacer::fits(WorkerView const& worker, PlacementRequest const& request, TimePoint now) const
+{
+    Resources need = request.stage->need;
+    if (request.stage->isBestEffort)
         need.milliCores = 0;
     if (!need.fitsIn(worker.freeResources()))
         return false;
-    if (stage.maxTasksPerWorker && worker.countTasksOfStage(request.task) >= stage.maxTasksPerWorker)
-        return false;
-    return true;
+    return !(isShort(*request.stage) && this->heldWorkers.count(&worker)) && this->isAllowed(worker, request, now);
+}
+
+void TaskPlacer::holdWorkerFor(PlacementRequest const& request, TimePoint now)
+{
+    if (!isShort(*request.stage))
+        return;
+    for (auto const* worker : this->holdCandidatesOf(request.service)) {
+        Resources besideLongTasks = worker->freeResources();
+        besideLongTasks += worker->shortTaskReserved;
+        if (this->heldWorkers.count(worker) || !request.stage->need.fitsIn(besideLongTasks) || !this->isAllowed(*worker, request, now))
+            continue;
+        this->heldWorkers.insert(worker);
+        return;
+    }
+}
+
+std::vector<WorkerView const*> const& TaskPlacer::holdCandidatesOf(ServiceId const& service)
+{
+    auto const [known, isNew] = this->holdCandidates.try_emplace(service);
+    std::vector<WorkerView const*>& candidates = known->second;
+    if (!isNew)
+        return candidates;
+    for (auto const& [id, worker] : this->workers) {
+        if (worker.profile.service == service && (worker.shortTaskReserved.milliCores || worker.freeResources().milliCores > 0))
+            candidates.push_back(&worker);
+    }
+    std::sort(candidates.begin(), candidates.end(), [](auto const* left, auto const* right) { return left->freeResources().milliCores > right->freeResources().milliCores; });
+    return candidates;
 }
 
 /// For best-effort tasks: true when enough cores are unused and the task would interfere with no service there, unless
--- a/cornelpond/core/placement/TaskPlacer.h
+++ b/cornelpond/core/placement/TaskPlacer.h
@@ -46,6 +46,10 @@
     /// Null when no worker fits now. The caller reserves the room before the next call.
     WorkerView* choose(PlacementRequest const& request, TimePoint now);
 
+    /// Keeps one worker for a short task that found none: the one with the most cores free among those where it fits
+    /// once other short tasks end. Later requests of this pass, which rank behind, do not get it.
+    void holdWorkerFor(PlacementRequest const& request, TimePoint now);
+
     /// Reserved share of the cores of the service's workers, as of the first call for the service in this pass; 1
     /// without workers.
     double reservedShare(ServiceId const& service);
@@ -64,7 +68,9 @@
     /// By service image: the number of workers on which a best-effort image runs beside it.
     using TrialCounts = std::map<ImageId, unsigned>;
 
+    bool isAllowed(WorkerView const& worker, PlacementRequest const& request, TimePoint now) const;
     bool fits(WorkerView const& worker, PlacementRequest const& request, TimePoint now) const;
+    std::vector<WorkerView const*> const& holdCandidatesOf(ServiceId const& service);
     bool canShareWorker(WorkerView const& worker, PlacementRequest const& request, TrialCounts const& trialWorkers, TimePoint now) const;
     static bool isEligible(WorkerView const& worker, PlacementRequest const& request);
     bool canRunBestEffort(WorkerView const& worker, PlacementRequest const& request, TrialCounts const& trialWorkers, TimePoint now) const;
@@ -90,6 +96,8 @@
 
     std::map<WorkerId, WorkerView>& workers;
     std::vector<FailedRequest> failedRequests;
+    std::set<WorkerView const*> heldWorkers; ///< In this pass.
+    std::map<ServiceId, std::vector<WorkerView const*>> holdCandidates; ///< Workers with short tasks or free cores, most free first; filled at need.
     std::map<ServiceId, double> reservedShares;
     std::map<ImageId, double> harmlessImageShares; ///< By service image on any worker as the pass began: the share of best-effort images that hardly interfere with it.
     InterferenceModel const& interference;
--- a/cornelpond/core/queueing/StageRank.h
+++ b/cornelpond/core/queueing/StageRank.h
@@ -30,6 +30,8 @@
     unsigned lateness = 0; ///< 0: in time, 1: late, 2: too late to be useful.
     TimePoint dueAt;
 
+    /// False for a job that is too late.
+    bool isUseful() const { return this->lateness < 2; }
     bool operator<(StageRank const& other) const;
 };
 
--- a/cornelpond/core/scheduling/JobSizesTest.cpp
+++ b/cornelpond/core/scheduling/JobSizesTest.cpp
@@ -202,6 +202,22 @@
     CHECK(!running.empty());
 }
 
+TEST_CASE("sizes: a task with a large need is not passed by small tasks that rank behind it")
+{
+    JobBench bench(1);
+    bench.addWorkers(1, 4000);
+    JobSpec const large = makeJob("large", 1, 4000, second);
+    constexpr int intervals = 50;
+    for (int i = 0; i < intervals; i++) {
+        if (i == 10)
+            bench.submit(large);
+        // Each asks for a core and ends after half a second, but is due later than the large one.
+        bench.submit(makeJob("small" + std::to_string(i), 1, 1000, second * 3), 1.0 / 6);
+        bench.run(Duration::milliseconds(100));
+    }
+    CHECK(bench.turnaroundTime(large.id) <= objectiveOf(large, &bench.queueOf(large), TimePoint()).latencyObjective);
+}
+
 TEST_CASE("sizes: large jobs are served while short tasks ask for more than there is")
 {
     auto const seed = GENERATE(as<uint64_t> {}, 1, 2, 3, 4, 5, 6);
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -124,6 +124,8 @@
         WorkerView* worker = this->placer.choose(request, now);
         if (!worker) {
             hasNoRoom[request.isRestart][request.canUseReserve] = true;
+            if (!placement.lacksWorker && ready.rank.isUseful())
+                this->placer.holdWorkerFor(request, now);
             placement.lacksWorker = true;
             continue;
         }
