A late job of which most has started stays with those in time

Callers saw: large jobs start early, miss their objective and then wait, part done, until nobody counts them any more.

Cause: a stage that can no longer finish in time ranks behind all that can. A large job gets workers bit by bit, so it misses its objective while part of it has run; from then on every job that comes later goes first, and what it has done is lost. Class: priority that ignores work already done.

Change: a late job of which at most half waits keeps its place by due time.

--- a/cornelpond/core/queueing/StageRank.cpp
+++ b/cornelpond/core/queueing/StageRank.cpp
@@ -19,6 +19,20 @@
         return paths;
     }
 
+    /// True when at most half of the occurrence's estimated work waits for workers.
+    bool hasMostlyStarted(JobRecord const& job, OccurrenceRecord const& occurrence)
+    {
+        int64_t all = 0;
+        int64_t waiting = 0;
+        for (size_t i = 0; i < occurrence.stages.size(); i++) {
+            StageSpec const& stage = job.spec.stages[i];
+            int64_t const taskWork = stage.need.milliCores * stage.estimatedRunTime.toMilliseconds();
+            all += taskWork * static_cast<int64_t>(stage.taskCount);
+            waiting += taskWork * static_cast<int64_t>(occurrence.stages[i].waitingCount);
+        }
+        return waiting * 2 <= all;
+    }
+
 } // namespace
 
 bool StageRank::operator<(StageRank const& other) const
@@ -38,7 +52,7 @@
     return objective;
 }
 
-StageRank rankOf(JobRecord const& job, uint32_t stage, JobObjective const& objective, TimePoint acceptedAt, TimePoint now)
+StageRank rankOf(JobRecord const& job, OccurrenceRecord const& occurrence, uint32_t stage, JobObjective const& objective, TimePoint acceptedAt, TimePoint now)
 {
     StageRank rank;
     if (job.spec.stages[stage].isService) {
@@ -51,7 +65,7 @@
     rank.dueAt = due;
     if (finish > acceptedAt + objective.latencyObjective * tooLateFactor)
         rank.lateness = 2;
-    else if (finish > due)
+    else if (finish > due && !hasMostlyStarted(job, occurrence))
         rank.lateness = 1;
     return rank;
 }
--- a/cornelpond/core/queueing/StageRank.h
+++ b/cornelpond/core/queueing/StageRank.h
@@ -3,7 +3,8 @@
 // Ranks ready stages: the order in which they are placed on workers.
 //
 // Designed for: bursts of long jobs beside short urgent ones, and overload. Stages that can still finish in time come
-// before those that are already late; those so late that nobody waits for the result any more come last.
+// before those that are already late; those so late that nobody waits for the result any more come last. Late jobs of
+// which most has started stay with those in time: a job needs all its tasks, and large jobs get workers bit by bit.
 //
 // Example:
 //   std::sort(ready.begin(), ready.end(), [](auto const& a, auto const& b) { return a.rank < b.rank; });
@@ -27,7 +28,7 @@
 /// Lower ranks are placed first.
 struct StageRank {
     unsigned priorityBand = 0; ///< 0 for service tasks, else 1 plus the job's priority.
-    unsigned lateness = 0; ///< 0: in time, 1: late, 2: too late to be useful.
+    unsigned lateness = 0; ///< 0: in time, or late and mostly started; 1: late; 2: too late to be useful.
     TimePoint dueAt;
 
     /// False for a job that is too late.
@@ -48,7 +49,8 @@
 /// target; without a queue, the longest critical path. The job must have a stage.
 JobObjective objectiveOf(JobSpec const& job, QueueSpec const* queue, TimePoint acceptedAt);
 
-/// `acceptedAt`: when the job was accepted, or when the scheduled occurrence was due.
-StageRank rankOf(JobRecord const& job, uint32_t stage, JobObjective const& objective, TimePoint acceptedAt, TimePoint now);
+/// `occurrence`: the one that the stage belongs to. `acceptedAt`: when the job was accepted, or when the scheduled
+/// occurrence was due.
+StageRank rankOf(JobRecord const& job, OccurrenceRecord const& occurrence, uint32_t stage, JobObjective const& objective, TimePoint acceptedAt, TimePoint now);
 
 } // namespace cornelpond
