Hold workers for a gang that finds none

The same cause elsewhere: a gang starts all its members or none and, without room held for it, waits while small tasks behind it take each gap.

Test: 'a gang is not passed by small tasks that rank behind it', fails without the change (the gang never starts).

Besides: the wait of a service task counts from its first end, not from a repeated one, and what waits is summed for the report instead of in each pass.

--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -249,11 +249,13 @@
     this->isPassNeeded = true;
 }
 
+/// Notes since when a service task that ran waits for a worker.
 void JobScheduler::noteServiceTaskEnd(TaskRef const& task)
 {
     JobRecord const* job = this->jobTable.find(task.job);
-    if (job && job->state == JobState::Active && job->spec.stages[task.stage].isService)
-        this->serviceTaskEnds[task] = this->clock.now();
+    TaskRecord const* record = this->jobTable.findTask(task);
+    if (record && record->isWaiting() && job->state == JobState::Active && job->spec.stages[task.stage].isService)
+        this->serviceTaskEnds.try_emplace(task, this->clock.now());
 }
 
 /// A gang makes progress only with all its members: once one is gone, the others would wait in vain until they
@@ -447,12 +449,21 @@
     this->proposeUpdates();
 }
 
+/// Cores of the service tasks that have run before and wait for a worker.
+int64_t JobScheduler::waitingRestartMilliCores() const
+{
+    int64_t milliCores = 0;
+    for (auto const& [task, since] : this->serviceTaskEnds)
+        milliCores += this->jobTable.find(task.job)->spec.stages[task.stage].need.milliCores;
+    return milliCores;
+}
+
 void JobScheduler::reportRoom()
 {
     this->nextRoomReport = this->clock.now() + roomReportInterval;
     this->hasLackedWorker = false;
     RoomSummary const room = this->room();
-    int64_t const waitingMilliCores = std::accumulate(this->waitingRestarts.begin(), this->waitingRestarts.end(), int64_t(0), [](int64_t sum, auto const& waiting) { return sum + waiting.second; });
+    int64_t const waitingMilliCores = this->waitingRestartMilliCores();
     this->events.emit(Event(EventId::RoomReported)
                           .with("workers", room.workerCount)
                           .with("capacityMilliCores", room.capacityMilliCores)
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -151,7 +151,7 @@
     void collectReadyStagesOf(JobRecord const& job, JobObjective const& objective, TimePoint now, std::vector<ReadyStage>& ready);
     StagePlacement placeStage(ReadyStage const& ready, TimePoint now);
     bool hasWaitedLong(TaskRef const& task, TimePoint now) const;
-    std::map<ServiceId, int64_t> waitingServiceRestarts(Span<ReadyStage const> ready) const;
+    int64_t waitingRestartMilliCores() const;
     void updateShortTaskNeeds();
     void updateIdleWindows();
     StagePlacement placeGang(ReadyStage const& ready, PlacementRequest request, TimePoint now);
@@ -189,8 +189,7 @@
 
     std::map<JobId, ActiveJob> activeJobs; ///< Kept on the leader only.
     std::map<TaskRef, TimePoint> waitingSince; ///< Best-effort stages that found no room, by their first task.
-    std::map<ServiceId, int64_t> waitingRestarts; ///< As of the last pass: cores of service tasks that have run before and wait for a worker.
-    std::map<TaskRef, TimePoint> serviceTaskEnds; ///< When the last attempt of a waiting service task ended; unknown after a change of leader.
+    std::map<TaskRef, TimePoint> serviceTaskEnds; ///< When the last attempt of a waiting service task ended. Under an earlier leader: not listed.
     std::set<TaskRef> proposedTasks; ///< Tasks whose start is being committed.
     std::map<WorkerId, std::pair<int64_t, uint64_t>> lastSequences; ///< By worker: when its incarnation was born (ms) and the sequence of its last announcement.
     std::map<WorkerId, TimePoint> drainEnds;
--- a/cornelpond/core/scheduling/JobSizesTest.cpp
+++ b/cornelpond/core/scheduling/JobSizesTest.cpp
@@ -218,6 +218,22 @@
     CHECK(bench.turnaroundTime(large.id) <= objectiveOf(large, &bench.queueOf(large), TimePoint()).latencyObjective);
 }
 
+TEST_CASE("sizes: a gang is not passed by small tasks that rank behind it")
+{
+    JobBench bench(1);
+    bench.addWorkers(2, 4000);
+    JobSpec gang = makeJob("gang", 2, 3000, second);
+    gang.stages[0].isGang = true;
+    constexpr int intervals = 50;
+    for (int i = 0; i < intervals; i++) {
+        if (i == 10)
+            bench.submit(gang);
+        bench.submit(makeJob("small" + std::to_string(i), 2, 1000, second * 3), 1.0 / 6);
+        bench.run(Duration::milliseconds(100));
+    }
+    CHECK(bench.turnaroundTime(gang.id) <= objectiveOf(gang, &bench.queueOf(gang), TimePoint()).latencyObjective);
+}
+
 TEST_CASE("sizes: large jobs are served while short tasks ask for more than there is")
 {
     auto const seed = GENERATE(as<uint64_t> {}, 1, 2, 3, 4, 5, 6);
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -33,7 +33,6 @@
     this->placer.beginPass(now);
     std::vector<ReadyStage> ready = this->collectReadyStages(now);
     std::stable_sort(ready.begin(), ready.end(), [](ReadyStage const& left, ReadyStage const& right) { return left.rank < right.rank; });
-    this->waitingRestarts = this->waitingServiceRestarts(ready);
     std::vector<StagePlacement> placements;
     size_t placed = 0;
     for (auto const& stage : ready) {
@@ -47,21 +46,6 @@
     this->isPassNeeded = this->isPassNeeded || placed >= this->limits.maxStartsPerPass;
 }
 
-/// Cores of the service tasks that have run before and wait for a worker.
-std::map<ServiceId, int64_t> JobScheduler::waitingServiceRestarts(Span<ReadyStage const> ready) const
-{
-    std::map<ServiceId, int64_t> milliCores;
-    for (auto const& stage : ready) {
-        StageSpec const& spec = stage.job->spec.stages[stage.stage];
-        if (!spec.isService)
-            continue;
-        auto const& tasks = stage.job->occurrences.at(stage.occurrence).stages[stage.stage].tasks;
-        auto const waiting = std::count_if(tasks.begin(), tasks.end(), [](TaskRecord const& task) { return task.isWaiting() && task.lastAttempt > AttemptNumber(); });
-        milliCores[stage.job->service] += waiting * spec.need.milliCores;
-    }
-    return milliCores;
-}
-
 std::vector<ReadyStage> JobScheduler::collectReadyStages(TimePoint now)
 {
     std::vector<ReadyStage> ready;
@@ -212,7 +196,7 @@
     return true;
 }
 
-/// Starts all members or none. A stage that prefers one rack starts on workers of several racks only once its
+/// Starts all members or none, and holds a worker for each while there is no room for all. A stage that prefers one rack starts on workers of several racks only once its
 /// estimated run time has passed since the job's acceptance.
 StagePlacement JobScheduler::placeGang(ReadyStage const& ready, PlacementRequest request, TimePoint now)
 {
@@ -237,8 +221,11 @@
     bool const isWaitingForRack = request.stage->prefersOneRack && now - this->objectiveFor(*ready.job).acceptedAt < request.stage->estimatedRunTime;
     if (!isPlaced && !isWaitingForRack)
         isPlaced = this->chooseGangWorkers(ready, request, now, placed);
-    if (!isPlaced)
+    if (!isPlaced) {
+        for (size_t member = 0; member < tasks.size() && ready.rank.isUseful(); member++)
+            this->placer.holdWorkerFor(request, now);
         return { 0, true };
+    }
     for (auto const& start : placed)
         this->decideStart(*this->dispatch.findWorker(start.worker), start, ready, now);
     return { placed.size(), false };
