--- a/cornelpond/core/queueing/JobProgress.h
+++ b/cornelpond/core/queueing/JobProgress.h
@@ -5,7 +5,7 @@
 // Example:
 //   JobProgress progress;
 //   progress.size = sizeOf(job.spec);
-//   countPassedOver(placements, [&](JobId const& job, PassedOver const& count) { jobs[job].passedOver += count; });
+//   countPassedOver(ready, placements, [&](JobId const& job, PassedOver const& count) { progressOf(job).passedOver += count; });
 
 #include "cornelpond/core/base/Span.h"
 #include "cornelpond/core/queueing/StageRank.h"
--- a/cornelpond/core/queueing/StageRank.cpp
+++ b/cornelpond/core/queueing/StageRank.cpp
@@ -64,9 +64,9 @@
     TimePoint const finish = now + objective.criticalPaths[stage];
     rank.dueAt = due;
     if (finish > acceptedAt + objective.latencyObjective * tooLateFactor)
-        rank.lateness = 2;
+        rank.lateness = StageRank::Lateness::TooLate;
     else if (finish > due && !hasMostlyStarted(job, occurrence))
-        rank.lateness = 1;
+        rank.lateness = StageRank::Lateness::Late;
     return rank;
 }
 
--- a/cornelpond/core/queueing/StageRank.h
+++ b/cornelpond/core/queueing/StageRank.h
@@ -28,11 +28,17 @@
 /// Lower ranks are placed first.
 struct StageRank {
     unsigned priorityBand = 0; ///< 0 for service tasks, else 1 plus the job's priority.
-    unsigned lateness = 0; ///< 0: in time, or late and mostly started; 1: late; 2: too late to be useful.
+    /// Bands within a priority.
+    enum class Lateness : uint8_t {
+        InTime, ///< Or late, but mostly started.
+        Late,
+        TooLate, ///< To be useful.
+    };
+
+    Lateness lateness = Lateness::InTime;
     TimePoint dueAt;
 
-    /// False for a job that is too late.
-    bool isUseful() const { return this->lateness < 2; }
+    bool isUseful() const { return this->lateness != Lateness::TooLate; }
     bool operator<(StageRank const& other) const;
 };
 
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -132,6 +132,7 @@
     void onEndApplied(CommitEnd const& end);
     void noteServiceTaskEnd(TaskRef const& task);
     void stopRestOfGang(CommitEnd const& end);
+
     /// What only the leader keeps of a job that has not ended.
     struct ActiveJob {
         JobObjective objective;
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -266,7 +266,7 @@
                           .with("speedPercent", startSpeedPercent.value_or(fullSpeedPercent))
                           .with("sinceAcceptedMs", sinceAccepted)
                           .with("objectiveMs", objective.latencyObjective)
-                          .with("lateness", ready.rank.lateness));
+                          .with("lateness", static_cast<int>(ready.rank.lateness)));
     this->dispatch.reserve(worker, start.task, start.attempt, startSpeedPercent);
     this->proposedTasks.insert(start.task);
     this->pendingUpdates.emplace_back(start);
