One predicate for short tasks, one measure of a task's work; simpler tests

Read again whole: 'short task' (neither service nor best-effort) was written three times and a task's estimated work twice; both are members of StageSpec now. JobSizesTest shares the load of small tasks and the objective, and names the size of its service jobs once.

--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -35,8 +35,7 @@
 void WorkerView::updateTotals(PlacedAttempt const& attempt, int direction)
 {
     Resources const amount = attempt.reserved();
-    bool const isShort = !attempt.isService() && !attempt.isBestEffort();
-    Resources const shortAmount = isShort ? amount : Resources();
+    Resources const shortAmount = attempt.stage->isShort() ? amount : Resources();
     if (direction > 0) {
         this->reserved += amount;
         this->shortTaskReserved += shortAmount;
--- a/cornelpond/core/jobs/JobSpec.h
+++ b/cornelpond/core/jobs/JobSpec.h
@@ -41,6 +41,11 @@
     bool isBestEffort = false; ///< Its cores are not reserved: it uses what other tasks leave idle.
     std::string image; ///< Tasks of the same image are expected to behave alike.
     Duration latencyTarget; ///< Upper limit for a service task's tail latency; zero: no target.
+
+    /// True for tasks that end soon and whose cores are reserved.
+    bool isShort() const { return !this->isService && !this->isBestEffort; }
+    /// Estimated work of one task in milli-cores times milliseconds.
+    int64_t taskWork() const { return this->need.milliCores * this->estimatedRunTime.toMilliseconds(); }
 };
 
 /// When a job's stages run. Without a schedule they run once, immediately.
--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -25,12 +25,6 @@
         return !hasConstraints && !request.canStartThrottled && request.requiredRack.empty();
     }
 
-    /// True for a task that ends soon and whose cores are reserved.
-    bool isShort(StageSpec const& stage)
-    {
-        return !stage.isService && !stage.isBestEffort;
-    }
-
 } // namespace
 
 void TaskPlacer::beginPass(TimePoint now)
@@ -61,9 +55,11 @@
 
 WorkerView* TaskPlacer::choose(PlacementRequest const& request, TimePoint now)
 {
-    bool const hasFailed = isUnconstrained(request) && this->hasFailedInPass(request);
-    WorkerView* worker = hasFailed ? nullptr : this->findBestWorker(request, now);
-    if (!worker && !hasFailed && isUnconstrained(request))
+    bool const isUnconstrainedRequest = isUnconstrained(request);
+    if (isUnconstrainedRequest && this->hasFailedInPass(request))
+        return nullptr;
+    WorkerView* worker = this->findBestWorker(request, now);
+    if (!worker && isUnconstrainedRequest)
         this->failedRequests.push_back({ request.image, request.service, request.stage->isBestEffort, request.stage->isService, request.isRestart, request.canUseReserve, request.stage->need });
     if (worker && request.stage->isService)
         this->reserve.onServicePlaced(request.service);
@@ -136,12 +132,12 @@
         need.milliCores = 0;
     if (!need.fitsIn(worker.freeResources()))
         return false;
-    return !(isShort(*request.stage) && this->heldWorkers.count(&worker)) && this->isAllowed(worker, request, now);
+    return !(request.stage->isShort() && this->heldWorkers.count(&worker)) && this->isAllowed(worker, request, now);
 }
 
 void TaskPlacer::holdWorkerFor(PlacementRequest const& request, TimePoint now)
 {
-    if (!isShort(*request.stage))
+    if (!request.stage->isShort())
         return;
     for (auto const* worker : this->holdCandidatesOf(request.service)) {
         Resources besideLongTasks = worker->freeResources();
--- a/cornelpond/core/queueing/JobProgress.cpp
+++ b/cornelpond/core/queueing/JobProgress.cpp
@@ -12,7 +12,7 @@
         constexpr int64_t milliCoresPerCore = 1000;
         size.taskCount += stage.taskCount;
         size.largestTaskMilliCores = std::max(size.largestTaskMilliCores, stage.need.milliCores);
-        size.coreMs += static_cast<int64_t>(stage.taskCount) * stage.need.milliCores * stage.estimatedRunTime.toMilliseconds() / milliCoresPerCore;
+        size.coreMs += static_cast<int64_t>(stage.taskCount) * stage.taskWork() / milliCoresPerCore;
     }
     return size;
 }
--- a/cornelpond/core/queueing/StageRank.cpp
+++ b/cornelpond/core/queueing/StageRank.cpp
@@ -26,9 +26,8 @@
         int64_t waiting = 0;
         for (size_t i = 0; i < occurrence.stages.size(); i++) {
             StageSpec const& stage = job.spec.stages[i];
-            int64_t const taskWork = stage.need.milliCores * stage.estimatedRunTime.toMilliseconds();
-            all += taskWork * static_cast<int64_t>(stage.taskCount);
-            waiting += taskWork * static_cast<int64_t>(occurrence.stages[i].waitingCount);
+            all += stage.taskWork() * static_cast<int64_t>(stage.taskCount);
+            waiting += stage.taskWork() * static_cast<int64_t>(occurrence.stages[i].waitingCount);
         }
         return waiting * 2 <= all;
     }
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -527,7 +527,7 @@
     for (auto const& [id, active] : this->activeJobs) {
         JobRecord const& job = *this->jobTable.find(id);
         for (auto const& stage : job.spec.stages) {
-            if (!stage.isService && !stage.isBestEffort)
+            if (stage.isShort())
                 needs[job.service].emplace_back(stage.need.milliCores, stage.taskCount);
         }
     }
--- a/cornelpond/core/scheduling/JobSizesTest.cpp
+++ b/cornelpond/core/scheduling/JobSizesTest.cpp
@@ -52,6 +52,11 @@
     unsigned count = 0;
 };
 
+Duration latencyObjectiveOf(JobBench const& bench, JobSpec const& job)
+{
+    return objectiveOf(job, &bench.queueOf(job), TimePoint()).latencyObjective;
+}
+
 /// Share of jobs that were completed before they were too late to be useful.
 struct ServedShares {
     double all = 0;
@@ -105,8 +110,7 @@
 private:
     bool isServed(JobSpec const& job)
     {
-        Duration const objective = objectiveOf(job, &this->bench.queueOf(job), TimePoint()).latencyObjective;
-        return this->bench.turnaroundTime(job.id) <= objective * tooLateFactor;
+        return this->bench.turnaroundTime(job.id) <= latencyObjectiveOf(this->bench, job) * tooLateFactor;
     }
 
     JobBench& bench;
@@ -122,25 +126,26 @@
     GrowingServices(JobBench& bench, size_t workerCount, double share)
         : bench(bench)
     {
-        constexpr int64_t need = 2900;
-        constexpr uint32_t tasks = 6;
         auto const jobCount = static_cast<size_t>(share * static_cast<double>(workerCount) * workerMilliCores / (need * tasks));
         for (size_t i = 0; i < jobCount; i++)
-            this->submitNext(need, tasks);
+            this->submitNext();
         bench.run(second * 3);
     }
 
     void replaceOne()
     {
         this->bench.cancel(JobId("watch" + std::to_string(this->cancelled++)));
-        this->submitNext(2900, 6);
-        this->submitNext(2900, 6);
+        this->submitNext();
+        this->submitNext();
     }
 
     static constexpr Duration replaceInterval = Duration::milliseconds(3000);
 
 private:
-    void submitNext(int64_t need, uint32_t tasks)
+    static constexpr int64_t need = 2900;
+    static constexpr uint32_t tasks = 6;
+
+    void submitNext()
     {
         size_t const number = this->submitted++;
         this->bench.submit(makeServiceJob("watch" + std::to_string(number), tasks, need, "image" + std::to_string(number % 3)));
@@ -159,6 +164,19 @@
     CHECK(served.nextFifth >= served.all / 2);
 }
 
+/// Submits the job one second into five seconds of jobs of small tasks. Each of these asks for a core and ends after
+/// half a second, but is due later than `job`.
+void submitAmongSmallTasks(JobBench& bench, JobSpec const& job, uint32_t smallTasks)
+{
+    constexpr int intervals = 50;
+    for (int i = 0; i < intervals; i++) {
+        if (i == 10)
+            bench.submit(job);
+        bench.submit(makeJob("small" + std::to_string(i), smallTasks, 1000, second * 3), 1.0 / 6);
+        bench.run(Duration::milliseconds(100));
+    }
+}
+
 /// Growing services on a fleet that loses an eighth of its workers while short tasks ask for less than there is.
 ServedShares serveAfterLoss(uint64_t seed)
 {
@@ -237,15 +255,8 @@
     JobBench bench(1);
     bench.addWorkers(1, 4000);
     JobSpec const large = makeJob("large", 1, 4000, second);
-    constexpr int intervals = 50;
-    for (int i = 0; i < intervals; i++) {
-        if (i == 10)
-            bench.submit(large);
-        // Each asks for a core and ends after half a second, but is due later than the large one.
-        bench.submit(makeJob("small" + std::to_string(i), 1, 1000, second * 3), 1.0 / 6);
-        bench.run(Duration::milliseconds(100));
-    }
-    CHECK(bench.turnaroundTime(large.id) <= objectiveOf(large, &bench.queueOf(large), TimePoint()).latencyObjective);
+    submitAmongSmallTasks(bench, large, 1);
+    CHECK(bench.turnaroundTime(large.id) <= latencyObjectiveOf(bench, large));
 }
 
 TEST_CASE("sizes: a gang is not passed by small tasks that rank behind it")
@@ -254,12 +265,6 @@
     bench.addWorkers(2, 4000);
     JobSpec gang = makeJob("gang", 2, 3000, second);
     gang.stages[0].isGang = true;
-    constexpr int intervals = 50;
-    for (int i = 0; i < intervals; i++) {
-        if (i == 10)
-            bench.submit(gang);
-        bench.submit(makeJob("small" + std::to_string(i), 2, 1000, second * 3), 1.0 / 6);
-        bench.run(Duration::milliseconds(100));
-    }
-    CHECK(bench.turnaroundTime(gang.id) <= objectiveOf(gang, &bench.queueOf(gang), TimePoint()).latencyObjective);
+    submitAmongSmallTasks(bench, gang, 2);
+    CHECK(bench.turnaroundTime(gang.id) <= latencyObjectiveOf(bench, gang));
 }
