--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -55,6 +55,7 @@
 
 WorkerView* TaskPlacer::choose(PlacementRequest const& request, TimePoint now)
 {
+    this->placementCounters.choices++;
     bool const isUnconstrainedRequest = isUnconstrained(request);
     if (isUnconstrainedRequest && this->hasFailedInPass(request))
         return nullptr;
@@ -72,6 +73,7 @@
     double bestScore = 0;
     TrialCounts const trialWorkers = request.stage->isBestEffort && this->isOnTrialForAnyService(request.image) ? this->trialCounts(request.image) : TrialCounts();
     for (auto& [id, worker] : this->workers) {
+        this->placementCounters.workersExamined++;
         if (!this->fits(worker, request, now) || !this->canShareWorker(worker, request, trialWorkers, now))
             continue;
         if (request.stage->isService && !this->reserve.leavesEnough(worker, request))
--- a/cornelpond/core/placement/TaskPlacer.h
+++ b/cornelpond/core/placement/TaskPlacer.h
@@ -33,6 +33,12 @@
     unsigned maxTrialWorkers = 2;
 };
 
+/// Work done since the placer was made, for metrics and tests.
+struct PlacementCounters {
+    uint64_t choices = 0; ///< Calls of `choose`.
+    uint64_t workersExamined = 0; ///< By those calls, each worker of each call.
+};
+
 class TaskPlacer {
 public:
     /// References must outlive the object.
@@ -64,6 +70,8 @@
     /// do not count.
     double unusedMilliCores(WorkerView const& worker) const;
 
+    PlacementCounters const& counters() const { return this->placementCounters; }
+
 private:
     /// By service image: the number of workers on which a best-effort image runs beside it.
     using TrialCounts = std::map<ImageId, unsigned>;
@@ -105,6 +113,7 @@
     DispatchTimes const& times;
     PlacementParameters parameters;
     ServiceReserve reserve;
+    PlacementCounters placementCounters;
 };
 
 } // namespace cornelpond
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -118,6 +118,7 @@
     JobTable const& jobs() const { return this->jobTable; }
     Dispatcher const& dispatcher() const { return this->dispatch; }
     SchedulerCounters const& counters() const { return this->schedulerCounters; }
+    PlacementCounters const& placementCounters() const { return this->placer.counters(); }
     size_t activeJobCount() const { return this->activeJobs.size(); }
     /// Accepted jobs that have not ended, by size class; without service jobs. Zeros on a follower.
     std::array<size_t, sizeClassCount> activeJobsBySize() const;
