One search of a worker for all tasks of a stage; failed searches remembered

Cause: each waiting task was compared with all 490 workers, again in each pass, 66 times a second; 45 % of the leader's time.

Now a stage's tasks share one search: matches are kept in a heap, and only workers that were chosen are compared anew. The choices are the same, as no other worker can get better within the search. Best-effort requests that found no worker are compared with changed workers only, for 250 ms (500 ms for throttled starts). What differs: where only time or the figures of other workers made room, such a task may wait that much longer.

--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -94,6 +94,7 @@
     if (profile.isDraining && !view->profile.isDraining)
         this->events.emit(Event(EventId::DrainChanged).with("worker", profile.id).with("draining", 1));
     view->profile = profile;
+    view->noteChange();
     if (isNewIncarnation) {
         this->events.emit(Event(EventId::WorkerJoined).with("worker", profile.id).with("bornMs", profile.bornMs).with("reason", "came back under the old id"));
         view->resetForNewIncarnation(this->clock.now(), this->times.maxOrderDelay);
--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -34,6 +34,7 @@
 /// Adds the attempt to the totals (`direction` 1) or subtracts it (`direction` -1).
 void WorkerView::updateTotals(PlacedAttempt const& attempt, int direction)
 {
+    this->noteChange();
     Resources const amount = attempt.reserved();
     Resources const shortAmount = attempt.stage->isShort() ? amount : Resources();
     if (direction > 0) {
@@ -97,6 +98,7 @@
 
 void WorkerView::resetForNewIncarnation(TimePoint now, Duration maxOrderDelay)
 {
+    this->noteChange();
     this->hasClock = false;
     this->hasListing = false;
     this->acknowledgedEnds = 0;
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace cornelpond {
@@ -133,6 +134,11 @@
     /// incarnation that got no answer may still be executed by the new one.
     void resetForNewIncarnation(TimePoint now, Duration maxOrderDelay);
 
+    /// Call after a change that may let tasks fit that did not fit before.
+    void noteChange() { this->hasChanged = true; }
+    /// True once after each change.
+    bool takeChange() { return std::exchange(this->hasChanged, false); }
+
     WorkerTarget target() const { return { this->profile.id, this->profile.address, this->profile.dataCentre }; }
 
     WorkerProfile profile;
@@ -167,11 +173,14 @@
     TimePoint bestEffortSpeedChangedAt;
     TimePoint bestEffortLeftAt; ///< When the end of a best-effort task was last committed.
     std::optional<TimePoint> overTargetSince; ///< Since then every listing had a service task at or over its latency target.
+    uint64_t lastPassAvailable = 0; ///< Number of the latest pass in which it could take tasks.
+    uint64_t lastPassChanged = 0; ///< Number of the first pass that saw its latest change.
     double tailRatio = 0; ///< Worst ratio of tail latency to target in the last listing; 0 without a service task.
 
 private:
     void updateTotals(PlacedAttempt const& attempt, int direction);
 
+    bool hasChanged = true;
     int64_t leastFreeMilliCores = 0; ///< Since the current idle window began.
     int64_t leastFreeMilliCoresBefore = 0; ///< In the window before.
 };
--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -16,75 +16,176 @@
 
 namespace {
 
-    /// True when only free resources decide whether a worker can take the request, so that its failure holds for like
-    /// requests.
+    /// True when nothing but free resources and the image decides whether a worker can take the request, so that its
+    /// failure holds for like requests.
     bool isUnconstrained(PlacementRequest const& request)
     {
         StageSpec const& stage = *request.stage;
         bool const hasConstraints = !stage.requiredLabel.empty() || !stage.dataRack.empty() || stage.maxTasksPerWorker || request.permittedWorkers;
-        return !hasConstraints && !request.canStartThrottled && request.requiredRack.empty();
+        return !hasConstraints && request.requiredRack.empty();
     }
 
 } // namespace
 
 void TaskPlacer::beginPass(TimePoint now)
 {
+    this->passNumber++;
     this->reserve.beginPass(now);
-    this->failedRequests.clear();
+    this->currentSearch.reset();
+    this->forgetFailedRequests(now);
     this->heldWorkers.clear();
     this->holdCandidates.clear();
     this->reservedShares.clear();
     this->harmlessImageShares.clear();
-    for (auto const& [id, worker] : this->workers) {
+    this->candidates.clear();
+    for (auto& [id, worker] : this->workers) {
         for (auto const& service : worker.serviceImages) {
             auto const [known, isNew] = this->harmlessImageShares.try_emplace(service.image);
             if (isNew)
                 known->second = this->interference.harmlessImageShare(service.image, now);
         }
+        if (!worker.canTakeTasks(now, this->times))
+            continue;
+        bool const wasAvailable = worker.lastPassAvailable + 1 == this->passNumber;
+        worker.lastPassAvailable = this->passNumber;
+        if (worker.takeChange() || !wasAvailable)
+            worker.lastPassChanged = this->passNumber;
+        this->candidates[worker.profile.service].push_back({ &worker, worker.lastPassChanged });
     }
 }
 
-bool TaskPlacer::hasFailedInPass(PlacementRequest const& request) const
+/// Other than best-effort requests are compared with all workers in each pass.
+void TaskPlacer::forgetFailedRequests(TimePoint now)
+{
+    auto const isOutdated = [&](FailedRequest const& failed) {
+        Duration const interval = failed.canStartThrottled ? this->parameters.fullThrottledSearchInterval : this->parameters.fullSearchInterval;
+        return !failed.isBestEffort || now - failed.comparedAt >= interval;
+    };
+    for (auto& [image, failed] : this->failedRequests)
+        failed.erase(std::remove_if(failed.begin(), failed.end(), isOutdated), failed.end());
+}
+
+/// Constraints of the request only add to the reasons to fail.
+bool TaskPlacer::FailedRequest::covers(PlacementRequest const& request) const
 {
     StageSpec const& stage = *request.stage;
-    return std::any_of(this->failedRequests.begin(), this->failedRequests.end(), [&](FailedRequest const& failed) {
-        return failed.image == request.image && failed.isBestEffort == stage.isBestEffort && failed.isService == stage.isService && failed.isRestart == request.isRestart
-            && failed.canUseReserve == request.canUseReserve && failed.service == request.service && failed.need.fitsIn(stage.need);
-    });
+    return this->isBestEffort == stage.isBestEffort && this->isService == stage.isService && this->isRestart == request.isRestart && this->canUseReserve == request.canUseReserve
+        && this->canStartThrottled == request.canStartThrottled && this->canOvercommitCores == request.canOvercommitCores && this->need.fitsIn(stage.need) && this->service == request.service;
+}
+
+/// The latest failure that covers the request; null when there is none.
+TaskPlacer::FailedRequest const* TaskPlacer::findFailed(PlacementRequest const& request) const
+{
+    auto const ofImage = this->failedRequests.find(request.image);
+    if (ofImage == this->failedRequests.end())
+        return nullptr;
+    FailedRequest const* latest = nullptr;
+    for (auto const& failed : ofImage->second) {
+        if ((!latest || failed.pass > latest->pass) && failed.covers(request))
+            latest = &failed;
+    }
+    return latest;
+}
+
+void TaskPlacer::noteFailed(PlacementRequest const& request, TimePoint comparedAt)
+{
+    StageSpec const& stage = *request.stage;
+    auto& ofImage = this->failedRequests[request.image];
+    auto const same = std::find_if(ofImage.begin(), ofImage.end(), [&](auto const& failed) { return stage.need.fitsIn(failed.need) && failed.covers(request); });
+    if (same == ofImage.end())
+        ofImage.push_back({ request.service, stage.isBestEffort, stage.isService, request.isRestart, request.canUseReserve, request.canStartThrottled, request.canOvercommitCores, stage.need, this->passNumber, comparedAt });
+    else
+        same->pass = this->passNumber;
 }
 
 WorkerView* TaskPlacer::choose(PlacementRequest const& request, TimePoint now)
+{
+    this->currentSearch.reset();
+    WorkerView* worker = this->chooseNext(request, now);
+    this->currentSearch.reset();
+    return worker;
+}
+
+WorkerView* TaskPlacer::chooseNext(PlacementRequest const& request, TimePoint now)
 {
     this->placementCounters.choices++;
-    bool const isUnconstrainedRequest = isUnconstrained(request);
-    if (isUnconstrainedRequest && this->hasFailedInPass(request))
-        return nullptr;
-    WorkerView* worker = this->findBestWorker(request, now);
-    if (!worker && isUnconstrainedRequest)
-        this->failedRequests.push_back({ request.image, request.service, request.stage->isBestEffort, request.stage->isService, request.isRestart, request.canUseReserve, request.stage->need });
+    WorkerView* worker = this->search(request, now);
     if (worker && request.stage->isService)
         this->reserve.onServicePlaced(request.service);
     return worker;
 }
 
-WorkerView* TaskPlacer::findBestWorker(PlacementRequest const& request, TimePoint now)
+WorkerView* TaskPlacer::search(PlacementRequest const& request, TimePoint now)
 {
-    WorkerView* best = nullptr;
-    double bestScore = 0;
-    TrialCounts const trialWorkers = request.stage->isBestEffort && this->isOnTrialForAnyService(request.image) ? this->trialCounts(request.image) : TrialCounts();
-    for (auto& [id, worker] : this->workers) {
-        this->placementCounters.workersExamined++;
-        if (!this->fits(worker, request, now) || !this->canShareWorker(worker, request, trialWorkers, now))
+    if (!this->currentSearch || !this->currentSearch->request.isLike(request)) {
+        FailedRequest const* const failed = this->findFailed(request);
+        if (failed && failed->pass == this->passNumber)
+            return nullptr;
+        this->beginSearch(request, failed, now);
+    }
+    WorkerView* worker = this->takeBestMatch(now);
+    if (!worker && isUnconstrained(request))
+        this->noteFailed(request, this->currentSearch->comparedAt);
+    return worker;
+}
+
+/// Compares the request with all workers; where it is covered by an earlier failure, with those that changed since.
+void TaskPlacer::beginSearch(PlacementRequest const& request, FailedRequest const* failed, TimePoint now)
+{
+    Search& search = this->currentSearch.emplace();
+    search.request = request;
+    search.candidates = &this->candidates[request.service];
+    search.comparedAt = failed ? failed->comparedAt : now;
+    uint64_t const changedSincePass = failed ? failed->pass : 0;
+    search.isOnTrial = request.stage->isBestEffort && this->isOnTrialForAnyService(request.image);
+    if (search.isOnTrial)
+        search.trialWorkers = this->trialCounts(request.image);
+    for (size_t i = 0; i < search.candidates->size(); i++) {
+        Candidate const& candidate = (*search.candidates)[i];
+        if (candidate.lastPassChanged <= changedSincePass)
             continue;
-        if (request.stage->isService && !this->reserve.leavesEnough(worker, request))
+        this->placementCounters.workersExamined++;
+        if (this->isMatch(*candidate.worker, search, now))
+            search.matches.push_back({ this->score(*candidate.worker, request), i });
+    }
+    std::make_heap(search.matches.begin(), search.matches.end());
+}
+
+/// The best worker of the current search; null when none is left. Workers returned before are compared anew, as their
+/// room has changed since; no other worker can have become better within the search.
+WorkerView* TaskPlacer::takeBestMatch(TimePoint now)
+{
+    Search& search = *this->currentSearch;
+    auto& matches = search.matches;
+    while (!matches.empty()) {
+        std::pop_heap(matches.begin(), matches.end());
+        Match& best = matches.back();
+        WorkerView& worker = *(*search.candidates)[best.candidate].worker;
+        this->placementCounters.workersExamined++;
+        if (!this->isMatch(worker, search, now)) {
+            matches.pop_back();
             continue;
-        double const score = this->score(worker, request);
-        if (best && score <= bestScore)
+        }
+        double const score = this->score(worker, search.request);
+        bool const isOutdated = score != best.score;
+        best.score = score;
+        std::push_heap(matches.begin(), matches.end());
+        if (isOutdated)
             continue;
-        best = &worker;
-        bestScore = score;
+        if (search.isOnTrial && !worker.bestEffortImages.find(search.request.image)) {
+            for (auto const& service : worker.serviceImages)
+                search.trialWorkers[service.image]++;
+        }
+        return &worker;
     }
-    return best;
+    return nullptr;
+}
+
+bool TaskPlacer::isMatch(WorkerView const& worker, Search const& search, TimePoint now)
+{
+    if (!this->fits(worker, search.request, now) || !this->canShareWorker(worker, search.request, search.trialWorkers, now))
+        return false;
+    return !search.request.stage->isService || this->reserve.leavesEnough(worker, search.request);
 }
 
 double TaskPlacer::reservedShare(ServiceId const& service)
--- a/cornelpond/core/placement/TaskPlacer.h
+++ b/cornelpond/core/placement/TaskPlacer.h
@@ -3,7 +3,9 @@
 // Chooses the worker for one task among those that accept tasks.
 //
 // Designed for: service tasks that fill most of the fleet beside short urgent tasks; best-effort tasks that run
-// on cores that others leave unused; data that is stored on one rack.
+// on cores that others leave unused; data that is stored on one rack. For hundreds of workers and a thousand starts a
+// second: the tasks of a stage share one search, and a best-effort request that found no worker is compared with
+// changed workers only, for a while.
 //
 // Example:
 //   TaskPlacer placer(dispatcher.workers(), interference, cpuUsage, times, parameters);
@@ -17,6 +19,7 @@
 #include "cornelpond/core/placement/ServiceReserve.h"
 
 #include <map>
+#include <optional>
 
 namespace cornelpond {
 
@@ -31,11 +34,16 @@
     double throttledStartShare = 0.015;
     /// Number of workers on which a best-effort image is tried at once beside a service image with which it may interfere.
     unsigned maxTrialWorkers = 2;
+    /// A best-effort request that found no worker is compared with all of them again after this time: interference
+    /// estimates decay, and trials elsewhere end.
+    Duration fullSearchInterval = Duration::milliseconds(250);
+    /// The same for throttled starts, for which only the learned use of cores changes by itself.
+    Duration fullThrottledSearchInterval = Duration::milliseconds(500);
 };
 
 /// Work done since the placer was made, for metrics and tests.
 struct PlacementCounters {
-    uint64_t choices = 0; ///< Calls of `choose`.
+    uint64_t choices = 0; ///< Calls of `choose` and `chooseNext`.
     uint64_t workersExamined = 0; ///< By those calls, each worker of each call.
 };
 
@@ -49,9 +57,14 @@
 
     void setShortTaskNeed(ServiceId const& service, int64_t milliCores) { this->reserve.setShortTaskNeed(service, milliCores); }
 
-    /// Null when no worker fits now. The caller reserves the room before the next call.
+    /// Null when no worker fits now.
     WorkerView* choose(PlacementRequest const& request, TimePoint now);
 
+    /// Like `choose`, for the next task of a stage: goes on with the search of the call before where that was for a like
+    /// request. Between the two, the caller must have reserved the room on the worker that the first returned, and have
+    /// changed nothing else.
+    WorkerView* chooseNext(PlacementRequest const& request, TimePoint now);
+
     /// Keeps one worker for a short task that found none: the one with the most cores free among those where it fits
     /// once other short tasks end. Later requests of this pass, which rank behind, do not get it.
     void holdWorkerFor(PlacementRequest const& request, TimePoint now);
@@ -85,25 +98,64 @@
     bool canStartTrial(ImageId service, bool isPresent, size_t imageCount, TrialCounts const& trialWorkers) const;
     TrialCounts trialCounts(ImageId image) const;
     bool isOnTrialForAnyService(ImageId image) const;
-    WorkerView* findBestWorker(PlacementRequest const& request, TimePoint now);
-    bool hasFailedInPass(PlacementRequest const& request) const;
-    double score(WorkerView const& worker, PlacementRequest const& request) const;
-    double harmlessImageShare(WorkerView const& worker) const;
-    static double serviceScore(WorkerView const& worker, PlacementRequest const& request);
-
-    /// A request for which no worker had room in this pass: like requests that need at least as much fail too.
+    /// A request for which no worker had room: like requests that need at least as much fail too.
     struct FailedRequest {
-        ImageId image;
         ServiceId service;
         bool isBestEffort = false;
         bool isService = false;
         bool isRestart = false;
         bool canUseReserve = false;
+        bool canStartThrottled = false;
+        bool canOvercommitCores = false;
         Resources need;
+        uint64_t pass = 0; ///< In which it failed last.
+        TimePoint comparedAt; ///< When it was last compared with all workers.
+
+        /// True when the failure holds for the request too.
+        bool covers(PlacementRequest const& request) const;
+    };
+
+    /// A worker that could take tasks as the pass began.
+    struct Candidate {
+        WorkerView* worker = nullptr;
+        uint64_t lastPassChanged = 0;
+    };
+
+    /// A candidate that fitted the request, and its score then.
+    struct Match {
+        double score = 0;
+        size_t candidate = 0; ///< Index. Of equal scores, the lowest comes first.
+
+        bool operator<(Match const& other) const { return this->score < other.score || (this->score == other.score && this->candidate > other.candidate); }
     };
 
+    /// The search for the tasks of one stage.
+    struct Search {
+        PlacementRequest request;
+        std::vector<Match> matches; ///< A heap. Scores may be outdated for workers that were returned.
+        std::vector<Candidate> const* candidates = nullptr;
+        TimePoint comparedAt; ///< When the request was last compared with all workers.
+        bool isOnTrial = false;
+        TrialCounts trialWorkers;
+    };
+
+    void beginSearch(PlacementRequest const& request, FailedRequest const* failed, TimePoint now);
+    WorkerView* takeBestMatch(TimePoint now);
+    bool isMatch(WorkerView const& worker, Search const& search, TimePoint now);
+    WorkerView* search(PlacementRequest const& request, TimePoint now);
+    double score(WorkerView const& worker, PlacementRequest const& request) const;
+    double harmlessImageShare(WorkerView const& worker) const;
+    static double serviceScore(WorkerView const& worker, PlacementRequest const& request);
+
+    FailedRequest const* findFailed(PlacementRequest const& request) const;
+    void noteFailed(PlacementRequest const& request, TimePoint comparedAt);
+    void forgetFailedRequests(TimePoint now);
+
     std::map<WorkerId, WorkerView>& workers;
-    std::vector<FailedRequest> failedRequests;
+    std::map<ImageId, std::vector<FailedRequest>> failedRequests;
+    uint64_t passNumber = 0;
+    std::map<ServiceId, std::vector<Candidate>> candidates; ///< In this pass; in the order of `workers`.
+    std::optional<Search> currentSearch; ///< Of the latest `chooseNext`.
     std::set<WorkerView const*> heldWorkers; ///< In this pass.
     std::map<ServiceId, std::vector<WorkerView const*>> holdCandidates; ///< Workers with short tasks or free cores, most free first; filled at need.
     std::map<ServiceId, double> reservedShares;
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -694,6 +694,7 @@
                           .with("tailPercent", static_cast<int>(worker.tailRatio * 100))
                           .with("bestEffortMilliCores", worker.bestEffortImages.requestedMilliCores()));
     worker.bestEffortSpeedPercent = next;
+    worker.noteChange();
     worker.bestEffortSpeedChangedAt = now;
 }
 
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -105,7 +105,7 @@
         request.canUseReserve = request.isRestart && this->hasWaitedLong(request.task, now);
         if (hasNoRoom[request.isRestart][request.canUseReserve])
             continue;
-        WorkerView* worker = this->placer.choose(request, now);
+        WorkerView* worker = this->placer.chooseNext(request, now);
         if (!worker) {
             hasNoRoom[request.isRestart][request.canUseReserve] = true;
             if (!placement.lacksWorker && ready.rank.isUseful())
@@ -241,7 +241,7 @@
     placed.clear();
     for (uint32_t index = 0; index < tasks.size(); index++) {
         member.task.index = index;
-        WorkerView* worker = this->placer.choose(member, now);
+        WorkerView* worker = index ? this->placer.chooseNext(member, now) : this->placer.choose(member, now);
         if (!worker)
             break;
         this->dispatch.reserve(*worker, member.task, last.next());
