Placed attempts are checked when they await an order, not twenty times a second

Now a worker's attempts are visited while one awaits a start, stop or throttle order, and twice a second in any case. The tasks of an ended job are found by the job table's live attempts; the other attempts of a task that is done are stopped when its end is applied, which the checks by the clock did before. Rows of a list mark the attempts that they hold; lookups copy no id.

core_decision_work_test: a running attempt is looked up at most twice a second (by the old interval, twenty times).

--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -11,6 +11,8 @@
     constexpr Duration startRetryDelay = Duration::milliseconds(100);
     constexpr Duration stopRetryDelay = Duration::milliseconds(500); ///< Workers take up to 400 to 900 ms to stop a task.
     constexpr Duration attemptCheckInterval = Duration::milliseconds(50);
+    /// Attempts that await no order are checked this often, in case one is not wanted any more.
+    constexpr Duration fullCheckInterval = Duration::milliseconds(500);
     constexpr Duration startRefusedPause = Duration::milliseconds(300);
     constexpr Duration uncommittedEndsRenewalDelay = Duration::milliseconds(100); ///< Between renewals while listed ends await their commit.
     constexpr Duration clockReversalThreshold = Duration::milliseconds(500); ///< A steady clock that is further back belongs to a new incarnation of the worker.
@@ -146,6 +148,7 @@
     if (!attempt)
         attempt = &this->reserve(*view, start.task, start.attempt);
     attempt->phase = PlacedAttempt::Phase::Starting;
+    view->hasOpenOrders = true;
     attempt->checkpoint = this->jobs.findTask(start.task)->checkpoint;
     this->sendStart(*view, *attempt);
 }
@@ -161,10 +164,14 @@
 
 void Dispatcher::onEndApplied(CommitEnd const& end)
 {
-    WorkerView* view = this->leading ? this->findWorker(end.worker) : nullptr;
+    if (!this->leading)
+        return;
+    if (end.end == AttemptEnd::Done)
+        this->stopCopies(end.task);
+    WorkerView* view = this->findWorker(end.worker);
     if (!view)
         return;
-    PlacedAttempt const* ended = view->find({ end.task, end.attempt });
+    PlacedAttempt const* ended = view->find(end.task, end.attempt);
     if (ended && ended->isBestEffort())
         view->bestEffortLeftAt = this->clock.now();
     view->remove({ end.task, end.attempt });
@@ -208,18 +215,36 @@
 void Dispatcher::checkAttempts(WorkerView& view)
 {
     TimePoint const now = this->clock.now();
+    bool const isFullCheck = now >= view.nextFullCheckAt;
+    if (!isFullCheck && !view.hasOpenOrders)
+        return;
+    if (isFullCheck)
+        view.nextFullCheckAt = now + fullCheckInterval;
+    bool hasOpenOrders = false;
     for (auto& [key, attempt] : view.placed) {
         if (attempt.isEndProposed || attempt.phase == PlacedAttempt::Phase::Proposed)
             continue;
-        if (!attempt.isStopping && !this->jobs.isWanted(attempt.task, { attempt.number, view.profile.id }))
+        this->attemptCheckCount++;
+        if (isFullCheck && !attempt.isStopping && !this->jobs.isWanted(attempt.task, { attempt.number, view.profile.id }))
             this->stop(view, attempt);
-        if (attempt.isStopping && !attempt.isStopInFlight && now >= attempt.nextStopAt && view.hasListing)
-            this->sendStop(view, attempt);
-        else if (attempt.phase == PlacedAttempt::Phase::Starting && !attempt.isInherited && !attempt.isStopping && !attempt.isStartInFlight && now >= attempt.nextStartAt)
-            this->sendStart(view, attempt);
-        else if (attempt.targetSpeedPercent != attempt.acknowledgedSpeedPercent && !attempt.isThrottleInFlight && attempt.phase == PlacedAttempt::Phase::Running)
-            this->sendThrottle(view, attempt);
+        hasOpenOrders |= this->sendDueOrder(view, attempt);
     }
+    view.hasOpenOrders = hasOpenOrders;
+}
+
+/// Sends the order that the attempt awaits, if it is due. True when it awaits one or its answer.
+bool Dispatcher::sendDueOrder(WorkerView& view, PlacedAttempt& attempt)
+{
+    TimePoint const now = this->clock.now();
+    bool const awaitsStart = attempt.phase == PlacedAttempt::Phase::Starting && !attempt.isInherited;
+    bool const awaitsThrottle = attempt.targetSpeedPercent != attempt.acknowledgedSpeedPercent;
+    if (attempt.isStopping && !attempt.isStopInFlight && now >= attempt.nextStopAt && view.hasListing)
+        this->sendStop(view, attempt);
+    else if (awaitsStart && !attempt.isStopping && !attempt.isStartInFlight && now >= attempt.nextStartAt)
+        this->sendStart(view, attempt);
+    else if (awaitsThrottle && !attempt.isThrottleInFlight && attempt.phase == PlacedAttempt::Phase::Running)
+        this->sendThrottle(view, attempt);
+    return attempt.isStopping || awaitsStart || awaitsThrottle;
 }
 
 void Dispatcher::checkOrphanedAttempts(WorkerView& view)
@@ -347,7 +372,7 @@
     this->handleRunningAttempts(view, listing);
     this->handleListedEnds(view, listing);
     if (listing.hasAllEnds)
-        this->concludeMissing(view, sentAt, listing);
+        this->concludeMissing(view, sentAt);
     this->acknowledgeEnds(view);
     view.nextRenewalAt = view.listedEnds.empty() ? now : now + uncommittedEndsRenewalDelay;
     this->hooks.onListingRead(view);
@@ -360,11 +385,11 @@
     TimePoint const now = this->clock.now();
     for (auto& [key, orphan] : view.orphanedAttempts)
         orphan.isListed = false;
+    view.listingCount++;
     for (auto const& row : listing.running) {
-        AttemptKey const key { row.task, row.attempt };
-        PlacedAttempt* attempt = view.find(key);
+        PlacedAttempt* attempt = view.find(row.task, row.attempt);
         if (!attempt || attempt->phase == PlacedAttempt::Phase::Proposed) {
-            auto const [orphan, isNew] = view.orphanedAttempts.try_emplace(key);
+            auto const [orphan, isNew] = view.orphanedAttempts.try_emplace({ row.task, row.attempt });
             orphan->second.isListed = true;
             if (isNew)
                 this->events.emit(Event(EventId::StrayAttempt).with("worker", view.profile.id).with("task", row.task.text()).with("attempt", row.attempt));
@@ -374,6 +399,7 @@
             attempt->phase = PlacedAttempt::Phase::Running;
             attempt->confirmedAt = now;
         }
+        attempt->lastListing = view.listingCount;
         attempt->isInherited = false;
         attempt->progressPercent = row.progressPercent;
         attempt->latencyMsOrMilliCores = row.latencyMsOrMilliCores;
@@ -391,7 +417,7 @@
             continue;
         }
         view.listedEnds.push_back(end);
-        PlacedAttempt* attempt = view.find({ end.task, end.attempt });
+        PlacedAttempt* attempt = view.find(end.task, end.attempt);
         if (attempt && attempt->phase != PlacedAttempt::Phase::Proposed)
             this->proposeEnd(view, *attempt, end.end, end.checkpoint.empty() ? attempt->checkpoint : end.checkpoint);
         else if (!attempt && this->isLateFinish(end))
@@ -405,14 +431,11 @@
     return end.end == AttemptEnd::Done && this->jobs.canFinishLate(end.task, end.attempt);
 }
 
-/// Concludes attempts that are missing from the worker's listing and cannot run any more.
-void Dispatcher::concludeMissing(WorkerView& view, TimePoint sentAt, WorkerListing const& listing)
+/// Concludes attempts that are missing from the worker's latest listing and cannot run any more.
+void Dispatcher::concludeMissing(WorkerView& view, TimePoint sentAt)
 {
-    std::set<AttemptKey> listed;
-    for (auto const& row : listing.running)
-        listed.insert({ row.task, row.attempt });
     for (auto& [key, attempt] : view.placed) {
-        if (attempt.isEndProposed || listed.count(key) || !canConclude(attempt, sentAt))
+        if (attempt.isEndProposed || attempt.lastListing == view.listingCount || !canConclude(attempt, sentAt))
             continue;
         this->conclude(view, attempt, AttemptEnd::Lost, "not listed");
     }
@@ -486,6 +509,7 @@
     if (!attempt)
         return;
     attempt->isStartInFlight = false;
+    view->hasOpenOrders = true;
     this->updateClock(*view, answer, view->profile.bornMs);
     if (answer.result != OrderResult::Accepted) {
         this->events.emit(Event(EventId::AttemptRefused)
@@ -563,18 +587,32 @@
     if (attempt.isStopping || attempt.isEndProposed || attempt.phase == PlacedAttempt::Phase::Proposed)
         return;
     attempt.isStopping = true;
+    view.hasOpenOrders = true;
     if (view.hasListing && this->hooks.canSendOrders())
         this->sendStop(view, attempt);
 }
 
 void Dispatcher::stopUnwanted(JobId const& job)
 {
-    for (auto& [id, view] : this->views) {
-        auto at = view.placed.lower_bound({ TaskRef { job, 0, 0, 0 }, AttemptNumber() });
-        for (; at != view.placed.end() && at->first.first.job == job; ++at) {
-            if (!this->jobs.isWanted(at->second.task, { at->second.number, id }))
-                this->stop(view, at->second);
-        }
+    this->jobs.forEachLiveAttemptOf(job, [this](TaskRef const& task, TaskRecord const&, Attempt const& attempt) {
+        WorkerView* view = this->jobs.isWanted(task, attempt) ? nullptr : this->findWorker(attempt.worker);
+        PlacedAttempt* placed = view ? view->find(task, attempt.number) : nullptr;
+        if (placed)
+            this->stop(*view, *placed);
+    });
+}
+
+/// Stops the other attempts of a task that is done.
+void Dispatcher::stopCopies(TaskRef const& task)
+{
+    TaskRecord const* record = this->jobs.findTask(task);
+    if (!record)
+        return;
+    for (auto const& attempt : record->liveAttempts) {
+        WorkerView* view = this->jobs.isWanted(task, attempt) ? nullptr : this->findWorker(attempt.worker);
+        PlacedAttempt* placed = view ? view->find(task, attempt.number) : nullptr;
+        if (placed)
+            this->stop(*view, *placed);
     }
 }
 
@@ -618,6 +656,7 @@
 void Dispatcher::throttle(WorkerView& view, PlacedAttempt& attempt, unsigned percent)
 {
     attempt.targetSpeedPercent = percent;
+    view.hasOpenOrders = true;
     if (!attempt.isThrottleInFlight && attempt.phase == PlacedAttempt::Phase::Running && percent != attempt.acknowledgedSpeedPercent)
         this->sendThrottle(view, attempt);
 }
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -91,6 +91,8 @@
     std::map<WorkerId, WorkerView> const& workers() const { return this->views; }
     WorkerView* findWorker(WorkerId const& worker);
     DispatchTimes const& dispatchTimes() const { return this->times; }
+    /// Placed attempts that checks by the clock have visited, for metrics and tests.
+    uint64_t attemptsChecked() const { return this->attemptCheckCount; }
 
 private:
     using WeakLeadershipToken = std::weak_ptr<bool>;
@@ -98,6 +100,8 @@
     void inheritAttempt(TaskRef const& task, TaskRecord const& record, Attempt const& attempt);
     void checkWorker(WorkerView& view);
     void checkAttempts(WorkerView& view);
+    bool sendDueOrder(WorkerView& view, PlacedAttempt& attempt);
+    void stopCopies(TaskRef const& task);
     void checkOrphanedAttempts(WorkerView& view);
     void onLeaseExpired(WorkerView& view);
     void sendRenewal(WorkerView& view);
@@ -108,7 +112,7 @@
     void handleRunningAttempts(WorkerView& view, WorkerListing const& listing);
     void handleListedEnds(WorkerView& view, WorkerListing const& listing);
     bool isLateFinish(ListedEnd const& end) const;
-    void concludeMissing(WorkerView& view, TimePoint sentAt, WorkerListing const& listing);
+    void concludeMissing(WorkerView& view, TimePoint sentAt);
     static bool canConclude(PlacedAttempt const& attempt, TimePoint sentAt);
     void acknowledgeEnds(WorkerView& view);
     void sendStart(WorkerView& view, PlacedAttempt& attempt);
@@ -136,6 +140,7 @@
     Term epoch;
     ImageIdTable imageIds;
     std::map<WorkerId, WorkerView> views;
+    uint64_t attemptCheckCount = 0;
     std::shared_ptr<bool> leadershipToken; ///< Replaced by each lead(), so that answers to orders from before are dropped.
 };
 
--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -25,6 +25,7 @@
     AttemptKey const key { attempt.task, attempt.number };
     auto const [entry, isNew] = this->placed.emplace(key, std::move(attempt));
     PlacedAttempt& placedAttempt = entry->second;
+    this->hasOpenOrders = true;
     if (isNew)
         this->updateTotals(placedAttempt, 1);
     this->leastFreeMilliCores = std::min(this->leastFreeMilliCores, this->freeResources().milliCores);
@@ -65,9 +66,9 @@
     this->placed.erase(found);
 }
 
-PlacedAttempt* WorkerView::find(AttemptKey const& key)
+PlacedAttempt* WorkerView::find(TaskRef const& task, AttemptNumber attempt)
 {
-    auto const found = this->placed.find(key);
+    auto const found = this->placed.find(std::pair<TaskRef const&, AttemptNumber>(task, attempt));
     return found == this->placed.end() ? nullptr : &found->second;
 }
 
@@ -99,6 +100,7 @@
 void WorkerView::resetForNewIncarnation(TimePoint now, Duration maxOrderDelay)
 {
     this->noteChange();
+    this->hasOpenOrders = true;
     this->hasClock = false;
     this->hasListing = false;
     this->acknowledgedEnds = 0;
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -72,6 +73,7 @@
     TimePoint nextStopAt;
     std::optional<TimePoint> stopConfirmedAt;
 
+    uint64_t lastListing = 0; ///< Number of the latest listing that held it.
     std::string checkpoint; ///< The latest that the worker listed, else the task's committed one; empty: none.
     unsigned progressPercent = 0;
     int64_t latencyMsOrMilliCores = -1; ///< As in ListedAttempt; -1: not given.
@@ -92,6 +94,25 @@
 
 using AttemptKey = std::pair<TaskRef, AttemptNumber>;
 
+/// Compares the job once, and takes keys by reference, so that a lookup copies no id.
+struct AttemptKeyLess {
+    using is_transparent = void;
+
+    template <typename Left, typename Right>
+    bool operator()(Left const& left, Right const& right) const
+    {
+        int const jobs = left.first.job.value().compare(right.first.job.value());
+        return jobs ? jobs < 0 : this->restOf(left) < this->restOf(right);
+    }
+
+private:
+    template <typename Key>
+    static auto restOf(Key const& key)
+    {
+        return std::make_tuple(key.first.occurrence, key.first.stage, key.first.index, key.second);
+    }
+};
+
 /// An attempt to be stopped: the worker lists it though it is not placed there, or may still execute a start order
 /// that was sent to its earlier incarnation.
 struct OrphanedAttempt {
@@ -107,7 +128,8 @@
 
     PlacedAttempt& place(PlacedAttempt attempt);
     void remove(AttemptKey const& key);
-    PlacedAttempt* find(AttemptKey const& key);
+    PlacedAttempt* find(AttemptKey const& key) { return this->find(key.first, key.second); }
+    PlacedAttempt* find(TaskRef const& task, AttemptNumber attempt);
 
     /// Capacity less all reservations. Negative when a worker came back with less capacity.
     Resources freeResources() const { return this->profile.capacity - this->reserved; }
@@ -142,7 +164,7 @@
     WorkerTarget target() const { return { this->profile.id, this->profile.address, this->profile.dataCentre }; }
 
     WorkerProfile profile;
-    std::map<AttemptKey, PlacedAttempt> placed;
+    std::map<AttemptKey, PlacedAttempt, AttemptKeyLess> placed;
     std::map<AttemptKey, OrphanedAttempt> orphanedAttempts; ///< Removed once the worker no longer lists them and cannot start them any more.
     Resources reserved;
     int64_t serviceMilliCores = 0; ///< Reserved by service tasks.
@@ -163,7 +185,10 @@
 
     bool isRenewalInFlight = false;
     TimePoint nextRenewalAt;
-    TimePoint nextCheckAt; ///< Of the lease and of placed and orphaned attempts.
+    TimePoint nextCheckAt; ///< Of the lease, and of attempts that await orders.
+    TimePoint nextFullCheckAt; ///< Of all placed attempts.
+    bool hasOpenOrders = true; ///< Some placed attempt may await an order: a start, stop or throttle.
+    uint64_t listingCount = 0; ///< Listings processed.
     uint64_t acknowledgedEnds = 0; ///< The worker may drop its listed ends up to this number.
     uint64_t deliveredAcknowledgedEnds = 0; ///< The part of acknowledgedEnds that is known to have been passed on to the worker.
     std::vector<ListedEnd> listedEnds; ///< By the worker, and not acknowledged yet.
--- a/cornelpond/core/jobs/JobTable.cpp
+++ b/cornelpond/core/jobs/JobTable.cpp
@@ -360,13 +360,18 @@
 
 void JobTable::forEachLiveAttempt(std::function<void(TaskRef const&, TaskRecord const&, Attempt const&)> const& visit) const
 {
-    for (auto const& [id, job] : this->jobs) {
-        if (!job.liveAttemptCount)
-            continue;
-        for (auto const& [number, occurrence] : job.occurrences) {
-            for (uint32_t stage = 0; stage < occurrence.stages.size(); stage++)
-                visitLiveAttempts({ id, number, stage, 0 }, occurrence.stages[stage], visit);
-        }
+    for (auto const& [id, job] : this->jobs)
+        this->forEachLiveAttemptOf(id, visit);
+}
+
+void JobTable::forEachLiveAttemptOf(JobId const& id, std::function<void(TaskRef const&, TaskRecord const&, Attempt const&)> const& visit) const
+{
+    JobRecord const* job = this->find(id);
+    if (!job || !job->liveAttemptCount)
+        return;
+    for (auto const& [number, occurrence] : job->occurrences) {
+        for (uint32_t stage = 0; stage < occurrence.stages.size(); stage++)
+            visitLiveAttempts({ id, number, stage, 0 }, occurrence.stages[stage], visit);
     }
 }
 
--- a/cornelpond/core/jobs/JobTable.h
+++ b/cornelpond/core/jobs/JobTable.h
@@ -119,6 +119,9 @@
 
     void forEachLiveAttempt(std::function<void(TaskRef const&, TaskRecord const&, Attempt const&)> const& visit) const;
 
+    /// The job's live attempts only. `visit` must not change the table.
+    void forEachLiveAttemptOf(JobId const& job, std::function<void(TaskRef const&, TaskRecord const&, Attempt const&)> const& visit) const;
+
     /// Number of the queue's active jobs that have no schedule and no started task.
     size_t pendingJobCount(QueueId const& queue) const;
 
--- a/cornelpond/core/scheduling/DecisionWorkTest.cpp
+++ b/cornelpond/core/scheduling/DecisionWorkTest.cpp
@@ -79,3 +79,18 @@
     // Each image may look at each worker four times a second; twice, as tasks of an image differ in their needs.
     CHECK(examined <= workerCount * interfererCount * 4 * 2);
 }
+
+TEST_CASE("decision work: attempts that await no order are not looked up many times a second")
+{
+    JobBench bench(1);
+    bench.addWorkers(workerCount, workerMilliCores);
+    constexpr uint32_t runningTasks = 980;
+    bench.submit(makeJob("long", runningTasks, 16000, second * 60));
+    bench.run(second * 3);
+    uint64_t const checkedBefore = bench.leader().scheduler().dispatcher().attemptsChecked();
+    constexpr int seconds = 4;
+    bench.run(second * seconds);
+    uint64_t const checked = (bench.leader().scheduler().dispatcher().attemptsChecked() - checkedBefore) / seconds;
+    // A task that is not wanted any more is noticed within half a second at the latest.
+    CHECK(checked <= runningTasks * 2);
+}
