The log and metrics tell where the leader's time goes

Nothing told that a leader was out of processor time but the callers. Now the metrics hold histograms of the duration of a pass and of the time between two ticks (the event loop's lag), passes, searches and workers examined, attempts checked, and waiting tasks with the age of the oldest by class; event 341 LoadReported gives the same once a second while tasks wait or ticks are late. Two clock readings a pass and one a tick are added; the waiting tasks are counted only when asked for, and once a second.

Tests: the metrics' values, and that 341 comes once a second under load and not on a calm fleet.

--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -41,6 +41,20 @@
         metrics.setGauge("freePlaces" + label, room.freePlaces.at(i));
         metrics.setGauge("placesBesideServices" + label, room.placesBesideServices.at(i));
     }
+    WaitingSummary const waiting = scheduler.waitingTasks();
+    auto const waitingGauges = [&](std::string const& taskClass, WaitingTasks const& tasks) {
+        metrics.setGauge("waitingTasks{class=\"" + taskClass + "\"}", static_cast<int64_t>(tasks.count));
+        metrics.setGauge("oldestWaitingTaskMs{class=\"" + taskClass + "\"}", tasks.oldest.toMilliseconds());
+    };
+    waitingGauges("short", waiting.shortTasks);
+    waitingGauges("bestEffort", waiting.bestEffort);
+    waitingGauges("service", waiting.service);
+    gauge("passes", counters.passes);
+    gauge("placementChoices", scheduler.placementCounters().choices);
+    gauge("workersExamined", scheduler.placementCounters().workersExamined);
+    gauge("attemptsChecked", scheduler.dispatcher().attemptsChecked());
+    metrics.setHistogram("passDurationMs", counters.passDuration);
+    metrics.setHistogram("tickGapMs", counters.tickGap);
     metrics.setHistogram("submitLatencyMs", counters.submitLatency);
     metrics.setHistogram("placeLatencyMs", counters.placeLatency);
     metrics.setHistogram("completionLatencyMs", counters.completionLatency);
--- a/cornelpond/app/FleetMetricsTest.cpp
+++ b/cornelpond/app/FleetMetricsTest.cpp
@@ -34,4 +34,7 @@
     CHECK(contains(text, "serviceMilliCores 3000"));
     CHECK(contains(text, "freePlaces{cores=\"4\"} 1"));
     CHECK(contains(text, "placesBesideServices{cores=\"2\"} 2"));
+    CHECK(contains(text, "waitingTasks{class=\"short\"} 1"));
+    CHECK(contains(text, "oldestWaitingTaskMs{class=\"short\"} 100"));
+    CHECK(contains(text, "waitingTasks{class=\"bestEffort\"} 0"));
 }
--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -69,6 +69,7 @@
     JobCancelled = 338,
     AttemptConcluded = 339,
     RoomReported = 340,
+    LoadReported = 341,
     LeaderElected = 400,
     LeaderLost = 401,
     JournalOpened = 402,
--- a/cornelpond/core/queueing/JobProgress.cpp
+++ b/cornelpond/core/queueing/JobProgress.cpp
@@ -48,6 +48,18 @@
     return *this;
 }
 
+WaitingSummary summarizeWaiting(Span<ReadyStage const> waiting, TimePoint now)
+{
+    WaitingSummary summary;
+    for (auto const& ready : waiting) {
+        StageSpec const& stage = ready.job->spec.stages[ready.stage];
+        WaitingTasks& tasks = stage.isService ? summary.service : stage.isBestEffort ? summary.bestEffort : summary.shortTasks;
+        tasks.count += ready.job->occurrences.at(ready.occurrence).stages[ready.stage].waitingCount;
+        tasks.oldest = std::max(tasks.oldest, now - ready.acceptedAt);
+    }
+    return summary;
+}
+
 void countPassedOver(Span<ReadyStage const> ready, Span<StagePlacement const> placements, std::function<void(JobId const&, PassedOver const&)> const& count)
 {
     std::vector<size_t> started;
--- a/cornelpond/core/queueing/JobProgress.h
+++ b/cornelpond/core/queueing/JobProgress.h
@@ -55,6 +55,23 @@
     PassedOver& operator+=(PassedOver const& other);
 };
 
+/// Tasks that wait for a worker, by class.
+struct WaitingTasks {
+    size_t count = 0;
+    Duration oldest; ///< Time since the acceptance of their oldest job, or since its occurrence was due.
+};
+
+struct WaitingSummary {
+    WaitingTasks shortTasks;
+    WaitingTasks bestEffort;
+    WaitingTasks service;
+
+    size_t count() const { return this->shortTasks.count + this->bestEffort.count + this->service.count; }
+};
+
+/// `waiting`: all ready stages.
+WaitingSummary summarizeWaiting(Span<ReadyStage const> waiting, TimePoint now);
+
 struct JobProgress {
     JobSize size;
     uint64_t starts = 0;
--- a/cornelpond/core/scheduling/DecisionWorkTest.cpp
+++ b/cornelpond/core/scheduling/DecisionWorkTest.cpp
@@ -80,6 +80,18 @@
     CHECK(examined <= workerCount * interfererCount * 4 * 2);
 }
 
+TEST_CASE("decision work: the leader's load is logged once a second while tasks wait, and not on a calm fleet")
+{
+    JobBench bench(1);
+    bench.addWorkers(1, 4000);
+    bench.run(second * 3);
+    CHECK(bench.events.count(EventId::LoadReported) == 0);
+    bench.submit(makeJob("waits", 3, 4000, second * 60));
+    bench.run(second * 5);
+    CHECK(bench.events.count(EventId::LoadReported) >= 4);
+    CHECK(bench.events.count(EventId::LoadReported) <= 5);
+}
+
 TEST_CASE("decision work: attempts that await no order are not looked up many times a second")
 {
     JobBench bench(1);
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -18,6 +18,7 @@
     /// Cores of a worker count as idle once they were free for one to two such windows.
     constexpr Duration idleWindow = Duration::seconds(1);
     constexpr Duration roomReportInterval = Duration::seconds(1);
+    constexpr Duration loadReportInterval = Duration::seconds(1);
     /// A task that saves a checkpoint when stopped is stopped this long before its worker leaves.
     constexpr Duration evacuationLeadTime = Duration::milliseconds(900);
     /// Upper bound on the wait assumed for a job of an earlier leader, however far the wall clocks differ.
@@ -142,6 +143,7 @@
     this->permits.clear();
     this->interference.clear();
     this->cpuUsage.clear();
+    this->lastTickAt.reset();
     if (!isLeader) {
         this->dispatch.resign();
         return;
@@ -427,8 +429,9 @@
 {
     if (!this->dispatch.isLeading())
         return;
-    this->dispatch.onTick();
     TimePoint const now = this->clock.now();
+    this->noteTick(now);
+    this->dispatch.onTick();
     if (now >= this->nextSlowCheck) {
         this->nextSlowCheck = now + slowCheckInterval;
         this->openDueOccurrences();
@@ -449,6 +452,53 @@
     this->proposeUpdates();
 }
 
+void JobScheduler::noteTick(TimePoint now)
+{
+    if (this->lastTickAt) {
+        Duration const gap = now - *this->lastTickAt;
+        this->schedulerCounters.tickGap.observe(gap);
+        this->loadWindow.maxTickGap = std::max(this->loadWindow.maxTickGap, gap);
+    }
+    this->lastTickAt = now;
+    if (now - this->loadWindow.startedAt >= loadReportInterval)
+        this->reportLoad(now);
+}
+
+/// Logs the load of the window that ends now, unless nothing waits and the ticks are in time.
+void JobScheduler::reportLoad(TimePoint now)
+{
+    constexpr Duration lateTickGap = Duration::milliseconds(60); ///< Three ticks.
+    LoadWindow const before = this->loadWindow;
+    this->loadWindow = LoadWindow();
+    this->loadWindow.startedAt = now;
+    this->loadWindow.passes = this->schedulerCounters.passes;
+    this->loadWindow.starts = this->schedulerCounters.startsDecided;
+    this->loadWindow.workersExamined = this->placer.counters().workersExamined;
+    WaitingSummary const waiting = this->waitingTasks();
+    if (!waiting.count() && before.maxTickGap < lateTickGap)
+        return;
+    this->events.emit(Event(EventId::LoadReported)
+                          .with("lastedMs", now - before.startedAt)
+                          .with("passes", this->loadWindow.passes - before.passes)
+                          .with("starts", this->loadWindow.starts - before.starts)
+                          .with("workersExamined", this->loadWindow.workersExamined - before.workersExamined)
+                          .with("maxTickGapMs", before.maxTickGap)
+                          .with("maxPassMs", before.maxPass)
+                          .with("activeJobs", this->activeJobs.size())
+                          .with("shortTasks", waiting.shortTasks.count)
+                          .with("oldestShortMs", waiting.shortTasks.oldest)
+                          .with("bestEffortTasks", waiting.bestEffort.count)
+                          .with("oldestBestEffortMs", waiting.bestEffort.oldest)
+                          .with("serviceTasks", waiting.service.count)
+                          .with("oldestServiceMs", waiting.service.oldest));
+}
+
+WaitingSummary JobScheduler::waitingTasks() const
+{
+    TimePoint const now = this->clock.now();
+    return summarizeWaiting(this->collectReadyStages(now), now);
+}
+
 /// Cores of the service tasks that have run before and wait for a worker.
 int64_t JobScheduler::waitingRestartMilliCores() const
 {
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -53,6 +53,9 @@
     uint64_t evictions = 0;
     std::map<AttemptEnd, uint64_t> attemptEnds;
     std::map<std::pair<size_t, JobOutcome>, uint64_t> jobEnds; ///< By size class and outcome; without service jobs.
+    uint64_t passes = 0;
+    Histogram passDuration;
+    Histogram tickGap; ///< Between two ticks: a busy event loop runs them late.
     Histogram submitLatency; ///< From the call to the commit.
     Histogram placeLatency; ///< From a job's acceptance to each decision to start one of its tasks.
     Histogram completionLatency; ///< From a job's acceptance to its completion.
@@ -122,6 +125,8 @@
     size_t activeJobCount() const { return this->activeJobs.size(); }
     /// Accepted jobs that have not ended, by size class; without service jobs. Zeros on a follower.
     std::array<size_t, sizeClassCount> activeJobsBySize() const;
+    /// Tasks that wait for a worker. Empty on a follower.
+    WaitingSummary waitingTasks() const;
     RoomSummary room() const { return summarizeRoom(this->dispatch.workers(), this->clock.now(), this->times); }
 
 private:
@@ -149,8 +154,8 @@
     void evict(WorkerView& worker, PlacedAttempt& attempt, char const* reason);
 
     void runPass();
-    std::vector<ReadyStage> collectReadyStages(TimePoint now);
-    void collectReadyStagesOf(JobRecord const& job, JobObjective const& objective, TimePoint now, std::vector<ReadyStage>& ready);
+    std::vector<ReadyStage> collectReadyStages(TimePoint now) const;
+    void collectReadyStagesOf(JobRecord const& job, JobObjective const& objective, TimePoint now, std::vector<ReadyStage>& ready) const;
     StagePlacement placeStage(ReadyStage const& ready, TimePoint now);
     bool hasWaitedLong(TaskRef const& task, TimePoint now) const;
     int64_t waitingRestartMilliCores() const;
@@ -173,6 +178,8 @@
     void updateWorkerThrottle(WorkerView& worker, TimePoint now);
     void proposeUpdates();
     void reportRoom();
+    void noteTick(TimePoint now);
+    void reportLoad(TimePoint now);
 
     Clock const& clock;
     EventSink& events;
@@ -202,6 +209,19 @@
     bool hasLackedWorker = false; ///< A task found no worker since the room was last reported.
     TimePoint nextRoomReport;
     TimePoint nextIdleWindow;
+
+    /// Since the load was last reported.
+    struct LoadWindow {
+        TimePoint startedAt;
+        uint64_t passes = 0;
+        uint64_t starts = 0;
+        uint64_t workersExamined = 0;
+        Duration maxTickGap;
+        Duration maxPass;
+    };
+
+    LoadWindow loadWindow;
+    std::optional<TimePoint> lastTickAt; ///< Unset: no tick since this host leads.
     SchedulerCounters schedulerCounters;
 };
 
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -44,9 +44,13 @@
     }
     countPassedOver(ready, placements, [this](JobId const& job, PassedOver const& count) { this->activeJobs.at(job).progress.passedOver += count; });
     this->isPassNeeded = this->isPassNeeded || placed >= this->limits.maxStartsPerPass;
+    Duration const lasted = this->clock.now() - now;
+    this->schedulerCounters.passes++;
+    this->schedulerCounters.passDuration.observe(lasted);
+    this->loadWindow.maxPass = std::max(this->loadWindow.maxPass, lasted);
 }
 
-std::vector<ReadyStage> JobScheduler::collectReadyStages(TimePoint now)
+std::vector<ReadyStage> JobScheduler::collectReadyStages(TimePoint now) const
 {
     std::vector<ReadyStage> ready;
     for (auto const& [id, active] : this->activeJobs)
@@ -54,7 +58,7 @@
     return ready;
 }
 
-void JobScheduler::collectReadyStagesOf(JobRecord const& job, JobObjective const& objective, TimePoint now, std::vector<ReadyStage>& ready)
+void JobScheduler::collectReadyStagesOf(JobRecord const& job, JobObjective const& objective, TimePoint now, std::vector<ReadyStage>& ready) const
 {
     for (auto const& [number, occurrence] : job.occurrences) {
         TimePoint acceptedAt = objective.acceptedAt;
