Trials counted once a pass; estimates by the images' numbers

Counts are now kept for the pass, estimates stand in tables by the images' numbers, and the buffer keeps its memory.

--- a/cornelpond/core/placement/CpuUsageModel.cpp
+++ b/cornelpond/core/placement/CpuUsageModel.cpp
@@ -17,16 +17,20 @@
         if (!attempt.isBestEffort() || !isAtFullSpeed || !isMeasured || !attempt.stage->need.milliCores)
             continue;
         double const share = std::clamp(static_cast<double>(attempt.latencyMsOrMilliCores) / static_cast<double>(attempt.stage->need.milliCores), this->parameters.minShare, 1.0);
-        auto const [known, isNew] = this->usedShares.emplace(attempt.image.value(), share);
-        if (!isNew)
-            known->second += (share - known->second) * (share > known->second ? this->parameters.raiseWeight : this->parameters.lowerWeight);
+        if (attempt.image.value() >= this->usedShares.size())
+            this->usedShares.resize(attempt.image.value() + 1);
+        double& known = this->usedShares[attempt.image.value()];
+        if (known <= 0)
+            known = share;
+        else
+            known += (share - known) * (share > known ? this->parameters.raiseWeight : this->parameters.lowerWeight);
     }
 }
 
 double CpuUsageModel::expectedMilliCores(ImageId image, int64_t requestedMilliCores) const
 {
-    auto const known = this->usedShares.find(image.value());
-    return static_cast<double>(requestedMilliCores) * (known == this->usedShares.end() ? 1.0 : known->second);
+    double const known = image.value() < this->usedShares.size() ? this->usedShares[image.value()] : 0;
+    return static_cast<double>(requestedMilliCores) * (known > 0 ? known : 1.0);
 }
 
 } // namespace cornelpond
--- a/cornelpond/core/placement/CpuUsageModel.h
+++ b/cornelpond/core/placement/CpuUsageModel.h
@@ -12,7 +12,7 @@
 
 #include "cornelpond/core/dispatch/WorkerView.h"
 
-#include <unordered_map>
+#include <vector>
 
 namespace cornelpond {
 
@@ -40,7 +40,7 @@
 
 private:
     CpuUsageParameters parameters;
-    std::unordered_map<uint64_t, double> usedShares; ///< Share of the requested cores that is used, by image.
+    std::vector<double> usedShares; ///< Share of the requested cores that is used, by the image's number; 0: not observed.
 };
 
 } // namespace cornelpond
--- a/cornelpond/core/placement/InterferenceModel.cpp
+++ b/cornelpond/core/placement/InterferenceModel.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-    constexpr unsigned imageIdBits = 32; ///< Of each image in the key of a pair.
     constexpr unsigned servingProgressPercent = 100; ///< Listed for a service task that serves requests.
 
     bool hasTarget(PlacedAttempt const& attempt)
@@ -111,7 +110,7 @@
     for (auto const& use : shares)
         norm += use.share * use.share;
     for (auto const& use : shares) {
-        PairEstimate& estimate = this->estimates[pairKey(service, use.image)];
+        PairEstimate& estimate = this->estimateOf(service, use.image);
         estimate.coefficient = std::clamp(this->decayedCoefficient(estimate, now) + rate * error * use.share / norm, 0.0, this->parameters.maxCoefficient);
         estimate.observedAt = now;
         if (ratio < this->parameters.maxTailRatio)
@@ -158,20 +157,25 @@
     return known == this->baseTailRatios.end() ? this->parameters.defaultBaseTailRatio : known->second;
 }
 
-uint64_t InterferenceModel::pairKey(ImageId service, ImageId bestEffort)
+InterferenceModel::PairEstimate& InterferenceModel::estimateOf(ImageId service, ImageId bestEffort)
 {
-    return (service.value() << imageIdBits) | bestEffort.value();
-}
-
-ImageId InterferenceModel::serviceOfKey(uint64_t key)
-{
-    return ImageId(key >> imageIdBits);
+    if (service.value() >= this->estimates.size())
+        this->estimates.resize(service.value() + 1);
+    auto& ofService = this->estimates[service.value()];
+    if (bestEffort.value() >= ofService.size())
+        ofService.resize(bestEffort.value() + 1);
+    auto& estimate = ofService[bestEffort.value()];
+    if (!estimate)
+        estimate.emplace();
+    return *estimate;
 }
 
 InterferenceModel::PairEstimate const* InterferenceModel::find(ImageId service, ImageId bestEffort) const
 {
-    auto const found = this->estimates.find(pairKey(service, bestEffort));
-    return found == this->estimates.end() ? nullptr : &found->second;
+    if (service.value() >= this->estimates.size() || bestEffort.value() >= this->estimates[service.value()].size())
+        return nullptr;
+    auto const& estimate = this->estimates[service.value()][bestEffort.value()];
+    return estimate ? &*estimate : nullptr;
 }
 
 double InterferenceModel::allowedShare(ImageId service, ImageId bestEffort) const
@@ -196,11 +200,11 @@
 {
     double total = 0;
     double harmless = 0;
-    for (auto const& [key, estimate] : this->estimates) {
-        if (serviceOfKey(key) != service)
-            continue;
-        total++;
-        harmless += this->decayedCoefficient(estimate, now) < this->parameters.significantCoefficient;
+    if (service.value() >= this->estimates.size())
+        return 1;
+    for (auto const& estimate : this->estimates[service.value()]) {
+        total += estimate ? 1 : 0;
+        harmless += estimate && this->decayedCoefficient(*estimate, now) < this->parameters.significantCoefficient ? 1 : 0;
     }
     return total > 0 ? harmless / total : 1;
 }
--- a/cornelpond/core/placement/InterferenceModel.h
+++ b/cornelpond/core/placement/InterferenceModel.h
@@ -21,6 +21,7 @@
 #include "cornelpond/core/dispatch/WorkerView.h"
 
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -98,15 +99,14 @@
         TimePoint observedAt;
     };
 
-    static uint64_t pairKey(ImageId service, ImageId bestEffort);
-    static ImageId serviceOfKey(uint64_t key);
+    PairEstimate& estimateOf(ImageId service, ImageId bestEffort);
     PairEstimate const* find(ImageId service, ImageId bestEffort) const;
     double decayedCoefficient(PairEstimate const& estimate, TimePoint now) const;
     double baseTailRatio(ImageId service) const;
     void updateEstimates(ImageId service, double ratio, ImageCpuShares const& shares, TimePoint now);
 
     InterferenceParameters parameters;
-    std::unordered_map<uint64_t, PairEstimate> estimates; ///< By pairKey.
+    std::vector<std::vector<std::optional<PairEstimate>>> estimates; ///< By the numbers of the service image and the best-effort image.
     std::unordered_map<uint64_t, double> baseTailRatios; ///< Without best-effort tasks, by service image.
     std::map<WorkerId, TimePoint> lastObservedAt;
 };
--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -37,6 +37,7 @@
     this->holdCandidates.clear();
     this->reservedShares.clear();
     this->harmlessImageShares.clear();
+    this->trialCountsByImage.clear();
     this->candidates.clear();
     for (auto& [id, worker] : this->workers) {
         for (auto const& service : worker.serviceImages) {
@@ -137,9 +138,8 @@
     search.candidates = &this->candidates[request.service];
     search.comparedAt = failed ? failed->comparedAt : now;
     uint64_t const changedSincePass = failed ? failed->pass : 0;
-    search.isOnTrial = request.stage->isBestEffort && this->isOnTrialForAnyService(request.image);
-    if (search.isOnTrial)
-        search.trialWorkers = this->trialCounts(request.image);
+    if (request.stage->isBestEffort && !request.canStartThrottled && this->isOnTrialForAnyService(request.image))
+        search.trialWorkers = &this->trialCounts(request.image);
     for (size_t i = 0; i < search.candidates->size(); i++) {
         Candidate const& candidate = (*search.candidates)[i];
         if (candidate.lastPassChanged <= changedSincePass)
@@ -172,9 +172,9 @@
         std::push_heap(matches.begin(), matches.end());
         if (isOutdated)
             continue;
-        if (search.isOnTrial && !worker.bestEffortImages.find(search.request.image)) {
+        if (search.trialWorkers && !worker.bestEffortImages.find(search.request.image)) {
             for (auto const& service : worker.serviceImages)
-                search.trialWorkers[service.image]++;
+                (*search.trialWorkers)[service.image]++;
         }
         return &worker;
     }
@@ -268,7 +268,7 @@
 
 /// For best-effort tasks: true when enough cores are unused and the task would interfere with no service there, unless
 /// the request waives these conditions.
-bool TaskPlacer::canShareWorker(WorkerView const& worker, PlacementRequest const& request, TrialCounts const& trialWorkers, TimePoint now) const
+bool TaskPlacer::canShareWorker(WorkerView const& worker, PlacementRequest const& request, TrialCounts const* trialWorkers, TimePoint now)
 {
     if (!request.stage->isBestEffort)
         return true;
@@ -284,9 +284,10 @@
     return static_cast<unsigned>(std::clamp(fullPercent * allowed / static_cast<double>(std::max<int64_t>(stage.need.milliCores, 1)), 1.0, fullPercent));
 }
 
-bool TaskPlacer::canRunBestEffort(WorkerView const& worker, PlacementRequest const& request, TrialCounts const& trialWorkers, TimePoint now) const
+bool TaskPlacer::canRunBestEffort(WorkerView const& worker, PlacementRequest const& request, TrialCounts const* trialWorkers, TimePoint now)
 {
-    ImageCpuShares shares;
+    ImageCpuShares& shares = this->sharesBuffer;
+    shares.clear();
     for (auto const& load : worker.bestEffortImages)
         shares.push_back({ load.image, this->expectedCpuShare(worker, load.image, load.requestedMilliCores) });
     auto own = std::find_if(shares.begin(), shares.end(), [&](auto const& use) { return use.image == request.image; });
@@ -310,12 +311,14 @@
 
 /// A pair on trial is tried without other best-effort images on the worker, whose interference could not be told
 /// apart, and on few workers at a time.
-bool TaskPlacer::canStartTrial(ImageId service, bool isPresent, size_t imageCount, TrialCounts const& trialWorkers) const
+bool TaskPlacer::canStartTrial(ImageId service, bool isPresent, size_t imageCount, TrialCounts const* trialWorkers) const
 {
     if (imageCount > 1)
         return false;
-    auto const trialCount = trialWorkers.find(service);
-    return isPresent || trialCount == trialWorkers.end() || trialCount->second < this->parameters.maxTrialWorkers;
+    if (isPresent || !trialWorkers)
+        return true;
+    auto const trialCount = trialWorkers->find(service);
+    return trialCount == trialWorkers->end() || trialCount->second < this->parameters.maxTrialWorkers;
 }
 
 double TaskPlacer::expectedCpuShare(WorkerView const& worker, ImageId image, int64_t requestedMilliCores) const
@@ -328,9 +331,13 @@
     return std::any_of(this->harmlessImageShares.begin(), this->harmlessImageShares.end(), [&](auto const& service) { return this->interference.isOnTrial(service.first, image); });
 }
 
-TaskPlacer::TrialCounts TaskPlacer::trialCounts(ImageId image) const
+/// As the pass began, and with what `takeBestMatch` has added since.
+TaskPlacer::TrialCounts& TaskPlacer::trialCounts(ImageId image)
 {
-    TrialCounts trialWorkers;
+    auto const [known, isNew] = this->trialCountsByImage.try_emplace(image);
+    TrialCounts& trialWorkers = known->second;
+    if (!isNew)
+        return trialWorkers;
     for (auto const& [id, worker] : this->workers) {
         if (!worker.bestEffortImages.find(image))
             continue;
--- a/cornelpond/core/placement/TaskPlacer.h
+++ b/cornelpond/core/placement/TaskPlacer.h
@@ -92,11 +92,11 @@
     bool isAllowed(WorkerView const& worker, PlacementRequest const& request, TimePoint now) const;
     bool fits(WorkerView const& worker, PlacementRequest const& request, TimePoint now) const;
     std::vector<WorkerView const*> const& holdCandidatesOf(ServiceId const& service);
-    bool canShareWorker(WorkerView const& worker, PlacementRequest const& request, TrialCounts const& trialWorkers, TimePoint now) const;
+    bool canShareWorker(WorkerView const& worker, PlacementRequest const& request, TrialCounts const* trialWorkers, TimePoint now);
     static bool isEligible(WorkerView const& worker, PlacementRequest const& request);
-    bool canRunBestEffort(WorkerView const& worker, PlacementRequest const& request, TrialCounts const& trialWorkers, TimePoint now) const;
-    bool canStartTrial(ImageId service, bool isPresent, size_t imageCount, TrialCounts const& trialWorkers) const;
-    TrialCounts trialCounts(ImageId image) const;
+    bool canRunBestEffort(WorkerView const& worker, PlacementRequest const& request, TrialCounts const* trialWorkers, TimePoint now);
+    bool canStartTrial(ImageId service, bool isPresent, size_t imageCount, TrialCounts const* trialWorkers) const;
+    TrialCounts& trialCounts(ImageId image);
     bool isOnTrialForAnyService(ImageId image) const;
     /// A request for which no worker had room: like requests that need at least as much fail too.
     struct FailedRequest {
@@ -135,8 +135,7 @@
         std::vector<Match> matches; ///< A heap. Scores may be outdated for workers that were returned.
         std::vector<Candidate> const* candidates = nullptr;
         TimePoint comparedAt; ///< When the request was last compared with all workers.
-        bool isOnTrial = false;
-        TrialCounts trialWorkers;
+        TrialCounts* trialWorkers = nullptr; ///< Null: the image is on trial beside no service.
     };
 
     void beginSearch(PlacementRequest const& request, FailedRequest const* failed, TimePoint now);
@@ -155,6 +154,8 @@
     std::map<ImageId, std::vector<FailedRequest>> failedRequests;
     uint64_t passNumber = 0;
     std::map<ServiceId, std::vector<Candidate>> candidates; ///< In this pass; in the order of `workers`.
+    std::map<ImageId, TrialCounts> trialCountsByImage; ///< In this pass; filled at need.
+    ImageCpuShares sharesBuffer; ///< Of canRunBestEffort; keeps its memory.
     std::optional<Search> currentSearch; ///< Of the latest `chooseNext`.
     std::set<WorkerView const*> heldWorkers; ///< In this pass.
     std::map<ServiceId, std::vector<WorkerView const*>> holdCandidates; ///< Workers with short tasks or free cores, most free first; filled at need.
