--- a/cornelpond/core/queueing/JobProgress.cpp
+++ b/cornelpond/core/queueing/JobProgress.cpp
@@ -53,7 +53,8 @@
     WaitingSummary summary;
     for (auto const& ready : waiting) {
         StageSpec const& stage = ready.job->spec.stages[ready.stage];
-        WaitingTasks& tasks = stage.isService ? summary.service : stage.isBestEffort ? summary.bestEffort : summary.shortTasks;
+        WaitingTasks& tasks = stage.isService ? summary.service : stage.isBestEffort ? summary.bestEffort
+                                                                                     : summary.shortTasks;
         tasks.count += ready.job->occurrences.at(ready.occurrence).stages[ready.stage].waitingCount;
         tasks.oldest = std::max(tasks.oldest, now - ready.acceptedAt);
     }
