A new leader starts no tasks before the calls that waited for it

Cause: a new leader placed all waiting tasks in the millisecond in which it was elected. Entry hosts hold calls while no leader is known and try again every 100 ms, so a cancel that waited came only after the starts.

A new leader now starts no tasks for 250 ms: two retries and a commit. Leases of what runs are renewed from the first moment as before. Ruled out: letting entry hosts store cancels (they have no disk, and lost power too in this incident).

Evidence: the new test of JobFaultsTest failed before (40 starts, expected 20) and passes now; core_scheduling_test 36 cases, core_job_sizes_test 5 cases pass.

--- a/cornelpond/core/scheduling/JobFaultsTest.cpp
+++ b/cornelpond/core/scheduling/JobFaultsTest.cpp
@@ -67,6 +67,26 @@
     CHECK(bench.state(job.id) == JobState::Completed);
 }
 
+TEST_CASE("a new leader does not start the tasks of jobs whose cancels waited for a leader")
+{
+    constexpr Duration callRetryInterval = Duration::milliseconds(100); // Of the entry hosts.
+    JobBench bench(5);
+    bench.addWorkers(4, 16000);
+    JobSpec const job = makeJob("plan", 20, 1000, second * 60);
+    bench.submit(job);
+    bench.run(second);
+    REQUIRE(bench.fleet.record().starts == 20);
+    bench.crashLeader();
+    bench.run(DispatchTimes().leaseDuration + second);
+    REQUIRE(bench.fleet.runningCount(job.id) == 0);
+    bench.elect(1);
+    bench.run(callRetryInterval);
+    bench.cancel(job.id);
+    bench.run(second * 3);
+    CHECK(bench.fleet.record().starts == 20);
+    CHECK(bench.state(job.id) == JobState::Cancelled);
+}
+
 TEST_CASE("a worker restarted under its old id without its state gets its tasks again, once")
 {
     JobBench bench(4);
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -26,6 +26,9 @@
     /// set to 0 % speed. Users notice after a few seconds, and the figures seen here are a second old.
     constexpr Duration maxTimeOverTarget = Duration::milliseconds(1400);
     constexpr Duration overloadRetryAfter = Duration::seconds(2);
+    /// A new leader starts no tasks for this long, so that calls that waited for a leader, cancels among them, are
+    /// committed first. Entry hosts retry waiting calls every 100 ms, and a commit takes about 30 ms.
+    constexpr Duration startDelayOfNewLeader = Duration::milliseconds(250);
 
     /// The need that nine tenths of the tasks do not exceed. `needs`: with the number of tasks each; not empty.
     int64_t commonNeed(std::vector<std::pair<int64_t, uint64_t>>& needs)
@@ -146,6 +149,7 @@
         this->dispatch.resign();
         return;
     }
+    this->startsAllowedFrom = this->clock.now() + startDelayOfNewLeader;
     this->dispatch.lead(this->jobLog.term(), this->workerRoster);
     for (auto const& [id, job] : this->jobTable.all()) {
         if (job.state == JobState::Active)
@@ -440,7 +444,7 @@
         if (this->hasLackedWorker && now >= this->nextRoomReport)
             this->reportRoom();
     }
-    if (this->isPassNeeded || now >= this->nextPass) {
+    if (now >= this->startsAllowedFrom && (this->isPassNeeded || now >= this->nextPass)) {
         this->nextPass = now + maxPassInterval;
         this->isPassNeeded = false;
         if (this->jobLog.isLeadershipConfirmed())
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -197,6 +197,7 @@
     std::vector<TaskUpdate> pendingUpdates; ///< To be proposed with the next batch.
     bool isPassNeeded = false; ///< Something changed, so that waiting tasks may find a worker.
     TimePoint nextPass;
+    TimePoint startsAllowedFrom; ///< Of a new leader.
     TimePoint nextSlowCheck;
     bool hasLackedWorker = false; ///< A task found no worker since the room was last reported.
     TimePoint nextRoomReport;
