A draining host sends no second response behind an answer

Callers saw: an entry host in its drain answered a request with "Connection: close" twice in the header and right behind it sent "400 Refused, malformed HTTP, ran: no" for no request. A caller that had sent its next request on that connection took the 400 for its answer and dropped a well-formed job.

Cause: libevhtp leaves a parser error on a connection that it closes itself after the answer to a paused request, and the hook at the connection's end took any such error for malformed input. Ruled out: a connection that the client asks to close (the same test, not draining, passed before).

The end of a connection whose last answer was given is no longer read as an error; bytes after an answer on a kept connection are still refused.

--- a/cornelpond/adapters/http/HttpServer.cpp
+++ b/cornelpond/adapters/http/HttpServer.cpp
@@ -39,6 +39,7 @@
         size_t headerBytes = 0;
         bool isRefused = false;
         bool isInMessage = false; ///< The header of a message was passed to libevhtp, and the message has not ended.
+        bool isLastAnswer = false; ///< The answer that closes the connection was given.
         bufferevent_data_cb readCallback = nullptr; ///< libevhtp's own read callback.
     };
 
@@ -138,7 +139,9 @@
     evhtp_res onConnectionEnd(evhtp_connection_t* connection, void* argument)
     {
         std::unique_ptr<ConnectionState> const state(static_cast<ConnectionState*>(argument));
-        if (!state->isRefused && htparser_get_error(connection->parser) != htparse_error_none)
+        // libevhtp leaves a parser error on a connection that it closes after the answer to a paused request.
+        bool const hasFailed = !state->isLastAnswer && htparser_get_error(connection->parser) != htparse_error_none;
+        if (!state->isRefused && hasFailed)
             sendRefusal(connection, *state, ResultCode::BadHeader, "malformed HTTP");
         return EVHTP_RES_OK;
     }
@@ -230,10 +233,11 @@
     this->pending->onDisconnected = nullptr;
     for (auto const& field : response.headers.all())
         evhtp_headers_add_header(request->headers_out, evhtp_header_new(field.name.c_str(), field.value.c_str(), 1, 1));
-    if (this->pending->server->isClosing) {
-        evhtp_headers_add_header(request->headers_out, evhtp_header_new("Connection", "close", 0, 0));
+    // libevhtp adds "Connection: close" itself.
+    if (this->pending->server->isClosing)
         request->flags &= static_cast<uint16_t>(~EVHTP_REQ_FLAG_KEEPALIVE);
-    }
+    if (ConnectionState* state = request->conn ? stateOf(request->conn) : nullptr)
+        state->isLastAnswer = !(request->flags & EVHTP_REQ_FLAG_KEEPALIVE);
     evbuffer_add(request->buffer_out, response.body.data(), response.body.size());
     evhtp_send_reply(request, static_cast<evhtp_res>(response.status));
     evhtp_request_resume(request);
--- a/cornelpond/adapters/http/HttpTest.cpp
+++ b/cornelpond/adapters/http/HttpTest.cpp
@@ -74,6 +74,31 @@
     return answer;
 }
 
+/// All that the server sends on one connection until it closes it.
+std::string readUntilClosed(EventLoop& loop, uint16_t port, std::string const& bytes)
+{
+    int const handle = connectTo(port);
+    REQUIRE(send(handle, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+    std::string received;
+    char buffer[4096];
+    runUntil(loop, [&] {
+        ssize_t const length = recv(handle, buffer, sizeof(buffer), MSG_DONTWAIT);
+        if (length > 0)
+            received.append(buffer, static_cast<size_t>(length));
+        return length == 0 || (length < 0 && errno != EAGAIN);
+    });
+    close(handle);
+    return received;
+}
+
+size_t countOf(std::string const& text, std::string const& part)
+{
+    size_t count = 0;
+    for (size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + part.size()))
+        count++;
+    return count;
+}
+
 /// Opens a listening socket that accepts nothing by itself; returns its port.
 uint16_t listenRaw(int& handle)
 {
@@ -147,6 +172,30 @@
     CHECK(exchange(loop, client, port, makeRequest("/")).response.body == "ok");
 }
 
+TEST_CASE("a connection that closes after its answer carries no second response")
+{
+    EventLoop loop;
+    HttpServer server(loop, HttpLimits(), [&](HttpRequest const& request, HttpResponder const& responder) {
+        if (request.path == "/later")
+            loop.after(Duration::milliseconds(5), [responder] { responder.answer({ 200, {}, "{}" }); });
+        else
+            responder.answer({ 200, {}, "{}" });
+    });
+    uint16_t const port = server.listen({ "127.0.0.1", 0 });
+    bool const isDraining = GENERATE(false, true);
+    server.setClosing(isDraining);
+    std::string const path = GENERATE("/now", "/later");
+    std::string const field = GENERATE("Connection: close\r\n", "");
+    if (!isDraining && field.empty())
+        return; // The connection stays open.
+    std::string const head = "POST " + path + " HTTP/1.1\r\nHost: a\r\n" + field;
+    INFO(head << "draining: " << isDraining);
+    std::string const received = readUntilClosed(loop, port, head + "Content-Length: 5\r\n\r\nhello");
+    CHECK(countOf(received, "HTTP/1.1 ") == 1);
+    CHECK(countOf(received, "HTTP/1.1 200") == 1);
+    CHECK(countOf(received, "Connection: ") == 1);
+}
+
 TEST_CASE("a request is read as it was sent wherever its bytes are split")
 {
     EventLoop loop;
