Refuse a JSON number beyond the range of a double as malformed

What could happen, read from the code: a heartbeat, job or configuration with a number such as 1e999 was answered with 500 and logged as an internal fault; forwarded to the leader it got no answer, and its sender waited until its time ran out.

Cause: parseJson() turned only json::parse_error into an Error. For such a number nlohmann throws json::out_of_range, which no caller of parseJson() expects.

Evidence: parseJson("{\"capacity\": 1e999}") of the former code threw json.exception.out_of_range.406.

Ruled out, read from the code: the end of the process. The event loop catches what leaves a callback.

The change: every exception of the parser becomes Error(MalformedJson) at the one place that parses.

--- a/cornelpond/core/base/Json.cpp
+++ b/cornelpond/core/base/Json.cpp
@@ -78,6 +78,8 @@
         return nlohmann::json::parse(text);
     } catch (nlohmann::json::parse_error const& error) {
         throw Error(ResultCode::MalformedJson, "malformed JSON at byte " + std::to_string(error.byte));
+    } catch (nlohmann::json::exception const& error) {
+        throw Error(ResultCode::MalformedJson, std::string("malformed JSON: ") + error.what()); // Such as a number beyond a double's range.
     }
 }
 
--- a/cornelpond/core/base/JsonTest.cpp
+++ b/cornelpond/core/base/JsonTest.cpp
@@ -33,6 +33,15 @@
     CHECK(codeOf("[1,2,3]", { 3, 32 }) == ResultCode::BodyTooLarge);
 }
 
+TEST_CASE("a number beyond the range of a double is refused as malformed, not thrown as a foreign exception")
+{
+    CHECK(codeOf(R"({"capacity": 1e999})") == ResultCode::MalformedJson);
+    CHECK(codeOf("[-1e999]") == ResultCode::MalformedJson);
+    CHECK(codeOf("1" + std::string(400, '0')) == ResultCode::MalformedJson);
+    CHECK(codeOf("18446744073709551616") == ResultCode::Ok);
+    CHECK(codeOf("NaN") == ResultCode::MalformedJson);
+}
+
 TEST_CASE("parseJson throws no exception other than Error")
 {
     rc::prop("any bytes", [](std::string const& text) { codeOf(text); });
