Bound the nesting of CBOR before it exhausts the stack

What could happen: a message between hosts, or a stored record, of a few MiB that nests at every byte ended the process with a segmentation fault. A host that meets it again at each start would end each time.

Cause: json::from_cbor() calls itself for every level; parseJson() had a limit on depth and fromCbor() had none.

Evidence: fromCbor() of 4 MiB of 0x81 ended the process with signal 11.

The project's own messages nest four levels at most.

--- a/cornelpond/core/base/Json.cpp
+++ b/cornelpond/core/base/Json.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <vector>
 
 namespace cornelpond {
@@ -30,6 +31,69 @@
         return deepest;
     }
 
+    /// Builds a value from a parser's events and ends the parser where the value nests too deep. json::from_cbor() has no
+    /// such limit, though its parser calls itself for every level.
+    class BoundedBuilder final : public nlohmann::json_sax<nlohmann::json> {
+    public:
+        bool null() override { return this->add(nullptr); }
+        bool boolean(bool value) override { return this->add(value); }
+        bool number_integer(number_integer_t value) override { return this->add(value); }
+        bool number_unsigned(number_unsigned_t value) override { return this->add(value); }
+        bool number_float(number_float_t value, string_t const&) override { return this->add(value); }
+        bool string(string_t& value) override { return this->add(std::move(value)); }
+        bool binary(binary_t& value) override { return this->add(nlohmann::json::binary(std::move(value))); }
+        bool start_object(size_t) override { return this->open(nlohmann::json::object()); }
+        bool end_object() override { return this->close(); }
+        bool start_array(size_t) override { return this->open(nlohmann::json::array()); }
+        bool end_array() override { return this->close(); }
+
+        bool key(string_t& value) override
+        {
+            this->currentKey = std::move(value);
+            return true;
+        }
+
+        bool parse_error(size_t, std::string const&, nlohmann::json::exception const& error) override
+        {
+            throw Error(ResultCode::MalformedJson, std::string("not CBOR: ") + error.what());
+        }
+
+        nlohmann::json take() { return std::move(this->root); }
+
+    private:
+        nlohmann::json& insert(nlohmann::json value)
+        {
+            if (this->openContainers.empty())
+                return this->root = std::move(value);
+            nlohmann::json& container = *this->openContainers.back();
+            return container.is_array() ? container.emplace_back(std::move(value)) : container[this->currentKey] = std::move(value);
+        }
+
+        bool add(nlohmann::json value)
+        {
+            this->insert(std::move(value));
+            return true;
+        }
+
+        bool open(nlohmann::json container)
+        {
+            if (this->openContainers.size() >= JsonLimits().maxDepth)
+                throw Error(ResultCode::MalformedJson, "the CBOR nests too deep");
+            this->openContainers.push_back(&this->insert(std::move(container)));
+            return true;
+        }
+
+        bool close()
+        {
+            this->openContainers.pop_back();
+            return true;
+        }
+
+        nlohmann::json root;
+        std::vector<nlohmann::json*> openContainers; ///< From the outermost; each is the last value in the one before.
+        std::string currentKey;
+    };
+
     /// Length of the well-formed sequence at `text[0]`, or 0.
     size_t utf8SequenceLength(std::string_view text)
     {
@@ -92,11 +156,9 @@
 
 nlohmann::json fromCbor(std::string_view bytes)
 {
-    try {
-        return nlohmann::json::from_cbor(bytes.begin(), bytes.end());
-    } catch (nlohmann::json::exception const& error) {
-        throw Error(ResultCode::MalformedJson, std::string("not CBOR: ") + error.what());
-    }
+    BoundedBuilder builder;
+    nlohmann::json::sax_parse(bytes.begin(), bytes.end(), &builder, nlohmann::json::input_format_t::cbor);
+    return builder.take();
 }
 
 } // namespace cornelpond
--- a/cornelpond/core/base/Json.h
+++ b/cornelpond/core/base/Json.h
@@ -23,7 +23,8 @@
 /// Encodes the value as CBOR.
 std::string toCbor(nlohmann::json const& value);
 
-/// Throws Error(MalformedJson) when the bytes are not exactly one complete CBOR value.
+/// Throws Error(MalformedJson) when the bytes are not exactly one complete CBOR value, or it nests deeper than
+/// JsonLimits::maxDepth.
 nlohmann::json fromCbor(std::string_view bytes);
 
 /// True for well-formed UTF-8 without overlong forms or surrogates.
--- a/cornelpond/core/base/JsonTest.cpp
+++ b/cornelpond/core/base/JsonTest.cpp
@@ -53,3 +53,43 @@
     CHECK(fromCbor(toCbor(value)) == value);
     CHECK_THROWS_AS(fromCbor("\xff\xff"), Error);
 }
+
+TEST_CASE("CBOR that nests very deep is refused before it exhausts the stack")
+{
+    for (char const container : { '\x81', '\x9f' }) {
+        try {
+            fromCbor(std::string(4 * 1024 * 1024, container));
+            FAIL("accepted");
+        } catch (Error const& error) {
+            CHECK(error.code() == ResultCode::MalformedJson);
+        }
+    }
+    nlohmann::json nested = 7;
+    for (size_t i = 0; i < JsonLimits().maxDepth; i++)
+        nested = i % 2 ? nlohmann::json { { "in", nested } } : nlohmann::json::array({ nested, "x" });
+    CHECK(fromCbor(toCbor(nested)) == nested);
+    CHECK_THROWS_AS(fromCbor(toCbor(nlohmann::json::array({ nested }))), Error);
+}
+
+TEST_CASE("fromCbor throws no exception other than Error, for cut, changed and random bytes")
+{
+    nlohmann::json const value = { 1, -5, 2.5, "text", nullptr, true, { { "key", { 1, 2 } } }, nlohmann::json::binary({ 1, 2, 3 }), uint64_t(1) << 63 };
+    std::string const bytes = toCbor(value);
+    CHECK(fromCbor(bytes) == value);
+    auto const read = [](std::string const& text) {
+        try {
+            fromCbor(text);
+        } catch (Error const&) {
+            return;
+        }
+    };
+    for (size_t length = 0; length < bytes.size(); length++)
+        CHECK_THROWS_AS(fromCbor(std::string_view(bytes).substr(0, length)), Error);
+    CHECK_THROWS_AS(fromCbor(bytes + "x"), Error);
+    rc::prop("random bytes", read);
+    rc::prop("one changed byte", [&](uint8_t position, char byte) {
+        std::string changed = bytes;
+        changed[position % changed.size()] = byte;
+        read(changed);
+    });
+}
