Refuse numbers out of range in messages between hosts

What could happen: a port of 65536 in a hello or an introduction was taken as 0, a negative number as a large one, and a float beyond the range of an integer as whatever the processor makes of it. A time in a relayed answer could overflow, and a result or kind of end without a name was taken over.

Cause: json::get() converts numbers without a check of their range, and RelayMessage cast what it read.

The change: wholeNumber() reads such numbers, and RelayMessage bounds them. LeaderForwarder no longer takes an exception from the service of a request for a malformed message: it dropped it without a line in the log.

--- a/cornelpond/adapters/peer/PeerFrame.cpp
+++ b/cornelpond/adapters/peer/PeerFrame.cpp
@@ -32,26 +32,26 @@
     PeerHello parseHello(nlohmann::json const& fields)
     {
         PeerHello hello;
-        hello.protocol = fields.at(1).get<uint32_t>();
+        hello.protocol = static_cast<uint32_t>(wholeNumber(fields.at(1), UINT32_MAX));
         hello.cluster = fields.at(2).get<std::string>();
         hello.host = HostId(fields.at(3).get<std::string>());
         hello.dataCentre = DataCentreId(fields.at(4).get<std::string>());
         hello.token = binaryField(fields, 5);
-        hello.heartbeatInterval = Duration::milliseconds(fields.at(6).get<uint32_t>());
+        hello.heartbeatInterval = Duration::milliseconds(static_cast<int64_t>(wholeNumber(fields.at(6), UINT32_MAX)));
         hello.listenIp = fields.at(7).get<std::string>();
-        hello.listenPort = fields.at(8).get<uint16_t>();
+        hello.listenPort = static_cast<uint16_t>(wholeNumber(fields.at(8), UINT16_MAX));
         return hello;
     }
 
     PeerFrame parseFrame(nlohmann::json const& fields)
     {
-        switch (static_cast<FrameKind>(fields.at(0).get<uint8_t>())) {
+        switch (static_cast<FrameKind>(wholeNumber(fields.at(0), UINT8_MAX))) {
         case FrameKind::Hello:
             return parseHello(fields);
         case FrameKind::Heartbeat:
             return PeerHeartbeat { binaryField(fields, 1) };
         case FrameKind::Message:
-            return PeerMessage { static_cast<PeerChannel>(fields.at(1).get<uint8_t>()), binaryField(fields, 2) };
+            return PeerMessage { static_cast<PeerChannel>(wholeNumber(fields.at(1), UINT8_MAX)), binaryField(fields, 2) };
         }
         throw Error(ResultCode::MalformedJson, "peer frame of an unknown kind");
     }
--- a/cornelpond/adapters/peer/PeerLinkTest.cpp
+++ b/cornelpond/adapters/peer/PeerLinkTest.cpp
@@ -1,9 +1,13 @@
 #include "cornelpond/adapters/peer/PeerLink.h"
 
+#include "cornelpond/adapters/peer/PeerFrame.h"
+#include "cornelpond/core/base/Json.h"
+#include "cornelpond/core/base/ResultCode.h"
 #include "testing/fakes/RecordingEventSink.h"
 #include "testing/faultproxy/FaultProxy.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include <stdexcept>
 
@@ -127,6 +131,21 @@
     CHECK(pair.a.link.counters().connectionsMade == 1);
 }
 
+TEST_CASE("a hello with a port out of range is refused")
+{
+    PeerHello hello;
+    hello.listenPort = 7720;
+    std::string const bytes = encode(hello);
+    auto const withPort = [&](nlohmann::json const& port) {
+        nlohmann::json fields = fromCbor(bytes);
+        fields[8] = port;
+        return toCbor(fields);
+    };
+    CHECK(std::get<PeerHello>(decodePeerFrame(withPort(65535))).listenPort == 65535);
+    for (auto const& port : { nlohmann::json(65536), nlohmann::json(70000), nlohmann::json(-1), nlohmann::json(1e300), nlohmann::json(80.5), nlohmann::json("80"), nlohmann::json(nullptr) })
+        CHECK_THROWS_AS(decodePeerFrame(withPort(port)), Error);
+}
+
 TEST_CASE("heartbeats carry the current payload")
 {
     Pair pair;
--- a/cornelpond/app/HostNetwork.cpp
+++ b/cornelpond/app/HostNetwork.cpp
@@ -286,7 +286,7 @@
     try {
         introduced.host = HostId(fields.at(0).get<std::string>());
         introduced.dataCentre = DataCentreId(fields.at(1).get<std::string>());
-        introduced.address = { fields.at(2).get<std::string>(), fields.at(3).get<uint16_t>() };
+        introduced.address = { fields.at(2).get<std::string>(), static_cast<uint16_t>(wholeNumber(fields.at(3), UINT16_MAX)) };
     } catch (nlohmann::json::exception const& error) {
         throw Error(ResultCode::MalformedJson, std::string("introduction: ") + error.what());
     }
--- a/cornelpond/app/LeaderForwarder.cpp
+++ b/cornelpond/app/LeaderForwarder.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <variant>
 #include <vector>
 
 namespace cornelpond {
@@ -37,7 +38,7 @@
     {
         ForwardedRequest forwarded;
         forwarded.group = GroupId(bytesAt(fields, 2));
-        forwarded.api = static_cast<ApiKind>(fields.at(3).get<uint8_t>());
+        forwarded.api = static_cast<ApiKind>(wholeNumber(fields.at(3), UINT8_MAX));
         forwarded.request.method = bytesAt(fields, 4);
         forwarded.request.path = bytesAt(fields, 5);
         forwarded.request.query = bytesAt(fields, 6);
@@ -58,7 +59,8 @@
     HttpResponse answerFrom(nlohmann::json const& fields)
     {
         HttpResponse response;
-        response.status = fields.at(2).get<int>();
+        constexpr uint64_t maxStatus = 999;
+        response.status = static_cast<int>(wholeNumber(fields.at(2), maxStatus));
         response.body = bytesAt(fields, 3);
         for (size_t i = 4; i + 1 < fields.size(); i += 2)
             response.headers.add(bytesAt(fields, i), bytesAt(fields, i + 1));
@@ -91,22 +93,30 @@
 
 void LeaderForwarder::onMessage(HostId const& from, std::string const& payload)
 {
+    uint64_t id = 0;
+    std::variant<ForwardedRequest, HttpResponse> content;
     try {
         nlohmann::json const fields = fromCbor(payload);
-        auto const kind = static_cast<MessageKind>(fields.at(0).get<uint8_t>());
-        auto const id = fields.at(1).get<uint64_t>();
-        if (kind == MessageKind::Request) {
-            this->serveRemote(from, id, requestFrom(fields));
+        auto const kind = static_cast<MessageKind>(wholeNumber(fields.at(0), UINT8_MAX));
+        id = wholeNumber(fields.at(1));
+        if (kind == MessageKind::Request)
+            content = requestFrom(fields);
+        else if (kind == MessageKind::Answer)
+            content = answerFrom(fields);
+        else
             return;
-        }
-        auto const found = this->pendingRequests.find(id);
-        if (kind == MessageKind::Answer && found != this->pendingRequests.end() && found->second.leader == from)
-            this->finish(id, answerFrom(fields));
     } catch (nlohmann::json::exception const&) {
         return; // Sent by a faulty peer; its request times out.
     } catch (Error const&) {
         return;
     }
+    if (auto const* request = std::get_if<ForwardedRequest>(&content)) {
+        this->serveRemote(from, id, *request);
+        return;
+    }
+    auto const found = this->pendingRequests.find(id);
+    if (found != this->pendingRequests.end() && found->second.leader == from)
+        this->finish(id, std::get<HttpResponse>(content));
 }
 
 void LeaderForwarder::serveRemote(HostId const& from, uint64_t id, ForwardedRequest const& request)
--- a/cornelpond/core/base/Json.cpp
+++ b/cornelpond/core/base/Json.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 namespace cornelpond {
@@ -147,6 +148,24 @@
     }
 }
 
+uint64_t wholeNumber(nlohmann::json const& value, uint64_t max)
+{
+    constexpr double exactBelow = 9007199254740992; // 2^53
+    uint64_t number = 0;
+    bool isWhole = false;
+    if (value.is_number_float()) {
+        auto const given = value.get<double>();
+        isWhole = given >= 0 && given < exactBelow && std::floor(given) == given;
+        number = isWhole ? static_cast<uint64_t>(given) : 0;
+    } else if (value.is_number_integer()) {
+        isWhole = value.is_number_unsigned() || value.get<int64_t>() >= 0;
+        number = value.get<uint64_t>();
+    }
+    if (!isWhole || number > max)
+        throw Error(ResultCode::MalformedJson, "not a whole number from 0 to " + std::to_string(max));
+    return number;
+}
+
 std::string toCbor(nlohmann::json const& value)
 {
     std::string bytes;
--- a/cornelpond/core/base/Json.h
+++ b/cornelpond/core/base/Json.h
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -27,6 +28,10 @@
 /// JsonLimits::maxDepth.
 nlohmann::json fromCbor(std::string_view bytes);
 
+/// The value of a whole number from 0 to `max`; a floating-point value counts when it has no fraction and is exact.
+/// Throws Error(MalformedJson) for every other value. json::get() converts numbers without a check of their range.
+uint64_t wholeNumber(nlohmann::json const& value, uint64_t max = UINT64_MAX);
+
 /// True for well-formed UTF-8 without overlong forms or surrogates.
 bool isValidUtf8(std::string_view text);
 
--- a/cornelpond/core/base/JsonTest.cpp
+++ b/cornelpond/core/base/JsonTest.cpp
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <rapidcheck/catch.h>
 
+#include <cmath>
+
 using namespace cornelpond;
 
 namespace {
@@ -93,3 +95,22 @@
         read(changed);
     });
 }
+
+TEST_CASE("wholeNumber refuses what a conversion would wrap, truncate or leave undefined")
+{
+    auto const isRefused = [](nlohmann::json const& value, uint64_t max = UINT64_MAX) {
+        try {
+            wholeNumber(value, max);
+            return false;
+        } catch (Error const& error) {
+            return error.code() == ResultCode::MalformedJson;
+        }
+    };
+    CHECK(wholeNumber(UINT64_MAX) == UINT64_MAX);
+    CHECK(wholeNumber(int64_t(7)) == 7);
+    CHECK(wholeNumber(7.0, 7) == 7);
+    for (auto const& value : { nlohmann::json(-1), nlohmann::json(1.5), nlohmann::json(-0.5), nlohmann::json(1e300), nlohmann::json(std::nan("")), nlohmann::json("7"), nlohmann::json(true), nlohmann::json(nullptr) })
+        CHECK(isRefused(value));
+    CHECK(isRefused(65536, UINT16_MAX));
+    CHECK_FALSE(isRefused(65535, UINT16_MAX));
+}
--- a/cornelpond/core/membership/HostReport.cpp
+++ b/cornelpond/core/membership/HostReport.cpp
@@ -30,15 +30,15 @@
 {
     try {
         nlohmann::json const fields = fromCbor(payload);
-        auto const flags = fields.at(1).get<unsigned>();
+        uint64_t const flags = wholeNumber(fields.at(1));
         HostReport report;
-        report.incarnation = fields.at(0).get<uint64_t>();
+        report.incarnation = wholeNumber(fields.at(0));
         report.isLeaving = flags & leavingFlag;
         report.hasDisk = flags & diskFlag;
         report.hasConfiguration = flags & configurationFlag;
-        report.configVersion = ConfigVersion(fields.at(2).get<uint64_t>());
+        report.configVersion = ConfigVersion(wholeNumber(fields.at(2)));
         for (size_t i = 3; i < fields.size(); i += 2)
-            report.ledGroups.push_back({ GroupId(fields[i].get<std::string>()), Term(fields.at(i + 1).get<uint64_t>()) });
+            report.ledGroups.push_back({ GroupId(fields[i].get<std::string>()), Term(wholeNumber(fields.at(i + 1))) });
         return report;
     } catch (nlohmann::json::exception const& error) {
         throw Error(ResultCode::MalformedJson, std::string("host report: ") + error.what());
--- a/cornelpond/core/membership/HostReportTest.cpp
+++ b/cornelpond/core/membership/HostReportTest.cpp
@@ -1,8 +1,10 @@
 #include "cornelpond/core/membership/HostReport.h"
 
+#include "cornelpond/core/base/Json.h"
 #include "cornelpond/core/base/ResultCode.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 #include <rapidcheck/catch.h>
 
 using namespace cornelpond;
@@ -41,3 +43,16 @@
         }
     });
 }
+
+TEST_CASE("a host report with numbers of another type or range is refused, not converted")
+{
+    nlohmann::json const fields = { 7, 1, 3, "config", 5 };
+    for (size_t index : { 0, 1, 2, 4 }) {
+        for (auto const& odd : { nlohmann::json(-1), nlohmann::json(1e300), nlohmann::json(1.5), nlohmann::json("x"), nlohmann::json(nullptr) }) {
+            nlohmann::json changed = fields;
+            changed[index] = odd;
+            CHECK_THROWS_AS(decodeHostReport(toCbor(changed)), Error);
+        }
+    }
+    CHECK(decodeHostReport(toCbor(fields)).configVersion == ConfigVersion(3));
+}
--- a/cornelpond/core/relay/RelayMessage.cpp
+++ b/cornelpond/core/relay/RelayMessage.cpp
@@ -27,9 +27,18 @@
         out.number(static_cast<uint64_t>(span.toMilliseconds()));
     }
 
+    uint64_t readUpTo(ByteReader& in, uint64_t max)
+    {
+        uint64_t const number = in.number();
+        if (number > max)
+            in.fail();
+        return number;
+    }
+
     Duration readMilliseconds(ByteReader& in)
     {
-        return Duration::milliseconds(static_cast<int64_t>(in.number()));
+        constexpr uint64_t maxMilliseconds = INT64_MAX / 1000; // A Duration counts microseconds.
+        return Duration::milliseconds(static_cast<int64_t>(readUpTo(in, maxMilliseconds)));
     }
 
     std::string readText(ByteReader& in)
@@ -163,7 +172,7 @@
     OrderAnswer readOrderAnswer(ByteReader& in)
     {
         OrderAnswer answer;
-        answer.result = static_cast<OrderResult>(in.number());
+        answer.result = static_cast<OrderResult>(readUpTo(in, static_cast<uint64_t>(OrderResult::NotSent)));
         answer.hasClock = in.number();
         answer.workerClock = readMilliseconds(in);
         return answer;
@@ -174,7 +183,7 @@
         writeAttempt(out, listed.task, listed.attempt);
         out.text(listed.checkpoint);
         out.number(listed.progressPercent);
-        out.number(static_cast<uint64_t>(listed.latencyMsOrMilliCores + 1)); // -1, not given, is stored as 0.
+        out.number(static_cast<uint64_t>(listed.latencyMsOrMilliCores) + 1); // -1, not given, is stored as 0.
     }
 
     ListedAttempt readListedAttempt(ByteReader& in)
@@ -184,7 +193,7 @@
         listed.attempt = AttemptNumber(in.number());
         listed.checkpoint = readText(in);
         listed.progressPercent = static_cast<unsigned>(in.number());
-        listed.latencyMsOrMilliCores = static_cast<int64_t>(in.number()) - 1;
+        listed.latencyMsOrMilliCores = static_cast<int64_t>(in.number() - 1);
         return listed;
     }
 
@@ -202,7 +211,7 @@
         end.number = in.number();
         end.task = readTaskRef(in);
         end.attempt = AttemptNumber(in.number());
-        end.end = static_cast<AttemptEnd>(in.number());
+        end.end = static_cast<AttemptEnd>(readUpTo(in, static_cast<uint64_t>(AttemptEnd::Refused)));
         end.checkpoint = readText(in);
         return end;
     }
--- a/cornelpond/core/relay/RelayMessageTest.cpp
+++ b/cornelpond/core/relay/RelayMessageTest.cpp
@@ -71,3 +71,27 @@
         }
     });
 }
+
+TEST_CASE("results, ends and times out of range are refused, not converted")
+{
+    auto const isRefused = [](RelayBatch const& batch) {
+        try {
+            decodeRelayBatch(encodeRelayBatch(batch));
+            return false;
+        } catch (Error const& error) {
+            return error.code() == ResultCode::MalformedMessage;
+        }
+    };
+    RelayBatch result;
+    result.answers.push_back({ 1, OrderAnswer { static_cast<OrderResult>(99), false, Duration() } });
+    CHECK(isRefused(result));
+    RelayBatch time;
+    time.answers.push_back({ 1, OrderAnswer { OrderResult::Accepted, true, Duration::milliseconds(-1) } });
+    CHECK(isRefused(time));
+    RelayBatch end;
+    RenewAnswer listed;
+    listed.listing.ended.push_back({ 1, task, AttemptNumber(1), static_cast<AttemptEnd>(9), "" });
+    end.answers.push_back({ 1, listed });
+    CHECK(isRefused(end));
+    CHECK_FALSE(isRefused(batchOfAllKinds()));
+}
--- a/cornelpond/core/tasks/WorkerMessages.cpp
+++ b/cornelpond/core/tasks/WorkerMessages.cpp
@@ -1,5 +1,6 @@
 #include "cornelpond/core/tasks/WorkerMessages.h"
 
+#include "cornelpond/core/base/Json.h"
 #include "cornelpond/core/base/ResultCode.h"
 #include "cornelpond/core/tasks/TaskJson.h"
 
@@ -13,9 +14,9 @@
     {
         ReportedAttempt attempt;
         attempt.task = TaskId(value.at("task").get<std::string>());
-        attempt.attempt = AttemptNumber(value.at("attempt").get<uint64_t>());
+        attempt.attempt = AttemptNumber(wholeNumber(value.at("attempt")));
         attempt.state = value.value("ended", false) ? ReportedAttemptState::Ended : ReportedAttemptState::Running;
-        auto const outcome = value.value("outcome", uint8_t(0));
+        uint64_t const outcome = wholeNumber(value.value("outcome", nlohmann::json(0U)));
         if (outcome > static_cast<uint8_t>(AttemptOutcome::NeverStarted))
             throw Error(ResultCode::SchemaViolation, "/held: unknown outcome");
         attempt.outcome = static_cast<AttemptOutcome>(outcome);
@@ -61,13 +62,13 @@
     WorkerCommand commandFromJson(nlohmann::json const& value)
     {
         WorkerCommand command;
-        auto const kind = value.at("kind").get<uint8_t>();
+        uint64_t const kind = wholeNumber(value.at("kind"));
         if (kind > static_cast<uint8_t>(WorkerCommandKind::Throttle))
             throw Error(ResultCode::SchemaViolation, "/commands: unknown kind");
         command.kind = static_cast<WorkerCommandKind>(kind);
         command.task = TaskId(value.at("task").get<std::string>());
-        command.attempt = AttemptNumber(value.at("attempt").get<uint64_t>());
-        command.epoch = Term(value.at("epoch").get<uint64_t>());
+        command.attempt = AttemptNumber(wholeNumber(value.at("attempt")));
+        command.epoch = Term(wholeNumber(value.at("epoch")));
         if (value.contains("resources"))
             command.resources = resourcesFromJson(value["resources"], "/commands/resources");
         command.checkpoint = CheckpointId(value.value("checkpoint", std::string()));
@@ -86,7 +87,7 @@
         if (!isLabelWord(announcement.worker.value()))
             throw Error(ResultCode::SchemaViolation, "/worker: expected letters, digits or any of ._-/");
         announcement.incarnation = value.at("incarnation").get<std::string>();
-        announcement.number = AnnouncementNumber(value.at("number").get<uint64_t>());
+        announcement.number = AnnouncementNumber(wholeNumber(value.at("number")));
         announcement.rack = RackId(value.value("rack", std::string()));
         announcement.labels = labelsFromJson(value.value("labels", nlohmann::json::object()), "/labels");
         announcement.capacity = resourcesFromJson(value.at("capacity"), "/capacity");
@@ -138,9 +139,9 @@
 {
     try {
         AnnouncementAnswer answer;
-        answer.number = AnnouncementNumber(value.at("number").get<uint64_t>());
+        answer.number = AnnouncementNumber(wholeNumber(value.at("number")));
         answer.incarnation = value.value("incarnation", std::string());
-        answer.epoch = Term(value.at("epoch").get<uint64_t>());
+        answer.epoch = Term(wholeNumber(value.at("epoch")));
         answer.lease = Duration::milliseconds(value.at("leaseMs").get<int64_t>());
         for (auto const& command : value.at("commands"))
             answer.commands.push_back(commandFromJson(command));
