Keep the link to a peer working when the handling of one message fails

What could happen: a host whose handling of one message from a peer threw lost the messages that it had read together with it. The link stood, and nothing came over it any more until it was cut for its silence.

Cause: the exception passed through websocketpp in the middle of the bytes that it was given, and the rest was dropped.

Evidence: "an exception in the handler of one message keeps neither the link ..." failed on the former code: no message behind the first one arrived within 30 s.

The change: the event loop's guard, which logs 105 InternalFault, stands around each message instead of around all bytes of one read.

--- a/cornelpond/adapters/peer/PeerLinkTest.cpp
+++ b/cornelpond/adapters/peer/PeerLinkTest.cpp
@@ -53,7 +53,11 @@
     PeerLinkHooks hooks()
     {
         PeerLinkHooks hooks;
-        hooks.onMessage = [this](HostId const& from, PeerMessage const& message) { this->received.push_back(from.value() + ":" + message.payload); };
+        hooks.onMessage = [this](HostId const& from, PeerMessage const& message) {
+            if (message.payload == this->throwOn)
+                throw std::runtime_error("odd message");
+            this->received.push_back(from.value() + ":" + message.payload);
+        };
         hooks.heartbeatPayload = [this] { return this->payloadToSend; };
         hooks.onHeartbeat = [this](HostId const&, std::string const& payload) { this->lastPayload = payload; };
         return hooks;
@@ -64,6 +68,7 @@
     RecordingEventSink events;
     SeededRandom random;
     std::vector<std::string> received;
+    std::string throwOn; ///< Payload of messages whose handling fails.
     std::string payloadToSend;
     std::string lastPayload;
     PeerLink link;
@@ -131,6 +136,20 @@
     CHECK(pair.a.link.counters().connectionsMade == 1);
 }
 
+TEST_CASE("an exception in the handler of one message keeps neither the link nor the messages behind it from working")
+{
+    Pair pair;
+    size_t faults = 0;
+    pair.loop.setExceptionHandler([&](std::exception const&) { faults++; });
+    pair.b.throwOn = "odd";
+    for (auto const* payload : { "odd", "1", "odd", "2" })
+        pair.a.link.send(HostId("b"), { PeerChannel::Agreement, payload });
+    runUntil(pair.loop, [&] { return pair.b.received.size() == 2; });
+    CHECK(pair.b.received == std::vector<std::string> { "a:1", "a:2" });
+    CHECK(faults == 2);
+    CHECK(pair.b.link.counters().connectionsMade == 1);
+}
+
 TEST_CASE("a hello with a port out of range is refused")
 {
     PeerHello hello;
--- a/cornelpond/adapters/peer/WebSocket.cpp
+++ b/cornelpond/adapters/peer/WebSocket.cpp
@@ -109,8 +109,9 @@
             this->hooks.onOpen();
         });
         pointer->set_message_handler([this](websocketpp::connection_hdl const&, auto const& message) {
+            // An exception that left the handler would drop the rest of the bytes that were read with this message.
             if (!this->isClosed)
-                this->hooks.onMessage(message->get_payload());
+                this->loop.runGuarded([&] { this->hooks.onMessage(message->get_payload()); });
         });
         pointer->set_fail_handler([this](websocketpp::connection_hdl const&) { this->close("the handshake failed"); });
         pointer->set_close_handler([this](websocketpp::connection_hdl const&) { this->close("closed by the peer"); });
