Apply the commands behind one whose application fails

What could happen: a host on which one committed command threw while it was applied never applied another one. After a restart it met the command again.

Cause: applyCommitted() set isApplying against recursion and left it set when an exception passed.

Evidence: "an exception while one command is applied ..." failed on the former code: three faults, then no command was acknowledged within 5 s.

The change: the flag is reset. The command counts as applied, as before, and the event loop logs the fault. All hosts apply the same commands in the same order, so a fault that lies in the command leaves them equal.

--- a/cornelpond/core/agreement/ReplicatedLog.cpp
+++ b/cornelpond/core/agreement/ReplicatedLog.cpp
@@ -238,9 +238,14 @@
     if (this->isApplying)
         return;
     this->isApplying = true;
-    while (this->applied < this->committed) {
-        this->applyEntry(this->log.at(this->applied.next()));
-        this->answerProposals();
+    try {
+        while (this->applied < this->committed) {
+            this->applyEntry(this->log.at(this->applied.next()));
+            this->answerProposals();
+        }
+    } catch (...) {
+        this->isApplying = false; // Otherwise this host would apply nothing more.
+        throw;
     }
     this->isApplying = false;
     this->stepDownWhenRemoved();
--- a/cornelpond/core/agreement/ReplicatedLogTest.cpp
+++ b/cornelpond/core/agreement/ReplicatedLogTest.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <stdexcept>
+
 using namespace cornelpond;
 
 namespace {
@@ -327,3 +329,29 @@
     // In this schedule two members get a snapshot at the same time, one of them much later than the other.
     CHECK_NOTHROW(ScheduleRun(2356).run(randomActions(2356, 60)));
 }
+
+TEST_CASE("an exception while one command is applied does not keep the host from applying the commands after it")
+{
+    AgreementCluster cluster(seed, { "a", "b", "c" });
+    useLinks(cluster, 5);
+    cluster.afterApply = [](std::string const& command) {
+        if (command == "odd")
+            throw std::out_of_range("odd command");
+    };
+    awaitLeader(cluster);
+    REQUIRE(cluster.propose("odd"));
+    size_t faults = 0;
+    for (int i = 0; i < 500; i++) {
+        try {
+            cluster.runFor(Duration::milliseconds(1));
+        } catch (std::out_of_range const&) {
+            faults++; // The event loop logs it and goes on.
+        }
+    }
+    CHECK(faults == 3);
+    commit(cluster, "next");
+    CHECK(cluster.runUntil([&] { return cluster.hasConverged(); }, Duration::seconds(5)));
+    LogIndex const applied = cluster.leaderLog()->appliedIndex();
+    for (auto const* host : { "a", "b", "c" })
+        CHECK(cluster.host(host).log->appliedIndex() == applied);
+}
--- a/testing/fakes/AgreementCluster.h
+++ b/testing/fakes/AgreementCluster.h
@@ -210,13 +210,18 @@
     std::map<HostId, std::unique_ptr<Host>> hosts;
     Duration stepDuration = Duration::milliseconds(stepMs);
     std::function<void(HostId const& from, HostId const& to, std::string& bytes)> tamper; ///< May alter each message before it is sent.
+    std::function<void(std::string const& command)> afterApply; ///< Called after each application of a command, on any host; may throw.
     std::function<void(Host& host)> onRestart; ///< Called before the log of a host is created, for example to set disk faults.
 
 private:
     StateMachineHooks hooks(Host& host)
     {
         StateMachineHooks result;
-        result.apply = [this, &host](LogIndex index, std::string const& command) { this->onApply(host, index, command); };
+        result.apply = [this, &host](LogIndex index, std::string const& command) {
+            this->onApply(host, index, command);
+            if (this->afterApply)
+                this->afterApply(command);
+        };
         result.takeSnapshot = [&host] { return host.state; };
         result.restore = [this, &host](std::string const& state) {
             host.state = state;
