Refuse heartbeats, jobs and configurations with values out of range

What could happen: a heartbeat of another writer with an id of any bytes and length, an address that cannot be dialled, or any number up to 1e15 was stored and went into headers and JSON of every order; one with a start time far in the future locked the worker of that id out. A job could ask for 25 million tasks, or name stage and get stage 0. A client's deadline of ms and more overflowed.

Cause: one bound of 1e15 for all numbers, none for texts, and casts.

--- a/cornelpond/adapters/http/AddressText.cpp
+++ b/cornelpond/adapters/http/AddressText.cpp
@@ -20,8 +20,9 @@
         char const* const end = text.data() + text.size();
         auto const parsed = std::from_chars(text.data() + colon + 1, end, address.port);
         in6_addr binaryIp {};
+        bool const hasNul = address.ip.find('\0') != std::string::npos; // Would end the text for inet_pton().
         bool const isIpAddress = inet_pton(AF_INET, address.ip.c_str(), &binaryIp) == 1 || inet_pton(AF_INET6, address.ip.c_str(), &binaryIp) == 1;
-        if (parsed.ec == std::errc() && parsed.ptr == end && isIpAddress)
+        if (parsed.ec == std::errc() && parsed.ptr == end && isIpAddress && !hasNul)
             return address;
     }
     throw Error(ResultCode::BadArgument, "'" + std::string(text) + "' is not IP:PORT");
--- a/cornelpond/core/jobs/JobSpec.cpp
+++ b/cornelpond/core/jobs/JobSpec.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+    // Limits for one occurrence of a job.
+    constexpr uint64_t maxTasks = 200000; ///< Every host keeps a record for each of them.
+    constexpr double maxWork = 1e18; ///< In the unit of StageSpec::taskWork(), whose sums are 64-bit numbers.
+
     // Bits of a stored stage. They never change meaning.
     constexpr uint64_t gangFlag = 1;
     constexpr uint64_t oneRackFlag = 2;
@@ -91,6 +95,18 @@
         }
     }
 
+    void checkTotals(JobSpec const& job)
+    {
+        uint64_t tasks = 0;
+        double work = 0;
+        for (auto const& stage : job.stages) {
+            tasks += stage.taskCount;
+            work += static_cast<double>(stage.taskCount) * static_cast<double>(stage.need.milliCores) * static_cast<double>(stage.estimatedRunTime.toMilliseconds());
+        }
+        if (tasks > maxTasks || work > maxWork)
+            throw Error(ResultCode::SchemaViolation, "the job's tasks or their estimated work are out of range");
+    }
+
 } // namespace
 
 bool TaskRef::operator<(TaskRef const& other) const
@@ -116,6 +132,7 @@
         throw Error(ResultCode::SchemaViolation, "the number of stages is out of range");
     for (size_t i = 0; i < job.stages.size(); i++)
         checkStage(job.stages[i], i);
+    checkTotals(job);
 }
 
 void write(ByteWriter& out, Resources const& resources)
