Let a removed worker announce itself with any sequence

What callers saw: one check-in of another writer with a worker's id and start time and a sequence above its own locked the worker out: all its later heartbeats were acknowledged and ignored, also after it had been removed for its silence at the other writer's address, until another host led.

Cause: the last sequence by worker outlived the worker's removal.

Evidence: "a check-in of another writer with a number too large ..." failed without this change: after 40 s, 10 of them reachable, the worker still stood with the other writer's address.

The change: the removal forgets the sequence, so that the worker is back with its next heartbeat.

--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -92,7 +92,11 @@
 {
     RosterHooks hooks;
     hooks.onWorkerChanged = [this](WorkerProfile const& profile) { this->dispatch.onWorkerChanged(profile); };
-    hooks.onWorkerRemoved = [this](WorkerId const& worker) { this->dispatch.onWorkerRemoved(worker); };
+    hooks.onWorkerRemoved = [this](WorkerId const& worker) {
+        // Otherwise one announcement with a number too large would make all later ones of that worker look outdated.
+        this->lastSequences.erase(worker);
+        this->dispatch.onWorkerRemoved(worker);
+    };
     return hooks;
 }
 
