--- a/testing/integration/FleetTest.cpp
+++ b/testing/integration/FleetTest.cpp
@@ -3,12 +3,14 @@
 #include "testing/integration/FleetProcesses.h"
 
 #include "cornelpond/adapters/http/HttpClient.h"
+#include "cornelpond/adapters/http/HttpServer.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
 #include <csignal>
 #include <fstream>
+#include <map>
 #include <optional>
 #include <unistd.h>
 
@@ -74,11 +76,61 @@
         return response;
     }
 
-private:
     EventLoop loop;
+
+private:
     HttpClient client { loop, HttpClientLimits() };
 };
 
+/// A worker that ends each task as done at once. Its lists also hold rows that cannot be read.
+class OddListingWorker {
+public:
+    OddListingWorker(Fleet& fleet, std::string ip)
+        : ip(std::move(ip))
+        , server(fleet.loop, HttpLimits(), [this](HttpRequest const& request, HttpResponder const& responder) { responder.answer(this->answer(request)); })
+        , port(this->server.listen({ this->ip, 0 }))
+    {
+    }
+
+    std::string heartbeat(int sequence) const
+    {
+        return R"({"service":"s","address":")" + this->ip + ":" + std::to_string(this->port) + R"(","zone":"z1","version":"v1","slots":8,"state":"ready","cold-remaining-ms":0,)"
+            + R"("capacity":{"cpu":16000,"memory-request-mb":32768,"gpu":0},"labels":["a","r1"],"born":1700000000123,"sequence":)" + std::to_string(sequence) + "}";
+    }
+
+    uint64_t acknowledged() const { return this->lastAcknowledged; }
+
+private:
+    HttpResponse answer(HttpRequest const& request)
+    {
+        nlohmann::json const body = nlohmann::json::parse(request.body);
+        std::string const clock = R"({"clock-ms":)" + std::to_string(++this->clockMs);
+        if (request.path == "/v1/run-start") {
+            constexpr uint64_t oddRowsPerTask = 2;
+            this->ends.try_emplace(this->nextEnd + 1, body["task"].get<std::string>(), body["run"].get<uint64_t>());
+            this->nextEnd += oddRowsPerTask;
+        }
+        if (request.path != "/v1/hold")
+            return { 200, {}, clock + "}" };
+        this->lastAcknowledged = std::max(this->lastAcknowledged, body.value("last-seen", uint64_t(0)));
+        std::string rows = "7";
+        for (auto const& [number, attempt] : this->ends) {
+            if (number <= this->lastAcknowledged)
+                continue;
+            rows += ",[" + std::to_string(number - 1) + R"(,["odd"],-1,{},1e300],[)" + std::to_string(number) + ",\"" + attempt.first + "\"," + std::to_string(attempt.second) + R"(,"done",""])";
+        }
+        return { 200, {}, clock + R"(,"born":1700000000123,"running":[null,[[[[1]]]],["x",1e300]],"ended":[)" + rows + "]}" };
+    }
+
+    std::string ip;
+    HttpServer server;
+    uint16_t port;
+    uint64_t clockMs = 1000;
+    uint64_t nextEnd = 1;
+    uint64_t lastAcknowledged = 0;
+    std::map<uint64_t, std::pair<std::string, uint64_t>> ends; ///< By number.
+};
+
 constexpr uint16_t controlPort = FleetProcesses::controlPort;
 constexpr uint16_t callerPort = FleetProcesses::callerPort;
 constexpr uint16_t readinessPort = FleetProcesses::readinessPort;
@@ -154,3 +206,64 @@
     fleet.process(1).waitForOutput("SettingsRefused");
     CHECK(fleet.call(1, controlPort, "GET", "/v1/configuration/read").status == 503);
 }
+
+TEST_CASE("odd heartbeats, lists, jobs and configurations leave control hosts that schedule, also after a restart of all")
+{
+    Fleet fleet;
+    constexpr int entry = 9;
+    constexpr int workerHost = 60;
+    for (int host = 1; host <= 3; host++)
+        fleet.startControlHost(host, true);
+    fleet.startEntryHost(entry);
+    fleet.callUntil(200, 1, controlPort, "POST", "/v1/configuration/replace", configuration);
+    OddListingWorker const worker(fleet, fleet.ip(workerHost));
+
+    std::string const good = worker.heartbeat(1);
+    auto const changed = [&](std::string const& from, std::string const& to) {
+        std::string text = good;
+        return text.replace(text.find(from), from.size(), to);
+    };
+    std::string const deep(100000, '[');
+    std::vector<std::string> const odd { "", "{", "\xff\xfe", deep, R"({"service":)" + deep, changed("16000", "1e999"), changed("16000", "99999999999999999999"), changed(R"("slots":8)", R"("slots":1e999)"),
+        changed("1700000000123", "1e999"), changed("1700000000123", "99999999999999999999"), changed(R"("sequence":1)", R"("sequence":1e999)"), changed(fleet.ip(workerHost) + ":", fleet.ip(workerHost) + ":9"),
+        changed(fleet.ip(workerHost) + ":", "not-an-ip:"), changed(R"("ready")", R"("lost")"), changed(R"("s")", R"("nowhere")"), changed(R"(["a","r1"])", "7") };
+    auto const sendOdd = [&](int host) {
+        for (size_t i = 0; i < odd.size(); i++) {
+            int const status = fleet.call(host, controlPort, "POST", "/v1/instances/odd-" + std::to_string(i) + "/heartbeat", odd[i]).status;
+            CAPTURE(host, odd[i].substr(0, 300));
+            CHECK(status >= 400);
+            CHECK(status < 500);
+        }
+        CHECK(fleet.call(host, controlPort, "POST", "/v1/instances/" + std::string(10000, 'x') + "/heartbeat", good).status == 400);
+        CHECK(fleet.call(host, controlPort, "POST", "/v1/instances/%ff%0d%0a/heartbeat", good).status == 400);
+        CHECK(fleet.call(host, controlPort, "POST", "/v1/configuration/replace", R"({"version":1e999,"routes":[],"services":[]})").status == 400);
+        CHECK(fleet.call(host, controlPort, "POST", "/v1/configuration/replace", R"({"version":18446744073709551615,"routes":[],"services":[]})").status == 422);
+    };
+    auto const runJob = [&](std::string const& id, int sequence) {
+        for (auto const& steps : { R"([{"count":1e999}])", R"([{"count":4294967297}])", R"([{"count":1,"cpu":99999999999999999999}])" }) {
+            HttpResponse const refused = fleet.call(entry, callerPort, "POST", "/plans/ffffffffffffffff", std::string(R"({"steps":)") + steps + "}");
+            CHECK(refused.status >= 400);
+            CHECK(refused.status < 500);
+        }
+        fleet.callUntil(200, 1, controlPort, "POST", "/v1/instances/i-1/heartbeat", worker.heartbeat(sequence));
+        fleet.callUntil(200, entry, callerPort, "POST", "/plans/" + id, job);
+        waitUntil("the job's end", [&] { return fleet.call(entry, callerPort, "GET", "/plans/" + id).body.find("completed") != std::string::npos; });
+    };
+    for (int host = 1; host <= 3; host++)
+        sendOdd(host);
+    runJob("5c0e7a21d94b36f8", 2);
+    waitUntil("the acknowledgement of the ends", [&] { return fleet.call(entry, readinessPort, "GET", "/v1/readiness").status && worker.acknowledged() > 0; });
+
+    for (int host = 1; host <= 3; host++) {
+        CHECK_FALSE(fleet.process(host).hasExited());
+        CHECK(fleet.process(host).output().find("InternalFault") == std::string::npos);
+        fleet.kill(host);
+    }
+    for (int host = 1; host <= 3; host++)
+        fleet.startControlHost(host, false);
+    fleet.callUntil(200, 2, controlPort, "GET", "/v1/configuration/read");
+    sendOdd(2);
+    runJob("6c0e7a21d94b36f8", 3);
+    for (int host = 1; host <= 3; host++)
+        CHECK(fleet.process(host).output().find("InternalFault") == std::string::npos);
+}
