Soak: full disks, lost majorities, stubborn callers and odd messages, in series

Clients saw two things that no seed of the soak showed: control hosts whose disks had been full for seconds gave no service until they were started again, and jobs whose cancels had found no leader were started.

A second set of faults, `--faults outages`: a running process's files accept no more bytes for some seconds (prlimit on RLIMIT_FSIZE, without root), the majority is killed or paused while jobs are cancelled, signals go to entry hosts too, invalid heartbeats come beside good ones, listings contain odd rows. Callers keep sending on one open connection until it ends. New checks: no start after a cancel was acknowledged or sent again while the fleet served, no process ends by itself or outlives SIGTERM by six seconds, no invalid heartbeat is acknowledged, no response is cut off, malformed or without a request. The plans of the general set are as before, so the seeds that failed before still draw the same faults.

--- a/testing/soak/FaultPlan.cpp
+++ b/testing/soak/FaultPlan.cpp
@@ -9,8 +9,15 @@
 
 namespace {
 
-    constexpr std::array<std::string_view, 17> names { "KillHost", "StopHost", "PauseHost", "WipeHost", "TearJournal", "ReloadHost", "ResetLinks", "SilenceLinks", "CutOneWay", "SlowLinks",
-        "CrashWorker", "CutWorker", "SilenceWorker", "DrainWorker", "LateOrders", "CancelWave", "RaceOperators" };
+    constexpr std::array<std::string_view, 23> names { "KillHost", "StopHost", "PauseHost", "WipeHost", "TearJournal", "ReloadHost", "ResetLinks", "SilenceLinks", "CutOneWay", "SlowLinks",
+        "CrashWorker", "CutWorker", "SilenceWorker", "DrainWorker", "LateOrders", "CancelWave", "RaceOperators", "FillDisk", "LoseMajority", "KillEntryHost", "StopEntryHost", "OddHeartbeats", "OddListings" };
+
+    /// The kinds of FaultSet::General come first in FaultKind.
+    constexpr uint64_t generalKindCount = 17;
+    constexpr std::array<FaultKind, 16> outageKinds { FaultKind::FillDisk, FaultKind::FillDisk, FaultKind::FillDisk, FaultKind::LoseMajority, FaultKind::LoseMajority, FaultKind::KillHost, FaultKind::StopHost,
+        FaultKind::PauseHost, FaultKind::KillEntryHost, FaultKind::StopEntryHost, FaultKind::OddHeartbeats, FaultKind::OddListings, FaultKind::CancelWave, FaultKind::RaceOperators,
+        FaultKind::DrainWorker, FaultKind::LateOrders };
+    constexpr uint64_t stepsPerSeries = 2; ///< On average; a series repeats a kind on one target after the other.
 
     constexpr Duration minGap = Duration::milliseconds(150);
     constexpr Duration gapSpread = Duration::milliseconds(1200);
@@ -24,6 +31,11 @@
         return Duration::microseconds(static_cast<int64_t>(random.below(static_cast<uint64_t>(bound.toMicroseconds()))));
     }
 
+    FaultKind drawKind(FaultSet set, Random& random)
+    {
+        return set == FaultSet::General ? static_cast<FaultKind>(random.below(generalKindCount)) : outageKinds.at(random.below(outageKinds.size()));
+    }
+
 } // namespace
 
 std::string_view faultName(FaultKind kind)
@@ -33,26 +45,32 @@
 
 bool disruptsControlHost(FaultKind kind)
 {
-    constexpr std::array<FaultKind, 9> disrupting { FaultKind::KillHost, FaultKind::StopHost, FaultKind::PauseHost, FaultKind::WipeHost, FaultKind::TearJournal, FaultKind::ResetLinks, FaultKind::SilenceLinks,
-        FaultKind::CutOneWay, FaultKind::SlowLinks };
+    constexpr std::array<FaultKind, 11> disrupting { FaultKind::KillHost, FaultKind::StopHost, FaultKind::PauseHost, FaultKind::WipeHost, FaultKind::TearJournal, FaultKind::ResetLinks, FaultKind::SilenceLinks,
+        FaultKind::CutOneWay, FaultKind::SlowLinks, FaultKind::FillDisk, FaultKind::LoseMajority };
     return std::find(disrupting.begin(), disrupting.end(), kind) != disrupting.end();
 }
 
-std::vector<FaultStep> drawFaults(uint64_t seed, Duration span)
+std::vector<FaultStep> drawFaults(FaultSet set, uint64_t seed, Duration span)
 {
     SeededRandom random(seed);
     std::vector<FaultStep> steps;
     Duration hostRecoveredAt;
+    FaultStep lastDisruption;
     for (Duration at = minGap; at < span; at = at + minGap + below(random, gapSpread)) {
         FaultStep step;
         step.startOffset = at;
-        step.kind = static_cast<FaultKind>(random.below(names.size()));
+        step.kind = drawKind(set, random);
         step.duration = minDuration + below(random, durationSpread);
         step.targetSelector = random.next();
         if (disruptsControlHost(step.kind)) {
             if (at < hostRecoveredAt)
                 continue;
+            if (set == FaultSet::Outages && lastDisruption.targetSelector && random.below(stepsPerSeries)) {
+                step.kind = lastDisruption.kind;
+                step.targetSelector = lastDisruption.targetSelector + 1;
+            }
             hostRecoveredAt = at + step.duration + catchUpTime;
+            lastDisruption = step;
         }
         steps.push_back(step);
     }
--- a/testing/soak/FaultPlan.h
+++ b/testing/soak/FaultPlan.h
@@ -1,10 +1,11 @@
 #pragma once
 
-// The schedule of faults for one soak run, drawn from a seed. Faults may overlap, but at most one control host
-// at a time is down, paused, cut off or without its disk, because a fleet of three tolerates only one.
+// The schedule of faults for one soak run, drawn from a seed. Faults may overlap, but at most one fault at a time
+// disrupts the control hosts, because a fleet of three tolerates only one host that is down. FaultSet::Outages
+// goes further: it also takes away the majority, whose hosts return with their disks.
 //
 // Example:
-//   for (FaultStep const& step : drawFaults(seed, Duration::seconds(20)))
+//   for (FaultStep const& step : drawFaults(FaultSet::General, seed, Duration::seconds(20)))
 //       schedule(step);
 
 #include "cornelpond/core/base/Duration.h"
@@ -33,6 +34,17 @@
     LateOrders, ///< A share of the orders to workers is carried out late for `duration`.
     CancelWave, ///< Cancels several jobs at once.
     RaceOperators, ///< Sends two configuration versions at once to hosts drawn at random.
+    FillDisk, ///< The host's files accept no more bytes for `duration`, or only a few.
+    LoseMajority, ///< The other control hosts are killed or paused for `duration`; meanwhile several jobs are cancelled.
+    KillEntryHost, ///< SIGKILL; started again after `duration`.
+    StopEntryHost, ///< SIGTERM; started again as soon as it has ended.
+    OddHeartbeats, ///< For `duration`, heartbeats of another writer come beside those of the workers.
+    OddListings, ///< For `duration`, the worker's listings contain odd rows and fields.
+};
+
+enum class FaultSet {
+    General, ///< Single faults of many kinds.
+    Outages, ///< Full disks, lost majorities, signals and odd messages, in series.
 };
 
 std::string_view faultName(FaultKind kind);
@@ -47,6 +59,6 @@
 /// True for faults that make a control host or its links to its peers fail for a while.
 bool disruptsControlHost(FaultKind kind);
 
-std::vector<FaultStep> drawFaults(uint64_t seed, Duration span);
+std::vector<FaultStep> drawFaults(FaultSet set, uint64_t seed, Duration span);
 
 } // namespace cornelpond
--- a/testing/soak/Soak.cpp
+++ b/testing/soak/Soak.cpp
@@ -4,7 +4,7 @@
 #include "testing/faultproxy/FaultProxy.h"
 #include "testing/integration/FleetProcesses.h"
 #include "testing/integration/JournalFiles.h"
-#include "testing/soak/FaultPlan.h"
+#include "testing/soak/OpenCaller.h"
 #include "testing/soak/SoakClients.h"
 #include "testing/soak/WorkerServer.h"
 
@@ -17,6 +17,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
+#include <sys/resource.h>
 #include <unistd.h>
 
 namespace cornelpond {
@@ -25,8 +27,6 @@
 
     constexpr int controlHostCount = 3;
     constexpr int firstEntryHost = 8;
-    constexpr int entryHostCount = 2;
-    constexpr size_t workerCount = 6;
     constexpr Duration workerStep = Duration::milliseconds(5);
     constexpr Duration heartbeatInterval = Duration::milliseconds(500);
     constexpr Duration heartbeatTimeout = Duration::seconds(1);
@@ -34,6 +34,10 @@
     constexpr size_t cancelledJobCount = 12;
     constexpr size_t garbageBytes = 37;
     constexpr Duration processCheckInterval = Duration::milliseconds(100);
+    constexpr Duration oddHeartbeatInterval = Duration::milliseconds(50);
+    /// The default of the setting shutdownBoundMs is 5 s; the rest is for a process that is slow to end.
+    constexpr Duration stopTimeout = Duration::seconds(6);
+    constexpr Duration cancelDelay = Duration::milliseconds(200);
 
     /// The server of one worker and the proxy through which the fleet reaches it.
     struct SoakWorker {
@@ -58,8 +62,18 @@
         void inject(FaultStep const& fault);
         void injectHost(FaultStep const& fault, int host);
         void injectWorker(FaultStep const& fault, SoakWorker& worker);
-        void restartControl(int host, Duration after, std::function<void()> prepare);
+        int entryHostFor(FaultStep const& fault) const;
+        void injectOutage(FaultStep const& fault, int host);
+        void fillDisk(FaultStep const& fault, int host);
+        void loseMajority(FaultStep const& fault, int spared);
+        void startHost(int host);
+        void killAndRestart(int host, Duration after, std::function<void()> prepare);
+        void stopAndRestart(int host);
         void restartStopped(int host, TimePoint bound);
+        void checkProcesses();
+        void sendOddHeartbeat();
+        void addOpenCallers();
+        void reportOnce(std::string const& text);
         void forEachLink(int host, std::function<void(FaultProxy&, bool isOutgoing)> const& action);
         void tearJournal(int host);
         void runFor(Duration span);
@@ -77,9 +91,16 @@
         SoakClients clients;
         std::map<std::pair<int, int>, std::unique_ptr<FaultProxy>> links; ///< By dialling host and its peer.
         std::vector<SoakWorker> workerServers;
+        std::vector<std::unique_ptr<OpenCaller>> openCallers;
+        std::map<TaskRef, TimePoint> orderedAt; ///< When the last start order for the task reached a worker.
+        std::set<int> stoppingHosts; ///< Told to end by SIGTERM and not started again yet.
         std::vector<std::string> faults;
+        std::vector<std::string> violations;
         TimePoint started;
         TimePoint lastStep;
+        TimePoint nextProcessCheck;
+        TimePoint nextOddHeartbeat;
+        TimePoint oddHeartbeatsUntil;
         int pendingRestarts = 0;
     };
 
@@ -92,7 +113,7 @@
         , clients(this->loop, this->client, this->random, this->addresses(), [this](JobSpec const& job) { this->workers.registerJob(job); })
         , lastStep(this->loop.now())
     {
-        this->workers.setStartObserver([this](TaskRef const& task) { this->clients.onTaskStarted(task.job); });
+        this->workers.setStartObserver([this](TaskRef const& task) { this->clients.onTaskStarted(task.job, this->orderedAt[task]); });
     }
 
     SoakAddresses SoakRun::addresses() const
@@ -100,7 +121,7 @@
         SoakAddresses found;
         for (int host = 1; host <= controlHostCount; host++)
             found.controlAddresses.push_back({ this->fleet.ip(host), FleetProcesses::controlPort });
-        for (int host = firstEntryHost; host < firstEntryHost + entryHostCount; host++)
+        for (int host = firstEntryHost; host < firstEntryHost + this->options.entryHostCount; host++)
             found.entryAddresses.push_back({ this->fleet.ip(host), FleetProcesses::callerPort });
         return found;
     }
@@ -124,9 +145,10 @@
         this->linkPeers();
         for (int host = 1; host <= controlHostCount; host++)
             this->fleet.startControlHost(host, true);
-        for (int host = firstEntryHost; host < firstEntryHost + entryHostCount; host++)
+        for (int host = firstEntryHost; host < firstEntryHost + this->options.entryHostCount; host++)
             this->fleet.startEntryHost(host);
         this->addWorkers();
+        this->addOpenCallers();
     }
 
     void SoakRun::addWorkers()
@@ -134,7 +156,7 @@
         constexpr int64_t milliCores = 4000;
         constexpr int64_t memoryMiB = 8000;
         constexpr size_t workersPerRack = 3;
-        for (size_t i = 0; i < workerCount; i++) {
+        for (size_t i = 0; i < this->options.workerCount; i++) {
             WorkerProfile profile;
             profile.id = WorkerId("w" + std::to_string(i));
             profile.bornMs = 1;
@@ -146,6 +168,7 @@
             SoakWorker worker;
             worker.id = profile.id;
             worker.server = std::make_unique<WorkerServer>(this->loop, this->workers, profile.id);
+            worker.server->setStartOrderObserver([this](TaskRef const& task) { this->orderedAt[task] = this->loop.now(); });
             uint16_t const port = worker.server->listen({ "127.0.0.1", 0 });
             worker.proxy = std::make_unique<FaultProxy>(this->loop, this->random, Address { "127.0.0.1", 0 }, Address { "127.0.0.1", port });
             worker.address = "127.0.0.1:" + std::to_string(worker.proxy->port());
@@ -153,6 +176,20 @@
         }
     }
 
+    void SoakRun::addOpenCallers()
+    {
+        for (auto const& entry : this->addresses().entryAddresses) {
+            this->openCallers.push_back(std::make_unique<OpenCaller>(
+                this->loop, entry, [this] { return this->clients.newestJobPath(); }, [this](std::string const& text) { this->reportOnce(text); }));
+        }
+    }
+
+    void SoakRun::reportOnce(std::string const& text)
+    {
+        if (std::find(this->violations.begin(), this->violations.end(), text) == this->violations.end())
+            this->violations.push_back(text);
+    }
+
     /// Advances the fake clock of the workers to the real time in small steps.
     void SoakRun::step()
     {
@@ -164,7 +201,11 @@
             this->workers.step();
         }
         this->sendHeartbeats();
+        this->sendOddHeartbeat();
         this->clients.onTick();
+        for (auto const& caller : this->openCallers)
+            caller->step();
+        this->checkProcesses();
         usleep(1000);
     }
 
@@ -189,28 +230,89 @@
         }
     }
 
+    /// Sends an invalid heartbeat, under the id of a worker or one that no worker has.
+    void SoakRun::sendOddHeartbeat()
+    {
+        TimePoint const now = this->loop.now();
+        if (now >= this->oddHeartbeatsUntil || now < this->nextOddHeartbeat)
+            return;
+        this->nextOddHeartbeat = now + oddHeartbeatInterval;
+        SoakWorker const& worker = this->workerServers[this->random.below(this->workerServers.size())];
+        WorkerReport report = this->workers.report(worker.id);
+        if (this->random.below(2))
+            report.profile.id = WorkerId("x" + worker.id.value());
+        HttpSendOptions sending;
+        sending.timeout = heartbeatTimeout;
+        std::vector<Address> const controls = this->addresses().controlAddresses;
+        HttpRequest const request = WorkerServer::makeOddHeartbeat(report, worker.address, this->random);
+        this->client.send(controls[this->random.below(controls.size())], request, sending, [this, body = request.body](HttpOutcome const& outcome) {
+            constexpr size_t shownBytes = 400;
+            if (outcome.kind == HttpOutcome::Kind::Answered && outcome.response.status / 100 == 2)
+                this->violations.push_back("an invalid heartbeat was acknowledged: " + body.substr(0, shownBytes));
+        });
+    }
+
+    /// Reports processes that have ended without being told to, and starts them again.
+    void SoakRun::checkProcesses()
+    {
+        if (this->loop.now() < this->nextProcessCheck)
+            return;
+        this->nextProcessCheck = this->loop.now() + processCheckInterval;
+        for (int host = 1; host < firstEntryHost + this->options.entryHostCount; host++) {
+            if (!this->fleet.isStarted(host) || this->stoppingHosts.count(host) || !this->fleet.process(host).hasExited())
+                continue;
+            this->violations.push_back(fmt::format("{:6.2f} s host {} ended by itself, exit code {}", (this->loop.now() - this->started).toSeconds(), host, this->fleet.process(host).waitForExit()));
+            this->startHost(host);
+        }
+    }
+
+    void SoakRun::startHost(int host)
+    {
+        if (host < firstEntryHost)
+            this->fleet.startControlHost(host, false);
+        else
+            this->fleet.startEntryHost(host);
+    }
+
     void SoakRun::inject(FaultStep const& fault)
     {
         int const host = 1 + static_cast<int>(fault.targetSelector % controlHostCount);
-        SoakWorker& worker = this->workerServers[fault.targetSelector % workerCount];
-        std::string const target = disruptsControlHost(fault.kind) || fault.kind == FaultKind::ReloadHost ? std::to_string(host) : worker.id.value();
+        SoakWorker& worker = this->workerServers[fault.targetSelector % this->workerServers.size()];
+        bool const isEntryFault = fault.kind == FaultKind::KillEntryHost || fault.kind == FaultKind::StopEntryHost;
+        bool const isControlFault = disruptsControlHost(fault.kind) || fault.kind == FaultKind::ReloadHost;
+        std::string const target = isEntryFault ? std::to_string(this->entryHostFor(fault)) : isControlFault ? std::to_string(host)
+                                                                                                             : worker.id.value();
         this->faults.push_back(fmt::format("{:6.2f} s {} {} for {} ms", (this->loop.now() - this->started).toSeconds(), faultName(fault.kind), target, fault.duration.toMilliseconds()));
         if (this->options.isVerbose)
             fmt::print("{}\n", this->faults.back());
         this->injectHost(fault, host);
+        this->injectOutage(fault, host);
         this->injectWorker(fault, worker);
     }
 
-    void SoakRun::restartControl(int host, Duration after, std::function<void()> prepare)
+    void SoakRun::killAndRestart(int host, Duration after, std::function<void()> prepare)
     {
+        if (this->stoppingHosts.count(host) || !this->fleet.isStarted(host))
+            return; // It is on its way down already.
+        this->fleet.kill(host);
         this->pendingRestarts++;
         this->loop.after(after, [this, host, prepare = std::move(prepare)] {
             prepare();
-            this->fleet.startControlHost(host, false);
+            this->startHost(host);
             this->pendingRestarts--;
         });
     }
 
+    void SoakRun::stopAndRestart(int host)
+    {
+        if (this->stoppingHosts.count(host) || !this->fleet.isStarted(host))
+            return;
+        this->fleet.process(host).sendSignal(SIGTERM);
+        this->stoppingHosts.insert(host);
+        this->pendingRestarts++;
+        this->restartStopped(host, this->loop.now() + stopTimeout);
+    }
+
     /// Starts a host again once it has ended after SIGTERM; a host that still runs at `bound` is killed first.
     void SoakRun::restartStopped(int host, TimePoint bound)
     {
@@ -219,28 +321,84 @@
             this->loop.after(processCheckInterval, [this, host, bound] { this->restartStopped(host, bound); });
             return;
         }
+        if (!hasEnded)
+            this->violations.push_back(fmt::format("host {} did not end within {} s of SIGTERM", host, stopTimeout.toSeconds()));
+        else if (int const code = this->fleet.process(host).waitForExit())
+            this->violations.push_back(fmt::format("host {} ended with exit code {} after SIGTERM", host, code));
         this->fleet.kill(host);
-        this->fleet.startControlHost(host, false);
+        this->startHost(host);
+        this->stoppingHosts.erase(host);
         this->pendingRestarts--;
     }
 
+    int SoakRun::entryHostFor(FaultStep const& fault) const
+    {
+        return firstEntryHost + static_cast<int>(fault.targetSelector % static_cast<uint64_t>(this->options.entryHostCount));
+    }
+
+    void SoakRun::injectOutage(FaultStep const& fault, int host)
+    {
+        switch (fault.kind) {
+        case FaultKind::FillDisk:
+            return this->fillDisk(fault, host);
+        case FaultKind::LoseMajority:
+            return this->loseMajority(fault, host);
+        case FaultKind::KillEntryHost:
+            return this->killAndRestart(this->entryHostFor(fault), fault.duration, [] {});
+        case FaultKind::StopEntryHost:
+            return this->stopAndRestart(this->entryHostFor(fault));
+        case FaultKind::OddHeartbeats:
+            this->oddHeartbeatsUntil = this->loop.now() + fault.duration;
+            return;
+        default:
+            return;
+        }
+    }
+
+    /// Lowers the process's limit on the size of files, so that writes fail as on a full disk; files that are shorter
+    /// than the limit still grow.
+    void SoakRun::fillDisk(FaultStep const& fault, int host)
+    {
+        constexpr uint64_t roomBytes = 300;
+        auto const setLimit = [this, host](rlim_t bytes) {
+            rlimit const limit { bytes, RLIM_INFINITY };
+            int const pid = this->fleet.isStarted(host) ? this->fleet.process(host).pid() : -1;
+            if (pid > 0 && prlimit(pid, RLIMIT_FSIZE, &limit, nullptr))
+                throw Error(ResultCode::Internal, "cannot set the file size limit of host " + std::to_string(host));
+        };
+        std::string const newest = newestJournalFile(this->fleet.dataFolder(host) + "/jobs");
+        bool const hasRoom = fault.targetSelector / controlHostCount % 2 && !newest.empty();
+        setLimit(hasRoom ? std::filesystem::file_size(newest) + fault.targetSelector % roomBytes : 0);
+        this->loop.after(fault.duration, [setLimit] { setLimit(RLIM_INFINITY); });
+    }
+
+    void SoakRun::loseMajority(FaultStep const& fault, int spared)
+    {
+        bool const isPaused = fault.targetSelector / controlHostCount % 2;
+        for (int host = 1; host <= controlHostCount; host++) {
+            if (host == spared || !this->fleet.isStarted(host))
+                continue;
+            if (!isPaused) {
+                this->killAndRestart(host, fault.duration, [] {});
+                continue;
+            }
+            this->fleet.process(host).sendSignal(SIGSTOP);
+            this->loop.after(fault.duration, [this, host] { this->fleet.process(host).sendSignal(SIGCONT); });
+        }
+        this->loop.after(cancelDelay, [this] { this->clients.cancelJobs(cancelledJobCount); });
+    }
+
     void SoakRun::injectHost(FaultStep const& fault, int host)
     {
-        constexpr Duration stopTimeout = Duration::seconds(6);
         switch (fault.kind) {
         case FaultKind::KillHost:
-            this->fleet.kill(host);
-            return this->restartControl(host, fault.duration, [] {});
+            return this->killAndRestart(host, fault.duration, [] {});
         case FaultKind::WipeHost:
-            this->fleet.kill(host);
-            return this->restartControl(host, fault.duration, [this, host] { std::filesystem::remove_all(this->fleet.dataFolder(host)); });
+            return this->killAndRestart(host, fault.duration, [this, host] { std::filesystem::remove_all(this->fleet.dataFolder(host)); });
         case FaultKind::TearJournal:
-            this->fleet.kill(host);
-            return this->restartControl(host, fault.duration, [this, host] { this->tearJournal(host); });
+            return this->killAndRestart(host, fault.duration, [this, host] { this->tearJournal(host); });
         case FaultKind::StopHost:
-            this->fleet.process(host).sendSignal(SIGTERM);
-            this->pendingRestarts++;
-            return this->restartStopped(host, this->loop.now() + stopTimeout);
+            return this->stopAndRestart(host);
         case FaultKind::PauseHost:
             this->fleet.process(host).sendSignal(SIGSTOP);
             this->loop.after(fault.duration, [this, host] { this->fleet.process(host).sendSignal(SIGCONT); });
@@ -318,6 +476,10 @@
             this->loop.after(fault.duration, [this, &worker] { this->workers.setCut(worker.id, false); });
             return;
         }
+        case FaultKind::OddListings:
+            worker.server->setOddListings(&this->random);
+            this->loop.after(fault.duration, [&worker] { worker.server->setOddListings(nullptr); });
+            return;
         case FaultKind::SilenceWorker:
             return worker.proxy->silenceOpenConnections();
         case FaultKind::LateOrders: {
@@ -343,7 +505,7 @@
         this->clients.raceConfigurations();
         this->runFor(Duration::seconds(2));
         this->started = this->loop.now();
-        for (auto const& fault : drawFaults(this->options.seed, this->options.loadDuration))
+        for (auto const& fault : drawFaults(this->options.faultSet, this->options.seed, this->options.loadDuration))
             this->loop.after(fault.startOffset, [this, fault] { this->inject(fault); });
         this->runFor(this->options.loadDuration);
         this->clients.stopSubmitting();
@@ -358,6 +520,7 @@
     void SoakRun::collect(SoakResult& result)
     {
         result.violations = this->clients.violations();
+        result.violations.insert(result.violations.end(), this->violations.begin(), this->violations.end());
         auto const expectNone = [&](unsigned count, char const* what) {
             if (count)
                 result.violations.push_back(fmt::format("{} {}", count, what));
--- a/testing/soak/Soak.h
+++ b/testing/soak/Soak.h
@@ -4,13 +4,14 @@
 // drawn from a seed, and checks what clients, operators and workers observe.
 //
 // Example:
-//   SoakResult const result = runSoak({ "build/bin/cornelpond", 7, Duration::seconds(20) });
+//   SoakResult const result = runSoak({ "build/bin/cornelpond", 7, FaultSet::General, Duration::seconds(20) });
 //   for (auto const& violation : result.violations)
 //       print(violation);
 //
 // The fault plan depends on the seed alone; its effect on the processes also depends on the timing of the machine.
 
 #include "cornelpond/core/base/Duration.h"
+#include "testing/soak/FaultPlan.h"
 
 #include <cstdint>
 #include <string>
@@ -21,8 +22,11 @@
 struct SoakOptions {
     std::string program; ///< Path of the cornelpond binary.
     uint64_t seed = 1;
+    FaultSet faultSet = FaultSet::General;
     Duration loadDuration = Duration::seconds(20); ///< Duration of load and faults.
     Duration maxSettleTime = Duration::seconds(60); ///< Time limit, after the load has ended, for all jobs to end.
+    size_t workerCount = 6;
+    int entryHostCount = 2;
     std::string logFolder; ///< Where the files of the processes are copied after a run with violations; empty: nowhere.
     bool isVerbose = false; ///< Prints each fault when it is injected.
 };
--- a/testing/soak/SoakClients.cpp
+++ b/testing/soak/SoakClients.cpp
@@ -15,6 +15,9 @@
     constexpr Duration retryDelay = Duration::milliseconds(300);
     constexpr Duration configurationReadInterval = Duration::milliseconds(250);
     constexpr Duration configurationApplyBound = Duration::milliseconds(2000);
+    constexpr Duration cancelBound = Duration::seconds(3); ///< From the acknowledgement of a cancel to the last start of a task.
+    constexpr Duration acknowledgementBound = Duration::seconds(4); ///< While the fleet serves, a cancel that is sent again and again is acknowledged by then.
+    constexpr Duration maxServingGap = Duration::seconds(1);
     constexpr unsigned maxTries = 5;
     constexpr unsigned maxOperatorTries = 20;
     constexpr int clientDeadlineMs = 3000;
@@ -125,6 +128,7 @@
 {
     Job job;
     job.spec = this->drawJob();
+    this->newestPath = "/jobs/" + job.spec.id.value();
     this->onSubmit(job.spec);
     this->submit(this->jobs.emplace(job.spec.id, job).first->second);
 }
@@ -162,6 +166,7 @@
     Job& job = this->jobs.at(id);
     int const status = statusOf(outcome);
     if (status == ok) {
+        this->noteServed();
         job.submissionState = SubmissionState::Accepted;
         job.isCancelRequested |= !this->isSubmitting && job.spec.stages.front().isService;
         return;
@@ -177,14 +182,33 @@
         this->reportViolation("job " + id.value() + " ran though every try to submit it was refused");
 }
 
-void SoakClients::onTaskStarted(JobId const& id)
+void SoakClients::noteServed()
+{
+    TimePoint const now = this->loop.now();
+    if (now - this->lastServed > maxServingGap)
+        this->servingSince = now;
+    this->lastServed = now;
+}
+
+bool SoakClients::mustNotStart(Job const& job, TimePoint orderedAt) const
+{
+    if (job.isCancelAcknowledged)
+        return orderedAt - job.cancelAcknowledgedAt > cancelBound;
+    bool const isServing = orderedAt - this->lastServed <= maxServingGap;
+    return job.isCancelSent && isServing && orderedAt - std::max(job.cancelFirstSentAt, this->servingSince) > acknowledgementBound + cancelBound;
+}
+
+void SoakClients::onTaskStarted(JobId const& id, TimePoint orderedAt)
 {
     auto const found = this->jobs.find(id);
     if (found == this->jobs.end())
         return;
-    found->second.hasStarted = true;
-    if (found->second.submissionState == SubmissionState::Refused)
+    Job& job = found->second;
+    job.hasStarted = true;
+    if (job.submissionState == SubmissionState::Refused)
         this->reportViolation("job " + id.value() + " ran though every try to submit it was refused");
+    if (this->mustNotStart(job, orderedAt))
+        this->reportViolation("a task of job " + id.value() + " was started though its cancel " + (job.isCancelAcknowledged ? "had been acknowledged" : "had been sent again while others were served"));
 }
 
 void SoakClients::queryJob(Job& job)
@@ -215,9 +239,17 @@
 void SoakClients::cancel(Job& job)
 {
     job.isCancelRequested = true;
+    if (!job.isCancelSent)
+        job.cancelFirstSentAt = this->loop.now();
+    job.isCancelSent = true;
     this->sendRequest(job, "DELETE", "", [this, id = job.spec.id](HttpOutcome const& outcome) {
         int const status = statusOf(outcome);
-        this->jobs.at(id).isCancelAcknowledged = status == ok;
+        Job& cancelled = this->jobs.at(id);
+        cancelled.isCancelAcknowledged = status == ok;
+        if (cancelled.isCancelAcknowledged) {
+            cancelled.cancelAcknowledgedAt = this->loop.now();
+            this->noteServed();
+        }
         if (status == gone)
             this->reportViolation("accepted job " + id.value() + " was unknown when it was cancelled");
     });
--- a/testing/soak/SoakClients.h
+++ b/testing/soak/SoakClients.h
@@ -43,8 +43,11 @@
     bool isSettled() const;
     std::string unsettledReason() const;
 
-    /// To be called when a task of the job starts on a worker.
-    void onTaskStarted(JobId const& job);
+    /// To be called when a task of the job starts on a worker; `orderedAt`: when the order reached the worker.
+    void onTaskStarted(JobId const& job, TimePoint orderedAt);
+
+    /// The path of the job that was submitted last.
+    std::string newestJobPath() const { return this->newestPath; }
 
     std::vector<std::string> const& violations() const { return this->foundViolations; }
     size_t acceptedJobs() const;
@@ -69,6 +72,9 @@
         bool isCancelAcknowledged = false;
         bool isEnded = false;
         bool hasStarted = false;
+        bool isCancelSent = false;
+        TimePoint cancelFirstSentAt;
+        TimePoint cancelAcknowledgedAt;
         std::string state; ///< As last read.
         TimePoint nextCall;
     };
@@ -79,6 +85,8 @@
     void queryJob(Job& job);
     void onJobQueried(JobId const& id, HttpOutcome const& outcome);
     void cancel(Job& job);
+    bool mustNotStart(Job const& job, TimePoint orderedAt) const;
+    void noteServed();
     void sendRequest(Job& job, std::string const& method, std::string const& body, std::function<void(HttpOutcome const&)> done);
     void sendConfiguration(uint64_t version, size_t host, unsigned triesLeft);
     void readConfiguration();
@@ -102,6 +110,9 @@
     std::map<uint64_t, TimePoint> acknowledgedAt;
     std::map<uint64_t, std::string> sentConfigurations; ///< Configuration bodies by version.
     uint64_t lastReadVersion = 0; ///< Version of the last configuration read.
+    std::string newestPath = "/jobs/none";
+    TimePoint servingSince; ///< Since this time each second brought an accepted submission or cancel.
+    TimePoint lastServed;
 };
 
 } // namespace cornelpond
--- a/testing/soak/SoakTest.cpp
+++ b/testing/soak/SoakTest.cpp
@@ -1,36 +1,18 @@
 // Runs a short soak with a fixed seed, and again all seeds that failed before. testing/soak/main.cpp does longer
 // runs.
 
-#include "testing/soak/Soak.h"
 #include "testing/soak/FaultPlan.h"
+#include "testing/soak/SoakCheck.h"
 
 #include <catch2/catch.hpp>
 
 using namespace cornelpond;
 
-namespace {
-
-void checkSeed(uint64_t seed, Duration load)
-{
-    SoakOptions options;
-    options.program = std::string(BINARY_FOLDER) + "/cornelpond";
-    options.seed = seed;
-    options.loadDuration = load;
-    SoakResult const result = runSoak(options);
-    for (auto const& fault : result.faults)
-        UNSCOPED_INFO(fault);
-    for (auto const& violation : result.violations)
-        UNSCOPED_INFO(violation);
-    CHECK(result.violations.empty());
-    CHECK(result.acceptedJobs > 0);
-}
-
-} // namespace
-
 TEST_CASE("a fault plan is the same for the same seed and disrupts one control host at a time")
 {
-    std::vector<FaultStep> const steps = drawFaults(5, Duration::seconds(60));
-    std::vector<FaultStep> const again = drawFaults(5, Duration::seconds(60));
+    FaultSet const set = GENERATE(FaultSet::General, FaultSet::Outages);
+    std::vector<FaultStep> const steps = drawFaults(set, 5, Duration::seconds(60));
+    std::vector<FaultStep> const again = drawFaults(set, 5, Duration::seconds(60));
     REQUIRE(steps.size() == again.size());
     Duration recoveredAt;
     for (size_t i = 0; i < steps.size(); i++) {
@@ -45,7 +27,7 @@
 
 TEST_CASE("soak: promises hold under a short series of faults")
 {
-    checkSeed(20261204, Duration::seconds(8));
+    checkSeed(FaultSet::General, 20261204, Duration::seconds(8));
 }
 
 // In all three the fake fleet read the key of an attempt after freeing it when the attempt's lease expired, and
@@ -54,5 +36,5 @@
 {
     constexpr Duration load = Duration::seconds(12);
     for (uint64_t seed : { 3, 15, 42 })
-        checkSeed(seed, load);
+        checkSeed(FaultSet::General, seed, load);
 }
--- a/testing/soak/WorkerServer.cpp
+++ b/testing/soak/WorkerServer.cpp
@@ -67,6 +67,31 @@
         }
     }
 
+    constexpr char const* oddPlaceholder = "odd value";
+
+    /// Serializes the body with one of several odd values in place of the placeholder. Some are no JSON that this
+    /// program could build.
+    std::string dumpWithOddValue(Json const& body, Random& random)
+    {
+        constexpr size_t depth = 5000;
+        std::array<std::string, 6> const values { std::string(depth, '[') + std::string(depth, ']'), "1e999", "-1", R"({"cpu":[1]})", "[7]", "[[" };
+        std::string text = body.dump();
+        std::string const quoted = Json(oddPlaceholder).dump();
+        return text.replace(text.find(quoted), quoted.size(), values.at(random.below(values.size())));
+    }
+
+    /// Puts an odd value in place of a field of the listing or behind the rows of one of its lists.
+    std::string dumpOddListing(Json listing, Random& random)
+    {
+        constexpr std::array<char const*, 4> fields { "running", "ended", "born", "clock-ms" };
+        Json& field = listing[fields.at(random.below(fields.size()))];
+        if (field.is_array() && random.below(2))
+            field.push_back(oddPlaceholder);
+        else
+            field = oddPlaceholder;
+        return dumpWithOddValue(listing, random);
+    }
+
     char const* attemptEndWord(AttemptEnd end)
     {
         switch (end) {
@@ -114,6 +139,20 @@
     return request;
 }
 
+HttpRequest WorkerServer::makeOddHeartbeat(WorkerReport const& report, std::string const& address, Random& random)
+{
+    constexpr std::array<char const*, 8> fields { "address", "state", "capacity", "labels", "born", "sequence", "service", "zone" };
+    HttpRequest request = makeHeartbeat(report, address);
+    Json body = Json::parse(request.body);
+    uint64_t const field = random.below(fields.size() + 1);
+    if (field == fields.size())
+        body["address"] = "127.0.0.1:99999";
+    else
+        body[fields.at(field)] = oddPlaceholder;
+    request.body = field == fields.size() ? body.dump() : dumpWithOddValue(body, random);
+    return request;
+}
+
 void WorkerServer::handle(HttpRequest const& request, HttpResponder const& responder)
 {
     std::string const* expected = request.headers.find("X-Expected-Instance");
@@ -135,6 +174,8 @@
     AttemptNumber const attempt(body.at("run").get<uint64_t>());
     Term const epoch(body.value("fencing-token", uint64_t()));
     if (path == "/v1/run-start") {
+        if (this->onStartOrder)
+            this->onStartOrder(task);
         StartOrder start { task, attempt, body.value("task-spec", ""), Duration::milliseconds(body.at("until-ms").get<int64_t>()), epoch, body.value("checkpoint", ""), "" };
         this->fleet.start(this->target, start, answer);
     } else if (path == "/v1/run-stop") {
@@ -154,11 +195,16 @@
     order.epoch = Term(body.value("fencing-token", uint64_t()));
     order.acknowledgedEnds = body.value("last-seen", uint64_t());
     order.maxWait = Duration::milliseconds(body.value("wait-ms", int64_t()));
-    this->fleet.renew(this->target, order, [responder](RenewAnswer const& answer) {
-        if (answer.order.result == OrderResult::Accepted)
-            responder.answer(json(200, listingJson(answer)));
-        else if (!isLeftUnanswered(answer.order.result))
+    this->fleet.renew(this->target, order, [this, responder](RenewAnswer const& answer) {
+        constexpr uint64_t listingsPerOddOne = 3;
+        if (answer.order.result == OrderResult::Accepted) {
+            HttpResponse response = json(200, listingJson(answer));
+            if (this->oddListings && !this->oddListings->below(listingsPerOddOne))
+                response.body = dumpOddListing(listingJson(answer), *this->oddListings);
+            responder.answer(response);
+        } else if (!isLeftUnanswered(answer.order.result)) {
             answerOrder(answer.order, responder);
+        }
     });
 }
 
--- a/testing/soak/WorkerServer.h
+++ b/testing/soak/WorkerServer.h
@@ -13,6 +13,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <functional>
 #include <string>
 
 namespace cornelpond {
@@ -26,6 +27,13 @@
 
     /// Builds the heartbeat request for the report; `address` ("IP:PORT") is where the worker takes orders.
     static HttpRequest makeHeartbeat(WorkerReport const& report, std::string const& address);
+    /// The same with one field that makes it invalid.
+    static HttpRequest makeOddHeartbeat(WorkerReport const& report, std::string const& address, Random& random);
+
+    /// `observer` is called for each start order that arrives, before the worker carries it out.
+    void setStartOrderObserver(std::function<void(TaskRef const&)> observer) { this->onStartOrder = std::move(observer); }
+    /// While `random` is set, a share of the listings contains odd rows and fields drawn from it.
+    void setOddListings(Random* random) { this->oddListings = random; }
 
 private:
     void handle(HttpRequest const& request, HttpResponder const& responder);
@@ -34,6 +42,8 @@
 
     FakeFleet& fleet;
     WorkerTarget target;
+    std::function<void(TaskRef const&)> onStartOrder;
+    Random* oddListings = nullptr;
     HttpServer server;
 };
 
