A write beyond the limit on file sizes fails instead of ending the process

SIGPIPE was ignored, SIGXFSZ was not.

The test failed before: the process had ended half a second after the limit was lowered. It passes now, and the line written under the limit appears when the limit is lifted.

--- a/cornelpond/app/Commands.cpp
+++ b/cornelpond/app/Commands.cpp
@@ -173,6 +173,7 @@
         if (arguments.has("settings") == arguments.has("default"))
             throw Error(ResultCode::BadArgument, "give either --settings FILE or --default FOLDER");
         Settings settings = arguments.has("settings") ? loadSettings(arguments.text("settings")) : settingsFromJson(defaultSettings(arguments.text("default")));
+        std::signal(SIGXFSZ, SIG_IGN); // As in `fleet`.
         EventLoop loop;
         FmtEventSink events(loop, settings.host);
         loop.setExceptionHandler([&](std::exception const& error) { events.emit(Event(EventId::InternalFault).with("what", std::string(error.what()))); });
@@ -232,8 +233,10 @@
         }
         std::string const path = settingsPath(arguments);
         FleetSettings const settings = loadFleetSettings(path);
-        // Writing to a peer or log reader that has closed its end must fail with an error, not end the process.
+        // Writing to a peer or log reader that has closed its end, or beyond the limit on the size of files, must fail with
+        // an error, not end the process.
         std::signal(SIGPIPE, SIG_IGN);
+        std::signal(SIGXFSZ, SIG_IGN);
         return settings.role == FleetRole::Entry ? runFleetHost<EntryGateway>(path, settings) : runFleetHost<ControlHost>(path, settings);
     }
 
