--- a/testing/fakes/FakeStorage.h
+++ b/testing/fakes/FakeStorage.h
@@ -91,6 +91,12 @@
         this->isSyncedDespiteFailure = isSynced;
     }
 
+    /// Every call that writes or syncs throws Error(code) until `heal`, also after a crash.
+    void failAll(ResultCode code) { this->lastingFailure = code; }
+
+    /// Ends `failAll`.
+    void heal() { this->lastingFailure.reset(); }
+
     /// From now on `sync` returns without making the writes durable, so that a crash loses them.
     void ignoreSyncs() { this->isIgnoringSyncs = true; }
 
@@ -102,6 +108,8 @@
 private:
     void throwIfFailureDue()
     {
+        if (this->lastingFailure)
+            throw Error(*this->lastingFailure, "the fake disk fails every call");
         if (!this->failure || --this->callsUntilFailure > 0)
             return;
         ResultCode const code = *this->failure;
@@ -113,6 +121,7 @@
     StoredLog synced;
     std::optional<ResultCode> failure;
     std::optional<ResultCode> syncFailure;
+    std::optional<ResultCode> lastingFailure;
     size_t callsUntilFailure = 0;
     bool isIgnoringSyncs = false;
     bool isForgettingVotes = false;
