Say while it lasts that a host takes no part in a group because of its storage

Event 404 was one line at the moment of the fault, lost when the log's beginning is.

404 StorageFault is emitted again every five seconds while the fault lasts, with lastedMs, the time since it began. The gauge groupsWithoutStorage counts the groups in which a host takes no part, those that could not be read at start included.

--- a/cornelpond/app/GroupHost.cpp
+++ b/cornelpond/app/GroupHost.cpp
@@ -157,6 +157,12 @@
     return served;
 }
 
+size_t GroupHost::groupsWithoutStorage() const
+{
+    auto const isWithoutStorage = [](auto const& entry) { return !entry.second->isServed || entry.second->log->hasFailedStorage(); };
+    return static_cast<size_t>(std::count_if(this->groups.begin(), this->groups.end(), isWithoutStorage));
+}
+
 std::vector<LedGroup> GroupHost::ledGroups() const
 {
     std::vector<LedGroup> led;
--- a/cornelpond/app/GroupHost.h
+++ b/cornelpond/app/GroupHost.h
@@ -56,6 +56,9 @@
 
     std::vector<GroupId> servedGroups() const;
 
+    /// The groups opened here in which this host takes no part because its storage failed.
+    size_t groupsWithoutStorage() const;
+
     /// The groups whose established leader is this host, with their terms.
     std::vector<LedGroup> ledGroups() const;
 
--- a/cornelpond/app/HostNetwork.cpp
+++ b/cornelpond/app/HostNetwork.cpp
@@ -595,6 +595,7 @@
     gauge("peerBytesSent", counters.bytesSent);
     gauge("peerBytesReceived", counters.bytesReceived);
     gauge("forwardsOpen", this->forwarder.openRequests());
+    gauge("groupsWithoutStorage", this->groups.groupsWithoutStorage());
     gauge("configVersion", this->localConfig.current().version.value());
 }
 
--- a/cornelpond/core/agreement/Elections.cpp
+++ b/cornelpond/core/agreement/Elections.cpp
@@ -152,7 +152,7 @@
     reply.requestTerm = request.term;
     reply.isPreVote = request.isPreVote;
     reply.isGranted = request.isPreVote ? this->grantsPreVote(request) : this->grantsVote(from, request);
-    if (this->isStorageFailed)
+    if (this->storageOutage)
         return;
     reply.term = this->hardState.term;
     this->send(from, reply);
--- a/cornelpond/core/agreement/ReplicatedLog.cpp
+++ b/cornelpond/core/agreement/ReplicatedLog.cpp
@@ -57,7 +57,7 @@
 
 void ReplicatedLog::onMessage(HostId const& from, std::string_view bytes)
 {
-    if (this->isStorageFailed)
+    if (this->storageOutage)
         return;
     AgreementMessage message;
     try {
@@ -89,8 +89,11 @@
 
 void ReplicatedLog::onTick()
 {
-    if (this->isStorageFailed)
+    if (this->storageOutage) {
+        if (this->clock.now() - this->storageOutage->reportedAt >= this->times.storageFaultInterval)
+            this->reportStorageOutage();
         return;
+    }
     if (this->role == Role::Leader)
         this->tickAsLeader();
     else
@@ -112,7 +115,7 @@
 
 void ReplicatedLog::flush()
 {
-    if (this->isFlushing || this->isStorageFailed)
+    if (this->isFlushing || this->storageOutage)
         return;
     this->isFlushing = true;
     do {
@@ -127,7 +130,7 @@
             this->send(this->knownLeader, *this->deferredAppendReply);
         this->deferredAppendReply.reset();
         this->advanceCommit();
-    } while (this->isFlushRequested && (this->isSoleVoter() || !this->flushCallback) && !this->isStorageFailed);
+    } while (this->isFlushRequested && (this->isSoleVoter() || !this->flushCallback) && !this->storageOutage);
     this->isFlushing = false;
 }
 
@@ -337,13 +340,24 @@
 
 void ReplicatedLog::onStorageFailure(Error const& error)
 {
-    this->isStorageFailed = true;
+    this->storageOutage = StorageOutage { this->clock.now(), this->clock.now(), error.code(), error.what() };
     this->deferredAppendReply.reset();
-    this->events.emit(Event(EventId::StorageFault).with("group", this->group).with("code", static_cast<int>(error.code())).with("reason", error.what()));
+    this->reportStorageOutage();
     this->stepDown();
     this->knownLeader = HostId();
 }
 
+void ReplicatedLog::reportStorageOutage()
+{
+    StorageOutage& outage = *this->storageOutage;
+    outage.reportedAt = this->clock.now();
+    this->events.emit(Event(EventId::StorageFault)
+                          .with("group", this->group)
+                          .with("code", static_cast<int>(outage.code))
+                          .with("reason", outage.reason)
+                          .with("lastedMs", outage.reportedAt - outage.since));
+}
+
 bool ReplicatedLog::appendAsLeader(EntryKind kind, std::string payload, ResultCode& code)
 {
     LogEntry entry { this->log.lastIndex().next(), this->hardState.term, kind, std::move(payload) };
--- a/cornelpond/core/agreement/ReplicatedLog.h
+++ b/cornelpond/core/agreement/ReplicatedLog.h
@@ -39,6 +39,8 @@
     Duration voteRetryInterval = Duration::milliseconds(100);
     /// How far two hosts' clocks may drift apart over one election timeout.
     Duration driftMargin = Duration::milliseconds(60);
+    /// StorageFault is emitted again at this interval while the storage fails.
+    Duration storageFaultInterval = Duration::seconds(5);
 };
 
 struct ReplicatedLogLimits {
@@ -110,7 +112,8 @@
     LogIndex appliedIndex() const { return this->applied; }
     LogIndex lastIndex() const { return this->log.lastIndex(); }
     size_t entriesInMemory() const { return this->log.size(); }
-    bool hasFailedStorage() const { return this->isStorageFailed; }
+    /// True while this host takes no part in the group because its storage failed.
+    bool hasFailedStorage() const { return this->storageOutage.has_value(); }
 
 private:
     enum class Role {
@@ -137,6 +140,14 @@
         TimePoint deadline;
     };
 
+    /// The time from a storage call that failed until this host takes part in the group again.
+    struct StorageOutage {
+        TimePoint since;
+        TimePoint reportedAt;
+        ResultCode code;
+        std::string reason;
+    };
+
     // Elections.
     void becomeFollower(Term term, HostId const& leader);
     void stepDown();
@@ -211,6 +222,7 @@
     bool isSoleVoter() const;
     bool saveHardState();
     void onStorageFailure(Error const& error);
+    void reportStorageOutage();
     /// Runs a storage call. False if it failed; this host then takes no further part in the group.
     bool runStorageCall(std::function<void()> const& write);
 
@@ -239,7 +251,7 @@
     std::set<HostId> votes;
     std::optional<VoteRequest> pendingVoteRequest; ///< Resent to voters that have not granted it, since messages get lost.
     TimePoint voteRequestSentAt;
-    bool isStorageFailed = false;
+    std::optional<StorageOutage> storageOutage; ///< While set, this host takes no part in the group.
 
     std::map<HostId, PeerProgress> peers; ///< On a leader: all other members; else empty.
     LogIndex barrierIndex; ///< Of the first entry of this leader's term.
--- a/cornelpond/core/agreement/ReplicatedLogTest.cpp
+++ b/cornelpond/core/agreement/ReplicatedLogTest.cpp
@@ -217,6 +217,18 @@
     commit(cluster, "y");
 }
 
+TEST_CASE("a storage fault that lasts is reported every five seconds with its duration")
+{
+    AgreementCluster cluster(seed, { "a", "b", "c" });
+    HostId const first = awaitLeader(cluster);
+    AgreementCluster::Host& host = *cluster.hosts.at(first);
+    host.disk.failAll(ResultCode::DiskFull);
+    cluster.propose("refused");
+    CHECK(host.events.count(EventId::StorageFault) == 1);
+    cluster.runFor(Duration::seconds(31));
+    CHECK(host.events.count(EventId::StorageFault) == 7);
+}
+
 TEST_CASE("a failed sync leaves the outcome of the proposals that waited for it unknown")
 {
     AgreementCluster cluster(seed, { "a" });
--- a/cornelpond/core/agreement/Replication.cpp
+++ b/cornelpond/core/agreement/Replication.cpp
@@ -270,7 +270,7 @@
         this->refuseAppend(from, request);
         return;
     }
-    if (this->isStorageFailed)
+    if (this->storageOutage)
         return;
     if (!this->matchesPrevious(request)) {
         this->refuseAppend(from, request);
@@ -355,7 +355,7 @@
     SnapshotReply reply;
     reply.lastIndex = chunk.lastIndex;
     reply.sentAt = chunk.sentAt;
-    if (this->acceptLeader(from, chunk.term) && !this->isStorageFailed) {
+    if (this->acceptLeader(from, chunk.term) && !this->storageOutage) {
         auto const isSame = [&] { return this->incomingSnapshot && this->incomingSnapshot->term == chunk.term && this->incomingSnapshot->takenAt == chunk.takenAt; };
         if (chunk.offset == 0 && !isSame())
             this->incomingSnapshot = IncomingSnapshot { chunk.term, chunk.takenAt, std::string() };
@@ -370,7 +370,7 @@
         if (reply.nextOffset == chunk.totalBytes)
             this->incomingSnapshot.reset();
     }
-    if (this->isStorageFailed)
+    if (this->storageOutage)
         return;
     reply.term = this->hardState.term;
     this->send(from, reply);
--- a/cornelpond/core/base/Event.cpp
+++ b/cornelpond/core/base/Event.cpp
@@ -60,7 +60,7 @@
         EventInfo { EventId::LeaderLost, "LeaderLost", "This host no longer leads a group." },
         EventInfo { EventId::JournalOpened, "JournalOpened", "A journal was read from disk." },
         EventInfo { EventId::JournalTailCut, "JournalTailCut", "An incomplete last record, never acknowledged, was cut off." },
-        EventInfo { EventId::StorageFault, "StorageFault", "Writing or syncing failed; the host acknowledges nothing more from this group." },
+        EventInfo { EventId::StorageFault, "StorageFault", "Writing or syncing failed; the host takes no part in this group. Repeated while it lasts." },
         EventInfo { EventId::PeerConnected, "PeerConnected", "The link to another entry host is up." },
         EventInfo { EventId::PeerLost, "PeerLost", "The link to another entry host is down or silent." },
         EventInfo { EventId::MembershipChanged, "MembershipChanged", "A group's voters or learners changed, or an entry host joined or left." },
