--- a/cornelpond/core/agreement/ReplicatedLogTest.cpp
+++ b/cornelpond/core/agreement/ReplicatedLogTest.cpp
@@ -219,6 +219,18 @@
     commit(cluster, "y");
 }
 
+TEST_CASE("a storage fault that lasts is reported every five seconds with its duration")
+{
+    AgreementCluster cluster(seed, { "a", "b", "c" });
+    HostId const first = awaitLeader(cluster);
+    AgreementCluster::Host& host = *cluster.hosts.at(first);
+    host.disk.failAll(ResultCode::DiskFull);
+    cluster.propose("refused");
+    CHECK(host.events.count(EventId::StorageFault) == 1);
+    cluster.runFor(Duration::seconds(31));
+    CHECK(host.events.count(EventId::StorageFault) == 7);
+}
+
 TEST_CASE("a failed sync leaves the outcome of the proposals that waited for it unknown")
 {
     AgreementCluster cluster(seed, { "a" });
@@ -326,8 +338,9 @@
 
 TEST_CASE("a member is not sent a snapshot that ends before the leader's log begins")
 {
-    // In this schedule two members get a snapshot at the same time, one of them much later than the other.
-    CHECK_NOTHROW(ScheduleRun(2356).run(randomActions(2356, 60)));
+    // In these schedules two members get a snapshot at the same time, one of them much later than the other.
+    for (uint64_t const schedule : { 844, 2164 })
+        CHECK_NOTHROW(ScheduleRun(schedule).run(randomActions(schedule, 60)));
 }
 
 TEST_CASE("an exception while one command is applied does not keep the host from applying the commands after it")
--- a/cornelpond/core/agreement/Replication.cpp
+++ b/cornelpond/core/agreement/Replication.cpp
@@ -270,7 +270,7 @@
         this->refuseAppend(from, request);
         return;
     }
-    if (this->isStorageFailed)
+    if (this->storageOutage)
         return;
     if (!this->matchesPrevious(request)) {
         this->refuseAppend(from, request);
@@ -355,7 +355,7 @@
     SnapshotReply reply;
     reply.lastIndex = chunk.lastIndex;
     reply.sentAt = chunk.sentAt;
-    if (this->acceptLeader(from, chunk.term) && !this->isStorageFailed) {
+    if (this->acceptLeader(from, chunk.term) && !this->storageOutage) {
         auto const isSame = [&] { return this->incomingSnapshot && this->incomingSnapshot->term == chunk.term && this->incomingSnapshot->takenAt == chunk.takenAt; };
         if (chunk.offset == 0 && !isSame())
             this->incomingSnapshot = IncomingSnapshot { chunk.term, chunk.takenAt, std::string() };
@@ -370,7 +370,7 @@
         if (reply.nextOffset == chunk.totalBytes)
             this->incomingSnapshot.reset();
     }
-    if (this->isStorageFailed)
+    if (this->storageOutage)
         return;
     reply.term = this->hardState.term;
     this->send(from, reply);
@@ -381,6 +381,8 @@
     Snapshot const snapshot { lastChunk.lastIndex, lastChunk.lastTerm, lastChunk.membership, std::move(state) };
     Membership members = decodeMembership(snapshot.membership);
     bool const isHeld = snapshot.lastIndex <= this->log.lastIndex() && this->log.termAt(snapshot.lastIndex) == snapshot.lastTerm;
+    if (!isHeld)
+        this->synced = std::min(this->synced, snapshot.lastIndex);
     bool const isStored = this->runStorageCall([&] {
         if (!isHeld && this->log.lastIndex() > snapshot.lastIndex)
             this->storage.truncateFrom(snapshot.lastIndex.next());
