--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -26,6 +26,9 @@
     /// set to 0 % speed. Users notice after a few seconds, and the figures seen here are a second old.
     constexpr Duration maxTimeOverTarget = Duration::milliseconds(1400);
     constexpr Duration overloadRetryAfter = Duration::seconds(2);
+    /// A new leader starts no tasks for this long, so that calls that waited for a leader, cancels among them, are
+    /// committed first. Entry hosts retry waiting calls every 100 ms, and a commit takes about 30 ms.
+    constexpr Duration startDelayOfNewLeader = Duration::milliseconds(250);
 
     /// The need that nine tenths of the tasks do not exceed. `needs`: with the number of tasks each; not empty.
     int64_t commonNeed(std::vector<std::pair<int64_t, uint64_t>>& needs)
@@ -92,7 +95,11 @@
 {
     RosterHooks hooks;
     hooks.onWorkerChanged = [this](WorkerProfile const& profile) { this->dispatch.onWorkerChanged(profile); };
-    hooks.onWorkerRemoved = [this](WorkerId const& worker) { this->dispatch.onWorkerRemoved(worker); };
+    hooks.onWorkerRemoved = [this](WorkerId const& worker) {
+        // Otherwise one announcement with a number too large would make all later ones of that worker look outdated.
+        this->lastSequences.erase(worker);
+        this->dispatch.onWorkerRemoved(worker);
+    };
     return hooks;
 }
 
@@ -146,6 +153,7 @@
         this->dispatch.resign();
         return;
     }
+    this->startsAllowedFrom = this->clock.now() + startDelayOfNewLeader;
     this->dispatch.lead(this->jobLog.term(), this->workerRoster);
     for (auto const& [id, job] : this->jobTable.all()) {
         if (job.state == JobState::Active)
@@ -440,7 +448,7 @@
         if (this->hasLackedWorker && now >= this->nextRoomReport)
             this->reportRoom();
     }
-    if (this->isPassNeeded || now >= this->nextPass) {
+    if (now >= this->startsAllowedFrom && (this->isPassNeeded || now >= this->nextPass)) {
         this->nextPass = now + maxPassInterval;
         this->isPassNeeded = false;
         if (this->jobLog.isLeadershipConfirmed())
@@ -694,6 +702,7 @@
                           .with("tailPercent", static_cast<int>(worker.tailRatio * 100))
                           .with("bestEffortMilliCores", worker.bestEffortImages.requestedMilliCores()));
     worker.bestEffortSpeedPercent = next;
+    worker.noteChange();
     worker.bestEffortSpeedChangedAt = now;
 }
 
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -118,6 +118,7 @@
     JobTable const& jobs() const { return this->jobTable; }
     Dispatcher const& dispatcher() const { return this->dispatch; }
     SchedulerCounters const& counters() const { return this->schedulerCounters; }
+    PlacementCounters const& placementCounters() const { return this->placer.counters(); }
     size_t activeJobCount() const { return this->activeJobs.size(); }
     /// Accepted jobs that have not ended, by size class; without service jobs. Zeros on a follower.
     std::array<size_t, sizeClassCount> activeJobsBySize() const;
@@ -197,6 +198,7 @@
     std::vector<TaskUpdate> pendingUpdates; ///< To be proposed with the next batch.
     bool isPassNeeded = false; ///< Something changed, so that waiting tasks may find a worker.
     TimePoint nextPass;
+    TimePoint startsAllowedFrom; ///< Of a new leader.
     TimePoint nextSlowCheck;
     bool hasLackedWorker = false; ///< A task found no worker since the room was last reported.
     TimePoint nextRoomReport;
