--- a/cornelpond/adapters/journal/JournalStorageTest.cpp
+++ b/cornelpond/adapters/journal/JournalStorageTest.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cerrno>
 #include <filesystem>
 #include <fstream>
@@ -237,3 +238,231 @@
     CHECK(JournalStorage(folder.path(), events).load().entries.size() == 2);
     CHECK(journalBytes(folder.path()) == bytes);
 }
+
+namespace {
+
+/// What the caller of a JournalStorage has in memory, and what must be durable.
+struct Model {
+    StoredLog memory;
+    LogIndex synced;
+
+    LogIndex lastIndex() const { return this->memory.entries.empty() ? this->memory.snapshot.lastIndex : this->memory.entries.back().index; }
+};
+
+/// Carries out a fixed sequence of writes; a failing call ends it with an Error.
+class Writer {
+public:
+    Writer(JournalStorage& storage, Model& model)
+        : storage(storage)
+        , model(model)
+    {
+    }
+
+    void run()
+    {
+        this->append(1, 4, 1);
+        this->vote(4, "h1");
+        this->sync();
+        this->append(5, 6, 2);
+        this->truncate(6);
+        this->append(6, 8, 4);
+        this->vote(5, "h2");
+        this->sync();
+        this->append(9, 9, 5);
+        this->snapshot(3);
+        this->append(10, 11, 5);
+        this->sync();
+        this->truncate(11);
+        this->append(11, 12, 5);
+        this->snapshot(9);
+        this->vote(6, "h3");
+        this->sync();
+    }
+
+    /// What the owner does after a failure, until it succeeds.
+    void recover()
+    {
+        this->storage.discardUnsynced();
+        this->storage.truncateFrom(this->model.synced.next());
+        std::vector<LogEntry> entries;
+        for (auto const& entry : this->model.memory.entries) {
+            if (entry.index > this->model.synced)
+                entries.push_back(entry);
+        }
+        this->storage.append(Span<LogEntry const>(entries));
+        this->storage.saveHardState(this->model.memory.hardState);
+        this->sync();
+    }
+
+private:
+    void append(uint64_t first, uint64_t last, uint64_t term)
+    {
+        std::vector<LogEntry> entries;
+        for (uint64_t i = first; i <= last; i++)
+            entries.push_back({ LogIndex(i), Term(term), EntryKind::Command, "payload " + std::to_string(i) + " of term " + std::to_string(term) });
+        this->storage.append(Span<LogEntry const>(entries));
+        this->model.memory.entries.insert(this->model.memory.entries.end(), entries.begin(), entries.end());
+    }
+
+    void truncate(uint64_t index)
+    {
+        this->storage.truncateFrom(LogIndex(index));
+        auto& entries = this->model.memory.entries;
+        entries.erase(std::find_if(entries.begin(), entries.end(), [&](auto const& entry) { return entry.index >= LogIndex(index); }), entries.end());
+        this->model.synced = std::min(this->model.synced, LogIndex(index - 1));
+    }
+
+    void vote(uint64_t term, std::string const& candidate)
+    {
+        this->model.memory.hardState = { Term(term), HostId(candidate) };
+        this->storage.saveHardState(this->model.memory.hardState);
+    }
+
+    void snapshot(uint64_t index)
+    {
+        Snapshot const snapshot { LogIndex(index), Term(4), "members", "state " + std::to_string(index) };
+        this->storage.saveSnapshot(snapshot);
+        this->model.memory.snapshot = snapshot;
+        this->model.synced = this->model.lastIndex();
+        auto& entries = this->model.memory.entries;
+        entries.erase(entries.begin(), std::find_if(entries.begin(), entries.end(), [&](auto const& entry) { return entry.index > LogIndex(index); }));
+    }
+
+    void sync()
+    {
+        this->storage.sync();
+        this->model.synced = this->model.lastIndex();
+    }
+
+    JournalStorage& storage;
+    Model& model;
+};
+
+/// System calls of which some fail, counted from the first.
+class FailingCalls {
+public:
+    /// The calls with numbers from `first` on fail, `count` of them; a failing write is carried out in part.
+    FailingCalls(int first, int count, int error)
+        : first(first)
+        , end(first + count)
+        , error(error)
+    {
+        this->calls.write = [this](int descriptor, void const* bytes, size_t size) {
+            if (!this->isFailing())
+                return ::write(descriptor, bytes, size);
+            if (::write(descriptor, bytes, size / 2) < 0)
+                FAIL("the test's own write failed");
+            return static_cast<ssize_t>(this->fail());
+        };
+        this->calls.sync = [this](int descriptor) { return this->isFailing() ? this->fail() : ::fdatasync(descriptor); };
+        this->calls.syncFolder = [this](int descriptor) { return this->isFailing() ? this->fail() : ::fsync(descriptor); };
+        this->calls.open = [this](char const* path, int flags) { return this->isFailing() ? this->fail() : ::open(path, flags, 0600); };
+        this->calls.rename = [this](char const* from, char const* to) { return this->isFailing() ? this->fail() : std::rename(from, to); };
+        this->calls.unlink = [this](char const* path) { return this->isFailing() ? this->fail() : ::unlink(path); };
+        this->calls.truncate = [this](int descriptor, off_t length) { return this->isFailing() ? this->fail() : ::ftruncate(descriptor, length); };
+    }
+
+    FileSystemCalls calls;
+    int failed = 0;
+
+private:
+    bool isFailing() { return this->number++ >= this->first && this->number <= this->end; }
+    int fail()
+    {
+        this->failed++;
+        errno = this->error;
+        return -1;
+    }
+
+    int first;
+    int end;
+    int error;
+    int number = 0;
+};
+
+void checkStored(std::string const& folder, Model const& model)
+{
+    RecordingEventSink events;
+    StoredLog const stored = JournalStorage(folder, events).load();
+    CHECK(stored.hardState.term == model.memory.hardState.term);
+    CHECK(stored.hardState.votedFor == model.memory.hardState.votedFor);
+    // A snapshot that failed may be stored; it covers entries that the caller still has.
+    CHECK(stored.snapshot.lastIndex >= model.memory.snapshot.lastIndex);
+    LogIndex next = stored.snapshot.lastIndex.next();
+    for (auto const& entry : stored.entries) {
+        REQUIRE(entry.index == next);
+        LogIndex const firstInMemory = model.memory.entries.front().index;
+        REQUIRE(entry.index >= firstInMemory);
+        LogEntry const& expected = model.memory.entries.at(entry.index.value() - firstInMemory.value());
+        REQUIRE(entry.payload == expected.payload);
+        REQUIRE(entry.term == expected.term);
+        next = next.next();
+    }
+    CHECK(next == model.lastIndex().next());
+}
+
+/// Lets `count` calls from `first` on fail, with a recovery after each failure. False if no call was left to fail.
+bool failAndRecover(int first, int count, int error)
+{
+    TemporaryFolder folder;
+    RecordingEventSink events;
+    Model model;
+    FailingCalls failing(first, count, error);
+    JournalStorage storage(folder.path(), events, failing.calls);
+    storage.load();
+    Writer writer(storage, model);
+    bool isFailed = false;
+    try {
+        writer.run();
+    } catch (Error const& failure) {
+        CHECK(failure.code() == (error == ENOSPC ? ResultCode::DiskFull : ResultCode::StorageFailed));
+        isFailed = true;
+    }
+    for (int i = 0; isFailed && i <= count; i++) {
+        try {
+            writer.recover();
+            isFailed = false;
+        } catch (Error const&) { // NOLINT(bugprone-empty-catch)
+            // Tried again, as the owner of a storage does.
+        }
+    }
+    CHECK_FALSE(isFailed);
+    checkStored(folder.path(), model);
+    return failing.failed > 0;
+}
+
+} // namespace
+
+TEST_CASE("a call that fails at any step leaves a journal that can be used again and holds what was written")
+{
+    constexpr int callsBeforeWriting = 8; // Of the constructor and of `load`.
+    for (int const error : { ENOSPC, EIO }) {
+        for (int count = 1; count <= 4; count++) {
+            int first = callsBeforeWriting;
+            while (failAndRecover(first, count, error))
+                first++;
+            CHECK(first > callsBeforeWriting + 30);
+        }
+    }
+}
+
+TEST_CASE("what a failed sync covered is written again, not only synced again")
+{
+    TemporaryFolder folder;
+    RecordingEventSink events;
+    FileSystemCalls calls;
+    bool isFailing = false;
+    calls.sync = [&](int descriptor) { return isFailing ? (errno = EIO, -1) : ::fdatasync(descriptor); };
+    JournalStorage storage(folder.path(), events, calls);
+    storage.load();
+    LogEntry const entry = makeEntry(1);
+    storage.append(Span<LogEntry const>(&entry, 1));
+    isFailing = true;
+    CHECK_THROWS_AS(storage.sync(), Error);
+    isFailing = false;
+    storage.discardUnsynced();
+    CHECK(journalBytes(folder.path()).empty());
+    storage.append(Span<LogEntry const>(&entry, 1));
+    storage.sync();
+    CHECK(JournalStorage(folder.path(), events).load().entries.size() == 1);
+}
