Do not send a start while an end as done of its task awaits the commit

Cause, inferred: once the lease of the cut worker is over, the task's next start is proposed. The worker is reached again and lists the end, which is proposed behind that start. The leader, short of processor time, commits both a second later in one go: the start is applied first and its order sent, the end is applied right behind it. The order waits in the leader and the relay and reaches its worker after the end was shown.

Evidence: a test on fakes commits a start and an end behind it together: the task was started twice.

Ruled out, read from the code: an early acknowledgement. An end as done is not acknowledged while another attempt of its task is live.

The change: the dispatcher remembers the tasks of which it has proposed a late end as done, and holds their starts until that end is applied. Then the attempt is not wanted any more and no order was sent.

--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -45,6 +45,7 @@
     this->epoch = newEpoch;
     this->leadershipToken = std::make_shared<bool>(true);
     this->views.clear();
+    this->proposedFinishes.clear();
     for (auto const& [id, profile] : roster.all())
         this->views.emplace(id, WorkerView(profile, this->clock.now()));
     this->jobs.forEachLiveAttempt([this](TaskRef const& task, TaskRecord const& record, Attempt const& attempt) { this->inheritAttempt(task, record, attempt); });
@@ -160,6 +161,8 @@
 
 void Dispatcher::onEndApplied(CommitEnd const& end)
 {
+    if (end.end == AttemptEnd::Done)
+        this->proposedFinishes.erase(end.task);
     WorkerView* view = this->leading ? this->findWorker(end.worker) : nullptr;
     if (!view)
         return;
@@ -391,10 +394,12 @@
         }
         view.listedEnds.push_back(end);
         PlacedAttempt* attempt = view.find({ end.task, end.attempt });
-        if (attempt && attempt->phase != PlacedAttempt::Phase::Proposed)
+        if (attempt && attempt->phase != PlacedAttempt::Phase::Proposed) {
             this->proposeEnd(view, *attempt, end.end, end.checkpoint.empty() ? attempt->checkpoint : end.checkpoint);
-        else if (!attempt && this->isLateFinish(end))
+        } else if (!attempt && this->isLateFinish(end)) {
+            this->proposedFinishes.insert(end.task);
             this->hooks.proposeEnd({ end.task, end.attempt, view.profile.id, end.end, end.checkpoint });
+        }
     }
 }
 
@@ -458,7 +463,8 @@
             this->stop(view, attempt);
         return;
     }
-    if (!view.hasClock || !this->hooks.canSendOrders()) {
+    // A start that was committed before the end as done must not follow it to the workers.
+    if (this->proposedFinishes.count(attempt.task) || !view.hasClock || !this->hooks.canSendOrders()) {
         attempt.nextStartAt = now + startRetryDelay;
         return;
     }
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -136,6 +136,7 @@
     Term epoch;
     ImageIdTable imageIds;
     std::map<WorkerId, WorkerView> views;
+    std::set<TaskRef> proposedFinishes; ///< Tasks of which an earlier attempt's end as done awaits its commit.
     std::shared_ptr<bool> leadershipToken; ///< Replaced by each lead(), so that answers to orders from before are dropped.
 };
 
--- a/cornelpond/core/scheduling/JobFaultsTest.cpp
+++ b/cornelpond/core/scheduling/JobFaultsTest.cpp
@@ -172,6 +172,30 @@
     CHECK(bench.fleet.record().prematureAcknowledgements == 0);
 }
 
+TEST_CASE("a task is not started again while its end as done awaits the commit")
+{
+    JobBench bench(11);
+    bench.addWorkers(2, 16000);
+    JobSpec const job = makeJob("plan", 1, 1000, second * 3);
+    bench.submit(job);
+    bench.run(second);
+    WorkerId const first = workerOf(bench, job);
+    bench.fleet.setCut(first, true);
+    auto const isConcluded = [&] { return bench.find(job.id)->occurrences.at(0).stages[0].tasks[0].liveAttempts.empty(); };
+    for (int i = 0; i < 1000 && !isConcluded(); i++)
+        bench.run(Duration::milliseconds(10));
+    REQUIRE(isConcluded());
+    // The next start is proposed first, then the first worker lists its end; both are committed together.
+    bench.isCommitting = false;
+    bench.run(second / 2);
+    bench.fleet.setCut(first, false);
+    bench.run(second);
+    bench.isCommitting = true;
+    bench.run(second * 5);
+    CHECK(bench.state(job.id) == JobState::Completed);
+    CHECK(bench.fleet.record().starts == 1);
+}
+
 TEST_CASE("a lost task resumes from the last checkpoint that its worker listed")
 {
     JobBench bench(5);
