Show a job as completed only once no attempt of it can still start

What callers could see: a job shown as completed, and a task of it started afterwards. When a task turns out to have finished on a worker that was cut off, its other attempt is stopped, but a start order on its way may be carried out until that attempt is concluded. The end was not acknowledged before; the job's state was shown at once.

Evidence: "a job is not shown as completed while another attempt ..." failed without this change: completed with the other attempt's worker out of reach.

The change: while an attempt outside gangs and speculative copies is live, a completed job is shown as running. Only jobs with such a second attempt are shown later, by the time that its stop takes, at most until its lease is over.

--- a/cornelpond/core/scheduling/JobFaultsTest.cpp
+++ b/cornelpond/core/scheduling/JobFaultsTest.cpp
@@ -196,6 +196,22 @@
     CHECK(bench.fleet.record().starts == 1);
 }
 
+TEST_CASE("a job is not shown as completed while another attempt of a finished task may still start")
+{
+    JobBench bench(11);
+    bench.addWorkers(2, 16000);
+    JobSpec const job = makeJob("plan", 1, 1000, second * 3);
+    WorkerId const first = cutOffFirstWorker(bench, job);
+    WorkerId const other = workerOf(bench, job);
+    bench.fleet.setCut(other, true);
+    bench.fleet.setCut(first, false);
+    bench.run(second * 2);
+    REQUIRE(bench.state(job.id) == JobState::Completed);
+    CHECK(bench.leader().scheduler().lookUp(job.id).state == JobState::Active);
+    bench.run(second * 6);
+    CHECK(bench.leader().scheduler().lookUp(job.id).state == JobState::Completed);
+}
+
 TEST_CASE("a lost task resumes from the last checkpoint that its worker listed")
 {
     JobBench bench(5);
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -53,6 +53,21 @@
         }
     }
 
+    /// True while an attempt of a finished task is not concluded: its start order may still be carried out. The members of
+    /// a gang that is done only end, and a speculative copy may start late.
+    bool mayStillStart(JobRecord const& job)
+    {
+        for (auto const& [number, occurrence] : job.occurrences) {
+            for (size_t i = 0; i < occurrence.stages.size(); i++) {
+                auto const& tasks = occurrence.stages[i].tasks;
+                bool const hasLiveAttempt = std::any_of(tasks.begin(), tasks.end(), [](TaskRecord const& task) { return !task.liveAttempts.empty(); });
+                if (hasLiveAttempt && !job.spec.stages[i].isGang && !job.spec.stages[i].allowsSpeculativeCopies)
+                    return true;
+            }
+        }
+        return false;
+    }
+
 } // namespace
 
 JobScheduler::JobScheduler(Clock const& clock, EventSink& events, CommandLog& jobLog, CommandLog& rosterLog, QueueTable const& queues, WorkerOrders& orders, DispatchTimes times, JobLimits limits)
@@ -350,7 +365,7 @@
     if (!job)
         return found;
     found.result = CallResult::Done;
-    found.state = job->state;
+    found.state = job->state == JobState::Completed && mayStillStart(*job) ? JobState::Active : job->state;
     found.hasStarted = job->hasStarted;
     return found;
 }
