--- a/cornelpond/app/LeaderForwarderTest.cpp
+++ b/cornelpond/app/LeaderForwarderTest.cpp
@@ -1,5 +1,6 @@
 #include "cornelpond/app/LeaderForwarder.h"
 
+#include "cornelpond/core/base/Json.h"
 #include "testing/fakes/FakeClock.h"
 
 #include <catch2/catch.hpp>
@@ -31,6 +32,8 @@
     ForwarderPair()
         : originForwarder(this->clock, this->toLeader, 1000, [](ForwardedRequest const&, ApiAnswerCallback const&) { FAIL("served at the origin"); })
         , leaderForwarder(this->clock, this->toOrigin, 2000, [this](ForwardedRequest const& request, ApiAnswerCallback const& answer) {
+            if (this->isFaulty)
+                nlohmann::json().at("missing");
             this->served = request;
             this->pendingAnswer = answer;
         })
@@ -62,6 +65,7 @@
     FakeClock clock;
     FakeTransport toLeader;
     FakeTransport toOrigin;
+    bool isFaulty = false; ///< The leader fails while it serves a request.
     ForwardedRequest served;
     ApiAnswerCallback pendingAnswer;
     std::vector<HttpResponse> answers;
@@ -122,3 +126,35 @@
     pair.deliver();
     CHECK(pair.answers.size() == 1);
 }
+
+TEST_CASE("a fault while the leader serves a request reaches the event loop, which logs it")
+{
+    ForwarderPair pair;
+    pair.isFaulty = true;
+    pair.forward();
+    CHECK_THROWS_AS(pair.deliver(), nlohmann::json::exception);
+}
+
+TEST_CASE("answers and requests with numbers out of range are dropped")
+{
+    ForwarderPair pair;
+    pair.forward();
+    nlohmann::json request = fromCbor(pair.toLeader.sent.front().message.payload);
+    for (auto const& odd : { nlohmann::json(300), nlohmann::json(-1), nlohmann::json(1e300), nlohmann::json("x") }) {
+        nlohmann::json changed = request;
+        changed[3] = odd;
+        pair.leaderForwarder.onMessage(origin, toCbor(changed));
+        CHECK(pair.served.request.method.empty());
+    }
+    pair.deliver();
+    pair.pendingAnswer(jsonResponse(200, { { "code", 0 } }));
+    nlohmann::json answer = fromCbor(pair.toOrigin.sent.front().message.payload);
+    for (auto const& odd : { nlohmann::json(100000), nlohmann::json(-1), nlohmann::json(1e300) }) {
+        nlohmann::json changed = answer;
+        changed[2] = odd;
+        pair.originForwarder.onMessage(leader, toCbor(changed));
+        CHECK(pair.answers.empty());
+    }
+    pair.deliver();
+    CHECK(pair.answers.size() == 1);
+}
