Frames between hosts: byte strings are copied as a whole

The JSON library's CBOR reader takes a byte string byte by byte into a vector, which was then copied into a string, once for the frame and again for each forwarded request. core/base/Cbor.h reads and writes the few forms that these messages use, with the same bytes on the wire (tested against the library), so that hosts of both versions understand each other. Unlike before, a frame with fields too many is refused, and a channel number above 255 is no longer taken modulo 256.

--- a/cornelpond/adapters/peer/PeerFrame.cpp
+++ b/cornelpond/adapters/peer/PeerFrame.cpp
@@ -1,10 +1,12 @@
 #include "cornelpond/adapters/peer/PeerFrame.h"
 
+#include "cornelpond/core/base/Cbor.h"
 #include "cornelpond/core/base/Json.h"
 #include "cornelpond/core/base/ResultCode.h"
 
 #include <nlohmann/json.hpp>
 
+#include <optional>
 #include <vector>
 
 namespace cornelpond {
@@ -43,17 +45,34 @@
         return hello;
     }
 
-    PeerFrame parseFrame(nlohmann::json const& fields)
+    PeerHello decodeHello(std::string_view bytes)
     {
-        switch (static_cast<FrameKind>(fields.at(0).get<uint8_t>())) {
-        case FrameKind::Hello:
-            return parseHello(fields);
-        case FrameKind::Heartbeat:
-            return PeerHeartbeat { binaryField(fields, 1) };
-        case FrameKind::Message:
-            return PeerMessage { static_cast<PeerChannel>(fields.at(1).get<uint8_t>()), binaryField(fields, 2) };
+        try {
+            return parseHello(fromCbor(bytes));
+        } catch (nlohmann::json::exception const& error) {
+            throw Error(ResultCode::MalformedJson, std::string("peer hello: ") + error.what());
         }
-        throw Error(ResultCode::MalformedJson, "peer frame of an unknown kind");
+    }
+
+    /// Without an intermediate JSON value, as hosts exchange up to some megabytes a second.
+    std::string encodeFrame(FrameKind kind, std::optional<PeerChannel> channel, std::string_view payload)
+    {
+        CborWriter out;
+        constexpr size_t maxFieldCount = 3;
+        out.reserve((maxFieldCount + 1) * CborWriter::maxHeadBytes + payload.size());
+        out.array(channel ? 3 : 2);
+        out.number(static_cast<uint64_t>(kind));
+        if (channel)
+            out.number(static_cast<uint64_t>(*channel));
+        out.bytes(payload);
+        return out.take();
+    }
+
+    std::string readPayload(CborReader& in)
+    {
+        std::string payload(in.bytes());
+        in.expectEnd();
+        return payload;
     }
 
 } // namespace
@@ -75,21 +94,33 @@
 
 std::string encode(PeerHeartbeat const& heartbeat)
 {
-    return toCbor(nlohmann::json::array({ static_cast<uint8_t>(FrameKind::Heartbeat), toBinary(heartbeat.payload) }));
+    return encodeFrame(FrameKind::Heartbeat, std::nullopt, heartbeat.payload);
 }
 
 std::string encode(PeerMessage const& message)
 {
-    return toCbor(nlohmann::json::array({ static_cast<uint8_t>(FrameKind::Message), static_cast<uint8_t>(message.channel), toBinary(message.payload) }));
+    return encodeFrame(FrameKind::Message, message.channel, message.payload);
 }
 
 PeerFrame decodePeerFrame(std::string_view bytes)
 {
-    try {
-        return parseFrame(fromCbor(bytes));
-    } catch (nlohmann::json::exception const& error) {
-        throw Error(ResultCode::MalformedJson, std::string("peer frame: ") + error.what());
+    CborReader in(bytes);
+    uint64_t const fieldCount = in.array();
+    switch (static_cast<FrameKind>(in.number(UINT8_MAX))) {
+    case FrameKind::Hello:
+        return decodeHello(bytes);
+    case FrameKind::Heartbeat:
+        if (fieldCount != 2)
+            CborReader::fail();
+        return PeerHeartbeat { readPayload(in) };
+    case FrameKind::Message: {
+        if (fieldCount != 3)
+            CborReader::fail();
+        auto const channel = static_cast<PeerChannel>(in.number(UINT8_MAX));
+        return PeerMessage { channel, readPayload(in) };
+    }
     }
+    throw Error(ResultCode::MalformedJson, "peer frame of an unknown kind");
 }
 
 } // namespace cornelpond
--- a/cornelpond/app/LeaderForwarder.cpp
+++ b/cornelpond/app/LeaderForwarder.cpp
@@ -1,8 +1,6 @@
 #include "cornelpond/app/LeaderForwarder.h"
 
-#include "cornelpond/core/base/Json.h"
-
-#include <nlohmann/json.hpp>
+#include "cornelpond/core/base/Cbor.h"
 
 #include <vector>
 
@@ -15,53 +13,73 @@
         Answer = 2,
     };
 
-    nlohmann::json binary(std::string const& bytes)
-    {
-        return nlohmann::json::binary(std::vector<uint8_t>(bytes.begin(), bytes.end()));
-    }
+    constexpr uint64_t requestFieldCount = 8;
+    constexpr uint64_t answerFieldCount = 4; ///< Without headers, each of which adds two.
 
-    std::string bytesAt(nlohmann::json const& fields, size_t index)
+    std::string readString(CborReader& in)
     {
-        auto const& bytes = fields.at(index).get_binary();
-        return { bytes.begin(), bytes.end() };
+        return std::string(in.bytes());
     }
 
     std::string encodeRequest(uint64_t id, ForwardedRequest const& forwarded)
     {
         HttpRequest const& request = forwarded.request;
-        return toCbor(nlohmann::json::array({ static_cast<uint8_t>(MessageKind::Request), id, binary(forwarded.group.value()), static_cast<uint8_t>(forwarded.api),
-            binary(request.method), binary(request.path), binary(request.query), binary(request.body) }));
+        CborWriter out;
+        out.array(requestFieldCount);
+        out.number(static_cast<uint64_t>(MessageKind::Request));
+        out.number(id);
+        out.bytes(forwarded.group.value());
+        out.number(static_cast<uint64_t>(forwarded.api));
+        out.bytes(request.method);
+        out.bytes(request.path);
+        out.bytes(request.query);
+        out.bytes(request.body);
+        return out.take();
     }
 
-    ForwardedRequest requestFrom(nlohmann::json const& fields)
+    /// Reads what follows the id.
+    ForwardedRequest readRequest(CborReader& in)
     {
         ForwardedRequest forwarded;
-        forwarded.group = GroupId(bytesAt(fields, 2));
-        forwarded.api = static_cast<ApiKind>(fields.at(3).get<uint8_t>());
-        forwarded.request.method = bytesAt(fields, 4);
-        forwarded.request.path = bytesAt(fields, 5);
-        forwarded.request.query = bytesAt(fields, 6);
-        forwarded.request.body = bytesAt(fields, 7);
+        forwarded.group = GroupId(readString(in));
+        forwarded.api = static_cast<ApiKind>(in.number(UINT8_MAX));
+        forwarded.request.method = readString(in);
+        forwarded.request.path = readString(in);
+        forwarded.request.query = readString(in);
+        forwarded.request.body = readString(in);
+        in.expectEnd();
         return forwarded;
     }
 
     std::string encodeAnswer(uint64_t id, HttpResponse const& response)
     {
-        nlohmann::json fields = nlohmann::json::array({ static_cast<uint8_t>(MessageKind::Answer), id, response.status, binary(response.body) });
+        CborWriter out;
+        out.array(answerFieldCount + 2 * response.headers.all().size());
+        out.number(static_cast<uint64_t>(MessageKind::Answer));
+        out.number(id);
+        out.number(static_cast<uint64_t>(response.status));
+        out.bytes(response.body);
         for (auto const& header : response.headers.all()) {
-            fields.push_back(binary(header.name));
-            fields.push_back(binary(header.value));
+            out.bytes(header.name);
+            out.bytes(header.value);
         }
-        return toCbor(fields);
+        return out.take();
     }
 
-    HttpResponse answerFrom(nlohmann::json const& fields)
+    /// Reads what follows the id.
+    HttpResponse readAnswer(CborReader& in, uint64_t fieldCount)
     {
+        constexpr uint64_t maxStatus = 999;
+        if (fieldCount < answerFieldCount || fieldCount % 2)
+            CborReader::fail();
         HttpResponse response;
-        response.status = fields.at(2).get<int>();
-        response.body = bytesAt(fields, 3);
-        for (size_t i = 4; i + 1 < fields.size(); i += 2)
-            response.headers.add(bytesAt(fields, i), bytesAt(fields, i + 1));
+        response.status = static_cast<int>(in.number(maxStatus));
+        response.body = readString(in);
+        for (uint64_t remaining = fieldCount - answerFieldCount; remaining; remaining -= 2) {
+            std::string const name = readString(in);
+            response.headers.add(name, readString(in));
+        }
+        in.expectEnd();
         return response;
     }
 
@@ -92,20 +110,19 @@
 void LeaderForwarder::onMessage(HostId const& from, std::string const& payload)
 {
     try {
-        nlohmann::json const fields = fromCbor(payload);
-        auto const kind = static_cast<MessageKind>(fields.at(0).get<uint8_t>());
-        auto const id = fields.at(1).get<uint64_t>();
-        if (kind == MessageKind::Request) {
-            this->serveRemote(from, id, requestFrom(fields));
+        CborReader in(payload);
+        uint64_t const fieldCount = in.array();
+        auto const kind = static_cast<MessageKind>(in.number(UINT8_MAX));
+        uint64_t const id = in.number();
+        if (kind == MessageKind::Request && fieldCount == requestFieldCount) {
+            this->serveRemote(from, id, readRequest(in));
             return;
         }
         auto const found = this->pendingRequests.find(id);
         if (kind == MessageKind::Answer && found != this->pendingRequests.end() && found->second.leader == from)
-            this->finish(id, answerFrom(fields));
-    } catch (nlohmann::json::exception const&) {
-        return; // Sent by a faulty peer; its request times out.
+            this->finish(id, readAnswer(in, fieldCount));
     } catch (Error const&) {
-        return;
+        return; // Sent by a faulty peer; its request times out.
     }
 }
 
