Peer links: one read when readable, one write in a turn of the loop

A bufferevent reads pieces of at most 4 KiB, each with a wake-up and two system calls, and a write costs epoll_ctl, writev and epoll_ctl, so a leader with 1 MB/s from its relays was woken hundreds of times a second more than messages came. The link now reads up to 64 KiB from its own non-blocking socket and writes what a turn of the loop has queued in one call.

New counters for both ends, messages by channel and turns of the loop show it; tests: "many messages of one turn need few system calls at either end", "a large message is read in large pieces".

--- a/cornelpond/adapters/peer/PeerLink.cpp
+++ b/cornelpond/adapters/peer/PeerLink.cpp
@@ -123,13 +123,19 @@
 PeerLinkCounters PeerLink::counters() const
 {
     PeerLinkCounters total = this->accumulatedCounters;
-    for (auto const& [id, connection] : this->connections) {
-        total.bytesSent += connection->socket->bytesSent();
-        total.bytesReceived += connection->socket->bytesReceived();
-    }
+    for (auto const& [id, connection] : this->connections)
+        addSocketCounters(*connection->socket, total);
     return total;
 }
 
+void PeerLink::addSocketCounters(WebSocketConnection const& socket, PeerLinkCounters& total)
+{
+    total.bytesSent += socket.bytesSent();
+    total.bytesReceived += socket.bytesReceived();
+    total.socketReads += socket.readCalls();
+    total.socketWrites += socket.writeCalls();
+}
+
 void PeerLink::accept(int socket)
 {
     if (this->unauthenticatedConnectionCount() >= this->limits.maxUnauthenticatedConnections) {
@@ -196,6 +202,7 @@
             return;
         }
         if (auto const* message = std::get_if<PeerMessage>(&frame)) {
+            this->accumulatedCounters.messagesReceived[message->channel]++;
             if (this->hooks.onMessage)
                 this->hooks.onMessage(connection.peer, *message);
         } else if (auto const* heartbeat = std::get_if<PeerHeartbeat>(&frame)) {
@@ -417,8 +424,7 @@
             ++at;
             continue;
         }
-        this->accumulatedCounters.bytesSent += connection.socket->bytesSent();
-        this->accumulatedCounters.bytesReceived += connection.socket->bytesReceived();
+        addSocketCounters(*connection.socket, this->accumulatedCounters);
         at = this->connections.erase(at);
     }
 }
--- a/cornelpond/adapters/peer/PeerLink.h
+++ b/cornelpond/adapters/peer/PeerLink.h
@@ -76,6 +76,9 @@
     uint64_t connectionsRefused = 0;
     uint64_t bytesSent = 0; ///< Bytes of the sockets, queued ones included, without TCP and IP headers.
     uint64_t bytesReceived = 0;
+    std::map<PeerChannel, uint64_t> messagesReceived;
+    uint64_t socketReads = 0; ///< System calls that read or wrote bytes.
+    uint64_t socketWrites = 0;
 };
 
 class PeerLink final : public Transport {
@@ -139,6 +142,7 @@
     size_t unauthenticatedConnectionCount() const;
     Connection* establishedConnection(HostId const& peer) const;
     Duration nextBackoff(Duration previous);
+    static void addSocketCounters(WebSocketConnection const& socket, PeerLinkCounters& total);
 
     EventLoop& loop;
     Random& random;
--- a/cornelpond/adapters/peer/PeerLinkTest.cpp
+++ b/cornelpond/adapters/peer/PeerLinkTest.cpp
@@ -127,6 +127,39 @@
     CHECK(pair.a.link.counters().connectionsMade == 1);
 }
 
+TEST_CASE("many messages of one turn need few system calls at either end")
+{
+    constexpr size_t messageCount = 200;
+    Pair pair;
+    PeerLinkCounters const before = pair.a.link.counters();
+    uint64_t const readsBefore = pair.b.link.counters().socketReads;
+    for (size_t i = 0; i < messageCount; i++)
+        pair.a.link.send(HostId("b"), { PeerChannel::Orders, std::string(100, 'x') });
+    runUntil(pair.loop, [&] { return pair.b.received.size() == messageCount; });
+    // Heartbeats take a call each; the messages one write, and a read for each piece that the proxy passes on.
+    PeerLinkCounters const after = pair.a.link.counters();
+    CHECK(after.socketWrites - before.socketWrites <= 1 + after.heartbeatsSent - before.heartbeatsSent);
+    CHECK(pair.b.link.counters().socketReads - readsBefore <= messageCount / 10);
+    CHECK(pair.b.link.counters().messagesReceived[PeerChannel::Orders] == messageCount);
+}
+
+TEST_CASE("a large message is read in large pieces")
+{
+    EventLoop loop;
+    TestHost a(loop, "a");
+    TestHost b(loop, "b");
+    a.addPeer("b", b.port);
+    b.addPeer("a", a.port);
+    a.link.start();
+    b.link.start();
+    runUntil(loop, [&] { return isUp(a, "b") && isUp(b, "a"); });
+    constexpr size_t messageBytes = 2 * 1024 * 1024;
+    constexpr size_t meanReadBytes = 16 * 1024;
+    a.link.send(HostId("b"), { PeerChannel::Orders, std::string(messageBytes, 'x') });
+    runUntil(loop, [&] { return b.received.size() == 1; });
+    CHECK(b.link.counters().socketReads < messageBytes / meanReadBytes);
+}
+
 TEST_CASE("heartbeats carry the current payload")
 {
     Pair pair;
--- a/cornelpond/adapters/peer/WebSocket.cpp
+++ b/cornelpond/adapters/peer/WebSocket.cpp
@@ -4,8 +4,7 @@
 
 #include "cornelpond/core/base/ResultCode.h"
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/listener.h>
 #include <event2/util.h>
 
@@ -18,7 +17,10 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
+#include <cerrno>
 #include <variant>
 
 namespace cornelpond {
@@ -26,6 +28,9 @@
 namespace {
 
     constexpr size_t initialMaxMessageBytes = 4096;
+    /// Read at once from a socket. With smaller pieces a busy link wakes the loop for each of them.
+    constexpr size_t readBufferBytes = 64 * 1024;
+    constexpr size_t maxRetainedOutputBytes = 1024 * 1024; ///< A larger output buffer is freed once it is empty.
 
     using Server = websocketpp::server<websocketpp::config::core>;
     using Client = websocketpp::client<websocketpp::config::core_client>;
@@ -33,7 +38,7 @@
     /// A socket address of either IP family.
     struct SocketAddress {
         sockaddr_storage storage {};
-        int length = sizeof(sockaddr_storage);
+        socklen_t length = sizeof(sockaddr_storage);
     };
 
     std::string uriText(Address const& address)
@@ -75,6 +80,8 @@
 
 } // namespace
 
+/// Reads once for each time that the socket becomes readable and writes once in a turn of the loop, whatever the number
+/// of messages: bufferevents read pieces of 4 KiB and need three system calls for a write.
 struct WebSocketConnection::State {
     State(EventLoop& loop, WebSocketHooks hooks)
         : loop(loop)
@@ -85,17 +92,40 @@
     ~State()
     {
         this->isClosed = true;
-        if (this->buffer)
-            bufferevent_free(this->buffer);
+        for (event* handle : { this->readEvent, this->writeEvent, this->flushEvent }) {
+            if (handle)
+                event_free(handle);
+        }
+        if (this->socket >= 0)
+            ::close(this->socket);
     }
 
-    void attach(int socket)
+    /// Takes ownership of the socket.
+    void attach(int newSocket)
     {
-        this->buffer = bufferevent_socket_new(this->loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
-        if (!this->buffer)
-            throw Error(ResultCode::Internal, "cannot create a bufferevent");
-        bufferevent_setcb(this->buffer, onReadable, nullptr, onEvent, this);
-        bufferevent_enable(this->buffer, EV_READ | EV_WRITE);
+        this->socket = newSocket;
+        evutil_make_socket_nonblocking(newSocket);
+        evutil_make_socket_closeonexec(newSocket);
+        setNoDelay(newSocket);
+        this->readEvent = event_new(this->loop.base(), newSocket, EV_READ | EV_PERSIST, onReadable, this);
+        this->writeEvent = event_new(this->loop.base(), newSocket, EV_WRITE, onWritable, this);
+        this->flushEvent = event_new(this->loop.base(), -1, 0, onFlushDue, this);
+        if (!this->readEvent || !this->writeEvent || !this->flushEvent)
+            throw Error(ResultCode::Internal, "cannot create the events of a connection");
+    }
+
+    /// Starts to connect; the handshake follows once the socket is writable.
+    void connect(Address const& address)
+    {
+        SocketAddress const target = toSocketAddress(address);
+        int const newSocket = ::socket(target.storage.ss_family, SOCK_STREAM, 0);
+        if (newSocket < 0)
+            throw Error(ResultCode::Unreachable, "cannot create a socket");
+        this->attach(newSocket);
+        if (::connect(newSocket, reinterpret_cast<sockaddr const*>(&target.storage), target.length) < 0 && errno != EINPROGRESS)
+            throw Error(ResultCode::Unreachable, "cannot connect to " + address.text());
+        this->isConnecting = true;
+        event_add(this->writeEvent, nullptr);
     }
 
     template <typename Pointer>
@@ -118,20 +148,75 @@
 
     std::error_code write(char const* bytes, size_t count)
     {
-        if (!this->isClosed) {
-            bufferevent_write(this->buffer, bytes, count);
-            this->bytesSent += count;
-        }
+        if (this->isClosed)
+            return {};
+        if (!this->queuedBytes())
+            event_active(this->flushEvent, 0, 0);
+        this->output.append(bytes, count);
+        this->bytesSent += count;
         return {};
     }
 
+    size_t queuedBytes() const { return this->output.size() - this->writtenOutputBytes; }
+
+    /// Writes what the socket accepts, and waits until it accepts more.
+    void flush()
+    {
+        while (this->queuedBytes()) {
+            ssize_t const count = ::send(this->socket, this->output.data() + this->writtenOutputBytes, this->queuedBytes(), MSG_NOSIGNAL | MSG_DONTWAIT);
+            this->writeCalls++;
+            if (count < 0 && errno == EINTR)
+                continue;
+            if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+                event_add(this->writeEvent, nullptr);
+                break;
+            }
+            if (count < 0) {
+                this->close("the connection broke");
+                return;
+            }
+            this->writtenOutputBytes += static_cast<size_t>(count);
+        }
+        this->discardWrittenOutput();
+    }
+
+    void discardWrittenOutput()
+    {
+        if (this->writtenOutputBytes < this->output.size() / 2)
+            return; // Moving the rest to the front after every write would cost more than the memory.
+        this->output.erase(0, this->writtenOutputBytes);
+        this->writtenOutputBytes = 0;
+        if (this->output.empty() && this->output.capacity() > maxRetainedOutputBytes)
+            this->output.shrink_to_fit();
+    }
+
     void read()
     {
-        evbuffer* input = bufferevent_get_input(this->buffer);
-        std::string bytes(evbuffer_get_length(input), '\0');
-        evbuffer_remove(input, bytes.data(), bytes.size());
-        this->bytesReceived += bytes.size();
-        std::visit([&](auto const& pointer) { pointer->read_all(bytes.data(), bytes.size()); }, this->connection);
+        // Shared by all connections: read_all() copies the bytes.
+        static thread_local std::array<char, readBufferBytes> buffer;
+        ssize_t const count = ::recv(this->socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
+            return;
+        if (count <= 0) {
+            this->close(count ? "the connection broke" : "closed by the peer");
+            return;
+        }
+        this->readCalls++;
+        this->bytesReceived += static_cast<size_t>(count);
+        std::visit([&](auto const& pointer) { pointer->read_all(buffer.data(), static_cast<size_t>(count)); }, this->connection);
+    }
+
+    void onConnected()
+    {
+        this->isConnecting = false;
+        int error = 0;
+        socklen_t length = sizeof(error);
+        if (getsockopt(this->socket, SOL_SOCKET, SO_ERROR, &error, &length) < 0 || error) {
+            this->close("the connection broke");
+            return;
+        }
+        event_add(this->readEvent, nullptr);
+        this->startClient();
     }
 
     void close(std::string const& reason)
@@ -139,28 +224,30 @@
         if (this->isClosed)
             return;
         this->isClosed = true;
-        bufferevent_disable(this->buffer, EV_READ | EV_WRITE);
+        for (event* handle : { this->readEvent, this->writeEvent, this->flushEvent })
+            event_del(handle);
         this->hooks.onClosed(reason);
     }
 
-    static void onReadable(bufferevent*, void* argument)
+    static void onReadable(evutil_socket_t, short, void* argument)
     {
         auto* state = static_cast<State*>(argument);
         if (!state->isClosed)
             state->loop.runGuarded([state] { state->read(); });
     }
 
-    static void onEvent(bufferevent* buffer, short events, void* argument)
+    static void onWritable(evutil_socket_t, short, void* argument)
     {
         auto* state = static_cast<State*>(argument);
-        if (state->isClosed)
-            return;
-        if (events & BEV_EVENT_CONNECTED) {
-            setNoDelay(bufferevent_getfd(buffer));
-            state->loop.runGuarded([state] { state->startClient(); });
-        } else if (events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) {
-            state->loop.runGuarded([state, events] { state->close(events & BEV_EVENT_EOF ? "closed by the peer" : "the connection broke"); });
-        }
+        if (!state->isClosed)
+            state->loop.runGuarded([state] { state->isConnecting ? state->onConnected() : state->flush(); });
+    }
+
+    static void onFlushDue(evutil_socket_t, short, void* argument)
+    {
+        auto* state = static_cast<State*>(argument);
+        if (!state->isClosed)
+            state->loop.runGuarded([state] { state->flush(); });
     }
 
     /// Sends the request of the WebSocket handshake; called once TCP is connected.
@@ -175,11 +262,19 @@
     Server server;
     Client client;
     std::variant<Server::connection_ptr, Client::connection_ptr> connection;
-    bufferevent* buffer = nullptr;
+    int socket = -1;
+    event* readEvent = nullptr;
+    event* writeEvent = nullptr;
+    event* flushEvent = nullptr; ///< Activated by the first write of a turn of the loop.
+    std::string output; ///< Accepted for sending; the first `writtenOutputBytes` are written.
+    size_t writtenOutputBytes = 0;
+    bool isConnecting = false;
     bool isOpen = false;
     bool isClosed = false;
     uint64_t bytesSent = 0;
     uint64_t bytesReceived = 0;
+    uint64_t readCalls = 0;
+    uint64_t writeCalls = 0;
 };
 
 WebSocketConnection::WebSocketConnection(std::unique_ptr<State> state)
@@ -198,19 +293,16 @@
     if (error)
         throw Error(ResultCode::Unreachable, error.message());
     state->setConnection(pointer);
-    state->attach(-1);
-    SocketAddress const target = toSocketAddress(address);
-    if (bufferevent_socket_connect(state->buffer, reinterpret_cast<sockaddr const*>(&target.storage), target.length) < 0)
-        throw Error(ResultCode::Unreachable, "cannot connect to " + address.text());
+    state->connect(address);
     return std::unique_ptr<WebSocketConnection>(new WebSocketConnection(std::move(state)));
 }
 
 std::unique_ptr<WebSocketConnection> WebSocketConnection::accept(EventLoop& loop, int socket, WebSocketHooks hooks)
 {
-    setNoDelay(socket);
     auto state = std::make_unique<State>(loop, std::move(hooks));
     disableLogging(state->server);
     state->attach(socket);
+    event_add(state->readEvent, nullptr);
     Server::connection_ptr const pointer = state->server.get_connection();
     state->setConnection(pointer);
     pointer->start();
@@ -231,7 +323,7 @@
 
 size_t WebSocketConnection::queuedBytes() const
 {
-    return evbuffer_get_length(bufferevent_get_output(this->state->buffer));
+    return this->state->queuedBytes();
 }
 
 uint64_t WebSocketConnection::bytesSent() const
@@ -244,13 +336,23 @@
     return this->state->bytesReceived;
 }
 
+uint64_t WebSocketConnection::readCalls() const
+{
+    return this->state->readCalls;
+}
+
+uint64_t WebSocketConnection::writeCalls() const
+{
+    return this->state->writeCalls;
+}
+
 WebSocketListener::WebSocketListener(EventLoop& loop, Address const& address, OnAccept onAccept)
     : loop(loop)
     , onAccept(std::move(onAccept))
 {
     SocketAddress const target = toSocketAddress(address);
     unsigned const flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC;
-    this->listener = evconnlistener_new_bind(loop.base(), onSocket, this, flags, -1, reinterpret_cast<sockaddr const*>(&target.storage), target.length);
+    this->listener = evconnlistener_new_bind(loop.base(), onSocket, this, flags, -1, reinterpret_cast<sockaddr const*>(&target.storage), static_cast<int>(target.length));
     if (!this->listener)
         throw Error(ResultCode::BadSettings, "cannot listen for peers on " + address.text());
     sockaddr_storage bound {};
--- a/cornelpond/adapters/peer/WebSocket.h
+++ b/cornelpond/adapters/peer/WebSocket.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// WebSocket connections and listeners on the event loop: websocketpp's iostream transport over
-// libevent bufferevents. Binary messages only.
+// WebSocket connections and listeners on the event loop: websocketpp's iostream transport over non-blocking sockets.
+// Binary messages only. What is sent in one turn of the loop is written at its end, in one call.
 //
 // Example:
 //   auto connection = WebSocketConnection::dial(loop, { "127.0.0.1", 7003 }, hooks);
@@ -53,6 +53,10 @@
     uint64_t bytesSent() const;
     uint64_t bytesReceived() const;
 
+    /// System calls that read or wrote bytes.
+    uint64_t readCalls() const;
+    uint64_t writeCalls() const;
+
     struct State; ///< Defined in the source file.
 
 private:
--- a/cornelpond/adapters/runtime/EventLoop.cpp
+++ b/cornelpond/adapters/runtime/EventLoop.cpp
@@ -121,7 +121,10 @@
 
 void EventLoop::run()
 {
-    event_base_loop(this->eventBase, EVLOOP_NO_EXIT_ON_EMPTY);
+    do {
+        event_base_loop(this->eventBase, EVLOOP_ONCE | EVLOOP_NO_EXIT_ON_EMPTY);
+        this->turnCount++;
+    } while (!event_base_got_break(this->eventBase));
 }
 
 void EventLoop::runOnce()
--- a/cornelpond/adapters/runtime/EventLoop.h
+++ b/cornelpond/adapters/runtime/EventLoop.h
@@ -10,6 +10,7 @@
 #include "cornelpond/ports/Clock.h"
 #include "cornelpond/ports/Timers.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -43,6 +44,9 @@
 
     void stop();
 
+    /// How often `run` has woken up to call what was due.
+    uint64_t turns() const { return this->turnCount; }
+
     /// Sets what is called with an exception that leaves a callback; without it the exception ends the process.
     void setExceptionHandler(std::function<void(std::exception const&)> handler) { this->exceptionHandler = std::move(handler); }
 
@@ -64,6 +68,7 @@
     std::map<uint64_t, std::unique_ptr<Timer>> timers;
     std::vector<std::unique_ptr<Signal>> signals;
     uint64_t nextTimerId = 1;
+    uint64_t turnCount = 0;
 };
 
 } // namespace cornelpond
--- a/cornelpond/app/HostNetwork.cpp
+++ b/cornelpond/app/HostNetwork.cpp
@@ -594,6 +594,10 @@
     gauge("peerConnectionsRefused", counters.connectionsRefused);
     gauge("peerBytesSent", counters.bytesSent);
     gauge("peerBytesReceived", counters.bytesReceived);
+    gauge("peerSocketReads", counters.socketReads);
+    gauge("peerSocketWrites", counters.socketWrites);
+    for (auto const& [channel, count] : counters.messagesReceived)
+        metrics.setGauge("peerMessagesReceived{channel=\"" + std::string(peerChannelName(channel)) + "\"}", static_cast<int64_t>(count));
     gauge("forwardsOpen", this->forwarder.openRequests());
     gauge("configVersion", this->localConfig.current().version.value());
 }
--- a/cornelpond/ports/Transport.h
+++ b/cornelpond/ports/Transport.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 
 namespace cornelpond {
 
@@ -27,6 +28,32 @@
     Orders = 9, ///< Orders to workers that another host sends on behalf of the leader, and the answers.
 };
 
+/// The name of the channel in metrics; "unknown" for a number that this version does not know.
+constexpr std::string_view peerChannelName(PeerChannel channel)
+{
+    switch (channel) {
+    case PeerChannel::Agreement:
+        return "agreement";
+    case PeerChannel::Membership:
+        return "membership";
+    case PeerChannel::Forward:
+        return "forward";
+    case PeerChannel::Announcements:
+        return "announcements";
+    case PeerChannel::Shares:
+        return "shares";
+    case PeerChannel::Configuration:
+        return "configuration";
+    case PeerChannel::HandOver:
+        return "handOver";
+    case PeerChannel::Claims:
+        return "claims";
+    case PeerChannel::Orders:
+        return "orders";
+    }
+    return "unknown";
+}
+
 struct PeerMessage {
     PeerChannel channel = PeerChannel::Agreement;
     std::string payload; ///< Encoded by the channel's module.
