Relays: open orders cost nothing until due, busy relays batch longer, listings as differences

Three parts of it were the relay's:

- all open orders were looked at each 50 ms; deadlines are now kept in order;
- a relay sent its answers each 8 ms whatever their number; above 250 answers a second to one host they wait up to 20 ms, and all batches of a host leave with one timer;
- each listing came whole.
The order for a renewal names the listing that the leader holds, and the relay answers with what has changed since, or with the whole listing when it does not remember that one (lost answer, other leader, restart, other relay, other process of the worker).
The scheduler sees whole listings as before; acknowledgements, ends and hasAllEnds pass unchanged.
Used only with peers whose hello names the feature; hosts of the earlier version ignore that field, so both work together in a rolling restart.

Metrics for relays, loop turns and the lateness of the tick.

--- a/cornelpond/adapters/peer/PeerFrame.cpp
+++ b/cornelpond/adapters/peer/PeerFrame.cpp
@@ -42,6 +42,9 @@
         hello.heartbeatInterval = Duration::milliseconds(fields.at(6).get<uint32_t>());
         hello.listenIp = fields.at(7).get<std::string>();
         hello.listenPort = fields.at(8).get<uint16_t>();
+        constexpr size_t featuresIndex = 9;
+        if (fields.size() > featuresIndex)
+            hello.features = fields.at(featuresIndex).get<uint32_t>();
         return hello;
     }
 
@@ -89,6 +92,7 @@
         hello.heartbeatInterval.toMilliseconds(),
         hello.listenIp,
         hello.listenPort,
+        hello.features,
     }));
 }
 
--- a/cornelpond/adapters/peer/PeerFrame.h
+++ b/cornelpond/adapters/peer/PeerFrame.h
@@ -21,6 +21,14 @@
 /// Incremented when the meaning of a frame changes; both ends of a link must have the same version.
 constexpr uint32_t peerProtocolVersion = 1;
 
+/// What a host understands beyond the first release of the protocol version. Bits are sent on the wire and never change
+/// meaning; hosts of earlier versions ignore the field.
+enum class PeerFeature : uint32_t {
+    ListingChanges = 1, ///< Renewals that name a listing, and listings that contain only what has changed since.
+};
+
+constexpr uint32_t ownPeerFeatures = static_cast<uint32_t>(PeerFeature::ListingChanges);
+
 /// The first frame in each direction.
 struct PeerHello {
     uint32_t protocol = peerProtocolVersion;
@@ -31,6 +39,7 @@
     Duration heartbeatInterval; ///< Time between two heartbeats of the sender.
     std::string listenIp; ///< Where the sender accepts peer connections; empty when it does not listen.
     uint16_t listenPort = 0;
+    uint32_t features = 0; ///< Bits of PeerFeature.
 };
 
 /// Sent once per heartbeat interval, also when other frames were sent, so that its payload arrives regularly.
--- a/cornelpond/adapters/peer/PeerFrameTest.cpp
+++ b/cornelpond/adapters/peer/PeerFrameTest.cpp
@@ -20,7 +20,7 @@
 
 PeerHello someHello()
 {
-    return { peerProtocolVersion, "cluster", HostId("h1"), DataCentreId("north"), "token", Duration::milliseconds(500), "10.0.0.1", 7003 };
+    return { peerProtocolVersion, "cluster", HostId("h1"), DataCentreId("north"), "token", Duration::milliseconds(500), "10.0.0.1", 7003, ownPeerFeatures };
 }
 
 } // namespace
@@ -43,6 +43,14 @@
     CHECK(encode(PeerHeartbeat { "abc" }) == toCbor(nlohmann::json::array({ 1, binary("abc") })));
 }
 
+TEST_CASE("the hello of an earlier version names no features")
+{
+    auto const fields = nlohmann::json::array({ 0, peerProtocolVersion, "cluster", "h1", "north", binary("token"), 500, "10.0.0.1", 7003 });
+    PeerHello const hello = std::get<PeerHello>(decodePeerFrame(toCbor(fields)));
+    CHECK(hello.listenPort == 7003);
+    CHECK(hello.features == 0);
+}
+
 TEST_CASE("a frame with fields missing, added or out of range is refused")
 {
     for (auto const& fields : { nlohmann::json::array({ 2, 9 }), nlohmann::json::array({ 2, 9, binary("abc"), 1 }), nlohmann::json::array({ 2, 256, binary("abc") }),
--- a/cornelpond/adapters/peer/PeerLink.cpp
+++ b/cornelpond/adapters/peer/PeerLink.cpp
@@ -33,6 +33,7 @@
 
 struct PeerLink::Peer {
     PeerAddress address;
+    uint32_t features = 0; ///< As in the hello of the last established connection.
     uint64_t connectionId = 0; ///< Id of the established connection, or 0.
     uint64_t diallingConnectionId = 0; ///< Id of the connection being dialled, or 0.
     Duration backoff;
@@ -101,6 +102,12 @@
     return this->establishedConnection(peer) != nullptr;
 }
 
+bool PeerLink::hasFeature(HostId const& peer, PeerFeature feature) const
+{
+    auto const known = this->peers.find(peer);
+    return known != this->peers.end() && known->second.features & static_cast<uint32_t>(feature);
+}
+
 void PeerLink::sendHeartbeats()
 {
     for (auto const& [id, connection] : this->connections) {
@@ -292,6 +299,7 @@
     connection.isEstablished = true;
     connection.socket->setMaxMessageBytes(this->limits.maxMessageBytes);
     peer.connectionId = connection.id;
+    peer.features = hello.features;
     peer.backoff = Duration();
     this->accumulatedCounters.connectionsMade++;
     this->events.emit(Event(EventId::PeerConnected).with("peer", hello.host).with("dataCentre", hello.dataCentre).with("dialled", static_cast<int>(connection.isOutbound)));
@@ -356,6 +364,7 @@
     hello.heartbeatInterval = this->heartbeatInterval();
     hello.listenIp = this->listenAddress.ip;
     hello.listenPort = this->listenAddress.port;
+    hello.features = ownPeerFeatures;
     return hello;
 }
 
--- a/cornelpond/adapters/peer/PeerLink.h
+++ b/cornelpond/adapters/peer/PeerLink.h
@@ -104,6 +104,9 @@
     void send(HostId const& to, PeerMessage message) override;
     bool isReachable(HostId const& peer) const override;
 
+    /// True when the peer's last hello named the feature.
+    bool hasFeature(HostId const& peer, PeerFeature feature) const;
+
     /// Sends a heartbeat to all connected peers now, for a payload that should not wait for the next interval.
     void sendHeartbeats();
 
--- a/cornelpond/adapters/peer/PeerLinkTest.cpp
+++ b/cornelpond/adapters/peer/PeerLinkTest.cpp
@@ -160,6 +160,14 @@
     CHECK(b.link.counters().socketReads < messageBytes / meanReadBytes);
 }
 
+TEST_CASE("a host learns what its peer understands from the hello")
+{
+    Pair pair;
+    CHECK(pair.a.link.hasFeature(HostId("b"), PeerFeature::ListingChanges));
+    CHECK(pair.b.link.hasFeature(HostId("a"), PeerFeature::ListingChanges));
+    CHECK_FALSE(pair.a.link.hasFeature(HostId("c"), PeerFeature::ListingChanges));
+}
+
 TEST_CASE("heartbeats carry the current payload")
 {
     Pair pair;
--- a/cornelpond/app/ControlHost.cpp
+++ b/cornelpond/app/ControlHost.cpp
@@ -93,6 +93,7 @@
         return host == this->hostSettings.host ? HostId() : host;
     };
     hooks.isReachable = [this](HostId const& host) { return this->hostNetwork.isReachable(host); };
+    hooks.knowsListingChanges = [this](HostId const& host) { return this->hostNetwork.hasFeature(host, PeerFeature::ListingChanges); };
     hooks.send = [this](HostId const& to, std::string payload) { this->hostNetwork.transport().send(to, { PeerChannel::Orders, std::move(payload) }); };
     return hooks;
 }
@@ -126,11 +127,15 @@
     openListener(this->controlServer, "control", this->settings.listen.control, this->events);
     openListener(this->metricsServer, "metrics", this->settings.listen.metrics, this->events);
     this->events.emit(Event(EventId::HostStarted).with("role", "control").with("identity", this->hostSettings.host).with("dataCentre", this->settings.dataCentre).with("firstStart", static_cast<int>(this->settings.firstStart)));
+    this->nextTickAt = this->loop.now();
     this->tick();
 }
 
 void ControlHost::tick()
 {
+    TimePoint const now = this->loop.now();
+    this->tickLateness.observe(std::max(now - this->nextTickAt, Duration()));
+    this->nextTickAt = now + tickInterval;
     this->tickTimer = this->loop.after(tickInterval, [this] { this->tick(); });
     this->hostNetwork.onTick();
     this->updateRelays();
@@ -163,6 +168,9 @@
 {
     fillSchedulerMetrics(this->jobService.scheduler(), this->metrics);
     this->hostNetwork.fillMetrics(this->metrics);
+    fillRelayMetrics(this->orderRelay, this->metrics);
+    this->metrics.setGauge("loopTurns", static_cast<int64_t>(this->loop.turns()));
+    this->metrics.setHistogram("tickLatenessMs", this->tickLateness);
     responder.answer(metricsResponse(this->metrics));
 }
 
--- a/cornelpond/app/ControlHost.h
+++ b/cornelpond/app/ControlHost.h
@@ -13,6 +13,7 @@
 #include "cornelpond/adapters/metrics/Metrics.h"
 #include "cornelpond/app/FleetSettings.h"
 #include "cornelpond/app/HostNetwork.h"
+#include "cornelpond/core/base/Histogram.h"
 #include "cornelpond/core/relay/OrderRelay.h"
 #include "cornelpond/core/relay/RelayChoice.h"
 #include "cornelpond/core/scheduling/JobService.h"
@@ -73,6 +74,8 @@
     HttpServer controlServer;
     HttpServer metricsServer;
     TimerId tickTimer;
+    TimePoint nextTickAt;
+    Histogram tickLateness; ///< How much later than asked for the loop called `tick`.
     TimePoint nextRelayUpdate;
     std::function<void()> onShutDownComplete;
     TimePoint shutDownEarliest;
--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -56,6 +56,20 @@
     gauge("attemptsPlaced", placedAttempts);
 }
 
+void fillRelayMetrics(OrderRelay const& relay, Metrics& metrics)
+{
+    auto const gauge = [&](char const* name, uint64_t value) { metrics.setGauge(name, static_cast<int64_t>(value)); };
+    OrderRelayCounters const& counters = relay.counters();
+    gauge("relayedOrders", counters.ordersRelayed);
+    gauge("relayBatchesSent", counters.batchesSent);
+    gauge("relayBatchesReceived", counters.batchesReceived);
+    gauge("relayedAnswers", counters.answersReceived);
+    gauge("relayedListings", counters.listingsReceived);
+    gauge("relayedListingChanges", counters.listingChangesReceived);
+    gauge("relayedListingRows", counters.listingRowsReceived);
+    gauge("relayedOrdersOpen", relay.openOrderCount());
+}
+
 HttpResponse metricsResponse(Metrics const& metrics)
 {
     HttpResponse response;
--- a/cornelpond/app/FleetMetrics.h
+++ b/cornelpond/app/FleetMetrics.h
@@ -4,11 +4,13 @@
 
 #include "cornelpond/adapters/http/HttpTypes.h"
 #include "cornelpond/adapters/metrics/Metrics.h"
+#include "cornelpond/core/relay/OrderRelay.h"
 #include "cornelpond/core/scheduling/JobScheduler.h"
 
 namespace cornelpond {
 
 void fillSchedulerMetrics(JobScheduler const& scheduler, Metrics& metrics);
+void fillRelayMetrics(OrderRelay const& relay, Metrics& metrics);
 
 HttpResponse metricsResponse(Metrics const& metrics);
 
--- a/cornelpond/app/FleetMetricsTest.cpp
+++ b/cornelpond/app/FleetMetricsTest.cpp
@@ -1,5 +1,7 @@
 #include "cornelpond/app/FleetMetrics.h"
 
+#include "testing/fakes/FakeClock.h"
+#include "testing/fakes/FakeFleet.h"
 #include "testing/fakes/JobBench.h"
 
 #include <catch2/catch.hpp>
@@ -35,3 +37,34 @@
     CHECK(contains(text, "freePlaces{cores=\"4\"} 1"));
     CHECK(contains(text, "placesBesideServices{cores=\"2\"} 2"));
 }
+
+TEST_CASE("the metrics tell what came by way of the relays")
+{
+    FakeClock clock;
+    SeededRandom random(1);
+    FakeFleet workers(clock, random);
+    OrderRelayHooks hooks;
+    hooks.relayFor = [](WorkerTarget const&) { return HostId("relay"); };
+    hooks.isReachable = [](HostId const&) { return true; };
+    hooks.knowsListingChanges = [](HostId const&) { return true; };
+    hooks.send = [](HostId const&, std::string const&) {};
+    OrderRelay relay(clock, clock, workers, DispatchTimes(), 1, hooks);
+    relay.renew({ WorkerId("w1"), "10.0.0.1:80", DataCentreId("north") }, RenewOrder(), [](RenewAnswer const&) {});
+    clock.advance(Duration::milliseconds(5));
+    RelayBatch answers;
+    WorkerListing listing;
+    listing.running.push_back({ TaskRef { JobId("job"), 0, 0, 0 }, AttemptNumber(1), "", 0, -1 });
+    answers.answers.push_back({ 1, RenewAnswer { { OrderResult::Accepted, false, Duration() }, 0, listing } });
+    relay.onMessage(HostId("relay"), encodeRelayBatch(answers));
+    Metrics metrics;
+    fillRelayMetrics(relay, metrics);
+    std::string const text = metrics.text();
+    CHECK(contains(text, "relayedOrders 1"));
+    CHECK(contains(text, "relayBatchesSent 1"));
+    CHECK(contains(text, "relayBatchesReceived 1"));
+    CHECK(contains(text, "relayedAnswers 1"));
+    CHECK(contains(text, "relayedListings 1"));
+    CHECK(contains(text, "relayedListingChanges 0"));
+    CHECK(contains(text, "relayedListingRows 1"));
+    CHECK(contains(text, "relayedOrdersOpen 0"));
+}
--- a/cornelpond/app/HostNetwork.h
+++ b/cornelpond/app/HostNetwork.h
@@ -80,6 +80,7 @@
     bool hasLeader(GroupId const& group) const { return !this->leaderOf(group).empty(); }
     HostId leaderOf(GroupId const& group) const;
     bool isReachable(HostId const& host) const { return this->link.isReachable(host); }
+    bool hasFeature(HostId const& host, PeerFeature feature) const { return this->link.hasFeature(host, feature); }
 
     /// Reachable hosts with a disk that are not leaving, which may include this one.
     std::vector<RelayHost> reachableControlHosts() const;
--- a/cornelpond/core/relay/OrderRelay.cpp
+++ b/cornelpond/core/relay/OrderRelay.cpp
@@ -1,5 +1,6 @@
 #include "cornelpond/core/relay/OrderRelay.h"
 
+#include <algorithm>
 #include <type_traits>
 #include <utility>
 
@@ -8,6 +9,7 @@
 namespace {
 
     constexpr unsigned failuresPerRoute = 2; ///< In a row, before the other route is tried.
+    constexpr Duration answerRateWindow = Duration::milliseconds(200);
 
     OrderAnswer answerWithResult(OrderResult result)
     {
@@ -36,8 +38,7 @@
 
 OrderRelay::~OrderRelay()
 {
-    for (auto const& [host, timer] : this->flushTimers)
-        this->timers.cancel(timer);
+    this->timers.cancel(this->flushTimer);
     this->timers.cancel(this->timeoutTimer);
 }
 
@@ -141,25 +142,46 @@
 void OrderRelay::sendViaRelay(HostId const& relay, WorkerTarget const& worker, Order const& order, Duration timeout, RenewDone done)
 {
     uint64_t const id = this->nextId++;
-    this->openOrders.emplace(id, OpenOrder { relay, this->clock.now() + timeout + this->times.answerMargin, std::move(done) });
-    this->outgoingBatch(relay, this->times.orderBatchDelay).orders.push_back({ id, worker, order });
-    if (this->openOrders.size() == 1)
-        this->checkTimeouts();
+    TimePoint const deadline = this->clock.now() + timeout + this->times.answerMargin;
+    RelayedOrder relayed { id, worker, order, std::nullopt };
+    OpenOrder open { relay, std::move(done), WorkerId() };
+    if (std::is_same_v<Order, RenewOrder> && this->hooks.knowsListingChanges(relay)) {
+        ListingMemory::Entry const* held = this->heldListings.find(worker.id, relay);
+        relayed.heldListing = held ? held->renewalId : 0;
+        open.listingWorker = worker.id;
+    }
+    this->openOrders.emplace(id, std::move(open));
+    this->deadlines.emplace(deadline, id);
+    this->totals.ordersRelayed++;
+    this->outgoingBatch(relay, this->times.orderBatchDelay).orders.push_back(std::move(relayed));
+    this->scheduleTimeoutCheck();
 }
 
 RelayBatch& OrderRelay::outgoingBatch(HostId const& to, Duration delay)
 {
-    if (!this->flushTimers.count(to))
-        this->flushTimers[to] = this->timers.after(delay, [this, to] { this->flush(to); });
+    TimePoint const dueAt = this->clock.now() + delay;
+    if (!this->flushAt || dueAt < *this->flushAt) {
+        this->timers.cancel(this->flushTimer);
+        this->flushAt = dueAt;
+        this->flushTimer = this->timers.after(delay, [this] { this->flushAll(); });
+    }
     return this->outgoingBatches[to];
 }
 
-void OrderRelay::flush(HostId const& to)
+/// All batches at once: one timer for each host would wake the loop for each of them.
+void OrderRelay::flushAll()
+{
+    this->flushAt.reset();
+    auto const batches = std::move(this->outgoingBatches);
+    this->outgoingBatches.clear();
+    for (auto const& [to, batch] : batches)
+        this->flush(to, batch);
+}
+
+void OrderRelay::flush(HostId const& to, RelayBatch const& batch)
 {
-    this->flushTimers.erase(to);
-    RelayBatch const batch = std::move(this->outgoingBatches[to]);
-    this->outgoingBatches.erase(to);
     if (this->hooks.isReachable(to)) {
+        this->totals.batchesSent++;
         this->hooks.send(to, encodeRelayBatch(batch));
         return;
     }
@@ -171,22 +193,76 @@
 
 void OrderRelay::onMessage(HostId const& from, std::string const& payload)
 {
-    RelayBatch const batch = decodeRelayBatch(payload);
+    RelayBatch batch = decodeRelayBatch(payload);
+    this->totals.batchesReceived++;
     for (auto const& relayed : batch.orders)
         this->executeOrder(from, relayed);
-    for (auto const& relayed : batch.answers) {
-        auto const found = this->openOrders.find(relayed.id);
-        if (found == this->openOrders.end() || found->second.relay != from)
-            continue; // Too late, as the order has ended as Unknown; or from a host that is not its relay.
-        if (auto const* renewed = std::get_if<RenewAnswer>(&relayed.answer))
-            this->finish(relayed.id, *renewed);
-        else
-            this->finish(relayed.id, { std::get<OrderAnswer>(relayed.answer), 0, WorkerListing() });
+    for (auto& relayed : batch.answers)
+        this->handleAnswer(from, relayed);
+}
+
+void OrderRelay::handleAnswer(HostId const& from, RelayedAnswer& relayed)
+{
+    this->totals.answersReceived++;
+    auto const found = this->openOrders.find(relayed.id);
+    if (found == this->openOrders.end() || found->second.relay != from)
+        return; // Too late, as the order has ended as Unknown; or from a host that is not its relay.
+    OpenOrder const order = std::move(found->second);
+    this->openOrders.erase(found);
+    if (auto* change = std::get_if<ListingChangeAnswer>(&relayed.answer))
+        this->finishWithChange(relayed.id, order, std::move(*change));
+    else if (auto* renewed = std::get_if<RenewAnswer>(&relayed.answer))
+        this->finishWithListing(relayed.id, order, std::move(*renewed));
+    else
+        order.done({ std::get<OrderAnswer>(relayed.answer), 0, WorkerListing() });
+}
+
+void OrderRelay::finishWithListing(uint64_t id, OpenOrder const& order, RenewAnswer answer)
+{
+    if (answer.order.result == OrderResult::Accepted) {
+        this->totals.listingsReceived++;
+        this->totals.listingRowsReceived += answer.listing.running.size() + answer.listing.ended.size();
+    }
+    if (answer.order.result != OrderResult::Accepted || order.listingWorker.empty()) {
+        order.done(answer);
+        return;
+    }
+    this->forgetOldListings();
+    order.done(this->heldListings.remember(order.listingWorker, { order.relay, id, std::move(answer), this->clock.now() }).answer);
+}
+
+void OrderRelay::finishWithChange(uint64_t id, OpenOrder const& order, ListingChangeAnswer answer)
+{
+    ListingMemory::Entry* held = this->heldListings.find(order.listingWorker, order.relay);
+    if (!held || held->renewalId != answer.heldListing) {
+        // The relay was told which listing is held, so it is at fault; the next renewal asks for a whole listing.
+        this->heldListings.forget(order.listingWorker);
+        order.done({ answerWithResult(OrderResult::Unknown), 0, WorkerListing() });
+        return;
+    }
+    this->totals.listingsReceived++;
+    this->totals.listingChangesReceived++;
+    this->totals.listingRowsReceived += answer.change.changed.size() + answer.change.added.size() + answer.change.ended.size();
+    held->renewalId = id;
+    held->rememberedAt = this->clock.now();
+    held->answer.order = answer.order;
+    held->answer.acknowledgedEnds = answer.acknowledgedEnds;
+    try {
+        applyListingChange(held->answer.listing, std::move(answer.change));
+    } catch (Error const&) {
+        this->heldListings.forget(order.listingWorker);
+        order.done({ answerWithResult(OrderResult::Unknown), 0, WorkerListing() });
+        throw;
     }
+    order.done(held->answer);
 }
 
 void OrderRelay::executeOrder(HostId const& from, RelayedOrder const& relayed)
 {
+    if (auto const* renew = std::get_if<RenewOrder>(&relayed.order); renew && relayed.heldListing) {
+        this->executeRenewal(from, relayed, *renew);
+        return;
+    }
     auto const reply = [this, alive = std::weak_ptr<bool>(this->lifetime), from, id = relayed.id](auto const& answer) {
         if (!alive.expired())
             this->queueAnswer(from, { id, answer });
@@ -194,9 +270,65 @@
     std::visit([&](auto const& order) { this->sendDirectly(relayed.worker, order, reply); }, relayed.order);
 }
 
+void OrderRelay::executeRenewal(HostId const& from, RelayedOrder const& relayed, RenewOrder const& order)
+{
+    this->direct.renew(relayed.worker, order, [this, alive = std::weak_ptr<bool>(this->lifetime), from, relayed](RenewAnswer const& answer) {
+        if (!alive.expired())
+            this->queueAnswer(from, this->answerWithChange(from, relayed, answer));
+    });
+}
+
+/// What has changed since the listing that the leader holds, or the whole listing when this host does not remember it.
+RelayedAnswer OrderRelay::answerWithChange(HostId const& leader, RelayedOrder const& relayed, RenewAnswer const& answer)
+{
+    if (answer.order.result != OrderResult::Accepted)
+        return { relayed.id, answer };
+    TimePoint const now = this->clock.now();
+    this->forgetOldListings();
+    ListingMemory::Entry* sent = this->sentListings.find(relayed.worker.id, leader);
+    std::optional<ListingChange> change;
+    if (sent && sent->renewalId == relayed.heldListing)
+        change = listingChange(sent->answer.listing, answer.listing);
+    if (!change) {
+        this->sentListings.remember(relayed.worker.id, { leader, relayed.id, answer, now });
+        return { relayed.id, answer };
+    }
+    // The rows must stay in the order in which the leader holds them.
+    applyListingChange(sent->answer.listing, *change);
+    sent->renewalId = relayed.id;
+    sent->rememberedAt = now;
+    return { relayed.id, ListingChangeAnswer { answer.order, answer.acknowledgedEnds, *relayed.heldListing, std::move(*change) } };
+}
+
+void OrderRelay::forgetOldListings()
+{
+    TimePoint const now = this->clock.now();
+    if (now < this->nextForgetAt)
+        return;
+    this->nextForgetAt = now + this->times.listingRetention / 2;
+    this->heldListings.forgetOlderThan(now - this->times.listingRetention);
+    this->sentListings.forgetOlderThan(now - this->times.listingRetention);
+}
+
 void OrderRelay::queueAnswer(HostId const& to, RelayedAnswer answer)
 {
-    this->outgoingBatch(to, this->times.answerBatchDelay).answers.push_back(std::move(answer));
+    this->outgoingBatch(to, this->answerDelay(to)).answers.push_back(std::move(answer));
+}
+
+/// Counts an answer to the host, and returns how long it may wait for others.
+Duration OrderRelay::answerDelay(HostId const& to)
+{
+    TimePoint const now = this->clock.now();
+    AnswerRate& rate = this->answerRates[to];
+    Duration const elapsed = now - rate.windowStart;
+    if (elapsed >= answerRateWindow) {
+        constexpr int64_t microsecondsPerSecond = 1000 * 1000;
+        rate.isBusy = rate.answersInWindow * microsecondsPerSecond > this->times.busyAnswersPerSecond * elapsed.toMicroseconds();
+        rate.windowStart = now;
+        rate.answersInWindow = 0;
+    }
+    rate.answersInWindow++;
+    return rate.isBusy ? this->times.busyAnswerBatchDelay : this->times.answerBatchDelay;
 }
 
 void OrderRelay::finish(uint64_t id, RenewAnswer const& answer)
@@ -217,25 +349,37 @@
 
 void OrderRelay::onPeerDown(HostId const& peer)
 {
+    this->answerRates.erase(peer);
     std::vector<uint64_t> lost;
     for (auto const& [id, order] : this->openOrders) {
         if (order.relay == peer)
             lost.push_back(id);
     }
+    std::sort(lost.begin(), lost.end());
     this->failAll(lost, OrderResult::Unknown);
 }
 
+void OrderRelay::scheduleTimeoutCheck()
+{
+    if (this->isTimeoutCheckDue || this->deadlines.empty())
+        return;
+    this->isTimeoutCheckDue = true;
+    this->timeoutTimer = this->timers.after(this->times.timeoutCheckInterval, [this] {
+        this->isTimeoutCheckDue = false;
+        this->checkTimeouts();
+    });
+}
+
 void OrderRelay::checkTimeouts()
 {
+    TimePoint const now = this->clock.now();
     std::vector<uint64_t> overdue;
-    for (auto const& [id, order] : this->openOrders) {
-        if (this->clock.now() >= order.deadline)
-            overdue.push_back(id);
+    while (!this->deadlines.empty() && this->deadlines.top().first <= now) {
+        overdue.push_back(this->deadlines.top().second);
+        this->deadlines.pop();
     }
-    this->failAll(overdue, OrderResult::Unknown);
-    this->timers.cancel(this->timeoutTimer);
-    if (!this->openOrders.empty())
-        this->timeoutTimer = this->timers.after(this->times.timeoutCheckInterval, [this] { this->checkTimeouts(); });
+    this->failAll(overdue, OrderResult::Unknown); // Answered orders among them are no longer open.
+    this->scheduleTimeoutCheck();
 }
 
 } // namespace cornelpond
--- a/cornelpond/core/relay/OrderRelay.h
+++ b/cornelpond/core/relay/OrderRelay.h
@@ -24,6 +24,8 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <queue>
+#include <unordered_map>
 
 namespace cornelpond {
 
@@ -31,6 +33,8 @@
     /// The host that relays orders to the worker; empty: this host sends them itself.
     std::function<HostId(WorkerTarget const& worker)> relayFor;
     std::function<bool(HostId const& host)> isReachable;
+    /// Whether the host knows listings that contain only what has changed; hosts of earlier versions do not.
+    std::function<bool(HostId const& host)> knowsListingChanges;
     std::function<void(HostId const& to, std::string payload)> send;
 };
 
@@ -39,12 +43,28 @@
     /// many workers. Short compared with a round trip.
     Duration orderBatchDelay = Duration::milliseconds(2);
     Duration answerBatchDelay = Duration::milliseconds(8);
+    /// The same while more than `busyAnswersPerSecond` go to one host: at its leader each message costs processor time
+    /// that decisions need more than the answers need the few milliseconds.
+    Duration busyAnswerBatchDelay = Duration::milliseconds(20);
+    int64_t busyAnswersPerSecond = 250;
     /// Added to the timeout of a direct order: two batch delays and a round trip between hosts.
     Duration answerMargin = Duration::milliseconds(250);
     /// Between checks for overdue answers.
     Duration timeoutCheckInterval = Duration::milliseconds(50);
     /// After so long on the direct route the relay is used again.
     Duration directRouteDuration = Duration::seconds(5);
+    /// How long listings are remembered without a new one.
+    Duration listingRetention = Duration::seconds(10);
+};
+
+struct OrderRelayCounters {
+    uint64_t ordersRelayed = 0; ///< Orders that this host passed to a relay.
+    uint64_t batchesSent = 0; ///< Messages with orders or answers.
+    uint64_t batchesReceived = 0;
+    uint64_t answersReceived = 0; ///< From relays, listings included.
+    uint64_t listingsReceived = 0; ///< Accepted renewals among them.
+    uint64_t listingChangesReceived = 0; ///< Listings that contained only what had changed.
+    uint64_t listingRowsReceived = 0; ///< Running and ended attempts that the listings and changes contained.
 };
 
 class OrderRelay final : public WorkerOrders {
@@ -69,14 +89,24 @@
     void onPeerDown(HostId const& peer);
 
     size_t openOrderCount() const { return this->openOrders.size(); }
+    OrderRelayCounters const& counters() const { return this->totals; }
 
 private:
     using RenewDone = std::function<void(RenewAnswer const&)>;
 
     struct OpenOrder {
         HostId relay;
-        TimePoint deadline;
         RenewDone done; ///< For orders other than renewals the listing stays empty.
+        WorkerId listingWorker; ///< Whose listing is remembered; empty when the answer contains none or is from a host of an earlier version.
+    };
+
+    using Deadline = std::pair<TimePoint, uint64_t>; ///< With the order's id.
+
+    /// The rate of the answers to one host, over windows of a fixed length.
+    struct AnswerRate {
+        TimePoint windowStart;
+        int64_t answersInWindow = 0;
+        bool isBusy = false; ///< By the last complete window.
     };
 
     /// Which route the orders to a worker take, and how many of its renewals have failed in a row.
@@ -95,11 +125,20 @@
     RenewDone withRouteTracking(WorkerId const& worker, RenewDone done);
     void recordRouteResult(WorkerId const& worker, OrderResult result);
     void executeOrder(HostId const& from, RelayedOrder const& relayed);
+    void handleAnswer(HostId const& from, RelayedAnswer& relayed);
+    void finishWithListing(uint64_t id, OpenOrder const& order, RenewAnswer answer);
+    void finishWithChange(uint64_t id, OpenOrder const& order, ListingChangeAnswer answer);
+    void executeRenewal(HostId const& from, RelayedOrder const& relayed, RenewOrder const& order);
+    RelayedAnswer answerWithChange(HostId const& leader, RelayedOrder const& relayed, RenewAnswer const& answer);
+    void forgetOldListings();
     void queueAnswer(HostId const& to, RelayedAnswer answer);
     RelayBatch& outgoingBatch(HostId const& to, Duration delay);
-    void flush(HostId const& to);
+    Duration answerDelay(HostId const& to);
+    void flushAll();
+    void flush(HostId const& to, RelayBatch const& batch);
     void finish(uint64_t id, RenewAnswer const& answer);
     void failAll(std::vector<uint64_t> const& ids, OrderResult result);
+    void scheduleTimeoutCheck();
     void checkTimeouts();
 
     Clock const& clock;
@@ -109,11 +148,19 @@
     OrderRelayHooks hooks;
     OrderRelayTimes times;
     uint64_t nextId;
-    std::map<uint64_t, OpenOrder> openOrders;
+    std::unordered_map<uint64_t, OpenOrder> openOrders;
+    std::priority_queue<Deadline, std::vector<Deadline>, std::greater<Deadline>> deadlines; ///< Of open orders, and of answered ones until they would have been due.
     std::map<WorkerId, Route> routes; ///< Of workers with failed renewals or on the direct route.
     std::map<HostId, RelayBatch> outgoingBatches;
-    std::map<HostId, TimerId> flushTimers;
+    std::map<HostId, AnswerRate> answerRates;
+    TimerId flushTimer;
+    std::optional<TimePoint> flushAt; ///< Unset: no batch waits.
     TimerId timeoutTimer;
+    ListingMemory heldListings; ///< On the leader: as the relays listed them.
+    ListingMemory sentListings; ///< On a relay: as the leader holds them.
+    TimePoint nextForgetAt;
+    bool isTimeoutCheckDue = false; ///< `timeoutTimer` is running.
+    OrderRelayCounters totals;
     std::shared_ptr<bool> lifetime = std::make_shared<bool>(true); ///< Handlers of direct answers check it.
 };
 
--- a/cornelpond/core/relay/OrderRelayTest.cpp
+++ b/cornelpond/core/relay/OrderRelayTest.cpp
@@ -55,6 +55,7 @@
         OrderRelayHooks hooks;
         hooks.relayFor = [relayId](WorkerTarget const&) { return relayId; };
         hooks.isReachable = [this](HostId const&) { return this->isLinkUp; };
+        hooks.knowsListingChanges = [this](HostId const&) { return this->hasListingChanges; };
         hooks.send = [this](HostId const& to, std::string payload) { this->sent.emplace_back(to, std::move(payload)); };
         return hooks;
     }
@@ -70,6 +71,7 @@
     }
 
     FakeClock clock;
+    bool hasListingChanges = true; ///< Both hosts are of a version that knows them.
     bool isLinkUp = true;
     std::vector<std::pair<HostId, std::string>> sent;
     OpenOrders leaderDirect;
@@ -77,6 +79,7 @@
     OrderRelay leader { clock, clock, leaderDirect, DispatchTimes(), 100, this->hooks(relayHost) };
     OrderRelay relay { clock, clock, relayDirect, DispatchTimes(), 1, this->hooks(HostId()) };
     std::vector<OrderResult> results;
+    std::vector<size_t> listedRows; ///< Of each renewal's answer.
 };
 
 OrderAnswer accepted()
@@ -156,3 +159,97 @@
     hosts.deliver();
     CHECK(hosts.relayDirect.starts.size() == 1);
 }
+
+namespace {
+
+WorkerListing listingOf(uint32_t rowCount)
+{
+    WorkerListing listing;
+    for (uint32_t i = 0; i < rowCount; i++)
+        listing.running.push_back({ TaskRef { JobId("job"), 0, 0, i }, AttemptNumber(1), "", 50, 900 });
+    return listing;
+}
+
+/// Renews once; the worker answers with that many rows. `isAnswerLost`: the link drops the relay's answer.
+void list(LeaderAndRelay& hosts, OrderRelay& leader, uint32_t rowCount, bool isAnswerLost = false)
+{
+    leader.renew(worker, RenewOrder(), [&hosts](RenewAnswer const& answer) {
+        hosts.results.push_back(answer.order.result);
+        hosts.listedRows.push_back(answer.listing.running.size());
+    });
+    hosts.deliver();
+    REQUIRE_FALSE(hosts.relayDirect.renewals.empty());
+    auto const done = std::move(hosts.relayDirect.renewals.back());
+    hosts.relayDirect.renewals.clear();
+    done({ accepted(), 0, listingOf(rowCount) });
+    if (isAnswerLost) {
+        hosts.clock.advance(Duration::milliseconds(100));
+        hosts.sent.clear();
+    }
+    hosts.deliver(isAnswerLost ? Duration::seconds(2) : Duration::milliseconds(30));
+}
+
+} // namespace
+
+TEST_CASE("listings arrive whole at the leader whether or not the relay sends only the changes")
+{
+    for (bool const hasChanges : { true, false }) {
+        LeaderAndRelay hosts;
+        hosts.hasListingChanges = hasChanges;
+        for (uint32_t const rowCount : { 3, 5, 2 })
+            list(hosts, hosts.leader, rowCount);
+        CHECK(hosts.listedRows == std::vector<size_t> { 3, 5, 2 });
+        CHECK(hosts.leader.counters().listingsReceived == 3);
+        CHECK(hosts.leader.counters().listingChangesReceived == (hasChanges ? 2 : 0));
+    }
+}
+
+TEST_CASE("after a lost answer the relay sends the whole listing")
+{
+    LeaderAndRelay hosts;
+    list(hosts, hosts.leader, 3);
+    list(hosts, hosts.leader, 4, true);
+    CHECK(hosts.results.back() == OrderResult::Unknown);
+    list(hosts, hosts.leader, 5);
+    CHECK(hosts.results.back() == OrderResult::Accepted);
+    CHECK(hosts.listedRows.back() == 5);
+    CHECK(hosts.leader.counters().listingChangesReceived == 0);
+    list(hosts, hosts.leader, 6);
+    CHECK(hosts.leader.counters().listingChangesReceived == 1);
+}
+
+TEST_CASE("a leader that was started again gets the whole listing first")
+{
+    LeaderAndRelay hosts;
+    list(hosts, hosts.leader, 3);
+    OrderRelay restarted(hosts.clock, hosts.clock, hosts.leaderDirect, DispatchTimes(), 5000, hosts.hooks(relayHost));
+    restarted.renew(worker, RenewOrder(), [&hosts](RenewAnswer const& answer) { hosts.listedRows.push_back(answer.listing.running.size()); });
+    hosts.clock.advance(Duration::milliseconds(5));
+    REQUIRE(hosts.sent.size() == 1);
+    hosts.relay.onMessage(leaderHost, hosts.sent[0].second);
+    hosts.sent.clear();
+    hosts.relayDirect.renewals.back()({ accepted(), 0, listingOf(4) });
+    hosts.clock.advance(Duration::milliseconds(30));
+    REQUIRE(hosts.sent.size() == 1);
+    restarted.onMessage(relayHost, hosts.sent[0].second);
+    CHECK(hosts.listedRows.back() == 4);
+    CHECK(restarted.counters().listingChangesReceived == 0);
+}
+
+TEST_CASE("a change of a listing that the leader does not hold ends the renewal as Unknown, and the next listing is whole")
+{
+    LeaderAndRelay hosts;
+    list(hosts, hosts.leader, 3);
+    hosts.renew();
+    hosts.clock.advance(Duration::milliseconds(5));
+    REQUIRE(hosts.sent.size() == 1);
+    uint64_t const id = decodeRelayBatch(hosts.sent[0].second).orders[0].id;
+    hosts.sent.clear();
+    RelayBatch wrong;
+    wrong.answers.push_back({ id, ListingChangeAnswer { accepted(), 0, 1, ListingChange() } });
+    hosts.leader.onMessage(relayHost, encodeRelayBatch(wrong));
+    CHECK(hosts.results.back() == OrderResult::Unknown);
+    list(hosts, hosts.leader, 4);
+    CHECK(hosts.listedRows.back() == 4);
+    CHECK(hosts.leader.counters().listingChangesReceived == 0);
+}
--- a/cornelpond/core/relay/OrderRelayWorkTest.cpp
+++ b/cornelpond/core/relay/OrderRelayWorkTest.cpp
@@ -64,6 +64,7 @@
         OrderRelayHooks hooks;
         hooks.relayFor = [relayId](WorkerTarget const&) { return relayId; };
         hooks.isReachable = [](HostId const&) { return true; };
+        hooks.knowsListingChanges = [this](HostId const&) { return this->hasListingChanges; };
         hooks.send = [this](HostId const& to, std::string payload) {
             if (to == leaderHost) {
                 this->bytesToLeader += payload.size();
@@ -101,6 +102,7 @@
     }
 
     FakeClock clock;
+    bool hasListingChanges = true; ///< Both hosts are of a version that knows them.
     CountingClock leaderClock { clock };
     std::vector<std::pair<HostId, std::string>> sent;
     size_t bytesToLeader = 0;
--- a/cornelpond/core/relay/RelayMessage.cpp
+++ b/cornelpond/core/relay/RelayMessage.cpp
@@ -2,6 +2,8 @@
 
 #include "cornelpond/core/base/ByteCodec.h"
 
+#include <algorithm>
+
 namespace cornelpond {
 
 namespace {
@@ -14,8 +16,20 @@
         Renew = 4,
         Answer = 5,
         RenewAnswer = 6,
+        RenewWithHeldListing = 7,
+        ListingChangeAnswer = 8,
     };
 
+    /// A count of rows, for which room is reserved up to a bound that a malformed message cannot exceed.
+    template <typename Row>
+    uint64_t readCount(ByteReader& in, std::vector<Row>& rows)
+    {
+        constexpr uint64_t maxReserved = 64;
+        uint64_t const count = in.number();
+        rows.reserve(std::min(count, maxReserved));
+        return count;
+    }
+
     void write(ByteWriter& out, Tag tag)
     {
         out.number(static_cast<uint64_t>(tag));
@@ -69,9 +83,8 @@
         out.number(throttle.epoch.value());
     }
 
-    void write(ByteWriter& out, RenewOrder const& renew)
+    void writeRenewFields(ByteWriter& out, RenewOrder const& renew)
     {
-        write(out, Tag::Renew);
         out.number(renew.extendsLease);
         writeMilliseconds(out, renew.leaseUntil);
         out.number(renew.epoch.value());
@@ -79,6 +92,24 @@
         writeMilliseconds(out, renew.maxWait);
     }
 
+    void write(ByteWriter& out, RenewOrder const& renew)
+    {
+        write(out, Tag::Renew);
+        writeRenewFields(out, renew);
+    }
+
+    void writeOrder(ByteWriter& out, RelayedOrder const& relayed)
+    {
+        auto const* renew = std::get_if<RenewOrder>(&relayed.order);
+        if (renew && relayed.heldListing) {
+            write(out, Tag::RenewWithHeldListing);
+            out.number(*relayed.heldListing);
+            writeRenewFields(out, *renew);
+            return;
+        }
+        std::visit([&](auto const& order) { write(out, order); }, relayed.order);
+    }
+
     StartOrder readStart(ByteReader& in)
     {
         StartOrder start;
@@ -142,6 +173,10 @@
         case Tag::Renew:
             relayed.order = readRenew(in);
             return relayed;
+        case Tag::RenewWithHeldListing:
+            relayed.heldListing = in.number();
+            relayed.order = readRenew(in);
+            return relayed;
         default:
             in.fail();
         }
@@ -169,12 +204,17 @@
         return answer;
     }
 
+    void writeFigures(ByteWriter& out, unsigned progressPercent, int64_t latencyMsOrMilliCores)
+    {
+        out.number(progressPercent);
+        out.number(static_cast<uint64_t>(latencyMsOrMilliCores + 1)); // -1, not given, is stored as 0.
+    }
+
     void write(ByteWriter& out, ListedAttempt const& listed)
     {
         writeAttempt(out, listed.task, listed.attempt);
         out.text(listed.checkpoint);
-        out.number(listed.progressPercent);
-        out.number(static_cast<uint64_t>(listed.latencyMsOrMilliCores + 1)); // -1, not given, is stored as 0.
+        writeFigures(out, listed.progressPercent, listed.latencyMsOrMilliCores);
     }
 
     ListedAttempt readListedAttempt(ByteReader& in)
@@ -229,13 +269,74 @@
         answer.acknowledgedEnds = in.number();
         answer.listing.bornMs = static_cast<int64_t>(in.number());
         answer.listing.hasAllEnds = in.number();
-        for (uint64_t remaining = in.number(); remaining; remaining--)
+        for (uint64_t remaining = readCount(in, answer.listing.running); remaining; remaining--)
             answer.listing.running.push_back(readListedAttempt(in));
-        for (uint64_t remaining = in.number(); remaining; remaining--)
+        for (uint64_t remaining = readCount(in, answer.listing.ended); remaining; remaining--)
             answer.listing.ended.push_back(readListedEnd(in));
         return answer;
     }
 
+    void write(ByteWriter& out, ListedFigures const& figures)
+    {
+        out.number(figures.index);
+        out.number(figures.checkpoint.has_value());
+        if (figures.checkpoint)
+            out.text(*figures.checkpoint);
+        writeFigures(out, figures.progressPercent, figures.latencyMsOrMilliCores);
+    }
+
+    ListedFigures readListedFigures(ByteReader& in)
+    {
+        ListedFigures figures;
+        figures.index = in.number();
+        if (in.number())
+            figures.checkpoint = readText(in);
+        figures.progressPercent = static_cast<unsigned>(in.number());
+        figures.latencyMsOrMilliCores = static_cast<int64_t>(in.number()) - 1;
+        return figures;
+    }
+
+    template <typename Rows>
+    void writeRows(ByteWriter& out, Rows const& rows)
+    {
+        out.number(rows.size());
+        for (auto const& row : rows)
+            write(out, row);
+    }
+
+    void write(ByteWriter& out, ListingChangeAnswer const& answer)
+    {
+        write(out, Tag::ListingChangeAnswer);
+        writeOrderAnswer(out, answer.order);
+        out.number(answer.acknowledgedEnds);
+        out.number(answer.heldListing);
+        out.number(answer.change.hasAllEnds);
+        writeRows(out, answer.change.changed);
+        out.number(answer.change.removed.size());
+        for (uint64_t const index : answer.change.removed)
+            out.number(index);
+        writeRows(out, answer.change.added);
+        writeRows(out, answer.change.ended);
+    }
+
+    ListingChangeAnswer readListingChangeAnswer(ByteReader& in)
+    {
+        ListingChangeAnswer answer;
+        answer.order = readOrderAnswer(in);
+        answer.acknowledgedEnds = in.number();
+        answer.heldListing = in.number();
+        answer.change.hasAllEnds = in.number();
+        for (uint64_t remaining = readCount(in, answer.change.changed); remaining; remaining--)
+            answer.change.changed.push_back(readListedFigures(in));
+        for (uint64_t remaining = readCount(in, answer.change.removed); remaining; remaining--)
+            answer.change.removed.push_back(in.number());
+        for (uint64_t remaining = readCount(in, answer.change.added); remaining; remaining--)
+            answer.change.added.push_back(readListedAttempt(in));
+        for (uint64_t remaining = readCount(in, answer.change.ended); remaining; remaining--)
+            answer.change.ended.push_back(readListedEnd(in));
+        return answer;
+    }
+
     RelayedAnswer readAnswer(ByteReader& in)
     {
         RelayedAnswer relayed;
@@ -247,6 +348,9 @@
         case Tag::RenewAnswer:
             relayed.answer = readRenewAnswer(in);
             return relayed;
+        case Tag::ListingChangeAnswer:
+            relayed.answer = readListingChangeAnswer(in);
+            return relayed;
         default:
             in.fail();
         }
@@ -263,7 +367,7 @@
         out.text(relayed.worker.id.value());
         out.text(relayed.worker.dataCentre.value());
         out.text(relayed.worker.address);
-        std::visit([&](auto const& order) { write(out, order); }, relayed.order);
+        writeOrder(out, relayed);
     }
     out.number(batch.answers.size());
     for (auto const& relayed : batch.answers) {
@@ -277,9 +381,9 @@
 {
     RelayBatch batch;
     ByteReader in(bytes);
-    for (uint64_t remaining = in.number(); remaining; remaining--)
+    for (uint64_t remaining = readCount(in, batch.orders); remaining; remaining--)
         batch.orders.push_back(readOrder(in));
-    for (uint64_t remaining = in.number(); remaining; remaining--)
+    for (uint64_t remaining = readCount(in, batch.answers); remaining; remaining--)
         batch.answers.push_back(readAnswer(in));
     in.expectEnd();
     return batch;
--- a/cornelpond/core/relay/RelayMessage.h
+++ b/cornelpond/core/relay/RelayMessage.h
@@ -7,9 +7,11 @@
 //   batch.orders.push_back({ 17, target, StopOrder { task, attempt, epoch } });
 //   transport.send(relay, { PeerChannel::Orders, encodeRelayBatch(batch) });
 
+#include "cornelpond/core/relay/ListingChange.h"
 #include "cornelpond/ports/WorkerOrders.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -22,11 +24,22 @@
     uint64_t id = 0;
     WorkerTarget worker;
     std::variant<StartOrder, StopOrder, ThrottleOrder, RenewOrder> order;
+    /// For a renewal: the id of the renewal whose listing the leader holds, 0 if none; the answer may then be a
+    /// ListingChangeAnswer. Unset: the answer contains the whole listing, for leaders that know nothing else.
+    std::optional<uint64_t> heldListing = std::nullopt;
+};
+
+/// Answers a renewal with what has changed since an earlier one.
+struct ListingChangeAnswer {
+    OrderAnswer order;
+    uint64_t acknowledgedEnds = 0; ///< As in RenewAnswer.
+    uint64_t heldListing = 0; ///< As in the order.
+    ListingChange change;
 };
 
 struct RelayedAnswer {
     uint64_t id = 0;
-    std::variant<OrderAnswer, RenewAnswer> answer;
+    std::variant<OrderAnswer, RenewAnswer, ListingChangeAnswer> answer;
 };
 
 /// Orders are sent by the leader, answers to it; a batch may hold both.
--- a/cornelpond/core/relay/RelayMessageTest.cpp
+++ b/cornelpond/core/relay/RelayMessageTest.cpp
@@ -27,6 +27,15 @@
     renewed.listing.ended.push_back({ 58, task, AttemptNumber(2), AttemptEnd::Failed, "saved" });
     renewed.listing.hasAllEnds = false;
     batch.answers.push_back({ 6, renewed });
+    batch.orders.push_back({ 7, target, RenewOrder { true, Duration::milliseconds(486000), Term(7), 57, Duration::milliseconds(700) }, 4 });
+    ListingChangeAnswer change { { OrderResult::Accepted, true, Duration::milliseconds(482113) }, 57, 4, {} };
+    change.change.changed.push_back({ 0, "saved2", 42, -1 });
+    change.change.changed.push_back({ 3, std::nullopt, 43, 250 });
+    change.change.removed = { 1, 2 };
+    change.change.added.push_back({ task, AttemptNumber(5), "", 0, -1 });
+    change.change.ended.push_back({ 58, task, AttemptNumber(4), AttemptEnd::Done, "" });
+    change.change.hasAllEnds = false;
+    batch.answers.push_back({ 7, change });
     return batch;
 }
 
@@ -36,7 +45,7 @@
 {
     std::string const bytes = encodeRelayBatch(batchOfAllKinds());
     RelayBatch const read = decodeRelayBatch(bytes);
-    REQUIRE(read.orders.size() == 4);
+    REQUIRE(read.orders.size() == 5);
     CHECK(read.orders[0].worker.address == target.address);
     CHECK(read.orders[0].worker.dataCentre == target.dataCentre);
     auto const& start = std::get<StartOrder>(read.orders[0].order);
@@ -45,13 +54,23 @@
     CHECK(start.permit == "ticket");
     CHECK(std::get<ThrottleOrder>(read.orders[2].order).speedPercent == 40);
     CHECK(std::get<RenewOrder>(read.orders[3].order).acknowledgedEnds == 57);
-    REQUIRE(read.answers.size() == 2);
+    REQUIRE(read.answers.size() == 3);
     CHECK(std::get<OrderAnswer>(read.answers[0].answer).result == OrderResult::RefusedRoom);
     auto const& renewed = std::get<RenewAnswer>(read.answers[1].answer);
     CHECK(renewed.listing.running[0].latencyMsOrMilliCores == -1);
     CHECK(renewed.listing.running[1].latencyMsOrMilliCores == 0);
     CHECK(renewed.listing.ended[0].end == AttemptEnd::Failed);
     CHECK_FALSE(renewed.listing.hasAllEnds);
+    CHECK_FALSE(read.orders[3].heldListing);
+    CHECK(read.orders[4].heldListing == 4U);
+    auto const& change = std::get<ListingChangeAnswer>(read.answers[2].answer);
+    CHECK(change.heldListing == 4);
+    CHECK(change.change.changed[0].checkpoint == std::optional<std::string>("saved2"));
+    CHECK_FALSE(change.change.changed[1].checkpoint);
+    CHECK(change.change.changed[1].latencyMsOrMilliCores == 250);
+    CHECK(change.change.removed == std::vector<uint64_t> { 1, 2 });
+    CHECK(change.change.ended[0].number == 58);
+    CHECK_FALSE(change.change.hasAllEnds);
     CHECK(encodeRelayBatch(read) == bytes);
 }
 
