--- a/cornelpond/adapters/peer/PeerLink.h
+++ b/cornelpond/adapters/peer/PeerLink.h
@@ -76,6 +76,9 @@
     uint64_t connectionsRefused = 0;
     uint64_t bytesSent = 0; ///< Bytes of the sockets, queued ones included, without TCP and IP headers.
     uint64_t bytesReceived = 0;
+    std::map<PeerChannel, uint64_t> messagesReceived;
+    uint64_t socketReads = 0; ///< System calls that read or wrote bytes.
+    uint64_t socketWrites = 0;
 };
 
 class PeerLink final : public Transport {
@@ -101,6 +104,9 @@
     void send(HostId const& to, PeerMessage message) override;
     bool isReachable(HostId const& peer) const override;
 
+    /// True when the peer's last hello named the feature.
+    bool hasFeature(HostId const& peer, PeerFeature feature) const;
+
     /// Sends a heartbeat to all connected peers now, for a payload that should not wait for the next interval.
     void sendHeartbeats();
 
@@ -139,6 +145,7 @@
     size_t unauthenticatedConnectionCount() const;
     Connection* establishedConnection(HostId const& peer) const;
     Duration nextBackoff(Duration previous);
+    static void addSocketCounters(WebSocketConnection const& socket, PeerLinkCounters& total);
 
     EventLoop& loop;
     Random& random;
--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -374,7 +374,7 @@
     view.lastAnswerAt = now;
     this->handleRunningAttempts(view, listing);
     this->handleListedEnds(view, listing);
-    if (listing.hasAllEnds)
+    if (listing.isComplete)
         this->concludeMissing(view, sentAt);
     this->acknowledgeEnds(view);
     view.nextRenewalAt = view.listedEnds.empty() ? now : now + uncommittedEndsRenewalDelay;
--- a/cornelpond/ports/WorkerOrders.h
+++ b/cornelpond/ports/WorkerOrders.h
@@ -107,8 +107,9 @@
 struct WorkerListing {
     int64_t bornMs = 0; ///< Start time of the listing process in ms, which identifies it; 0 when not given.
     std::vector<ListedAttempt> running;
-    std::vector<ListedEnd> ended; ///< By increasing number; all unacknowledged ends or, without `hasAllEnds`, the first ones.
-    bool hasAllEnds = true;
+    std::vector<ListedEnd> ended; ///< By increasing number; all unacknowledged ends or, without `isComplete`, the first ones.
+    /// False when ends are left out or a row could not be read: an attempt that is missing may still run.
+    bool isComplete = true;
 };
 
 struct RenewAnswer {
