--- a/cornelpond/adapters/journal/JournalStorage.cpp
+++ b/cornelpond/adapters/journal/JournalStorage.cpp
@@ -235,15 +235,25 @@
     std::string readFile(std::string const& path)
     {
         std::ifstream in(path, std::ios::binary);
-        return { std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>() };
+        if (!in)
+            throw Error(ResultCode::StorageFailed, "cannot open " + path);
+        try {
+            return { std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>() };
+        } catch (std::ios_base::failure const& failure) {
+            throw Error(ResultCode::StorageFailed, "cannot read " + path + ": " + failure.what());
+        }
     }
 
     Snapshot readSnapshot(std::string const& folder)
     {
         Snapshot snapshot;
         std::string const path = folder + "/snapshot";
-        if (!std::filesystem::exists(path))
+        std::error_code error;
+        if (!std::filesystem::exists(path, error)) {
+            if (error)
+                throw Error(ResultCode::StorageFailed, "cannot read " + path + ": " + error.message());
             return snapshot;
+        }
         std::string const bytes = readFile(path);
         Record record {};
         if (!readRecord(bytes, record) || record.bytes != bytes.size() || record.kind != RecordKind::SnapshotState)
@@ -261,12 +271,23 @@
         return number ? "journal." + std::to_string(number) : "journal";
     }
 
+    std::vector<std::string> fileNames(std::string const& folder)
+    {
+        std::vector<std::string> names;
+        try {
+            for (auto const& entry : std::filesystem::directory_iterator(folder))
+                names.push_back(entry.path().filename().string());
+        } catch (std::filesystem::filesystem_error const& failure) {
+            throw Error(ResultCode::StorageFailed, "cannot list " + folder + ": " + failure.code().message());
+        }
+        return names;
+    }
+
     /// The numbers of the segments in the folder, ascending. Throws Error(StorageDamaged) when there is a gap.
     std::vector<uint64_t> listSegments(std::string const& folder)
     {
         std::vector<uint64_t> numbers;
-        for (auto const& entry : std::filesystem::directory_iterator(folder)) {
-            std::string const name = entry.path().filename().string();
+        for (auto const& name : fileNames(folder)) {
             uint64_t number = 0;
             if (name.rfind("journal.", 0) == 0)
                 std::from_chars(name.data() + std::strlen("journal."), name.data() + name.size(), number);
--- a/cornelpond/adapters/journal/JournalStorageTest.cpp
+++ b/cornelpond/adapters/journal/JournalStorageTest.cpp
@@ -466,3 +466,31 @@
     storage.sync();
     CHECK(JournalStorage(folder.path(), events).load().entries.size() == 1);
 }
+
+TEST_CASE("a journal that cannot be read is a failed storage, not an empty journal")
+{
+    TemporaryFolder folder;
+    RecordingEventSink events;
+    auto const loadFault = [&] {
+        try {
+            JournalStorage(folder.path() + "/g", events).load();
+        } catch (Error const& error) {
+            return error.code();
+        }
+        return ResultCode::Ok;
+    };
+    CHECK(loadFault() == ResultCode::Ok);
+    std::string const journal = folder.path() + "/g/journal";
+    std::filesystem::remove(journal);
+    std::filesystem::create_symlink(folder.path() + "/absent", journal);
+    CHECK(loadFault() == ResultCode::StorageFailed);
+    std::filesystem::remove(journal);
+    std::filesystem::create_directory(journal);
+    CHECK(loadFault() == ResultCode::StorageFailed);
+    std::filesystem::remove(journal);
+    std::string const snapshot = folder.path() + "/g/snapshot";
+    std::filesystem::create_symlink(snapshot, snapshot);
+    CHECK(loadFault() == ResultCode::StorageFailed);
+    std::filesystem::remove(snapshot);
+    CHECK(loadFault() == ResultCode::Ok);
+}
