A group whose storage failed at start is served once it can be read, without a restart

What callers would see: a control host that starts while its disk is full or cannot be read takes no part in that group for the life of its process, though the disk is well a second later.

Cause: GroupHost::startGroup tried once. Now the group is tried again every second while the code is StorageFailed or DiskFull; StorageFault is said again every five seconds. StorageDamaged stays final: another try reads the same bytes. groupsWithoutStorage counts the group in both cases.

--- a/cornelpond/app/GroupHost.cpp
+++ b/cornelpond/app/GroupHost.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+    constexpr Duration startRetryInterval = Duration::seconds(1);
+    constexpr Duration startFaultInterval = Duration::seconds(5); ///< Between two StorageFault lines of a group.
+
     /// Prefixes one message of a group's log with the group's name, which has at most 255 bytes.
     std::string encodeGroupMessage(GroupId const& group, std::string const& bytes)
     {
@@ -28,6 +31,9 @@
     JournalStorage storage;
     std::unique_ptr<ReplicatedLog> log;
     bool isServed = false;
+    ResultCode startFailure = ResultCode::Ok; ///< Of the latest start.
+    TimePoint startedAt = TimePoint::distantPast(); ///< When it was last tried to start the log.
+    TimePoint startFaultReportedAt = TimePoint::distantPast();
     TimerId flushTimer;
     TimePoint lastFlush = TimePoint::distantPast();
 };
@@ -99,14 +105,26 @@
 void GroupHost::startGroup(GroupId const& group)
 {
     Group& entry = *this->groups.at(group);
+    entry.startedAt = this->clock.now();
     try {
         entry.log->start();
         entry.isServed = true;
     } catch (Error const& error) {
+        entry.startFailure = error.code();
+        if (entry.startedAt - entry.startFaultReportedAt < startFaultInterval)
+            return;
+        entry.startFaultReportedAt = entry.startedAt;
         this->events.emit(Event(EventId::StorageFault).with("group", group).with("code", static_cast<int>(error.code())).with("reason", std::string(error.what())));
     }
 }
 
+void GroupHost::startAgainWhenDue(GroupId const& id, Group& group)
+{
+    bool const isPassing = group.startFailure == ResultCode::StorageFailed || group.startFailure == ResultCode::DiskFull;
+    if (isPassing && this->clock.now() - group.startedAt >= startRetryInterval)
+        this->startGroup(id);
+}
+
 void GroupHost::scheduleFlush(GroupId const& group)
 {
     Group& entry = *this->groups.at(group);
@@ -138,6 +156,8 @@
     for (auto const& [id, group] : this->groups) {
         if (group->isServed)
             group->log->onTick();
+        else
+            this->startAgainWhenDue(id, *group);
     }
 }
 
--- a/cornelpond/app/GroupHost.h
+++ b/cornelpond/app/GroupHost.h
@@ -45,6 +45,9 @@
 
     /// Called for a message of a group that is not open; it may open and start the group.
     void setUnknownGroupHandler(std::function<void(GroupId const&)> handler) { this->onUnknownGroup = std::move(handler); }
+
+    /// A group whose storage cannot be read is not served; it is tried again at an interval, unless the storage is
+    /// damaged.
     void startGroup(GroupId const& group);
 
     /// Drops a message that does not decode.
@@ -69,6 +72,7 @@
     struct Group;
     class DisklessLog;
 
+    void startAgainWhenDue(GroupId const& id, Group& group);
     void flush(GroupId const& group);
     void scheduleFlush(GroupId const& group);
     Membership initialMembership(BootstrapMembers const& bootstrap, std::string const& folderName) const;
