--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -16,17 +16,13 @@
 
 namespace {
 
-    /// True when the failure of the request holds for its stage until workers change.
-    bool canRemember(PlacementRequest const& request)
-    {
-        return request.stage->dataRack.empty() && !request.permittedWorkers && request.requiredRack.empty();
-    }
-
     /// True when nothing but free resources and the image decides whether a worker can take the request, so that its
-    /// failure holds for like requests of other stages too.
+    /// failure holds for like requests.
     bool isUnconstrained(PlacementRequest const& request)
     {
-        return canRemember(request) && request.stage->requiredLabel.empty() && !request.stage->maxTasksPerWorker;
+        StageSpec const& stage = *request.stage;
+        bool const hasConstraints = !stage.requiredLabel.empty() || !stage.dataRack.empty() || stage.maxTasksPerWorker || request.permittedWorkers;
+        return !hasConstraints && request.requiredRack.empty();
     }
 
 } // namespace
@@ -59,13 +55,12 @@
     }
 }
 
-/// Requests of short tasks are compared with all workers in each pass: which workers are held for others changes.
+/// Other than best-effort requests are compared with all workers in each pass.
 void TaskPlacer::forgetFailedRequests(TimePoint now)
 {
     auto const isOutdated = [&](FailedRequest const& failed) {
         Duration const interval = failed.canStartThrottled ? this->parameters.fullThrottledSearchInterval : this->parameters.fullSearchInterval;
-        bool const isShort = !failed.isBestEffort && !failed.isService;
-        return isShort || now - failed.comparedAt >= interval;
+        return !failed.isBestEffort || now - failed.comparedAt >= interval;
     };
     for (auto& [image, failed] : this->failedRequests)
         failed.erase(std::remove_if(failed.begin(), failed.end(), isOutdated), failed.end());
@@ -75,8 +70,6 @@
 bool TaskPlacer::FailedRequest::covers(PlacementRequest const& request) const
 {
     StageSpec const& stage = *request.stage;
-    if (this->onlyStage && (this->onlyStage != request.stage || this->occurrence != request.task.occurrence))
-        return false;
     return this->isBestEffort == stage.isBestEffort && this->isService == stage.isService && this->isRestart == request.isRestart && this->canUseReserve == request.canUseReserve
         && this->canStartThrottled == request.canStartThrottled && this->canOvercommitCores == request.canOvercommitCores && this->need.fitsIn(stage.need) && this->service == request.service;
 }
@@ -99,10 +92,9 @@
 {
     StageSpec const& stage = *request.stage;
     auto& ofImage = this->failedRequests[request.image];
-    StageSpec const* const onlyStage = isUnconstrained(request) ? nullptr : request.stage;
-    auto const same = std::find_if(ofImage.begin(), ofImage.end(), [&](auto const& failed) { return failed.onlyStage == onlyStage && stage.need.fitsIn(failed.need) && failed.covers(request); });
+    auto const same = std::find_if(ofImage.begin(), ofImage.end(), [&](auto const& failed) { return stage.need.fitsIn(failed.need) && failed.covers(request); });
     if (same == ofImage.end())
-        ofImage.push_back({ request.service, stage.isBestEffort, stage.isService, request.isRestart, request.canUseReserve, request.canStartThrottled, request.canOvercommitCores, stage.need, onlyStage, request.task.occurrence, this->passNumber, comparedAt });
+        ofImage.push_back({ request.service, stage.isBestEffort, stage.isService, request.isRestart, request.canUseReserve, request.canStartThrottled, request.canOvercommitCores, stage.need, this->passNumber, comparedAt });
     else
         same->pass = this->passNumber;
 }
@@ -133,7 +125,7 @@
         this->beginSearch(request, failed, now);
     }
     WorkerView* worker = this->takeBestMatch(now);
-    if (!worker && canRemember(request))
+    if (!worker && isUnconstrained(request))
         this->noteFailed(request, this->currentSearch->comparedAt);
     return worker;
 }
--- a/cornelpond/core/placement/TaskPlacer.h
+++ b/cornelpond/core/placement/TaskPlacer.h
@@ -4,8 +4,8 @@
 //
 // Designed for: service tasks that fill most of the fleet beside short urgent tasks; best-effort tasks that run
 // on cores that others leave unused; data that is stored on one rack. For hundreds of workers and a thousand starts a
-// second: the tasks of a stage share one search, and a best-effort or service request that found no worker is compared
-// with changed workers only, for a while.
+// second: the tasks of a stage share one search, and a best-effort request that found no worker is compared with
+// changed workers only, for a while.
 //
 // Example:
 //   TaskPlacer placer(dispatcher.workers(), interference, cpuUsage, times, parameters);
@@ -34,8 +34,8 @@
     double throttledStartShare = 0.015;
     /// Number of workers on which a best-effort image is tried at once beside a service image with which it may interfere.
     unsigned maxTrialWorkers = 2;
-    /// A best-effort or service request that found no worker is compared with all of them again after this time:
-    /// interference estimates decay, trials elsewhere end, and room elsewhere adds to the reserve.
+    /// A best-effort request that found no worker is compared with all of them again after this time: interference
+    /// estimates decay, and trials elsewhere end.
     Duration fullSearchInterval = Duration::milliseconds(250);
     /// The same for throttled starts, for which only the learned use of cores changes by itself.
     Duration fullThrottledSearchInterval = Duration::milliseconds(500);
@@ -108,8 +108,6 @@
         bool canStartThrottled = false;
         bool canOvercommitCores = false;
         Resources need;
-        StageSpec const* onlyStage = nullptr; ///< The failure holds for this stage alone, as it has constraints; null: for all.
-        uint32_t occurrence = 0; ///< With onlyStage.
         uint64_t pass = 0; ///< In which it failed last.
         TimePoint comparedAt; ///< When it was last compared with all workers.
 
--- a/cornelpond/core/scheduling/DecisionWorkTest.cpp
+++ b/cornelpond/core/scheduling/DecisionWorkTest.cpp
@@ -80,28 +80,6 @@
     CHECK(examined <= workerCount * interfererCount * 4 * 2);
 }
 
-TEST_CASE("decision work: service tasks that wait are not compared with all workers in each pass")
-{
-    JobBench bench(1);
-    bench.addWorkers(workerCount, workerMilliCores);
-    bench.submit(makeJob("full", workerCount, workerMilliCores - 1000, second * 60));
-    bench.run(second * 3);
-    constexpr int waitingJobs = 60;
-    for (int i = 0; i < waitingJobs; i++) {
-        JobSpec job = makeServiceJob("watch" + std::to_string(i), 14, 6400 + i % 7 * 100, "s" + std::to_string(i % serviceImageCount));
-        job.stages[0].maxTasksPerWorker = i % 2 ? 2 : 0;
-        bench.submit(job);
-    }
-    bench.submit(makeJob("waits", 1, 16000, second * 60));
-    bench.run(second);
-    uint64_t const examinedBefore = bench.leader().scheduler().placementCounters().workersExamined;
-    constexpr int seconds = 4;
-    bench.run(second * seconds);
-    uint64_t const examined = (bench.leader().scheduler().placementCounters().workersExamined - examinedBefore) / seconds;
-    // Each stage may look at each worker four times a second; the one short task does so in each of some ten passes.
-    CHECK(examined <= workerCount * (waitingJobs * 4 + 10));
-}
-
 TEST_CASE("decision work: the leader's load is logged once a second while tasks wait, and not on a calm fleet")
 {
     JobBench bench(1);
