The placer's search is a member that keeps its memory

clang refuses an optional of a nested struct with default initializers inside its class (tools/lint.sh; GCC takes it). Choices and counts of core_decision_work_test as before.

--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -31,7 +31,7 @@
 {
     this->passNumber++;
     this->reserve.beginPass(now);
-    this->currentSearch.reset();
+    this->hasSearch = false;
     this->forgetFailedRequests(now);
     this->heldWorkers.clear();
     this->holdCandidates.clear();
@@ -101,9 +101,9 @@
 
 WorkerView* TaskPlacer::choose(PlacementRequest const& request, TimePoint now)
 {
-    this->currentSearch.reset();
+    this->hasSearch = false;
     WorkerView* worker = this->chooseNext(request, now);
-    this->currentSearch.reset();
+    this->hasSearch = false;
     return worker;
 }
 
@@ -118,7 +118,7 @@
 
 WorkerView* TaskPlacer::search(PlacementRequest const& request, TimePoint now)
 {
-    if (!this->currentSearch || !this->currentSearch->request.isLike(request)) {
+    if (!this->hasSearch || !this->currentSearch.request.isLike(request)) {
         FailedRequest const* const failed = this->findFailed(request);
         if (failed && failed->pass == this->passNumber)
             return nullptr;
@@ -126,15 +126,18 @@
     }
     WorkerView* worker = this->takeBestMatch(now);
     if (!worker && isUnconstrained(request))
-        this->noteFailed(request, this->currentSearch->comparedAt);
+        this->noteFailed(request, this->currentSearch.comparedAt);
     return worker;
 }
 
 /// Compares the request with all workers; where it is covered by an earlier failure, with those that changed since.
 void TaskPlacer::beginSearch(PlacementRequest const& request, FailedRequest const* failed, TimePoint now)
 {
-    Search& search = this->currentSearch.emplace();
+    Search& search = this->currentSearch;
+    this->hasSearch = true;
     search.request = request;
+    search.matches.clear();
+    search.trialWorkers = nullptr;
     search.candidates = &this->candidates[request.service];
     search.comparedAt = failed ? failed->comparedAt : now;
     uint64_t const changedSincePass = failed ? failed->pass : 0;
@@ -155,7 +158,7 @@
 /// room has changed since; no other worker can have become better within the search.
 WorkerView* TaskPlacer::takeBestMatch(TimePoint now)
 {
-    Search& search = *this->currentSearch;
+    Search& search = this->currentSearch;
     auto& matches = search.matches;
     while (!matches.empty()) {
         std::pop_heap(matches.begin(), matches.end());
--- a/cornelpond/core/placement/TaskPlacer.h
+++ b/cornelpond/core/placement/TaskPlacer.h
@@ -19,7 +19,6 @@
 #include "cornelpond/core/placement/ServiceReserve.h"
 
 #include <map>
-#include <optional>
 
 namespace cornelpond {
 
@@ -156,7 +155,8 @@
     std::map<ServiceId, std::vector<Candidate>> candidates; ///< In this pass; in the order of `workers`.
     std::map<ImageId, TrialCounts> trialCountsByImage; ///< In this pass; filled at need.
     ImageCpuShares sharesBuffer; ///< Of canRunBestEffort; keeps its memory.
-    std::optional<Search> currentSearch; ///< Of the latest `chooseNext`.
+    Search currentSearch; ///< Of the latest `chooseNext`; keeps its memory.
+    bool hasSearch = false; ///< The current search may go on.
     std::set<WorkerView const*> heldWorkers; ///< In this pass.
     std::map<ServiceId, std::vector<WorkerView const*>> holdCandidates; ///< Workers with short tasks or free cores, most free first; filled at need.
     std::map<ServiceId, double> reservedShares;
