--- a/cornelpond/adapters/peer/PeerFrame.cpp
+++ b/cornelpond/adapters/peer/PeerFrame.cpp
@@ -34,17 +34,17 @@
     PeerHello parseHello(nlohmann::json const& fields)
     {
         PeerHello hello;
-        hello.protocol = fields.at(1).get<uint32_t>();
+        hello.protocol = static_cast<uint32_t>(wholeNumber(fields.at(1), UINT32_MAX));
         hello.cluster = fields.at(2).get<std::string>();
         hello.host = HostId(fields.at(3).get<std::string>());
         hello.dataCentre = DataCentreId(fields.at(4).get<std::string>());
         hello.token = binaryField(fields, 5);
-        hello.heartbeatInterval = Duration::milliseconds(fields.at(6).get<uint32_t>());
+        hello.heartbeatInterval = Duration::milliseconds(static_cast<int64_t>(wholeNumber(fields.at(6), UINT32_MAX)));
         hello.listenIp = fields.at(7).get<std::string>();
-        hello.listenPort = fields.at(8).get<uint16_t>();
+        hello.listenPort = static_cast<uint16_t>(wholeNumber(fields.at(8), UINT16_MAX));
         constexpr size_t featuresIndex = 9;
         if (fields.size() > featuresIndex)
-            hello.features = fields.at(featuresIndex).get<uint32_t>();
+            hello.features = static_cast<uint32_t>(wholeNumber(fields.at(featuresIndex), UINT32_MAX));
         return hello;
     }
 
--- a/cornelpond/app/ControlHost.cpp
+++ b/cornelpond/app/ControlHost.cpp
@@ -127,15 +127,11 @@
     openListener(this->controlServer, "control", this->settings.listen.control, this->events);
     openListener(this->metricsServer, "metrics", this->settings.listen.metrics, this->events);
     this->events.emit(Event(EventId::HostStarted).with("role", "control").with("identity", this->hostSettings.host).with("dataCentre", this->settings.dataCentre).with("firstStart", static_cast<int>(this->settings.firstStart)));
-    this->nextTickAt = this->loop.now();
     this->tick();
 }
 
 void ControlHost::tick()
 {
-    TimePoint const now = this->loop.now();
-    this->tickLateness.observe(std::max(now - this->nextTickAt, Duration()));
-    this->nextTickAt = now + tickInterval;
     this->tickTimer = this->loop.after(tickInterval, [this] { this->tick(); });
     this->hostNetwork.onTick();
     this->updateRelays();
@@ -170,7 +166,6 @@
     this->hostNetwork.fillMetrics(this->metrics);
     fillRelayMetrics(this->orderRelay, this->metrics);
     this->metrics.setGauge("loopTurns", static_cast<int64_t>(this->loop.turns()));
-    this->metrics.setHistogram("tickLatenessMs", this->tickLateness);
     responder.answer(metricsResponse(this->metrics));
 }
 
--- a/cornelpond/app/HostNetwork.cpp
+++ b/cornelpond/app/HostNetwork.cpp
@@ -286,7 +286,7 @@
     try {
         introduced.host = HostId(fields.at(0).get<std::string>());
         introduced.dataCentre = DataCentreId(fields.at(1).get<std::string>());
-        introduced.address = { fields.at(2).get<std::string>(), fields.at(3).get<uint16_t>() };
+        introduced.address = { fields.at(2).get<std::string>(), static_cast<uint16_t>(wholeNumber(fields.at(3), UINT16_MAX)) };
     } catch (nlohmann::json::exception const& error) {
         throw Error(ResultCode::MalformedJson, std::string("introduction: ") + error.what());
     }
@@ -599,6 +599,7 @@
     for (auto const& [channel, count] : counters.messagesReceived)
         metrics.setGauge("peerMessagesReceived{channel=\"" + std::string(peerChannelName(channel)) + "\"}", static_cast<int64_t>(count));
     gauge("forwardsOpen", this->forwarder.openRequests());
+    gauge("groupsWithoutStorage", this->groups.groupsWithoutStorage());
     gauge("configVersion", this->localConfig.current().version.value());
 }
 
--- a/cornelpond/app/LeaderForwarder.cpp
+++ b/cornelpond/app/LeaderForwarder.cpp
@@ -2,6 +2,7 @@
 
 #include "cornelpond/core/base/Cbor.h"
 
+#include <variant>
 #include <vector>
 
 namespace cornelpond {
@@ -109,21 +110,29 @@
 
 void LeaderForwarder::onMessage(HostId const& from, std::string const& payload)
 {
+    uint64_t id = 0;
+    std::variant<ForwardedRequest, HttpResponse> content;
     try {
         CborReader in(payload);
         uint64_t const fieldCount = in.array();
         auto const kind = static_cast<MessageKind>(in.number(UINT8_MAX));
-        uint64_t const id = in.number();
-        if (kind == MessageKind::Request && fieldCount == requestFieldCount) {
-            this->serveRemote(from, id, readRequest(in));
+        id = in.number();
+        if (kind == MessageKind::Request && fieldCount == requestFieldCount)
+            content = readRequest(in);
+        else if (kind == MessageKind::Answer)
+            content = readAnswer(in, fieldCount);
+        else
             return;
-        }
-        auto const found = this->pendingRequests.find(id);
-        if (kind == MessageKind::Answer && found != this->pendingRequests.end() && found->second.leader == from)
-            this->finish(id, readAnswer(in, fieldCount));
     } catch (Error const&) {
         return; // Sent by a faulty peer; its request times out.
     }
+    if (auto const* request = std::get_if<ForwardedRequest>(&content)) {
+        this->serveRemote(from, id, *request);
+        return;
+    }
+    auto const found = this->pendingRequests.find(id);
+    if (found != this->pendingRequests.end() && found->second.leader == from)
+        this->finish(id, std::get<HttpResponse>(content));
 }
 
 void LeaderForwarder::serveRemote(HostId const& from, uint64_t id, ForwardedRequest const& request)
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -18,6 +18,7 @@
     /// Cores of a worker count as idle once they were free for one to two such windows.
     constexpr Duration idleWindow = Duration::seconds(1);
     constexpr Duration roomReportInterval = Duration::seconds(1);
+    constexpr Duration loadReportInterval = Duration::seconds(1);
     /// A task that saves a checkpoint when stopped is stopped this long before its worker leaves.
     constexpr Duration evacuationLeadTime = Duration::milliseconds(900);
     /// Upper bound on the wait assumed for a job of an earlier leader, however far the wall clocks differ.
@@ -26,6 +27,9 @@
     /// set to 0 % speed. Users notice after a few seconds, and the figures seen here are a second old.
     constexpr Duration maxTimeOverTarget = Duration::milliseconds(1400);
     constexpr Duration overloadRetryAfter = Duration::seconds(2);
+    /// A new leader starts no tasks for this long, so that calls that waited for a leader, cancels among them, are
+    /// committed first. Entry hosts retry waiting calls every 100 ms, and a commit takes about 30 ms.
+    constexpr Duration startDelayOfNewLeader = Duration::milliseconds(250);
 
     /// The need that nine tenths of the tasks do not exceed. `needs`: with the number of tasks each; not empty.
     int64_t commonNeed(std::vector<std::pair<int64_t, uint64_t>>& needs)
@@ -92,7 +96,11 @@
 {
     RosterHooks hooks;
     hooks.onWorkerChanged = [this](WorkerProfile const& profile) { this->dispatch.onWorkerChanged(profile); };
-    hooks.onWorkerRemoved = [this](WorkerId const& worker) { this->dispatch.onWorkerRemoved(worker); };
+    hooks.onWorkerRemoved = [this](WorkerId const& worker) {
+        // Otherwise one announcement with a number too large would make all later ones of that worker look outdated.
+        this->lastSequences.erase(worker);
+        this->dispatch.onWorkerRemoved(worker);
+    };
     return hooks;
 }
 
@@ -142,10 +150,12 @@
     this->permits.clear();
     this->interference.clear();
     this->cpuUsage.clear();
+    this->lastTickAt.reset();
     if (!isLeader) {
         this->dispatch.resign();
         return;
     }
+    this->startsAllowedFrom = this->clock.now() + startDelayOfNewLeader;
     this->dispatch.lead(this->jobLog.term(), this->workerRoster);
     for (auto const& [id, job] : this->jobTable.all()) {
         if (job.state == JobState::Active)
@@ -427,8 +437,9 @@
 {
     if (!this->dispatch.isLeading())
         return;
-    this->dispatch.onTick();
     TimePoint const now = this->clock.now();
+    this->noteTick(now);
+    this->dispatch.onTick();
     if (now >= this->nextSlowCheck) {
         this->nextSlowCheck = now + slowCheckInterval;
         this->openDueOccurrences();
@@ -440,7 +451,7 @@
         if (this->hasLackedWorker && now >= this->nextRoomReport)
             this->reportRoom();
     }
-    if (this->isPassNeeded || now >= this->nextPass) {
+    if (now >= this->startsAllowedFrom && (this->isPassNeeded || now >= this->nextPass)) {
         this->nextPass = now + maxPassInterval;
         this->isPassNeeded = false;
         if (this->jobLog.isLeadershipConfirmed())
@@ -449,6 +460,53 @@
     this->proposeUpdates();
 }
 
+void JobScheduler::noteTick(TimePoint now)
+{
+    if (this->lastTickAt) {
+        Duration const gap = now - *this->lastTickAt;
+        this->schedulerCounters.tickGap.observe(gap);
+        this->loadWindow.maxTickGap = std::max(this->loadWindow.maxTickGap, gap);
+    }
+    this->lastTickAt = now;
+    if (now - this->loadWindow.startedAt >= loadReportInterval)
+        this->reportLoad(now);
+}
+
+/// Logs the load of the window that ends now, unless nothing waits and the ticks are in time.
+void JobScheduler::reportLoad(TimePoint now)
+{
+    constexpr Duration lateTickGap = Duration::milliseconds(60); ///< Three ticks.
+    LoadWindow const before = this->loadWindow;
+    this->loadWindow = LoadWindow();
+    this->loadWindow.startedAt = now;
+    this->loadWindow.passes = this->schedulerCounters.passes;
+    this->loadWindow.starts = this->schedulerCounters.startsDecided;
+    this->loadWindow.workersExamined = this->placer.counters().workersExamined;
+    WaitingSummary const waiting = this->waitingTasks();
+    if (!waiting.count() && before.maxTickGap < lateTickGap)
+        return;
+    this->events.emit(Event(EventId::LoadReported)
+                          .with("lastedMs", now - before.startedAt)
+                          .with("passes", this->loadWindow.passes - before.passes)
+                          .with("starts", this->loadWindow.starts - before.starts)
+                          .with("workersExamined", this->loadWindow.workersExamined - before.workersExamined)
+                          .with("maxTickGapMs", before.maxTickGap)
+                          .with("maxPassMs", before.maxPass)
+                          .with("activeJobs", this->activeJobs.size())
+                          .with("shortTasks", waiting.shortTasks.count)
+                          .with("oldestShortMs", waiting.shortTasks.oldest)
+                          .with("bestEffortTasks", waiting.bestEffort.count)
+                          .with("oldestBestEffortMs", waiting.bestEffort.oldest)
+                          .with("serviceTasks", waiting.service.count)
+                          .with("oldestServiceMs", waiting.service.oldest));
+}
+
+WaitingSummary JobScheduler::waitingTasks() const
+{
+    TimePoint const now = this->clock.now();
+    return summarizeWaiting(this->collectReadyStages(now), now);
+}
+
 /// Cores of the service tasks that have run before and wait for a worker.
 int64_t JobScheduler::waitingRestartMilliCores() const
 {
@@ -694,6 +752,7 @@
                           .with("tailPercent", static_cast<int>(worker.tailRatio * 100))
                           .with("bestEffortMilliCores", worker.bestEffortImages.requestedMilliCores()));
     worker.bestEffortSpeedPercent = next;
+    worker.noteChange();
     worker.bestEffortSpeedChangedAt = now;
 }
 
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -44,9 +44,13 @@
     }
     countPassedOver(ready, placements, [this](JobId const& job, PassedOver const& count) { this->activeJobs.at(job).progress.passedOver += count; });
     this->isPassNeeded = this->isPassNeeded || placed >= this->limits.maxStartsPerPass;
+    Duration const lasted = this->clock.now() - now;
+    this->schedulerCounters.passes++;
+    this->schedulerCounters.passDuration.observe(lasted);
+    this->loadWindow.maxPass = std::max(this->loadWindow.maxPass, lasted);
 }
 
-std::vector<ReadyStage> JobScheduler::collectReadyStages(TimePoint now)
+std::vector<ReadyStage> JobScheduler::collectReadyStages(TimePoint now) const
 {
     std::vector<ReadyStage> ready;
     for (auto const& [id, active] : this->activeJobs)
@@ -54,7 +58,7 @@
     return ready;
 }
 
-void JobScheduler::collectReadyStagesOf(JobRecord const& job, JobObjective const& objective, TimePoint now, std::vector<ReadyStage>& ready)
+void JobScheduler::collectReadyStagesOf(JobRecord const& job, JobObjective const& objective, TimePoint now, std::vector<ReadyStage>& ready) const
 {
     for (auto const& [number, occurrence] : job.occurrences) {
         TimePoint acceptedAt = objective.acceptedAt;
@@ -105,7 +109,7 @@
         request.canUseReserve = request.isRestart && this->hasWaitedLong(request.task, now);
         if (hasNoRoom[request.isRestart][request.canUseReserve])
             continue;
-        WorkerView* worker = this->placer.choose(request, now);
+        WorkerView* worker = this->placer.chooseNext(request, now);
         if (!worker) {
             hasNoRoom[request.isRestart][request.canUseReserve] = true;
             if (!placement.lacksWorker && ready.rank.isUseful())
@@ -241,7 +245,7 @@
     placed.clear();
     for (uint32_t index = 0; index < tasks.size(); index++) {
         member.task.index = index;
-        WorkerView* worker = this->placer.choose(member, now);
+        WorkerView* worker = index ? this->placer.chooseNext(member, now) : this->placer.choose(member, now);
         if (!worker)
             break;
         this->dispatch.reserve(*worker, member.task, last.next());
