Relays number their listings: a difference is applied to no other listing

A leader could be given a list that its worker never gave, for instance without an attempt that runs, which would then count as missing.

Cause: listings were named by the id of the renewal that they answered. An order that comes twice is executed twice, and the relay remembered the second answer under the id under which the leader held the first, so that later differences were made against another list. A relay that had been started again between the two did the same.

Change: the relay gives each listing a number from the sequence whose start is random for each process, sends it with the listing, and the leader names that number. A number thus names one content.

The test of a change of a listing that is not held uses number 77, as 1 now is the number of the held one.

--- a/cornelpond/core/relay/ListingChange.h
+++ b/cornelpond/core/relay/ListingChange.h
@@ -51,7 +51,7 @@
 public:
     struct Entry {
         HostId host; ///< The other host.
-        uint64_t renewalId = 0; ///< The id of the renewal that the listing answered.
+        uint64_t number = 0; ///< As the host that sent the listing numbered it.
         RenewAnswer answer;
         TimePoint rememberedAt;
     };
--- a/cornelpond/core/relay/OrderRelay.cpp
+++ b/cornelpond/core/relay/OrderRelay.cpp
@@ -147,8 +147,8 @@
     OpenOrder open { relay, std::move(done), WorkerId() };
     if (std::is_same_v<Order, RenewOrder> && this->hooks.knowsListingChanges(relay)) {
         ListingMemory::Entry const* held = this->heldListings.find(worker.id, relay);
-        relayed.heldListing = held ? held->renewalId : 0;
         open.listingWorker = worker.id;
+        relayed.heldListing = held ? held->number : 0;
     }
     this->openOrders.emplace(id, std::move(open));
     this->deadlines.emplace(deadline, id);
@@ -210,32 +210,40 @@
     OpenOrder const order = std::move(found->second);
     this->openOrders.erase(found);
     if (auto* change = std::get_if<ListingChangeAnswer>(&relayed.answer))
-        this->finishWithChange(relayed.id, order, std::move(*change));
-    else if (auto* renewed = std::get_if<RenewAnswer>(&relayed.answer))
-        this->finishWithListing(relayed.id, order, std::move(*renewed));
-    else
+        this->finishWithChange(order, std::move(*change));
+    else if (auto* numbered = std::get_if<NumberedListingAnswer>(&relayed.answer))
+        this->finishWithListing(order, std::move(*numbered));
+    else if (auto const* renewed = std::get_if<RenewAnswer>(&relayed.answer)) {
+        this->countListing(*renewed);
+        order.done(*renewed);
+    } else
         order.done({ std::get<OrderAnswer>(relayed.answer), 0, WorkerListing() });
 }
 
-void OrderRelay::finishWithListing(uint64_t id, OpenOrder const& order, RenewAnswer answer)
+void OrderRelay::countListing(RenewAnswer const& answer)
 {
-    if (answer.order.result == OrderResult::Accepted) {
-        this->totals.listingsReceived++;
-        this->totals.listingRowsReceived += answer.listing.running.size() + answer.listing.ended.size();
-    }
-    if (answer.order.result != OrderResult::Accepted || order.listingWorker.empty()) {
-        order.done(answer);
+    if (answer.order.result != OrderResult::Accepted)
+        return;
+    this->totals.listingsReceived++;
+    this->totals.listingRowsReceived += answer.listing.running.size() + answer.listing.ended.size();
+}
+
+void OrderRelay::finishWithListing(OpenOrder const& order, NumberedListingAnswer numbered)
+{
+    this->countListing(numbered.answer);
+    if (numbered.answer.order.result != OrderResult::Accepted || order.listingWorker.empty()) {
+        order.done(numbered.answer);
         return;
     }
     this->forgetOldListings();
-    order.done(this->heldListings.remember(order.listingWorker, { order.relay, id, std::move(answer), this->clock.now() }).answer);
+    order.done(this->heldListings.remember(order.listingWorker, { order.relay, numbered.listing, std::move(numbered.answer), this->clock.now() }).answer);
 }
 
-void OrderRelay::finishWithChange(uint64_t id, OpenOrder const& order, ListingChangeAnswer answer)
+void OrderRelay::finishWithChange(OpenOrder const& order, ListingChangeAnswer answer)
 {
     ListingMemory::Entry* held = this->heldListings.find(order.listingWorker, order.relay);
-    if (!held || held->renewalId != answer.heldListing) {
-        // The relay was told which listing is held, so it is at fault; the next renewal asks for a whole listing.
+    if (!held || held->number != answer.heldListing) {
+        // Another answer came first, or the listing was forgotten. The next renewal asks for a whole listing.
         this->heldListings.forget(order.listingWorker);
         order.done({ answerWithResult(OrderResult::Unknown), 0, WorkerListing() });
         return;
@@ -243,7 +251,7 @@
     this->totals.listingsReceived++;
     this->totals.listingChangesReceived++;
     this->totals.listingRowsReceived += answer.change.changed.size() + answer.change.added.size() + answer.change.ended.size();
-    held->renewalId = id;
+    held->number = answer.listing;
     held->rememberedAt = this->clock.now();
     held->answer.order = answer.order;
     held->answer.acknowledgedEnds = answer.acknowledgedEnds;
@@ -287,17 +295,18 @@
     this->forgetOldListings();
     ListingMemory::Entry* sent = this->sentListings.find(relayed.worker.id, leader);
     std::optional<ListingChange> change;
-    if (sent && sent->renewalId == relayed.heldListing)
+    if (sent && sent->number == relayed.heldListing)
         change = listingChange(sent->answer.listing, answer.listing);
+    uint64_t const number = this->nextId++;
     if (!change) {
-        this->sentListings.remember(relayed.worker.id, { leader, relayed.id, answer, now });
-        return { relayed.id, answer };
+        this->sentListings.remember(relayed.worker.id, { leader, number, answer, now });
+        return { relayed.id, NumberedListingAnswer { number, answer } };
     }
     // The rows must stay in the order in which the leader holds them.
     applyListingChange(sent->answer.listing, *change);
-    sent->renewalId = relayed.id;
+    sent->number = number;
     sent->rememberedAt = now;
-    return { relayed.id, ListingChangeAnswer { answer.order, answer.acknowledgedEnds, *relayed.heldListing, std::move(*change) } };
+    return { relayed.id, ListingChangeAnswer { answer.order, answer.acknowledgedEnds, *relayed.heldListing, std::move(*change), number } };
 }
 
 void OrderRelay::forgetOldListings()
--- a/cornelpond/core/relay/OrderRelay.h
+++ b/cornelpond/core/relay/OrderRelay.h
@@ -70,7 +70,8 @@
 class OrderRelay final : public WorkerOrders {
 public:
     /// References must outlive the object; all hooks must be set. `firstId` must be random, so that a late
-    /// answer to an earlier process of this host matches no order of this one.
+    /// answer to an earlier process of this host matches no order of this one, and no listing that such a process sent has
+    /// the number of one that this one sends.
     OrderRelay(Clock const& clock, Timers& timers, WorkerOrders& direct, DispatchTimes orderTimes, uint64_t firstId, OrderRelayHooks hooks, OrderRelayTimes times = OrderRelayTimes());
     ~OrderRelay() override;
     OrderRelay(OrderRelay const&) = delete;
@@ -126,8 +127,9 @@
     void recordRouteResult(WorkerId const& worker, OrderResult result);
     void executeOrder(HostId const& from, RelayedOrder const& relayed);
     void handleAnswer(HostId const& from, RelayedAnswer& relayed);
-    void finishWithListing(uint64_t id, OpenOrder const& order, RenewAnswer answer);
-    void finishWithChange(uint64_t id, OpenOrder const& order, ListingChangeAnswer answer);
+    void countListing(RenewAnswer const& answer);
+    void finishWithListing(OpenOrder const& order, NumberedListingAnswer numbered);
+    void finishWithChange(OpenOrder const& order, ListingChangeAnswer answer);
     void executeRenewal(HostId const& from, RelayedOrder const& relayed, RenewOrder const& order);
     RelayedAnswer answerWithChange(HostId const& leader, RelayedOrder const& relayed, RenewAnswer const& answer);
     void forgetOldListings();
@@ -147,7 +149,7 @@
     DispatchTimes orderTimes;
     OrderRelayHooks hooks;
     OrderRelayTimes times;
-    uint64_t nextId;
+    uint64_t nextId; ///< Of orders and listings.
     std::unordered_map<uint64_t, OpenOrder> openOrders;
     std::priority_queue<Deadline, std::vector<Deadline>, std::greater<Deadline>> deadlines; ///< Of open orders, and of answered ones until they would have been due.
     std::map<WorkerId, Route> routes; ///< Of workers with failed renewals or on the direct route.
--- a/cornelpond/core/relay/OrderRelayTest.cpp
+++ b/cornelpond/core/relay/OrderRelayTest.cpp
@@ -246,10 +246,28 @@
     uint64_t const id = decodeRelayBatch(hosts.sent[0].second).orders[0].id;
     hosts.sent.clear();
     RelayBatch wrong;
-    wrong.answers.push_back({ id, ListingChangeAnswer { accepted(), 0, 1, ListingChange() } });
+    wrong.answers.push_back({ id, ListingChangeAnswer { accepted(), 0, 77, ListingChange() } });
     hosts.leader.onMessage(relayHost, encodeRelayBatch(wrong));
     CHECK(hosts.results.back() == OrderResult::Unknown);
     list(hosts, hosts.leader, 4);
     CHECK(hosts.listedRows.back() == 4);
     CHECK(hosts.leader.counters().listingChangesReceived == 0);
 }
+
+TEST_CASE("an order that comes twice leaves the leader with the listing that it received")
+{
+    LeaderAndRelay hosts;
+    hosts.leader.renew(worker, RenewOrder(), [](RenewAnswer const&) {});
+    hosts.clock.advance(Duration::milliseconds(5));
+    REQUIRE(hosts.sent.size() == 1);
+    hosts.sent.push_back(hosts.sent[0]);
+    hosts.deliver();
+    REQUIRE(hosts.relayDirect.renewals.size() == 2);
+    for (size_t i = 0; i < 2; i++) {
+        hosts.relayDirect.renewals[i]({ accepted(), 0, listingOf(i ? 5 : 3) });
+        hosts.deliver();
+    }
+    hosts.relayDirect.renewals.clear();
+    list(hosts, hosts.leader, 6);
+    CHECK(hosts.listedRows.back() == 6);
+}
--- a/cornelpond/core/relay/RelayMessage.cpp
+++ b/cornelpond/core/relay/RelayMessage.cpp
@@ -17,7 +17,8 @@
         Answer = 5,
         RenewAnswer = 6,
         RenewWithHeldListing = 7,
-        ListingChangeAnswer = 8,
+        NumberedListingAnswer = 8,
+        ListingChangeAnswer = 9,
     };
 
     /// A count of rows, for which room is reserved up to a bound that a malformed message cannot exceed.
@@ -256,9 +257,8 @@
         return end;
     }
 
-    void write(ByteWriter& out, RenewAnswer const& answer)
+    void writeRenewAnswerFields(ByteWriter& out, RenewAnswer const& answer)
     {
-        write(out, Tag::RenewAnswer);
         writeOrderAnswer(out, answer.order);
         out.number(answer.acknowledgedEnds);
         out.number(static_cast<uint64_t>(answer.listing.bornMs));
@@ -271,6 +271,19 @@
             write(out, end);
     }
 
+    void write(ByteWriter& out, RenewAnswer const& answer)
+    {
+        write(out, Tag::RenewAnswer);
+        writeRenewAnswerFields(out, answer);
+    }
+
+    void write(ByteWriter& out, NumberedListingAnswer const& numbered)
+    {
+        write(out, Tag::NumberedListingAnswer);
+        out.number(numbered.listing);
+        writeRenewAnswerFields(out, numbered.answer);
+    }
+
     RenewAnswer readRenewAnswer(ByteReader& in)
     {
         RenewAnswer answer;
@@ -319,6 +332,7 @@
         writeOrderAnswer(out, answer.order);
         out.number(answer.acknowledgedEnds);
         out.number(answer.heldListing);
+        out.number(answer.listing);
         out.number(answer.change.hasAllEnds);
         writeRows(out, answer.change.changed);
         out.number(answer.change.removed.size());
@@ -334,6 +348,7 @@
         answer.order = readOrderAnswer(in);
         answer.acknowledgedEnds = in.number();
         answer.heldListing = in.number();
+        answer.listing = in.number();
         answer.change.hasAllEnds = in.number();
         for (uint64_t remaining = readCount(in, answer.change.changed); remaining; remaining--)
             answer.change.changed.push_back(readListedFigures(in));
@@ -357,6 +372,11 @@
         case Tag::RenewAnswer:
             relayed.answer = readRenewAnswer(in);
             return relayed;
+        case Tag::NumberedListingAnswer: {
+            uint64_t const listing = in.number();
+            relayed.answer = NumberedListingAnswer { listing, readRenewAnswer(in) };
+            return relayed;
+        }
         case Tag::ListingChangeAnswer:
             relayed.answer = readListingChangeAnswer(in);
             return relayed;
--- a/cornelpond/core/relay/RelayMessage.h
+++ b/cornelpond/core/relay/RelayMessage.h
@@ -24,22 +24,30 @@
     uint64_t id = 0;
     WorkerTarget worker;
     std::variant<StartOrder, StopOrder, ThrottleOrder, RenewOrder> order;
-    /// For a renewal: the id of the renewal whose listing the leader holds, 0 if none; the answer may then be a
-    /// ListingChangeAnswer. Unset: the answer contains the whole listing, for leaders that know nothing else.
+    /// For a renewal: the number of the listing that the leader holds, 0 if none; the answer is then a NumberedListingAnswer
+    /// or a ListingChangeAnswer. Unset: a RenewAnswer, for leaders that know nothing else.
     std::optional<uint64_t> heldListing = std::nullopt;
 };
 
-/// Answers a renewal with what has changed since an earlier one.
+/// Answers a renewal with the whole listing. A relay gives no two listings the same number, also across its restarts, so
+/// that the number names the content; the id of a renewal would not, as an order that comes twice is executed twice.
+struct NumberedListingAnswer {
+    uint64_t listing = 0; ///< Its number.
+    RenewAnswer answer;
+};
+
+/// Answers a renewal with what has changed since the listing that the order names.
 struct ListingChangeAnswer {
     OrderAnswer order;
     uint64_t acknowledgedEnds = 0; ///< As in RenewAnswer.
     uint64_t heldListing = 0; ///< As in the order.
     ListingChange change;
+    uint64_t listing = 0; ///< The number of the changed listing.
 };
 
 struct RelayedAnswer {
     uint64_t id = 0;
-    std::variant<OrderAnswer, RenewAnswer, ListingChangeAnswer> answer;
+    std::variant<OrderAnswer, RenewAnswer, NumberedListingAnswer, ListingChangeAnswer> answer;
 };
 
 /// Orders are sent by the leader, answers to it; a batch may hold both.
--- a/cornelpond/core/relay/RelayMessageTest.cpp
+++ b/cornelpond/core/relay/RelayMessageTest.cpp
@@ -28,7 +28,7 @@
     renewed.listing.hasAllEnds = false;
     batch.answers.push_back({ 6, renewed });
     batch.orders.push_back({ 7, target, RenewOrder { true, Duration::milliseconds(486000), Term(7), 57, Duration::milliseconds(700) }, 4 });
-    ListingChangeAnswer change { { OrderResult::Accepted, true, Duration::milliseconds(482113) }, 57, 4, {} };
+    ListingChangeAnswer change { { OrderResult::Accepted, true, Duration::milliseconds(482113) }, 57, 4, {}, 6 };
     change.change.changed.push_back({ 0, "saved2", 42, -1 });
     change.change.changed.push_back({ 3, std::nullopt, 43, 250 });
     change.change.removed = { 1, 2 };
@@ -36,6 +36,7 @@
     change.change.ended.push_back({ 58, task, AttemptNumber(4), AttemptEnd::Done, "" });
     change.change.hasAllEnds = false;
     batch.answers.push_back({ 7, change });
+    batch.answers.push_back({ 8, NumberedListingAnswer { 5, renewed } });
     return batch;
 }
 
@@ -54,7 +55,7 @@
     CHECK(start.permit == "ticket");
     CHECK(std::get<ThrottleOrder>(read.orders[2].order).speedPercent == 40);
     CHECK(std::get<RenewOrder>(read.orders[3].order).acknowledgedEnds == 57);
-    REQUIRE(read.answers.size() == 3);
+    REQUIRE(read.answers.size() == 4);
     CHECK(std::get<OrderAnswer>(read.answers[0].answer).result == OrderResult::RefusedRoom);
     auto const& renewed = std::get<RenewAnswer>(read.answers[1].answer);
     CHECK(renewed.listing.running[0].latencyMsOrMilliCores == -1);
@@ -65,12 +66,18 @@
     CHECK(read.orders[4].heldListing == 4U);
     auto const& change = std::get<ListingChangeAnswer>(read.answers[2].answer);
     CHECK(change.heldListing == 4);
+    CHECK(change.listing == 6);
+    CHECK(change.acknowledgedEnds == 57);
     CHECK(change.change.changed[0].checkpoint == std::optional<std::string>("saved2"));
     CHECK_FALSE(change.change.changed[1].checkpoint);
     CHECK(change.change.changed[1].latencyMsOrMilliCores == 250);
     CHECK(change.change.removed == std::vector<uint64_t> { 1, 2 });
     CHECK(change.change.ended[0].number == 58);
     CHECK_FALSE(change.change.hasAllEnds);
+    auto const& numbered = std::get<NumberedListingAnswer>(read.answers[3].answer);
+    CHECK(numbered.listing == 5);
+    CHECK(numbered.answer.listing.running.size() == 2);
+    CHECK(numbered.answer.acknowledgedEnds == renewed.acknowledgedEnds);
     CHECK(encodeRelayBatch(read) == bytes);
 }
 
@@ -112,5 +119,19 @@
     listed.listing.ended.push_back({ 1, task, AttemptNumber(1), static_cast<AttemptEnd>(9), "" });
     end.answers.push_back({ 1, listed });
     CHECK(isRefused(end));
+    RelayBatch numberedEnd;
+    numberedEnd.answers.push_back({ 1, NumberedListingAnswer { 5, listed } });
+    CHECK(isRefused(numberedEnd));
+    RelayBatch changedEnd;
+    ListingChangeAnswer change;
+    change.change.ended = listed.listing.ended;
+    changedEnd.answers.push_back({ 1, change });
+    CHECK(isRefused(changedEnd));
+    RelayBatch changeResult;
+    changeResult.answers.push_back({ 1, ListingChangeAnswer { { static_cast<OrderResult>(99), false, Duration() }, 0, 4, {} } });
+    CHECK(isRefused(changeResult));
+    RelayBatch changeTime;
+    changeTime.answers.push_back({ 1, ListingChangeAnswer { { OrderResult::Accepted, true, Duration::milliseconds(-1) }, 0, 4, {} } });
+    CHECK(isRefused(changeTime));
     CHECK_FALSE(isRefused(batchOfAllKinds()));
 }
