--- a/cornelpond/adapters/peer/PeerFrameTest.cpp
+++ b/cornelpond/adapters/peer/PeerFrameTest.cpp
@@ -51,6 +51,15 @@
     CHECK(hello.features == 0);
 }
 
+TEST_CASE("a hello whose features are out of range is refused")
+{
+    for (auto const& features : { nlohmann::json(uint64_t { UINT32_MAX } + 1), nlohmann::json(-1), nlohmann::json(1.5), nlohmann::json("1"), nlohmann::json(nullptr) }) {
+        nlohmann::json fields = fromCbor(encode(someHello()));
+        fields[9] = features;
+        CHECK_THROWS_AS(decodePeerFrame(toCbor(fields)), Error);
+    }
+}
+
 TEST_CASE("a frame with fields missing, added or out of range is refused")
 {
     for (auto const& fields : { nlohmann::json::array({ 2, 9 }), nlohmann::json::array({ 2, 9, binary("abc"), 1 }), nlohmann::json::array({ 2, 256, binary("abc") }),
