--- a/cornelpond/app/LeaderForwarderTest.cpp
+++ b/cornelpond/app/LeaderForwarderTest.cpp
@@ -1,9 +1,11 @@
 #include "cornelpond/app/LeaderForwarder.h"
 
+#include "cornelpond/core/base/Cbor.h"
 #include "testing/fakes/FakeClock.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
+#include <rapidcheck/catch.h>
 
 #include <deque>
 
@@ -122,3 +124,48 @@
     pair.deliver();
     CHECK(pair.answers.size() == 1);
 }
+
+TEST_CASE("an answer with a status out of range is dropped, not converted")
+{
+    ForwarderPair pair;
+    pair.forward();
+    auto const answerWithStatus = [](uint64_t status) {
+        CborWriter out;
+        out.array(4);
+        out.number(2);
+        out.number(1000);
+        out.number(status);
+        out.bytes("{}");
+        return out.take();
+    };
+    for (uint64_t const status : { uint64_t { 1000 }, (uint64_t { 1 } << 32U) + 200, UINT64_MAX })
+        pair.originForwarder.onMessage(leader, answerWithStatus(status));
+    CHECK(pair.answers.empty());
+    pair.originForwarder.onMessage(leader, answerWithStatus(200));
+    REQUIRE(pair.answers.size() == 1);
+    CHECK(pair.answers[0].status == 200);
+}
+
+TEST_CASE("property: a corrupted request or answer is read or dropped, and nothing is thrown")
+{
+    rc::prop("truncated or changed messages throw nothing and answer a request at most once", [] {
+        auto const corrupted = [](std::string bytes) {
+            auto const at = *rc::gen::inRange<size_t>(0, bytes.size());
+            if (*rc::gen::arbitrary<bool>())
+                bytes.resize(at);
+            else
+                bytes[at] = *rc::gen::arbitrary<char>();
+            return bytes;
+        };
+        ForwarderPair pair;
+        pair.forward("body");
+        std::string const request = pair.toLeader.sent.front().message.payload;
+        pair.leaderForwarder.onMessage(origin, corrupted(request));
+        pair.leaderForwarder.onMessage(origin, request);
+        pair.pendingAnswer(jsonResponse(409, { { "code", 200 } }));
+        std::string const answer = pair.toOrigin.sent.back().message.payload;
+        pair.originForwarder.onMessage(leader, corrupted(answer));
+        pair.originForwarder.onMessage(leader, answer);
+        RC_ASSERT(pair.answers.size() == 1U);
+    });
+}
