A configuration that could not be stored is stored once the disk takes it

HostNetwork::storeConfiguration wrote a version once. When the disk was full at that moment, the version in force stayed off the disk until the next one came; a host that started again without reachable peers served by an older one.

Now ConfigStore keeps the version that is not stored and writes it again every second, until it is stored or a later one takes its place. ConfigurationStoreFailed (504) is said again every five seconds while that fails, ConfigurationStored (507) once it is on disk.

--- a/cornelpond/app/HostNetwork.cpp
+++ b/cornelpond/app/HostNetwork.cpp
@@ -87,7 +87,7 @@
     , forwarder(loop, this->link, random.next(), [this](ForwardedRequest const& request, ApiAnswerCallback const& answer) { this->serveForwarded(request, answer); })
     , localConfig({ [this](ConfigRecord const& record) { this->hooks.onConfiguration(record); }, [this](std::string const& bytes) { this->storeConfiguration(bytes); } })
     , configExchange(loop, this->localConfig, [this](HostId const& to, std::string payload) { this->link.send(to, { PeerChannel::Configuration, std::move(payload) }); })
-    , configFile(settings.dataFolder + "/config-in-force")
+    , configStore(loop, events, settings.dataFolder + "/config-in-force")
 {
     this->groups.setUnknownGroupHandler([this](GroupId const& group) { this->openUnknownGroup(group); });
     for (auto const& peer : settings.peers) {
@@ -170,6 +170,7 @@
 {
     TimePoint const now = this->loop.now();
     this->groups.onTick();
+    this->configStore.onTick();
     if (now >= this->nextHostTick) {
         this->nextHostTick = now + hostTickInterval;
         this->hostTable.onTick(now);
@@ -539,7 +540,7 @@
     if (this->settings.dataFolder.empty())
         return;
     try {
-        std::string const bytes = this->configFile.read();
+        std::string const bytes = this->configStore.read();
         if (!bytes.empty())
             this->localConfig.restore(bytes);
     } catch (Error const& error) {
@@ -549,13 +550,8 @@
 
 void HostNetwork::storeConfiguration(std::string const& bytes)
 {
-    if (this->settings.dataFolder.empty())
-        return;
-    try {
-        this->configFile.replace(bytes);
-    } catch (Error const& error) {
-        this->events.emit(Event(EventId::ConfigurationStoreFailed).with("code", static_cast<int>(error.code())).with("reason", std::string(error.what())));
-    }
+    if (!this->settings.dataFolder.empty())
+        this->configStore.store(bytes);
 }
 
 void HostNetwork::addPeer(PeerSettings const& peer)
--- a/cornelpond/app/HostNetwork.h
+++ b/cornelpond/app/HostNetwork.h
@@ -11,9 +11,9 @@
 //
 // Loop thread only.
 
-#include "cornelpond/adapters/file/DurableFile.h"
 #include "cornelpond/adapters/metrics/Metrics.h"
 #include "cornelpond/adapters/peer/PeerLink.h"
+#include "cornelpond/app/ConfigStore.h"
 #include "cornelpond/app/GroupHost.h"
 #include "cornelpond/app/LeaderForwarder.h"
 #include "cornelpond/app/Settings.h"
@@ -158,7 +158,7 @@
     LeaderForwarder forwarder;
     LocalConfig localConfig;
     ConfigExchange configExchange;
-    DurableFile configFile;
+    ConfigStore configStore;
     std::shared_ptr<bool> lifetime = std::make_shared<bool>(true); ///< Expires with this object; callbacks that are still on the loop check it.
     TimePoint nextHostTick;
     TimePoint nextLeadershipTransfer;
--- a/cornelpond/core/base/Event.cpp
+++ b/cornelpond/core/base/Event.cpp
@@ -79,9 +79,10 @@
         EventInfo { EventId::ConfigurationRefused, "ConfigurationRefused", "A configuration change was refused; nothing was changed." },
         EventInfo { EventId::DrainChanged, "DrainChanged", "An operator drained or released a worker or host." },
         EventInfo { EventId::ConfigurationInForce, "ConfigurationInForce", "This host now uses the configuration version." },
-        EventInfo { EventId::ConfigurationStoreFailed, "ConfigurationStoreFailed", "The configuration in force could not be written to or read from disk; after a restart the host requests it from its peers." },
+        EventInfo { EventId::ConfigurationStoreFailed, "ConfigurationStoreFailed", "The configuration in force could not be written to or read from disk; after a restart the host requests it from its peers. Written again every second, repeated while that fails." },
         EventInfo { EventId::SettingsReloaded, "SettingsReloaded", "The settings file was read again; `changed` tells whether it differed." },
         EventInfo { EventId::SettingsRefused, "SettingsRefused", "The settings file cannot be used; the previous settings stay in force." },
+        EventInfo { EventId::ConfigurationStored, "ConfigurationStored", "The configuration in force is on disk after writing it had failed." },
     };
 
 } // namespace
--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -95,6 +95,7 @@
     ConfigurationStoreFailed = 504,
     SettingsReloaded = 505,
     SettingsRefused = 506,
+    ConfigurationStored = 507,
 };
 
 /// One row of the event table.
