--- a/cornelpond/adapters/journal/JournalStorageTest.cpp
+++ b/cornelpond/adapters/journal/JournalStorageTest.cpp
@@ -494,3 +494,37 @@
     std::filesystem::remove(snapshot);
     CHECK(loadFault() == ResultCode::Ok);
 }
+
+TEST_CASE("a snapshot older than one that was stored by a call that failed loses no synced entry")
+{
+    TemporaryFolder folder;
+    RecordingEventSink events;
+    int unlinksUntilFailure = 0;
+    FileSystemCalls calls;
+    calls.unlink = [&](char const* path) { return unlinksUntilFailure && --unlinksUntilFailure == 0 ? (errno = EIO, -1) : ::unlink(path); };
+    JournalStorage storage(folder.path(), events, calls);
+    storage.load();
+    auto const append = [&](uint64_t first, uint64_t last) {
+        for (uint64_t i = first; i <= last; i++) {
+            LogEntry const entry = makeEntry(i);
+            storage.append(Span<LogEntry const>(&entry, 1));
+        }
+        storage.sync();
+    };
+    append(1, 3);
+    storage.saveSnapshot({ LogIndex(1), Term(1), "", "state 1" });
+    append(4, 6);
+    // A leader's snapshot comes; it is stored, but the second of the covered segments cannot be removed.
+    unlinksUntilFailure = 2;
+    REQUIRE_THROWS_AS(storage.saveSnapshot({ LogIndex(62), Term(2), "", "state 62" }), Error);
+    // What ReplicatedLog does: it recovers, holds 1 to 6 in memory as synced, of which 2 are applied, and snapshots these.
+    storage.discardUnsynced();
+    storage.truncateFrom(LogIndex(7));
+    storage.saveHardState({ Term(2), HostId() });
+    storage.sync();
+    storage.saveSnapshot({ LogIndex(2), Term(1), "", "state 2" });
+    StoredLog log;
+    REQUIRE_NOTHROW(log = JournalStorage(folder.path(), events).load());
+    LogIndex const last = log.entries.empty() ? log.snapshot.lastIndex : log.entries.back().index;
+    CHECK(last >= LogIndex(6));
+}
--- a/cornelpond/core/agreement/FullDiskTest.cpp
+++ b/cornelpond/core/agreement/FullDiskTest.cpp
@@ -241,3 +241,45 @@
     cluster.runFor(Duration::minutes(1));
     CHECK_FALSE(isServing(host));
 }
+
+TEST_CASE("a group whose disks have room for entries but not for a snapshot goes on")
+{
+    ReplicatedLogLimits limits;
+    limits.snapshotAfterEntries = 5;
+    limits.retainedEntries = 1;
+    for (uint64_t run = 1; run <= 5; run++) {
+        AgreementCluster cluster(run, { "a", "b", "c" }, {}, limits);
+        commit(cluster, "x");
+        for (auto const& [id, host] : cluster.hosts)
+            host->disk.failSnapshots(ResultCode::DiskFull);
+        size_t const before = cluster.acknowledgedCount();
+        for (int i = 0; i < 300; i++) {
+            cluster.propose("y" + std::to_string(i));
+            cluster.runFor(Duration::milliseconds(100));
+        }
+        size_t faults = 0;
+        for (auto const& [id, host] : cluster.hosts)
+            faults += host->events.count(EventId::StorageFault);
+        CAPTURE(run, faults);
+        CHECK(cluster.acknowledgedCount() - before >= 200);
+    }
+}
+
+TEST_CASE("a host whose disk has no room for a snapshot still counts for the majority")
+{
+    ReplicatedLogLimits limits;
+    limits.snapshotAfterEntries = 5;
+    limits.retainedEntries = 1;
+    AgreementCluster cluster(1, { "a", "b", "c" }, {}, limits);
+    commit(cluster, "x");
+    AgreementCluster::Host& host = *cluster.hosts.at(otherThan(*cluster.leader()));
+    host.disk.failSnapshots(ResultCode::DiskFull);
+    size_t servingSteps = 0;
+    for (int i = 0; i < 300; i++) {
+        cluster.propose("y" + std::to_string(i));
+        cluster.runFor(Duration::milliseconds(100));
+        servingSteps += isServing(host);
+    }
+    CAPTURE(host.events.count(EventId::StorageFault));
+    CHECK(servingSteps >= 200);
+}
--- a/cornelpond/core/scheduling/JobServiceTest.cpp
+++ b/cornelpond/core/scheduling/JobServiceTest.cpp
@@ -302,3 +302,37 @@
     CHECK(bench.state(job.id) == JobState::Completed);
     CHECK(bench.fleet.record().starts == 3);
 }
+
+TEST_CASE("a gang that finds no room does not keep other jobs of its image from the room there is")
+{
+    JobBench bench(61);
+    bench.addWorkers(2, 4000);
+    JobSpec gang = makeJob("gang", 9, 1000, second);
+    gang.stages[0].isGang = true;
+    bench.submit(gang);
+    bench.run(second * 12);
+    REQUIRE(bench.fleet.runningCount(gang.id) == 0);
+    JobSpec const plan = makeJob("plan", 4, 1000, second);
+    bench.fleet.registerJob(plan, 1);
+    QueueSpec const plans = bench.queueOf(makeBestEffortJob("any", 1, 1000, second, "image"));
+    bench.leader().scheduler().submit(plan, plans, [](SubmitResult const&) {});
+    bench.run(second * 5);
+    CHECK(bench.state(plan.id) == JobState::Completed);
+}
+
+TEST_CASE("a gang that finds no room does not keep a smaller gang of its image from the room there is")
+{
+    JobBench bench(62);
+    bench.addWorkers(2, 4000);
+    JobSpec gang = makeJob("gang", 9, 1000, second);
+    gang.stages[0].isGang = true;
+    bench.submit(gang);
+    bench.run(second * 12);
+    JobSpec small = makeJob("small", 4, 1000, second);
+    small.stages[0].isGang = true;
+    bench.fleet.registerJob(small, 1);
+    QueueSpec const plans = bench.queueOf(makeBestEffortJob("any", 1, 1000, second, "image"));
+    bench.leader().scheduler().submit(small, plans, [](SubmitResult const&) {});
+    bench.run(second * 5);
+    CHECK(bench.state(small.id) == JobState::Completed);
+}
--- a/testing/fakes/FakeStorage.h
+++ b/testing/fakes/FakeStorage.h
@@ -52,7 +52,9 @@
 
     void saveSnapshot(Snapshot const& snapshot) override
     {
-        auto const failureCode = this->nextFailure();
+        auto failureCode = this->nextFailure();
+        if (!failureCode)
+            failureCode = this->snapshotFailure;
         // A failing call ends before its first sync, after it, or once the snapshot is stored.
         size_t const completedSteps = failureCode ? this->failureCount % 3 : 2;
         if (completedSteps > 0)
@@ -115,9 +117,13 @@
     /// Every call that writes or syncs throws Error(code) until `heal`, also after a crash.
     void failAll(ResultCode code) { this->lastingFailure = code; }
 
+    /// Every saveSnapshot throws Error(code) until `heal`, as on a disk that has room for entries only.
+    void failSnapshots(ResultCode code) { this->snapshotFailure = code; }
+
     /// Ends all failures that were set.
     void heal()
     {
+        this->snapshotFailure.reset();
         this->lastingFailure.reset();
         this->syncFailure.reset();
         this->failure.reset();
@@ -180,6 +186,7 @@
     std::optional<ResultCode> failure;
     std::optional<ResultCode> syncFailure;
     std::optional<ResultCode> lastingFailure;
+    std::optional<ResultCode> snapshotFailure;
     size_t callsUntilFailure = 0;
     size_t failureCount = 0;
     bool isUsable = true; ///< False from a failure until `discardUnsynced` or a crash.
