Jobs behind a gang that finds no room get the room there is

Callers would have seen: a gang too large for the free room, ranked first, keeps every job of its image that ranks behind it from starting for as long as it waits, on an idle fleet.

Cause: the search for the member that found no worker was remembered as failed for like requests of the pass while the other members held their room; that room was given back, the memory was not.

Failed searches of gang members are no longer remembered.

--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -125,7 +125,8 @@
         this->beginSearch(request, failed, now);
     }
     WorkerView* worker = this->takeBestMatch(now);
-    if (!worker && isUnconstrained(request))
+    // A member of a gang may fail for the room that the other members hold only until the gang is given up.
+    if (!worker && isUnconstrained(request) && !request.stage->isGang)
         this->noteFailed(request, this->currentSearch.comparedAt);
     return worker;
 }
