--- a/cornelpond/adapters/journal/JournalStorage.cpp
+++ b/cornelpond/adapters/journal/JournalStorage.cpp
@@ -547,7 +547,13 @@
 {
     // Removes the oldest first, so that a crash in between leaves no gap.
     while (this->segments.size() > 1 && this->segments.front().highestIndex <= covered) {
-        this->removeFile(this->segmentPath(this->segments.front().number));
+        try {
+            this->removeFile(this->segmentPath(this->segments.front().number));
+        } catch (Error const& error) {
+            // Nothing depends on the removal; the next snapshot tries it again.
+            this->events.emit(Event(EventId::SnapshotFailed).with("folder", this->folder).with("code", static_cast<int>(error.code())).with("reason", error.what()).with("lastIndex", covered));
+            return;
+        }
         this->segments.erase(this->segments.begin());
     }
 }
--- a/cornelpond/adapters/journal/JournalStorageTest.cpp
+++ b/cornelpond/adapters/journal/JournalStorageTest.cpp
@@ -516,13 +516,16 @@
     append(4, 6);
     // A leader's snapshot comes; it is stored, but the second of the covered segments cannot be removed.
     unlinksUntilFailure = 2;
-    REQUIRE_THROWS_AS(storage.saveSnapshot({ LogIndex(62), Term(2), "", "state 62" }), Error);
-    // What ReplicatedLog does: it recovers, holds 1 to 6 in memory as synced, of which 2 are applied, and snapshots these.
-    storage.discardUnsynced();
-    storage.truncateFrom(LogIndex(7));
-    storage.saveHardState({ Term(2), HostId() });
-    storage.sync();
-    storage.saveSnapshot({ LogIndex(2), Term(1), "", "state 2" });
+    try {
+        storage.saveSnapshot({ LogIndex(62), Term(2), "", "state 62" });
+    } catch (Error const&) {
+        // What ReplicatedLog does: it recovers, holds 1 to 6 in memory as synced, of which 2 are applied, and snapshots these.
+        storage.discardUnsynced();
+        storage.truncateFrom(LogIndex(7));
+        storage.saveHardState({ Term(2), HostId() });
+        storage.sync();
+        storage.saveSnapshot({ LogIndex(2), Term(1), "", "state 2" });
+    }
     StoredLog log;
     REQUIRE_NOTHROW(log = JournalStorage(folder.path(), events).load());
     LogIndex const last = log.entries.empty() ? log.snapshot.lastIndex : log.entries.back().index;
--- a/cornelpond/core/agreement/FullDiskTest.cpp
+++ b/cornelpond/core/agreement/FullDiskTest.cpp
@@ -283,3 +283,25 @@
     CAPTURE(host.events.count(EventId::StorageFault));
     CHECK(servingSteps >= 200);
 }
+
+TEST_CASE("a host that could not install a leader's snapshot does not replace it by an older one of its own")
+{
+    ReplicatedLogLimits limits;
+    limits.snapshotAfterEntries = 5;
+    limits.retainedEntries = 1;
+    for (uint64_t run = 1; run <= 10; run++) {
+        AgreementCluster cluster(run, { "a", "b", "c" }, {}, limits);
+        commit(cluster, "x");
+        AgreementCluster::Host& host = *cluster.hosts.at(otherThan(*cluster.leader()));
+        host.disk.failSnapshots(ResultCode::DiskFull);
+        for (uint64_t i = 0; i < 4 + run; i++)
+            commit(cluster, "before");
+        cluster.isolate(host.id);
+        for (int i = 0; i < 60; i++)
+            commit(cluster, "meanwhile");
+        cluster.heal();
+        REQUIRE_NOTHROW(cluster.runFor(Duration::seconds(30)));
+        host.disk.heal();
+        CHECK(cluster.runUntil([&] { return cluster.hasConverged() && isServing(host); }, Duration::seconds(10)));
+    }
+}
--- a/cornelpond/core/agreement/ReplicatedLog.cpp
+++ b/cornelpond/core/agreement/ReplicatedLog.cpp
@@ -304,17 +304,45 @@
     bool const isThresholdReached = entries >= this->limits.snapshotAfterEntries || this->bytesSinceSnapshot >= this->limits.snapshotAfterBytes;
     if (!entries || !isThresholdReached || this->bytesSinceSnapshot < this->storedSnapshotBytes)
         return;
+    // A call that failed may have stored its snapshot, which an older one must not replace.
+    if (this->clock.now() < this->nextSnapshotAt || this->applied < this->highestSnapshotTried)
+        return;
     Snapshot const snapshot = this->makeSnapshot();
-    if (!this->runStorageCall([&] { this->storage.saveSnapshot(snapshot); }))
+    if (!this->storeOwnSnapshot(snapshot))
         return;
     this->storedSnapshotIndex = snapshot.lastIndex;
     this->storedSnapshotBytes = snapshot.state.size();
     this->bytesSinceSnapshot = 0;
-    this->synced = this->log.lastIndex();
     if (snapshot.lastIndex.value() > this->limits.retainedEntries)
         this->log.compactTo(LogIndex(snapshot.lastIndex.value() - this->limits.retainedEntries));
 }
 
+/// Without room for a snapshot the host goes on as long as the storage takes entries.
+bool ReplicatedLog::storeOwnSnapshot(Snapshot const& snapshot)
+{
+    bool isStored = false;
+    bool const isUsable = this->runStorageCall([&] {
+        try {
+            this->storage.saveSnapshot(snapshot);
+            isStored = true;
+        } catch (Error const& error) {
+            this->nextSnapshotAt = this->clock.now() + this->times.snapshotRetryInterval;
+            this->highestSnapshotTried = std::max(this->highestSnapshotTried, snapshot.lastIndex);
+            this->events.emit(Event(EventId::SnapshotFailed)
+                                  .with("group", this->group)
+                                  .with("code", static_cast<int>(error.code()))
+                                  .with("reason", error.what())
+                                  .with("lastIndex", snapshot.lastIndex)
+                                  .with("bytes", snapshot.state.size()));
+            this->storage.discardUnsynced();
+            this->rewriteUnsynced();
+        }
+    });
+    if (isUsable)
+        this->synced = this->log.lastIndex();
+    return isStored;
+}
+
 bool ReplicatedLog::isSoleVoter() const
 {
     auto const& voters = this->membership().voters;
--- a/cornelpond/core/agreement/ReplicatedLog.h
+++ b/cornelpond/core/agreement/ReplicatedLog.h
@@ -43,6 +43,8 @@
     Duration storageRetryInterval = Duration::milliseconds(500);
     /// StorageFault is emitted again at this interval while the storage fails.
     Duration storageFaultInterval = Duration::seconds(5);
+    /// After a snapshot that could not be stored, the next one is tried no sooner.
+    Duration snapshotRetryInterval = Duration::seconds(5);
 };
 
 struct ReplicatedLogLimits {
@@ -218,6 +220,7 @@
     void applyCommitted();
     void applyEntry(LogEntry const& entry);
     void snapshotWhenDue();
+    bool storeOwnSnapshot(Snapshot const& snapshot);
     void answerProposals();
     void stepDownWhenRemoved();
     void reportMembership() const;
@@ -279,6 +282,8 @@
     bool isFlushing = false;
     bool isApplying = false;
     LogIndex storedSnapshotIndex;
+    LogIndex highestSnapshotTried; ///< Of the calls that failed.
+    TimePoint nextSnapshotAt; ///< After a call that failed.
     size_t storedSnapshotBytes = 0;
     size_t bytesSinceSnapshot = 0;
 };
--- a/cornelpond/core/agreement/Replication.cpp
+++ b/cornelpond/core/agreement/Replication.cpp
@@ -388,8 +388,10 @@
             this->storage.truncateFrom(snapshot.lastIndex.next());
         this->storage.saveSnapshot(snapshot);
     });
-    if (!isStored)
+    if (!isStored) {
+        this->highestSnapshotTried = std::max(this->highestSnapshotTried, snapshot.lastIndex);
         return;
+    }
     if (isHeld)
         this->log.compactTo(snapshot.lastIndex);
     else
--- a/cornelpond/core/base/Event.cpp
+++ b/cornelpond/core/base/Event.cpp
@@ -73,6 +73,7 @@
         EventInfo { EventId::LeadershipTransferred, "LeadershipTransferred", "This host stepped down in favour of the named host." },
         EventInfo { EventId::VoterReplacement, "VoterReplacement", "One step of the replacement of a lost voter is proposed." },
         EventInfo { EventId::StorageRecovered, "StorageRecovered", "The storage can be written again after a fault, and what it lacked is durable; the host takes part in this group again." },
+        EventInfo { EventId::SnapshotFailed, "SnapshotFailed", "A snapshot could not be stored, or a file that it covers not be removed; it is tried again. The host goes on without it." },
         EventInfo { EventId::HostStateChanged, "HostStateChanged", "An entry host became alive, suspect, leaving or gone as observed by this host, or it restarted." },
         EventInfo { EventId::PeerAdmitted, "PeerAdmitted", "An entry host that the settings do not name was admitted by its cluster and token." },
         EventInfo { EventId::ConfigurationAccepted, "ConfigurationAccepted", "A configuration was committed." },
--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -86,6 +86,7 @@
     LeadershipTransferred = 413,
     VoterReplacement = 414,
     StorageRecovered = 415,
+    SnapshotFailed = 416,
     HostStateChanged = 430,
     PeerAdmitted = 431,
     ConfigurationAccepted = 500,
