Outages of a storage in quick succession are retried more rarely

Callers would have seen: a host whose disk takes the few bytes of a recovery but no entry comes back and fails twice a second, may be elected each time, and writes 404 and 415 as often. Found by review, by reading.

The interval between attempts now doubles, up to five seconds, while outages follow a recovery within five seconds.

--- a/cornelpond/core/agreement/FullDiskTest.cpp
+++ b/cornelpond/core/agreement/FullDiskTest.cpp
@@ -305,3 +305,20 @@
         CHECK(cluster.runUntil([&] { return cluster.hasConverged() && isServing(host); }, Duration::seconds(10)));
     }
 }
+
+TEST_CASE("a host whose disk takes the bytes of a recovery but no entries does not fail twice a second")
+{
+    AgreementCluster cluster(1, { "a", "b", "c" });
+    commit(cluster, "x");
+    AgreementCluster::Host& host = *cluster.hosts.at(otherThan(*cluster.leader()));
+    host.disk.failEntries(ResultCode::DiskFull);
+    for (int i = 0; i < 300; i++) {
+        cluster.propose("y" + std::to_string(i));
+        cluster.runFor(Duration::milliseconds(100));
+    }
+    Duration const span = Duration::seconds(30);
+    auto const perInterval = static_cast<size_t>(span.toMilliseconds() / cluster.times.storageFaultInterval.toMilliseconds());
+    CHECK(host.events.count(EventId::StorageFault) <= 3 * perInterval);
+    host.disk.heal();
+    CHECK(cluster.runUntil([&] { return cluster.hasConverged() && isServing(host); }, Duration::seconds(10)));
+}
--- a/cornelpond/core/agreement/ReplicatedLog.cpp
+++ b/cornelpond/core/agreement/ReplicatedLog.cpp
@@ -377,6 +377,9 @@
 void ReplicatedLog::onStorageFailure(Error const& error)
 {
     TimePoint const now = this->clock.now();
+    // A storage that takes the few bytes of a recovery but nothing after them would fail again and again.
+    bool const isSoonAgain = now - this->storageRecoveredAt < this->times.storageFaultInterval;
+    this->storageRetryDelay = isSoonAgain ? std::min(this->storageRetryDelay * 2, this->times.storageFaultInterval) : this->times.storageRetryInterval;
     this->storageOutage = StorageOutage { now, now, now, error.code(), error.what() };
     this->reportStorageOutage();
     HostId const successor = this->role == Role::Leader ? this->bestSuccessor() : HostId();
@@ -401,7 +404,7 @@
 {
     TimePoint const now = this->clock.now();
     bool const isPassing = this->storageOutage->code != ResultCode::StorageDamaged;
-    if (isPassing && now - this->storageOutage->triedAt >= this->times.storageRetryInterval)
+    if (isPassing && now - this->storageOutage->triedAt >= this->storageRetryDelay)
         this->recoverStorage();
     if (this->storageOutage && now - this->storageOutage->reportedAt >= this->times.storageFaultInterval)
         this->reportStorageOutage();
@@ -428,6 +431,7 @@
                           .with("term", this->hardState.term));
     this->synced = this->log.lastIndex();
     this->storageOutage.reset();
+    this->storageRecoveredAt = this->clock.now();
     this->rejoin();
 }
 
--- a/cornelpond/core/agreement/ReplicatedLog.h
+++ b/cornelpond/core/agreement/ReplicatedLog.h
@@ -39,7 +39,8 @@
     Duration voteRetryInterval = Duration::milliseconds(100);
     /// How far two hosts' clocks may drift apart over one election timeout.
     Duration driftMargin = Duration::milliseconds(60);
-    /// A host whose storage failed tries at this interval to use it again.
+    /// A host whose storage failed tries at this interval to use it again; after outages in quick succession, at
+    /// intervals that double up to `storageFaultInterval`.
     Duration storageRetryInterval = Duration::milliseconds(500);
     /// StorageFault is emitted again at this interval while the storage fails.
     Duration storageFaultInterval = Duration::seconds(5);
@@ -263,6 +264,8 @@
     std::set<HostId> votes;
     std::optional<VoteRequest> pendingVoteRequest; ///< Resent to voters that have not granted it, since messages get lost.
     TimePoint voteRequestSentAt;
+    Duration storageRetryDelay; ///< In the present outage.
+    TimePoint storageRecoveredAt = TimePoint::distantPast();
     std::optional<StorageOutage> storageOutage; ///< While set, this host takes no part in the group.
 
     std::map<HostId, PeerProgress> peers; ///< On a leader: all other members; else empty.
--- a/testing/fakes/FakeStorage.h
+++ b/testing/fakes/FakeStorage.h
@@ -28,7 +28,9 @@
 
     void append(Span<LogEntry const> entries) override
     {
-        auto const failureCode = this->nextFailure();
+        auto failureCode = this->nextFailure();
+        if (!failureCode && !entries.empty())
+            failureCode = this->entryFailure;
         size_t const count = failureCode ? entries.size() / 2 : entries.size();
         for (size_t i = 0; i < count; i++) {
             if (entries[i].index > this->written.snapshot.lastIndex)
@@ -120,10 +122,14 @@
     /// Every saveSnapshot throws Error(code) until `heal`, as on a disk that has room for entries only.
     void failSnapshots(ResultCode code) { this->snapshotFailure = code; }
 
+    /// Every call that adds entries throws Error(code) until `heal`, as on a disk that has room for a few bytes only.
+    void failEntries(ResultCode code) { this->entryFailure = code; }
+
     /// Ends all failures that were set.
     void heal()
     {
         this->snapshotFailure.reset();
+        this->entryFailure.reset();
         this->lastingFailure.reset();
         this->syncFailure.reset();
         this->failure.reset();
@@ -187,6 +193,7 @@
     std::optional<ResultCode> syncFailure;
     std::optional<ResultCode> lastingFailure;
     std::optional<ResultCode> snapshotFailure;
+    std::optional<ResultCode> entryFailure;
     size_t callsUntilFailure = 0;
     size_t failureCount = 0;
     bool isUsable = true; ///< False from a failure until `discardUnsynced` or a crash.
