--- a/cornelpond/core/relay/ListingRelayTest.cpp
+++ b/cornelpond/core/relay/ListingRelayTest.cpp
@@ -37,6 +37,7 @@
 auto fieldsOf(std::vector<Row> const& rows)
 {
     std::vector<decltype(fieldsOf(Row()))> fields;
+    fields.reserve(rows.size());
     for (auto const& row : rows)
         fields.push_back(fieldsOf(row));
     return fields;
@@ -93,7 +94,7 @@
 private:
     std::function<void(RenewAnswer const&)> take(size_t index)
     {
-        auto const done = std::move(this->open[index]);
+        auto done = std::move(this->open[index]);
         this->open.erase(this->open.begin() + static_cast<ptrdiff_t>(index));
         return done;
     }
