--- a/testing/soak/SoakOutagesTest.cpp
+++ b/testing/soak/SoakOutagesTest.cpp
@@ -11,3 +11,11 @@
     for (uint64_t seed : { 59, 84 })
         checkSeed(FaultSet::Outages, seed, Duration::seconds(12));
 }
+
+// 443: an unreadable row of a worker's list let an attempt be concluded while it ran. 750: a row with a number but no
+// attempt acknowledged ends that the leader had not seen.
+TEST_CASE("soak: seeds that failed for odd listings")
+{
+    for (uint64_t seed : { 443, 750 })
+        checkSeed(FaultSet::Outages, seed, Duration::seconds(12));
+}
