One place stops an unwanted attempt, one makes a failed storage usable

Dispatcher::stopUnwanted and stopCopies held the same search and stop of an attempt; both call stopIfUnwanted now. discardUnsynced was called right before rewriteUnsynced in both places that recover a storage, and must be; it is its first step now.

--- a/cornelpond/core/agreement/ReplicatedLog.cpp
+++ b/cornelpond/core/agreement/ReplicatedLog.cpp
@@ -334,7 +334,6 @@
                                   .with("reason", error.what())
                                   .with("lastIndex", snapshot.lastIndex)
                                   .with("bytes", snapshot.state.size()));
-            this->storage.discardUnsynced();
             this->rewriteUnsynced();
         }
     });
@@ -415,7 +414,6 @@
     StorageOutage& outage = *this->storageOutage;
     outage.triedAt = this->clock.now();
     try {
-        this->storage.discardUnsynced();
         this->rewriteUnsynced();
     } catch (Error const& error) {
         outage.code = error.code();
@@ -437,6 +435,7 @@
 
 void ReplicatedLog::rewriteUnsynced()
 {
+    this->storage.discardUnsynced();
     // Applied entries may be among them: others committed them while this host had not synced them yet.
     LogIndex const first = this->synced.next();
     this->storage.truncateFrom(first);
--- a/cornelpond/core/agreement/ReplicatedLog.h
+++ b/cornelpond/core/agreement/ReplicatedLog.h
@@ -232,7 +232,8 @@
     void reportStorageOutage();
     void tickWithoutStorage();
     void recoverStorage();
-    /// Writes again what is not known to be durable, and syncs it. Throws Error if the storage fails.
+    /// Makes a storage that failed usable: writes again what is not known to be durable, and syncs it. Throws Error if the
+    /// storage still fails.
     void rewriteUnsynced();
     void rejoin();
     /// Runs a storage call. False if it failed, now or earlier; this host then takes no part in the group until
--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -600,12 +600,7 @@
 
 void Dispatcher::stopUnwanted(JobId const& job)
 {
-    this->jobs.forEachLiveAttemptOf(job, [this](TaskRef const& task, TaskRecord const&, Attempt const& attempt) {
-        WorkerView* view = this->jobs.isWanted(task, attempt) ? nullptr : this->findWorker(attempt.worker);
-        PlacedAttempt* placed = view ? view->find(task, attempt.number) : nullptr;
-        if (placed)
-            this->stop(*view, *placed);
-    });
+    this->jobs.forEachLiveAttemptOf(job, [this](TaskRef const& task, TaskRecord const&, Attempt const& attempt) { this->stopIfUnwanted(task, attempt); });
 }
 
 /// Stops the other attempts of a task that is done.
@@ -614,12 +609,16 @@
     TaskRecord const* record = this->jobs.findTask(task);
     if (!record)
         return;
-    for (auto const& attempt : record->liveAttempts) {
-        WorkerView* view = this->jobs.isWanted(task, attempt) ? nullptr : this->findWorker(attempt.worker);
-        PlacedAttempt* placed = view ? view->find(task, attempt.number) : nullptr;
-        if (placed)
-            this->stop(*view, *placed);
-    }
+    for (auto const& attempt : record->liveAttempts)
+        this->stopIfUnwanted(task, attempt);
+}
+
+void Dispatcher::stopIfUnwanted(TaskRef const& task, Attempt const& attempt)
+{
+    WorkerView* view = this->jobs.isWanted(task, attempt) ? nullptr : this->findWorker(attempt.worker);
+    PlacedAttempt* placed = view ? view->find(task, attempt.number) : nullptr;
+    if (placed)
+        this->stop(*view, *placed);
 }
 
 void Dispatcher::sendStop(WorkerView& view, PlacedAttempt& attempt)
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -102,6 +102,7 @@
     void checkAttempts(WorkerView& view);
     bool sendDueOrder(WorkerView& view, PlacedAttempt& attempt);
     void stopCopies(TaskRef const& task);
+    void stopIfUnwanted(TaskRef const& task, Attempt const& attempt);
     void checkOrphanedAttempts(WorkerView& view);
     void onLeaseExpired(WorkerView& view);
     void sendRenewal(WorkerView& view);
