--- a/cornelpond/adapters/http/HttpClient.cpp
+++ b/cornelpond/adapters/http/HttpClient.cpp
@@ -11,6 +11,7 @@
 #include <netinet/tcp.h>
 #include <sys/queue.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace cornelpond {
 
@@ -120,8 +121,11 @@
     evhttp_connection* connection = nullptr;
     evhttp_request* request = nullptr;
     std::string method;
+    evhttp_cmd_type type = EVHTTP_REQ_GET;
+    HttpRequest outgoing; ///< Until it is sent.
+    HttpSendOptions options;
     bool wasPooled = false; ///< The connection came from the pool.
-    TimePoint startedAt;
+    TimePoint startedAt; ///< When it was sent, or began to wait for a connection.
     TimePoint deadline;
     TimePoint lastProgressAt; ///< When bytes of the response last arrived.
     bool hasResponseBegun = false;
@@ -161,6 +165,7 @@
     }
     this->freeDiscarded();
     this->loop.cancel(this->freeTimer);
+    this->loop.cancel(this->dispatchTimer);
 }
 
 HttpExchangeId HttpClient::send(Address const& to, HttpRequest const& request, HttpSendOptions const& options, Done done)
@@ -180,34 +185,124 @@
         return id;
     }
     exchange->method = request.method;
+    exchange->type = type;
+    exchange->options = options;
     exchange->startedAt = this->loop.now();
     exchange->deadline = exchange->startedAt + options.timeout;
-    exchange->connection = options.needsFreshConnection ? nullptr : this->takeIdleConnection(to);
-    exchange->wasPooled = exchange->connection;
-    if (!exchange->connection)
-        exchange->connection = this->makeConnection(to);
-    exchange->inputCallback = evbuffer_add_cb(exchange->input(), Exchange::onInput, exchange);
-    exchange->request = evhttp_request_new(onDone, exchange);
-    evkeyvalq* fields = evhttp_request_get_output_headers(exchange->request);
-    for (auto const& field : request.headers.all())
-        evhttp_add_header(fields, field.name.c_str(), field.value.c_str());
-    if (!request.headers.find("Host"))
-        evhttp_add_header(fields, "Host", to.text().c_str());
-    evbuffer_add(evhttp_request_get_output_buffer(exchange->request), request.body.data(), request.body.size());
-    std::string const uri = request.query.empty() ? request.path : request.path + "?" + request.query;
+    bool const isFirst = this->waitingUrgent.empty() && (options.isUrgent || this->waiting.empty());
+    if ((isFirst || this->hasIdleConnection(to)) && this->dispatch(*exchange, request))
+        return id;
+    exchange->outgoing = request;
+    this->totals.requestsDelayed++;
+    (options.isUrgent ? this->waitingUrgent : this->waiting).push_back(id.value());
     this->armTimer(*exchange);
-    evhttp_connection* connection = exchange->connection;
-    // When the call fails, evhttp has already called onDone, which freed the exchange.
-    if (!evhttp_make_request(connection, exchange->request, type, uri.c_str()))
-        enableDeadPeerDetection(connection, this->limits.tcpUserTimeout);
     return id;
 }
 
+/// Sends the request on a pooled or a new connection. False when there is no room for a connection; the exchange is then
+/// unchanged. Otherwise the exchange may have ended when this returns.
+bool HttpClient::dispatch(Exchange& exchange, HttpRequest const& outgoing)
+{
+    evhttp_connection* connection = exchange.options.needsFreshConnection ? nullptr : this->takeIdleConnection(exchange.to);
+    bool const wasPooled = connection;
+    if (!connection && !this->makeRoom())
+        return false;
+    exchange.connection = connection ? connection : this->makeConnection(exchange.to);
+    exchange.wasPooled = wasPooled;
+    exchange.startedAt = this->loop.now();
+    exchange.inputCallback = evbuffer_add_cb(exchange.input(), Exchange::onInput, &exchange);
+    exchange.request = evhttp_request_new(onDone, &exchange);
+    evkeyvalq* fields = evhttp_request_get_output_headers(exchange.request);
+    for (auto const& field : outgoing.headers.all())
+        evhttp_add_header(fields, field.name.c_str(), field.value.c_str());
+    if (!outgoing.headers.find("Host"))
+        evhttp_add_header(fields, "Host", exchange.to.text().c_str());
+    evbuffer_add(evhttp_request_get_output_buffer(exchange.request), outgoing.body.data(), outgoing.body.size());
+    std::string const uri = outgoing.query.empty() ? outgoing.path : outgoing.path + "?" + outgoing.query;
+    this->armTimer(exchange);
+    evhttp_connection* const used = exchange.connection;
+    // When the call fails, evhttp has already called onDone, which freed the exchange.
+    if (!evhttp_make_request(used, exchange.request, exchange.type, uri.c_str()))
+        enableDeadPeerDetection(used, this->limits.tcpUserTimeout);
+    return true;
+}
+
+/// True when another connection may be opened. At the bound, closes the connection that has been idle for longest.
+bool HttpClient::makeRoom()
+{
+    if (this->openConnectionCount >= this->limits.maxConnections && !this->idleOrder.empty())
+        this->evictIdleConnection(Address(this->idleOrder.begin()->second));
+    return this->openConnectionCount < this->limits.maxConnections;
+}
+
+void HttpClient::evictIdleConnection(Address const& to)
+{
+    auto const found = this->idleConnections.find(to);
+    IdleConnection const evicted = found->second.front();
+    this->idleOrder.erase(evicted.order);
+    found->second.pop_front();
+    if (found->second.empty())
+        this->idleConnections.erase(found);
+    this->totals.idleConnectionsEvicted++;
+    if (evicted.connection == this->answeringConnection)
+        this->scheduleFree(evicted.connection);
+    else
+        this->freeConnection(evicted.connection);
+}
+
+void HttpClient::freeConnection(evhttp_connection* connection)
+{
+    this->openConnectionCount--;
+    evhttp_connection_free(connection);
+}
+
+void HttpClient::scheduleDispatch()
+{
+    if (this->isDispatchScheduled || !this->waitingRequests())
+        return;
+    this->isDispatchScheduled = true;
+    this->dispatchTimer = this->loop.after(Duration(), [this] {
+        this->isDispatchScheduled = false;
+        this->dispatchWaiting();
+    });
+}
+
+void HttpClient::dispatchWaiting()
+{
+    this->dispatchWaiting(this->waitingUrgent);
+    if (this->waitingUrgent.empty())
+        this->dispatchWaiting(this->waiting);
+}
+
+void HttpClient::dispatchWaiting(std::deque<uint64_t>& queue)
+{
+    while (!queue.empty()) {
+        uint64_t const id = queue.front();
+        Exchange& exchange = *this->exchanges.at(id);
+        TimerId const waitTimer = exchange.timer;
+        HttpRequest const outgoing = exchange.outgoing;
+        if (!this->dispatch(exchange, outgoing))
+            return;
+        this->loop.cancel(waitTimer);
+        // Not the front any more when the handler of a failed exchange has sent urgent requests.
+        removeFrom(queue, id);
+    }
+}
+
+void HttpClient::removeFrom(std::deque<uint64_t>& queue, uint64_t id)
+{
+    auto const found = std::find(queue.begin(), queue.end(), id);
+    if (found != queue.end())
+        queue.erase(found);
+}
+
 /// Arms the timer for the next time at which the exchange may have to be aborted.
 void HttpClient::armTimer(Exchange& exchange)
 {
     TimePoint next = exchange.deadline;
-    if (!isConnected(exchange.connection))
+    if (!exchange.connection)
+        next = exchange.deadline;
+    else if (!isConnected(exchange.connection))
         next = std::min(next, exchange.startedAt + this->limits.connectTimeout);
     else if (exchange.hasResponseBegun)
         next = std::min(next, exchange.lastProgressAt + this->limits.progressTimeout);
@@ -225,8 +320,9 @@
     Exchange& exchange = *found->second;
     TimePoint const now = this->loop.now();
     bool const isStalled = exchange.hasResponseBegun && now - exchange.lastProgressAt >= this->limits.progressTimeout;
-    bool const isUnconnected = !isConnected(exchange.connection) && now - exchange.startedAt >= this->limits.connectTimeout;
-    if (isUnconnected)
+    bool const isWaiting = !exchange.connection;
+    bool const isUnconnected = !isWaiting && !isConnected(exchange.connection) && now - exchange.startedAt >= this->limits.connectTimeout;
+    if (isUnconnected || (isWaiting && now >= exchange.deadline))
         this->abort(id, HttpOutcome::Kind::ConnectFailed);
     else if (now >= exchange.deadline || isStalled)
         this->abort(id, exchange.hasResponseBegun ? HttpOutcome::Kind::TimedOutInResponse : HttpOutcome::Kind::TimedOutBeforeResponse);
@@ -245,6 +341,11 @@
     if (found == this->exchanges.end())
         return;
     Exchange& exchange = *found->second;
+    if (!exchange.connection && !exchange.method.empty()) {
+        removeFrom(this->waitingUrgent, id);
+        removeFrom(this->waiting, id);
+        this->totals.requestsUnsent += kind == HttpOutcome::Kind::ConnectFailed;
+    }
     HttpOutcome outcome;
     outcome.kind = kind;
     outcome.mayHaveRun = exchange.connection && isConnected(exchange.connection);
@@ -258,6 +359,7 @@
 {
     auto& exchange = *static_cast<Exchange*>(argument);
     HttpClient* client = exchange.client;
+    evhttp_connection* const outer = std::exchange(client->answeringConnection, exchange.connection);
     exchange.request = nullptr;
     HttpOutcome outcome;
     bool const hasResponse = request && evhttp_request_get_response_code(request);
@@ -266,6 +368,7 @@
         bool const isResponseComplete = isComplete(exchange.method, outcome.response);
         outcome.kind = isResponseComplete ? HttpOutcome::Kind::Answered : HttpOutcome::Kind::Truncated;
         client->finish(exchange, outcome, isResponseComplete && !hasConnectionClose(outcome.response));
+        client->answeringConnection = outer;
         return;
     }
     // evhttp passes a request without a response code when connecting failed, and null when the connection failed later.
@@ -274,6 +377,7 @@
         outcome.kind = HttpOutcome::Kind::Truncated;
     outcome.mayHaveRun = !request || exchange.hasResponseBegun;
     client->finish(exchange, outcome, false);
+    client->answeringConnection = outer;
 }
 
 void HttpClient::finish(Exchange& exchange, HttpOutcome const& outcome, bool isReusable)
@@ -289,6 +393,7 @@
         this->scheduleFree(exchange.connection);
     HttpOutcome reported = outcome;
     reported.wasPooled = exchange.wasPooled;
+    this->scheduleDispatch();
     Done const done = std::move(exchange.done);
     this->exchanges.erase(exchange.id);
     this->loop.runGuarded([&] { done(reported); });
@@ -312,6 +417,7 @@
     while (found != this->idleConnections.end() && !found->second.empty()) {
         IdleConnection const newest = found->second.back();
         found->second.pop_back();
+        this->idleOrder.erase(newest.order);
         if (this->isUsable(newest))
             return newest.connection;
         this->scheduleFree(newest.connection);
@@ -325,6 +431,8 @@
     evhttp_connection_set_max_body_size(connection, static_cast<ev_ssize_t>(this->limits.maxBodyBytes));
     evhttp_connection_set_max_headers_size(connection, static_cast<ev_ssize_t>(this->limits.maxHeaderBytes));
     evhttp_connection_set_retries(connection, 0);
+    this->openConnectionCount++;
+    this->totals.connectionsOpened++;
     return connection;
 }
 
@@ -334,8 +442,10 @@
     auto const found = this->idleConnections.find(to);
     if (found == this->idleConnections.end())
         return;
-    for (auto const& connection : found->second)
+    for (auto const& connection : found->second) {
+        this->idleOrder.erase(connection.order);
         this->scheduleFree(connection.connection);
+    }
     this->idleConnections.erase(found);
 }
 
@@ -346,7 +456,8 @@
         this->scheduleFree(connection);
         return;
     }
-    connections.push_back({ connection, this->loop.now() });
+    connections.push_back({ connection, this->loop.now(), this->nextIdleOrder });
+    this->idleOrder.emplace(this->nextIdleOrder++, to);
 }
 
 void HttpClient::scheduleFree(evhttp_connection* connection)
@@ -362,8 +473,9 @@
 {
     this->isFreeScheduled = false;
     for (auto* connection : this->discardedConnections)
-        evhttp_connection_free(connection);
+        this->freeConnection(connection);
     this->discardedConnections.clear();
+    this->scheduleDispatch();
 }
 
 } // namespace cornelpond
--- a/cornelpond/adapters/http/HttpClient.h
+++ b/cornelpond/adapters/http/HttpClient.h
@@ -6,6 +6,9 @@
 // or chunked) and be complete. One that is delimited by the end of the connection cannot be distinguished
 // from a truncated one and is reported as Truncated.
 //
+// The client keeps to a bound on its open connections. At the bound the longest idle connection makes room; without an
+// idle one, requests wait for a connection, the urgent ones first, until their timeout.
+//
 // Example:
 //   client.send({ "10.0.0.7", 8080 }, request, HttpSendOptions(), [](HttpOutcome const& outcome) {
 //       if (outcome.kind == HttpOutcome::Kind::Answered)
@@ -17,6 +20,8 @@
 #include "cornelpond/adapters/http/HttpTypes.h"
 #include "cornelpond/adapters/runtime/EventLoop.h"
 
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <list>
 #include <map>
@@ -31,6 +36,7 @@
     size_t maxBodyBytes = 16 * 1024 * 1024;
     size_t maxHeaderBytes = 64 * 1024;
     size_t maxIdlePerAddress = 64;
+    size_t maxConnections = SIZE_MAX; ///< Open at once, idle ones included; each takes a file descriptor.
     Duration maxIdleAge = Duration::seconds(10); ///< An idle connection older than this may be dead; it is closed, not reused.
     Duration connectTimeout = Duration::seconds(1);
     Duration progressTimeout = Duration::seconds(5); ///< Longest gap within a response that has begun.
@@ -40,13 +46,22 @@
 struct HttpSendOptions {
     Duration timeout = Duration::seconds(10); ///< From the call to the end of the response.
     bool needsFreshConnection = false; ///< Opens a connection instead of taking one from the pool.
+    bool isUrgent = false; ///< Where requests wait for a connection, goes before those that are not urgent.
+};
+
+/// Work done since the client was made, for metrics and tests.
+struct HttpClientCounters {
+    uint64_t connectionsOpened = 0;
+    uint64_t idleConnectionsEvicted = 0; ///< Closed to make room for a connection to another address.
+    uint64_t requestsDelayed = 0; ///< Waited for a connection.
+    uint64_t requestsUnsent = 0; ///< Timed out while they waited for a connection.
 };
 
 /// How one exchange ended.
 struct HttpOutcome {
     enum class Kind {
         Answered, ///< The response is complete.
-        ConnectFailed, ///< No byte of the request left this host.
+        ConnectFailed, ///< No byte of the request left this host, also where it found no free connection in time.
         ConnectionLost, ///< The connection failed before a byte of the response arrived.
         Truncated, ///< The response began and was malformed, incomplete or of unknown length.
         TimedOutBeforeResponse, ///< The timeout passed before a byte of the response arrived.
@@ -83,36 +98,57 @@
     bool hasIdleConnection(Address const& to) const;
 
     size_t openExchanges() const { return this->exchanges.size(); }
+    size_t openConnections() const { return this->openConnectionCount; }
+    size_t waitingRequests() const { return this->waitingUrgent.size() + this->waiting.size(); }
+    HttpClientCounters const& counters() const { return this->totals; }
 
 private:
     struct Exchange;
     struct IdleConnection {
         evhttp_connection* connection = nullptr;
         TimePoint idleSince;
+        uint64_t order = 0; ///< Rises with each connection that becomes idle.
     };
 
     static void onDone(evhttp_request* request, void* argument);
+    bool dispatch(Exchange& exchange, HttpRequest const& outgoing);
+    void scheduleDispatch();
+    void dispatchWaiting();
+    void dispatchWaiting(std::deque<uint64_t>& queue);
+    static void removeFrom(std::deque<uint64_t>& queue, uint64_t id);
+    bool makeRoom();
     void checkTimeouts(uint64_t id);
     void armTimer(Exchange& exchange);
 
     bool isUsable(IdleConnection const& connection) const;
     evhttp_connection* takeIdleConnection(Address const& to);
+    void evictIdleConnection(Address const& to);
     evhttp_connection* makeConnection(Address const& to);
     void poolConnection(Address const& to, evhttp_connection* connection);
     void closeIdleConnections(Address const& to);
     void finish(Exchange& exchange, HttpOutcome const& outcome, bool isReusable);
     void abort(uint64_t id, HttpOutcome::Kind kind);
     void scheduleFree(evhttp_connection* connection);
+    void freeConnection(evhttp_connection* connection);
     void freeDiscarded();
 
     EventLoop& loop;
     HttpClientLimits limits;
     std::map<uint64_t, std::unique_ptr<Exchange>> exchanges;
-    std::map<Address, std::list<IdleConnection>> idleConnections;
+    std::map<Address, std::list<IdleConnection>> idleConnections; ///< Longest idle first.
+    std::map<uint64_t, Address> idleOrder; ///< Of all idle connections, by their `order`.
+    uint64_t nextIdleOrder = 1;
+    evhttp_connection* answeringConnection = nullptr; ///< Whose callback is running; it must not be freed there.
     std::list<evhttp_connection*> discardedConnections; ///< Freed from a timer, outside evhttp's callbacks.
+    size_t openConnectionCount = 0; ///< Discarded ones that are not freed yet included.
+    std::deque<uint64_t> waitingUrgent; ///< Exchanges without a connection, oldest first.
+    std::deque<uint64_t> waiting;
     uint64_t nextExchangeId = 1;
     bool isFreeScheduled = false;
     TimerId freeTimer;
+    bool isDispatchScheduled = false;
+    TimerId dispatchTimer;
+    HttpClientCounters totals;
 };
 
 } // namespace cornelpond
--- a/cornelpond/adapters/http/HttpServer.cpp
+++ b/cornelpond/adapters/http/HttpServer.cpp
@@ -27,6 +27,13 @@
         std::function<void()> onDisconnected;
     };
 
+    /// Of one server; its connections may outlive it.
+    struct ServerConnections {
+        HttpLimits limits;
+        size_t open = 0;
+        uint64_t refused = 0;
+    };
+
 } // namespace internal
 
 namespace {
@@ -35,6 +42,7 @@
 
     /// What the hooks of one connection share; freed when the connection ends.
     struct ConnectionState {
+        std::shared_ptr<internal::ServerConnections> connections;
         HttpLimits limits;
         size_t headerBytes = 0;
         bool isRefused = false;
@@ -139,6 +147,7 @@
     evhtp_res onConnectionEnd(evhtp_connection_t* connection, void* argument)
     {
         std::unique_ptr<ConnectionState> const state(static_cast<ConnectionState*>(argument));
+        state->connections->open--;
         // libevhtp leaves a parser error on a connection that it closes after the answer to a paused request.
         bool const hasFailed = !state->isLastAnswer && htparser_get_error(connection->parser) != htparse_error_none;
         if (!state->isRefused && hasFailed)
@@ -155,7 +164,9 @@
 
     evhtp_res onAccepted(evhtp_connection_t* connection, void* argument)
     {
-        auto* state = new ConnectionState { *static_cast<HttpLimits*>(argument) };
+        auto const& connections = *static_cast<std::shared_ptr<internal::ServerConnections>*>(argument);
+        auto* state = new ConnectionState { connections, connections->limits };
+        connections->open++;
         evhtp_connection_set_hook(connection, evhtp_hook_on_headers_start, asHook(onHeadersStart), state);
         evhtp_connection_set_hook(connection, evhtp_hook_on_header, asHook(onHeader), state);
         evhtp_connection_set_hook(connection, evhtp_hook_on_headers, asHook(onHeaders), state);
@@ -165,7 +176,11 @@
         void* owner = nullptr;
         bufferevent_getcb(connection->bev, &state->readCallback, &onWrite, &onEvent, &owner);
         bufferevent_setcb(connection->bev, readCompleteHeaders, onWrite, onEvent, owner);
-        return EVHTP_RES_OK;
+        if (connections->open <= connections->limits.maxConnections)
+            return EVHTP_RES_OK;
+        connections->refused++;
+        sendRefusal(connection, *state, ResultCode::QueueFull, "too many open connections");
+        return EVHTP_RES_ERROR; // libevhtp closes the connection.
     }
 
     void notifyDisconnected(internal::PendingRequest& pending)
@@ -256,12 +271,12 @@
 
 HttpServer::HttpServer(EventLoop& loop, HttpLimits limits, Handler handler)
     : loop(loop)
-    , limits(limits)
     , handler(std::move(handler))
     , server(evhtp_new(loop.base(), nullptr))
+    , connections(std::make_shared<internal::ServerConnections>(internal::ServerConnections { limits }))
 {
     evhtp_set_gencb(this->server, onRequest, this);
-    evhtp_set_post_accept_cb(this->server, onAccepted, &this->limits);
+    evhtp_set_post_accept_cb(this->server, onAccepted, &this->connections);
     evhtp_set_max_body_size(this->server, limits.maxBodyBytes);
     evhtp_enable_flag(this->server, EVHTP_FLAG_ENABLE_NODELAY);
     timeval idle {};
@@ -296,6 +311,16 @@
     this->isListening = false;
 }
 
+size_t HttpServer::openConnections() const
+{
+    return this->connections->open;
+}
+
+uint64_t HttpServer::refusedConnections() const
+{
+    return this->connections->refused;
+}
+
 void HttpServer::onRequest(evhtp_request* request, void* argument)
 {
     static_cast<HttpServer*>(argument)->handle(request);
--- a/cornelpond/adapters/http/HttpServer.h
+++ b/cornelpond/adapters/http/HttpServer.h
@@ -14,6 +14,7 @@
 #include "cornelpond/adapters/http/HttpTypes.h"
 #include "cornelpond/adapters/runtime/EventLoop.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -27,11 +28,13 @@
     size_t maxBodyBytes = 1024 * 1024;
     size_t maxHeaderBytes = 16 * 1024;
     Duration idleTimeout = Duration::seconds(60);
+    size_t maxConnections = SIZE_MAX; ///< Open at once; further ones get a refusal and are closed. Each takes a file descriptor.
 };
 
 namespace internal {
     struct PendingRequest;
-}
+    struct ServerConnections;
+} // namespace internal
 
 /// Answers one request. Copies refer to the same request; only the first answer is sent.
 class HttpResponder {
@@ -72,6 +75,9 @@
     /// Received requests that libevhtp has not freed or that a responder still refers to.
     size_t openRequests() const { return this->openRequestCount; }
 
+    size_t openConnections() const;
+    uint64_t refusedConnections() const; ///< At the bound, since the server was made.
+
     /// While true, each answer closes its connection.
     void setClosing(bool closing) { this->isClosing = closing; }
 
@@ -83,10 +89,10 @@
     void handle(evhtp_request* request);
 
     EventLoop& loop;
-    HttpLimits limits;
     Handler handler;
     evhtp* server;
     size_t openRequestCount = 0;
+    std::shared_ptr<internal::ServerConnections> connections;
     bool isListening = false;
     bool isClosing = false;
 };
--- a/cornelpond/adapters/http/HttpTest.cpp
+++ b/cornelpond/adapters/http/HttpTest.cpp
@@ -3,11 +3,14 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <arpa/inet.h>
+#include <memory>
 #include <netinet/in.h>
 #include <optional>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 using namespace cornelpond;
@@ -347,3 +350,151 @@
     CHECK(server.exchange(loop, client, "GET", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false).response.body == "ok");
     CHECK(server.connections == 2);
 }
+
+namespace {
+
+/// A server that answers only when told to, and counts the connections that it accepted and that are open.
+class HeldServer {
+public:
+    explicit HeldServer(EventLoop& loop)
+        : server(loop, HttpLimits(), [this](HttpRequest const& request, HttpResponder const& responder) {
+            this->paths.push_back(request.path);
+            this->held.push_back(responder);
+        })
+        , port(this->server.listen({ "127.0.0.1", 0 }))
+    {
+    }
+
+    void answerAll()
+    {
+        for (auto const& responder : std::exchange(this->held, {}))
+            responder.answer({ 200, {}, "ok" });
+    }
+
+    std::vector<std::string> paths;
+    std::vector<HttpResponder> held;
+    HttpServer server;
+    uint16_t port;
+};
+
+HttpClientLimits boundedTo(size_t connections)
+{
+    HttpClientLimits limits;
+    limits.maxConnections = connections;
+    return limits;
+}
+
+} // namespace
+
+TEST_CASE("requests beyond the bound on connections wait for one and are answered, the urgent ones first")
+{
+    EventLoop loop;
+    HeldServer server(loop);
+    HttpClient client(loop, boundedTo(2));
+    size_t answered = 0;
+    auto const send = [&](std::string const& path, bool isUrgent) {
+        HttpSendOptions options;
+        options.isUrgent = isUrgent;
+        client.send({ "127.0.0.1", server.port }, makeRequest(path), options, [&](HttpOutcome const& outcome) { answered += outcome.kind == HttpOutcome::Kind::Answered; });
+    };
+    send("/first", false);
+    send("/second", false);
+    send("/third", false);
+    send("/urgent", true);
+    CHECK(client.openConnections() == 2);
+    CHECK(client.waitingRequests() == 2);
+    runUntil(loop, [&] { return server.paths.size() == 2; });
+    server.held.front().answer({ 200, {}, "ok" });
+    runUntil(loop, [&] { return server.paths.size() == 3; });
+    CHECK(server.paths.back() == "/urgent");
+    runUntil(loop, [&] {
+        server.answerAll();
+        return answered == 4;
+    });
+    CHECK(client.openConnections() <= 2);
+    CHECK(client.counters().connectionsOpened == 2);
+}
+
+TEST_CASE("a request that finds no connection in time was not sent")
+{
+    EventLoop loop;
+    HeldServer server(loop);
+    HttpClient client(loop, boundedTo(1));
+    client.send({ "127.0.0.1", server.port }, makeRequest("/held"), HttpSendOptions(), [](HttpOutcome const&) {});
+    HttpOutcome const outcome = exchange(loop, client, server.port, makeRequest("/waits"), Duration::milliseconds(50));
+    CHECK(outcome.kind == HttpOutcome::Kind::ConnectFailed);
+    CHECK_FALSE(outcome.mayHaveRun);
+    CHECK(client.waitingRequests() == 0);
+    CHECK(client.counters().requestsUnsent == 1);
+    CHECK(std::find(server.paths.begin(), server.paths.end(), "/waits") == server.paths.end());
+}
+
+TEST_CASE("at the bound the longest idle connection makes room for one to another address")
+{
+    EventLoop loop;
+    HeldServer first(loop);
+    HeldServer second(loop);
+    HeldServer third(loop);
+    HttpClient client(loop, boundedTo(2));
+    auto const ask = [&](HeldServer& server) {
+        std::optional<HttpOutcome> result;
+        client.send({ "127.0.0.1", server.port }, makeRequest("/"), HttpSendOptions(), [&](HttpOutcome const& outcome) { result = outcome; });
+        runUntil(loop, [&] {
+            server.answerAll();
+            return result.has_value();
+        });
+        CHECK(result->kind == HttpOutcome::Kind::Answered);
+    };
+    ask(first);
+    ask(second);
+    ask(third);
+    CHECK(client.openConnections() == 2);
+    CHECK(client.counters().idleConnectionsEvicted == 1);
+    CHECK_FALSE(client.hasIdleConnection({ "127.0.0.1", first.port }));
+    CHECK(client.hasIdleConnection({ "127.0.0.1", second.port }));
+}
+
+TEST_CASE("a burst to many addresses far beyond the bound is served to its end")
+{
+    EventLoop loop;
+    std::vector<std::unique_ptr<HeldServer>> servers;
+    for (int i = 0; i < 20; i++)
+        servers.push_back(std::make_unique<HeldServer>(loop));
+    HttpClient client(loop, boundedTo(4));
+    size_t answered = 0;
+    size_t mostOpen = 0;
+    constexpr size_t requestsEach = 10;
+    for (size_t i = 0; i < requestsEach; i++) {
+        for (auto const& server : servers)
+            client.send({ "127.0.0.1", server->port }, makeRequest("/"), HttpSendOptions(), [&](HttpOutcome const& outcome) { answered += outcome.kind == HttpOutcome::Kind::Answered; });
+    }
+    runUntil(loop, [&] {
+        for (auto const& server : servers)
+            server->answerAll();
+        mostOpen = std::max(mostOpen, client.openConnections());
+        return answered == requestsEach * servers.size();
+    });
+    CHECK(mostOpen <= 4);
+}
+
+TEST_CASE("a server at its bound on connections refuses new ones with a reason and serves the open ones")
+{
+    EventLoop loop;
+    HttpLimits limits;
+    limits.maxConnections = 2;
+    HttpServer server(loop, limits, [](HttpRequest const&, HttpResponder const& responder) { responder.answer({ 200, {}, "ok" }); });
+    uint16_t const port = server.listen({ "127.0.0.1", 0 });
+    int const idle = connectTo(port);
+    HttpClient client(loop, HttpClientLimits());
+    CHECK(exchange(loop, client, port, makeRequest("/")).response.status == 200);
+    CHECK(server.openConnections() == 2);
+    std::string const refused = readUntilClosed(loop, port, "");
+    CHECK(refused.find("503") != std::string::npos);
+    CHECK(refused.find("\"ran\":\"no\"") != std::string::npos);
+    CHECK(server.refusedConnections() == 1);
+    CHECK(exchange(loop, client, port, makeRequest("/")).response.status == 200);
+    close(idle);
+    runUntil(loop, [&] { return server.openConnections() == 1; });
+    HttpClient other(loop, HttpClientLimits());
+    CHECK(exchange(loop, other, port, makeRequest("/")).response.status == 200);
+}
--- a/cornelpond/adapters/peer/PeerFrame.h
+++ b/cornelpond/adapters/peer/PeerFrame.h
@@ -25,6 +25,7 @@
 /// meaning; hosts of earlier versions ignore the field.
 enum class PeerFeature : uint32_t {
     ListingChanges = 1, ///< Renewals that name a listing, and listings that contain only what has changed since.
+    FastHeartbeats = 2, ///< A control host: sends heartbeats to other control hosts at the least interval, however many peers it has.
 };
 
 constexpr uint32_t ownPeerFeatures = static_cast<uint32_t>(PeerFeature::ListingChanges);
--- a/cornelpond/adapters/peer/PeerLink.cpp
+++ b/cornelpond/adapters/peer/PeerLink.cpp
@@ -28,6 +28,7 @@
     TimePoint openedAt;
     TimePoint lastReceivedAt;
     TimePoint lastHeartbeatSentAt;
+    Duration heartbeatInterval; ///< Of the heartbeats sent, as this host's hello gave it: the peer counts on it while the connection lasts.
     Duration peerHeartbeatInterval;
 };
 
@@ -122,6 +123,12 @@
     return connection ? connection->socket->queuedBytes() : 0;
 }
 
+Duration PeerLink::silentFor(HostId const& peer) const
+{
+    Connection const* connection = this->establishedConnection(peer);
+    return connection ? this->loop.now() - connection->lastReceivedAt : Duration::infinite();
+}
+
 Duration PeerLink::heartbeatInterval() const
 {
     return std::max(this->times.minHeartbeatInterval, this->times.heartbeatIntervalPerPeer * static_cast<int64_t>(this->peers.size()));
@@ -145,7 +152,8 @@
 
 void PeerLink::accept(int socket)
 {
-    if (this->unauthenticatedConnectionCount() >= this->limits.maxUnauthenticatedConnections) {
+    bool const isFull = this->connections.size() >= this->limits.maxConnections;
+    if (isFull || this->unauthenticatedConnectionCount() >= this->limits.maxUnauthenticatedConnections) {
         this->accumulatedCounters.connectionsRefused++;
         ::close(socket);
         return;
@@ -195,7 +203,7 @@
 void PeerLink::onOpen(Connection& connection)
 {
     if (connection.isOutbound)
-        this->write(connection, encode(this->hello()));
+        this->write(connection, encode(this->hello(connection)));
 }
 
 void PeerLink::onBytes(Connection& connection, std::string const& bytes)
@@ -231,7 +239,7 @@
         return;
     }
     if (!connection.isOutbound)
-        this->write(connection, encode(this->hello()));
+        this->write(connection, encode(this->hello(connection)));
     this->establish(connection, hello);
 }
 
@@ -283,6 +291,8 @@
 {
     connection.peer = hello.host;
     connection.peerHeartbeatInterval = std::max(hello.heartbeatInterval, this->times.minHeartbeatInterval);
+    if (this->isBetweenControlHosts(hello))
+        connection.heartbeatInterval = connection.peerHeartbeatInterval = this->times.minHeartbeatInterval;
     if (!this->peers.count(hello.host))
         this->addPeer({ hello.host, hello.dataCentre, { hello.listenIp, hello.listenPort } });
     Peer& peer = this->peers[hello.host];
@@ -354,17 +364,23 @@
     this->write(connection, encode(PeerHeartbeat { this->hooks.heartbeatPayload ? this->hooks.heartbeatPayload() : std::string() }));
 }
 
-PeerHello PeerLink::hello() const
+/// Such a link carries the replicated log and the orders to workers, so its loss must be noticed soon in a fleet of any size.
+bool PeerLink::isBetweenControlHosts(PeerHello const& hello) const
+{
+    return this->localHost.isControlHost && hello.features & static_cast<uint32_t>(PeerFeature::FastHeartbeats);
+}
+
+PeerHello PeerLink::hello(Connection& connection) const
 {
     PeerHello hello;
     hello.cluster = this->localHost.cluster;
     hello.host = this->localHost.host;
     hello.dataCentre = this->localHost.dataCentre;
     hello.token = this->localHost.token;
-    hello.heartbeatInterval = this->heartbeatInterval();
+    hello.heartbeatInterval = connection.heartbeatInterval = this->heartbeatInterval();
     hello.listenIp = this->listenAddress.ip;
     hello.listenPort = this->listenAddress.port;
-    hello.features = ownPeerFeatures;
+    hello.features = ownPeerFeatures | (this->localHost.isControlHost ? static_cast<uint32_t>(PeerFeature::FastHeartbeats) : 0);
     return hello;
 }
 
@@ -401,7 +417,7 @@
     }
     if (now - connection.lastReceivedAt > connection.peerHeartbeatInterval * this->times.maxMissedHeartbeats)
         this->drop(connection, "silent");
-    else if (now - connection.lastHeartbeatSentAt >= this->heartbeatInterval())
+    else if (now - connection.lastHeartbeatSentAt >= connection.heartbeatInterval)
         this->sendHeartbeat(connection);
 }
 
--- a/cornelpond/adapters/peer/PeerLink.h
+++ b/cornelpond/adapters/peer/PeerLink.h
@@ -20,6 +20,7 @@
 #include "cornelpond/ports/Random.h"
 #include "cornelpond/ports/Transport.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -33,6 +34,7 @@
     DataCentreId dataCentre;
     std::string token;
     bool admitNewHosts = false; ///< Accept hosts that are not in the settings when cluster and token match.
+    bool isControlHost = false; ///< Few hosts are; they monitor each other closely.
     bool dialsAllPeers = false; ///< Dial every peer regardless of the ids, because peers may not have this host in their list yet.
     std::map<Address, Address> routes; ///< From a peer's own address to the one to dial when its own cannot be reached.
 };
@@ -46,7 +48,7 @@
 
 struct PeerLinkTimes {
     Duration minHeartbeatInterval = Duration::milliseconds(500);
-    Duration heartbeatIntervalPerPeer = Duration::milliseconds(25); ///< Limits the periodic heartbeats of a host to 40 per second over all its peers.
+    Duration heartbeatIntervalPerPeer = Duration::milliseconds(4); ///< Limits the periodic heartbeats of a host to 250 per second over all its peers but control hosts.
     int64_t maxMissedHeartbeats = 4; ///< A connection that receives nothing for this many heartbeat intervals of its peer is closed.
     Duration handshakeTimeout = Duration::seconds(2); ///< From the start of a connection to a valid hello.
     Duration minBackoff = Duration::milliseconds(100);
@@ -59,6 +61,7 @@
     size_t maxQueuedBytes = 8 * 1024 * 1024; ///< Per peer; messages beyond it are dropped and counted.
     size_t maxMessageBytes = 16 * 1024 * 1024;
     size_t maxUnauthenticatedConnections = 64; ///< Accepted connections without a valid hello so far.
+    size_t maxConnections = SIZE_MAX; ///< Open at once, in either direction; each takes a file descriptor.
 };
 
 struct PeerLinkHooks {
@@ -114,6 +117,9 @@
     size_t queuedBytes(HostId const& peer) const;
 
     Duration heartbeatInterval() const;
+    /// Since anything was last received from the peer; infinite when it is unreachable.
+    Duration silentFor(HostId const& peer) const;
+    size_t openConnections() const { return this->connections.size(); }
     PeerLinkCounters counters() const;
 
 private:
@@ -135,7 +141,8 @@
     void drop(Connection& connection, std::string const& reason);
     void write(Connection& connection, std::string const& bytes);
     void sendHeartbeat(Connection& connection);
-    PeerHello hello() const;
+    PeerHello hello(Connection& connection) const;
+    bool isBetweenControlHosts(PeerHello const& hello) const;
     void tick();
     void resetSilenceAfterOwnStall();
     void checkConnection(Connection& connection);
--- a/cornelpond/adapters/peer/PeerLinkTest.cpp
+++ b/cornelpond/adapters/peer/PeerLinkTest.cpp
@@ -375,3 +375,100 @@
     CHECK(pair.b.events.count(EventId::PeerRefused) == 1);
     CHECK(isUp(pair.a, "b"));
 }
+
+namespace {
+
+/// Two hosts that are connected directly.
+struct DirectPair {
+    DirectPair(EventLoop& loop, PeerLocalHost const& changes)
+        : loop(loop)
+        , a(loop, "a", changes)
+        , b(loop, "b", changes)
+    {
+        this->a.addPeer("b", this->b.port);
+        this->b.addPeer("a", this->a.port);
+    }
+
+    /// Peers that cannot be dialled, as their addresses are not known.
+    void addUnreachablePeers(size_t count)
+    {
+        for (size_t i = 0; i < count; i++) {
+            for (TestHost* host : { &this->a, &this->b })
+                host->link.addPeer({ HostId("p" + std::to_string(i)), DataCentreId("dc"), Address() });
+        }
+    }
+
+    void connect()
+    {
+        this->a.link.start();
+        this->b.link.start();
+        runUntil(this->loop, [this] { return isUp(this->a, "b") && isUp(this->b, "a"); });
+    }
+
+    EventLoop& loop;
+    TestHost a;
+    TestHost b;
+};
+
+PeerLocalHost controlHost()
+{
+    PeerLocalHost host;
+    host.isControlHost = true;
+    return host;
+}
+
+constexpr size_t manyPeers = 400;
+
+} // namespace
+
+TEST_CASE("a control host sends heartbeats to another one as often with hundreds of peers as with one")
+{
+    // With 152 hosts a leader noticed only after 15 s that a host which relays orders was gone; by then the leases of its
+    // workers were over (schmierdienst-large scale-1).
+    EventLoop loop;
+    DirectPair control(loop, controlHost());
+    DirectPair plain(loop, PeerLocalHost());
+    control.addUnreachablePeers(manyPeers);
+    plain.addUnreachablePeers(manyPeers);
+    control.connect();
+    plain.connect();
+    uint64_t const controlBefore = control.a.link.counters().heartbeatsSent;
+    uint64_t const plainBefore = plain.a.link.counters().heartbeatsSent;
+    runUntil(loop, [&] { return plain.a.link.counters().heartbeatsSent >= plainBefore + 3; });
+    CHECK(control.a.link.counters().heartbeatsSent - controlBefore >= 9);
+}
+
+TEST_CASE("a host keeps to the heartbeat interval that it gave when the link was made, however many peers come later")
+{
+    EventLoop loop;
+    DirectPair pair(loop, PeerLocalHost());
+    pair.connect();
+    pair.addUnreachablePeers(manyPeers);
+    uint64_t const before = pair.a.link.counters().heartbeatsSent;
+    runUntil(loop, [&] { return pair.a.link.counters().heartbeatsSent >= before + 8; });
+    CHECK(pair.a.events.count(EventId::PeerLost) == 0);
+    CHECK(pair.b.events.count(EventId::PeerLost) == 0);
+}
+
+TEST_CASE("a link refuses connections beyond its bound and keeps the open ones")
+{
+    EventLoop loop;
+    PeerLinkLimits limits;
+    limits.maxConnections = 1;
+    TestHost a(loop, "a");
+    TestHost b(loop, "b", PeerLocalHost(), limits);
+    a.addPeer("b", b.port);
+    b.addPeer("a", a.port);
+    a.link.start();
+    b.link.start();
+    runUntil(loop, [&] { return isUp(a, "b") && isUp(b, "a"); });
+    std::unique_ptr<WebSocketConnection> extra;
+    bool isClosed = false;
+    WebSocketHooks hooks;
+    hooks.onClosed = [&](std::string const&) { isClosed = true; };
+    extra = WebSocketConnection::dial(loop, { "127.0.0.1", b.port }, hooks);
+    runUntil(loop, [&] { return isClosed; });
+    CHECK(b.link.openConnections() == 1);
+    CHECK(b.link.counters().connectionsRefused == 1);
+    CHECK(isUp(a, "b"));
+}
--- a/cornelpond/app/ControlHost.cpp
+++ b/cornelpond/app/ControlHost.cpp
@@ -12,11 +12,15 @@
 
     constexpr Duration tickInterval = Duration::milliseconds(15); ///< A batch of decisions is committed this often.
     constexpr size_t maxControlBodyBytes = 4 * 1024 * 1024;
+    constexpr size_t maxMetricsConnections = 16;
+    constexpr size_t maxIdleConnectionsPerWorker = 5; ///< For its long poll and a few orders at once.
     /// How long a call from a worker or an operator waits for a leader; the caller tries the next host after
     /// a second.
     constexpr Duration maxLeaderWait = Duration::milliseconds(800);
     constexpr Duration shutDownNotice = Duration::milliseconds(300); ///< Time for the peers to learn of the new leader.
     constexpr Duration relayUpdateInterval = Duration::milliseconds(100); ///< Short against the second that it takes to detect a broken link.
+    /// Two heartbeats between control hosts, and the time by which a busy event loop may delay one.
+    constexpr Duration maxRelaySilence = Duration::milliseconds(600);
     constexpr Duration leaseReserve = Duration::milliseconds(500); ///< Subtracted from the longest lease that workers grant.
 
     DispatchTimes dispatchTimes(FleetSettings const& settings)
@@ -26,17 +30,26 @@
         return times;
     }
 
-    HttpClientLimits workerClientLimits()
+    HttpClientLimits workerClientLimits(DescriptorBudget const& descriptors)
     {
         HttpClientLimits limits;
         limits.maxIdlePerAddress = maxIdleConnectionsPerWorker;
+        limits.maxConnections = descriptors.outgoing;
         return limits;
     }
 
-    HttpLimits controlLimits()
+    HttpLimits controlLimits(DescriptorBudget const& descriptors)
     {
         HttpLimits limits;
         limits.maxBodyBytes = maxControlBodyBytes;
+        limits.maxConnections = descriptors.incoming;
+        return limits;
+    }
+
+    HttpLimits metricsLimits()
+    {
+        HttpLimits limits;
+        limits.maxConnections = maxMetricsConnections;
         return limits;
     }
 
@@ -46,16 +59,18 @@
     : loop(loop)
     , settings(std::move(givenSettings))
     , events(events)
+    , descriptors(divideDescriptors(this->settings.limits.availableDescriptors()))
     , random(systemEntropy())
     , hostSettings(networkSettings(this->settings, hostIdentity(this->settings, identitySuffix(this->random))))
-    , client(loop, workerClientLimits())
+    , client(loop, workerClientLimits(this->descriptors))
     , workerClient(this->client, dispatchTimes(this->settings), this->settings.permitService)
     , orderRelay(loop, loop, this->workerClient, dispatchTimes(this->settings), this->random.next(), this->relayHooks())
     , jobService(loop, events, this->orderRelay, dispatchTimes(this->settings), JobLimits())
     , controlApi(this->jobService, [this](WorkerProfile const& worker) { return this->heartbeatAddress(worker); })
     , hostNetwork(loop, this->random, events, this->hostSettings, this->networkHooks())
-    , controlServer(loop, controlLimits(), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleControl(request, responder); })
-    , metricsServer(loop, HttpLimits(), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleMetrics(request, responder); })
+    , controlServer(loop, controlLimits(this->descriptors), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleControl(request, responder); })
+    , metricsServer(loop, metricsLimits(), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleMetrics(request, responder); })
+    , connectionReport(events)
 {
     this->hostNetwork.setReceiver(PeerChannel::Orders, [this](HostId const& from, PeerMessage const& message) { this->orderRelay.onMessage(from, message.payload); });
     this->jobService.attach(this->hostNetwork.openGroup(configGroupId(), "jobs", this->groupHooks()));
@@ -104,7 +119,23 @@
     if (now < this->nextRelayUpdate)
         return;
     this->nextRelayUpdate = now + relayUpdateInterval;
-    this->relayChoice.update(this->hostNetwork.reachableControlHosts(), this->hostNetwork.leaderOf(configGroupId()));
+    std::vector<RelayHost> relays = this->hostNetwork.reachableControlHosts(maxRelaySilence);
+    this->failOrdersOfLostRelays(relays);
+    this->relayChoice.update(std::move(relays), this->hostNetwork.leaderOf(configGroupId()), this->jobService.scheduler().workerCount());
+}
+
+/// An order that waits at a relay which has gone silent is tried again by way of another one. Otherwise the tasks of a large
+/// part of the fleet would wait until the link counts as lost.
+void ControlHost::failOrdersOfLostRelays(std::vector<RelayHost> const& relays)
+{
+    std::set<HostId> current;
+    for (auto const& relay : relays)
+        current.insert(relay.host);
+    for (auto const& host : this->relayHosts) {
+        if (!current.count(host))
+            this->orderRelay.onPeerDown(host);
+    }
+    this->relayHosts = std::move(current);
 }
 
 /// The control address of the host that relays the worker's orders; empty if unknown. The control port is the
@@ -136,10 +167,27 @@
     this->hostNetwork.onTick();
     this->updateRelays();
     this->jobService.onTick();
+    this->connectionReport.update(this->loop.now(), this->connectionFigures());
     if (this->onShutDownComplete)
         this->finishShutDown();
 }
 
+ConnectionFigures ControlHost::connectionFigures() const
+{
+    ConnectionFigures figures;
+    figures.incomingOpen = this->controlServer.openConnections();
+    figures.incomingBound = this->descriptors.incoming;
+    figures.incomingRefused = this->controlServer.refusedConnections();
+    figures.outgoingOpen = this->client.openConnections();
+    figures.outgoingBound = this->descriptors.outgoing;
+    figures.requestsWaiting = this->client.waitingRequests();
+    figures.requestsDelayed = this->client.counters().requestsDelayed;
+    figures.requestsUnsent = this->client.counters().requestsUnsent;
+    figures.peersOpen = this->hostNetwork.openPeerConnections();
+    figures.peersBound = this->descriptors.peers;
+    return figures;
+}
+
 void ControlHost::serveLocally(ApiKind kind, HttpRequest const& request, ApiAnswerCallback const& answer)
 {
     if (kind == ApiKind::Callers)
@@ -165,6 +213,7 @@
     fillSchedulerMetrics(this->jobService.scheduler(), this->metrics);
     this->hostNetwork.fillMetrics(this->metrics);
     fillRelayMetrics(this->orderRelay, this->metrics);
+    fillConnectionMetrics(this->connectionFigures(), this->metrics);
     this->metrics.setGauge("loopTurns", static_cast<int64_t>(this->loop.turns()));
     responder.answer(metricsResponse(this->metrics));
 }
--- a/cornelpond/app/ControlHost.h
+++ b/cornelpond/app/ControlHost.h
@@ -11,6 +11,8 @@
 #include "cornelpond/adapters/http/HttpClient.h"
 #include "cornelpond/adapters/http/HttpServer.h"
 #include "cornelpond/adapters/metrics/Metrics.h"
+#include "cornelpond/app/ConnectionReport.h"
+#include "cornelpond/app/DescriptorBudget.h"
 #include "cornelpond/app/FleetSettings.h"
 #include "cornelpond/app/HostNetwork.h"
 #include "cornelpond/core/relay/OrderRelay.h"
@@ -20,11 +22,10 @@
 #include "platform/ControlApi.h"
 #include "platform/WorkerClient.h"
 
-namespace cornelpond {
+#include <set>
+#include <vector>
 
-/// Idle connections kept open to each worker, for its long poll and a few orders at once. With hundreds of
-/// workers, more would use up the process's file descriptors, and the log could no longer be written.
-constexpr size_t maxIdleConnectionsPerWorker = 5;
+namespace cornelpond {
 
 class ControlHost {
 public:
@@ -48,6 +49,7 @@
     HostNetworkHooks networkHooks();
     OrderRelayHooks relayHooks();
     void updateRelays();
+    void failOrdersOfLostRelays(std::vector<RelayHost> const& relays);
     std::string heartbeatAddress(WorkerProfile const& worker) const;
     bool isFollowingLeader() const;
     StateMachineHooks groupHooks();
@@ -55,11 +57,13 @@
     void handleControl(HttpRequest const& request, HttpResponder const& responder);
     void handleMetrics(HttpRequest const& request, HttpResponder const& responder);
     void tick();
+    ConnectionFigures connectionFigures() const;
     void finishShutDown();
 
     EventLoop& loop;
     FleetSettings settings;
     EventSink& events;
+    DescriptorBudget descriptors;
     SeededRandom random;
     Settings hostSettings;
     Metrics metrics;
@@ -72,8 +76,10 @@
     HostNetwork hostNetwork;
     HttpServer controlServer;
     HttpServer metricsServer;
+    ConnectionReport connectionReport;
     TimerId tickTimer;
     TimePoint nextRelayUpdate;
+    std::set<HostId> relayHosts; ///< At the last update.
     std::function<void()> onShutDownComplete;
     TimePoint shutDownEarliest;
     TimePoint shutDownDeadline;
--- a/cornelpond/app/EntryGateway.cpp
+++ b/cornelpond/app/EntryGateway.cpp
@@ -22,6 +22,20 @@
     constexpr Duration maxLeaderlessTime = Duration::milliseconds(2500);
     /// New connections stop only after two failed readiness checks, a second apart.
     constexpr Duration drainNotice = Duration::milliseconds(2500);
+    constexpr size_t maxOwnConnections = 16; ///< For readiness checks and for metrics, each.
+
+    HttpLimits limitedTo(size_t connections)
+    {
+        HttpLimits limits;
+        limits.maxConnections = connections;
+        return limits;
+    }
+
+    /// An entry host opens no connections to workers.
+    size_t callerConnections(DescriptorBudget const& descriptors)
+    {
+        return descriptors.incoming + descriptors.outgoing - 2 * maxOwnConnections;
+    }
 
 } // namespace
 
@@ -29,12 +43,14 @@
     : loop(loop)
     , settings(std::move(givenSettings))
     , events(events)
+    , descriptors(divideDescriptors(this->settings.limits.availableDescriptors()))
     , random(systemEntropy())
     , hostSettings(networkSettings(this->settings, hostIdentity(this->settings, std::string())))
     , hostNetwork(loop, this->random, events, this->hostSettings, this->networkHooks())
-    , callerServer(loop, HttpLimits(), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleCaller(request, responder); })
-    , readinessServer(loop, HttpLimits(), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleReadiness(request, responder); })
-    , metricsServer(loop, HttpLimits(), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleMetrics(request, responder); })
+    , callerServer(loop, limitedTo(callerConnections(this->descriptors)), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleCaller(request, responder); })
+    , readinessServer(loop, limitedTo(maxOwnConnections), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleReadiness(request, responder); })
+    , metricsServer(loop, limitedTo(maxOwnConnections), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleMetrics(request, responder); })
+    , connectionReport(events)
     , leaderLastReachable(loop.now())
 {
 }
@@ -67,10 +83,22 @@
     this->hostNetwork.onTick();
     if (this->isLeaderReachable())
         this->leaderLastReachable = this->loop.now();
+    this->connectionReport.update(this->loop.now(), this->connectionFigures());
     if (this->onShutDownComplete)
         this->finishShutDown();
 }
 
+ConnectionFigures EntryGateway::connectionFigures() const
+{
+    ConnectionFigures figures;
+    figures.incomingOpen = this->callerServer.openConnections();
+    figures.incomingBound = callerConnections(this->descriptors);
+    figures.incomingRefused = this->callerServer.refusedConnections();
+    figures.peersOpen = this->hostNetwork.openPeerConnections();
+    figures.peersBound = this->descriptors.peers;
+    return figures;
+}
+
 bool EntryGateway::isLeaderReachable() const
 {
     HostId const leader = this->hostNetwork.leaderOf(configGroupId());
@@ -129,6 +157,7 @@
 {
     this->metrics.setGauge("openCalls", static_cast<int64_t>(this->callerServer.openRequests()));
     this->hostNetwork.fillMetrics(this->metrics);
+    fillConnectionMetrics(this->connectionFigures(), this->metrics);
     responder.answer(metricsResponse(this->metrics));
 }
 
--- a/cornelpond/app/EntryGateway.h
+++ b/cornelpond/app/EntryGateway.h
@@ -13,6 +13,8 @@
 
 #include "cornelpond/adapters/http/HttpServer.h"
 #include "cornelpond/adapters/metrics/Metrics.h"
+#include "cornelpond/app/ConnectionReport.h"
+#include "cornelpond/app/DescriptorBudget.h"
 #include "cornelpond/app/FleetSettings.h"
 #include "cornelpond/app/HostNetwork.h"
 #include "cornelpond/ports/Random.h"
@@ -42,12 +44,14 @@
     void handleMetrics(HttpRequest const& request, HttpResponder const& responder);
     void recordCall(HttpRequest const& request, HttpResponse const& response, Duration elapsed);
     bool isLeaderReachable() const;
+    ConnectionFigures connectionFigures() const;
     void tick();
     void finishShutDown();
 
     EventLoop& loop;
     FleetSettings settings;
     EventSink& events;
+    DescriptorBudget descriptors;
     SeededRandom random;
     Settings hostSettings;
     Metrics metrics;
@@ -55,6 +59,7 @@
     HttpServer callerServer;
     HttpServer readinessServer;
     HttpServer metricsServer;
+    ConnectionReport connectionReport;
     TimerId tickTimer;
     TimePoint leaderLastReachable; ///< When a leader was last reachable.
     std::function<void()> onShutDownComplete;
--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -84,6 +84,19 @@
     gauge("relayedOrdersOpen", relay.openOrderCount());
 }
 
+void fillConnectionMetrics(ConnectionFigures const& figures, Metrics& metrics)
+{
+    auto const gauge = [&](char const* name, uint64_t value) { metrics.setGauge(name, static_cast<int64_t>(value)); };
+    gauge("incomingConnections", figures.incomingOpen);
+    gauge("incomingConnectionsBound", figures.incomingBound);
+    gauge("incomingConnectionsRefused", figures.incomingRefused);
+    gauge("outgoingConnections", figures.outgoingOpen);
+    gauge("outgoingConnectionsBound", figures.outgoingBound);
+    gauge("outgoingRequestsWaiting", figures.requestsWaiting);
+    gauge("outgoingRequestsDelayed", figures.requestsDelayed);
+    gauge("outgoingRequestsUnsent", figures.requestsUnsent);
+}
+
 HttpResponse metricsResponse(Metrics const& metrics)
 {
     HttpResponse response;
--- a/cornelpond/app/FleetMetrics.h
+++ b/cornelpond/app/FleetMetrics.h
@@ -4,6 +4,7 @@
 
 #include "cornelpond/adapters/http/HttpTypes.h"
 #include "cornelpond/adapters/metrics/Metrics.h"
+#include "cornelpond/app/ConnectionReport.h"
 #include "cornelpond/core/relay/OrderRelay.h"
 #include "cornelpond/core/scheduling/JobScheduler.h"
 
@@ -11,6 +12,7 @@
 
 void fillSchedulerMetrics(JobScheduler const& scheduler, Metrics& metrics);
 void fillRelayMetrics(OrderRelay const& relay, Metrics& metrics);
+void fillConnectionMetrics(ConnectionFigures const& figures, Metrics& metrics);
 
 HttpResponse metricsResponse(Metrics const& metrics);
 
--- a/cornelpond/app/FleetSettings.cpp
+++ b/cornelpond/app/FleetSettings.cpp
@@ -3,10 +3,14 @@
 #include "cornelpond/adapters/file/DurableFile.h"
 #include "cornelpond/adapters/http/AddressText.h"
 #include "cornelpond/adapters/schema/SchemaCheck.h"
+#include "cornelpond/app/DescriptorBudget.h"
 #include "cornelpond/core/base/Json.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <sys/resource.h>
+
 namespace cornelpond {
 
 namespace {
@@ -45,6 +49,14 @@
         "maxLeaseMs": { "type": "integer", "minimum": 1000, "maximum": 600000 },
         "shutdownBoundMs": { "type": "integer", "minimum": 0, "maximum": 600000 }
       }
+    },
+    "limits": {
+      "type": "object",
+      "additionalProperties": false,
+      "properties": {
+        "descriptors": { "type": "integer", "minimum": 64, "maximum": 10000000 },
+        "reservedDescriptors": { "type": "integer", "minimum": 0, "maximum": 10000000 }
+      }
     }
   }
 })json";
@@ -64,6 +76,9 @@
     constexpr Duration peerHandshakeTimeout = Duration::milliseconds(500);
     constexpr Duration maxPeerBackoff = Duration::milliseconds(300);
 
+    constexpr size_t minDescriptors = 64; ///< As in the schema.
+    constexpr size_t maxDescriptors = 10000000;
+
     void checkAddress(nlohmann::json const& value, std::string const& pointer, std::vector<DocumentFault>& faults)
     {
         try {
@@ -79,6 +94,23 @@
             faults.push_back({ parent, std::string("'") + key + "' is required for this role" });
     }
 
+    /// The process's own limit; 0 when it is not known.
+    size_t processDescriptorLimit()
+    {
+        rlimit limit {};
+        return getrlimit(RLIMIT_NOFILE, &limit) ? 0 : static_cast<size_t>(std::min<rlim_t>(limit.rlim_cur, maxDescriptors));
+    }
+
+    /// Without a setting, the process's own limit.
+    FleetLimits limitsOf(nlohmann::json const& document)
+    {
+        FleetLimits limits;
+        nlohmann::json const given = document.value("limits", nlohmann::json::object());
+        limits.descriptors = given.value("descriptors", std::max(processDescriptorLimit(), minDescriptors));
+        limits.reservedDescriptors = given.value("reservedDescriptors", limits.reservedDescriptors);
+        return limits;
+    }
+
     Address addressAt(nlohmann::json const& object, char const* key)
     {
         return object.contains(key) ? addressFromText(object[key].get<std::string>()) : Address();
@@ -102,6 +134,9 @@
     }
     if (document.contains("permitService"))
         checkAddress(document["permitService"], "/permitService", faults);
+    FleetLimits const limits = limitsOf(document);
+    if (limits.reservedDescriptors + minDescriptors > limits.descriptors)
+        faults.push_back({ "/limits/reservedDescriptors", "leaves fewer than 64 descriptors" });
     if (document["role"] == "entry") {
         require(document["listen"], "/listen", "callers", faults);
         require(document["listen"], "/listen", "readiness", faults);
@@ -147,6 +182,7 @@
     nlohmann::json const times = document.value("times", nlohmann::json::object());
     settings.times.maxLease = Duration::milliseconds(times.value("maxLeaseMs", settings.times.maxLease.toMilliseconds()));
     settings.times.shutdownBound = Duration::milliseconds(times.value("shutdownBoundMs", settings.times.shutdownBound.toMilliseconds()));
+    settings.limits = limitsOf(document);
     return settings;
 }
 
@@ -184,6 +220,7 @@
     settings.peerHeartbeatInterval = peerHeartbeatInterval;
     settings.peerHandshakeTimeout = peerHandshakeTimeout;
     settings.maxPeerBackoff = maxPeerBackoff;
+    settings.maxPeerConnections = divideDescriptors(fleet.limits.availableDescriptors()).peers;
     settings.admitNewHosts = true;
     return settings;
 }
--- a/cornelpond/app/FleetSettings.h
+++ b/cornelpond/app/FleetSettings.h
@@ -37,6 +37,14 @@
     Duration shutdownBound = Duration::seconds(5); ///< A graceful shutdown cuts off the requests that are still open after this time.
 };
 
+/// What the process may use of its machine.
+struct FleetLimits {
+    size_t descriptors = 1024; ///< File descriptors that the process may open.
+    size_t reservedDescriptors = 0; ///< Of these, not available to this program's own files and connections.
+
+    size_t availableDescriptors() const { return this->descriptors - this->reservedDescriptors; }
+};
+
 struct FleetSettings {
     FleetRole role = FleetRole::Entry;
     std::string cluster;
@@ -50,6 +58,7 @@
     Address permitService;
     std::map<Address, Address> peerRoutes; ///< Where to dial a peer that cannot be reached at its own address (the key), as behind port forwarding.
     FleetTimes times;
+    FleetLimits limits;
 };
 
 /// All faults of a settings document; empty when it is valid.
--- a/cornelpond/app/FleetSettingsTest.cpp
+++ b/cornelpond/app/FleetSettingsTest.cpp
@@ -1,7 +1,5 @@
 #include "cornelpond/app/FleetSettings.h"
 
-#include "cornelpond/app/ControlHost.h"
-
 #include "testing/fakes/TemporaryFolder.h"
 
 #include <catch2/catch.hpp>
@@ -96,13 +94,14 @@
     CHECK(longestRejoin.toMilliseconds() <= 1300);
 }
 
-TEST_CASE("the connections of a leader of 500 workers fit its process's file descriptors")
+TEST_CASE("the settings bound the file descriptors, less those reserved for other files")
 {
-    // A leader with 4,096 descriptors, 200 of them reserved, ran out of them and could not write its log
-    // (skyggni-hub-grown trouble-2). Besides idle connections it needs descriptors for an order and an
-    // announcement in flight for each worker, and for its peers.
-    constexpr size_t workers = 500;
-    constexpr size_t peers = 60;
-    constexpr size_t availableDescriptors = 4096 - 200;
-    CHECK(workers * (maxIdleConnectionsPerWorker + 2) + peers <= availableDescriptors);
+    nlohmann::json document = controlDocument();
+    document["limits"] = { { "descriptors", 4324 }, { "reservedDescriptors", 200 } };
+    CHECK(fleetSettingsFromJson(document).limits.availableDescriptors() == 4124);
+    document["limits"] = { { "descriptors", 100 }, { "reservedDescriptors", 200 } };
+    CHECK(pointersOf(document) == std::vector<std::string> { "/limits/reservedDescriptors" });
+    document["limits"] = { { "descriptors", 4 } };
+    CHECK_FALSE(pointersOf(document).empty());
+    CHECK(fleetSettingsFromJson(controlDocument()).limits.availableDescriptors() >= 64);
 }
--- a/cornelpond/app/HostNetwork.cpp
+++ b/cornelpond/app/HostNetwork.cpp
@@ -56,6 +56,13 @@
         return times;
     }
 
+    PeerLinkLimits linkLimits(Settings const& settings)
+    {
+        PeerLinkLimits limits;
+        limits.maxConnections = settings.maxPeerConnections;
+        return limits;
+    }
+
     /// The folder name for the replica of another data centre's group.
     std::string witnessFolderName(GroupId const& group)
     {
@@ -81,7 +88,7 @@
     , incarnation(random.below(UINT32_MAX))
     , configuredHosts(plannedHosts(settings))
     , hostTable(hostTimes(settings.peerHeartbeatInterval), [this](HostChange const& change) { this->onHostChange(change); })
-    , link(loop, random, events, this->linkSelf(), linkTimes(settings), PeerLinkLimits(), this->linkHooks())
+    , link(loop, random, events, this->linkSelf(), linkTimes(settings), linkLimits(settings), this->linkHooks())
     , groups(loop, loop, random, events, settings.host, settings.dataFolder, settings.minLogFlushInterval,
           [this](HostId const& to, std::string payload) { this->link.send(to, { PeerChannel::Agreement, std::move(payload) }); })
     , forwarder(loop, this->link, random.next(), [this](ForwardedRequest const& request, ApiAnswerCallback const& answer) { this->serveForwarded(request, answer); })
@@ -100,7 +107,7 @@
 
 PeerLocalHost HostNetwork::linkSelf() const
 {
-    return { this->settings.cluster, this->settings.host, this->settings.dataCentre, this->settings.peerToken, this->settings.admitNewHosts, this->settings.dialsAllPeers, this->settings.peerRoutes };
+    return { this->settings.cluster, this->settings.host, this->settings.dataCentre, this->settings.peerToken, this->settings.admitNewHosts, !this->settings.dataFolder.empty(), this->settings.dialsAllPeers, this->settings.peerRoutes };
 }
 
 PeerLinkHooks HostNetwork::linkHooks()
@@ -497,13 +504,14 @@
     return found;
 }
 
-std::vector<RelayHost> HostNetwork::reachableControlHosts() const
+std::vector<RelayHost> HostNetwork::reachableControlHosts(Duration maxSilence) const
 {
     std::vector<RelayHost> found;
     if (!this->settings.dataFolder.empty() && !this->isLeaving)
         found.push_back({ this->settings.host, this->settings.dataCentre });
     for (auto const& [host, known] : this->hostTable.all()) {
-        if (known.isLinkUp && known.state == HostState::Alive && known.report.hasDisk && !known.report.isLeaving)
+        bool const isHealthy = known.isLinkUp && known.state == HostState::Alive && this->link.silentFor(host) <= maxSilence;
+        if (isHealthy && known.report.hasDisk && !known.report.isLeaving)
             found.push_back({ host, known.dataCentre });
     }
     return found;
@@ -588,6 +596,8 @@
     gauge("peerHeartbeatsSent", counters.heartbeatsSent);
     gauge("peerConnectionsMade", counters.connectionsMade);
     gauge("peerConnectionsRefused", counters.connectionsRefused);
+    gauge("peerConnectionsOpen", this->link.openConnections());
+    gauge("peerConnectionsBound", this->settings.maxPeerConnections);
     gauge("peerBytesSent", counters.bytesSent);
     gauge("peerBytesReceived", counters.bytesReceived);
     gauge("peerSocketReads", counters.socketReads);
--- a/cornelpond/app/HostNetwork.h
+++ b/cornelpond/app/HostNetwork.h
@@ -82,8 +82,8 @@
     bool isReachable(HostId const& host) const { return this->link.isReachable(host); }
     bool hasFeature(HostId const& host, PeerFeature feature) const { return this->link.hasFeature(host, feature); }
 
-    /// Reachable hosts with a disk that are not leaving, which may include this one.
-    std::vector<RelayHost> reachableControlHosts() const;
+    /// Reachable hosts with a disk that are not leaving and were heard of within `maxSilence`, which may include this one.
+    std::vector<RelayHost> reachableControlHosts(Duration maxSilence) const;
 
     /// The IP number of a host from reachableControlHosts, or empty.
     std::string ipOf(HostId const& host) const;
@@ -98,6 +98,7 @@
     bool hasHandedOverLeaderships() const;
 
     Transport& transport() { return this->link; }
+    size_t openPeerConnections() const { return this->link.openConnections(); }
     HostTable const& hosts() const { return this->hostTable; }
     LocalConfig const& configuration() const { return this->localConfig; }
 
--- a/cornelpond/app/Settings.h
+++ b/cornelpond/app/Settings.h
@@ -73,6 +73,7 @@
     Duration peerHeartbeatInterval = Duration::milliseconds(500);
     Duration peerHandshakeTimeout = Duration::seconds(2); ///< A dial that takes longer is abandoned.
     Duration maxPeerBackoff = Duration::seconds(2); ///< Longest pause between two dials of a peer.
+    size_t maxPeerConnections = SIZE_MAX; ///< Open at once; each takes a file descriptor.
     bool admitNewHosts = false; ///< Accept entry hosts that are not in the settings if their cluster and peer token are right.
     LimitSettings limits;
     TimeSettings times;
--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -28,6 +28,7 @@
     InputRefused = 104,
     InternalFault = 105,
     EventsSuppressed = 106,
+    ConnectionBoundReached = 107,
     RequestRouted = 200,
     RequestAnswered = 201,
     RequestRefused = 202,
--- a/cornelpond/core/relay/RelayChoice.cpp
+++ b/cornelpond/core/relay/RelayChoice.cpp
@@ -6,8 +6,17 @@
 
 namespace cornelpond {
 
-void RelayChoice::update(std::vector<RelayHost> reachableHosts, HostId currentLeader)
+namespace {
+
+    /// Up to this many workers, the leader has the processor time to serve those of its data centre itself, which saves
+    /// bytes between data centres.
+    constexpr size_t maxWorkersOfSmallFleet = 200;
+
+} // namespace
+
+void RelayChoice::update(std::vector<RelayHost> reachableHosts, HostId currentLeader, size_t workerCount)
 {
+    this->isLargeFleet = workerCount > maxWorkersOfSmallFleet;
     this->hosts = std::move(reachableHosts);
     this->leader = std::move(currentLeader);
 }
@@ -19,7 +28,9 @@
     Rank bestRank;
     for (auto const& candidate : this->hosts) {
         uint64_t const tieBreaker = stableHash(worker.value(), stableHash(candidate.host.value()));
-        Rank const rank { candidate.dataCentre == dataCentre, candidate.host != this->leader, tieBreaker };
+        bool const isNear = candidate.dataCentre == dataCentre;
+        bool const isFollower = candidate.host != this->leader;
+        Rank const rank = this->isLargeFleet ? Rank { isFollower, isNear, tieBreaker } : Rank { isNear, isFollower, tieBreaker };
         if (best && rank <= bestRank)
             continue;
         best = &candidate;
--- a/cornelpond/core/relay/RelayChoice.h
+++ b/cornelpond/core/relay/RelayChoice.h
@@ -10,12 +10,14 @@
 //   choice.update(hosts, leader);
 //   HostId const relay = choice.relayFor(worker, dataCentre);
 //
-// Prefers hosts of the worker's data centre, and among those a host other than the leader. Ties are broken by a stable
-// hash of host and worker id (rendezvous hashing), so that hosts with the same view agree and the loss of a host moves
-// only the workers that it relayed for.
+// Prefers hosts of the worker's data centre, and among those a host other than the leader. In a large fleet a host other
+// than the leader comes first, even in another data centre: an order by way of a relay costs the leader a fraction of a
+// direct one. Ties are broken by a stable hash of host and worker id (rendezvous hashing), so that hosts with the same
+// view agree and the loss of a host moves only the workers that it relayed for.
 
 #include "cornelpond/core/base/Ids.h"
 
+#include <cstddef>
 #include <vector>
 
 namespace cornelpond {
@@ -28,7 +30,7 @@
 
 class RelayChoice {
 public:
-    void update(std::vector<RelayHost> reachableHosts, HostId leader);
+    void update(std::vector<RelayHost> reachableHosts, HostId leader, size_t workerCount);
 
     /// Empty only when no host can be reached.
     HostId relayFor(WorkerId const& worker, DataCentreId const& dataCentre) const;
@@ -36,6 +38,7 @@
 private:
     std::vector<RelayHost> hosts;
     HostId leader;
+    bool isLargeFleet = false;
 };
 
 } // namespace cornelpond
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -122,6 +122,7 @@
     Dispatcher const& dispatcher() const { return this->dispatch; }
     SchedulerCounters const& counters() const { return this->schedulerCounters; }
     PlacementCounters const& placementCounters() const { return this->placer.counters(); }
+    size_t workerCount() const { return this->workerRoster.all().size(); } ///< On followers too.
     size_t activeJobCount() const { return this->activeJobs.size(); }
     /// Accepted jobs that have not ended, by size class; without service jobs. Zeros on a follower.
     std::array<size_t, sizeClassCount> activeJobsBySize() const;
--- a/testing/fakes/FakeFleet.cpp
+++ b/testing/fakes/FakeFleet.cpp
@@ -212,7 +212,10 @@
         this->onStart(task);
     this->recorded.startsWhileDraining += worker.profile.isDraining;
     this->recorded.startsAfterDone += this->acknowledgedDoneTasks.count(task);
-    for (auto const& [id, other] : this->workers) {
+    auto& startedOn = this->workersStartedOn[task];
+    startedOn.insert(worker.profile.id);
+    for (auto const& id : startedOn) {
+        Worker const& other = this->workers.at(id);
         bool const isRunningThere = std::any_of(other.runs.begin(), other.runs.end(), [&](auto const& run) { return run.first.first == task; });
         this->recorded.duplicateRuns += isRunningThere && !stage.allowsSpeculativeCopies;
     }
--- a/testing/fakes/FakeFleet.h
+++ b/testing/fakes/FakeFleet.h
@@ -143,6 +143,7 @@
     std::map<std::pair<std::string, std::string>, double> interferenceSlopes;
     std::set<TaskRef> acknowledgedDoneTasks;
     std::map<TaskRef, bool> doneTasks;
+    std::map<TaskRef, std::set<WorkerId>> workersStartedOn; ///< Every worker that began an attempt of the task.
     std::function<bool(ListedEnd const&, WorkerId const&)> acknowledgementCheck;
     std::function<void(TaskRef const&)> onStart;
     TimePoint lastStepAt;
