The pass of the scheduler stays short while thousands of tasks wait

Short tasks that found no room were compared with all workers in each pass, by image although the image decides nothing for them, and each of 180 different best-effort requests with all workers four times a second.

Passes over best-effort stages take a fifth of the time at most (PassPacing); the others go on in between. At most eight starts on a worker are unconfirmed.

--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -64,6 +64,7 @@
     PlacedAttempt& placed = this->reserve(*view, task, attempt.number);
     placed.phase = PlacedAttempt::Phase::Starting;
     placed.isInherited = true;
+    view->settleStart(placed);
     placed.checkpoint = record.checkpoint;
     // The worker's listing does not include the throttled speed; only best-effort tasks are throttled.
     if (placed.isBestEffort())
@@ -402,6 +403,7 @@
             attempt->phase = PlacedAttempt::Phase::Running;
             attempt->confirmedAt = now;
         }
+        view.settleStart(*attempt);
         attempt->lastListing = view.listingCount;
         attempt->isInherited = false;
         attempt->progressPercent = row.progressPercent;
@@ -515,6 +517,7 @@
     if (!attempt)
         return;
     attempt->isStartInFlight = false;
+    view->settleStart(*attempt);
     view->hasOpenOrders = true;
     this->updateClock(*view, answer, view->profile.bornMs);
     if (answer.result != OrderResult::Accepted) {
--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -26,8 +26,10 @@
     auto const [entry, isNew] = this->placed.emplace(key, std::move(attempt));
     PlacedAttempt& placedAttempt = entry->second;
     this->hasOpenOrders = true;
-    if (isNew)
+    if (isNew) {
         this->updateTotals(placedAttempt, 1);
+        this->pendingStartCount += placedAttempt.isStartPending;
+    }
     this->leastFreeMilliCores = std::min(this->leastFreeMilliCores, this->freeResources().milliCores);
     return placedAttempt;
 }
@@ -63,9 +65,19 @@
     if (found == this->placed.end())
         return;
     this->updateTotals(found->second, -1);
+    this->pendingStartCount -= found->second.isStartPending;
     this->placed.erase(found);
 }
 
+void WorkerView::settleStart(PlacedAttempt& attempt)
+{
+    if (!attempt.isStartPending)
+        return;
+    attempt.isStartPending = false;
+    this->pendingStartCount--;
+    this->noteChange();
+}
+
 PlacedAttempt* WorkerView::find(TaskRef const& task, AttemptNumber attempt)
 {
     auto const found = this->placed.find(std::pair<TaskRef const&, AttemptNumber>(task, attempt));
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -64,6 +64,7 @@
     TimePoint confirmedAt; ///< When this leader first saw it running.
 
     unsigned startsSent = 0;
+    bool isStartPending = true; ///< Neither listed nor answered yet, whatever the answer.
     bool isStartInFlight = false; ///< A start order awaits its answer.
     bool isStartUncertain = false; ///< A start order got no answer and may be executed late.
     TimePoint nextStartAt;
@@ -128,6 +129,10 @@
 
     PlacedAttempt& place(PlacedAttempt attempt);
     void remove(AttemptKey const& key);
+    /// To be called when the worker has answered the attempt's start order, or lists the attempt.
+    void settleStart(PlacedAttempt& attempt);
+    /// Placed attempts of which the worker has not been heard of yet.
+    size_t pendingStarts() const { return this->pendingStartCount; }
     PlacedAttempt* find(AttemptKey const& key) { return this->find(key.first, key.second); }
     PlacedAttempt* find(TaskRef const& task, AttemptNumber attempt);
 
@@ -206,6 +211,7 @@
     void updateTotals(PlacedAttempt const& attempt, int direction);
 
     bool hasChanged = true;
+    size_t pendingStartCount = 0;
     int64_t leastFreeMilliCores = 0; ///< Since the current idle window began.
     int64_t leastFreeMilliCoresBefore = 0; ///< In the window before.
 };
--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -1,6 +1,7 @@
 #include "cornelpond/core/placement/TaskPlacer.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace cornelpond {
 
@@ -25,6 +26,12 @@
         return !hasConstraints && request.requiredRack.empty();
     }
 
+    /// Under which failed requests are remembered: the image decides nothing for a short task.
+    ImageId failureImage(PlacementRequest const& request)
+    {
+        return request.stage->isShort() ? ImageId() : request.image;
+    }
+
 } // namespace
 
 void TaskPlacer::beginPass(TimePoint now)
@@ -33,11 +40,12 @@
     this->reserve.beginPass(now);
     this->hasSearch = false;
     this->forgetFailedRequests(now);
-    this->heldWorkers.clear();
     this->holdCandidates.clear();
     this->reservedShares.clear();
     this->harmlessImageShares.clear();
     this->trialCountsByImage.clear();
+    this->hasCountedTrials = false;
+    this->largestCapacities.clear();
     this->candidates.clear();
     for (auto& [id, worker] : this->workers) {
         for (auto const& service : worker.serviceImages) {
@@ -49,18 +57,27 @@
             continue;
         bool const wasAvailable = worker.lastPassAvailable + 1 == this->passNumber;
         worker.lastPassAvailable = this->passNumber;
-        if (worker.takeChange() || !wasAvailable)
+        // A worker that was held for a task is open to others in this pass.
+        bool const wasHeld = this->heldWorkers.count(&worker);
+        if (worker.takeChange() || !wasAvailable || wasHeld)
             worker.lastPassChanged = this->passNumber;
         this->candidates[worker.profile.service].push_back({ &worker, worker.lastPassChanged });
+        int64_t& largest = this->largestCapacities[worker.profile.service];
+        largest = std::max(largest, worker.profile.capacity.milliCores);
     }
+    this->heldWorkers.clear();
 }
 
-/// Other than best-effort requests are compared with all workers in each pass.
+/// Where many different requests wait, each is compared with the whole fleet more rarely, so that the work stays bounded.
+/// Requests of service tasks are compared with all workers in each pass: the reserve that they must leave changes with the
+/// fleet.
 void TaskPlacer::forgetFailedRequests(TimePoint now)
 {
+    size_t const failedCount = std::accumulate(this->failedRequests.begin(), this->failedRequests.end(), size_t(0), [](size_t sum, auto const& entry) { return sum + entry.second.size(); });
+    auto const stretch = static_cast<int64_t>(1 + failedCount / this->parameters.failedRequestsPerInterval);
     auto const isOutdated = [&](FailedRequest const& failed) {
         Duration const interval = failed.canStartThrottled ? this->parameters.fullThrottledSearchInterval : this->parameters.fullSearchInterval;
-        return !failed.isBestEffort || now - failed.comparedAt >= interval;
+        return failed.isService || now - failed.comparedAt >= interval * stretch;
     };
     for (auto& [image, failed] : this->failedRequests)
         failed.erase(std::remove_if(failed.begin(), failed.end(), isOutdated), failed.end());
@@ -77,7 +94,7 @@
 /// The latest failure that covers the request; null when there is none.
 TaskPlacer::FailedRequest const* TaskPlacer::findFailed(PlacementRequest const& request) const
 {
-    auto const ofImage = this->failedRequests.find(request.image);
+    auto const ofImage = this->failedRequests.find(failureImage(request));
     if (ofImage == this->failedRequests.end())
         return nullptr;
     FailedRequest const* latest = nullptr;
@@ -91,7 +108,7 @@
 void TaskPlacer::noteFailed(PlacementRequest const& request, TimePoint comparedAt)
 {
     StageSpec const& stage = *request.stage;
-    auto& ofImage = this->failedRequests[request.image];
+    auto& ofImage = this->failedRequests[failureImage(request)];
     auto const same = std::find_if(ofImage.begin(), ofImage.end(), [&](auto const& failed) { return stage.need.fitsIn(failed.need) && failed.covers(request); });
     if (same == ofImage.end())
         ofImage.push_back({ request.service, stage.isBestEffort, stage.isService, request.isRestart, request.canUseReserve, request.canStartThrottled, request.canOvercommitCores, stage.need, this->passNumber, comparedAt });
@@ -139,6 +156,7 @@
     search.request = request;
     search.matches.clear();
     search.trialWorkers = nullptr;
+    search.excludingServices.clear();
     search.candidates = &this->candidates[request.service];
     search.comparedAt = failed ? failed->comparedAt : now;
     uint64_t const changedSincePass = failed ? failed->pass : 0;
@@ -185,13 +203,46 @@
     return nullptr;
 }
 
-bool TaskPlacer::isMatch(WorkerView const& worker, Search const& search, TimePoint now)
+bool TaskPlacer::isMatch(WorkerView const& worker, Search& search, TimePoint now)
 {
-    if (!this->fits(worker, search.request, now) || !this->canShareWorker(worker, search.request, search.trialWorkers, now))
+    if (this->isExcludedBesideAnyService(worker, search, now) || !this->fits(worker, search.request, now) || !this->canShareWorker(worker, search.request, search.trialWorkers, now))
         return false;
     return !search.request.stage->isService || this->reserve.leavesEnough(worker, search.request);
 }
 
+/// Answers for most workers of a saturated fleet without looking at all that runs there.
+bool TaskPlacer::isExcludedBesideAnyService(WorkerView const& worker, Search& search, TimePoint now) const
+{
+    if (!search.request.stage->isBestEffort || search.request.canStartThrottled)
+        return false;
+    return std::any_of(worker.serviceImages.begin(), worker.serviceImages.end(), [&](ImageLoad const& service) {
+        if (service.image.value() >= search.excludingServices.size())
+            search.excludingServices.resize(service.image.value() + 1);
+        std::optional<bool>& known = search.excludingServices[service.image.value()];
+        if (!known)
+            known = this->isExcludedBeside(service.image, search.request, now);
+        return *known;
+    });
+}
+
+/// Whether one task would interfere too much with the service even on the largest worker, of which it takes the least share.
+bool TaskPlacer::isExcludedBeside(ImageId service, PlacementRequest const& request, TimePoint now) const
+{
+    auto const largest = this->largestCapacities.find(request.service);
+    if (largest == this->largestCapacities.end())
+        return false;
+    double const share = this->cpuUsage.expectedMilliCores(request.image, request.stage->need.milliCores) / static_cast<double>(std::max<int64_t>(largest->second, 1));
+    return this->isOverLimit(service, request.image, share, { { request.image, share } }, now) || share > this->interference.allowedShare(service, request.image);
+}
+
+/// `shares`: of all best-effort images on the worker, `addedShare` included.
+bool TaskPlacer::isOverLimit(ImageId service, ImageId image, double addedShare, ImageCpuShares const& shares, TimePoint now) const
+{
+    constexpr double noticeableTailRatio = 0.01; // Avoiding less is not worth waiting for.
+    bool const isNoticeable = this->interference.interferenceCoefficient(service, image, now) * addedShare > noticeableTailRatio;
+    return isNoticeable && this->interference.predictedTailRatio(service, shares, now) > this->interference.modelParameters().maxTailRatio;
+}
+
 double TaskPlacer::reservedShare(ServiceId const& service)
 {
     auto const known = this->reservedShares.find(service);
@@ -223,6 +274,8 @@
     StageSpec const& stage = *request.stage;
     if (!isEligible(worker, request) || !worker.canTakeTasks(now, this->times))
         return false;
+    if (!stage.isGang && worker.pendingStarts() >= this->parameters.maxPendingStarts)
+        return false;
     if (request.permittedWorkers && !request.permittedWorkers->count(worker.profile.id))
         return false;
     if (!request.requiredRack.empty() && worker.profile.rack != request.requiredRack)
@@ -306,10 +359,7 @@
             return false;
         if (worker.bestEffortSpeedPercent < fullSpeedPercent && !(isProven && this->interference.isCleared(service.image, request.image, own->share)))
             return false;
-        constexpr double noticeableTailRatio = 0.01; // Avoiding less is not worth waiting for.
-        bool const isNoticeable = this->interference.interferenceCoefficient(service.image, request.image, now) * added > noticeableTailRatio;
-        bool const isOverLimit = isNoticeable && this->interference.predictedTailRatio(service.image, shares, now) > this->interference.modelParameters().maxTailRatio;
-        return !isOverLimit && own->share <= this->interference.allowedShare(service.image, request.image);
+        return own->share <= this->interference.allowedShare(service.image, request.image) && !this->isOverLimit(service.image, request.image, added, shares, now);
     });
 }
 
@@ -338,17 +388,22 @@
 /// As the pass began, and with what `takeBestMatch` has added since.
 TaskPlacer::TrialCounts& TaskPlacer::trialCounts(ImageId image)
 {
-    auto const [known, isNew] = this->trialCountsByImage.try_emplace(image);
-    TrialCounts& trialWorkers = known->second;
-    if (!isNew)
-        return trialWorkers;
+    if (!this->hasCountedTrials)
+        this->countTrials();
+    return this->trialCountsByImage[image];
+}
+
+/// One sweep for all images.
+void TaskPlacer::countTrials()
+{
+    this->hasCountedTrials = true;
     for (auto const& [id, worker] : this->workers) {
-        if (!worker.bestEffortImages.find(image))
-            continue;
-        for (auto const& service : worker.serviceImages)
-            trialWorkers[service.image]++;
+        for (auto const& load : worker.bestEffortImages) {
+            TrialCounts& trialWorkers = this->trialCountsByImage[load.image];
+            for (auto const& service : worker.serviceImages)
+                trialWorkers[service.image]++;
+        }
     }
-    return trialWorkers;
 }
 
 double TaskPlacer::unusedMilliCores(WorkerView const& worker) const
--- a/cornelpond/core/placement/TaskPlacer.h
+++ b/cornelpond/core/placement/TaskPlacer.h
@@ -4,8 +4,8 @@
 //
 // Designed for: service tasks that fill most of the fleet beside short urgent tasks; best-effort tasks that run
 // on cores that others leave unused; data that is stored on one rack. For hundreds of workers and a thousand starts a
-// second: the tasks of a stage share one search, and a best-effort request that found no worker is compared with
-// changed workers only, for a while.
+// second: the tasks of a stage share one search, and a request that found no worker is compared with changed workers
+// only, for a while. Only requests of service tasks are compared with all workers again in each pass.
 //
 // Example:
 //   TaskPlacer placer(dispatcher.workers(), interference, cpuUsage, times, parameters);
@@ -19,6 +19,8 @@
 #include "cornelpond/core/placement/ServiceReserve.h"
 
 #include <map>
+#include <optional>
+#include <vector>
 
 namespace cornelpond {
 
@@ -28,14 +30,19 @@
     /// A best-effort task is placed where at least this share of its expected use is unused.
     double minBestEffortShare = 0.8;
     ReserveShares reserveShares;
+    /// Starts on one worker that it has not confirmed yet. A data centre that comes back empty would get more orders at once
+    /// than the host that relays them can pass on in time; they would all be sent again. Members of a gang are exempt.
+    size_t maxPendingStarts = 8;
     /// Share of a worker's cores that a best-effort task starts with where it interferes with a service on every
     /// worker.
     double throttledStartShare = 0.015;
     /// Number of workers on which a best-effort image is tried at once beside a service image with which it may interfere.
     unsigned maxTrialWorkers = 2;
-    /// A best-effort request that found no worker is compared with all of them again after this time: interference
-    /// estimates decay, and trials elsewhere end.
+    /// A request that found no worker is compared with all of them again after this time: interference estimates decay,
+    /// and trials elsewhere end.
     Duration fullSearchInterval = Duration::milliseconds(250);
+    /// With so many different requests that found no worker, all of the times above and below are doubled; and so on.
+    size_t failedRequestsPerInterval = 64;
     /// The same for throttled starts, for which only the learned use of cores changes by itself.
     Duration fullThrottledSearchInterval = Duration::milliseconds(500);
 };
@@ -96,6 +103,7 @@
     bool canRunBestEffort(WorkerView const& worker, PlacementRequest const& request, TrialCounts const* trialWorkers, TimePoint now);
     bool canStartTrial(ImageId service, bool isPresent, size_t imageCount, TrialCounts const* trialWorkers) const;
     TrialCounts& trialCounts(ImageId image);
+    void countTrials();
     bool isOnTrialForAnyService(ImageId image) const;
     /// A request for which no worker had room: like requests that need at least as much fail too.
     struct FailedRequest {
@@ -135,11 +143,17 @@
         std::vector<Candidate> const* candidates = nullptr;
         TimePoint comparedAt; ///< When the request was last compared with all workers.
         TrialCounts* trialWorkers = nullptr; ///< Null: the image is on trial beside no service.
+        /// By the number of a service image: whether a best-effort task of the request interferes too much with it on any
+        /// worker, however empty. Unset: not computed yet.
+        std::vector<std::optional<bool>> excludingServices;
     };
 
     void beginSearch(PlacementRequest const& request, FailedRequest const* failed, TimePoint now);
     WorkerView* takeBestMatch(TimePoint now);
-    bool isMatch(WorkerView const& worker, Search const& search, TimePoint now);
+    bool isMatch(WorkerView const& worker, Search& search, TimePoint now);
+    bool isExcludedBesideAnyService(WorkerView const& worker, Search& search, TimePoint now) const;
+    bool isExcludedBeside(ImageId service, PlacementRequest const& request, TimePoint now) const;
+    bool isOverLimit(ImageId service, ImageId image, double addedShare, ImageCpuShares const& shares, TimePoint now) const;
     WorkerView* search(PlacementRequest const& request, TimePoint now);
     double score(WorkerView const& worker, PlacementRequest const& request) const;
     double harmlessImageShare(WorkerView const& worker) const;
@@ -150,10 +164,12 @@
     void forgetFailedRequests(TimePoint now);
 
     std::map<WorkerId, WorkerView>& workers;
-    std::map<ImageId, std::vector<FailedRequest>> failedRequests;
+    std::map<ImageId, std::vector<FailedRequest>> failedRequests; ///< By the image that decides; those of short tasks under none.
     uint64_t passNumber = 0;
     std::map<ServiceId, std::vector<Candidate>> candidates; ///< In this pass; in the order of `workers`.
-    std::map<ImageId, TrialCounts> trialCountsByImage; ///< In this pass; filled at need.
+    std::map<ImageId, TrialCounts> trialCountsByImage; ///< In this pass; counted at need.
+    bool hasCountedTrials = false; ///< In this pass.
+    std::map<ServiceId, int64_t> largestCapacities; ///< Milli-cores of the service's largest worker in this pass.
     ImageCpuShares sharesBuffer; ///< Of canRunBestEffort; keeps its memory.
     Search currentSearch; ///< Of the latest `chooseNext`; keeps its memory.
     bool hasSearch = false; ///< The current search may go on.
--- a/cornelpond/core/scheduling/DecisionWorkTest.cpp
+++ b/cornelpond/core/scheduling/DecisionWorkTest.cpp
@@ -106,3 +106,30 @@
     // A task that is not wanted any more is noticed within half a second at the latest.
     CHECK(checked <= runningTasks * 2);
 }
+
+TEST_CASE("decision work: short tasks that wait are not compared with all workers in each pass")
+{
+    // 1,000 short tasks waited on 1,100 workers; each pass compared them with the whole fleet, and 30 passes a second took
+    // half of the leader's processor time (schmierdienst-large scale-1).
+    constexpr int differentNeeds = 9;
+    JobBench bench(1);
+    bench.addWorkers(workerCount, workerMilliCores);
+    bench.submit(makeJob("full", workerCount * 2, 16000, second * 60));
+    bench.run(second * 3);
+    int waiting = 0;
+    for (; waiting < 300; waiting++)
+        bench.submit(makeJob("waits" + std::to_string(waiting), 5, 3000 + waiting % differentNeeds * 300, second));
+    bench.run(second);
+    uint64_t const passesBefore = bench.leader().scheduler().counters().passes;
+    uint64_t const examinedBefore = bench.leader().scheduler().placementCounters().workersExamined;
+    constexpr int seconds = 4;
+    constexpr Duration interval = Duration::milliseconds(20);
+    for (Duration passed; passed < second * seconds; passed = passed + interval) {
+        bench.cancel(JobId("waits" + std::to_string(--waiting))); // Any change brings another pass.
+        bench.run(interval);
+    }
+    REQUIRE(bench.leader().scheduler().counters().passes - passesBefore >= 100);
+    uint64_t const examined = (bench.leader().scheduler().placementCounters().workersExamined - examinedBefore) / seconds;
+    // Each need may look at each worker four times a second.
+    CHECK(examined <= workerCount * differentNeeds * 4);
+}
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -188,6 +188,8 @@
         TimePoint const acceptedAt = this->clock.now() - std::clamp(waited, Duration(), maxInheritedWait);
         entry->second.objective = objectiveOf(job.spec, this->queues.find(job.queue), acceptedAt);
         entry->second.progress.size = sizeOf(job.spec);
+        entry->second.record = &job;
+        entry->second.isBestEffort = std::all_of(job.spec.stages.begin(), job.spec.stages.end(), [](StageSpec const& stage) { return stage.isBestEffort; });
     }
     return entry->second;
 }
@@ -519,7 +521,7 @@
 WaitingSummary JobScheduler::waitingTasks() const
 {
     TimePoint const now = this->clock.now();
-    return summarizeWaiting(this->collectReadyStages(now), now);
+    return summarizeWaiting(this->collectReadyStages(now, true), now);
 }
 
 /// Cores of the service tasks that have run before and wait for a worker.
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -18,6 +18,7 @@
 #include "cornelpond/core/placement/TaskPlacer.h"
 #include "cornelpond/core/queueing/JobProgress.h"
 #include "cornelpond/core/queueing/StageRank.h"
+#include "cornelpond/core/scheduling/PassPacing.h"
 #include "cornelpond/core/scheduling/PermitCache.h"
 
 namespace cornelpond {
@@ -142,6 +143,8 @@
 
     /// What only the leader keeps of a job that has not ended.
     struct ActiveJob {
+        JobRecord const* record = nullptr; ///< Valid while the job is active.
+        bool isBestEffort = false; ///< All its stages are.
         JobObjective objective;
         JobProgress progress;
     };
@@ -155,7 +158,8 @@
     void evict(WorkerView& worker, PlacedAttempt& attempt, char const* reason);
 
     void runPass();
-    std::vector<ReadyStage> collectReadyStages(TimePoint now) const;
+    /// Without `isFull`, only of jobs that have other than best-effort stages.
+    std::vector<ReadyStage> collectReadyStages(TimePoint now, bool isFull) const;
     void collectReadyStagesOf(JobRecord const& job, JobObjective const& objective, TimePoint now, std::vector<ReadyStage>& ready) const;
     StagePlacement placeStage(ReadyStage const& ready, TimePoint now);
     bool hasWaitedLong(TaskRef const& task, TimePoint now) const;
@@ -206,6 +210,7 @@
     std::vector<TaskUpdate> pendingUpdates; ///< To be proposed with the next batch.
     bool isPassNeeded = false; ///< Something changed, so that waiting tasks may find a worker.
     TimePoint nextPass;
+    PassPacing pacing;
     TimePoint startsAllowedFrom; ///< Of a new leader.
     TimePoint nextSlowCheck;
     bool hasLackedWorker = false; ///< A task found no worker since the room was last reported.
--- /dev/null
+++ b/cornelpond/core/scheduling/PassPacing.h
@@ -0,0 +1,33 @@
+#pragma once
+
+// Decides which passes of the scheduler look at best-effort stages too.
+//
+// Designed for: an overload in which thousands of best-effort tasks wait. A pass over all of them then takes so long that
+// commits, answers of workers and starts of short tasks wait for it. Between two such passes, passes over the other
+// stages are cheap and go on.
+//
+// Example:
+//   bool const isFull = pacing.isFullPassDue(clock.now());
+//   TimePoint const started = clock.now();
+//   runPass(isFull);
+//   if (isFull)
+//       pacing.onFullPass(started, clock.now());
+
+#include "cornelpond/core/base/Duration.h"
+
+namespace cornelpond {
+
+class PassPacing {
+public:
+    bool isFullPassDue(TimePoint now) const { return now >= this->nextFullPass; }
+
+    /// The next one is due so much later that full passes take a fifth of the time at most.
+    void onFullPass(TimePoint startedAt, TimePoint endedAt) { this->nextFullPass = endedAt + (endedAt - startedAt) * pausePerPassTime; }
+
+private:
+    static constexpr int64_t pausePerPassTime = 4;
+
+    TimePoint nextFullPass;
+};
+
+} // namespace cornelpond
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -31,7 +31,8 @@
 {
     TimePoint const now = this->clock.now();
     this->placer.beginPass(now);
-    std::vector<ReadyStage> ready = this->collectReadyStages(now);
+    bool const isFull = this->pacing.isFullPassDue(now);
+    std::vector<ReadyStage> ready = this->collectReadyStages(now, isFull);
     std::stable_sort(ready.begin(), ready.end(), [](ReadyStage const& left, ReadyStage const& right) { return left.rank < right.rank; });
     std::vector<StagePlacement> placements;
     size_t placed = 0;
@@ -44,17 +45,24 @@
     }
     countPassedOver(ready, placements, [this](JobId const& job, PassedOver const& count) { this->activeJobs.at(job).progress.passedOver += count; });
     this->isPassNeeded = this->isPassNeeded || placed >= this->limits.maxStartsPerPass;
-    Duration const lasted = this->clock.now() - now;
+    TimePoint const endedAt = this->clock.now();
+    if (isFull)
+        this->pacing.onFullPass(now, endedAt);
+    else
+        this->isPassNeeded = true; // Best-effort stages may find room too.
+    Duration const lasted = endedAt - now;
     this->schedulerCounters.passes++;
     this->schedulerCounters.passDuration.observe(lasted);
     this->loadWindow.maxPass = std::max(this->loadWindow.maxPass, lasted);
 }
 
-std::vector<ReadyStage> JobScheduler::collectReadyStages(TimePoint now) const
+std::vector<ReadyStage> JobScheduler::collectReadyStages(TimePoint now, bool isFull) const
 {
     std::vector<ReadyStage> ready;
-    for (auto const& [id, active] : this->activeJobs)
-        this->collectReadyStagesOf(*this->jobTable.find(id), active.objective, now, ready);
+    for (auto const& [id, active] : this->activeJobs) {
+        if (isFull || !active.isBestEffort)
+            this->collectReadyStagesOf(*active.record, active.objective, now, ready);
+    }
     return ready;
 }
 
@@ -102,12 +110,15 @@
     auto const& tasks = ready.job->occurrences.at(ready.occurrence).stages[ready.stage].tasks;
     std::array<std::array<bool, 2>, 2> hasNoRoom {}; // By isRestart and canUseReserve.
     for (uint32_t index = 0; index < tasks.size(); index++) {
-        request.task.index = index;
-        if (!tasks[index].isWaiting() || this->proposedTasks.count(request.task))
+        if (!tasks[index].isWaiting())
             continue;
+        // The cheapest checks first: in an overload, most tasks wait behind one of their stage that found no room.
         request.isRestart = tasks[index].lastAttempt > AttemptNumber();
-        request.canUseReserve = request.isRestart && this->hasWaitedLong(request.task, now);
-        if (hasNoRoom[request.isRestart][request.canUseReserve])
+        if (hasNoRoom[request.isRestart][false] && (hasNoRoom[request.isRestart][true] || !request.stage->isService))
+            continue;
+        request.task.index = index;
+        request.canUseReserve = request.stage->isService && request.isRestart && this->hasWaitedLong(request.task, now);
+        if (hasNoRoom[request.isRestart][request.canUseReserve] || this->proposedTasks.count(request.task))
             continue;
         WorkerView* worker = this->placer.chooseNext(request, now);
         if (!worker) {
@@ -258,8 +269,9 @@
 
 void JobScheduler::decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now, std::optional<unsigned> startSpeedPercent)
 {
-    auto& [objective, progress] = this->activeJob(*ready.job);
-    Duration const sinceAccepted = now - objective.acceptedAt;
+    ActiveJob& active = this->activeJob(*ready.job);
+    JobProgress& progress = active.progress;
+    Duration const sinceAccepted = now - active.objective.acceptedAt;
     this->events.emit(Event(EventId::TaskPlaced)
                           .with("task", start.task.text())
                           .with("attempt", start.attempt)
@@ -269,7 +281,7 @@
                           .with("tailPercent", static_cast<int>(worker.tailRatio * 100))
                           .with("speedPercent", startSpeedPercent.value_or(fullSpeedPercent))
                           .with("sinceAcceptedMs", sinceAccepted)
-                          .with("objectiveMs", objective.latencyObjective)
+                          .with("objectiveMs", active.objective.latencyObjective)
                           .with("lateness", static_cast<int>(ready.rank.lateness)));
     this->dispatch.reserve(worker, start.task, start.attempt, startSpeedPercent);
     this->proposedTasks.insert(start.task);
