A job ranks as late once its rest, at the pace seen lately, no longer fits

A job counted as in time by its estimates alone, which know nothing of commits, throttled speeds and shared cores, so each kept its place until it was late and then ran all the same.

Change: RunTimeModel learns what nine of ten tasks of a kind stay within, as a multiple of their estimates; StageRank takes what is left of a job by it. A job that was accepted just now is in time whatever the pace, so that under overload the newest jobs, which can still be served, go first.

--- a/cornelpond/core/base/Duration.h
+++ b/cornelpond/core/base/Duration.h
@@ -33,6 +33,7 @@
     constexpr Duration operator-(Duration other) const { return Duration(this->us - other.us); }
     constexpr Duration operator*(int64_t factor) const { return Duration(this->us * factor); }
     constexpr Duration operator/(int64_t divisor) const { return Duration(this->us / divisor); }
+    constexpr Duration scaled(double factor) const { return Duration(static_cast<int64_t>(static_cast<double>(this->us) * factor)); }
     constexpr bool operator==(Duration other) const { return this->us == other.us; }
     constexpr bool operator!=(Duration other) const { return this->us != other.us; }
     constexpr bool operator<(Duration other) const { return this->us < other.us; }
--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -64,6 +64,7 @@
     PlacedAttempt& placed = this->reserve(*view, task, attempt.number);
     placed.phase = PlacedAttempt::Phase::Starting;
     placed.isInherited = true;
+    placed.placedAt.reset();
     view->settleStart(placed);
     placed.checkpoint = record.checkpoint;
     // The worker's listing does not include the throttled speed; only best-effort tasks are throttled.
@@ -129,6 +130,7 @@
     PlacedAttempt placed;
     placed.task = task;
     placed.number = attempt;
+    placed.placedAt = this->clock.now();
     placed.stage = &this->jobs.find(task.job)->spec.stages[task.stage];
     placed.image = this->imageIds.idOf(placed.stage->image);
     placed.isThrottledStart = startSpeedPercent.has_value();
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -61,6 +61,7 @@
     Phase phase = Phase::Proposed;
     bool isInherited = false; ///< Committed by an earlier leader or for an earlier incarnation of the worker, and not listed since.
     bool isEndProposed = false; ///< The end is proposed and not committed yet.
+    std::optional<TimePoint> placedAt; ///< When this leader decided on it; unset if an earlier one did.
     TimePoint confirmedAt; ///< When this leader first saw it running.
 
     unsigned startsSent = 0;
--- a/cornelpond/core/queueing/StageRank.cpp
+++ b/cornelpond/core/queueing/StageRank.cpp
@@ -47,11 +47,14 @@
     Duration const longest = *std::max_element(objective.criticalPaths.begin(), objective.criticalPaths.end());
     double const stretch = queue ? queue->stretchFactor : 1;
     Duration const target = queue ? queue->latencyTarget : Duration();
-    objective.latencyObjective = Duration::microseconds(static_cast<int64_t>(static_cast<double>(longest.toMicroseconds()) * stretch)) + target;
+    objective.latencyObjective = longest.scaled(stretch) + target;
+    constexpr double usableShare = 0.9; // The rest is for commits and orders.
+    if (longest > Duration())
+        objective.maxRunTimeStretch = std::max(usableShare * objective.latencyObjective.toSeconds() / longest.toSeconds(), 1.0);
     return objective;
 }
 
-StageRank rankOf(JobRecord const& job, OccurrenceRecord const& occurrence, uint32_t stage, JobObjective const& objective, TimePoint acceptedAt, TimePoint now)
+StageRank rankOf(JobRecord const& job, OccurrenceRecord const& occurrence, uint32_t stage, JobObjective const& objective, TimePoint acceptedAt, TimePoint now, double runTimeStretch)
 {
     StageRank rank;
     if (job.spec.stages[stage].isService) {
@@ -62,9 +65,10 @@
     TimePoint const due = acceptedAt + objective.latencyObjective;
     TimePoint const finish = now + objective.criticalPaths[stage];
     rank.dueAt = due;
+    TimePoint const expectedFinish = now + objective.criticalPaths[stage].scaled(std::min(runTimeStretch, objective.maxRunTimeStretch));
     if (finish > acceptedAt + objective.latencyObjective * tooLateFactor)
         rank.lateness = StageRank::Lateness::TooLate;
-    else if (finish > due && !hasMostlyStarted(job, occurrence))
+    else if (expectedFinish > due && !hasMostlyStarted(job, occurrence))
         rank.lateness = StageRank::Lateness::Late;
     return rank;
 }
--- a/cornelpond/core/queueing/StageRank.h
+++ b/cornelpond/core/queueing/StageRank.h
@@ -23,6 +23,7 @@
     TimePoint acceptedAt;
     std::vector<Duration> criticalPaths; ///< By stage: estimated run time of the longest dependency chain from its start to the job's end.
     Duration latencyObjective; ///< From acceptance to completion.
+    double maxRunTimeStretch = 1; ///< With which a job that was accepted just now is still in time.
 };
 
 /// Lower ranks are placed first.
@@ -56,7 +57,8 @@
 JobObjective objectiveOf(JobSpec const& job, QueueSpec const* queue, TimePoint acceptedAt);
 
 /// `occurrence`: the one that the stage belongs to. `acceptedAt`: when the job was accepted, or when the scheduled
-/// occurrence was due.
-StageRank rankOf(JobRecord const& job, OccurrenceRecord const& occurrence, uint32_t stage, JobObjective const& objective, TimePoint acceptedAt, TimePoint now);
+/// occurrence was due. `runTimeStretch`: how much longer than estimated tasks like the stage's take; a job that was
+/// accepted just now is in time whatever it is.
+StageRank rankOf(JobRecord const& job, OccurrenceRecord const& occurrence, uint32_t stage, JobObjective const& objective, TimePoint acceptedAt, TimePoint now, double runTimeStretch = 1);
 
 } // namespace cornelpond
--- a/cornelpond/core/queueing/StageRankTest.cpp
+++ b/cornelpond/core/queueing/StageRankTest.cpp
@@ -25,10 +25,10 @@
         this->objective = objectiveOf(this->job.spec, &queue, TimePoint());
     }
 
-    StageRank rank(uint32_t waitingCount, Duration age)
+    StageRank rank(uint32_t waitingCount, Duration age, double runTimeStretch = 1)
     {
         this->occurrence.stages[0].waitingCount = waitingCount;
-        return rankOf(this->job, this->occurrence, 0, this->objective, TimePoint(), TimePoint() + age);
+        return rankOf(this->job, this->occurrence, 0, this->objective, TimePoint(), TimePoint() + age, runTimeStretch);
     }
 
 private:
@@ -58,3 +58,19 @@
     CHECK(job.rank(3, second * 3 / 2).lateness == job.rank(4, second * 3 / 2).lateness);
     CHECK_FALSE(job.rank(1, second * 6).isUseful());
 }
+
+TEST_CASE("a job ranks as late once what is left takes longer than its time, as tasks like its own take lately")
+{
+    RankedJob job;
+    constexpr double slow = 1.5;
+    CHECK(job.rank(4, second / 4, slow).lateness == StageRank::Lateness::InTime);
+    CHECK(job.rank(4, second * 3 / 4, slow).lateness == StageRank::Lateness::Late);
+    CHECK(job.rank(4, second * 3 / 4).lateness == StageRank::Lateness::InTime);
+    CHECK(job.rank(2, second * 3 / 4, slow).lateness == StageRank::Lateness::InTime);
+}
+
+TEST_CASE("a job that was accepted just now is in time however slow tasks like its own are")
+{
+    RankedJob job;
+    CHECK(job.rank(4, Duration::milliseconds(100), 10).lateness == StageRank::Lateness::InTime);
+}
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -165,6 +165,7 @@
     this->permits.clear();
     this->interference.clear();
     this->cpuUsage.clear();
+    this->runTimes.clear();
     this->lastTickAt.reset();
     if (!isLeader) {
         this->dispatch.resign();
@@ -270,12 +271,21 @@
                           .with("outcome", std::string(attemptEndName(end.end)))
                           .with("checkpoint", end.checkpoint));
     this->schedulerCounters.attemptEnds[end.end]++;
+    this->observeRunTime(end);
     this->dispatch.onEndApplied(end);
     this->noteServiceTaskEnd(end.task);
     this->stopRestOfGang(end);
     this->isPassNeeded = true;
 }
 
+void JobScheduler::observeRunTime(CommitEnd const& end)
+{
+    WorkerView* worker = this->dispatch.findWorker(end.worker);
+    PlacedAttempt const* attempt = worker ? worker->find(end.task, end.attempt) : nullptr;
+    if (attempt && end.end == AttemptEnd::Done && !attempt->isThrottledStart && attempt->placedAt)
+        this->runTimes.observe(*attempt->stage, this->clock.now() - *attempt->placedAt);
+}
+
 /// Notes since when a service task that ran waits for a worker.
 void JobScheduler::noteServiceTaskEnd(TaskRef const& task)
 {
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -17,6 +17,7 @@
 #include "cornelpond/core/placement/RoomSummary.h"
 #include "cornelpond/core/placement/TaskPlacer.h"
 #include "cornelpond/core/queueing/JobProgress.h"
+#include "cornelpond/core/queueing/RunTimeModel.h"
 #include "cornelpond/core/queueing/StageRank.h"
 #include "cornelpond/core/scheduling/PassPacing.h"
 #include "cornelpond/core/scheduling/PermitCache.h"
@@ -138,6 +139,7 @@
     void onJobChanged(JobRecord const& job);
     void onStartApplied(CommitStart const& start);
     void onEndApplied(CommitEnd const& end);
+    void observeRunTime(CommitEnd const& end);
     void noteServiceTaskEnd(TaskRef const& task);
     void stopRestOfGang(CommitEnd const& end);
 
@@ -199,6 +201,7 @@
     Dispatcher dispatch;
     InterferenceModel interference;
     CpuUsageModel cpuUsage;
+    RunTimeModel runTimes;
     TaskPlacer placer;
 
     std::map<JobId, ActiveJob> activeJobs; ///< Kept on the leader only.
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -77,7 +77,7 @@
         for (uint32_t stage = 0; stage < occurrence.stages.size(); stage++) {
             if (!occurrence.stages[stage].waitingCount || !job.isStageReady(occurrence, stage))
                 continue;
-            ready.push_back({ &job, number, stage, rankOf(job, occurrence, stage, objective, acceptedAt, now), acceptedAt });
+            ready.push_back({ &job, number, stage, rankOf(job, occurrence, stage, objective, acceptedAt, now, this->runTimes.stretchOf(job.spec.stages[stage])), acceptedAt });
         }
     }
 }
