Ends are acknowledged only to the process of a worker that listed them

Cause, from the code: an acknowledgement went out on any idle connection to the worker's address. A worker that had started again under its id and had taken a start order by way of a relay left an open connection to its new process there; the leader, which still knew the old process, acknowledged ends of that one by it, and the new process dropped ends of its own with numbers as low.

Change: connections carry the start time of the process that last listed on them; an acknowledgement takes only one of the process that listed the ends. A relay goes by the listing that it sent to the leader; if the leader holds another, it leaves the acknowledgement out, and the whole listing follows at once.

--- a/cornelpond/adapters/http/HttpClient.cpp
+++ b/cornelpond/adapters/http/HttpClient.cpp
@@ -125,6 +125,7 @@
     HttpRequest outgoing; ///< Until it is sent.
     HttpSendOptions options;
     bool wasPooled = false; ///< The connection came from the pool.
+    std::optional<int64_t> peerTag; ///< Of the connection.
     TimePoint startedAt; ///< When it was sent, or began to wait for a connection.
     TimePoint deadline;
     TimePoint lastProgressAt; ///< When bytes of the response last arrived.
@@ -190,7 +191,7 @@
     exchange->startedAt = this->loop.now();
     exchange->deadline = exchange->startedAt + options.timeout;
     bool const isFirst = this->waitingUrgent.empty() && (options.isUrgent || this->waiting.empty());
-    if ((isFirst || this->hasIdleConnection(to)) && this->dispatch(*exchange, request))
+    if ((isFirst || this->hasIdleConnection(to, options.peerTag)) && this->dispatch(*exchange, request))
         return id;
     exchange->outgoing = request;
     this->totals.requestsDelayed++;
@@ -203,11 +204,12 @@
 /// unchanged. Otherwise the exchange may have ended when this returns.
 bool HttpClient::dispatch(Exchange& exchange, HttpRequest const& outgoing)
 {
-    evhttp_connection* connection = exchange.options.needsFreshConnection ? nullptr : this->takeIdleConnection(exchange.to);
-    bool const wasPooled = connection;
-    if (!connection && !this->makeRoom())
+    IdleConnection const pooled = exchange.options.needsFreshConnection ? IdleConnection() : this->takeIdleConnection(exchange.to, exchange.options.peerTag);
+    bool const wasPooled = pooled.connection;
+    if (!wasPooled && !this->makeRoom())
         return false;
-    exchange.connection = connection ? connection : this->makeConnection(exchange.to);
+    exchange.connection = wasPooled ? pooled.connection : this->makeConnection(exchange.to);
+    exchange.peerTag = pooled.peerTag;
     exchange.wasPooled = wasPooled;
     exchange.startedAt = this->loop.now();
     exchange.inputCallback = evbuffer_add_cb(exchange.input(), Exchange::onInput, &exchange);
@@ -387,11 +389,11 @@
         evbuffer_remove_cb_entry(exchange.input(), exchange.inputCallback);
     if (exchange.wasPooled && !isReusable && outcome.kind != HttpOutcome::Kind::Cancelled)
         this->closeIdleConnections(exchange.to);
+    HttpOutcome reported = outcome;
     if (exchange.connection && isReusable)
-        this->poolConnection(exchange.to, exchange.connection);
+        reported.idleConnection = this->poolConnection(exchange);
     else if (exchange.connection)
         this->scheduleFree(exchange.connection);
-    HttpOutcome reported = outcome;
     reported.wasPooled = exchange.wasPooled;
     this->scheduleDispatch();
     Done const done = std::move(exchange.done);
@@ -399,10 +401,22 @@
     this->loop.runGuarded([&] { done(reported); });
 }
 
-bool HttpClient::hasIdleConnection(Address const& to) const
+bool HttpClient::hasIdleConnection(Address const& to, std::optional<int64_t> peerTag) const
 {
     auto const found = this->idleConnections.find(to);
-    return found != this->idleConnections.end() && std::any_of(found->second.begin(), found->second.end(), [&](auto const& connection) { return this->isUsable(connection); });
+    return found != this->idleConnections.end()
+        && std::any_of(found->second.begin(), found->second.end(), [&](auto const& connection) { return (!peerTag || connection.peerTag == peerTag) && this->isUsable(connection); });
+}
+
+void HttpClient::tagIdleConnection(Address const& to, uint64_t idleConnection, int64_t peerTag)
+{
+    auto const found = this->idleConnections.find(to);
+    if (found == this->idleConnections.end())
+        return;
+    for (auto& connection : found->second) {
+        if (connection.order == idleConnection)
+            connection.peerTag = peerTag;
+    }
 }
 
 /// False when the connection is too old, or no longer connected: evhttp would reconnect it by itself.
@@ -411,18 +425,27 @@
     return this->loop.now() - connection.idleSince <= this->limits.maxIdleAge && isConnected(connection.connection);
 }
 
-evhttp_connection* HttpClient::takeIdleConnection(Address const& to)
+/// The newest usable one, with the tag if one is given. Closes those that it finds unusable.
+HttpClient::IdleConnection HttpClient::takeIdleConnection(Address const& to, std::optional<int64_t> peerTag)
 {
     auto const found = this->idleConnections.find(to);
-    while (found != this->idleConnections.end() && !found->second.empty()) {
-        IdleConnection const newest = found->second.back();
-        found->second.pop_back();
-        this->idleOrder.erase(newest.order);
-        if (this->isUsable(newest))
-            return newest.connection;
-        this->scheduleFree(newest.connection);
+    if (found == this->idleConnections.end())
+        return IdleConnection();
+    auto& connections = found->second;
+    for (auto at = connections.end(); at != connections.begin();) {
+        --at;
+        bool const isMatch = !peerTag || at->peerTag == peerTag;
+        bool const isTaken = isMatch && this->isUsable(*at);
+        if (isMatch) {
+            IdleConnection const connection = *at;
+            this->idleOrder.erase(connection.order);
+            at = connections.erase(at);
+            if (isTaken)
+                return connection;
+            this->scheduleFree(connection.connection);
+        }
     }
-    return nullptr;
+    return IdleConnection();
 }
 
 evhttp_connection* HttpClient::makeConnection(Address const& to)
@@ -449,15 +472,18 @@
     this->idleConnections.erase(found);
 }
 
-void HttpClient::poolConnection(Address const& to, evhttp_connection* connection)
+/// Returns the connection's order among the idle ones, or 0 if it was closed.
+uint64_t HttpClient::poolConnection(Exchange const& exchange)
 {
-    auto& connections = this->idleConnections[to];
+    auto& connections = this->idleConnections[exchange.to];
     if (connections.size() >= this->limits.maxIdlePerAddress) {
-        this->scheduleFree(connection);
-        return;
+        this->scheduleFree(exchange.connection);
+        return 0;
     }
-    connections.push_back({ connection, this->loop.now(), this->nextIdleOrder });
-    this->idleOrder.emplace(this->nextIdleOrder++, to);
+    uint64_t const order = this->nextIdleOrder++;
+    connections.push_back({ exchange.connection, this->loop.now(), order, exchange.peerTag });
+    this->idleOrder.emplace(order, exchange.to);
+    return order;
 }
 
 void HttpClient::scheduleFree(evhttp_connection* connection)
--- a/cornelpond/adapters/http/HttpClient.h
+++ b/cornelpond/adapters/http/HttpClient.h
@@ -26,6 +26,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 
 struct evhttp_connection;
 struct evhttp_request;
@@ -46,6 +47,7 @@
 struct HttpSendOptions {
     Duration timeout = Duration::seconds(10); ///< From the call to the end of the response.
     bool needsFreshConnection = false; ///< Opens a connection instead of taking one from the pool.
+    std::optional<int64_t> peerTag; ///< Reuses only a connection with this tag.
     bool isUrgent = false; ///< Where requests wait for a connection, goes before those that are not urgent.
 };
 
@@ -73,6 +75,7 @@
     bool wasPooled = false; ///< The request was sent on a connection from the pool.
     bool mayHaveRun = true; ///< False only when no byte of the request can have reached the server.
     HttpResponse response;
+    uint64_t idleConnection = 0; ///< Names the connection for tagIdleConnection; 0 when it was closed.
 };
 
 using HttpExchangeId = NumberId<struct HttpExchangeIdTag>;
@@ -95,7 +98,11 @@
 
     /// True when the next request to the address would be sent on a pooled connection, and so reach the
     /// process that answered on it before.
-    bool hasIdleConnection(Address const& to) const;
+    bool hasIdleConnection(Address const& to, std::optional<int64_t> peerTag = std::nullopt) const;
+
+    /// Gives a connection that an outcome named a tag, for example of the process that answered on it. To be called by the
+    /// handler of that outcome. The tag stays while the connection is open.
+    void tagIdleConnection(Address const& to, uint64_t idleConnection, int64_t peerTag);
 
     size_t openExchanges() const { return this->exchanges.size(); }
     size_t openConnections() const { return this->openConnectionCount; }
@@ -108,6 +115,7 @@
         evhttp_connection* connection = nullptr;
         TimePoint idleSince;
         uint64_t order = 0; ///< Rises with each connection that becomes idle.
+        std::optional<int64_t> peerTag;
     };
 
     static void onDone(evhttp_request* request, void* argument);
@@ -121,10 +129,10 @@
     void armTimer(Exchange& exchange);
 
     bool isUsable(IdleConnection const& connection) const;
-    evhttp_connection* takeIdleConnection(Address const& to);
+    IdleConnection takeIdleConnection(Address const& to, std::optional<int64_t> peerTag);
     void evictIdleConnection(Address const& to);
     evhttp_connection* makeConnection(Address const& to);
-    void poolConnection(Address const& to, evhttp_connection* connection);
+    uint64_t poolConnection(Exchange const& exchange);
     void closeIdleConnections(Address const& to);
     void finish(Exchange& exchange, HttpOutcome const& outcome, bool isReusable);
     void abort(uint64_t id, HttpOutcome::Kind kind);
--- a/cornelpond/adapters/http/HttpTest.cpp
+++ b/cornelpond/adapters/http/HttpTest.cpp
@@ -498,3 +498,33 @@
     HttpClient other(loop, HttpClientLimits());
     CHECK(exchange(loop, other, port, makeRequest("/")).response.status == 200);
 }
+
+TEST_CASE("a request that names a tag reuses only a connection with that tag")
+{
+    EventLoop loop;
+    HeldServer server(loop);
+    HttpClient client(loop, HttpClientLimits());
+    Address const address { "127.0.0.1", server.port };
+    constexpr int64_t tag = 7;
+    auto const ask = [&](std::optional<int64_t> peerTag) {
+        std::optional<HttpOutcome> result;
+        HttpSendOptions options;
+        options.peerTag = peerTag;
+        client.send(address, makeRequest("/"), options, [&](HttpOutcome const& outcome) { result = outcome; });
+        runUntil(loop, [&] {
+            server.answerAll();
+            return result.has_value();
+        });
+        return *result;
+    };
+    HttpOutcome const first = ask(std::nullopt);
+    CHECK_FALSE(client.hasIdleConnection(address, tag));
+    client.tagIdleConnection(address, first.idleConnection, tag);
+    CHECK(client.hasIdleConnection(address, tag));
+    CHECK(ask(std::nullopt).wasPooled);
+    CHECK(client.hasIdleConnection(address, tag));
+    CHECK(ask(tag).wasPooled);
+    CHECK_FALSE(ask(tag + 1).wasPooled);
+    CHECK(client.hasIdleConnection(address, tag));
+    CHECK(client.openConnections() == 2);
+}
--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -286,6 +286,7 @@
     RenewOrder order;
     order.epoch = this->epoch;
     order.acknowledgedEnds = view.acknowledgedEnds > view.deliveredAcknowledgedEnds ? view.acknowledgedEnds : 0;
+    order.listedBy = view.listingBornMs;
     order.extendsLease = view.hasClock && !isSilent && !view.consecutiveRenewalFailures;
     order.maxWait = view.hasListing && !view.consecutiveRenewalFailures && view.listedEnds.empty() ? this->times.longPollWait : Duration();
     if (order.extendsLease) {
@@ -373,6 +374,7 @@
     }
     bool const isFirst = !view.hasListing;
     view.hasListing = true;
+    view.listingBornMs = listing.bornMs;
     view.consecutiveRenewalFailures = 0;
     view.lastAnswerAt = now;
     this->handleRunningAttempts(view, listing);
--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -115,6 +115,7 @@
     this->hasOpenOrders = true;
     this->hasClock = false;
     this->hasListing = false;
+    this->listingBornMs = 0;
     this->acknowledgedEnds = 0;
     this->deliveredAcknowledgedEnds = 0;
     this->listedEnds.clear();
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -185,6 +185,7 @@
     TimePoint lastLeaseExtensionAt; ///< When the last order that extended the lease was sent.
     TimePoint lastAnswerAt;
     TimePoint lastAnnouncedAt;
+    int64_t listingBornMs = 0; ///< As the latest listing gave it; 0 if it gave none.
     bool hasListing = false; ///< This leader has processed a listing of the worker's current incarnation.
     bool hasHigherEpoch = false; ///< It has seen a higher epoch and refuses this leader's orders.
     unsigned consecutiveRenewalFailures = 0; ///< Renewals without an answer; reset by a listing.
--- a/cornelpond/core/relay/OrderRelay.cpp
+++ b/cornelpond/core/relay/OrderRelay.cpp
@@ -278,8 +278,18 @@
     std::visit([&](auto const& order) { this->sendDirectly(relayed.worker, order, reply); }, relayed.order);
 }
 
-void OrderRelay::executeRenewal(HostId const& from, RelayedOrder const& relayed, RenewOrder const& order)
-{
+/// Passes an acknowledgement on only to the process of which the leader holds a listing from this relay: another process of
+/// the worker, to which a connection may be open already, would forget ends of its own.
+void OrderRelay::executeRenewal(HostId const& from, RelayedOrder const& relayed, RenewOrder const& given)
+{
+    RenewOrder order = given;
+    ListingMemory::Entry const* held = this->sentListings.find(relayed.worker.id, from);
+    if (held && held->number == relayed.heldListing) {
+        order.listedBy = held->answer.listing.bornMs;
+    } else if (order.acknowledgedEnds) {
+        order.acknowledgedEnds = 0;
+        order.maxWait = Duration(); // The unacknowledged ends are listed again at once.
+    }
     this->direct.renew(relayed.worker, order, [this, alive = std::weak_ptr<bool>(this->lifetime), from, relayed](RenewAnswer const& answer) {
         if (!alive.expired())
             this->queueAnswer(from, this->answerWithChange(from, relayed, answer));
--- a/cornelpond/core/relay/OrderRelay.h
+++ b/cornelpond/core/relay/OrderRelay.h
@@ -130,7 +130,7 @@
     void countListing(RenewAnswer const& answer);
     void finishWithListing(OpenOrder const& order, NumberedListingAnswer numbered);
     void finishWithChange(OpenOrder const& order, ListingChangeAnswer answer);
-    void executeRenewal(HostId const& from, RelayedOrder const& relayed, RenewOrder const& order);
+    void executeRenewal(HostId const& from, RelayedOrder const& relayed, RenewOrder const& given);
     RelayedAnswer answerWithChange(HostId const& leader, RelayedOrder const& relayed, RenewAnswer const& answer);
     void forgetOldListings();
     void queueAnswer(HostId const& to, RelayedAnswer answer);
--- a/cornelpond/core/relay/OrderRelayTest.cpp
+++ b/cornelpond/core/relay/OrderRelayTest.cpp
@@ -26,11 +26,16 @@
     }
     void stop(WorkerTarget const&, StopOrder const&, Done done) override { this->answers.push_back(std::move(done)); }
     void throttle(WorkerTarget const&, ThrottleOrder const&, Done done) override { this->answers.push_back(std::move(done)); }
-    void renew(WorkerTarget const&, RenewOrder const&, std::function<void(RenewAnswer const&)> done) override { this->renewals.push_back(std::move(done)); }
+    void renew(WorkerTarget const&, RenewOrder const& order, std::function<void(RenewAnswer const&)> done) override
+    {
+        this->renewOrders.push_back(order);
+        this->renewals.push_back(std::move(done));
+    }
     void requestPermits(TaskRef const&, std::vector<WorkerId> const&, Duration, std::function<void(PermitAnswer const&)> done) override { done(PermitAnswer()); }
 
     std::vector<StartOrder> starts;
     std::vector<Done> answers;
+    std::vector<RenewOrder> renewOrders;
     std::vector<std::function<void(RenewAnswer const&)>> renewals;
 };
 
@@ -65,9 +70,9 @@
         this->leader.start(worker, StartOrder { task, AttemptNumber(1), "x", Duration::seconds(4), Term(2), "", "" }, [this](OrderAnswer const& answer) { this->results.push_back(answer.result); });
     }
 
-    void renew()
+    void renew(RenewOrder const& order = RenewOrder())
     {
-        this->leader.renew(worker, RenewOrder(), [this](RenewAnswer const& answer) { this->results.push_back(answer.order.result); });
+        this->leader.renew(worker, order, [this](RenewAnswer const& answer) { this->results.push_back(answer.order.result); });
     }
 
     FakeClock clock;
@@ -271,3 +276,28 @@
     list(hosts, hosts.leader, 6);
     CHECK(hosts.listedRows.back() == 6);
 }
+
+TEST_CASE("a relay passes an acknowledgement on only to the process of which the leader holds a listing from it")
+{
+    constexpr int64_t bornMs = 1700000000123;
+    LeaderAndRelay hosts;
+    RenewOrder order;
+    order.acknowledgedEnds = 57;
+    order.maxWait = Duration::milliseconds(700);
+    hosts.renew(order); // The ends were listed by way of another relay, perhaps by an earlier process of the worker.
+    hosts.deliver();
+    REQUIRE(hosts.relayDirect.renewOrders.size() == 1);
+    CHECK(hosts.relayDirect.renewOrders[0].acknowledgedEnds == 0);
+    CHECK(hosts.relayDirect.renewOrders[0].maxWait == Duration());
+    RenewAnswer answer;
+    answer.order = accepted();
+    answer.listing.bornMs = bornMs;
+    hosts.relayDirect.renewals[0](answer);
+    hosts.deliver();
+    hosts.renew(order);
+    hosts.deliver();
+    REQUIRE(hosts.relayDirect.renewOrders.size() == 2);
+    CHECK(hosts.relayDirect.renewOrders[1].acknowledgedEnds == 57);
+    CHECK(hosts.relayDirect.renewOrders[1].listedBy == bornMs);
+    CHECK(hosts.relayDirect.renewOrders[1].maxWait == order.maxWait);
+}
--- a/cornelpond/ports/WorkerOrders.h
+++ b/cornelpond/ports/WorkerOrders.h
@@ -84,6 +84,9 @@
     /// that listed them: another process of the worker would forget ends of its own.
     uint64_t acknowledgedEnds = 0;
     Duration maxWait; ///< Time for which the worker may delay its answer until an attempt ends.
+    /// Start time (ms) of the process that listed the acknowledged ends; 0 if it did not give one. Not passed on to a relay, which goes by
+    /// the listing that it sent.
+    int64_t listedBy = 0;
 };
 
 /// An attempt that a worker lists as running.
