Jobs that could only end too late to be useful are refused at once

Load: a flood of one priority at many times what the fleet can take. Every job was accepted; the queue grew until what started was of no use, while the callers waited.

Change: BacklogForecast divides the waiting tasks in time of a priority by the rate at which its tasks started in the last two seconds. A job whose wait and critical path exceed three times its objective is refused, with a Retry-After that is the time until it would not be, spread over as long again. Late jobs rank behind new ones and do not count, so an overload in which new jobs are still served refuses none; nor does a backlog that is young or a few tasks that fit nowhere.

--- a/cornelpond/core/queueing/StageRank.cpp
+++ b/cornelpond/core/queueing/StageRank.cpp
@@ -61,7 +61,7 @@
         rank.dueAt = acceptedAt;
         return rank;
     }
-    rank.priorityBand = 1 + job.priority;
+    rank.priorityBand = priorityBandOf(job.priority);
     TimePoint const due = acceptedAt + objective.latencyObjective;
     TimePoint const finish = now + objective.criticalPaths[stage];
     rank.dueAt = due;
--- a/cornelpond/core/queueing/StageRank.h
+++ b/cornelpond/core/queueing/StageRank.h
@@ -43,6 +43,12 @@
     bool operator<(StageRank const& other) const;
 };
 
+/// Of the stages of a queue's jobs, service tasks excepted.
+constexpr unsigned priorityBandOf(uint32_t priority)
+{
+    return 1 + priority;
+}
+
 /// One stage of one occurrence that has tasks waiting for a worker.
 struct ReadyStage {
     JobRecord const* job = nullptr;
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -1,6 +1,7 @@
 #include "cornelpond/core/scheduling/JobScheduler.h"
 
 #include "cornelpond/core/base/ResultCode.h"
+#include "cornelpond/core/base/StableHash.h"
 #include "cornelpond/core/placement/ThrottlePolicy.h"
 
 #include <algorithm>
@@ -166,6 +167,7 @@
     this->interference.clear();
     this->cpuUsage.clear();
     this->runTimes.clear();
+    this->backlog.clear();
     this->lastTickAt.reset();
     if (!isLeader) {
         this->dispatch.resign();
@@ -329,11 +331,15 @@
         return;
     }
     if (this->activeJobs.size() >= this->limits.maxActiveJobs) {
-        this->events.emit(Event(EventId::JobRefused).with("job", job.id).with("queue", queue.name).with("reason", "too many jobs").with("active", this->activeJobs.size()));
-        this->schedulerCounters.jobsRefused++;
+        this->refuse(job, queue, "too many jobs", overloadRetryAfter);
         done({ CallResult::Refused, overloadRetryAfter });
         return;
     }
+    if (auto const retryAfter = this->refusalFor(job, queue)) {
+        this->refuse(job, queue, "too late to be useful", *retryAfter);
+        done({ CallResult::Refused, *retryAfter });
+        return;
+    }
     JobId const id = job.id;
     size_t const stages = job.stages.size();
     JobSize const size = sizeOf(job);
@@ -355,6 +361,34 @@
     });
 }
 
+/// Set if the job would end too late to be useful, behind the tasks that wait now. The refused jobs of one moment are told to
+/// return spread over as long again, as otherwise they would all return at once.
+std::optional<Duration> JobScheduler::refusalFor(JobSpec const& job, QueueSpec const& queue) const
+{
+    if (job.hasServiceStage() || job.isScheduled())
+        return std::nullopt;
+    JobObjective const objective = objectiveOf(job, &queue, this->clock.now());
+    Duration const criticalPath = *std::max_element(objective.criticalPaths.begin(), objective.criticalPaths.end());
+    std::optional<Duration> const wait = this->backlog.refusal(priorityBandOf(queue.priority), criticalPath, objective.latencyObjective);
+    if (!wait)
+        return std::nullopt;
+    constexpr uint64_t spreadSteps = 1000;
+    double const spread = static_cast<double>(stableHash(job.id.value(), 0) % spreadSteps) / static_cast<double>(spreadSteps);
+    return wait->scaled(1 + spread);
+}
+
+void JobScheduler::refuse(JobSpec const& job, QueueSpec const& queue, char const* reason, Duration retryAfter)
+{
+    this->events.emit(Event(EventId::JobRefused)
+                          .with("job", job.id)
+                          .with("queue", queue.name)
+                          .with("reason", reason)
+                          .with("active", this->activeJobs.size())
+                          .with("expectedWaitMs", this->backlog.expectedWait(priorityBandOf(queue.priority)))
+                          .with("retryAfterMs", retryAfter));
+    this->schedulerCounters.jobsRefused++;
+}
+
 void JobScheduler::cancel(JobId const& id, Done done)
 {
     JobRecord const* job = this->jobTable.find(id);
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -16,6 +16,7 @@
 #include "cornelpond/core/placement/InterferenceModel.h"
 #include "cornelpond/core/placement/RoomSummary.h"
 #include "cornelpond/core/placement/TaskPlacer.h"
+#include "cornelpond/core/queueing/BacklogForecast.h"
 #include "cornelpond/core/queueing/JobProgress.h"
 #include "cornelpond/core/queueing/RunTimeModel.h"
 #include "cornelpond/core/queueing/StageRank.h"
@@ -139,6 +140,8 @@
     void onJobChanged(JobRecord const& job);
     void onStartApplied(CommitStart const& start);
     void onEndApplied(CommitEnd const& end);
+    std::optional<Duration> refusalFor(JobSpec const& job, QueueSpec const& queue) const;
+    void refuse(JobSpec const& job, QueueSpec const& queue, char const* reason, Duration retryAfter);
     void observeRunTime(CommitEnd const& end);
     void noteServiceTaskEnd(TaskRef const& task);
     void stopRestOfGang(CommitEnd const& end);
@@ -202,6 +205,7 @@
     InterferenceModel interference;
     CpuUsageModel cpuUsage;
     RunTimeModel runTimes;
+    BacklogForecast backlog;
     TaskPlacer placer;
 
     std::map<JobId, ActiveJob> activeJobs; ///< Kept on the leader only.
--- a/cornelpond/core/scheduling/LoadReplayTest.cpp
+++ b/cornelpond/core/scheduling/LoadReplayTest.cpp
@@ -161,3 +161,67 @@
     for (int i = 0; i < 10; i++)
         CHECK(bench.fleet.runningCount(JobId("plan" + std::to_string(i))) >= 1);
 }
+
+namespace {
+
+struct FloodResult {
+    size_t accepted = 0;
+    size_t refused = 0;
+    size_t refusedWithoutDelay = 0; ///< Without a time to return after.
+    size_t completed = 0; ///< Of the accepted ones.
+    size_t urgentInTime = 0;
+    bool isAcceptedLater = false; ///< A job that returned after the time given with the last refusal.
+};
+
+/// Best-effort jobs at seven times what the fleet can run, beside a few short jobs, for six seconds.
+FloodResult runFlood(uint64_t seed)
+{
+    constexpr int64_t jobsPerStep = 3;
+    constexpr Duration step = Duration::milliseconds(50);
+    JobBench bench(seed);
+    bench.addWorkers(20, 16000);
+    std::vector<JobSpec> jobs;
+    std::vector<JobSpec> urgent;
+    for (Duration passed; passed < second * 6; passed = passed + step) {
+        for (int64_t i = 0; i < jobsPerStep; i++) {
+            jobs.push_back(makeBestEffortJob("plan" + std::to_string(jobs.size()), 20, 2000, second, "f"));
+            bench.submit(jobs.back());
+        }
+        urgent.push_back(makeJob("due" + std::to_string(urgent.size()), 1, 1000, Duration::milliseconds(300)));
+        bench.submit(urgent.back());
+        bench.run(step);
+    }
+    FloodResult result;
+    for (auto const& answer : bench.submitResults) {
+        result.accepted += answer.result == CallResult::Done;
+        result.refused += answer.result == CallResult::Refused;
+        result.refusedWithoutDelay += answer.result == CallResult::Refused && answer.retryAfter <= Duration();
+    }
+    result.accepted -= urgent.size();
+    bench.run(bench.submitResults.back().retryAfter + bench.submitResults[bench.submitResults.size() - 2].retryAfter);
+    bench.submit(makeBestEffortJob("returns", 20, 2000, second, "f"));
+    bench.run(second);
+    result.isAcceptedLater = bench.submitResults.back().result == CallResult::Done;
+    bench.runUntilIdle(second * 120);
+    for (auto const& job : jobs)
+        result.completed += bench.find(job.id) && bench.state(job.id) == JobState::Completed;
+    for (auto const& job : urgent)
+        result.urgentInTime += bench.turnaroundTime(job.id) <= objectiveOf(job, &bench.queueOf(job), TimePoint()).latencyObjective;
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("load: a flood of best-effort jobs is refused at once where it cannot be useful, and leaves urgent jobs alone")
+{
+    // Without refusals the queue of a flood grows until what starts is of no use, while all its callers wait.
+    for (uint64_t seed = 1; seed <= 3; seed++) {
+        FloodResult const result = runFlood(seed);
+        INFO("seed " << seed << ": accepted " << result.accepted << ", completed " << result.completed << ", refused " << result.refused << ", urgent in time " << result.urgentInTime);
+        CHECK(result.refused > 0);
+        CHECK(result.refusedWithoutDelay == 0);
+        CHECK(result.completed == result.accepted);
+        CHECK(result.isAcceptedLater);
+        CHECK(result.urgentInTime >= 110);
+    }
+}
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -46,10 +46,13 @@
     countPassedOver(ready, placements, [this](JobId const& job, PassedOver const& count) { this->activeJobs.at(job).progress.passedOver += count; });
     this->isPassNeeded = this->isPassNeeded || placed >= this->limits.maxStartsPerPass;
     TimePoint const endedAt = this->clock.now();
-    if (isFull)
+    if (isFull) {
         this->pacing.onFullPass(now, endedAt);
-    else
+        this->backlog.onPass(now, this->dispatch.workers().size(), ready, placements);
+    } else {
+        this->backlog.onStarts(ready, placements);
         this->isPassNeeded = true; // Best-effort stages may find room too.
+    }
     Duration const lasted = endedAt - now;
     this->schedulerCounters.passes++;
     this->schedulerCounters.passDuration.observe(lasted);
