Large jobs keep their place while three fifths of them wait; run times seen lately rank best-effort jobs only

Change: a late job keeps its place among those in time while at most three fifths of it wait (a half before), and run times seen lately rank best-effort stages only.

--- a/cornelpond/core/queueing/StageRank.cpp
+++ b/cornelpond/core/queueing/StageRank.cpp
@@ -19,8 +19,8 @@
         return paths;
     }
 
-    /// True when at most half of the occurrence's estimated work waits for workers.
-    bool hasMostlyStarted(JobRecord const& job, OccurrenceRecord const& occurrence)
+    /// True when at most three fifths of the occurrence's estimated work wait for workers.
+    bool hasLargelyStarted(JobRecord const& job, OccurrenceRecord const& occurrence)
     {
         int64_t all = 0;
         int64_t waiting = 0;
@@ -29,7 +29,7 @@
             all += stage.taskWork() * static_cast<int64_t>(stage.taskCount);
             waiting += stage.taskWork() * static_cast<int64_t>(occurrence.stages[i].waitingCount);
         }
-        return waiting * 2 <= all;
+        return waiting * 5 <= all * 3;
     }
 
 } // namespace
@@ -68,7 +68,7 @@
     TimePoint const expectedFinish = now + objective.criticalPaths[stage].scaled(std::min(runTimeStretch, objective.maxRunTimeStretch));
     if (finish > acceptedAt + objective.latencyObjective * tooLateFactor)
         rank.lateness = StageRank::Lateness::TooLate;
-    else if (expectedFinish > due && !hasMostlyStarted(job, occurrence))
+    else if (expectedFinish > due && !hasLargelyStarted(job, occurrence))
         rank.lateness = StageRank::Lateness::Late;
     return rank;
 }
--- a/cornelpond/core/queueing/StageRank.h
+++ b/cornelpond/core/queueing/StageRank.h
@@ -4,7 +4,7 @@
 //
 // Designed for: bursts of long jobs beside short urgent ones, and overload. Stages that can still finish in time come
 // before those that are already late; those so late that nobody waits for the result any more come last. Late jobs of
-// which most has started stay with those in time: a job needs all its tasks, and large jobs get workers bit by bit.
+// which two fifths have started stay with those in time: a job needs all its tasks, and large jobs get workers bit by bit.
 //
 // Example:
 //   std::sort(ready.begin(), ready.end(), [](auto const& a, auto const& b) { return a.rank < b.rank; });
@@ -31,7 +31,7 @@
     unsigned priorityBand = 0; ///< 0 for service tasks, else 1 plus the job's priority.
     /// Bands within a priority.
     enum class Lateness : uint8_t {
-        InTime, ///< Or late, but mostly started.
+        InTime, ///< Or late, but largely started.
         Late,
         TooLate, ///< To be useful.
     };
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -80,7 +80,9 @@
         for (uint32_t stage = 0; stage < occurrence.stages.size(); stage++) {
             if (!occurrence.stages[stage].waitingCount || !job.isStageReady(occurrence, stage))
                 continue;
-            ready.push_back({ &job, number, stage, rankOf(job, occurrence, stage, objective, acceptedAt, now, this->runTimes.stretchOf(job.spec.stages[stage])), acceptedAt });
+            // Short tasks run at full speed; their large jobs, which get workers bit by bit, would rank as late too soon.
+            double const stretch = job.spec.stages[stage].isBestEffort ? this->runTimes.stretchOf(job.spec.stages[stage]) : 1;
+            ready.push_back({ &job, number, stage, rankOf(job, occurrence, stage, objective, acceptedAt, now, stretch), acceptedAt });
         }
     }
 }
