A refusal under a flood never contradicts a submission that is being committed

Cause, found in review: a caller that got no answer sends its id again. Its first submission may be on the way through the log; since floods are refused, the second would have been told that it never runs, and it would have run.

Change: an id that is being committed is not refused. The test fails without it.

--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -158,6 +158,7 @@
 {
     this->activeJobs.clear();
     this->proposedTasks.clear();
+    this->proposedJobs.clear();
     this->waitingSince.clear();
     this->serviceTaskEnds.clear();
     this->pendingUpdates.clear();
@@ -330,12 +331,13 @@
         done({ CallResult::NotLeader, Duration() });
         return;
     }
-    if (this->activeJobs.size() >= this->limits.maxActiveJobs) {
+    bool const mayBeRefused = !this->proposedJobs.count(job.id);
+    if (mayBeRefused && this->activeJobs.size() >= this->limits.maxActiveJobs) {
         this->refuse(job, queue, "too many jobs", overloadRetryAfter);
         done({ CallResult::Refused, overloadRetryAfter });
         return;
     }
-    if (auto const retryAfter = this->refusalFor(job, queue)) {
+    if (auto const retryAfter = mayBeRefused ? this->refusalFor(job, queue) : std::nullopt) {
         this->refuse(job, queue, "too late to be useful", *retryAfter);
         done({ CallResult::Refused, *retryAfter });
         return;
@@ -343,8 +345,11 @@
     JobId const id = job.id;
     size_t const stages = job.stages.size();
     JobSize const size = sizeOf(job);
+    this->proposedJobs.insert(id);
     SubmitJob command { std::move(job), queue.name, this->clock.wallMilliseconds() };
     this->jobLog.propose(encodeJobCommand(std::move(command)), [this, id, stages, size, name = queue.name, since = this->clock.now(), done = std::move(done)](ProposalOutcome const& outcome) {
+        if (auto const proposed = this->proposedJobs.find(id); proposed != this->proposedJobs.end())
+            this->proposedJobs.erase(proposed);
         CallResult const result = resultOf(outcome.code);
         this->schedulerCounters.jobsAccepted += result == CallResult::Done;
         this->schedulerCounters.submitLatency.observe(this->clock.now() - since);
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -212,6 +212,7 @@
     std::map<TaskRef, TimePoint> waitingSince; ///< Best-effort stages that found no room, by their first task.
     std::map<TaskRef, TimePoint> serviceTaskEnds; ///< When the last attempt of a waiting service task ended. Under an earlier leader: not listed.
     std::set<TaskRef> proposedTasks; ///< Tasks whose start is being committed.
+    std::multiset<JobId> proposedJobs; ///< Jobs that are being committed. A refusal of such an id might not be true.
     std::map<WorkerId, std::pair<int64_t, uint64_t>> lastSequences; ///< By worker: when its incarnation was born (ms) and the sequence of its last announcement.
     std::map<WorkerId, TimePoint> drainEnds;
     std::vector<TaskUpdate> pendingUpdates; ///< To be proposed with the next batch.
--- a/cornelpond/core/scheduling/LoadReplayTest.cpp
+++ b/cornelpond/core/scheduling/LoadReplayTest.cpp
@@ -225,3 +225,28 @@
         CHECK(result.urgentInTime >= 110);
     }
 }
+
+TEST_CASE("load: an id that is being committed is not refused when it comes again under a flood")
+{
+    // Its caller got no answer and sends it again; the refusal would say that it never runs, and then it would run.
+    JobBench bench(1);
+    bench.addWorkers(4, 16000);
+    for (int i = 0; i < 10; i++)
+        bench.submit(makeBestEffortJob("plan" + std::to_string(i), 40, 16000, second * 20, "f"));
+    bench.run(Duration::milliseconds(100));
+    bench.isCommitting = false;
+    JobSpec const again = makeBestEffortJob("again", 1, 1000, second, "f");
+    bench.submitResults.clear();
+    bench.submit(again);
+    bench.run(second * 3);
+    bench.submit(makeBestEffortJob("other", 1, 1000, second, "f"));
+    bench.submit(again);
+    REQUIRE(bench.submitResults.size() == 1);
+    CHECK(bench.submitResults[0].result == CallResult::Refused);
+    bench.isCommitting = true;
+    bench.run(second);
+    REQUIRE(bench.submitResults.size() == 3);
+    CHECK(bench.submitResults[1].result == CallResult::Done);
+    CHECK(bench.submitResults[2].result == CallResult::Done);
+    CHECK(bench.find(JobId("other")) == nullptr);
+}
