--- a/cornelpond/adapters/http/HttpTest.cpp
+++ b/cornelpond/adapters/http/HttpTest.cpp
@@ -457,8 +457,10 @@
 TEST_CASE("a burst to many addresses far beyond the bound is served to its end")
 {
     EventLoop loop;
+    constexpr size_t serverCount = 20;
     std::vector<std::unique_ptr<HeldServer>> servers;
-    for (int i = 0; i < 20; i++)
+    servers.reserve(serverCount);
+    for (size_t i = 0; i < serverCount; i++)
         servers.push_back(std::make_unique<HeldServer>(loop));
     HttpClient client(loop, boundedTo(4));
     size_t answered = 0;
--- a/cornelpond/core/queueing/BacklogForecastTest.cpp
+++ b/cornelpond/core/queueing/BacklogForecastTest.cpp
@@ -16,7 +16,7 @@
 /// A stage of which `waiting` tasks find no worker while `startsPerPass` of others start in each pass.
 class Backlog {
 public:
-    Backlog(uint32_t waiting, StageRank::Lateness lateness = StageRank::Lateness::InTime)
+    explicit Backlog(uint32_t waiting, StageRank::Lateness lateness = StageRank::Lateness::InTime)
     {
         this->job.occurrences[0].stages.resize(1);
         this->job.occurrences[0].stages[0].waitingCount = waiting;
