--- a/cornelpond/core/placement/TaskPlacer.h
+++ b/cornelpond/core/placement/TaskPlacer.h
@@ -41,7 +41,7 @@
     /// A request that found no worker is compared with all of them again after this time: interference estimates decay,
     /// and trials elsewhere end.
     Duration fullSearchInterval = Duration::milliseconds(250);
-    /// With so many different requests that found no worker, all of the times above and below are doubled; and so on.
+    /// Each time that so many different requests have found no worker, full searches become rarer by one more interval.
     size_t failedRequestsPerInterval = 64;
     /// The same for throttled starts, for which only the learned use of cores changes by itself.
     Duration fullThrottledSearchInterval = Duration::milliseconds(500);
