--- a/review/standin/Case.cpp
+++ b/review/standin/Case.cpp
@@ -12,12 +12,12 @@
 
 using Json = nlohmann::json;
 
-std::string jobBody(int tasks, int64_t milliCores, int64_t workMs, std::string const& fields)
+std::string jobBody(int tasks, int64_t milliCores, int64_t workMs, std::string const& fields, std::string const& furtherSpec)
 {
     Json step { { "count", tasks }, { "cpu", milliCores }, { "memory-request-mb", 64 }, { "estimated-ms", workMs } };
     if (!fields.empty())
         step.update(Json::parse(fields));
-    return Json { { "task-spec", "ms=" + std::to_string(workMs) + " cpu=" + std::to_string(milliCores) }, { "steps", { step } } }.dump();
+    return Json { { "task-spec", "ms=" + std::to_string(workMs) + " cpu=" + std::to_string(milliCores) + " " + furtherSpec }, { "steps", { step } } }.dump();
 }
 
 std::string jobId(uint64_t number)
@@ -44,11 +44,13 @@
 {
     constexpr int executorHost = 60;
     std::vector<std::unique_ptr<Executor>> executors;
+    auto const gangs = std::make_shared<GangBoard>();
     for (size_t i = 1; i <= count; i++) {
         ExecutorSetup setup;
         setup.id = "i-" + std::to_string(i);
         setup.ip = fleet.ip(executorHost);
         setup.milliCores = milliCores;
+        setup.gangs = gangs;
         executors.push_back(std::make_unique<Executor>(setup, fleet.controls(), record));
     }
     return executors;
--- a/review/standin/Case.h
+++ b/review/standin/Case.h
@@ -13,8 +13,9 @@
 
 namespace review {
 
-/// One stage of tasks. `spec` tells the stand-in executors how the tasks behave, `fields` are further fields of the stage.
-std::string jobBody(int tasks, int64_t milliCores, int64_t workMs, std::string const& fields = "");
+/// One stage of tasks. `fields` are further fields of the stage, `furtherSpec` tells the stand-in executors more of how the
+/// tasks behave.
+std::string jobBody(int tasks, int64_t milliCores, int64_t workMs, std::string const& fields = "", std::string const& furtherSpec = "");
 
 /// A job id of 16 hexadecimal digits.
 std::string jobId(uint64_t number);
--- a/review/standin/Executor.cpp
+++ b/review/standin/Executor.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace review {
 
@@ -33,6 +34,34 @@
 
 } // namespace
 
+void GangBoard::join(std::string const& gang, size_t size)
+{
+    std::lock_guard<std::mutex> const lock(this->mutex);
+    Gang& entry = this->gangs[gang];
+    entry.present++;
+    entry.size = size;
+}
+
+void GangBoard::fail(std::string const& gang)
+{
+    std::lock_guard<std::mutex> const lock(this->mutex);
+    this->gangs[gang].hasFailed = true;
+}
+
+bool GangBoard::isComplete(std::string const& gang) const
+{
+    std::lock_guard<std::mutex> const lock(this->mutex);
+    auto const found = this->gangs.find(gang);
+    return found != this->gangs.end() && found->second.present >= found->second.size;
+}
+
+bool GangBoard::hasFailed(std::string const& gang) const
+{
+    std::lock_guard<std::mutex> const lock(this->mutex);
+    auto const found = this->gangs.find(gang);
+    return found != this->gangs.end() && found->second.hasFailed;
+}
+
 Executor::Executor(ExecutorSetup setup, std::vector<Endpoint> controls, Record& record)
     : setup(std::move(setup))
     , controls(std::move(controls))
@@ -218,7 +247,15 @@
         used += present.milliCores;
     if (this->setup.guardsCapacity && used > this->setup.milliCores)
         return this->refusal("room");
-    run.endsAtMs = this->clockMs() + numberIn(run.spec, "ms", 1000);
+    run.startedAtMs = this->clockMs();
+    run.workMs = numberIn(run.spec, "ms", 1000);
+    run.endsAtMs = run.startedAtMs + run.workMs;
+    int64_t const gangSize = numberIn(run.spec, "gang", 0);
+    if (this->setup.gangs && gangSize > 0) {
+        run.gang = key.first.substr(0, key.first.rfind('.')) + " run " + std::to_string(key.second);
+        run.endsAtMs = std::numeric_limits<int64_t>::max();
+        this->setup.gangs->join(run.gang, static_cast<size_t>(gangSize));
+    }
     run.recordIndex = this->record.addRun({ key.first, key.second, this->setup.id, this->born, this->setup.kind, run.spec, 0, -1, "" });
     this->running.emplace(key, run);
     return { 200, accepted.dump() };
@@ -294,22 +331,43 @@
     }
 }
 
-void Executor::step()
+std::string Executor::endOf(Running& run)
 {
+    constexpr int64_t gangTimeoutMs = 3000;
     int64_t const now = this->clockMs();
+    if (now > this->leaseUntilMs)
+        return "lapsed";
+    if (run.stopAtMs && now >= *run.stopAtMs)
+        return "stopped";
+    if (this->faults.failsStarted)
+        return "failed";
+    if (!run.gang.empty()) {
+        if (this->setup.gangs->hasFailed(run.gang))
+            return "broken";
+        bool const isComplete = this->setup.gangs->isComplete(run.gang);
+        if (!isComplete && now - run.startedAtMs > gangTimeoutMs)
+            return "alone";
+        if (isComplete && run.endsAtMs == std::numeric_limits<int64_t>::max())
+            run.endsAtMs = now + run.workMs;
+    }
+    return now >= run.endsAtMs ? "done" : "";
+}
+
+void Executor::step()
+{
     std::vector<std::pair<RunKey, std::string>> over;
-    for (auto const& [key, run] : this->running) {
-        if (now > this->leaseUntilMs)
-            over.emplace_back(key, "lapsed");
-        else if (run.stopAtMs && now >= *run.stopAtMs)
-            over.emplace_back(key, "stopped");
-        else if (this->faults.failsStarted)
-            over.emplace_back(key, "failed");
-        else if (now >= run.endsAtMs)
-            over.emplace_back(key, "done");
+    for (auto& [key, run] : this->running) {
+        std::string const how = this->endOf(run);
+        if (!how.empty())
+            over.emplace_back(key, how);
     }
-    for (auto const& [key, how] : over)
+    // All that fails at one moment fails by itself; only then do the others of its gang learn of it.
+    for (auto const& [key, how] : over) {
+        std::string const gang = this->running.at(key).gang;
         this->end(key, how);
+        if (!gang.empty() && how != "done")
+            this->setup.gangs->fail(gang);
+    }
 }
 
 void Executor::checkIn(Milliseconds first)
--- a/review/standin/Executor.h
+++ b/review/standin/Executor.h
@@ -22,6 +22,26 @@
 
 namespace review {
 
+/// What the members of all gangs know of each other, by step and run: the platform's way to have them work together.
+class GangBoard {
+public:
+    /// A member has started. `size`: how many belong to the gang.
+    void join(std::string const& gang, size_t size);
+    void fail(std::string const& gang);
+    bool isComplete(std::string const& gang) const;
+    bool hasFailed(std::string const& gang) const;
+
+private:
+    struct Gang {
+        size_t present = 0;
+        size_t size = 0;
+        bool hasFailed = false;
+    };
+
+    mutable std::mutex mutex;
+    std::map<std::string, Gang> gangs;
+};
+
 struct ExecutorSetup {
     std::string id;
     std::string ip;
@@ -30,6 +50,7 @@
     int64_t milliCores = 16000;
     int64_t memoryMb = 64000;
     bool guardsCapacity = true;
+    std::shared_ptr<GangBoard> gangs; ///< Of all executors; tasks whose task-spec says "gang=SIZE" are members.
 };
 
 struct ExecutorFaults {
@@ -81,6 +102,9 @@
         int64_t endsAtMs = 0; ///< On the executor's clock.
         std::optional<int64_t> stopAtMs;
         int64_t milliCores = 0;
+        std::string gang; ///< Empty if it belongs to none.
+        int64_t startedAtMs = 0; ///< On the executor's clock.
+        int64_t workMs = 0;
     };
 
     struct Ended {
@@ -102,6 +126,8 @@
     void endAll(std::string const& how);
     void runTasks();
     void step();
+    /// How the run ends now; empty if it works on.
+    std::string endOf(Running& run);
     void checkIn(Milliseconds first);
     bool sendCheckIn();
 
