--- a/review/standin/Executor.cpp
+++ b/review/standin/Executor.cpp
@@ -62,6 +62,15 @@
     return found != this->gangs.end() && found->second.hasFailed;
 }
 
+std::string ticketFor(std::string const& task, std::string const& executor)
+{
+    size_t step = 0;
+    for (int dots = 0; dots < 3 && step < task.size(); step++)
+        dots += task[step] == '.';
+    std::string const name = task.substr(0, step);
+    return "t-" + (name.empty() || name.back() != '.' ? name : name.substr(0, name.size() - 1)) + "-" + executor;
+}
+
 Executor::Executor(ExecutorSetup setup, std::vector<Endpoint> controls, Record& record)
     : setup(std::move(setup))
     , controls(std::move(controls))
@@ -241,6 +250,8 @@
         return this->refusal("old");
     Running run;
     run.spec = body.value("task-spec", std::string());
+    if (run.spec.find("ticketed") != std::string::npos && body.value("ticket", std::string()) != ticketFor(key.first, this->setup.id))
+        return this->refusal("ticket");
     run.milliCores = numberIn(run.spec, "cpu", 0);
     int64_t used = run.milliCores;
     for (auto const& [other, present] : this->running)
--- a/review/standin/Executor.h
+++ b/review/standin/Executor.h
@@ -53,6 +53,10 @@
     std::shared_ptr<GangBoard> gangs; ///< Of all executors; tasks whose task-spec says "gang=SIZE" are members.
 };
 
+/// The ticket that the service for advice gives out for the step of the task, on that executor. Tasks whose task-spec says
+/// "ticketed" are started only with it.
+std::string ticketFor(std::string const& task, std::string const& executor);
+
 struct ExecutorFaults {
     bool refusesStarts = false; ///< Answers each start with 503: it is unhealthy and has done nothing.
     bool failsStarted = false; ///< All that it starts ends as failed at once.
--- a/review/standin/Fleet.cpp
+++ b/review/standin/Fleet.cpp
@@ -77,6 +77,8 @@
         settings["dataFolder"] = this->folder + "/data" + std::to_string(host);
         std::filesystem::create_directories(settings["dataFolder"].get<std::string>());
         settings["listen"]["control"] = this->address(host, controlPort);
+        if (this->advice.port)
+            settings["permitService"] = this->advice.text();
         this->start(host, settings.dump());
     }
 }
--- a/review/standin/Fleet.h
+++ b/review/standin/Fleet.h
@@ -32,6 +32,8 @@
     Fleet(Fleet const&) = delete;
     Fleet& operator=(Fleet const&) = delete;
 
+    /// The address of the service that is asked for advice; to be called before startControls.
+    void setAdvice(Endpoint const& service) { this->advice = service; }
     void startControls();
     /// `routes`: for the peers that the entry host reaches through a port forwarding, by their own address.
     void startEntry(int host, std::map<std::string, std::string> const& routes = {});
@@ -63,6 +65,7 @@
     Record& record;
     std::string folder;
     std::string ipPrefix;
+    Endpoint advice;
     std::map<int, pid_t> processes;
     std::vector<int> entries;
 };
