--- a/review/5/Case.cpp
+++ b/review/5/Case.cpp
@@ -1,96 +1,120 @@
-// A queue's policy allows three executors only, and these carry some work. Once empty executors are added, the leader asks for
-// advice on the twelve emptiest ones alone, again and again, and the queue's submissions never start.
+// An entry host is cut off for a moment while a configuration removes a route. Submissions that it had passed on before are
+// accepted and run; when the cut is over it asks again, and answers its requesters with 404: no such queue.
 
 #include "review/standin/Case.h"
+#include "review/standin/Proxy.h"
 
-#include <nlohmann/json.hpp>
-
-#include <set>
+#include <atomic>
+#include <map>
+#include <random>
 #include <thread>
 
 using namespace review;
-using Json = nlohmann::json;
 
 namespace {
 
-constexpr int entry = 9;
-constexpr int adviceHost = 70;
-constexpr size_t firstExecutors = 12;
-constexpr size_t addedExecutors = 3; // A quarter more.
-constexpr size_t allowedExecutors = 3;
-constexpr int64_t servingMilliCores = 2000;
-constexpr int64_t taskMilliCores = 1000;
-constexpr int64_t decisionMs = 20;
-constexpr int64_t periodMs = 2;
-constexpr int64_t validityMs = 3000;
-constexpr Milliseconds waitTime = Milliseconds(20000);
+constexpr int firstEntry = 11;
+constexpr int entryCount = 6; // One of six is cut off.
+constexpr int cutEntry = firstEntry;
+constexpr int proxyHost = 100;
+constexpr size_t executorCount = 8;
+constexpr uint64_t requesterCount = 20;
+constexpr int minGapMs = 10; // Between two submissions of one requester.
+constexpr int maxGapMs = 50;
+constexpr uint64_t routeCount = 6;
+constexpr Milliseconds betweenCuts = Milliseconds(5000);
+constexpr Milliseconds cutTime = Milliseconds(1200);
+constexpr Milliseconds changeAfterCut = Milliseconds(300);
 
-/// Answers which of the named executors may run the step, after the time that the configuration gives.
-Response advise(Request const& request, std::set<std::string> const& allowed, Record& record)
+std::string prefixOf(uint64_t route)
 {
-    Json const body = Json::parse(request.body, nullptr, false);
-    if (!body.is_object())
-        return { 400, "{}" };
-    std::string const step = body.at("step").get<std::string>();
-    std::string named;
-    Json good = Json::array();
-    for (auto const& worker : body.at("workers")) {
-        std::string const id = worker.get<std::string>();
-        named += " " + id;
-        if (allowed.count(id))
-            good.push_back({ id, ticketFor(step, id) });
-    }
-    record.line("advice on " + step + " for" + named + " -> " + good.dump());
-    std::this_thread::sleep_for(Milliseconds(decisionMs + periodMs * static_cast<int64_t>(body.at("workers").size())));
-    return { 200, Json { { "good", good }, { "validity-ms", validityMs } }.dump() };
+    return "/plans" + std::to_string(route) + "/";
+}
+
+std::string configurationWith(uint64_t route)
+{
+    return configuration(route, { { "r-" + std::to_string(route), prefixOf(route) } });
 }
 
-std::string configurationWithAdvice()
+/// Submits once under each id to the present route, and goes on to the next one when it is gone. Returns the status of the
+/// answer to each id; 0 stands for no answer.
+std::map<std::string, int> submitAll(Fleet const& fleet, uint64_t requester, std::atomic<bool> const& isOver)
 {
-    Json config = Json::parse(configuration(1, { { "plans", "/plans/" }, { "watches", "/watches/" } }));
-    config["routes"][0]["advice"] = { { "decision-ms", decisionMs }, { "period-ms", periodMs }, { "validity-ms", validityMs } };
-    return config.dump();
+    constexpr uint64_t idsPerRequester = 100000;
+    std::mt19937 random(static_cast<unsigned>(requester));
+    std::uniform_int_distribution<int> gap(minGapMs, maxGapMs);
+    std::map<std::string, int> answers;
+    uint64_t route = 1;
+    for (uint64_t i = 0; !isOver; i++) {
+        std::string const id = jobId(requester * idsPerRequester + i);
+        int const status = fleet.client(cutEntry, "POST", prefixOf(route) + id, jobBody(1, 100, 200)).status;
+        answers[id] = status;
+        if (status == 404 && route < routeCount)
+            route++;
+        std::this_thread::sleep_for(Milliseconds(gap(random)));
+    }
+    return answers;
 }
 
 bool body(Fleet& fleet, Record& record, bool isDisrupted)
 {
-    std::set<std::string> allowed;
-    for (size_t i = 1; i <= allowedExecutors; i++)
-        allowed.insert("i-" + std::to_string(i));
-    Server const adviceService(fleet.ip(adviceHost), 0, [&](Request const& request) { return advise(request, allowed, record); });
-    fleet.setAdvice({ fleet.ip(adviceHost), adviceService.port() });
     fleet.startControls();
-    fleet.startEntry(entry);
-    auto executors = makeExecutors(fleet, record, firstExecutors + addedExecutors);
+    std::vector<std::unique_ptr<Proxy>> links;
+    std::map<std::string, std::string> routes;
+    for (int host = 1; host <= Fleet::controlCount; host++) {
+        links.push_back(std::make_unique<Proxy>(fleet.ip(proxyHost + host), Fleet::peerPort, fleet.peer(host)));
+        routes[fleet.peer(host).text()] = Endpoint { fleet.ip(proxyHost + host), Fleet::peerPort }.text();
+    }
+    fleet.startEntry(cutEntry, routes);
+    for (int entry = firstEntry + 1; entry < firstEntry + entryCount; entry++)
+        fleet.startEntry(entry);
+    auto executors = makeExecutors(fleet, record, executorCount);
     fleet.waitUntilServing();
-    fleet.configure(configurationWithAdvice());
-    // Tasks that last run on the executors that the policy allows, as only these are there at first.
-    for (size_t i = 0; i < allowedExecutors; i++)
-        executors[i]->boot();
-    std::this_thread::sleep_for(Milliseconds(2000));
-    std::string const watch = jobId(1);
-    fleet.client(entry, "POST", "/watches/" + watch, jobBody(allowedExecutors, servingMilliCores, 600000, R"({"long-running":true,"anti-affinity":1})"));
-    waitFor(Milliseconds(5000), [&] { return record.runsOf(watch).size() == allowedExecutors; });
-    for (size_t i = allowedExecutors; i < firstExecutors; i++)
-        executors[i]->boot();
+    fleet.configure(configurationWith(1));
+    for (auto& executor : executors)
+        executor->boot();
     std::this_thread::sleep_for(Milliseconds(2000));
-    std::string const before = jobId(2);
-    fleet.client(entry, "POST", "/plans/" + before, jobBody(1, taskMilliCores, 1000, "", "ticketed"));
-    if (!waitFor(waitTime, [&] { return !record.runsOf(before).empty(); }))
-        throw std::runtime_error("the queue isn't served before the disruption either");
 
-    if (isDisrupted) {
-        record.line("empty executors are added");
-        for (size_t i = firstExecutors; i < executors.size(); i++)
-            executors[i]->boot();
+    std::atomic<bool> isOver { false };
+    std::vector<std::map<std::string, int>> answers(requesterCount);
+    std::vector<std::thread> requesters;
+    for (uint64_t requester = 1; requester <= requesterCount; requester++)
+        requesters.emplace_back([&, requester] { answers[requester - 1] = submitAll(fleet, requester, isOver); });
+    auto const setCut = [&](bool isCut) {
+        record.line(std::string("entry host ") + std::to_string(cutEntry) + (isCut ? " is cut off from the control hosts" : " is connected again"));
+        for (auto& link : links)
+            link->setCut(isCut);
+    };
+    for (uint64_t route = 2; route <= routeCount; route++) {
+        std::this_thread::sleep_for(betweenCuts - cutTime);
+        if (isDisrupted)
+            setCut(true);
+        std::this_thread::sleep_for(changeAfterCut);
+        fleet.configure(configurationWith(route));
+        std::this_thread::sleep_for(cutTime - changeAfterCut);
+        if (isDisrupted)
+            setCut(false);
+    }
+    std::this_thread::sleep_for(Milliseconds(4000));
+    isOver = true;
+    for (auto& requester : requesters)
+        requester.join();
+
+    size_t sent = 0;
+    size_t broken = 0;
+    for (auto const& ofRequester : answers) {
+        for (auto const& [id, status] : ofRequester) {
+            sent++;
+            if (status / 100 != 4 && status != 503)
+                continue;
+            for (auto const& run : record.runsOf(id)) {
+                broken++;
+                record.line("rejected with " + std::to_string(status) + ", but run: " + run.task + " run " + std::to_string(run.number) + " on " + run.executor + ", from " + std::to_string(run.startedMs) + " ms on");
+            }
+        }
     }
-    std::this_thread::sleep_for(Milliseconds(3000));
-    std::string const job = jobId(3);
-    int const status = fleet.client(entry, "POST", "/plans/" + job, jobBody(1, taskMilliCores, 1000, "", "ticketed")).status;
-    bool const hasStarted = waitFor(waitTime, [&] { return !record.runsOf(job).empty(); });
-    fleet.client(entry, "GET", "/plans/" + job);
-    record.line("a submission that was answered with " + std::to_string(status) + (hasStarted ? " has started" : " has not started for 20 s, with 14 of 16 cores free on each executor that the policy allows"));
-    return status == 200 && !hasStarted;
+    record.line(std::to_string(sent) + " submissions sent, " + std::to_string(broken) + " runs of rejected ones");
+    return broken > 0;
 }
 
 } // namespace
--- a/review/standin/Fleet.cpp
+++ b/review/standin/Fleet.cpp
@@ -59,12 +59,12 @@
     std::filesystem::remove_all(this->folder, ignored);
 }
 
-std::string Fleet::commonSettings(int host, std::string const& role) const
+std::string Fleet::commonSettings(int host, std::string const& role, bool isFirstStart) const
 {
     Json seeds = Json::array();
     for (int seed = 1; seed <= controlCount; seed++)
         seeds.push_back(this->address(seed, controlPort));
-    Json const settings { { "role", role }, { "cluster", "fleet" }, { "name", role + "-" + std::to_string(host) }, { "dataCentre", "z1" }, { "firstStart", true }, { "seeds", seeds }, { "lossTolerance", 1 },
+    Json const settings { { "role", role }, { "cluster", "fleet" }, { "name", role + "-" + std::to_string(host) }, { "dataCentre", "z1" }, { "firstStart", isFirstStart }, { "seeds", seeds }, { "lossTolerance", 1 },
         { "listen", { { "peers", this->address(host, peerPort) }, { "metrics", this->address(host, peerPort + 1) } } }, { "times", { { "maxLeaseMs", 6000 } } },
         { "limits", { { "descriptors", 1000 }, { "reservedDescriptors", 200 } } } };
     return settings.dump();
@@ -72,20 +72,29 @@
 
 void Fleet::startControls()
 {
-    for (int host = 1; host <= controlCount; host++) {
-        Json settings = Json::parse(this->commonSettings(host, "control"));
-        settings["dataFolder"] = this->folder + "/data" + std::to_string(host);
-        std::filesystem::create_directories(settings["dataFolder"].get<std::string>());
-        settings["listen"]["control"] = this->address(host, controlPort);
-        if (this->advice.port)
-            settings["permitService"] = this->advice.text();
-        this->start(host, settings.dump());
-    }
+    for (int host = 1; host <= controlCount; host++)
+        this->startControl(host, true);
+}
+
+void Fleet::restartControl(int host)
+{
+    this->startControl(host, false);
+}
+
+void Fleet::startControl(int host, bool isFirstStart)
+{
+    Json settings = Json::parse(this->commonSettings(host, "control", isFirstStart));
+    settings["dataFolder"] = this->folder + "/data" + std::to_string(host);
+    std::filesystem::create_directories(settings["dataFolder"].get<std::string>());
+    settings["listen"]["control"] = this->address(host, controlPort);
+    if (this->advice.port)
+        settings["permitService"] = this->advice.text();
+    this->start(host, settings.dump());
 }
 
 void Fleet::startEntry(int host, std::map<std::string, std::string> const& routes)
 {
-    Json settings = Json::parse(this->commonSettings(host, "entry"));
+    Json settings = Json::parse(this->commonSettings(host, "entry", true));
     settings["listen"]["callers"] = this->address(host, callerPort);
     settings["listen"]["readiness"] = this->address(host, readyPort);
     if (!routes.empty())
--- a/review/standin/Fleet.h
+++ b/review/standin/Fleet.h
@@ -46,6 +46,8 @@
     int leader() const;
     void signal(int host, int number);
     void kill(int host);
+    /// Starts a control host that was killed, on its disk.
+    void restartControl(int host);
 
     /// Waits for a leader and for the entry hosts to be ready. Throws std::runtime_error after 20 s.
     void waitUntilServing();
@@ -57,7 +59,8 @@
 
 private:
     std::string address(int host, uint16_t port) const { return this->ip(host) + ":" + std::to_string(port); }
-    std::string commonSettings(int host, std::string const& role) const;
+    std::string commonSettings(int host, std::string const& role, bool isFirstStart) const;
+    void startControl(int host, bool isFirstStart);
     void start(int host, std::string const& settings);
     std::string logPath(int host) const { return this->folder + "/host" + std::to_string(host) + ".log"; }
 
