--- a/review/2/Case.cpp
+++ b/review/2/Case.cpp
@@ -53,7 +53,7 @@
     std::this_thread::sleep_for(drainTime);
     // Fills the other executors until shortly before the frozen host wakes.
     std::string const filler = jobId(1);
-    fleet.client(entry, "POST", "/plans/" + filler, jobBody(2 * executorsBesideLeaving, taskMilliCores, 2500));
+    fleet.client(entry, "POST", "/plans/" + filler, jobBody(2 * executorsBesideLeaving, taskMilliCores, 2900));
     waitFor(Milliseconds(3000), [&] { return record.runsOf(filler).size() == 2 * executorsBesideLeaving; });
 
     if (isDisrupted)
