--- a/cornelpond/adapters/journal/JournalStorage.cpp
+++ b/cornelpond/adapters/journal/JournalStorage.cpp
@@ -20,13 +20,14 @@
 
     constexpr size_t recordHeaderBytes = 9; // 4 for the length, 4 for the checksum, 1 for the kind
     constexpr size_t maxRecordBytes = size_t(256) * 1024 * 1024;
-    constexpr size_t maxTailCheckBytes = size_t(64) * 1024 * 1024;
 
     enum class RecordKind : uint8_t {
         Entry = 1,
         Truncate = 2,
         HardState = 3,
         SnapshotState = 4,
+        SyncPoint = 5,
+        SegmentStart = 6,
     };
 
     template <typename Number>
@@ -131,6 +132,30 @@
         return encodeRecord(RecordKind::SnapshotState, payload);
     }
 
+    /// The first record of a segment that a snapshot started.
+    struct SegmentStart {
+        uint64_t oldestNeeded = 0; ///< Number of the oldest segment that holds entries after the snapshot.
+        LogIndex snapshotIndex; ///< The snapshot's last index.
+    };
+
+    constexpr size_t segmentStartPayloadBytes = 16;
+
+    std::string encode(SegmentStart const& start)
+    {
+        std::string payload;
+        putNumber(payload, start.oldestNeeded);
+        putNumber(payload, start.snapshotIndex.value());
+        return encodeRecord(RecordKind::SegmentStart, payload);
+    }
+
+    /// A sync point holds its own offset in the segment, so that no payload of an entry is taken for one.
+    std::string encodeSyncPoint(size_t offset)
+    {
+        std::string payload;
+        putNumber(payload, static_cast<uint64_t>(offset));
+        return encodeRecord(RecordKind::SyncPoint, payload);
+    }
+
     struct Record {
         RecordKind kind;
         std::string_view payload;
@@ -152,44 +177,14 @@
         return checksum(kind, record.payload) == expectedChecksum;
     }
 
-    /// True when the header at the front can be that of a record; computes no checksum.
-    bool isPlausible(std::string_view bytes)
-    {
-        constexpr size_t entryFieldBytes = 8 + 8 + 1; // index, term, kind
-        constexpr size_t termBytes = 8;
-        constexpr size_t lengthBytes = 4;
-        FieldReader header(bytes);
-        auto const length = header.number<uint32_t>();
-        header.number<uint32_t>();
-        auto const kind = static_cast<RecordKind>(header.number<uint8_t>());
-        std::string_view const payload = bytes.substr(recordHeaderBytes);
-        if (length > payload.size())
-            return false;
-        if (kind == RecordKind::Truncate)
-            return length == termBytes;
-        size_t const fixedBytes = kind == RecordKind::Entry ? entryFieldBytes : termBytes;
-        if ((kind != RecordKind::Entry && kind != RecordKind::HardState) || length < fixedBytes + lengthBytes)
-            return false;
-        FieldReader text(payload.substr(fixedBytes));
-        return text.number<uint32_t>() == length - fixedBytes - lengthBytes;
-    }
-
-    /// True when a complete record starts anywhere in `bytes`; a checksum mismatch before it is then damage,
-    /// not a torn tail. Computes checksums over at most `maxTailCheckBytes` bytes, and returns true when more
-    /// would be needed to decide.
-    bool containsRecord(std::string_view bytes)
+    /// True when the segment holds a sync point at or after `offset`.
+    bool hasSyncPointFrom(std::string_view segment, size_t offset)
     {
-        size_t remainingBytes = maxTailCheckBytes;
-        for (size_t offset = 0; offset + recordHeaderBytes <= bytes.size(); offset++) {
-            std::string_view const candidate = bytes.substr(offset);
-            if (!isPlausible(candidate))
-                continue;
-            size_t const recordBytes = FieldReader(candidate).number<uint32_t>();
-            if (recordBytes > remainingBytes)
-                return true;
-            remainingBytes -= recordBytes;
-            Record record {};
-            if (readRecord(candidate, record))
+        size_t const recordBytes = encodeSyncPoint(0).size();
+        for (; offset + recordBytes <= segment.size(); offset++) {
+            // Compared first, since a sync point is expected at few offsets.
+            bool const isSyncPoint = static_cast<RecordKind>(segment[offset + recordHeaderBytes - 1]) == RecordKind::SyncPoint;
+            if (isSyncPoint && segment.compare(offset, recordBytes, encodeSyncPoint(offset)) == 0)
                 return true;
         }
         return false;
@@ -226,6 +221,9 @@
             log.hardState.term = Term(fields.number<uint64_t>());
             log.hardState.votedFor = HostId(fields.text());
             return;
+        case RecordKind::SyncPoint:
+        case RecordKind::SegmentStart:
+            return; // Neither changes the log.
         case RecordKind::SnapshotState:
             throwDamaged("a snapshot record inside the journal");
         }
@@ -283,7 +281,7 @@
         return names;
     }
 
-    /// The numbers of the segments in the folder, ascending. Throws Error(StorageDamaged) when there is a gap.
+    /// The numbers of the segments in the folder, ascending.
     std::vector<uint64_t> listSegments(std::string const& folder)
     {
         std::vector<uint64_t> numbers;
@@ -295,16 +293,48 @@
                 numbers.push_back(number);
         }
         std::sort(numbers.begin(), numbers.end());
-        for (size_t i = 1; i < numbers.size(); i++) {
-            if (numbers[i] != numbers[i - 1] + 1)
-                throwDamaged(folder + " lacks " + segmentName(numbers[i - 1] + 1));
-        }
         return numbers;
     }
 
+    /// Reads the start of a segment. False when it has none: it is the first of the journal, or was not durable when the
+    /// power was lost.
+    bool readSegmentStart(std::string const& path, SegmentStart& start)
+    {
+        std::ifstream in(path, std::ios::binary);
+        std::string head(recordHeaderBytes + segmentStartPayloadBytes, '\0');
+        in.read(head.data(), static_cast<std::streamsize>(head.size()));
+        Record record {};
+        if (static_cast<size_t>(in.gcount()) < head.size() || !readRecord(head, record) || record.kind != RecordKind::SegmentStart)
+            return false;
+        FieldReader fields(record.payload);
+        start.oldestNeeded = fields.number<uint64_t>();
+        start.snapshotIndex = LogIndex(fields.number<uint64_t>());
+        return true;
+    }
+
+    /// The segments, of those in the folder, that the snapshot does not cover; the others were removed, but a power loss may
+    /// have undone that. Throws Error(StorageDamaged) when one is missing.
+    std::vector<uint64_t> neededSegments(std::string const& folder, std::vector<uint64_t> const& present, LogIndex snapshotIndex)
+    {
+        // A start that tells of a later snapshot than the stored one was written before a power loss that undid the snapshot.
+        SegmentStart start;
+        auto const isInForce = [&](uint64_t number) { return readSegmentStart(folder + "/" + segmentName(number), start) && start.snapshotIndex <= snapshotIndex; };
+        bool const hasStart = std::find_if(present.rbegin(), present.rend(), isInForce) != present.rend();
+        if (!hasStart)
+            start.oldestNeeded = present.empty() ? 0 : present.front();
+        std::vector<uint64_t> const needed(std::lower_bound(present.begin(), present.end(), start.oldestNeeded), present.end());
+        for (size_t i = 0; i < needed.size(); i++) {
+            if (needed[i] != start.oldestNeeded + i)
+                throwDamaged(folder + " lacks " + segmentName(start.oldestNeeded + i));
+        }
+        return needed;
+    }
+
     struct SegmentEnd {
+        uint64_t number = 0;
         size_t completeBytes = 0; ///< Length of the complete records.
-        size_t tornBytes = 0;
+        size_t unsyncedBytes = 0; ///< Length of what is behind them.
+        size_t syncPointEnd = 0; ///< End of the latest sync point among them; 0: none.
         LogIndex lastEntry; ///< Highest index ever written to it, entries truncated since included.
     };
 
@@ -316,29 +346,40 @@
         Record record {};
         while (readRecord(rest, record)) {
             applyRecord(record, log);
+            end.completeBytes += record.bytes;
             if (record.kind == RecordKind::Entry)
                 end.lastEntry = std::max(end.lastEntry, LogIndex(FieldReader(record.payload).number<uint64_t>()));
+            if (record.kind == RecordKind::SyncPoint)
+                end.syncPointEnd = end.completeBytes;
             rest.remove_prefix(record.bytes);
         }
-        if (!rest.empty() && containsRecord(rest.substr(1)))
-            throwDamaged(path + " is damaged at byte " + std::to_string(bytes.size() - rest.size()));
-        end.tornBytes = rest.size();
-        end.completeBytes = bytes.size() - rest.size();
+        if (hasSyncPointFrom(bytes, end.completeBytes))
+            throwDamaged(path + " is damaged at byte " + std::to_string(end.completeBytes));
+        end.unsyncedBytes = rest.size();
         return end;
     }
 
-    /// Reads the snapshot and all segments. Only the last segment may end in a torn record, because each of
-    /// the others was synced before the next one was started.
-    StoredLog readLog(std::string const& folder, std::vector<uint64_t> const& numbers, std::vector<SegmentEnd>& ends)
-    {
+    /// What a folder holds.
+    struct StoredFiles {
         StoredLog log;
-        log.snapshot = readSnapshot(folder);
-        for (uint64_t const number : numbers) {
-            if (!ends.empty() && ends.back().tornBytes)
+        std::vector<uint64_t> present; ///< All segments.
+        std::vector<SegmentEnd> ends; ///< Of the segments that the snapshot does not cover.
+    };
+
+    /// Reads the snapshot and the segments that it does not cover. Only the last one may hold unsynced records, because each
+    /// of the others was synced before the next one was started.
+    StoredFiles readFolder(std::string const& folder)
+    {
+        StoredFiles files;
+        files.log.snapshot = readSnapshot(folder);
+        files.present = listSegments(folder);
+        for (uint64_t const number : neededSegments(folder, files.present, files.log.snapshot.lastIndex)) {
+            if (!files.ends.empty() && files.ends.back().unsyncedBytes)
                 throwDamaged(folder + "/" + segmentName(number - 1) + " ends in a torn record but is not the last");
-            ends.push_back(readSegment(folder + "/" + segmentName(number), log));
+            files.ends.push_back(readSegment(folder + "/" + segmentName(number), files.log));
+            files.ends.back().number = number;
         }
-        return log;
+        return files;
     }
 
     [[noreturn]] void throwWriteError(std::string const& what)
@@ -355,13 +396,16 @@
     , events(events)
     , systemCalls(std::move(calls))
 {
+    // The entry of each new folder in its parent must survive a power loss too.
     std::error_code error;
+    std::vector<std::filesystem::path> parents { std::filesystem::absolute(this->folder).parent_path() };
+    while (!std::filesystem::exists(parents.back(), error) && parents.back().has_relative_path())
+        parents.push_back(parents.back().parent_path());
     std::filesystem::create_directories(this->folder, error);
     if (error)
         throw Error(ResultCode::StorageFailed, "cannot create " + this->folder + ": " + error.message());
-    // The folder's entry in its parent must survive a crash too.
-    std::filesystem::path const parent = std::filesystem::absolute(this->folder).parent_path();
-    this->syncFolder(parent.string());
+    for (auto const& parent : parents)
+        this->syncFolder(parent.string());
 }
 
 JournalStorage::~JournalStorage()
@@ -372,45 +416,51 @@
 
 StoredLog JournalStorage::load()
 {
-    std::vector<uint64_t> const numbers = listSegments(this->folder);
-    std::vector<SegmentEnd> ends;
-    StoredLog log = readLog(this->folder, numbers, ends);
+    StoredFiles files = readFolder(this->folder);
+    StoredLog& log = files.log;
     this->segments.clear();
-    for (size_t i = 0; i < numbers.size(); i++)
-        this->segments.push_back({ numbers[i], ends[i].lastEntry });
+    // Segments that the snapshot covers are kept in the list, so that the next snapshot removes them.
+    size_t const coveredCount = files.present.size() - files.ends.size();
+    for (size_t i = 0; i < coveredCount; i++)
+        this->segments.push_back({ files.present[i], LogIndex() });
+    for (auto const& end : files.ends)
+        this->segments.push_back({ end.number, end.lastEntry });
     if (this->segments.empty())
         this->segments.push_back({ 0, LogIndex() });
-    SegmentEnd const end = ends.empty() ? SegmentEnd() : ends.back();
+    SegmentEnd const end = files.ends.empty() ? SegmentEnd() : files.ends.back();
     std::string const path = this->segmentPath(this->segments.back().number);
     int const descriptor = this->openFile(path, O_WRONLY | O_CREAT | O_APPEND);
     if (this->segmentDescriptor >= 0)
         ::close(this->segmentDescriptor);
     this->segmentDescriptor = descriptor;
-    if (end.tornBytes) {
+    this->segmentBytes = end.completeBytes;
+    this->syncPointEnd = end.syncPointEnd;
+    this->hardState = log.hardState;
+    if (end.unsyncedBytes) {
         this->cutSegment(end.completeBytes);
-        this->events.emit(Event(EventId::JournalTailCut).with("folder", this->folder).with("bytes", end.tornBytes));
+        this->events.emit(Event(EventId::JournalTailCut).with("folder", this->folder).with("segment", end.number).with("atByte", end.completeBytes).with("bytes", end.unsyncedBytes).with("syncPointEnd", end.syncPointEnd));
     }
-    this->syncFile(this->segmentDescriptor, path);
+    this->syncSegment();
     this->syncFolder(this->folder);
-    this->segmentBytes = this->syncedBytes = end.completeBytes;
-    this->hardState = this->syncedHardState = log.hardState;
+    this->writeSyncPoint();
     LogIndex const last = log.entries.empty() ? log.snapshot.lastIndex : log.entries.back().index;
     this->events.emit(Event(EventId::JournalOpened)
                           .with("folder", this->folder)
                           .with("term", log.hardState.term)
                           .with("lastIndex", last)
-                          .with("entries", log.entries.size()));
-    return log;
+                          .with("entries", log.entries.size())
+                          .with("segments", files.ends.size())
+                          .with("coveredSegments", coveredCount));
+    return std::move(log);
 }
 
 StoredLog JournalStorage::inspect(std::string const& folder, size_t& tornBytes)
 {
     if (!std::filesystem::is_directory(folder))
         throw Error(ResultCode::NotFound, folder + " is not a folder");
-    std::vector<SegmentEnd> ends;
-    StoredLog log = readLog(folder, listSegments(folder), ends);
-    tornBytes = ends.empty() ? 0 : ends.back().tornBytes;
-    return log;
+    StoredFiles files = readFolder(folder);
+    tornBytes = files.ends.empty() ? 0 : files.ends.back().unsyncedBytes;
+    return std::move(files.log);
 }
 
 std::string JournalStorage::segmentPath(uint64_t number) const
@@ -469,12 +519,12 @@
 
 void JournalStorage::saveSnapshot(Snapshot const& snapshot)
 {
-    this->sync();
+    this->syncSegment(); // Without a sync point, which a power loss could tear: the next segment proves as much.
     std::string const path = this->folder + "/snapshot";
     std::string const temporary = path + ".new";
     this->writeNewFile(temporary, encode(snapshot));
     uint64_t const nextSegment = this->segments.back().number + 1;
-    std::string const head = encode(this->hardState);
+    std::string const head = encode(SegmentStart { this->oldestNeededSegment(snapshot.lastIndex), snapshot.lastIndex }) + encode(this->hardState);
     this->writeNewFile(this->segmentPath(nextSegment), head);
     this->renameFile(temporary, path);
     // One sync of the folder makes the new segment's name and the new snapshot durable.
@@ -540,12 +590,19 @@
     ::close(this->segmentDescriptor);
     this->segmentDescriptor = descriptor;
     this->segmentBytes = this->syncedBytes = bytes;
+    this->syncPointEnd = 0;
     this->segments.push_back({ number, LogIndex() });
 }
 
+/// The number of the first segment that a snapshot up to `covered` does not cover; of the next one if it covers all.
+uint64_t JournalStorage::oldestNeededSegment(LogIndex covered) const
+{
+    auto const needed = std::find_if(this->segments.begin(), this->segments.end(), [&](Segment const& segment) { return segment.highestIndex > covered; });
+    return needed == this->segments.end() ? this->segments.back().number + 1 : needed->number;
+}
+
 void JournalStorage::removeCoveredSegments(LogIndex covered)
 {
-    // Removes the oldest first, so that a crash in between leaves no gap.
     while (this->segments.size() > 1 && this->segments.front().highestIndex <= covered) {
         try {
             this->removeFile(this->segmentPath(this->segments.front().number));
@@ -559,12 +616,30 @@
 }
 
 void JournalStorage::sync()
+{
+    size_t const durableBytes = this->segmentBytes;
+    this->syncFile(this->segmentDescriptor, this->segmentPath(this->segments.back().number));
+    this->writeSyncPoint();
+    this->syncedBytes = durableBytes;
+    this->syncedHardState = this->hardState;
+}
+
+void JournalStorage::syncSegment()
 {
     this->syncFile(this->segmentDescriptor, this->segmentPath(this->segments.back().number));
     this->syncedBytes = this->segmentBytes;
     this->syncedHardState = this->hardState;
 }
 
+/// Call only when everything in the segment is durable. Writes nothing behind another sync point or to an empty segment.
+void JournalStorage::writeSyncPoint()
+{
+    if (this->segmentBytes == this->syncPointEnd)
+        return;
+    this->writeToSegment(encodeSyncPoint(this->segmentBytes));
+    this->syncPointEnd = this->segmentBytes;
+}
+
 void JournalStorage::discardUnsynced()
 {
     // The files of a snapshot that failed. Without its segment the journal goes on in the last one, which
@@ -575,6 +650,7 @@
     this->syncFile(this->segmentDescriptor, this->segmentPath(this->segments.back().number));
     this->syncFolder(this->folder);
     this->segmentBytes = this->syncedBytes;
+    this->syncPointEnd = 0;
     this->hardState = this->syncedHardState;
 }
 
--- a/cornelpond/adapters/journal/JournalStorage.h
+++ b/cornelpond/adapters/journal/JournalStorage.h
@@ -6,12 +6,17 @@
 //   JournalStorage storage("/var/lib/cornelpond/tasks", events);
 //   StoredLog const stored = storage.load();
 //
-// Each record consists of the payload length, a CRC-32 over kind and payload, the kind and the payload. A
-// last record that is incomplete or fails its checksum was never synced, hence never acknowledged, and
-// `load` cuts it off. A record that fails its checksum with complete records after it is damage, which
-// `load` reports as Error(StorageDamaged). A snapshot starts a new segment and removes the segments that it
-// covers. No entry is written twice, and none is kept in memory. A new segment is used only once its name and
-// the snapshot's are durable, so that after a failure the last segment can be cut back to its last sync.
+// Each record consists of the payload length, a CRC-32 over kind and payload, the kind and the payload. After
+// a power loss, each write since the last sync may be present, missing or torn, whatever became of the others.
+// So a sync point is written after each sync: a record which proves that everything before it was durable. A
+// record that is incomplete or fails its checksum was never acknowledged if no sync point follows, and `load`
+// cuts it off with all that is behind it. If one follows, `load` throws Error(StorageDamaged).
+//
+// A snapshot starts a new segment and removes the segments that it covers. The folder is not synced after the
+// removals, each of which a power loss may undo: a segment begins with the number of the oldest one that was
+// still needed, and `load` ignores those before it. No entry is written twice, and none is kept in memory. A
+// new segment is used only once its name and the snapshot's are durable, so that after a failure the last
+// segment can be cut back to its last sync.
 // Files: snapshot, journal, journal.1, journal.2, ...
 
 #include "cornelpond/ports/EventSink.h"
@@ -55,7 +60,7 @@
     void sync() override;
     void discardUnsynced() override;
 
-    /// Reads a folder without changing it; `tornBytes` is set to the length of an incomplete tail.
+    /// Reads a folder without changing it; `tornBytes` is set to the length of a tail that was never synced.
     static StoredLog inspect(std::string const& folder, size_t& tornBytes);
 
 private:
@@ -68,6 +73,8 @@
     void writeToSegment(std::string_view bytes);
     void writeTo(int descriptor, std::string_view bytes, std::string const& path);
     void syncFile(int descriptor, std::string const& path);
+    void syncSegment();
+    void writeSyncPoint();
     void writeNewFile(std::string const& path, std::string_view bytes);
     int openFile(std::string const& path, int flags);
     void syncFolder(std::string const& path);
@@ -75,6 +82,7 @@
     void removeFile(std::string const& path);
     void cutSegment(size_t length);
     void startSegment(uint64_t number, size_t bytes);
+    uint64_t oldestNeededSegment(LogIndex covered) const;
     void removeCoveredSegments(LogIndex covered);
 
     std::string folder;
@@ -83,9 +91,10 @@
     int segmentDescriptor = -1; ///< Of the last segment; -1 before `load`.
     size_t segmentBytes = 0; ///< Length of the records written to the last segment.
     size_t syncedBytes = 0; ///< Length of those that are durable.
+    size_t syncPointEnd = 0; ///< End of the latest sync point in the last segment; 0: none.
     HardState hardState; ///< Written at the start of each new segment.
     HardState syncedHardState;
-    std::vector<Segment> segments; ///< In ascending order; writes go to the last one.
+    std::vector<Segment> segments; ///< All in the folder, in ascending order; writes go to the last one.
 };
 
 } // namespace cornelpond
--- a/cornelpond/adapters/journal/JournalStorageTest.cpp
+++ b/cornelpond/adapters/journal/JournalStorageTest.cpp
@@ -65,18 +65,24 @@
 {
     TemporaryFolder folder;
     RecordingEventSink events;
-    fill(folder.path(), events, 2);
+    fill(folder.path(), events, 1);
+    LogEntry const entry = makeEntry(2);
+    {
+        // Not synced: a synced record that is torn is damage.
+        JournalStorage storage(folder.path(), events);
+        storage.load();
+        storage.append(Span<LogEntry const>(&entry, 1));
+    }
     std::string const whole = journalBytes(folder.path());
-    fill(TemporaryFolder().path(), events, 1);
     size_t const lastRecordBytes = 9 + 8 + 8 + 1 + 4 + std::string("payload 2").size();
     for (size_t cut = 1; cut < lastRecordBytes; cut++) {
         writeJournal(folder.path(), whole.substr(0, whole.size() - cut));
         JournalStorage storage(folder.path(), events);
         REQUIRE(storage.load().entries.size() == 1);
-        LogEntry const entry = makeEntry(2);
         storage.append(Span<LogEntry const>(&entry, 1));
-        storage.sync();
         REQUIRE(journalBytes(folder.path()) == whole);
+        storage.sync();
+        REQUIRE(JournalStorage(folder.path(), events).load().entries.size() == 2);
     }
     CHECK(events.count(EventId::JournalTailCut) == lastRecordBytes - 1);
 }
--- a/cornelpond/core/base/Event.cpp
+++ b/cornelpond/core/base/Event.cpp
@@ -61,7 +61,7 @@
         EventInfo { EventId::LeaderElected, "LeaderElected", "This host leads a group." },
         EventInfo { EventId::LeaderLost, "LeaderLost", "This host no longer leads a group." },
         EventInfo { EventId::JournalOpened, "JournalOpened", "A journal was read from disk." },
-        EventInfo { EventId::JournalTailCut, "JournalTailCut", "An incomplete last record, never acknowledged, was cut off." },
+        EventInfo { EventId::JournalTailCut, "JournalTailCut", "Records that were never synced, hence never acknowledged, were cut off." },
         EventInfo { EventId::StorageFault, "StorageFault", "Writing or syncing failed; the host takes no part in this group. Repeated while it lasts." },
         EventInfo { EventId::PeerConnected, "PeerConnected", "The link to another entry host is up." },
         EventInfo { EventId::PeerLost, "PeerLost", "The link to another entry host is down or silent." },
