A late deregister call no longer removes the next life of a worker

Cause: the deregister call of the former life waited at a control host that was frozen. The leader applied it to the life that it knew: the body, which says which life ends, was dropped, and the proposed removal named the known life, so that the guard of the roster had nothing to compare.

Ruled out: a lease that lapsed behind the frozen host, and an answer at the former address. No log line told of the call; 342 WorkerDeregistered does now.

Change: the call removes the life that it names or an earlier one, and only while no task is placed there. With tasks, the worker drains if the call names its life, and its attempts end as those of any worker: by its listing or its lease. So nothing is concluded from the call, whoever sent it and whenever it arrives.

Related paths: a worker repeats the call after a lost answer and runs on meanwhile, and its tasks were started elsewhere at once; an answer that another worker gave at a former address removed the present life; a late `leaving` of a backend server removed its next life. A confirmed stop and a higher epoch of a former life no longer count for the present one (read only).

--- a/cornelpond/core/base/Event.cpp
+++ b/cornelpond/core/base/Event.cpp
@@ -58,6 +58,7 @@
         EventInfo { EventId::AttemptConcluded, "AttemptConcluded", "An attempt counts as ended although its worker did not list the end; `reason` says why." },
         EventInfo { EventId::RoomReported, "RoomReported", "Tasks find no worker: the free cores, what service tasks that have run before wait for (`waitingRestartMilliCores`), and how many tasks of 1, 2, 4 and 8 cores would fit now (`placesN`) and beside service tasks only (`placesBesideServicesN`)." },
         EventInfo { EventId::LoadReported, "LoadReported", "The leader's load in the last second, while tasks wait or it is late: passes, starts, workers examined, the longest time between two ticks (`maxTickGapMs`) and pass (`maxPassMs`), waiting tasks and the age of the oldest by class." },
+        EventInfo { EventId::WorkerDeregistered, "WorkerDeregistered", "A worker said that it ends; `outcome` says whether it is removed, and why not." },
         EventInfo { EventId::LeaderElected, "LeaderElected", "This host leads a group." },
         EventInfo { EventId::LeaderLost, "LeaderLost", "This host no longer leads a group." },
         EventInfo { EventId::JournalOpened, "JournalOpened", "A journal was read from disk." },
--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -71,6 +71,7 @@
     AttemptConcluded = 339,
     RoomReported = 340,
     LoadReported = 341,
+    WorkerDeregistered = 342,
     LeaderElected = 400,
     LeaderLost = 401,
     JournalOpened = 402,
--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -307,7 +307,7 @@
         return;
     view->isRenewalInFlight = false;
     if (answer.order.result != OrderResult::Accepted) {
-        this->onRenewalFailed(*view, answer.order.result);
+        this->onRenewalFailed(*view, bornMs, answer.order.result);
         return;
     }
     bool const isFromOldIncarnation = view->profile.bornMs != bornMs && answer.listing.bornMs == bornMs;
@@ -322,9 +322,13 @@
     this->handleListing(*view, sentAt, answer.listing);
 }
 
-void Dispatcher::onRenewalFailed(WorkerView& view, OrderResult result)
+void Dispatcher::onRenewalFailed(WorkerView& view, int64_t bornMs, OrderResult result)
 {
     TimePoint const now = this->clock.now();
+    if (view.profile.bornMs != bornMs) {
+        view.nextRenewalAt = now; // The renewal was sent to an earlier incarnation, and tells nothing of this one.
+        return;
+    }
     if (result == OrderResult::RefusedEpoch) {
         this->onHigherEpoch(view);
         return;
@@ -509,12 +513,12 @@
     view.lastLeaseExtensionAt = now;
     attempt.startsSent++;
     attempt.isStartInFlight = true;
-    this->orders.start(view.target(), order, this->ifStillLeading([this, worker = view.profile.id, key = AttemptKey { attempt.task, attempt.number }](OrderAnswer const& answer) {
-        this->onStartAnswered(worker, key, answer);
+    this->orders.start(view.target(), order, this->ifStillLeading([this, worker = view.profile.id, bornMs = view.profile.bornMs, key = AttemptKey { attempt.task, attempt.number }](OrderAnswer const& answer) {
+        this->onStartAnswered(worker, bornMs, key, answer);
     }));
 }
 
-void Dispatcher::onStartAnswered(WorkerId const& worker, AttemptKey const& key, OrderAnswer const& answer)
+void Dispatcher::onStartAnswered(WorkerId const& worker, int64_t bornMs, AttemptKey const& key, OrderAnswer const& answer)
 {
     WorkerView* view = this->findWorker(worker);
     PlacedAttempt* attempt = view ? view->find(key) : nullptr;
@@ -523,7 +527,9 @@
     attempt->isStartInFlight = false;
     view->settleStart(*attempt);
     view->hasOpenOrders = true;
-    this->updateClock(*view, answer, view->profile.bornMs);
+    bool const isFromOldIncarnation = view->profile.bornMs != bornMs;
+    if (!isFromOldIncarnation)
+        this->updateClock(*view, answer, view->profile.bornMs);
     if (answer.result != OrderResult::Accepted) {
         this->events.emit(Event(EventId::AttemptRefused)
                               .with("task", key.first.text())
@@ -532,8 +538,12 @@
                               .with("result", std::string(orderResultName(answer.result)))
                               .with("starts", attempt->startsSent));
     }
-    if (!attempt->isEndProposed)
-        this->handleStartAnswer(*view, *attempt, answer.result);
+    if (attempt->isEndProposed)
+        return;
+    // Why an earlier incarnation did not carry out the order tells nothing of this one: not that it is replaced or superseded,
+    // nor that the attempt is closed there.
+    bool const mayBeCarriedOut = answer.result == OrderResult::Accepted || answer.result == OrderResult::Unknown;
+    this->handleStartAnswer(*view, *attempt, isFromOldIncarnation && !mayBeCarriedOut ? OrderResult::NotDone : answer.result);
 }
 
 void Dispatcher::handleStartAnswer(WorkerView& view, PlacedAttempt& attempt, OrderResult result)
@@ -633,12 +643,14 @@
     attempt.isStopInFlight = true;
     attempt.nextStopAt = this->clock.now() + stopRetryDelay;
     StopOrder const order { attempt.task, attempt.number, this->epoch };
-    this->orders.stop(view.target(), order, this->ifStillLeading([this, worker = view.profile.id, key = AttemptKey { attempt.task, attempt.number }](OrderAnswer const& answer) {
+    this->orders.stop(view.target(), order, this->ifStillLeading([this, worker = view.profile.id, bornMs = view.profile.bornMs, key = AttemptKey { attempt.task, attempt.number }](OrderAnswer const& answer) {
         WorkerView* answering = this->findWorker(worker);
         PlacedAttempt* stopped = answering ? answering->find(key) : nullptr;
         if (!stopped)
             return;
         stopped->isStopInFlight = false;
+        if (answering->profile.bornMs != bornMs)
+            return; // This incarnation may still carry out a start order that the earlier one never got.
         if (answer.result == OrderResult::Accepted && !stopped->stopConfirmedAt)
             stopped->stopConfirmedAt = this->clock.now();
         else if (answer.result == OrderResult::OtherLife)
@@ -652,7 +664,7 @@
 {
     orphan.isStopInFlight = true;
     orphan.nextStopAt = this->clock.now() + stopRetryDelay;
-    this->orders.stop(view.target(), { key.first, key.second, this->epoch }, this->ifStillLeading([this, worker = view.profile.id, key](OrderAnswer const& answer) {
+    this->orders.stop(view.target(), { key.first, key.second, this->epoch }, this->ifStillLeading([this, worker = view.profile.id, bornMs = view.profile.bornMs, key](OrderAnswer const& answer) {
         WorkerView* answering = this->findWorker(worker);
         if (!answering)
             return;
@@ -660,7 +672,7 @@
         if (found == answering->orphanedAttempts.end())
             return;
         found->second.isStopInFlight = false;
-        if (answer.result == OrderResult::Accepted)
+        if (answer.result == OrderResult::Accepted && answering->profile.bornMs == bornMs)
             found->second.forgetAt = this->clock.now();
     }));
 }
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -107,7 +107,7 @@
     void onLeaseExpired(WorkerView& view);
     void sendRenewal(WorkerView& view);
     void onRenewalAnswered(WorkerId const& worker, int64_t bornMs, TimePoint sentAt, RenewAnswer const& answer);
-    void onRenewalFailed(WorkerView& view, OrderResult result);
+    void onRenewalFailed(WorkerView& view, int64_t bornMs, OrderResult result);
     void updateClock(WorkerView& view, OrderAnswer const& answer, bool isIncarnationKnown);
     void handleListing(WorkerView& view, TimePoint sentAt, WorkerListing const& listing);
     void handleRunningAttempts(WorkerView& view, WorkerListing const& listing);
@@ -117,7 +117,7 @@
     static bool canConclude(PlacedAttempt const& attempt, TimePoint sentAt);
     void acknowledgeEnds(WorkerView& view);
     void sendStart(WorkerView& view, PlacedAttempt& attempt);
-    void onStartAnswered(WorkerId const& worker, AttemptKey const& key, OrderAnswer const& answer);
+    void onStartAnswered(WorkerId const& worker, int64_t bornMs, AttemptKey const& key, OrderAnswer const& answer);
     void handleStartAnswer(WorkerView& view, PlacedAttempt& attempt, OrderResult result);
     void retryOrWithdrawStart(WorkerView& view, PlacedAttempt& attempt);
     void sendStop(WorkerView& view, PlacedAttempt& attempt);
--- a/cornelpond/core/routing/BackendServerTable.cpp
+++ b/cornelpond/core/routing/BackendServerTable.cpp
@@ -73,8 +73,7 @@
 bool BackendServerTable::announce(BackendServerAnnouncement const& announcement, TimePoint now, Duration age)
 {
     if (announcement.leaving) {
-        this->servers.erase(announcement.server);
-        this->leaveTimes[announcement.server] = now - age;
+        this->remove(announcement, now - age);
         return false;
     }
     auto const leave = this->leaveTimes.find(announcement.server);
@@ -96,6 +95,21 @@
     return isNew;
 }
 
+/// Ignores a leave that was overtaken by an announcement of the server's next life.
+void BackendServerTable::remove(BackendServerAnnouncement const& leave, TimePoint leftAt)
+{
+    auto const known = this->servers.find(leave.server);
+    if (known != this->servers.end()) {
+        BackendServerAnnouncement const& last = known->second.lastAnnouncement;
+        bool const isElsewhere = !leave.address.empty() && (last.address != leave.address || last.port != leave.port);
+        bool const isAnnouncedSince = known->second.expiresAt - this->expiry > leftAt;
+        if (isElsewhere || isAnnouncedSince)
+            return;
+        this->servers.erase(known);
+    }
+    this->leaveTimes[leave.server] = leftAt;
+}
+
 std::vector<BackendServerId> BackendServerTable::takeExpired(TimePoint now)
 {
     for (auto leave = this->leaveTimes.begin(); leave != this->leaveTimes.end();)
--- a/cornelpond/core/routing/BackendServerTable.h
+++ b/cornelpond/core/routing/BackendServerTable.h
@@ -94,6 +94,8 @@
     std::map<BackendServerId, BackendServer> const& all() const { return this->servers; }
 
 private:
+    void remove(BackendServerAnnouncement const& leave, TimePoint leftAt);
+
     Duration expiry;
     std::map<BackendServerId, BackendServer> servers;
     std::map<BackendServerId, TimePoint> leaveTimes; ///< Kept while an older announcement may still arrive.
--- a/cornelpond/core/routing/BalancerTest.cpp
+++ b/cornelpond/core/routing/BalancerTest.cpp
@@ -69,6 +69,26 @@
     CHECK(table.announce(makeAnnouncement("a", 1), now + Duration::milliseconds(200)));
 }
 
+TEST_CASE("a late leave of a server's former life does not remove its next one")
+{
+    BackendServerTable table(Duration::seconds(3));
+    TimePoint const now = TimePoint() + Duration::seconds(10);
+    BackendServerAnnouncement leaving = makeAnnouncement("a", 1);
+    leaving.leaving = true;
+    BackendServerAnnouncement next = makeAnnouncement("a", 1);
+    next.port++;
+    table.announce(next, now);
+    table.announce(leaving, now + Duration::milliseconds(10));
+    CHECK(table.announcedServers(ServiceId("plan"), now).size() == 1);
+    table.announce(makeAnnouncement("b", 1), now);
+    leaving.server = BackendServerId("b");
+    table.announce(leaving, now + Duration::milliseconds(300), Duration::milliseconds(400)); // Passed on late.
+    CHECK(table.announcedServers(ServiceId("plan"), now).size() == 2);
+    leaving.server = BackendServerId("b");
+    table.announce(leaving, now + Duration::milliseconds(400));
+    CHECK(table.announcedServers(ServiceId("plan"), now).size() == 1);
+}
+
 TEST_CASE("a server that left or whose announcement expired gets no new requests")
 {
     BackendServerTable table(Duration::seconds(3));
--- a/cornelpond/core/scheduling/JobFaultsTest.cpp
+++ b/cornelpond/core/scheduling/JobFaultsTest.cpp
@@ -336,3 +336,187 @@
     CHECK(bench.fleet.record().duplicateRuns == 0);
     CHECK(bench.leader().scheduler().dispatcher().workers().size() == 1);
 }
+
+namespace {
+
+/// The worker on which the job's tasks run.
+WorkerId workerOf(JobBench& bench, JobId const& job)
+{
+    WorkerId worker;
+    bench.leader().scheduler().jobs().forEachLiveAttemptOf(job, [&](TaskRef const&, TaskRecord const&, Attempt const& attempt) { worker = attempt.worker; });
+    return worker;
+}
+
+void announce(JobBench& bench, WorkerId const& worker)
+{
+    bench.leader().scheduler().announce(bench.fleet.report(worker), [](CallResult) {});
+}
+
+CallResult deregister(JobBench& bench, WorkerId const& worker, int64_t bornMs)
+{
+    CallResult result = CallResult::OutcomeUnknown;
+    bench.leader().scheduler().deregisterWorker({ worker, bornMs }, [&](CallResult given) { result = given; });
+    bench.run(Duration::milliseconds(50));
+    return result;
+}
+
+} // namespace
+
+// Guards against the removal of a worker by a late deregister call of its former life: its tasks were started elsewhere
+// while they still ran.
+TEST_CASE("a deregister call of an earlier incarnation, late or repeated, ends nothing that the present one runs")
+{
+    JobBench bench(7);
+    bench.addWorkers(2, 16000);
+    WorkerId const worker("w0");
+    int64_t const formerBornMs = bench.fleet.report(worker).profile.bornMs;
+    REQUIRE(deregister(bench, worker, formerBornMs) == CallResult::Done);
+    REQUIRE(bench.leader().scheduler().workerCount() == 1);
+    bench.fleet.restart(worker);
+    announce(bench, worker);
+    bench.run(second);
+    JobSpec const job = makeJob("plan", 4, 8000, second * 20);
+    bench.submit(job);
+    bench.run(second);
+    REQUIRE(bench.fleet.runningCountOn(worker) == 2);
+    CHECK(deregister(bench, worker, formerBornMs) == CallResult::Done);
+    CHECK(deregister(bench, worker, formerBornMs) == CallResult::Done);
+    // Not known to be of the former incarnation, nor of the present one.
+    CHECK(deregister(bench, worker, 0) == CallResult::Done);
+    bench.run(second);
+    CHECK(bench.leader().scheduler().workerCount() == 2);
+    CHECK(bench.fleet.record().starts == 4);
+    CHECK(bench.fleet.record().duplicateRuns == 0);
+    CHECK(bench.events.count(EventId::WorkerDeregistered) == 4);
+}
+
+TEST_CASE("a deregister call removes its own incarnation, an earlier one, and one that is not told apart but idle")
+{
+    JobBench bench(8);
+    bench.addWorkers(1, 16000);
+    WorkerId const worker("w0");
+    int64_t const bornMs = bench.fleet.report(worker).profile.bornMs;
+    for (int64_t const given : { bornMs, bornMs + 1, int64_t(0) }) {
+        announce(bench, worker);
+        bench.run(second);
+        REQUIRE(bench.leader().scheduler().workerCount() == 1);
+        CHECK(deregister(bench, worker, given) == CallResult::Done);
+        CHECK(bench.leader().scheduler().workerCount() == 0);
+    }
+}
+
+TEST_CASE("a worker that repeats its deregister call after a lost answer keeps its tasks until its lease is over")
+{
+    JobBench bench(11);
+    bench.addWorkers(2, 16000);
+    JobSpec const job = makeJob("plan", 1, 16000, second * 20);
+    bench.submit(job);
+    bench.run(second);
+    WorkerId const worker = workerOf(bench, job.id);
+    int64_t const bornMs = bench.fleet.report(worker).profile.bornMs;
+    for (int call = 0; call < 3; call++) {
+        CHECK(deregister(bench, worker, bornMs) == CallResult::Done);
+        bench.run(second);
+    }
+    CHECK(bench.fleet.record().duplicateRuns == 0);
+    CHECK(bench.fleet.record().starts == 1);
+    CHECK(bench.leader().scheduler().dispatcher().workers().at(worker).profile.isDraining);
+    bench.fleet.crash(worker);
+    bench.run(DispatchTimes().leaseDuration + second);
+    CHECK(workerOf(bench, job.id) != worker);
+    CHECK(bench.fleet.runningCount(job.id) == 1);
+}
+
+TEST_CASE("the tasks of a worker that ended without saying which incarnation ended start elsewhere after its lease")
+{
+    JobBench bench(9);
+    bench.addWorkers(2, 16000);
+    JobSpec const job = makeJob("plan", 1, 16000, second * 20);
+    bench.submit(job);
+    bench.run(second);
+    WorkerId const worker = workerOf(bench, job.id);
+    deregister(bench, worker, 0);
+    bench.fleet.crash(worker);
+    bench.run(DispatchTimes().leaseDuration + second);
+    CHECK(bench.fleet.runningCount(job.id) == 1);
+    CHECK(bench.fleet.record().duplicateRuns == 0);
+}
+
+// Guards against the same fault by another message: an answer to an order that was sent to a worker's former life.
+TEST_CASE("an answer from a worker's former address ends nothing that its present incarnation runs")
+{
+    JobBench bench(10);
+    bench.addWorkers(2, 16000);
+    JobSpec const filler = makeJob("filler", 1, 16000, second * 20);
+    bench.submit(filler);
+    bench.run(second);
+    WorkerId const worker(workerOf(bench, filler.id) == WorkerId("w0") ? "w1" : "w0");
+    JobSpec const first = makeJob("first", 1, 8000, second * 20);
+    bench.submit(first);
+    Duration const step = Duration::milliseconds(10);
+    for (int i = 0; i < 50 && bench.leader().scheduler().dispatcher().workers().at(worker).placed.empty(); i++)
+        bench.run(step);
+    // The start is committed when the worker has moved, and goes to its former address.
+    bench.fleet.restartAt(worker, "10.0.9.9:80", Duration::milliseconds(500));
+    bench.run(step);
+    REQUIRE(workerOf(bench, first.id) == worker);
+    announce(bench, worker);
+    bench.run(Duration::milliseconds(100));
+    JobSpec const present = makeJob("present", 1, 8000, second * 20);
+    bench.submit(present);
+    bench.run(Duration::milliseconds(200));
+    REQUIRE(workerOf(bench, present.id) == worker);
+    REQUIRE(bench.fleet.runningCount(present.id) == 1);
+    bench.cancel(filler.id);
+    bench.run(second * 2);
+    CHECK(workerOf(bench, present.id) == worker);
+    CHECK(bench.fleet.runningCount(first.id) == 1);
+    CHECK(bench.fleet.record().duplicateRuns == 0);
+    CHECK(bench.leader().scheduler().workerCount() == 2);
+}
+
+TEST_CASE("no sequence of leaves, late and repeated deregister calls, restarts and late answers runs a task twice or loses a job")
+{
+    rc::prop("", [] {
+        auto const seed = *rc::gen::arbitrary<uint32_t>();
+        JobBench bench(seed, 2);
+        SeededRandom random(seed + 1U);
+        constexpr size_t workerCount = 4;
+        bench.addWorkers(workerCount, 8000);
+        FakeFleet::Faults faults;
+        faults.lateOrderShare = 0.05;
+        bench.fleet.setFaults(faults);
+        std::vector<WorkerDeparture> departures; // Sent already; each may arrive again at any time.
+        for (int round = 0; round < 40; round++) {
+            WorkerId const worker("w" + std::to_string(random.below(workerCount)));
+            switch (random.below(5)) {
+            case 0: {
+                // Leaves: deregisters, runs on until it has an answer, ends, and comes back elsewhere.
+                departures.push_back({ worker, random.below(4) ? bench.fleet.report(worker).profile.bornMs : 0 });
+                if (random.below(2))
+                    bench.leader().scheduler().deregisterWorker(departures.back(), [](CallResult) {});
+                bench.run(Duration::milliseconds(static_cast<int64_t>(random.below(1000))));
+                bench.fleet.crash(worker);
+                bench.run(Duration::milliseconds(static_cast<int64_t>(random.below(500))));
+                bench.fleet.restartAt(worker, "10.1.0." + std::to_string(round) + ":80", Duration::milliseconds(static_cast<int64_t>(random.below(600))));
+                announce(bench, worker);
+                break;
+            }
+            case 1:
+                if (!departures.empty())
+                    bench.leader().scheduler().deregisterWorker(departures[random.below(departures.size())], [](CallResult) {});
+                break;
+            case 2:
+                bench.elect(random.below(2));
+                break;
+            default:
+                bench.submit(makeJob("j" + std::to_string(round), 1 + static_cast<uint32_t>(random.below(6)), 1000, Duration::milliseconds(300 + static_cast<int64_t>(random.below(2000)))));
+            }
+            bench.run(Duration::milliseconds(static_cast<int64_t>(random.below(700))));
+        }
+        bench.fleet.setFaults(FakeFleet::Faults());
+        RC_ASSERT(bench.runUntilIdle(second * 120));
+        RC_ASSERT(bench.fleet.record().duplicateRuns == 0U);
+        RC_ASSERT(bench.fleet.record().startsAfterDone == 0U);
+    });
+}
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -126,7 +126,7 @@
     hooks.canSendOrders = [this] { return this->jobLog.isLeadershipConfirmed(); };
     hooks.proposeEnd = [this](CommitEnd const& end) { this->pendingUpdates.emplace_back(end); };
     // The result is not needed: a removal that is not committed is decided again.
-    hooks.removeWorker = [this](WorkerProfile const& profile) { this->removeWorker(profile, [](CallResult) {}); };
+    hooks.removeWorker = [this](WorkerProfile const& profile) { this->removeWorker(profile.id, profile.bornMs, [](CallResult) {}); };
     hooks.permitFor = [this](TaskRef const& task, WorkerId const& worker) { return this->permits.ticket(task, worker); };
     hooks.onPermitRefused = [this](TaskRef const& task, WorkerId const& worker) { this->permits.invalidate(task, worker); };
     hooks.onListingRead = [this](WorkerView& worker) { this->processListing(worker); };
@@ -480,23 +480,50 @@
     this->rosterLog.propose(encodeRosterCommand(PutWorker { profile }), [done = std::move(done)](ProposalOutcome const& outcome) { done(resultOf(outcome.code)); });
 }
 
-void JobScheduler::deregisterWorker(WorkerId const& worker, Done done)
+void JobScheduler::deregisterWorker(WorkerDeparture const& departure, Done done)
 {
     if (!this->jobLog.isLeader()) {
         done(CallResult::NotLeader);
         return;
     }
-    WorkerProfile const* known = this->workerRoster.find(worker);
-    if (!known) {
+    WorkerProfile const* known = this->workerRoster.find(departure.worker);
+    char const* reason = known ? this->keepReason(*known, departure) : "not known";
+    this->events.emit(Event(EventId::WorkerDeregistered)
+                          .with("worker", departure.worker)
+                          .with("bornMs", departure.bornMs)
+                          .with("knownBornMs", known ? known->bornMs : 0)
+                          .with("outcome", reason ? reason : "removed"));
+    if (!known)
+        done(CallResult::Done);
+    else if (reason)
+        this->drainLeavingWorker(*known, departure, std::move(done));
+    else
+        this->removeWorker(departure.worker, std::max(known->bornMs, departure.bornMs), std::move(done));
+}
+
+/// Why the worker is not removed; null when it is.
+char const* JobScheduler::keepReason(WorkerProfile const& known, WorkerDeparture const& departure)
+{
+    if (departure.bornMs && departure.bornMs < known.bornMs)
+        return "of an earlier incarnation";
+    WorkerView const* view = this->dispatch.findWorker(known.id);
+    return view && !view->placed.empty() ? "tasks placed" : nullptr;
+}
+
+void JobScheduler::drainLeavingWorker(WorkerProfile known, WorkerDeparture const& departure, Done done)
+{
+    if (departure.bornMs != known.bornMs || known.isDraining) {
         done(CallResult::Done);
         return;
     }
-    this->removeWorker(*known, std::move(done));
+    known.isDraining = true;
+    this->drainEnds[known.id] = this->clock.now();
+    this->putWorker(known, std::move(done));
 }
 
-void JobScheduler::removeWorker(WorkerProfile const& profile, Done done)
+void JobScheduler::removeWorker(WorkerId const& worker, int64_t bornMs, Done done)
 {
-    this->rosterLog.propose(encodeRosterCommand(RemoveWorker { profile.id, profile.bornMs }), [done = std::move(done)](ProposalOutcome const& outcome) { done(resultOf(outcome.code)); });
+    this->rosterLog.propose(encodeRosterCommand(RemoveWorker { worker, bornMs }), [done = std::move(done)](ProposalOutcome const& outcome) { done(resultOf(outcome.code)); });
 }
 
 void JobScheduler::onTick()
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -71,6 +71,12 @@
     Duration drainRemaining; ///< Minimum time until a draining worker leaves.
 };
 
+/// A worker's announcement that it ends.
+struct WorkerDeparture {
+    WorkerId worker;
+    int64_t bornMs = 0; ///< Of the incarnation that ends, as in WorkerProfile; 0: not given.
+};
+
 struct JobLookup {
     CallResult result = CallResult::NotFound;
     JobState state = JobState::Active;
@@ -115,8 +121,10 @@
     /// the announcement need not go to the leader. Valid on any host.
     bool isAlreadyRecorded(WorkerReport const& announcement) const;
 
-    /// Removes a worker that is shutting down, which ends everything that runs on it.
-    void deregisterWorker(WorkerId const& worker, Done done);
+    /// Removes a worker that is shutting down, unless a later incarnation than the given one is known or tasks are placed there:
+    /// the announcement may be late, and its sender runs on until it has an answer. With tasks, the worker drains, if the
+    /// announcement is certain to be its own, and is removed once they have ended or its lease has expired.
+    void deregisterWorker(WorkerDeparture const& departure, Done done);
 
     /// Call every 10 to 20 ms.
     void onTick();
@@ -158,7 +166,9 @@
     JobObjective const& objectiveFor(JobRecord const& job) { return this->activeJob(job).objective; }
     void reportEnd(JobRecord const& job);
     void putWorker(WorkerProfile const& profile, Done done);
-    void removeWorker(WorkerProfile const& profile, Done done);
+    void removeWorker(WorkerId const& worker, int64_t bornMs, Done done);
+    char const* keepReason(WorkerProfile const& known, WorkerDeparture const& departure);
+    void drainLeavingWorker(WorkerProfile known, WorkerDeparture const& departure, Done done);
     static PlacementRequest requestToMove(WorkerView const& worker, PlacedAttempt const& attempt);
     void evict(WorkerView& worker, PlacedAttempt& attempt, char const* reason);
 
--- a/testing/fakes/FakeFleet.cpp
+++ b/testing/fakes/FakeFleet.cpp
@@ -18,6 +18,7 @@
 FakeFleet::FakeFleet(FakeClock& clock, Random& random)
     : clock(clock)
     , random(random)
+    , otherWorkerDelay(oneWayDelay * 2)
     , lastStepAt(clock.now())
 {
 }
@@ -88,6 +89,13 @@
     this->addWorker(profile, speed);
 }
 
+void FakeFleet::restartAt(WorkerId const& id, std::string address, Duration answerDelay)
+{
+    this->restart(id);
+    this->workers.at(id).profile.address = std::move(address);
+    this->otherWorkerDelay = answerDelay;
+}
+
 void FakeFleet::setCut(WorkerId const& id, bool isCut)
 {
     this->workers.at(id).isCut = isCut;
@@ -135,10 +143,10 @@
     Duration const delay = isLate ? this->faults.minLateDelay + Duration::microseconds(static_cast<int64_t>(this->random.below(span))) : oneWayDelay;
     if (isLate)
         this->clock.after(answerTimeout, [done] { done(OrderAnswer()); });
-    if (this->isUnknownWorker(target)) {
+    if (this->isOtherWorker(target)) {
         OrderAnswer other;
         other.result = OrderResult::OtherLife;
-        this->clock.after(oneWayDelay * 2, [done, other] { done(other); });
+        this->clock.after(this->otherWorkerDelay, [done, other] { done(other); });
         return;
     }
     int64_t const incarnation = this->workers.at(target.id).profile.bornMs;
@@ -155,10 +163,11 @@
     });
 }
 
-/// True if the fleet has no worker of that id; such an order is answered as if by another worker at the address.
-bool FakeFleet::isUnknownWorker(WorkerTarget const& target) const
+/// True if the worker is not at that address; such an order is answered as if by another worker.
+bool FakeFleet::isOtherWorker(WorkerTarget const& target) const
 {
-    return !this->workers.count(target.id);
+    auto const found = this->workers.find(target.id);
+    return found == this->workers.end() || (!found->second.profile.address.empty() && found->second.profile.address != target.address);
 }
 
 void FakeFleet::start(WorkerTarget const& worker, StartOrder const& order, Done done)
@@ -260,10 +269,10 @@
 
 void FakeFleet::renew(WorkerTarget const& target, RenewOrder const& given, std::function<void(RenewAnswer const&)> done)
 {
-    if (this->isUnknownWorker(target)) {
+    if (this->isOtherWorker(target)) {
         RenewAnswer other;
         other.order.result = OrderResult::OtherLife;
-        this->clock.after(oneWayDelay * 2, [done, other] { done(other); });
+        this->clock.after(this->otherWorkerDelay, [done, other] { done(other); });
         return;
     }
     bool const isLost = this->random.nextDouble() < this->faults.lateOrderShare;
--- a/testing/fakes/FakeFleet.h
+++ b/testing/fakes/FakeFleet.h
@@ -59,6 +59,8 @@
     void crash(WorkerId const& worker);
     /// Starts a new incarnation under the same id, without any earlier state.
     void restart(WorkerId const& worker);
+    /// As `restart`, at another address. Another worker answers orders to the former one, after `answerDelay`.
+    void restartAt(WorkerId const& worker, std::string address, Duration answerDelay);
     void setCut(WorkerId const& worker, bool isCut);
     void setDraining(WorkerId const& worker) { this->workers.at(worker).profile.isDraining = true; }
     void setFaults(Faults const& given) { this->faults = given; }
@@ -121,7 +123,7 @@
         bool hasAnsweredRenewal = false; ///< Since its last restart; stands for an open connection to it.
     };
 
-    bool isUnknownWorker(WorkerTarget const& target) const;
+    bool isOtherWorker(WorkerTarget const& target) const;
     void failPendingRenewals(Worker& worker);
     OrderAnswer makeAnswer(Worker const& worker, OrderResult result) const;
     void deliver(WorkerTarget const& target, std::function<OrderAnswer(Worker&)> action, Done done);
@@ -146,6 +148,7 @@
     std::map<TaskRef, std::set<WorkerId>> workersStartedOn; ///< Every worker that began an attempt of the task.
     std::function<bool(ListedEnd const&, WorkerId const&)> acknowledgementCheck;
     std::function<void(TaskRef const&)> onStart;
+    Duration otherWorkerDelay; ///< Until another worker answers an order that was not meant for it.
     TimePoint lastStepAt;
     uint64_t nextCheckpoint = 1;
 };
