A job that has run is no longer answered 404

Cause: the entry host tries a call again after a lost answer, and passed on the answer to the second attempt. It replaced a 429 or 503 by "outcome unknown" in that case, but did not take a 404 for a denial. Whether a queue exists depends on the moment as much as whether it is full does. The leader denied a caller's own repetition likewise.

Change: CallAttempts, taken out of HostNetwork, holds what the attempts of a call prove; after an unknown outcome a 404, 429 or 503 becomes code 306. Refusals that hold for every attempt are passed on, so that nothing is tried again for ever.

--- a/cornelpond/app/HostNetwork.cpp
+++ b/cornelpond/app/HostNetwork.cpp
@@ -1,5 +1,6 @@
 #include "cornelpond/app/HostNetwork.h"
 
+#include "cornelpond/app/CallAttempts.h"
 #include "cornelpond/core/base/Json.h"
 
 #include <nlohmann/json.hpp>
@@ -31,22 +32,6 @@
         return hosts;
     }
 
-    bool hasCode(HttpResponse const& response, ResultCode code)
-    {
-        if (response.status != resultCodeInfo(code).httpStatus)
-            return false;
-        nlohmann::json const body = nlohmann::json::parse(response.body, nullptr, false);
-        return body.is_object() && body.value("code", 0) == static_cast<int>(code);
-    }
-
-    /// True for an answer which guarantees that the call was not carried out.
-    bool isNotCarriedOut(HttpResponse const& response)
-    {
-        constexpr int tooManyRequests = 429;
-        constexpr int unavailable = 503;
-        return response.status == tooManyRequests || response.status == unavailable;
-    }
-
     PeerLinkTimes linkTimes(Settings const& settings)
     {
         PeerLinkTimes times;
@@ -73,11 +58,17 @@
 
 /// A call to a group's leader, over all its attempts.
 struct HostNetwork::LeaderCall {
+    explicit LeaderCall(LeaderCallOptions const& options)
+        : options(options)
+        , attempts(options.isIdempotent)
+    {
+    }
+
     ForwardedRequest request;
     ApiAnswerCallback answer;
     LeaderCallOptions options;
     TimePoint started;
-    bool mayHaveRun = false; ///< An earlier attempt may have been carried out.
+    CallAttempts attempts;
 };
 
 HostNetwork::HostNetwork(EventLoop& loop, Random& random, EventSink& events, Settings const& settings, HostNetworkHooks givenHooks)
@@ -360,12 +351,11 @@
 
 void HostNetwork::serveByLeader(GroupId const& group, ApiKind api, HttpRequest const& request, ApiAnswerCallback const& answer, LeaderCallOptions const& options)
 {
-    auto call = std::make_shared<LeaderCall>();
+    auto call = std::make_shared<LeaderCall>(options);
     call->request.group = group;
     call->request.api = api;
     call->request.request = request;
     call->answer = answer;
-    call->options = options;
     call->started = this->loop.now();
     this->attemptCall(call);
 }
@@ -391,20 +381,24 @@
 
 void HostNetwork::onCallAttempted(std::shared_ptr<LeaderCall> const& call, HttpResponse const& response)
 {
-    bool const isUnknown = hasCode(response, ResultCode::ForwardFailed) || hasCode(response, ResultCode::OutcomeUnknown);
-    call->mayHaveRun |= isUnknown;
-    if (hasCode(response, ResultCode::NotLeader) || (isUnknown && call->options.isIdempotent))
+    if (call->attempts.onAnswer(response) == CallAttempts::Next::TryAgain)
         this->retryOrRefuse(call);
     else
-        finishCall(*call, response);
+        this->finishCall(*call, response);
 }
 
-/// An attempt with an unknown outcome may have been carried out, so a later refusal of an idempotent call must
-/// not say that the call was not.
 void HostNetwork::finishCall(LeaderCall const& call, HttpResponse const& response)
 {
-    bool const contradictsEarlierAttempt = call.options.isIdempotent && call.mayHaveRun && isNotCarriedOut(response);
-    call.answer(contradictsEarlierAttempt ? refusal(ResultCode::OutcomeUnknown, "an earlier attempt got no answer and may have been carried out") : response);
+    HttpResponse const answer = call.attempts.finalAnswer(response);
+    if (answer.status != response.status) {
+        this->events.emit(Event(EventId::RefusalWithheld)
+                              .with("method", call.request.request.method)
+                              .with("path", call.request.request.path)
+                              .with("status", response.status)
+                              .with("answered", answer.status)
+                              .with("lastedMs", this->loop.now() - call.started));
+    }
+    call.answer(answer);
 }
 
 void HostNetwork::retryOrRefuse(std::shared_ptr<LeaderCall> const& call)
@@ -416,9 +410,9 @@
         return;
     }
     if (hasMajority)
-        finishCall(*call, refusal(ResultCode::NotLeader, "no leader of group '" + call->request.group.value() + "' is known"));
+        this->finishCall(*call, refusal(ResultCode::NotLeader, "no leader of group '" + call->request.group.value() + "' is known"));
     else
-        finishCall(*call, refusal(ResultCode::NoQuorum, "no majority of group '" + call->request.group.value() + "' is in reach"));
+        this->finishCall(*call, refusal(ResultCode::NoQuorum, "no majority of group '" + call->request.group.value() + "' is in reach"));
 }
 
 bool HostNetwork::isMajorityReachable(GroupId const& group) const
--- a/cornelpond/app/HostNetwork.h
+++ b/cornelpond/app/HostNetwork.h
@@ -131,7 +131,7 @@
     void attemptCall(std::shared_ptr<LeaderCall> const& call);
     void onCallAttempted(std::shared_ptr<LeaderCall> const& call, HttpResponse const& response);
     void retryOrRefuse(std::shared_ptr<LeaderCall> const& call);
-    static void finishCall(LeaderCall const& call, HttpResponse const& response);
+    void finishCall(LeaderCall const& call, HttpResponse const& response);
     bool isMajorityReachable(GroupId const& group) const;
     void runAfter(Duration delay, std::function<void()> action);
     void replaceLostVoters();
--- a/cornelpond/core/base/Event.cpp
+++ b/cornelpond/core/base/Event.cpp
@@ -29,6 +29,7 @@
         EventInfo { EventId::ClaimDecided, "ClaimDecided", "The claim of an idempotency key was decided; `outcome` says how." },
         EventInfo { EventId::CallForwarded, "CallForwarded", "A call was passed to the leader and answered; `status` is what the caller got." },
         EventInfo { EventId::CallRefused, "CallRefused", "A call was answered with an error; `status` is what the caller got." },
+        EventInfo { EventId::RefusalWithheld, "RefusalWithheld", "The leader refused a call of which an earlier attempt may have been carried out; the caller got code 306." },
         EventInfo { EventId::TaskSubmitted, "TaskSubmitted", "A task was accepted and is on disk." },
         EventInfo { EventId::TaskPlaced, "TaskPlaced", "A worker was chosen for a task; `reason` says why that worker." },
         EventInfo { EventId::TaskWaits, "TaskWaits", "A task stays queued; `reason` says what it waits for." },
--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -42,6 +42,7 @@
     ClaimDecided = 210,
     CallForwarded = 211,
     CallRefused = 212,
+    RefusalWithheld = 213,
     TaskSubmitted = 300,
     TaskPlaced = 301,
     TaskWaits = 302,
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -109,6 +109,8 @@
     void cancel(JobId const& job, Done done);
     /// Answers only on the confirmed leader, else NotLeader.
     JobLookup lookUp(JobId const& job) const;
+    /// True on the leader for a job that is accepted or being committed, so that a denial of its submission would not be true.
+    bool mayBeAccepted(JobId const& job) const { return this->jobTable.find(job) || this->proposedJobs.count(job); }
     /// Sets `count` to the queue's active jobs without a schedule of which no task has started. NotLeader, with `count`
     /// unchanged, unless this host is the confirmed leader.
     CallResult countPending(QueueId const& queue, size_t& count) const;
