--- a/cornelpond/adapters/journal/JournalStorage.cpp
+++ b/cornelpond/adapters/journal/JournalStorage.cpp
@@ -313,16 +313,20 @@
     }
 
     /// The segments, of those in the folder, that the snapshot does not cover; the others were removed, but a power loss may
-    /// have undone that. Throws Error(StorageDamaged) when one is missing.
+    /// have undone that. Throws Error(StorageDamaged) when one is missing, or the snapshot itself.
     std::vector<uint64_t> neededSegments(std::string const& folder, std::vector<uint64_t> const& present, LogIndex snapshotIndex)
     {
         // A start that tells of a later snapshot than the stored one was written before a power loss that undid the snapshot.
         SegmentStart start;
         auto const isInForce = [&](uint64_t number) { return readSegmentStart(folder + "/" + segmentName(number), start) && start.snapshotIndex <= snapshotIndex; };
         bool const hasStart = std::find_if(present.rbegin(), present.rend(), isInForce) != present.rend();
-        if (!hasStart)
+        if (!hasStart) {
+            // Before the snapshot that the oldest segment starts with was stored, an older segment was there.
+            if (!present.empty() && readSegmentStart(folder + "/" + segmentName(present.front()), start))
+                throwDamaged(folder + " lacks the snapshot that " + segmentName(present.front()) + " starts with");
             start.oldestNeeded = present.empty() ? 0 : present.front();
-        std::vector<uint64_t> const needed(std::lower_bound(present.begin(), present.end(), start.oldestNeeded), present.end());
+        }
+        std::vector<uint64_t> needed(std::lower_bound(present.begin(), present.end(), start.oldestNeeded), present.end());
         for (size_t i = 0; i < needed.size(); i++) {
             if (needed[i] != start.oldestNeeded + i)
                 throwDamaged(folder + " lacks " + segmentName(start.oldestNeeded + i));
@@ -335,6 +339,7 @@
         size_t completeBytes = 0; ///< Length of the complete records.
         size_t unsyncedBytes = 0; ///< Length of what is behind them.
         size_t syncPointEnd = 0; ///< End of the latest sync point among them; 0: none.
+        bool hasHardState = false;
         LogIndex lastEntry; ///< Highest index ever written to it, entries truncated since included.
     };
 
@@ -349,6 +354,7 @@
             end.completeBytes += record.bytes;
             if (record.kind == RecordKind::Entry)
                 end.lastEntry = std::max(end.lastEntry, LogIndex(FieldReader(record.payload).number<uint64_t>()));
+            end.hasHardState |= record.kind == RecordKind::HardState;
             if (record.kind == RecordKind::SyncPoint)
                 end.syncPointEnd = end.completeBytes;
             rest.remove_prefix(record.bytes);
@@ -379,6 +385,9 @@
             files.ends.push_back(readSegment(folder + "/" + segmentName(number), files.log));
             files.ends.back().number = number;
         }
+        // A later segment starts with a copy of the hard state, which was durable before the earlier ones were removed.
+        if (!files.ends.empty() && files.ends.front().number && !files.ends.front().hasHardState)
+            throwDamaged(folder + "/" + segmentName(files.ends.front().number) + " is damaged at its start");
         return files;
     }
 
--- a/cornelpond/adapters/journal/PowerLossTest.cpp
+++ b/cornelpond/adapters/journal/PowerLossTest.cpp
@@ -345,6 +345,35 @@
     }
 }
 
+TEST_CASE("damage of a segment's start, or the loss of its snapshot, is refused once the segments before it are gone")
+{
+    TemporaryFolder folder;
+    std::string const segment = folder.path() + "/journal.1";
+    RecordingEventSink events;
+    {
+        JournalStorage storage(folder.path(), events);
+        storage.load();
+        storage.saveHardState({ Term(3), HostId("h2") });
+        appendEach(storage, 1, 2);
+        storage.saveSnapshot({ LogIndex(2), Term(1), "", "state" });
+    }
+    REQUIRE(entryCount(folder.path()) == 0);
+    std::string const whole = readAll(segment);
+    size_t const lastSyncPoint = 9 + 8; // Written by the load above.
+    for (size_t at = 0; at < whole.size() - lastSyncPoint; at++) {
+        for (bool const isSyncPointKept : { true, false }) {
+            std::string bytes = whole.substr(0, whole.size() - (isSyncPointKept ? 0 : lastSyncPoint));
+            bytes[at] = static_cast<char>(bytes[at] ^ 0x10);
+            writeAll(segment, bytes);
+            REQUIRE(loadResult(folder.path()) == ResultCode::StorageDamaged);
+        }
+    }
+    writeAll(segment, whole);
+    REQUIRE(loadResult(folder.path()) == ResultCode::Ok);
+    std::filesystem::remove(folder.path() + "/snapshot");
+    CHECK(loadResult(folder.path()) == ResultCode::StorageDamaged);
+}
+
 TEST_CASE("an entry whose payload looks like a sync point proves nothing")
 {
     TemporaryFolder folder;
