--- a/cornelpond/app/CallAttempts.h
+++ b/cornelpond/app/CallAttempts.h
@@ -32,9 +32,6 @@
     /// have been carried out is not answered as one that was not, but with OutcomeUnknown.
     HttpResponse finalAnswer(HttpResponse const& last) const;
 
-    /// True when an attempt may have been carried out whose answer is not known.
-    bool mayHaveRun() const { return this->hasUnknownOutcome; }
-
 private:
     bool isIdempotent;
     bool hasUnknownOutcome = false;
--- a/cornelpond/core/routing/BackendServerTable.cpp
+++ b/cornelpond/core/routing/BackendServerTable.cpp
@@ -95,7 +95,7 @@
     return isNew;
 }
 
-/// Ignores a leave that was overtaken by an announcement of the server's next life.
+/// Ignores a leave that was overtaken by an announcement of the server's next incarnation.
 void BackendServerTable::remove(BackendServerAnnouncement const& leave, TimePoint leftAt)
 {
     auto const known = this->servers.find(leave.server);
--- a/cornelpond/core/routing/BalancerTest.cpp
+++ b/cornelpond/core/routing/BalancerTest.cpp
@@ -69,7 +69,7 @@
     CHECK(table.announce(makeAnnouncement("a", 1), now + Duration::milliseconds(200)));
 }
 
-TEST_CASE("a late leave of a server's former life does not remove its next one")
+TEST_CASE("a late leave of a server's earlier incarnation does not remove its next one")
 {
     BackendServerTable table(Duration::seconds(3));
     TimePoint const now = TimePoint() + Duration::seconds(10);
--- a/cornelpond/core/scheduling/JobFaultsTest.cpp
+++ b/cornelpond/core/scheduling/JobFaultsTest.cpp
@@ -362,7 +362,7 @@
 
 } // namespace
 
-// Guards against the removal of a worker by a late deregister call of its former life: its tasks were started elsewhere
+// Guards against the removal of a worker by a late deregister call of an earlier incarnation: its tasks were started elsewhere
 // while they still ran.
 TEST_CASE("a deregister call of an earlier incarnation, late or repeated, ends nothing that the present one runs")
 {
@@ -385,11 +385,31 @@
     CHECK(deregister(bench, worker, 0) == CallResult::Done);
     bench.run(second);
     CHECK(bench.leader().scheduler().workerCount() == 2);
+    CHECK_FALSE(bench.leader().scheduler().dispatcher().workers().at(worker).profile.isDraining);
     CHECK(bench.fleet.record().starts == 4);
     CHECK(bench.fleet.record().duplicateRuns == 0);
     CHECK(bench.events.count(EventId::WorkerDeregistered) == 4);
 }
 
+TEST_CASE("a deregister call that names no incarnation does not drain a worker that never named its own")
+{
+    JobBench bench(12);
+    bench.addWorkers(1, 16000);
+    WorkerProfile unnamed = bench.fleet.report(WorkerId("w0")).profile;
+    unnamed.id = WorkerId("w1");
+    unnamed.address = "10.0.0.1:80";
+    unnamed.bornMs = 0;
+    bench.fleet.addWorker(unnamed);
+    announce(bench, unnamed.id);
+    bench.run(second);
+    bench.submit(makeJob("plan", 2, 16000, second * 20));
+    bench.run(second);
+    REQUIRE(bench.fleet.runningCountOn(unnamed.id) == 1);
+    deregister(bench, unnamed.id, 0);
+    CHECK_FALSE(bench.leader().scheduler().dispatcher().workers().at(unnamed.id).profile.isDraining);
+    CHECK(bench.fleet.runningCountOn(unnamed.id) == 1);
+}
+
 TEST_CASE("a deregister call removes its own incarnation, an earlier one, and one that is not told apart but idle")
 {
     JobBench bench(8);
@@ -442,7 +462,7 @@
     CHECK(bench.fleet.record().duplicateRuns == 0);
 }
 
-// Guards against the same fault by another message: an answer to an order that was sent to a worker's former life.
+// Guards against the same fault by another message: an answer to an order that was sent to an earlier incarnation of a worker.
 TEST_CASE("an answer from a worker's former address ends nothing that its present incarnation runs")
 {
     JobBench bench(10);
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -512,7 +512,8 @@
 
 void JobScheduler::drainLeavingWorker(WorkerProfile known, WorkerDeparture const& departure, Done done)
 {
-    if (departure.bornMs != known.bornMs || known.isDraining) {
+    bool const isItsOwn = departure.bornMs && departure.bornMs == known.bornMs;
+    if (!isItsOwn || known.isDraining) {
         done(CallResult::Done);
         return;
     }
