--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -125,7 +125,7 @@
 
     /// Removes a worker that is shutting down, unless a later incarnation than the given one is known or tasks are placed there:
     /// the announcement may be late, and its sender runs on until it has an answer. With tasks, the worker drains, if the
-    /// announcement is certain to be its own, and is removed once they have ended or its lease has expired.
+    /// announcement is certain to be its own; the tasks end as listed or with its lease, and it is removed as a silent worker.
     void deregisterWorker(WorkerDeparture const& departure, Done done);
 
     /// Call every 10 to 20 ms.
