A segment that was being started when the power was lost is no longer refused later

Two faults of the new storage:

- A segment whose start was torn was used further without a copy of the hard state.
`load` now writes the hard state into it.
It now counts only with the hard state.

PowerLossDisk can fail all calls after a given one, and keeps or loses a rename as a whole: as two changes, it left one file under two names, which no file system does.

--- a/cornelpond/adapters/journal/JournalStorage.cpp
+++ b/cornelpond/adapters/journal/JournalStorage.cpp
@@ -138,8 +138,6 @@
         LogIndex snapshotIndex; ///< The snapshot's last index.
     };
 
-    constexpr size_t segmentStartPayloadBytes = 16;
-
     std::string encode(SegmentStart const& start)
     {
         std::string payload;
@@ -296,20 +294,18 @@
         return numbers;
     }
 
-    /// Reads the start of a segment. False when it has none: it is the first of the journal, or was not durable when the
-    /// power was lost.
+    /// Reads the start of a segment. False when it has none that is complete, with the hard state behind it: it is the first of
+    /// the journal, or was being started when the power was lost.
     bool readSegmentStart(std::string const& path, SegmentStart& start)
     {
-        std::ifstream in(path, std::ios::binary);
-        std::string head(recordHeaderBytes + segmentStartPayloadBytes, '\0');
-        in.read(head.data(), static_cast<std::streamsize>(head.size()));
+        std::string const bytes = readFile(path);
         Record record {};
-        if (static_cast<size_t>(in.gcount()) < head.size() || !readRecord(head, record) || record.kind != RecordKind::SegmentStart)
+        if (!readRecord(bytes, record) || record.kind != RecordKind::SegmentStart)
             return false;
         FieldReader fields(record.payload);
         start.oldestNeeded = fields.number<uint64_t>();
         start.snapshotIndex = LogIndex(fields.number<uint64_t>());
-        return true;
+        return readRecord(std::string_view(bytes).substr(record.bytes), record) && record.kind == RecordKind::HardState;
     }
 
     /// The segments, of those in the folder, that the snapshot does not cover; the others were removed, but a power loss may
@@ -385,7 +381,7 @@
             files.ends.push_back(readSegment(folder + "/" + segmentName(number), files.log));
             files.ends.back().number = number;
         }
-        // A later segment starts with a copy of the hard state, which was durable before the earlier ones were removed.
+        // Each segment but the first holds a copy of the hard state, which was durable before the earlier ones were removed.
         if (!files.ends.empty() && files.ends.front().number && !files.ends.front().hasHardState)
             throwDamaged(folder + "/" + segmentName(files.ends.front().number) + " is damaged at its start");
         return files;
@@ -449,6 +445,9 @@
         this->cutSegment(end.completeBytes);
         this->events.emit(Event(EventId::JournalTailCut).with("folder", this->folder).with("segment", end.number).with("atByte", end.completeBytes).with("bytes", end.unsyncedBytes).with("syncPointEnd", end.syncPointEnd));
     }
+    // The power was lost while the segment was being started. The earlier ones, which hold the hard state, may be removed now.
+    if (end.number && !end.hasHardState)
+        this->writeToSegment(encode(this->hardState));
     this->syncSegment();
     this->syncFolder(this->folder);
     this->writeSyncPoint();
--- a/cornelpond/adapters/journal/PowerLossTest.cpp
+++ b/cornelpond/adapters/journal/PowerLossTest.cpp
@@ -16,6 +16,8 @@
 #include <iterator>
 #include <memory>
 #include <random>
+#include <set>
+#include <utility>
 
 using namespace cornelpond;
 
@@ -46,8 +48,39 @@
         this->open();
     }
 
-    /// A random sequence of writes, syncs and snapshots.
+    /// A random sequence of writes, syncs and snapshots, which a loss of power ends in the middle of a step half of the times.
     void work(size_t steps)
+    {
+        constexpr size_t maxCalls = 40;
+        if (this->choices.below(2))
+            this->disk.failAfter(this->choices.below(maxCalls));
+        try {
+            this->takeSteps(steps);
+        } catch (Error const& error) {
+            REQUIRE(error.code() == ResultCode::StorageFailed);
+        }
+    }
+
+    /// Loses power and starts again. Requires that all that was synced is there, and nothing that was never written.
+    void losePower()
+    {
+        this->storage.reset();
+        this->disk.losePower([this](size_t count) { return this->choices.below(count); });
+        std::vector<std::string> const durable = this->synced;
+        size_t const durableCount = std::min(durable.size(), this->shortestSinceSync);
+        std::vector<HardState> const states = this->statesSinceSync;
+        this->open();
+        REQUIRE(std::any_of(states.begin(), states.end(), [&](HardState const& state) { return state.term == this->state.term && state.votedFor == this->state.votedFor; }));
+        REQUIRE(this->entries.size() >= durableCount);
+        for (size_t i = this->snapshotIndex; i < this->entries.size(); i++) {
+            REQUIRE((i >= durableCount || this->entries[i] == durable[i]));
+            REQUIRE(this->written.count({ i, this->entries[i] }));
+        }
+        this->noteSynced();
+    }
+
+private:
+    void takeSteps(size_t steps)
     {
         enum Step : size_t {
             Append,
@@ -79,22 +112,6 @@
         }
     }
 
-    /// Loses power and starts again. Requires that all that was synced is there, and nothing that was never written.
-    void losePower()
-    {
-        this->storage.reset();
-        this->disk.losePower([this](size_t count) { return this->choices.below(count); });
-        std::vector<std::string> const durable = this->synced;
-        std::vector<HardState> const states = this->statesSinceSync;
-        this->open();
-        REQUIRE(std::any_of(states.begin(), states.end(), [&](HardState const& state) { return state.term == this->state.term && state.votedFor == this->state.votedFor; }));
-        REQUIRE(this->entries.size() >= std::min(durable.size(), this->shortestSinceSync));
-        for (size_t i = 0; i < std::min(this->shortestSinceSync, durable.size()); i++)
-            REQUIRE((this->entries[i] == durable[i] || i < this->snapshotIndex));
-        this->noteSynced();
-    }
-
-private:
     void open()
     {
         this->storage = std::make_unique<JournalStorage>(this->folder, this->events, this->disk.calls());
@@ -115,6 +132,7 @@
         std::vector<LogEntry> added;
         for (; count; count--) {
             this->entries.push_back("payload " + std::to_string(this->nextPayload++) + std::string(this->choices.below(40), 'x'));
+            this->written.insert({ this->entries.size() - 1, this->entries.back() });
             added.push_back({ LogIndex(this->entries.size()), Term(this->state.term), EntryKind::Command, this->entries.back() });
         }
         this->storage->append(Span<LogEntry const>(added));
@@ -165,6 +183,7 @@
     std::unique_ptr<JournalStorage> storage;
     std::vector<std::string> entries; ///< Those that the snapshot covers included.
     std::vector<std::string> synced;
+    std::set<std::pair<size_t, std::string>> written; ///< Every entry ever written, by its place in the log.
     size_t shortestSinceSync = 0; ///< Number of entries after the farthest truncation since the last sync.
     size_t snapshotIndex = 0;
     size_t nextPayload = 1;
--- a/testing/fakes/PowerLossDisk.cpp
+++ b/testing/fakes/PowerLossDisk.cpp
@@ -1,6 +1,7 @@
 #include "testing/fakes/PowerLossDisk.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <cstdio>
 #include <cstring>
 #include <fcntl.h>
@@ -15,6 +16,18 @@
 {
 }
 
+bool PowerLossDisk::takeCall()
+{
+    if (this->callsUntilFailure == SIZE_MAX)
+        return true;
+    if (!this->callsUntilFailure) {
+        errno = EIO;
+        return false;
+    }
+    this->callsUntilFailure--;
+    return true;
+}
+
 std::string PowerLossDisk::nameOf(char const* path) const
 {
     std::filesystem::path const file(path);
@@ -23,20 +36,24 @@
 
 void PowerLossDisk::changeName(NameChange const& change)
 {
-    if (change.isRemoval)
-        this->names.erase(change.name);
-    else
-        this->names[change.name] = change.file;
+    apply(change, this->names);
     this->pendingNames.push_back(change);
 }
 
+void PowerLossDisk::apply(NameChange const& change, Names& names)
+{
+    names.erase(change.formerName);
+    if (!change.name.empty())
+        names[change.name] = change.file;
+}
+
 void PowerLossDisk::recordOpen(int descriptor, char const* path, int flags)
 {
     std::string const name = this->nameOf(path);
     if (descriptor < 0 || name.empty() || (flags & O_DIRECTORY))
         return;
     if (!this->names.count(name)) {
-        this->changeName({ name, this->nextFile, false });
+        this->changeName({ name, this->nextFile, std::string() });
         this->files[this->nextFile++];
     }
     FileNumber const file = this->names.at(name);
@@ -51,11 +68,15 @@
 {
     FileSystemCalls calls;
     calls.open = [this](char const* path, int flags) {
+        if (!this->takeCall())
+            return -1;
         int const descriptor = ::open(path, flags, 0600);
         this->recordOpen(descriptor, path, flags);
         return descriptor;
     };
     calls.write = [this](int descriptor, void const* bytes, size_t count) {
+        if (!this->takeCall())
+            return ssize_t(-1);
         ssize_t const written = ::write(descriptor, bytes, count);
         if (written > 0) {
             File& file = this->files.at(this->descriptors.at(descriptor));
@@ -66,30 +87,39 @@
         return written;
     };
     calls.truncate = [this](int descriptor, off_t length) {
+        if (!this->takeCall())
+            return -1;
         File& file = this->files.at(this->descriptors.at(descriptor));
         file.pending.push_back({ static_cast<size_t>(length), std::string(), true });
         apply(file.pending.back(), file.content);
         return ::ftruncate(descriptor, length);
     };
     calls.sync = [this](int descriptor) {
+        if (!this->takeCall())
+            return -1;
         File& file = this->files.at(this->descriptors.at(descriptor));
         file.durable = file.content;
         file.pending.clear();
         return 0;
     };
     calls.syncFolder = [this](int) {
+        if (!this->takeCall())
+            return -1;
         this->durableNames = this->names;
         this->pendingNames.clear();
         return 0;
     };
     calls.rename = [this](char const* from, char const* to) {
-        this->changeName({ this->nameOf(to), this->names.at(this->nameOf(from)), false });
-        this->changeName({ this->nameOf(from), 0, true });
+        if (!this->takeCall())
+            return -1;
+        this->changeName({ this->nameOf(to), this->names.at(this->nameOf(from)), this->nameOf(from) });
         return std::rename(from, to);
     };
     calls.unlink = [this](char const* path) {
+        if (!this->takeCall())
+            return -1;
         if (this->names.count(this->nameOf(path)))
-            this->changeName({ this->nameOf(path), 0, true });
+            this->changeName({ std::string(), 0, this->nameOf(path) });
         return ::unlink(path);
     };
     return calls;
@@ -130,13 +160,10 @@
 
 void PowerLossDisk::losePower(Choose const& choose)
 {
+    this->callsUntilFailure = SIZE_MAX;
     for (auto const& change : this->pendingNames) {
         if (choose(2))
-            continue;
-        if (change.isRemoval)
-            this->durableNames.erase(change.name);
-        else
-            this->durableNames[change.name] = change.file;
+            apply(change, this->durableNames);
     }
     std::map<FileNumber, File> left;
     for (auto const& [name, number] : this->durableNames) {
--- a/testing/fakes/PowerLossDisk.h
+++ b/testing/fakes/PowerLossDisk.h
@@ -13,6 +13,7 @@
 
 #include "cornelpond/adapters/journal/JournalStorage.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -31,6 +32,9 @@
     /// Carries out the calls in the folder and records them. The object must outlive the result.
     FileSystemCalls calls();
 
+    /// After so many further calls all fail, as if the power was lost then; until `losePower`.
+    void failAfter(size_t calls) { this->callsUntilFailure = calls; }
+
     /// Leaves in the folder what is durable and what `choose` keeps of the rest. No file may be open.
     void losePower(Choose const& choose);
 
@@ -50,15 +54,20 @@
         std::vector<Change> pending;
     };
 
-    /// `name` refers to `file` from now on, or with `isRemoval` to none.
+    /// `name` refers to `file` from now on, and `formerName` to none. Each may be empty. A rename is kept or lost as a whole.
     struct NameChange {
         std::string name;
         FileNumber file = 0;
-        bool isRemoval = false;
+        std::string formerName;
     };
 
+    using Names = std::map<std::string, FileNumber>;
+
+    /// False, with errno set, when the call is to fail.
+    bool takeCall();
     std::string nameOf(char const* path) const;
     void changeName(NameChange const& change);
+    static void apply(NameChange const& change, Names& names);
     void recordOpen(int descriptor, char const* path, int flags);
     static void apply(Change const& change, std::string& content);
     static void applyPart(Change const& change, std::string& content, Choose const& choose);
@@ -66,10 +75,11 @@
     std::string folder;
     std::map<FileNumber, File> files;
     std::map<int, FileNumber> descriptors;
-    std::map<std::string, FileNumber> names;
-    std::map<std::string, FileNumber> durableNames;
+    Names names;
+    Names durableNames;
     std::vector<NameChange> pendingNames;
     FileNumber nextFile = 1;
+    size_t callsUntilFailure = SIZE_MAX;
 };
 
 } // namespace cornelpond
