Log and metrics tell how a cancel was answered and which stops do not arrive

The record of the incident holds no line on the job's cancel: 338 is written after a commit alone, a stop that fails leaves no line, and no metric counts the cancelled jobs of which something still runs.

343 CancelAnswered for each cancel at the leader, 344 StopRepeated for each stop that is sent again before the worker has confirmed one, gauges for cancelled jobs with live attempts, counters and a histogram of stops.

--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -23,6 +23,16 @@
     gauge("jobsCompleted", counters.jobsCompleted);
     gauge("jobsFailed", counters.jobsFailed);
     gauge("jobsCancelled", counters.jobsCancelled);
+    for (auto const& [result, count] : counters.cancelsAnswered)
+        metrics.setGauge("cancelsAnswered{outcome=\"" + std::string(callResultName(result)) + "\"}", static_cast<int64_t>(count));
+    CancelledRuns const cancelled = scheduler.cancelledRuns();
+    gauge("cancelledJobsWithRuns", cancelled.jobs);
+    gauge("cancelledAttempts", cancelled.attempts);
+    metrics.setGauge("oldestCancelledRunMs", cancelled.oldest.toMilliseconds());
+    StopCounters const& stops = scheduler.dispatcher().stopCounters();
+    gauge("stopsSent", stops.sent);
+    gauge("stopsRepeated", stops.repeated);
+    metrics.setHistogram("stopConfirmationMs", stops.confirmationTime);
     gauge("startsDecided", counters.startsDecided);
     gauge("evictions", counters.evictions);
     for (auto const& [end, count] : counters.attemptEnds)
--- a/cornelpond/core/base/Event.cpp
+++ b/cornelpond/core/base/Event.cpp
@@ -60,6 +60,8 @@
         EventInfo { EventId::RoomReported, "RoomReported", "Tasks find no worker: the free cores, what service tasks that have run before wait for (`waitingRestartMilliCores`), and how many tasks of 1, 2, 4 and 8 cores would fit now (`placesN`) and beside service tasks only (`placesBesideServicesN`)." },
         EventInfo { EventId::LoadReported, "LoadReported", "The leader's load in the last second, while tasks wait or it is late: passes, starts, workers examined, the longest time between two ticks (`maxTickGapMs`) and pass (`maxPassMs`), waiting tasks and the age of the oldest by class." },
         EventInfo { EventId::WorkerDeregistered, "WorkerDeregistered", "A worker said that it ends; `outcome` says whether it is removed, and why not." },
+        EventInfo { EventId::CancelAnswered, "CancelAnswered", "The leader answered a cancel; `state` is the job's when the cancel arrived, `outcome` what the caller is told, `ageMs` the time since the job was accepted." },
+        EventInfo { EventId::StopRepeated, "StopRepeated", "A stop order was not confirmed and is sent again; `lastResult` says how the one before ended, `ageMs` counts from the first." },
         EventInfo { EventId::LeaderElected, "LeaderElected", "This host leads a group." },
         EventInfo { EventId::LeaderLost, "LeaderLost", "This host no longer leads a group." },
         EventInfo { EventId::JournalOpened, "JournalOpened", "A journal was read from disk." },
--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -73,6 +73,8 @@
     RoomReported = 340,
     LoadReported = 341,
     WorkerDeregistered = 342,
+    CancelAnswered = 343,
+    StopRepeated = 344,
     LeaderElected = 400,
     LeaderLost = 401,
     JournalOpened = 402,
--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -244,7 +244,7 @@
     TimePoint const now = this->clock.now();
     bool const awaitsStart = attempt.phase == PlacedAttempt::Phase::Starting && !attempt.isInherited;
     bool const awaitsThrottle = attempt.targetSpeedPercent != attempt.acknowledgedSpeedPercent;
-    if (attempt.isStopping && !attempt.isStopInFlight && now >= attempt.nextStopAt && view.hasListing)
+    if (attempt.isStopping && !attempt.stopOrders.isInFlight && now >= attempt.stopOrders.nextAt && view.hasListing)
         this->sendStop(view, attempt);
     else if (awaitsStart && !attempt.isStopping && !attempt.isStartInFlight && now >= attempt.nextStartAt)
         this->sendStart(view, attempt);
@@ -257,7 +257,7 @@
 {
     TimePoint const now = this->clock.now();
     for (auto at = view.orphanedAttempts.begin(); at != view.orphanedAttempts.end();) {
-        if (!at->second.isStopInFlight && now >= at->second.nextStopAt && view.hasListing)
+        if (!at->second.stopOrders.isInFlight && now >= at->second.stopOrders.nextAt && view.hasListing)
             this->stopOrphanedAttempt(view, at->first, at->second);
         bool const isOver = !at->second.isListed && now >= at->second.forgetAt;
         at = isOver ? view.orphanedAttempts.erase(at) : std::next(at);
@@ -560,7 +560,7 @@
         // The attempt ended there or was stopped; the listing shows which.
         attempt.isStopping = true;
         attempt.stopConfirmedAt = now;
-        attempt.nextStopAt = TimePoint::infiniteFuture();
+        attempt.stopOrders.nextAt = TimePoint::infiniteFuture();
         return;
     case OrderResult::RefusedRoom:
     case OrderResult::RefusedPermit:
@@ -638,22 +638,45 @@
         this->stop(*view, *placed);
 }
 
+/// Counts a stop order that is sent now, and logs it unless it is the first one or one was confirmed.
+void Dispatcher::noteStopSent(WorkerView const& view, AttemptKey const& key, StopProgress& progress, bool isConfirmed)
+{
+    TimePoint const now = this->clock.now();
+    if (!progress.sent)
+        progress.firstSentAt = now;
+    else if (!isConfirmed) {
+        this->stopTotals.repeated++;
+        this->events.emit(Event(EventId::StopRepeated)
+                              .with("task", key.first.text())
+                              .with("attempt", key.second)
+                              .with("worker", view.profile.id)
+                              .with("sent", progress.sent)
+                              .with("lastResult", std::string(orderResultName(progress.lastResult)))
+                              .with("ageMs", now - progress.firstSentAt));
+    }
+    progress.sent++;
+    progress.isInFlight = true;
+    progress.nextAt = now + stopRetryDelay;
+    this->stopTotals.sent++;
+}
+
 void Dispatcher::sendStop(WorkerView& view, PlacedAttempt& attempt)
 {
-    attempt.isStopInFlight = true;
-    attempt.nextStopAt = this->clock.now() + stopRetryDelay;
+    this->noteStopSent(view, { attempt.task, attempt.number }, attempt.stopOrders, attempt.stopConfirmedAt.has_value());
     StopOrder const order { attempt.task, attempt.number, this->epoch };
     this->orders.stop(view.target(), order, this->ifStillLeading([this, worker = view.profile.id, bornMs = view.profile.bornMs, key = AttemptKey { attempt.task, attempt.number }](OrderAnswer const& answer) {
         WorkerView* answering = this->findWorker(worker);
         PlacedAttempt* stopped = answering ? answering->find(key) : nullptr;
         if (!stopped)
             return;
-        stopped->isStopInFlight = false;
+        stopped->stopOrders.isInFlight = false;
+        stopped->stopOrders.lastResult = answer.result;
         if (answering->profile.bornMs != bornMs)
             return; // This incarnation may still carry out a start order that the earlier one never got.
-        if (answer.result == OrderResult::Accepted && !stopped->stopConfirmedAt)
+        if (answer.result == OrderResult::Accepted && !stopped->stopConfirmedAt) {
             stopped->stopConfirmedAt = this->clock.now();
-        else if (answer.result == OrderResult::OtherLife)
+            this->stopTotals.confirmationTime.observe(*stopped->stopConfirmedAt - stopped->stopOrders.firstSentAt);
+        } else if (answer.result == OrderResult::OtherLife)
             this->removeReplacedWorker(*answering);
         else if (answer.result == OrderResult::RefusedEpoch)
             this->onHigherEpoch(*answering);
@@ -662,8 +685,7 @@
 
 void Dispatcher::stopOrphanedAttempt(WorkerView& view, AttemptKey const& key, OrphanedAttempt& orphan)
 {
-    orphan.isStopInFlight = true;
-    orphan.nextStopAt = this->clock.now() + stopRetryDelay;
+    this->noteStopSent(view, key, orphan.stopOrders, false);
     this->orders.stop(view.target(), { key.first, key.second, this->epoch }, this->ifStillLeading([this, worker = view.profile.id, bornMs = view.profile.bornMs, key](OrderAnswer const& answer) {
         WorkerView* answering = this->findWorker(worker);
         if (!answering)
@@ -671,7 +693,8 @@
         auto const found = answering->orphanedAttempts.find(key);
         if (found == answering->orphanedAttempts.end())
             return;
-        found->second.isStopInFlight = false;
+        found->second.stopOrders.isInFlight = false;
+        found->second.stopOrders.lastResult = answer.result;
         if (answer.result == OrderResult::Accepted && answering->profile.bornMs == bornMs)
             found->second.forgetAt = this->clock.now();
     }));
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -19,6 +19,7 @@
 //     the worker, and the worker does not list it;
 //   - its worker's lease has expired, or the worker was removed or replaced by another at its address.
 
+#include "cornelpond/core/base/Histogram.h"
 #include "cornelpond/core/dispatch/WorkerView.h"
 #include "cornelpond/core/jobs/JobTable.h"
 #include "cornelpond/ports/Clock.h"
@@ -47,6 +48,13 @@
     std::function<void()> onCapacityChanged;
 };
 
+/// Stop orders since the host was started, for metrics and tests.
+struct StopCounters {
+    uint64_t sent = 0;
+    uint64_t repeated = 0; ///< Sent again before the worker had confirmed one.
+    Histogram confirmationTime; ///< From an attempt's first stop order to the first that the worker confirmed.
+};
+
 class Dispatcher {
 public:
     /// References must outlive the object. All hooks must be set.
@@ -93,6 +101,7 @@
     DispatchTimes const& dispatchTimes() const { return this->times; }
     /// Placed attempts that checks by the clock have visited, for metrics and tests.
     uint64_t attemptsChecked() const { return this->attemptCheckCount; }
+    StopCounters const& stopCounters() const { return this->stopTotals; }
 
 private:
     using WeakLeadershipToken = std::weak_ptr<bool>;
@@ -120,6 +129,7 @@
     void onStartAnswered(WorkerId const& worker, int64_t bornMs, AttemptKey const& key, OrderAnswer const& answer);
     void handleStartAnswer(WorkerView& view, PlacedAttempt& attempt, OrderResult result);
     void retryOrWithdrawStart(WorkerView& view, PlacedAttempt& attempt);
+    void noteStopSent(WorkerView const& view, AttemptKey const& key, StopProgress& progress, bool isConfirmed);
     void sendStop(WorkerView& view, PlacedAttempt& attempt);
     void stopOrphanedAttempt(WorkerView& view, AttemptKey const& key, OrphanedAttempt& orphan);
     void sendThrottle(WorkerView& view, PlacedAttempt& attempt);
@@ -142,6 +152,7 @@
     ImageIdTable imageIds;
     std::map<WorkerId, WorkerView> views;
     uint64_t attemptCheckCount = 0;
+    StopCounters stopTotals;
     std::set<TaskRef> proposedFinishes; ///< Tasks of which an earlier attempt's end as done awaits its commit.
     std::shared_ptr<bool> leadershipToken; ///< Replaced by each lead(), so that answers to orders from before are dropped.
 };
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -46,6 +46,15 @@
 
 constexpr unsigned fullSpeedPercent = 100; ///< Speed of a task that is not throttled.
 
+/// The stop orders for one attempt.
+struct StopProgress {
+    unsigned sent = 0;
+    bool isInFlight = false;
+    TimePoint firstSentAt; ///< Meaningless while `sent` is 0.
+    TimePoint nextAt;
+    OrderResult lastResult = OrderResult::Unknown; ///< Of the latest one that was answered or given up.
+};
+
 /// One attempt on a worker, from the placement decision until its end is committed.
 struct PlacedAttempt {
     enum class Phase {
@@ -71,8 +80,7 @@
     TimePoint nextStartAt;
 
     bool isStopping = false;
-    bool isStopInFlight = false;
-    TimePoint nextStopAt;
+    StopProgress stopOrders;
     std::optional<TimePoint> stopConfirmedAt;
 
     uint64_t lastListing = 0; ///< Number of the latest listing that held it.
@@ -118,8 +126,7 @@
 /// An attempt to be stopped: the worker lists it though it is not placed there, or may still execute a start order
 /// that was sent to its earlier incarnation.
 struct OrphanedAttempt {
-    bool isStopInFlight = false;
-    TimePoint nextStopAt;
+    StopProgress stopOrders;
     TimePoint forgetAt; ///< Earliest time of removal when it is not listed.
     bool isListed = true; ///< In the worker's latest listing.
 };
--- a/cornelpond/core/jobs/JobTable.cpp
+++ b/cornelpond/core/jobs/JobTable.cpp
@@ -146,6 +146,21 @@
 
 } // namespace
 
+std::string_view jobStateName(JobState state)
+{
+    switch (state) {
+    case JobState::Active:
+        return "active";
+    case JobState::Completed:
+        return "completed";
+    case JobState::Failed:
+        return "failed";
+    case JobState::Cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
 bool JobRecord::isStageReady(OccurrenceRecord const& occurrence, size_t stage) const
 {
     auto const& after = this->spec.stages[stage].dependsOn;
--- a/cornelpond/core/jobs/JobTable.h
+++ b/cornelpond/core/jobs/JobTable.h
@@ -15,6 +15,7 @@
 
 #include <functional>
 #include <map>
+#include <string_view>
 #include <unordered_map>
 
 namespace cornelpond {
@@ -26,6 +27,9 @@
     Cancelled = 4,
 };
 
+/// Name for logs, such as "active".
+std::string_view jobStateName(JobState state);
+
 /// One attempt that is committed and not ended, so it may be running.
 struct Attempt {
     AttemptNumber number;
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -75,6 +75,23 @@
 
 } // namespace
 
+std::string_view callResultName(CallResult result)
+{
+    switch (result) {
+    case CallResult::Done:
+        return "done";
+    case CallResult::NotLeader:
+        return "notLeader";
+    case CallResult::Refused:
+        return "refused";
+    case CallResult::OutcomeUnknown:
+        return "outcomeUnknown";
+    case CallResult::NotFound:
+        return "notFound";
+    }
+    return "outcomeUnknown";
+}
+
 JobScheduler::JobScheduler(Clock const& clock, EventSink& events, CommandLog& jobLog, CommandLog& rosterLog, QueueTable const& queues, WorkerOrders& orders, DispatchTimes times, JobLimits limits)
     : clock(clock)
     , events(events)
@@ -222,11 +239,10 @@
     JobProgress const& progress = active.progress;
     Duration const lasted = this->clock.now() - active.objective.acceptedAt;
     JobOutcome const outcome = outcomeOf(job.state, lasted, active.objective.latencyObjective);
-    constexpr std::array<char const*, 5> names = { "", "active", "completed", "failed", "cancelled" };
     this->events.emit(Event(EventId::JobEnded)
                           .with("job", job.spec.id)
                           .with("queue", job.queue)
-                          .with("state", names.at(static_cast<size_t>(job.state)))
+                          .with("state", std::string(jobStateName(job.state)))
                           .with("lastedMs", lasted)
                           .with("objectiveMs", active.objective.latencyObjective)
                           .with("tasks", progress.size.taskCount)
@@ -394,9 +410,10 @@
     this->schedulerCounters.jobsRefused++;
 }
 
-void JobScheduler::cancel(JobId const& id, Done done)
+void JobScheduler::cancel(JobId const& id, Done answer)
 {
     JobRecord const* job = this->jobTable.find(id);
+    Done const done = this->withCancelReport(id, job, std::move(answer));
     if (!job) {
         done(this->jobLog.isLeadershipConfirmed() ? CallResult::NotFound : CallResult::NotLeader);
         return;
@@ -405,12 +422,43 @@
         done(CallResult::Done);
         return;
     }
-    this->jobLog.propose(encodeJobCommand(CancelJob { id, this->clock.wallMilliseconds() }), [this, id, done = std::move(done)](ProposalOutcome const& outcome) {
+    this->jobLog.propose(encodeJobCommand(CancelJob { id, this->clock.wallMilliseconds() }), [this, id, done](ProposalOutcome const& outcome) {
         this->events.emit(Event(EventId::JobCancelled).with("job", id).with("code", static_cast<int>(outcome.code)));
         done(resultOf(outcome.code));
     });
 }
 
+/// Wraps the answer to a cancel so that it is logged and counted. `job`: null if not known.
+JobScheduler::Done JobScheduler::withCancelReport(JobId const& id, JobRecord const* job, Done answer)
+{
+    int64_t const ageMs = job ? this->clock.wallMilliseconds() - job->acceptedWallMs : 0;
+    std::string const state(job ? jobStateName(job->state) : "notKnown");
+    return [this, id, state, ageMs, since = this->clock.now(), answer = std::move(answer)](CallResult result) {
+        this->schedulerCounters.cancelsAnswered[result]++;
+        this->events.emit(Event(EventId::CancelAnswered)
+                              .with("job", id)
+                              .with("state", state)
+                              .with("outcome", std::string(callResultName(result)))
+                              .with("ageMs", ageMs)
+                              .with("lastedMs", this->clock.now() - since));
+        answer(result);
+    };
+}
+
+CancelledRuns JobScheduler::cancelledRuns() const
+{
+    CancelledRuns runs;
+    int64_t const wallMs = this->clock.wallMilliseconds();
+    for (auto const& [id, job] : this->jobTable.all()) {
+        if (job.state != JobState::Cancelled || !job.liveAttemptCount)
+            continue;
+        runs.jobs++;
+        runs.attempts += job.liveAttemptCount;
+        runs.oldest = std::max(runs.oldest, Duration::milliseconds(wallMs - job.endedWallMs));
+    }
+    return runs;
+}
+
 JobLookup JobScheduler::lookUp(JobId const& id) const
 {
     JobLookup found;
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -40,6 +40,9 @@
     NotFound,
 };
 
+/// Name for logs and metrics, such as "notLeader".
+std::string_view callResultName(CallResult result);
+
 struct SubmitResult {
     CallResult result = CallResult::Done;
     Duration retryAfter; ///< With Refused.
@@ -54,6 +57,7 @@
     uint64_t jobsFailed = 0;
     uint64_t jobsCancelled = 0;
     uint64_t evictions = 0;
+    std::map<CallResult, uint64_t> cancelsAnswered;
     std::map<AttemptEnd, uint64_t> attemptEnds;
     std::map<std::pair<size_t, JobOutcome>, uint64_t> jobEnds; ///< By size class and outcome; without service jobs.
     uint64_t passes = 0;
@@ -64,6 +68,13 @@
     Histogram completionLatency; ///< From a job's acceptance to its completion.
 };
 
+/// Cancelled jobs of which attempts may still run.
+struct CancelledRuns {
+    size_t jobs = 0;
+    size_t attempts = 0;
+    Duration oldest; ///< Longest time since such a job's cancel was decided, by the wall clock.
+};
+
 /// A worker's announcement of itself.
 struct WorkerReport {
     WorkerProfile profile;
@@ -106,7 +117,7 @@
     /// Accepted once committed. Submitting an id that exists already is answered as accepted again.
     void submit(JobSpec job, QueueSpec const& queue, std::function<void(SubmitResult const&)> done);
     /// Done once committed, or at once for a job that has ended.
-    void cancel(JobId const& job, Done done);
+    void cancel(JobId const& job, Done answer);
     /// Answers only on the confirmed leader, else NotLeader.
     JobLookup lookUp(JobId const& job) const;
     /// True on the leader for a job that is accepted or being committed, so that a denial of its submission would not be true.
@@ -139,6 +150,7 @@
     size_t activeJobCount() const { return this->activeJobs.size(); }
     /// Accepted jobs that have not ended, by size class; without service jobs. Zeros on a follower.
     std::array<size_t, sizeClassCount> activeJobsBySize() const;
+    CancelledRuns cancelledRuns() const;
     /// Tasks that wait for a worker. Empty on a follower.
     WaitingSummary waitingTasks() const;
     RoomSummary room() const { return summarizeRoom(this->dispatch.workers(), this->clock.now(), this->times); }
@@ -152,6 +164,7 @@
     void onEndApplied(CommitEnd const& end);
     std::optional<Duration> refusalFor(JobSpec const& job, QueueSpec const& queue) const;
     void refuse(JobSpec const& job, QueueSpec const& queue, char const* reason, Duration retryAfter);
+    Done withCancelReport(JobId const& id, JobRecord const* job, Done answer);
     void observeRunTime(CommitEnd const& end);
     void noteServiceTaskEnd(TaskRef const& task);
     void stopRestOfGang(CommitEnd const& end);
--- a/cornelpond/core/scheduling/JobServiceTest.cpp
+++ b/cornelpond/core/scheduling/JobServiceTest.cpp
@@ -174,6 +174,27 @@
     CHECK(bench.find(job.id)->liveAttemptCount == 0);
 }
 
+TEST_CASE("log and metrics tell how a cancel was answered, which stops were sent again and what still runs")
+{
+    JobBench bench(18);
+    bench.addWorkers(1, 4000);
+    JobSpec const job = makeJob("plan", 4, 1000, second * 30);
+    bench.submit(job);
+    bench.run(second);
+    FakeFleet::Faults faults;
+    faults.lateOrderShare = 1;
+    bench.fleet.setFaults(faults);
+    bench.cancel(job.id);
+    bench.run(second * 2);
+    CHECK(bench.events.count(EventId::CancelAnswered) == 1);
+    CHECK(bench.events.count(EventId::StopRepeated) >= 4);
+    CHECK(bench.leader().scheduler().cancelledRuns().attempts == 4);
+    CHECK(bench.leader().scheduler().cancelledRuns().oldest > second);
+    bench.fleet.setFaults(FakeFleet::Faults());
+    bench.run(second * 20);
+    CHECK(bench.leader().scheduler().cancelledRuns().jobs == 0);
+}
+
 TEST_CASE("a job fails once a task has failed its queue's maximum of attempts")
 {
     JobBench bench(9);
