A cancel that meets the submission of its job ends the job

Callers saw: a job that starts after its cancel was answered 410.

Cause: the scheduler knew only committed jobs. A cancel that arrived while the submission awaited its commit found no job and was answered 410 at once; the submission was committed behind it and its tasks were placed.

Such a cancel is proposed behind the submission. A log keeps the order of one leader's proposals, so that no leader can hold the job without its cancel once the cancel is acknowledged. If the submission never enters the log, the answer is 410 after the commit.

--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -414,17 +414,19 @@
 {
     JobRecord const* job = this->jobTable.find(id);
     Done const done = this->withCancelReport(id, job, std::move(answer));
-    if (!job) {
+    if (!job && !this->proposedJobs.count(id)) {
         done(this->jobLog.isLeadershipConfirmed() ? CallResult::NotFound : CallResult::NotLeader);
         return;
     }
-    if (job->state != JobState::Active) {
+    if (job && job->state != JobState::Active) {
         done(CallResult::Done);
         return;
     }
+    // The log keeps the order of proposals: a submission that is being committed takes effect before its cancel.
     this->jobLog.propose(encodeJobCommand(CancelJob { id, this->clock.wallMilliseconds() }), [this, id, done](ProposalOutcome const& outcome) {
         this->events.emit(Event(EventId::JobCancelled).with("job", id).with("code", static_cast<int>(outcome.code)));
-        done(resultOf(outcome.code));
+        bool const wasNeverSubmitted = outcome.code == ResultCode::Ok && !this->jobTable.find(id);
+        done(wasNeverSubmitted ? CallResult::NotFound : resultOf(outcome.code));
     });
 }
 
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -116,7 +116,7 @@
 
     /// Accepted once committed. Submitting an id that exists already is answered as accepted again.
     void submit(JobSpec job, QueueSpec const& queue, std::function<void(SubmitResult const&)> done);
-    /// Done once committed, or at once for a job that has ended.
+    /// Done once committed, or at once for a job that has ended. Also ends a job whose submission is being committed.
     void cancel(JobId const& job, Done answer);
     /// Answers only on the confirmed leader, else NotLeader.
     JobLookup lookUp(JobId const& job) const;
