A worker whose service was removed can still say that it drains

Callers saw: no ack to a draining worker whose service a configuration has removed; its service tasks stayed there until it was gone.

Evidence: the new case of core_scheduling_test fails without the change (announcement refused, the task still on the leaving worker) and passes with it. Announcements of workers that were never accepted for the service are refused as before.

--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -494,11 +494,13 @@
     WorkerProfile const& profile = announcement.profile;
     // Anyone may send announcements. One for a service that is not configured is refused. One that gives another
     // worker's address proves nothing about that worker: only an answer from the address does.
-    if (this->queues.hasConfig() && !this->queues.findService(profile.service)) {
+    WorkerProfile const* known = this->workerRoster.find(profile.id);
+    bool const isConfigured = !this->queues.hasConfig() || this->queues.findService(profile.service);
+    bool const servesRunningJobs = known && known->service == profile.service;
+    if (!isConfigured && !servesRunningJobs) {
         done(CallResult::Refused);
         return;
     }
-    WorkerProfile const* known = this->workerRoster.find(profile.id);
     auto& [lastBornMs, lastSequence] = this->lastSequences[profile.id];
     bool const isStale = (known && known->bornMs > profile.bornMs) || (lastBornMs == profile.bornMs && announcement.sequence && announcement.sequence < lastSequence);
     if (isStale) {
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -127,7 +127,8 @@
     CallResult countPending(QueueId const& queue, size_t& count) const;
 
     /// Done once the announcement may be acknowledged to the worker: its profile is committed, or it is stale.
-    /// Refused where the configuration has no such service.
+    /// Refused where the configuration has no such service, unless the worker has been accepted for it before: jobs of a
+    /// removed service may still run there.
     void announce(WorkerReport const& announcement, Done done);
 
     /// True when the worker is not draining and the replicated state already holds exactly its profile, so that
--- a/cornelpond/core/scheduling/JobServiceTest.cpp
+++ b/cornelpond/core/scheduling/JobServiceTest.cpp
@@ -246,6 +246,33 @@
     CHECK(bench.fleet.runningCount(watch.id) == 4);
 }
 
+// Guards against tasks that are lost with a worker whose notice that it drains was refused.
+TEST_CASE("a worker whose service has been removed still drains, and its service tasks move")
+{
+    JobBench bench(19);
+    bench.addWorkers(2, 16000);
+    JobSpec const job = makeServiceJob("watch", 1, 2000, "image");
+    bench.submit(job);
+    bench.run(second);
+    WorkerId const leaving(bench.fleet.runningCountOn(WorkerId("w0")) ? "w0" : "w1");
+    QueueConfig config;
+    config.version = ConfigVersion(2);
+    config.services.push_back({ ServiceId("other"), true, false });
+    bench.leader().replaceQueues(config, [](CallResult) {});
+    bench.run(second);
+    bench.fleet.setDraining(leaving);
+    CallResult answered = CallResult::NotLeader;
+    bench.leader().scheduler().announce(bench.fleet.report(leaving), [&](CallResult result) { answered = result; });
+    bench.run(second * 2);
+    CHECK(answered == CallResult::Done);
+    CHECK(bench.fleet.runningCountOn(leaving) == 0);
+    CHECK(bench.fleet.runningCount(job.id) == 1);
+    WorkerReport newcomer = bench.fleet.report(leaving);
+    newcomer.profile.id = WorkerId("newcomer");
+    bench.leader().scheduler().announce(newcomer, [&](CallResult result) { answered = result; });
+    CHECK(answered == CallResult::Refused);
+}
+
 TEST_CASE("members of a gang start together or not at all")
 {
     JobBench bench(12);
