--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -75,6 +75,7 @@
     WorkerDeregistered = 342,
     CancelAnswered = 343,
     StopRepeated = 344,
+    LeaseWithheld = 345,
     LeaderElected = 400,
     LeaderLost = 401,
     JournalOpened = 402,
--- a/cornelpond/core/dispatch/OrderResult.cpp
+++ b/cornelpond/core/dispatch/OrderResult.cpp
@@ -31,4 +31,17 @@
     return "unknown";
 }
 
+std::string_view stopWayName(StopWay way)
+{
+    switch (way) {
+    case StopWay::Usual:
+        return "usual";
+    case StopWay::OtherRoute:
+        return "otherRoute";
+    case StopWay::RenewalConnection:
+        return "renewalConnection";
+    }
+    return "unknown";
+}
+
 } // namespace cornelpond
--- a/cornelpond/ports/WorkerOrders.h
+++ b/cornelpond/ports/WorkerOrders.h
@@ -61,10 +61,21 @@
     std::string permit; ///< Ticket of the permit; empty: none needed.
 };
 
+/// How a stop order travels to the worker. A stop that is not confirmed is repeated another way.
+enum class StopWay {
+    Usual, ///< Like every other order.
+    OtherRoute, ///< On a new connection, directly if orders to the worker go through a relay, else through the relay.
+    RenewalConnection, ///< Right after an answered renewal, while no order is open, so that it reuses the connection of that renewal.
+};
+
+/// The name of the way in log events.
+std::string_view stopWayName(StopWay way);
+
 struct StopOrder {
     TaskRef task;
     AttemptNumber attempt;
     Term epoch;
+    StopWay way = StopWay::Usual; ///< Not passed on to a relay, which sends the order the usual way.
 };
 
 /// Throttles an attempt to a part of its full speed, which also reduces its interference with its neighbours.
--- a/testing/fakes/FakeFleet.cpp
+++ b/testing/fakes/FakeFleet.cpp
@@ -235,10 +235,42 @@
     }
 }
 
-void FakeFleet::stop(WorkerTarget const& worker, StopOrder const& order, Done done)
+bool FakeFleet::isLost(Worker const& worker, StopOrder const& order) const
 {
+    switch (worker.lostStops) {
+    case LostStops::None:
+        return false;
+    case LostStops::Usual:
+        return order.way != StopWay::OtherRoute;
+    case LostStops::AllButIdleConnection:
+        return worker.ordersOnOpenConnection;
+    case LostStops::All:
+        return true;
+    }
+    return true;
+}
+
+void FakeFleet::stop(WorkerTarget const& target, StopOrder const& order, Done done)
+{
+    auto const found = this->workers.find(target.id);
+    if (found != this->workers.end() && this->isLost(found->second, order)) {
+        this->clock.after(answerTimeout, [done = std::move(done)] { done(OrderAnswer()); });
+        return;
+    }
+    if (found != this->workers.end())
+        found->second.ordersOnOpenConnection++;
     this->deliver(
-        worker, [this, order](Worker& target) { return this->executeStop(target, order); }, std::move(done));
+        target, [this, order](Worker& worker) { return this->executeStop(worker, order); },
+        [this, id = target.id, done = std::move(done)](OrderAnswer const& answer) {
+            this->leaveOpenConnection(id);
+            done(answer);
+        });
+}
+
+void FakeFleet::leaveOpenConnection(WorkerId const& worker)
+{
+    unsigned& orders = this->workers.at(worker).ordersOnOpenConnection;
+    orders -= orders > 0; // A restarted worker begins without any.
 }
 
 OrderAnswer FakeFleet::executeStop(Worker& worker, StopOrder const& order)
@@ -267,23 +299,28 @@
         std::move(done));
 }
 
-void FakeFleet::renew(WorkerTarget const& target, RenewOrder const& given, std::function<void(RenewAnswer const&)> done)
+void FakeFleet::renew(WorkerTarget const& target, RenewOrder const& given, std::function<void(RenewAnswer const&)> whenDone)
 {
     if (this->isOtherWorker(target)) {
         RenewAnswer other;
         other.order.result = OrderResult::OtherLife;
-        this->clock.after(this->otherWorkerDelay, [done, other] { done(other); });
+        this->clock.after(this->otherWorkerDelay, [whenDone, other] { whenDone(other); });
         return;
     }
     bool const isLost = this->random.nextDouble() < this->faults.lateOrderShare;
-    Worker const& addressed = this->workers.at(target.id);
+    Worker& addressed = this->workers.at(target.id);
+    addressed.ordersOnOpenConnection++;
+    std::function<void(RenewAnswer const&)> const done = [this, id = target.id, whenDone = std::move(whenDone)](RenewAnswer const& answer) {
+        this->leaveOpenConnection(id);
+        whenDone(answer);
+    };
     bool const isSameProcess = addressed.hasAnsweredRenewal;
     RenewOrder order = given;
     if (!isSameProcess) {
         order.acknowledgedEnds = 0;
         order.maxWait = Duration();
     }
-    this->clock.after(oneWayDelay, [this, id = target.id, incarnation = addressed.profile.bornMs, isSameProcess, order, isLost, done = std::move(done)] {
+    this->clock.after(oneWayDelay, [this, id = target.id, incarnation = addressed.profile.bornMs, isSameProcess, order, isLost, done] {
         Worker& worker = this->workers.at(id);
         bool const isBroken = isSameProcess && worker.profile.bornMs != incarnation;
         if (!worker.isUp || worker.isCut || isLost || isBroken) {
--- a/testing/fakes/FakeFleet.h
+++ b/testing/fakes/FakeFleet.h
@@ -31,6 +31,14 @@
         double failureShare = 0; ///< Share of attempts that end as failed.
     };
 
+    /// Stop orders to a worker that get no answer and are not carried out, while its renewals are answered.
+    enum class LostStops {
+        None,
+        Usual, ///< All but those by the other route.
+        AllButIdleConnection, ///< Only one connection to the worker works: lost while it carries a renewal or another stop.
+        All,
+    };
+
     struct Record {
         unsigned starts = 0;
         unsigned duplicateRuns = 0; ///< Starts of a task without speculative copies that was already running, counted for each worker that ran it.
@@ -63,6 +71,7 @@
     void restartAt(WorkerId const& worker, std::string address, Duration answerDelay);
     void setCut(WorkerId const& worker, bool isCut);
     void setDraining(WorkerId const& worker) { this->workers.at(worker).profile.isDraining = true; }
+    void setLostStops(WorkerId const& worker, LostStops lost) { this->workers.at(worker).lostStops = lost; }
     void setFaults(Faults const& given) { this->faults = given; }
 
     /// Advances all workers to the clock's current time.
@@ -110,6 +119,8 @@
         double speed = 1;
         bool isUp = true;
         bool isCut = false;
+        LostStops lostStops = LostStops::None;
+        unsigned ordersOnOpenConnection = 0; ///< Renewals and delivered stops without an answer.
         TimePoint startedAt;
         TimePoint leaseEnd;
         Term epoch;
@@ -124,6 +135,8 @@
     };
 
     bool isOtherWorker(WorkerTarget const& target) const;
+    bool isLost(Worker const& worker, StopOrder const& order) const;
+    void leaveOpenConnection(WorkerId const& worker);
     void failPendingRenewals(Worker& worker);
     OrderAnswer makeAnswer(Worker const& worker, OrderResult result) const;
     void deliver(WorkerTarget const& target, std::function<OrderAnswer(Worker&)> action, Done done);
