Stops are repeated another way, and extend no lease while unconfirmed

Cause: stop orders and renewals use different connections. A stop that got no answer was repeated every 500 ms the same way, and the long poll took the one connection that worked again at once, while each renewal and each start extended the lease of all that ran there.

Fix, the same for every stop (cancelled and failed jobs, copies, evicted and preempted work, withdrawn starts, attempts that the leader does not know): - Repetitions take turns between the usual way and the other route on a new connection. Nothing is withheld from a worker that confirms stops soon, and a second way has 3.5 s to work before neighbours are lost.

Bound: with one way that works, 0.5 s (a way that fails at once) to 1.6 s until it is tried; otherwise the lease: 3.5 s from the first order, 3.6 s by a worker clock that is 2 % slow.

Ruled out: withholding only after the order timeout, which adds 0.6 s to the bound and saves nothing; counting attempts that a later listing lacks, which would cost neighbours their lease for a start that never came.

--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -1,5 +1,7 @@
 #include "cornelpond/app/FleetMetrics.h"
 
+#include <algorithm>
+
 namespace cornelpond {
 
 namespace {
@@ -32,6 +34,8 @@
     StopCounters const& stops = scheduler.dispatcher().stopCounters();
     gauge("stopsSent", stops.sent);
     gauge("stopsRepeated", stops.repeated);
+    auto const& workers = scheduler.dispatcher().workers();
+    gauge("leasesWithheld", static_cast<size_t>(std::count_if(workers.begin(), workers.end(), [](auto const& entry) { return entry.second.isLeaseWithheld; })));
     metrics.setHistogram("stopConfirmationMs", stops.confirmationTime);
     gauge("startsDecided", counters.startsDecided);
     gauge("evictions", counters.evictions);
--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -17,6 +17,12 @@
     constexpr Duration uncommittedEndsRenewalDelay = Duration::milliseconds(100); ///< Between renewals while listed ends await their commit.
     constexpr Duration clockReversalThreshold = Duration::milliseconds(500); ///< A steady clock that is further back belongs to a new incarnation of the worker.
 
+    /// The way of the next order that awaits no renewal: by turns, as a route or a pooled connection may fail without notice.
+    StopWay nextStopWay(StopProgress const& progress)
+    {
+        return progress.sent % 2 ? StopWay::OtherRoute : StopWay::Usual;
+    }
+
 } // namespace
 
 Dispatcher::Dispatcher(Clock const& clock, EventSink& events, WorkerOrders& orders, DispatchTimes times, JobTable const& jobs, DispatcherHooks hooks)
@@ -204,11 +210,13 @@
     TimePoint const now = this->clock.now();
     if (view.hasHigherEpoch)
         return;
-    if (!view.isRenewalInFlight && now >= view.nextRenewalAt)
+    if (!view.isRenewalInFlight && now >= view.nextRenewalAt && now >= view.renewalHeldUntil)
         this->sendRenewal(view);
     if (now < view.nextCheckAt)
         return;
     view.nextCheckAt = now + attemptCheckInterval;
+    if (view.openStopSince)
+        this->noteOpenStops(view);
     bool const isSilent = now - view.lastAnswerAt > this->times.silenceTimeout;
     if (isSilent && view.isLeaseExpired(now, this->times)) {
         this->onLeaseExpired(view);
@@ -245,7 +253,7 @@
     bool const awaitsStart = attempt.phase == PlacedAttempt::Phase::Starting && !attempt.isInherited;
     bool const awaitsThrottle = attempt.targetSpeedPercent != attempt.acknowledgedSpeedPercent;
     if (attempt.isStopping && !attempt.stopOrders.isInFlight && now >= attempt.stopOrders.nextAt && view.hasListing)
-        this->sendStop(view, attempt);
+        this->sendStop(view, attempt, nextStopWay(attempt.stopOrders));
     else if (awaitsStart && !attempt.isStopping && !attempt.isStartInFlight && now >= attempt.nextStartAt)
         this->sendStart(view, attempt);
     else if (awaitsThrottle && !attempt.isThrottleInFlight && attempt.phase == PlacedAttempt::Phase::Running)
@@ -258,7 +266,7 @@
     TimePoint const now = this->clock.now();
     for (auto at = view.orphanedAttempts.begin(); at != view.orphanedAttempts.end();) {
         if (!at->second.stopOrders.isInFlight && now >= at->second.stopOrders.nextAt && view.hasListing)
-            this->stopOrphanedAttempt(view, at->first, at->second);
+            this->stopOrphanedAttempt(view, at->first, at->second, nextStopWay(at->second.stopOrders));
         bool const isOver = !at->second.isListed && now >= at->second.forgetAt;
         at = isOver ? view.orphanedAttempts.erase(at) : std::next(at);
     }
@@ -289,9 +297,12 @@
     order.listedBy = view.listingBornMs;
     order.extendsLease = view.hasClock && !isSilent && !view.consecutiveRenewalFailures;
     order.maxWait = view.hasListing && !view.consecutiveRenewalFailures && view.listedEnds.empty() ? this->times.longPollWait : Duration();
+    this->noteOpenStops(view);
+    TimePoint const leaseBase = view.leaseBase(now);
+    order.extendsLease &= leaseBase + this->times.leaseDuration > now;
     if (order.extendsLease) {
-        order.leaseUntil = view.estimatedClock(now) + this->times.leaseDuration;
-        view.lastLeaseExtensionAt = now;
+        order.leaseUntil = view.estimatedClock(leaseBase) + this->times.leaseDuration;
+        view.lastLeaseExtensionAt = std::max(view.lastLeaseExtensionAt, leaseBase);
     }
     view.isRenewalInFlight = true;
     this->orders.renew(view.target(), order, [this, token = WeakLeadershipToken(this->leadershipToken), worker = view.profile.id, bornMs = view.profile.bornMs, now](RenewAnswer const& answer) {
@@ -387,6 +398,8 @@
         this->concludeMissing(view, sentAt);
     this->acknowledgeEnds(view);
     view.nextRenewalAt = view.listedEnds.empty() ? now : now + uncommittedEndsRenewalDelay;
+    if (this->sendOverdueStop(view))
+        view.renewalHeldUntil = now + this->times.orderTimeout;
     this->hooks.onListingRead(view);
     if (isFirst)
         this->hooks.onCapacityChanged();
@@ -498,7 +511,7 @@
         return;
     }
     // A start that was committed before the end as done must not follow it to the workers.
-    if (this->proposedFinishes.count(attempt.task) || !view.hasClock || !this->hooks.canSendOrders()) {
+    if (this->proposedFinishes.count(attempt.task) || !view.hasClock || !this->hooks.canSendOrders() || view.isStopOverdue(now, this->times)) {
         attempt.nextStartAt = now + startRetryDelay;
         return;
     }
@@ -506,11 +519,12 @@
     order.task = attempt.task;
     order.attempt = attempt.number;
     order.payload = this->jobs.find(attempt.task.job)->spec.payload;
-    order.leaseUntil = view.estimatedClock(now) + this->times.leaseDuration;
+    TimePoint const leaseBase = view.leaseBase(now);
+    order.leaseUntil = view.estimatedClock(leaseBase) + this->times.leaseDuration;
     order.epoch = this->epoch;
     order.checkpoint = attempt.stage->savesCheckpoints ? attempt.checkpoint : std::string();
     order.permit = this->hooks.permitFor(attempt.task, view.profile.id);
-    view.lastLeaseExtensionAt = now;
+    view.lastLeaseExtensionAt = std::max(view.lastLeaseExtensionAt, leaseBase);
     attempt.startsSent++;
     attempt.isStartInFlight = true;
     this->orders.start(view.target(), order, this->ifStillLeading([this, worker = view.profile.id, bornMs = view.profile.bornMs, key = AttemptKey { attempt.task, attempt.number }](OrderAnswer const& answer) {
@@ -560,6 +574,7 @@
         // The attempt ended there or was stopped; the listing shows which.
         attempt.isStopping = true;
         attempt.stopConfirmedAt = now;
+        attempt.stopOrders.isConfirmed = true;
         attempt.stopOrders.nextAt = TimePoint::infiniteFuture();
         return;
     case OrderResult::RefusedRoom:
@@ -612,7 +627,7 @@
     attempt.isStopping = true;
     view.hasOpenOrders = true;
     if (view.hasListing && this->hooks.canSendOrders())
-        this->sendStop(view, attempt);
+        this->sendStop(view, attempt, nextStopWay(attempt.stopOrders));
 }
 
 void Dispatcher::stopUnwanted(JobId const& job)
@@ -639,67 +654,138 @@
 }
 
 /// Counts a stop order that is sent now, and logs it unless it is the first one or one was confirmed.
-void Dispatcher::noteStopSent(WorkerView const& view, AttemptKey const& key, StopProgress& progress, bool isConfirmed)
+void Dispatcher::noteStopSent(WorkerView& view, AttemptKey const& key, StopProgress& progress, StopWay way)
 {
     TimePoint const now = this->clock.now();
     if (!progress.sent)
         progress.firstSentAt = now;
-    else if (!isConfirmed) {
+    else if (!progress.isConfirmed) {
         this->stopTotals.repeated++;
         this->events.emit(Event(EventId::StopRepeated)
                               .with("task", key.first.text())
                               .with("attempt", key.second)
                               .with("worker", view.profile.id)
                               .with("sent", progress.sent)
+                              .with("way", std::string(stopWayName(way)))
                               .with("lastResult", std::string(orderResultName(progress.lastResult)))
                               .with("ageMs", now - progress.firstSentAt));
     }
     progress.sent++;
     progress.isInFlight = true;
     progress.nextAt = now + stopRetryDelay;
+    if (progress.sent == 1 || way == StopWay::RenewalConnection)
+        progress.nextAfterRenewalAt = now + stopRetryDelay;
     this->stopTotals.sent++;
+    if (!view.openStopSince)
+        view.openStopSince = progress.firstSentAt;
 }
 
-void Dispatcher::sendStop(WorkerView& view, PlacedAttempt& attempt)
+void Dispatcher::sendStop(WorkerView& view, PlacedAttempt& attempt, StopWay way)
 {
-    this->noteStopSent(view, { attempt.task, attempt.number }, attempt.stopOrders, attempt.stopConfirmedAt.has_value());
-    StopOrder const order { attempt.task, attempt.number, this->epoch };
-    this->orders.stop(view.target(), order, this->ifStillLeading([this, worker = view.profile.id, bornMs = view.profile.bornMs, key = AttemptKey { attempt.task, attempt.number }](OrderAnswer const& answer) {
+    this->noteStopSent(view, { attempt.task, attempt.number }, attempt.stopOrders, way);
+    StopOrder const order { attempt.task, attempt.number, this->epoch, way };
+    this->orders.stop(view.target(), order, this->ifStillLeading([this, worker = view.profile.id, bornMs = view.profile.bornMs, way, key = AttemptKey { attempt.task, attempt.number }](OrderAnswer const& answer) {
         WorkerView* answering = this->findWorker(worker);
-        PlacedAttempt* stopped = answering ? answering->find(key) : nullptr;
-        if (!stopped)
+        if (!answering)
             return;
-        stopped->stopOrders.isInFlight = false;
-        stopped->stopOrders.lastResult = answer.result;
+        PlacedAttempt* stopped = answering->find(key);
+        if (!stopped) {
+            this->releaseRenewal(*answering, way);
+            return;
+        }
+        if (answer.result == OrderResult::Accepted && !stopped->stopConfirmedAt && answering->profile.bornMs == bornMs) {
+            stopped->stopConfirmedAt = this->clock.now();
+            if (stopped->stopOrders.sent)
+                this->stopTotals.confirmationTime.observe(*stopped->stopConfirmedAt - stopped->stopOrders.firstSentAt);
+        }
+        this->onStopAnswered(*answering, stopped->stopOrders, way, bornMs, answer.result);
         if (answering->profile.bornMs != bornMs)
             return; // This incarnation may still carry out a start order that the earlier one never got.
-        if (answer.result == OrderResult::Accepted && !stopped->stopConfirmedAt) {
-            stopped->stopConfirmedAt = this->clock.now();
-            this->stopTotals.confirmationTime.observe(*stopped->stopConfirmedAt - stopped->stopOrders.firstSentAt);
-        } else if (answer.result == OrderResult::OtherLife)
+        if (answer.result == OrderResult::OtherLife)
             this->removeReplacedWorker(*answering);
         else if (answer.result == OrderResult::RefusedEpoch)
             this->onHigherEpoch(*answering);
     }));
 }
 
-void Dispatcher::stopOrphanedAttempt(WorkerView& view, AttemptKey const& key, OrphanedAttempt& orphan)
+void Dispatcher::stopOrphanedAttempt(WorkerView& view, AttemptKey const& key, OrphanedAttempt& orphan, StopWay way)
 {
-    this->noteStopSent(view, key, orphan.stopOrders, false);
-    this->orders.stop(view.target(), { key.first, key.second, this->epoch }, this->ifStillLeading([this, worker = view.profile.id, bornMs = view.profile.bornMs, key](OrderAnswer const& answer) {
+    this->noteStopSent(view, key, orphan.stopOrders, way);
+    this->orders.stop(view.target(), { key.first, key.second, this->epoch, way }, this->ifStillLeading([this, worker = view.profile.id, bornMs = view.profile.bornMs, way, key](OrderAnswer const& answer) {
         WorkerView* answering = this->findWorker(worker);
         if (!answering)
             return;
         auto const found = answering->orphanedAttempts.find(key);
-        if (found == answering->orphanedAttempts.end())
+        if (found == answering->orphanedAttempts.end()) {
+            this->releaseRenewal(*answering, way);
             return;
-        found->second.stopOrders.isInFlight = false;
-        found->second.stopOrders.lastResult = answer.result;
+        }
         if (answer.result == OrderResult::Accepted && answering->profile.bornMs == bornMs)
             found->second.forgetAt = this->clock.now();
+        this->onStopAnswered(*answering, found->second.stopOrders, way, bornMs, answer.result);
     }));
 }
 
+/// Sends the next unconfirmed stop that is due for repetition. Call when no other order to the worker uses the connection
+/// of its latest renewal. False when there is none.
+bool Dispatcher::sendOverdueStop(WorkerView& view)
+{
+    TimePoint const now = this->clock.now();
+    if (!this->hooks.canSendOrders() || view.hasHigherEpoch)
+        return false;
+    for (auto& [key, attempt] : view.placed) {
+        if (!attempt.awaitsStop(view.lastAnswerAt) || now < attempt.stopOrders.nextAfterRenewalAt)
+            continue;
+        this->sendStop(view, attempt, StopWay::RenewalConnection);
+        return true;
+    }
+    for (auto& [key, orphan] : view.orphanedAttempts) {
+        if (!orphan.awaitsStop() || now < orphan.stopOrders.nextAfterRenewalAt)
+            continue;
+        this->stopOrphanedAttempt(view, key, orphan, StopWay::RenewalConnection);
+        return true;
+    }
+    return false;
+}
+
+void Dispatcher::onStopAnswered(WorkerView& view, StopProgress& progress, StopWay way, int64_t bornMs, OrderResult result)
+{
+    progress.isInFlight = false;
+    progress.lastResult = result;
+    bool const isAccepted = result == OrderResult::Accepted && view.profile.bornMs == bornMs;
+    progress.isConfirmed |= isAccepted;
+    this->noteOpenStops(view);
+    // Further stops take their turns on the connection, as long as it works and the renewal can wait.
+    bool const isConnectionFree = way == StopWay::RenewalConnection && isAccepted && this->clock.now() < view.renewalHeldUntil;
+    if (!isConnectionFree || !this->sendOverdueStop(view))
+        this->releaseRenewal(view, way);
+}
+
+/// Lets the next renewal be sent, after a stop order that held it up was answered.
+void Dispatcher::releaseRenewal(WorkerView& view, StopWay way)
+{
+    if (way == StopWay::RenewalConnection)
+        view.renewalHeldUntil = this->clock.now();
+}
+
+void Dispatcher::noteOpenStops(WorkerView& view)
+{
+    TimePoint const now = this->clock.now();
+    std::optional<TimePoint> const before = view.openStopSince;
+    view.refreshOpenStops();
+    // The lease of a silent worker is not extended anyway.
+    bool const isWithheld = view.isStopOverdue(now, this->times) && !view.consecutiveRenewalFailures;
+    if (isWithheld == view.isLeaseWithheld)
+        return;
+    view.isLeaseWithheld = isWithheld;
+    this->events.emit(Event(EventId::LeaseWithheld)
+                          .with("worker", view.profile.id)
+                          .with("withheld", static_cast<int>(isWithheld))
+                          .with("ageMs", now - view.openStopSince.value_or(before.value_or(now))));
+    if (!isWithheld)
+        this->hooks.onCapacityChanged();
+}
+
 void Dispatcher::throttle(WorkerView& view, PlacedAttempt& attempt, unsigned percent)
 {
     attempt.targetSpeedPercent = percent;
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -129,9 +129,13 @@
     void onStartAnswered(WorkerId const& worker, int64_t bornMs, AttemptKey const& key, OrderAnswer const& answer);
     void handleStartAnswer(WorkerView& view, PlacedAttempt& attempt, OrderResult result);
     void retryOrWithdrawStart(WorkerView& view, PlacedAttempt& attempt);
-    void noteStopSent(WorkerView const& view, AttemptKey const& key, StopProgress& progress, bool isConfirmed);
-    void sendStop(WorkerView& view, PlacedAttempt& attempt);
-    void stopOrphanedAttempt(WorkerView& view, AttemptKey const& key, OrphanedAttempt& orphan);
+    void noteStopSent(WorkerView& view, AttemptKey const& key, StopProgress& progress, StopWay way);
+    void sendStop(WorkerView& view, PlacedAttempt& attempt, StopWay way);
+    void stopOrphanedAttempt(WorkerView& view, AttemptKey const& key, OrphanedAttempt& orphan, StopWay way);
+    bool sendOverdueStop(WorkerView& view);
+    void onStopAnswered(WorkerView& view, StopProgress& progress, StopWay way, int64_t bornMs, OrderResult result);
+    void releaseRenewal(WorkerView& view, StopWay way);
+    void noteOpenStops(WorkerView& view);
     void sendThrottle(WorkerView& view, PlacedAttempt& attempt);
     void conclude(WorkerView& view, PlacedAttempt& attempt, AttemptEnd end, char const* reason);
     void proposeEnd(WorkerView& view, PlacedAttempt& attempt, AttemptEnd end, std::string const& checkpoint);
--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -12,6 +12,13 @@
     return amount;
 }
 
+bool PlacedAttempt::awaitsStop(TimePoint listedAt) const
+{
+    // A listing that arrived since and lacks it shows that it does not run, or not yet.
+    bool const mayRun = this->phase == Phase::Running || listedAt <= this->stopOrders.firstSentAt;
+    return this->isStopping && this->stopOrders.sent && !this->stopOrders.isConfirmed && !this->isEndProposed && mayRun;
+}
+
 WorkerView::WorkerView(WorkerProfile profile, TimePoint now)
     : profile(std::move(profile))
     , lastLeaseExtensionAt(now)
@@ -95,10 +102,27 @@
     return now > this->lastLeaseExtensionAt + times.leaseDuration + times.leaseMargin;
 }
 
+void WorkerView::refreshOpenStops()
+{
+    this->openStopSince.reset();
+    auto const consider = [this](StopProgress const& stop) {
+        if (!this->openStopSince || stop.firstSentAt < *this->openStopSince)
+            this->openStopSince = stop.firstSentAt;
+    };
+    for (auto const& [key, attempt] : this->placed) {
+        if (attempt.awaitsStop(this->lastAnswerAt))
+            consider(attempt.stopOrders);
+    }
+    for (auto const& [key, orphan] : this->orphanedAttempts) {
+        if (orphan.awaitsStop())
+            consider(orphan.stopOrders);
+    }
+}
+
 bool WorkerView::canTakeTasks(TimePoint now, DispatchTimes const& times) const
 {
     return this->hasListing && this->hasClock && !this->hasHigherEpoch && !this->profile.isDraining && this->isAnswering(now, times)
-        && now >= this->startsPausedUntil && std::none_of(this->orphanedAttempts.begin(), this->orphanedAttempts.end(), [](auto const& entry) { return entry.second.isListed; });
+        && now >= this->startsPausedUntil && !this->isStopOverdue(now, times) && std::none_of(this->orphanedAttempts.begin(), this->orphanedAttempts.end(), [](auto const& entry) { return entry.second.isListed; });
 }
 
 size_t WorkerView::countTasksOfStage(TaskRef const& stage) const
@@ -125,11 +149,13 @@
     for (auto& [key, attempt] : this->placed) {
         attempt.isInherited |= attempt.phase != PlacedAttempt::Phase::Proposed;
         attempt.stopConfirmedAt.reset();
+        attempt.stopOrders = StopProgress();
         attempt.isStopping |= attempt.isStartUncertain;
         if (!attempt.isStartUncertain)
             continue;
         OrphanedAttempt& orphan = this->orphanedAttempts[key];
         orphan.isListed = false;
+        orphan.stopOrders = StopProgress();
         orphan.forgetAt = now + maxOrderDelay;
     }
 }
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -50,8 +50,10 @@
 struct StopProgress {
     unsigned sent = 0;
     bool isInFlight = false;
+    bool isConfirmed = false;
     TimePoint firstSentAt; ///< Meaningless while `sent` is 0.
     TimePoint nextAt;
+    TimePoint nextAfterRenewalAt; ///< On the connection of a renewal, whatever other order is in flight.
     OrderResult lastResult = OrderResult::Unknown; ///< Of the latest one that was answered or given up.
 };
 
@@ -98,6 +100,8 @@
     bool isBestEffort() const { return this->stage->isBestEffort; }
     /// True when it runs, is not being stopped and its end is not proposed.
     bool isRunning() const { return this->phase == Phase::Running && !this->isStopping && !this->isEndProposed; }
+    /// True while it may run although it is to be stopped. `listedAt`: when the worker's latest listing arrived.
+    bool awaitsStop(TimePoint listedAt) const;
     /// Resources that count against the worker's capacity: a best-effort task reserves no cores.
     Resources reserved() const;
 };
@@ -129,6 +133,9 @@
     StopProgress stopOrders;
     TimePoint forgetAt; ///< Earliest time of removal when it is not listed.
     bool isListed = true; ///< In the worker's latest listing.
+
+    /// True while it runs and no stop order is confirmed.
+    bool awaitsStop() const { return this->isListed && this->stopOrders.sent && !this->stopOrders.isConfirmed; }
 };
 
 class WorkerView {
@@ -159,6 +166,14 @@
 
     bool isAnswering(TimePoint now, DispatchTimes const& times) const { return this->consecutiveRenewalFailures == 0 && now - this->lastAnswerAt <= times.silenceTimeout; }
 
+    /// Updates `openStopSince`.
+    void refreshOpenStops();
+    /// The time at which a lease that is extended now begins: no later than the first order of the oldest open stop, so that
+    /// what no stop order reaches ends with its lease. Stops that are confirmed soon cost next to nothing of it.
+    TimePoint leaseBase(TimePoint now) const { return this->openStopSince ? std::min(now, *this->openStopSince) : now; }
+    /// True while a stop order is unconfirmed for longer than its answer may take.
+    bool isStopOverdue(TimePoint now, DispatchTimes const& times) const { return this->openStopSince && now - *this->openStopSince > times.orderTimeout; }
+
     /// True when new tasks may be placed there.
     bool canTakeTasks(TimePoint now, DispatchTimes const& times) const;
 
@@ -199,6 +214,9 @@
 
     bool isRenewalInFlight = false;
     TimePoint nextRenewalAt;
+    TimePoint renewalHeldUntil; ///< Stop orders use the connection of the latest renewal until then.
+    std::optional<TimePoint> openStopSince; ///< When the first order was sent of the oldest unconfirmed stop of an attempt that may run.
+    bool isLeaseWithheld = false; ///< As last logged.
     TimePoint nextCheckAt; ///< Of the lease, and of attempts that await orders.
     TimePoint nextFullCheckAt; ///< Of all placed attempts.
     bool hasOpenOrders = true; ///< Some placed attempt may await an order: a start, stop or throttle.
--- a/cornelpond/core/relay/OrderRelay.cpp
+++ b/cornelpond/core/relay/OrderRelay.cpp
@@ -92,7 +92,14 @@
 
 void OrderRelay::stop(WorkerTarget const& worker, StopOrder const& order, Done done)
 {
-    this->send(worker, order, this->orderTimes.orderTimeout, std::move(done));
+    bool const isUsuallyRelayed = !this->chooseRelay(worker).empty();
+    HostId const relay = this->hooks.relayFor(worker);
+    if (order.way != StopWay::OtherRoute)
+        this->send(worker, order, this->orderTimes.orderTimeout, std::move(done));
+    else if (isUsuallyRelayed || relay.empty())
+        this->direct.stop(worker, order, std::move(done));
+    else
+        this->sendViaRelay(relay, worker, order, this->orderTimes.orderTimeout, asRenewDone(std::move(done)));
 }
 
 void OrderRelay::throttle(WorkerTarget const& worker, ThrottleOrder const& order, Done done)
--- a/cornelpond/core/relay/OrderRelayTest.cpp
+++ b/cornelpond/core/relay/OrderRelayTest.cpp
@@ -24,7 +24,11 @@
         this->starts.push_back(order);
         this->answers.push_back(std::move(done));
     }
-    void stop(WorkerTarget const&, StopOrder const&, Done done) override { this->answers.push_back(std::move(done)); }
+    void stop(WorkerTarget const&, StopOrder const& order, Done done) override
+    {
+        this->stops.push_back(order);
+        this->answers.push_back(std::move(done));
+    }
     void throttle(WorkerTarget const&, ThrottleOrder const&, Done done) override { this->answers.push_back(std::move(done)); }
     void renew(WorkerTarget const&, RenewOrder const& order, std::function<void(RenewAnswer const&)> done) override
     {
@@ -34,6 +38,7 @@
     void requestPermits(TaskRef const&, std::vector<WorkerId> const&, Duration, std::function<void(PermitAnswer const&)> done) override { done(PermitAnswer()); }
 
     std::vector<StartOrder> starts;
+    std::vector<StopOrder> stops;
     std::vector<Done> answers;
     std::vector<RenewOrder> renewOrders;
     std::vector<std::function<void(RenewAnswer const&)>> renewals;
@@ -70,6 +75,11 @@
         this->leader.start(worker, StartOrder { task, AttemptNumber(1), "x", Duration::seconds(4), Term(2), "", "" }, [this](OrderAnswer const& answer) { this->results.push_back(answer.result); });
     }
 
+    void stop(StopWay way)
+    {
+        this->leader.stop(worker, { task, AttemptNumber(1), Term(2), way }, [this](OrderAnswer const& answer) { this->results.push_back(answer.result); });
+    }
+
     void renew(RenewOrder const& order = RenewOrder())
     {
         this->leader.renew(worker, order, [this](RenewAnswer const& answer) { this->results.push_back(answer.order.result); });
@@ -301,3 +311,23 @@
     CHECK(hosts.relayDirect.renewOrders[1].listedBy == bornMs);
     CHECK(hosts.relayDirect.renewOrders[1].maxWait == order.maxWait);
 }
+
+TEST_CASE("a repeated stop goes past a relay that does not answer, and through it when the direct route is in use")
+{
+    LeaderAndRelay hosts;
+    hosts.stop(StopWay::Usual);
+    hosts.stop(StopWay::OtherRoute);
+    hosts.deliver();
+    CHECK(hosts.relayDirect.stops.size() == 1);
+    CHECK(hosts.leaderDirect.stops.size() == 1);
+    for (int i = 0; i < 2; i++) {
+        hosts.renew();
+        hosts.deliver(Duration::seconds(3));
+    }
+    hosts.stop(StopWay::Usual);
+    hosts.stop(StopWay::OtherRoute);
+    hosts.deliver();
+    CHECK(hosts.leaderDirect.stops.size() == 2);
+    REQUIRE(hosts.relayDirect.stops.size() == 2);
+    CHECK(hosts.relayDirect.stops[1].way == StopWay::Usual);
+}
