A relay that was paused starts nothing that the leader has given up

Callers saw: a task of a cancelled job started by a relay host more than 5 s after the cancel was acknowledged (UNASKED), stopped when its worker next listed it.

Cause: an order carries no age. A relay that was frozen or short of processor time sends whatever it finds in its socket. On the process of the worker for which the order was made, the lease in it, the epoch and the closed attempt number refuse it. A worker that was started again under its id has seen no epoch, remembers no attempt and counts its clock from zero, so that the lease lies far ahead. The leader had concluded the attempt, the job was cancelled, and nothing refused the start.

Ruled out: the same without a restart of the worker (lease, epoch and attempt number each refuse the start); a run of the job that is not listed (strays are listed, and stopped until they are gone).

Hosts send their steady clock with each batch, and the leader names the time on the relay's clock at which it gives the batch's orders up. The estimate of that clock lags by the message's delay, so the deadline errs to the early side. A relay that reads a batch later answers starts and throttles as not sent, and extends no lease; stops are sent at any time. The peer feature OrderDeadlines tells who can read it; hosts of earlier versions get batches as before. A batch to a host that has sent nothing yet has no deadline, and an order that was read in time and then waits in HttpClient is not covered.

--- a/cornelpond/adapters/peer/PeerFrame.h
+++ b/cornelpond/adapters/peer/PeerFrame.h
@@ -26,9 +26,10 @@
 enum class PeerFeature : uint32_t {
     ListingChanges = 1, ///< Renewals that name a listing, and listings that contain only what has changed since.
     FastHeartbeats = 2, ///< A control host: sends heartbeats to other control hosts at the least interval, however many peers it has.
+    OrderDeadlines = 4, ///< Batches of relayed orders and answers that name the sender's clock and the time until which orders hold.
 };
 
-constexpr uint32_t ownPeerFeatures = static_cast<uint32_t>(PeerFeature::ListingChanges);
+constexpr uint32_t ownPeerFeatures = static_cast<uint32_t>(PeerFeature::ListingChanges) | static_cast<uint32_t>(PeerFeature::OrderDeadlines);
 
 /// The first frame in each direction.
 struct PeerHello {
--- a/cornelpond/app/ControlHost.cpp
+++ b/cornelpond/app/ControlHost.cpp
@@ -109,6 +109,7 @@
     };
     hooks.isReachable = [this](HostId const& host) { return this->hostNetwork.isReachable(host); };
     hooks.knowsListingChanges = [this](HostId const& host) { return this->hostNetwork.hasFeature(host, PeerFeature::ListingChanges); };
+    hooks.knowsDeadlines = [this](HostId const& host) { return this->hostNetwork.hasFeature(host, PeerFeature::OrderDeadlines); };
     hooks.send = [this](HostId const& to, std::string payload) { this->hostNetwork.transport().send(to, { PeerChannel::Orders, std::move(payload) }); };
     return hooks;
 }
--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -91,6 +91,7 @@
     gauge("relayedListings", counters.listingsReceived);
     gauge("relayedListingChanges", counters.listingChangesReceived);
     gauge("relayedListingRows", counters.listingRowsReceived);
+    gauge("relayedOrdersExpired", counters.ordersExpired);
     gauge("relayedOrdersOpen", relay.openOrderCount());
 }
 
--- a/cornelpond/app/FleetMetricsTest.cpp
+++ b/cornelpond/app/FleetMetricsTest.cpp
@@ -50,6 +50,7 @@
     hooks.relayFor = [](WorkerTarget const&) { return HostId("relay"); };
     hooks.isReachable = [](HostId const&) { return true; };
     hooks.knowsListingChanges = [](HostId const&) { return true; };
+    hooks.knowsDeadlines = [](HostId const&) { return true; };
     hooks.send = [](HostId const&, std::string const&) {};
     OrderRelay relay(clock, clock, workers, DispatchTimes(), 1, hooks);
     relay.renew({ WorkerId("w1"), "10.0.0.1:80", DataCentreId("north") }, RenewOrder(), [](RenewAnswer const&) {});
@@ -70,4 +71,5 @@
     CHECK(contains(text, "relayedListingChanges 0"));
     CHECK(contains(text, "relayedListingRows 1"));
     CHECK(contains(text, "relayedOrdersOpen 0"));
+    CHECK(contains(text, "relayedOrdersExpired 0"));
 }
--- a/cornelpond/core/relay/OrderRelay.cpp
+++ b/cornelpond/core/relay/OrderRelay.cpp
@@ -172,15 +172,17 @@
 void OrderRelay::flushAll()
 {
     this->flushAt.reset();
-    auto const batches = std::move(this->outgoingBatches);
+    auto batches = std::move(this->outgoingBatches);
     this->outgoingBatches.clear();
-    for (auto const& [to, batch] : batches)
+    for (auto& [to, batch] : batches)
         this->flush(to, batch);
 }
 
-void OrderRelay::flush(HostId const& to, RelayBatch const& batch)
+void OrderRelay::flush(HostId const& to, RelayBatch& batch)
 {
     if (this->hooks.isReachable(to)) {
+        if (this->hooks.knowsDeadlines(to))
+            this->setDeadline(to, batch);
         this->totals.batchesSent++;
         this->hooks.send(to, encodeRelayBatch(batch));
         return;
@@ -191,12 +193,39 @@
     this->failAll(unsent, OrderResult::NotSent);
 }
 
+/// Gives the batch this host's clock and, once the receiver's clock is known, the time at which this host gives its orders up.
+void OrderRelay::setDeadline(HostId const& to, RelayBatch& batch) const
+{
+    TimePoint const now = this->clock.now();
+    batch.senderClock = now;
+    auto const known = this->peerClocks.find(to);
+    if (known != this->peerClocks.end() && !batch.orders.empty())
+        batch.deadline = known->second.at(now) + this->orderTimes.orderTimeout + this->times.answerMargin;
+}
+
+/// A message that was delayed makes the clock look further back: of the readings of some seconds, the most advanced is kept.
+void OrderRelay::noteClock(HostId const& peer, TimePoint reading)
+{
+    TimePoint const now = this->clock.now();
+    auto const [known, isNew] = this->peerClocks.try_emplace(peer, ClockReading { reading, now });
+    bool const isOutdated = now - known->second.readAt > this->times.clockReadingRetention;
+    if (!isNew && (isOutdated || reading >= known->second.at(now)))
+        known->second = { reading, now };
+}
+
 void OrderRelay::onMessage(HostId const& from, std::string const& payload)
 {
     RelayBatch batch = decodeRelayBatch(payload);
     this->totals.batchesReceived++;
-    for (auto const& relayed : batch.orders)
-        this->executeOrder(from, relayed);
+    if (batch.senderClock)
+        this->noteClock(from, *batch.senderClock);
+    bool const isExpired = batch.deadline && this->clock.now() > *batch.deadline;
+    for (auto& relayed : batch.orders) {
+        if (isExpired)
+            this->executeExpired(from, std::move(relayed));
+        else
+            this->executeOrder(from, relayed);
+    }
     for (auto& relayed : batch.answers)
         this->handleAnswer(from, relayed);
 }
@@ -278,6 +307,19 @@
     std::visit([&](auto const& order) { this->sendDirectly(relayed.worker, order, reply); }, relayed.order);
 }
 
+/// Carries out what is safe at any time, as the leader has given the order up: a stop, and a renewal that extends no lease.
+void OrderRelay::executeExpired(HostId const& from, RelayedOrder relayed)
+{
+    this->totals.ordersExpired++;
+    if (std::holds_alternative<StartOrder>(relayed.order) || std::holds_alternative<ThrottleOrder>(relayed.order)) {
+        this->queueAnswer(from, { relayed.id, answerWithResult(OrderResult::NotSent) });
+        return;
+    }
+    if (auto* renew = std::get_if<RenewOrder>(&relayed.order))
+        renew->extendsLease = false;
+    this->executeOrder(from, relayed);
+}
+
 /// Passes an acknowledgement on only to the process of which the leader holds a listing from this relay: another process of
 /// the worker, to which a connection may be open already, would forget ends of its own.
 void OrderRelay::executeRenewal(HostId const& from, RelayedOrder const& relayed, RenewOrder const& given)
--- a/cornelpond/core/relay/OrderRelay.h
+++ b/cornelpond/core/relay/OrderRelay.h
@@ -12,7 +12,10 @@
 //
 // When renewals of a worker fail, orders to it alternate between the direct route and its relay. An order whose
 // answer is lost ends as Unknown: the relay may still send it on, as a worker may execute an order late. Epochs, leases
-// and attempt numbers protect relayed orders as they do direct ones. Loop thread only.
+// and attempt numbers protect relayed orders as they do direct ones. They do not protect a worker that has been restarted
+// under its id, with no memory and a new clock. So each batch of orders names the time, on the relay's clock, at which the
+// leader gives them up: a relay that was paused or overloaded until then starts nothing and extends no lease, but still
+// sends the stops. Loop thread only.
 
 #include "cornelpond/core/dispatch/WorkerView.h"
 #include "cornelpond/core/relay/RelayMessage.h"
@@ -35,6 +38,8 @@
     std::function<bool(HostId const& host)> isReachable;
     /// Whether the host knows listings that contain only what has changed; hosts of earlier versions do not.
     std::function<bool(HostId const& host)> knowsListingChanges;
+    /// Whether the host knows batches with deadlines; hosts of earlier versions do not.
+    std::function<bool(HostId const& host)> knowsDeadlines;
     std::function<void(HostId const& to, std::string payload)> send;
 };
 
@@ -53,6 +58,8 @@
     Duration timeoutCheckInterval = Duration::milliseconds(50);
     /// After so long on the direct route the relay is used again.
     Duration directRouteDuration = Duration::seconds(5);
+    /// How long the reading of another host's clock with the least delay is preferred to later ones. Bounds its error by drift.
+    Duration clockReadingRetention = Duration::seconds(5);
     /// How long listings are remembered without a new one.
     Duration listingRetention = Duration::seconds(10);
 };
@@ -65,6 +72,7 @@
     uint64_t listingsReceived = 0; ///< Accepted renewals among them.
     uint64_t listingChangesReceived = 0; ///< Listings that contained only what had changed.
     uint64_t listingRowsReceived = 0; ///< Running and ended attempts that the listings and changes contained.
+    uint64_t ordersExpired = 0; ///< Orders of other hosts that arrived after their deadline.
 };
 
 class OrderRelay final : public WorkerOrders {
@@ -110,6 +118,14 @@
         bool isBusy = false; ///< By the last complete window.
     };
 
+    /// An estimate of another host's steady clock. It lags by the delay of the message that was read.
+    struct ClockReading {
+        TimePoint reading;
+        TimePoint readAt; ///< On this host's clock.
+
+        TimePoint at(TimePoint now) const { return this->reading + (now - this->readAt); }
+    };
+
     /// Which route the orders to a worker take, and how many of its renewals have failed in a row.
     struct Route {
         unsigned consecutiveFailures = 0; ///< Of renewals, by either route.
@@ -125,7 +141,10 @@
     void sendViaRelay(HostId const& relay, WorkerTarget const& worker, Order const& order, Duration timeout, RenewDone done);
     RenewDone withRouteTracking(WorkerId const& worker, RenewDone done);
     void recordRouteResult(WorkerId const& worker, OrderResult result);
+    void noteClock(HostId const& peer, TimePoint reading);
+    void setDeadline(HostId const& to, RelayBatch& batch) const;
     void executeOrder(HostId const& from, RelayedOrder const& relayed);
+    void executeExpired(HostId const& from, RelayedOrder relayed);
     void handleAnswer(HostId const& from, RelayedAnswer& relayed);
     void countListing(RenewAnswer const& answer);
     void finishWithListing(OpenOrder const& order, NumberedListingAnswer numbered);
@@ -137,7 +156,7 @@
     RelayBatch& outgoingBatch(HostId const& to, Duration delay);
     Duration answerDelay(HostId const& to);
     void flushAll();
-    void flush(HostId const& to, RelayBatch const& batch);
+    void flush(HostId const& to, RelayBatch& batch);
     void finish(uint64_t id, RenewAnswer const& answer);
     void failAll(std::vector<uint64_t> const& ids, OrderResult result);
     void scheduleTimeoutCheck();
@@ -155,6 +174,7 @@
     std::map<WorkerId, Route> routes; ///< Of workers with failed renewals or on the direct route.
     std::map<HostId, RelayBatch> outgoingBatches;
     std::map<HostId, AnswerRate> answerRates;
+    std::map<HostId, ClockReading> peerClocks; ///< Of hosts that have sent their clock.
     TimerId flushTimer;
     std::optional<TimePoint> flushAt; ///< Unset: no batch waits.
     TimerId timeoutTimer;
--- a/cornelpond/core/relay/OrderRelayTest.cpp
+++ b/cornelpond/core/relay/OrderRelayTest.cpp
@@ -24,8 +24,16 @@
         this->starts.push_back(order);
         this->answers.push_back(std::move(done));
     }
-    void stop(WorkerTarget const&, StopOrder const&, Done done) override { this->answers.push_back(std::move(done)); }
-    void throttle(WorkerTarget const&, ThrottleOrder const&, Done done) override { this->answers.push_back(std::move(done)); }
+    void stop(WorkerTarget const&, StopOrder const& order, Done done) override
+    {
+        this->stops.push_back(order);
+        this->answers.push_back(std::move(done));
+    }
+    void throttle(WorkerTarget const&, ThrottleOrder const& order, Done done) override
+    {
+        this->throttles.push_back(order);
+        this->answers.push_back(std::move(done));
+    }
     void renew(WorkerTarget const&, RenewOrder const& order, std::function<void(RenewAnswer const&)> done) override
     {
         this->renewOrders.push_back(order);
@@ -34,11 +42,18 @@
     void requestPermits(TaskRef const&, std::vector<WorkerId> const&, Duration, std::function<void(PermitAnswer const&)> done) override { done(PermitAnswer()); }
 
     std::vector<StartOrder> starts;
+    std::vector<StopOrder> stops;
+    std::vector<ThrottleOrder> throttles;
     std::vector<Done> answers;
     std::vector<RenewOrder> renewOrders;
     std::vector<std::function<void(RenewAnswer const&)>> renewals;
 };
 
+OrderAnswer accepted()
+{
+    return { OrderResult::Accepted, true, Duration::seconds(1) };
+}
+
 /// A leader and its relay.
 class LeaderAndRelay {
 public:
@@ -61,6 +76,7 @@
         hooks.relayFor = [relayId](WorkerTarget const&) { return relayId; };
         hooks.isReachable = [this](HostId const&) { return this->isLinkUp; };
         hooks.knowsListingChanges = [this](HostId const&) { return this->hasListingChanges; };
+        hooks.knowsDeadlines = [this](HostId const&) { return this->hasDeadlines; };
         hooks.send = [this](HostId const& to, std::string payload) { this->sent.emplace_back(to, std::move(payload)); };
         return hooks;
     }
@@ -70,6 +86,27 @@
         this->leader.start(worker, StartOrder { task, AttemptNumber(1), "x", Duration::seconds(4), Term(2), "", "" }, [this](OrderAnswer const& answer) { this->results.push_back(answer.result); });
     }
 
+    void sendOneOfEach()
+    {
+        auto const note = [this](OrderAnswer const& answer) { this->results.push_back(answer.result); };
+        this->start();
+        this->leader.stop(worker, StopOrder { task, AttemptNumber(1), Term(2) }, note);
+        this->leader.throttle(worker, ThrottleOrder { task, AttemptNumber(1), 50, Term(2) }, note);
+        this->renew();
+    }
+
+    /// Has the relay answer an order, so that the leader learns its clock.
+    void exchangeClocks()
+    {
+        this->renew();
+        this->deliver();
+        this->relayDirect.renewals.at(0)({ accepted(), 0, WorkerListing() });
+        this->deliver();
+        this->relayDirect.renewals.clear();
+        this->relayDirect.renewOrders.clear();
+        this->results.clear();
+    }
+
     void renew(RenewOrder const& order = RenewOrder())
     {
         this->leader.renew(worker, order, [this](RenewAnswer const& answer) { this->results.push_back(answer.order.result); });
@@ -77,6 +114,7 @@
 
     FakeClock clock;
     bool hasListingChanges = true; ///< Both hosts are of a version that knows them.
+    bool hasDeadlines = true; ///< Both hosts are of a version that knows them.
     bool isLinkUp = true;
     std::vector<std::pair<HostId, std::string>> sent;
     OpenOrders leaderDirect;
@@ -87,11 +125,6 @@
     std::vector<size_t> listedRows; ///< Of each renewal's answer.
 };
 
-OrderAnswer accepted()
-{
-    return { OrderResult::Accepted, true, Duration::seconds(1) };
-}
-
 } // namespace
 
 TEST_CASE("the relay sends an order to the worker once and returns its answer")
@@ -301,3 +334,60 @@
     CHECK(hosts.relayDirect.renewOrders[1].listedBy == bornMs);
     CHECK(hosts.relayDirect.renewOrders[1].maxWait == order.maxWait);
 }
+
+TEST_CASE("a relay that was paused past the deadline of its orders starts and throttles nothing and extends no lease, but stops")
+{
+    LeaderAndRelay hosts;
+    hosts.exchangeClocks();
+    hosts.sendOneOfEach();
+    hosts.clock.advance(Duration::seconds(3));
+    hosts.deliver();
+    CHECK(hosts.relayDirect.starts.empty());
+    CHECK(hosts.relayDirect.throttles.empty());
+    CHECK(hosts.relayDirect.stops.size() == 1);
+    REQUIRE(hosts.relayDirect.renewOrders.size() == 1);
+    CHECK_FALSE(hosts.relayDirect.renewOrders[0].extendsLease);
+    CHECK(hosts.relay.counters().ordersExpired == 4);
+}
+
+TEST_CASE("orders that reach the relay before the leader gives them up are carried out")
+{
+    LeaderAndRelay hosts;
+    hosts.exchangeClocks();
+    hosts.sendOneOfEach();
+    hosts.clock.advance(Duration::milliseconds(750));
+    hosts.deliver();
+    CHECK(hosts.relayDirect.starts.size() == 1);
+    CHECK(hosts.relayDirect.throttles.size() == 1);
+    CHECK(hosts.relayDirect.stops.size() == 1);
+    REQUIRE(hosts.relayDirect.renewOrders.size() == 1);
+    CHECK(hosts.relayDirect.renewOrders[0].extendsLease);
+}
+
+TEST_CASE("an answer that the leader read late does not expire later orders")
+{
+    LeaderAndRelay hosts;
+    hosts.exchangeClocks();
+    hosts.renew();
+    hosts.deliver();
+    hosts.relayDirect.renewals.at(0)({ accepted(), 0, WorkerListing() });
+    hosts.clock.advance(Duration::seconds(2)); // The answer waits at the leader.
+    hosts.deliver();
+    hosts.start();
+    hosts.deliver();
+    CHECK(hosts.relayDirect.starts.size() == 1);
+}
+
+TEST_CASE("hosts that know no deadlines get none and carry orders out")
+{
+    LeaderAndRelay hosts;
+    hosts.hasDeadlines = false;
+    hosts.exchangeClocks();
+    hosts.start();
+    hosts.clock.advance(Duration::milliseconds(5));
+    REQUIRE(hosts.sent.size() == 1);
+    CHECK_FALSE(decodeRelayBatch(hosts.sent[0].second).senderClock);
+    hosts.clock.advance(Duration::seconds(3));
+    hosts.deliver();
+    CHECK(hosts.relayDirect.starts.size() == 1);
+}
--- a/cornelpond/core/relay/OrderRelayWorkTest.cpp
+++ b/cornelpond/core/relay/OrderRelayWorkTest.cpp
@@ -65,6 +65,7 @@
         hooks.relayFor = [relayId](WorkerTarget const&) { return relayId; };
         hooks.isReachable = [](HostId const&) { return true; };
         hooks.knowsListingChanges = [this](HostId const&) { return this->hasListingChanges; };
+        hooks.knowsDeadlines = [](HostId const&) { return true; };
         hooks.send = [this](HostId const& to, std::string payload) {
             if (to == leaderHost) {
                 this->bytesToLeader += payload.size();
--- a/cornelpond/core/relay/RelayMessage.cpp
+++ b/cornelpond/core/relay/RelayMessage.cpp
@@ -385,6 +385,18 @@
         }
     }
 
+    /// 0: not given.
+    void writeTime(ByteWriter& out, std::optional<TimePoint> time)
+    {
+        out.number(time ? static_cast<uint64_t>(time->toMicroseconds()) : 0);
+    }
+
+    std::optional<TimePoint> readTime(ByteReader& in)
+    {
+        uint64_t const microseconds = readUpTo(in, static_cast<uint64_t>(TimePoint::infiniteFuture().toMicroseconds()));
+        return microseconds ? std::optional(TimePoint::fromMicroseconds(static_cast<int64_t>(microseconds))) : std::nullopt;
+    }
+
 } // namespace
 
 std::string encodeRelayBatch(RelayBatch const& batch)
@@ -403,6 +415,10 @@
         out.number(relayed.id);
         std::visit([&](auto const& answer) { write(out, answer); }, relayed.answer);
     }
+    if (batch.senderClock) {
+        writeTime(out, batch.senderClock);
+        writeTime(out, batch.deadline);
+    }
     return out.take();
 }
 
@@ -414,6 +430,10 @@
         batch.orders.push_back(readOrder(in));
     for (uint64_t remaining = readCount(in, batch.answers); remaining; remaining--)
         batch.answers.push_back(readAnswer(in));
+    if (!in.isAtEnd()) {
+        batch.senderClock = readTime(in);
+        batch.deadline = readTime(in);
+    }
     in.expectEnd();
     return batch;
 }
--- a/cornelpond/core/relay/RelayMessage.h
+++ b/cornelpond/core/relay/RelayMessage.h
@@ -7,6 +7,7 @@
 //   batch.orders.push_back({ 17, target, StopOrder { task, attempt, epoch } });
 //   transport.send(relay, { PeerChannel::Orders, encodeRelayBatch(batch) });
 
+#include "cornelpond/core/base/Duration.h"
 #include "cornelpond/core/relay/ListingChange.h"
 #include "cornelpond/ports/WorkerOrders.h"
 
@@ -54,6 +55,10 @@
 struct RelayBatch {
     std::vector<RelayedOrder> orders;
     std::vector<RelayedAnswer> answers;
+    /// The sender's steady clock. Unset: the batch holds no deadline either, and hosts of earlier versions can read it.
+    std::optional<TimePoint> senderClock;
+    /// On the receiver's steady clock: later it must not carry out starts and throttles, nor extend leases. Unset: not known.
+    std::optional<TimePoint> deadline;
 };
 
 std::string encodeRelayBatch(RelayBatch const& batch);
--- a/cornelpond/core/relay/RelayMessageTest.cpp
+++ b/cornelpond/core/relay/RelayMessageTest.cpp
@@ -37,6 +37,8 @@
     change.change.isComplete = false;
     batch.answers.push_back({ 7, change });
     batch.answers.push_back({ 8, NumberedListingAnswer { 5, renewed } });
+    batch.senderClock = TimePoint::fromMicroseconds(7000001);
+    batch.deadline = TimePoint::fromMicroseconds(9000001);
     return batch;
 }
 
@@ -76,6 +78,8 @@
     CHECK_FALSE(change.change.isComplete);
     auto const& numbered = std::get<NumberedListingAnswer>(read.answers[3].answer);
     CHECK(numbered.listing == 5);
+    CHECK(read.senderClock == TimePoint::fromMicroseconds(7000001));
+    CHECK(read.deadline == TimePoint::fromMicroseconds(9000001));
     CHECK(numbered.answer.listing.running.size() == 2);
     CHECK(numbered.answer.acknowledgedEnds == renewed.acknowledgedEnds);
     CHECK(encodeRelayBatch(read) == bytes);
@@ -135,3 +139,16 @@
     CHECK(isRefused(changeTime));
     CHECK_FALSE(isRefused(batchOfAllKinds()));
 }
+
+TEST_CASE("a batch without a clock is encoded as by hosts that know no deadlines")
+{
+    RelayBatch batch = batchOfAllKinds();
+    std::string const full = encodeRelayBatch(batch);
+    batch.senderClock.reset();
+    std::string const plain = encodeRelayBatch(batch);
+    CHECK(full.compare(0, plain.size(), plain) == 0);
+    CHECK(plain.size() < full.size());
+    RelayBatch const read = decodeRelayBatch(plain);
+    CHECK_FALSE(read.senderClock);
+    CHECK_FALSE(read.deadline);
+}
--- a/testing/fakes/JobBench.cpp
+++ b/testing/fakes/JobBench.cpp
@@ -33,10 +33,11 @@
 
 } // namespace
 
-JobBench::JobBench(uint64_t seed, size_t hosts)
+JobBench::JobBench(uint64_t seed, size_t hosts, OrdersFactory const& makeOrders)
     : random(seed)
     , group(hosts, this->random)
     , fleet(this->clock, this->random)
+    , orders(makeOrders ? makeOrders(this->clock, this->fleet) : nullptr)
     , services(hosts)
     , queues(benchQueues())
 {
@@ -49,7 +50,8 @@
 
 void JobBench::startService(size_t host)
 {
-    this->services[host] = std::make_unique<JobService>(this->clock, this->events, this->fleet, DispatchTimes(), JobLimits());
+    WorkerOrders& reached = this->orders ? *this->orders : this->fleet;
+    this->services[host] = std::make_unique<JobService>(this->clock, this->events, reached, DispatchTimes(), JobLimits());
     this->group.setHooks(host, this->services[host]->hooks());
     this->services[host]->attach(this->group.log(host));
 }
--- a/testing/fakes/JobBench.h
+++ b/testing/fakes/JobBench.h
@@ -14,13 +14,18 @@
 #include "testing/fakes/FakeLogGroup.h"
 #include "testing/fakes/RecordingEventSink.h"
 
+#include <functional>
 #include <memory>
 
 namespace cornelpond {
 
 class JobBench {
 public:
-    explicit JobBench(uint64_t seed, size_t hosts = 2);
+    /// Returns the orders by which the hosts reach the fleet.
+    using OrdersFactory = std::function<std::unique_ptr<WorkerOrders>(FakeClock& clock, WorkerOrders& fleet)>;
+
+    /// `makeOrders`: unset for orders that reach the fleet directly.
+    explicit JobBench(uint64_t seed, size_t hosts = 2, OrdersFactory const& makeOrders = OrdersFactory());
 
     /// Adds equal workers "w0", "w1", ... with 62000 MiB each, eight per rack.
     void addWorkers(size_t count, int64_t milliCores);
@@ -51,6 +56,7 @@
     RecordingEventSink events;
     FakeLogGroup group;
     FakeFleet fleet;
+    std::unique_ptr<WorkerOrders> orders; ///< Null: the hosts reach the fleet directly.
     std::vector<std::unique_ptr<JobService>> services;
     std::vector<SubmitResult> submitResults; ///< Results of `submit`, in order of arrival.
     bool isCommitting = true; ///< False: proposals stay uncommitted.
