A leader whose leadership is not confirmed sends no throttles

Callers saw: nothing that was reported; an order by a host that may have been deposed.

Cause: throttle() is called while a listing is read, and sent the order at once. Starts, stops and renewals ask canSendOrders when they are sent, throttles did only when they were sent again by the tick.

Ruled out by reading: stop(), sendStart(), sendRenewal() and stopOrphanedAttempt() check or are reached through onTick, which does.

The throttle stays due and goes out with the next tick of a confirmed leader.

--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -704,7 +704,8 @@
 {
     attempt.targetSpeedPercent = percent;
     view.hasOpenOrders = true;
-    if (!attempt.isThrottleInFlight && attempt.phase == PlacedAttempt::Phase::Running && percent != attempt.acknowledgedSpeedPercent)
+    bool const isDue = !attempt.isThrottleInFlight && attempt.phase == PlacedAttempt::Phase::Running && percent != attempt.acknowledgedSpeedPercent;
+    if (isDue && this->hooks.canSendOrders())
         this->sendThrottle(view, attempt);
 }
 
--- a/cornelpond/core/scheduling/CancelFailoverTest.cpp
+++ b/cornelpond/core/scheduling/CancelFailoverTest.cpp
@@ -39,3 +39,72 @@
     CHECK(hosts.lateStarts == 0);
     CHECK(bench.fleet.runningCount(job.id) == 0);
 }
+
+namespace {
+
+/// Counts the orders that it passes on.
+class CountingOrders final : public WorkerOrders {
+public:
+    explicit CountingOrders(WorkerOrders& fleet)
+        : fleet(fleet)
+    {
+    }
+
+    void start(WorkerTarget const& worker, StartOrder const& order, Done done) override
+    {
+        this->sent++;
+        this->fleet.start(worker, order, std::move(done));
+    }
+    void stop(WorkerTarget const& worker, StopOrder const& order, Done done) override
+    {
+        this->sent++;
+        this->fleet.stop(worker, order, std::move(done));
+    }
+    void throttle(WorkerTarget const& worker, ThrottleOrder const& order, Done done) override
+    {
+        this->sent++;
+        this->fleet.throttle(worker, order, std::move(done));
+    }
+    void renew(WorkerTarget const& worker, RenewOrder const& order, std::function<void(RenewAnswer const&)> done) override
+    {
+        this->sent++;
+        this->fleet.renew(worker, order, std::move(done));
+    }
+    void requestPermits(TaskRef const& stage, std::vector<WorkerId> const& workers, Duration timeout, std::function<void(PermitAnswer const&)> done) override
+    {
+        this->fleet.requestPermits(stage, workers, timeout, std::move(done));
+    }
+
+    unsigned sent = 0;
+
+private:
+    WorkerOrders& fleet;
+};
+
+} // namespace
+
+TEST_CASE("a leader whose leadership is not confirmed sends no orders, whatever answers arrive")
+{
+    constexpr int moments = 80;
+    for (int moment = 0; moment < moments; moment++) {
+        JobBench bench(7, 2, [](FakeClock&, WorkerOrders& fleet) { return std::make_unique<CountingOrders>(fleet); });
+        auto const& orders = static_cast<CountingOrders&>(*bench.orders);
+        bench.addWorkers(4, 16000);
+        bench.fleet.setInterference("odd", "fill", 30);
+        bench.fleet.setInterference("even", "fill", 30);
+        for (int i = 0; i < 4; i++)
+            bench.submit(makeServiceJob("watch" + std::to_string(i), 6, 3200, i % 2 ? "odd" : "even"));
+        bench.run(second * 3);
+        bench.submit(makeBestEffortJob("plan", 1, 1800, second * 10, "fill"));
+        bench.run(Duration::milliseconds(100) * moment);
+        if (moment % 2)
+            bench.cancel(JobId("watch0"));
+        bench.group.setLeadershipConfirmed(false);
+        unsigned const sent = orders.sent;
+        bench.run(second * 2);
+        CHECK(orders.sent == sent);
+        bench.group.setLeadershipConfirmed(true);
+        bench.run(second);
+        CHECK(orders.sent > sent);
+    }
+}
--- a/testing/fakes/FakeLogGroup.h
+++ b/testing/fakes/FakeLogGroup.h
@@ -96,6 +96,9 @@
             proposal.done({ ResultCode::Ok, LogIndex(this->committed.size()) });
     }
 
+    /// False: the leader does not know whether it still leads, as when it hears from no majority.
+    void setLeadershipConfirmed(bool confirmed) { this->isConfirmed = confirmed; }
+
     bool hasCurrentLeader() const { return this->hasLeader; }
     size_t leader() const { return this->leaderIndex; }
     size_t commitCount() const { return this->committed.size(); }
@@ -115,7 +118,7 @@
         }
 
         bool isLeader() const override { return this->group.hasLeader && this->group.leaderIndex == this->index; }
-        bool isLeadershipConfirmed() const override { return this->isLeader(); }
+        bool isLeadershipConfirmed() const override { return this->isLeader() && this->group.isConfirmed; }
         Term term() const override { return this->group.currentTerm; }
         HostId leader() const override { return HostId("h" + std::to_string(this->group.leaderIndex)); }
 
@@ -149,6 +152,7 @@
     Term currentTerm;
     size_t leaderIndex = 0;
     bool hasLeader = false;
+    bool isConfirmed = true;
 };
 
 } // namespace cornelpond
