Cancels beside leader changes, paused relays, late orders and restarts

A RapidCheck property in core_cancel_failover_test: jobs are cancelled while leaders resign and crash, relays freeze and thaw, orders are carried out late, workers are cut off and start again under their ids. After 5.4 s of calm nothing of a cancelled job runs, no task of it starts later than 5 s after the acknowledgement, and nothing runs twice.

--- a/cornelpond/core/scheduling/CancelFailoverTest.cpp
+++ b/cornelpond/core/scheduling/CancelFailoverTest.cpp
@@ -3,6 +3,9 @@
 #include "testing/fakes/RelayedBench.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <vector>
 
 using namespace cornelpond;
 
@@ -10,6 +13,7 @@
 
 constexpr Duration second = Duration::seconds(1);
 constexpr Duration cancelBound = RelayedBench::cancelBound;
+constexpr Duration stopBound = Duration::milliseconds(400); ///< That a worker may take to stop a task.
 
 } // namespace
 
@@ -108,3 +112,77 @@
         CHECK(orders.sent > sent);
     }
 }
+
+TEST_CASE("no sequence of leader changes, frozen relays, late orders and worker restarts starts a cancelled job or lets it run on")
+{
+    rc::prop("", [] {
+        auto const seed = *rc::gen::arbitrary<uint32_t>();
+        constexpr size_t workerCount = 4;
+        constexpr size_t hostCount = 3;
+        constexpr size_t relayCount = 3;
+        RelayedBench hosts(seed, hostCount, relayCount);
+        JobBench& bench = hosts.bench;
+        SeededRandom random(seed + 1U);
+        bench.addWorkers(workerCount, 8000);
+        bench.run(second * static_cast<int64_t>(random.below(20)));
+        FakeFleet::Faults faults;
+        faults.lateOrderShare = 0.05;
+        bench.fleet.setFaults(faults);
+        std::vector<JobId> open;
+        for (int round = 0; round < 40; round++) {
+            WorkerId const worker("w" + std::to_string(random.below(workerCount)));
+            size_t const relay = random.below(relayCount);
+            switch (random.below(10)) {
+            case 0:
+                hosts.restart(worker);
+                break;
+            case 1:
+                bench.fleet.setCut(worker, random.below(2));
+                break;
+            case 2:
+            case 3:
+                hosts.relays().freeze(relay);
+                break;
+            case 4:
+            case 5:
+                hosts.relays().thaw(relay);
+                break;
+            case 6:
+                if (random.below(2))
+                    bench.elect(random.below(hostCount));
+                else
+                    bench.crashLeader();
+                break;
+            case 7:
+                if (!open.empty() && bench.group.hasCurrentLeader()) {
+                    hosts.cancel(open.back());
+                    open.pop_back();
+                }
+                break;
+            default:
+                if (!bench.group.hasCurrentLeader())
+                    bench.elect(random.below(hostCount));
+                open.emplace_back("j" + std::to_string(round));
+                bench.submit(makeJob(open.back().value(), 1 + static_cast<uint32_t>(random.below(6)), 1000, second * 60));
+            }
+            bench.run(Duration::milliseconds(static_cast<int64_t>(random.below(900))));
+        }
+        bench.fleet.setFaults(FakeFleet::Faults());
+        for (size_t i = 0; i < workerCount; i++)
+            bench.fleet.setCut(WorkerId("w" + std::to_string(i)), false);
+        for (size_t i = 0; i < relayCount; i++)
+            hosts.relays().thaw(i);
+        if (!bench.group.hasCurrentLeader())
+            bench.elect(0);
+        bench.run(cancelBound + stopBound);
+        for (auto const& [job, at] : hosts.cancelledAt) {
+            if (bench.clock.now() - at > cancelBound + stopBound)
+                RC_ASSERT(bench.fleet.runningCount(job) == 0U);
+        }
+        bench.run(faults.maxLateDelay);
+        RC_ASSERT(bench.fleet.record().duplicateRuns == 0U);
+        RC_ASSERT(hosts.lateStarts == 0U);
+        for (auto const& [job, at] : hosts.cancelledAt)
+            RC_ASSERT(bench.fleet.runningCount(job) == 0U);
+    });
+}
