A listing from before an accepted start does not conclude the attempt

Callers saw: a task that runs twice; a run of a cancelled job that the leader had forgotten until its worker listed it again.

Cause: when a worker starts again under its id, its attempts count as inherited, and an inherited attempt that a listing lacks was concluded whenever that listing was made. A start order that was on its way reaches the new process and is accepted there. If a listing that was made before arrives after that answer (they come over different connections, or by way of a relay), it lacks the run, and the attempt was concluded while it ran.

Ruled out for attempts of earlier leaders: they are inherited before any start of this leader, and a listing answers a renewal under its epoch.

An inherited attempt that this incarnation has confirmed is concluded only by a listing that was requested later, as all others are.

--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -465,11 +465,12 @@
         return *attempt.stopConfirmedAt <= sentAt;
     if (attempt.isStartUncertain || attempt.isStartInFlight)
         return false;
+    bool const isConfirmed = attempt.phase == PlacedAttempt::Phase::Running;
     // The worker has seen this leader's epoch, so it refuses starts that earlier leaders sent; what an earlier
-    // incarnation of the worker ran has ended with it.
+    // incarnation of the worker ran has ended with it. But this incarnation may have accepted a start meanwhile.
     if (attempt.isInherited)
-        return true;
-    return attempt.phase == PlacedAttempt::Phase::Running && attempt.confirmedAt < sentAt;
+        return !isConfirmed || attempt.confirmedAt < sentAt;
+    return isConfirmed && attempt.confirmedAt < sentAt;
 }
 
 /// Acknowledges listed ends, in their order, so that the worker may drop them: those that are committed or belong to
--- a/cornelpond/core/scheduling/CancelFailoverTest.cpp
+++ b/cornelpond/core/scheduling/CancelFailoverTest.cpp
@@ -5,6 +5,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <functional>
+#include <utility>
 #include <vector>
 
 using namespace cornelpond;
@@ -113,6 +115,92 @@
     }
 }
 
+namespace {
+
+/// Holds start orders and the answers to renewals back until the test releases them.
+class HoldingOrders final : public WorkerOrders {
+public:
+    explicit HoldingOrders(WorkerOrders& fleet)
+        : fleet(fleet)
+    {
+    }
+
+    void start(WorkerTarget const& worker, StartOrder const& order, Done done) override
+    {
+        auto send = [this, worker, order, done = std::move(done)] { this->fleet.start(worker, order, done); };
+        if (this->holdsStarts)
+            this->starts.push_back(std::move(send));
+        else
+            send();
+    }
+    void stop(WorkerTarget const& worker, StopOrder const& order, Done done) override { this->fleet.stop(worker, order, std::move(done)); }
+    void throttle(WorkerTarget const& worker, ThrottleOrder const& order, Done done) override { this->fleet.throttle(worker, order, std::move(done)); }
+    void renew(WorkerTarget const& worker, RenewOrder const& order, std::function<void(RenewAnswer const&)> done) override
+    {
+        this->fleet.renew(worker, order, [this, done = std::move(done)](RenewAnswer const& answer) {
+            if (this->holdsListings)
+                this->listings.push_back([done, answer] { done(answer); });
+            else
+                done(answer);
+        });
+    }
+    void requestPermits(TaskRef const& stage, std::vector<WorkerId> const& workers, Duration timeout, std::function<void(PermitAnswer const&)> done) override
+    {
+        this->fleet.requestPermits(stage, workers, timeout, std::move(done));
+    }
+
+    void releaseStarts()
+    {
+        this->holdsStarts = false;
+        for (auto const& send : std::exchange(this->starts, {}))
+            send();
+    }
+    void releaseListings()
+    {
+        this->holdsListings = false;
+        for (auto const& answer : std::exchange(this->listings, {}))
+            answer();
+    }
+
+    bool holdsStarts = false;
+    bool holdsListings = false;
+    std::vector<std::function<void()>> starts;
+    std::vector<std::function<void()>> listings;
+
+private:
+    WorkerOrders& fleet;
+};
+
+} // namespace
+
+TEST_CASE("a run that a restarted worker accepted is not concluded by a listing from before that arrives later")
+{
+    JobBench bench(1, 2, [](FakeClock&, WorkerOrders& fleet) { return std::make_unique<HoldingOrders>(fleet); });
+    auto& orders = static_cast<HoldingOrders&>(*bench.orders);
+    bench.addWorkers(2, 16000);
+    bench.run(second * 10);
+    orders.holdsStarts = true;
+    JobSpec const job = makeJob("plan", 1, 16000, second * 60);
+    bench.submit(job);
+    bench.run(Duration::milliseconds(100));
+    REQUIRE(orders.starts.size() == 1);
+    WorkerId worker;
+    bench.leader().scheduler().jobs().forEachLiveAttemptOf(job.id, [&](TaskRef const&, TaskRecord const&, Attempt const& attempt) { worker = attempt.worker; });
+    bench.fleet.restart(worker);
+    bench.leader().scheduler().announce(bench.fleet.report(worker), [](CallResult) {});
+    bench.run(Duration::milliseconds(200));
+    orders.holdsListings = true;
+    bench.run(second);
+    orders.releaseStarts();
+    bench.run(Duration::milliseconds(50));
+    REQUIRE(bench.fleet.runningCount(job.id) == 1);
+    orders.releaseListings();
+    bench.run(second * 2);
+    CHECK(bench.events.count(EventId::AttemptConcluded) == 0);
+    CHECK(bench.fleet.record().starts == 1);
+    CHECK(bench.fleet.record().duplicateRuns == 0);
+}
+
 TEST_CASE("no sequence of leader changes, frozen relays, late orders and worker restarts starts a cancelled job or lets it run on")
 {
     rc::prop("", [] {
