--- a/cornelpond/core/relay/OrderRelayTest.cpp
+++ b/cornelpond/core/relay/OrderRelayTest.cpp
@@ -29,7 +29,11 @@
         this->stops.push_back(order);
         this->answers.push_back(std::move(done));
     }
-    void throttle(WorkerTarget const&, ThrottleOrder const&, Done done) override { this->answers.push_back(std::move(done)); }
+    void throttle(WorkerTarget const&, ThrottleOrder const& order, Done done) override
+    {
+        this->throttles.push_back(order);
+        this->answers.push_back(std::move(done));
+    }
     void renew(WorkerTarget const&, RenewOrder const& order, std::function<void(RenewAnswer const&)> done) override
     {
         this->renewOrders.push_back(order);
@@ -39,11 +43,17 @@
 
     std::vector<StartOrder> starts;
     std::vector<StopOrder> stops;
+    std::vector<ThrottleOrder> throttles;
     std::vector<Done> answers;
     std::vector<RenewOrder> renewOrders;
     std::vector<std::function<void(RenewAnswer const&)>> renewals;
 };
 
+OrderAnswer accepted()
+{
+    return { OrderResult::Accepted, true, Duration::seconds(1) };
+}
+
 /// A leader and its relay.
 class LeaderAndRelay {
 public:
@@ -66,6 +76,7 @@
         hooks.relayFor = [relayId](WorkerTarget const&) { return relayId; };
         hooks.isReachable = [this](HostId const&) { return this->isLinkUp; };
         hooks.knowsListingChanges = [this](HostId const&) { return this->hasListingChanges; };
+        hooks.knowsDeadlines = [this](HostId const&) { return this->hasDeadlines; };
         hooks.send = [this](HostId const& to, std::string payload) { this->sent.emplace_back(to, std::move(payload)); };
         return hooks;
     }
@@ -80,6 +91,27 @@
         this->leader.stop(worker, { task, AttemptNumber(1), Term(2), way }, [this](OrderAnswer const& answer) { this->results.push_back(answer.result); });
     }
 
+    void sendOneOfEach()
+    {
+        auto const note = [this](OrderAnswer const& answer) { this->results.push_back(answer.result); };
+        this->start();
+        this->leader.stop(worker, StopOrder { task, AttemptNumber(1), Term(2) }, note);
+        this->leader.throttle(worker, ThrottleOrder { task, AttemptNumber(1), 50, Term(2) }, note);
+        this->renew();
+    }
+
+    /// Has the relay answer an order, so that the leader learns its clock.
+    void exchangeClocks()
+    {
+        this->renew();
+        this->deliver();
+        this->relayDirect.renewals.at(0)({ accepted(), 0, WorkerListing() });
+        this->deliver();
+        this->relayDirect.renewals.clear();
+        this->relayDirect.renewOrders.clear();
+        this->results.clear();
+    }
+
     void renew(RenewOrder const& order = RenewOrder())
     {
         this->leader.renew(worker, order, [this](RenewAnswer const& answer) { this->results.push_back(answer.order.result); });
@@ -87,6 +119,7 @@
 
     FakeClock clock;
     bool hasListingChanges = true; ///< Both hosts are of a version that knows them.
+    bool hasDeadlines = true; ///< Both hosts are of a version that knows them.
     bool isLinkUp = true;
     std::vector<std::pair<HostId, std::string>> sent;
     OpenOrders leaderDirect;
@@ -97,11 +130,6 @@
     std::vector<size_t> listedRows; ///< Of each renewal's answer.
 };
 
-OrderAnswer accepted()
-{
-    return { OrderResult::Accepted, true, Duration::seconds(1) };
-}
-
 } // namespace
 
 TEST_CASE("the relay sends an order to the worker once and returns its answer")
@@ -331,3 +359,60 @@
     REQUIRE(hosts.relayDirect.stops.size() == 2);
     CHECK(hosts.relayDirect.stops[1].way == StopWay::Usual);
 }
+
+TEST_CASE("a relay that was paused past the deadline of its orders starts and throttles nothing and extends no lease, but stops")
+{
+    LeaderAndRelay hosts;
+    hosts.exchangeClocks();
+    hosts.sendOneOfEach();
+    hosts.clock.advance(Duration::seconds(3));
+    hosts.deliver();
+    CHECK(hosts.relayDirect.starts.empty());
+    CHECK(hosts.relayDirect.throttles.empty());
+    CHECK(hosts.relayDirect.stops.size() == 1);
+    REQUIRE(hosts.relayDirect.renewOrders.size() == 1);
+    CHECK_FALSE(hosts.relayDirect.renewOrders[0].extendsLease);
+    CHECK(hosts.relay.counters().ordersExpired == 4);
+}
+
+TEST_CASE("orders that reach the relay before the leader gives them up are carried out")
+{
+    LeaderAndRelay hosts;
+    hosts.exchangeClocks();
+    hosts.sendOneOfEach();
+    hosts.clock.advance(Duration::milliseconds(750));
+    hosts.deliver();
+    CHECK(hosts.relayDirect.starts.size() == 1);
+    CHECK(hosts.relayDirect.throttles.size() == 1);
+    CHECK(hosts.relayDirect.stops.size() == 1);
+    REQUIRE(hosts.relayDirect.renewOrders.size() == 1);
+    CHECK(hosts.relayDirect.renewOrders[0].extendsLease);
+}
+
+TEST_CASE("an answer that the leader read late does not expire later orders")
+{
+    LeaderAndRelay hosts;
+    hosts.exchangeClocks();
+    hosts.renew();
+    hosts.deliver();
+    hosts.relayDirect.renewals.at(0)({ accepted(), 0, WorkerListing() });
+    hosts.clock.advance(Duration::seconds(2)); // The answer waits at the leader.
+    hosts.deliver();
+    hosts.start();
+    hosts.deliver();
+    CHECK(hosts.relayDirect.starts.size() == 1);
+}
+
+TEST_CASE("hosts that know no deadlines get none and carry orders out")
+{
+    LeaderAndRelay hosts;
+    hosts.hasDeadlines = false;
+    hosts.exchangeClocks();
+    hosts.start();
+    hosts.clock.advance(Duration::milliseconds(5));
+    REQUIRE(hosts.sent.size() == 1);
+    CHECK_FALSE(decodeRelayBatch(hosts.sent[0].second).senderClock);
+    hosts.clock.advance(Duration::seconds(3));
+    hosts.deliver();
+    CHECK(hosts.relayDirect.starts.size() == 1);
+}
