A job that was cancelled before its submission arrived does not start

Cause: the scheduler answered the cancel of an unknown id from memory and kept no note of it. A submission that an entry host still repeated, or that a slow link or a frozen host held up, reached the leader after that answer, was committed, and its tasks were placed. A denial has to stay true.

The cancel of an unknown id is committed like any other, and the job table keeps the id. It accepts calls only with its leadership confirmed, so that it has applied all cancels that earlier leaders acknowledged. Applied submissions do not look at these ids, so that replicas of different versions keep the same jobs. A GET shows nothing that nobody submitted.

An id that its caller cancelled stays cancelled: ids are made for one job.

--- a/cornelpond/core/base/ByteCodec.h
+++ b/cornelpond/core/base/ByteCodec.h
@@ -80,6 +80,8 @@
         return taken;
     }
 
+    bool isAtEnd() const { return this->remaining.empty(); }
+
     /// Throws Error(MalformedMessage) when bytes remain.
     void expectEnd() const
     {
--- a/cornelpond/core/jobs/JobTable.cpp
+++ b/cornelpond/core/jobs/JobTable.cpp
@@ -197,7 +197,9 @@
 void JobTable::apply(CancelJob const& command, QueueTable const&)
 {
     JobRecord* job = this->findMutable(command.job);
-    if (job && job->state == JobState::Active)
+    if (!job)
+        this->unsubmittedCancels.add(command.job, command.wallMs);
+    else if (job->state == JobState::Active)
         this->endJob(*job, JobState::Cancelled, command.wallMs);
 }
 
@@ -437,6 +439,8 @@
     out.number(this->jobs.size());
     for (auto const& [id, job] : this->jobs)
         write(out, job);
+    if (!this->unsubmittedCancels.empty()) // Earlier versions read no further.
+        this->unsubmittedCancels.write(out);
     return out.take();
 }
 
@@ -449,8 +453,12 @@
         JobId const id = job.spec.id;
         restored.emplace(id, std::move(job));
     }
+    UnsubmittedCancels cancels;
+    if (!in.isAtEnd())
+        cancels = UnsubmittedCancels::read(in);
     in.expectEnd();
     this->jobs = std::move(restored);
+    this->unsubmittedCancels = std::move(cancels);
 }
 
 } // namespace cornelpond
--- a/cornelpond/core/jobs/JobTable.h
+++ b/cornelpond/core/jobs/JobTable.h
@@ -12,6 +12,7 @@
 
 #include "cornelpond/core/jobs/JobCommand.h"
 #include "cornelpond/core/jobs/QueueTable.h"
+#include "cornelpond/core/jobs/UnsubmittedCancels.h"
 
 #include <functional>
 #include <map>
@@ -107,6 +108,10 @@
     JobRecord const* find(JobId const& id) const;
     TaskRecord const* findTask(TaskRef const& task) const;
 
+    /// True for a job that is not known and whose cancel was committed lately. Its submission is to be refused: once committed,
+    /// the job would start.
+    bool isCancelledUnsubmitted(JobId const& job) const { return this->unsubmittedCancels.contains(job) && !this->find(job); }
+
     /// True while the attempt is live and its outcome still matters: the job is active and the task not done, or
     /// the task belongs to a gang.
     bool isWanted(TaskRef const& task, Attempt const& attempt) const;
@@ -149,6 +154,7 @@
 
     JobTableHooks hooks;
     std::unordered_map<JobId, JobRecord> jobs;
+    UnsubmittedCancels unsubmittedCancels;
 };
 
 } // namespace cornelpond
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -88,6 +88,8 @@
         return "outcomeUnknown";
     case CallResult::NotFound:
         return "notFound";
+    case CallResult::Cancelled:
+        return "cancelled";
     }
     return "outcomeUnknown";
 }
@@ -176,6 +178,7 @@
     this->activeJobs.clear();
     this->proposedTasks.clear();
     this->proposedJobs.clear();
+    this->proposedUnsubmittedCancels.clear();
     this->waitingSince.clear();
     this->serviceTaskEnds.clear();
     this->pendingUpdates.clear();
@@ -347,6 +350,11 @@
         done({ CallResult::NotLeader, Duration() });
         return;
     }
+    if (this->isCancelledUnsubmitted(job.id)) {
+        this->refuse(job, queue, "cancelled before it was submitted", Duration());
+        done({ CallResult::Cancelled, Duration() });
+        return;
+    }
     bool const mayBeRefused = !this->proposedJobs.count(job.id);
     if (mayBeRefused && this->activeJobs.size() >= this->limits.maxActiveJobs) {
         this->refuse(job, queue, "too many jobs", overloadRetryAfter);
@@ -382,6 +390,11 @@
     });
 }
 
+bool JobScheduler::isCancelledUnsubmitted(JobId const& id) const
+{
+    return this->jobTable.isCancelledUnsubmitted(id) || this->proposedUnsubmittedCancels.count(id);
+}
+
 /// Set if the job would end too late to be useful, behind the tasks that wait now. The refused jobs of one moment are told to
 /// return spread over as long again, as otherwise they would all return at once.
 std::optional<Duration> JobScheduler::refusalFor(JobSpec const& job, QueueSpec const& queue) const
@@ -414,16 +427,29 @@
 {
     JobRecord const* job = this->jobTable.find(id);
     Done const done = this->withCancelReport(id, job, std::move(answer));
-    if (!job && !this->proposedJobs.count(id)) {
-        done(this->jobLog.isLeadershipConfirmed() ? CallResult::NotFound : CallResult::NotLeader);
+    if (!job && !this->jobLog.isLeadershipConfirmed()) {
+        done(CallResult::NotLeader);
+        return;
+    }
+    if (this->jobTable.isCancelledUnsubmitted(id)) {
+        done(CallResult::NotFound);
+        return;
+    }
+    bool const isUnsubmitted = !job && !this->proposedJobs.count(id);
+    if (isUnsubmitted && this->proposedUnsubmittedCancels.size() >= this->limits.maxUnsubmittedCancels) {
+        done(CallResult::Refused);
         return;
     }
     if (job && job->state != JobState::Active) {
         done(CallResult::Done);
         return;
     }
+    if (isUnsubmitted)
+        this->proposedUnsubmittedCancels.insert(id);
     // The log keeps the order of proposals: a submission that is being committed takes effect before its cancel.
     this->jobLog.propose(encodeJobCommand(CancelJob { id, this->clock.wallMilliseconds() }), [this, id, done](ProposalOutcome const& outcome) {
+        if (auto const proposed = this->proposedUnsubmittedCancels.find(id); proposed != this->proposedUnsubmittedCancels.end())
+            this->proposedUnsubmittedCancels.erase(proposed);
         this->events.emit(Event(EventId::JobCancelled).with("job", id).with("code", static_cast<int>(outcome.code)));
         bool const wasNeverSubmitted = outcome.code == ResultCode::Ok && !this->jobTable.find(id);
         done(wasNeverSubmitted ? CallResult::NotFound : resultOf(outcome.code));
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -27,6 +27,7 @@
 
 struct JobLimits {
     size_t maxActiveJobs = 5000; ///< Bounds memory; further jobs are refused.
+    size_t maxUnsubmittedCancels = 100; ///< Of jobs that are not known: cancels that are being committed at a time; further ones are refused.
     size_t maxStartsPerPass = 200; ///< Bounds the duration of one event loop iteration.
     Duration endedJobRetention = Duration::seconds(180); ///< How long ended jobs can be looked up.
 };
@@ -38,6 +39,7 @@
     Refused, ///< Nothing was changed; the call is not carried out later either.
     OutcomeUnknown, ///< It may have been carried out; send it again.
     NotFound,
+    Cancelled, ///< Of a submission: the job was cancelled before it arrived, and will not run.
 };
 
 /// Name for logs and metrics, such as "notLeader".
@@ -114,9 +116,11 @@
     void onQueuesChanged();
     void onLeadership(bool isLeader);
 
-    /// Accepted once committed. Submitting an id that exists already is answered as accepted again.
+    /// Accepted once committed. Submitting an id that exists already is answered as accepted again. Cancelled for an id that was
+    /// cancelled lately without having been submitted.
     void submit(JobSpec job, QueueSpec const& queue, std::function<void(SubmitResult const&)> done);
-    /// Done once committed, or at once for a job that has ended. Also ends a job whose submission is being committed.
+    /// Done once committed, or at once for a job that has ended. Also ends a job whose submission is being committed. For a job
+    /// that is not known, NotFound once committed: a submission of it that arrives later is not accepted.
     void cancel(JobId const& job, Done answer);
     /// Answers only on the confirmed leader, else NotLeader.
     JobLookup lookUp(JobId const& job) const;
@@ -163,6 +167,7 @@
     void onStartApplied(CommitStart const& start);
     void onEndApplied(CommitEnd const& end);
     std::optional<Duration> refusalFor(JobSpec const& job, QueueSpec const& queue) const;
+    bool isCancelledUnsubmitted(JobId const& id) const;
     void refuse(JobSpec const& job, QueueSpec const& queue, char const* reason, Duration retryAfter);
     Done withCancelReport(JobId const& id, JobRecord const* job, Done answer);
     void observeRunTime(CommitEnd const& end);
@@ -238,6 +243,7 @@
     std::map<TaskRef, TimePoint> serviceTaskEnds; ///< When the last attempt of a waiting service task ended. Under an earlier leader: not listed.
     std::set<TaskRef> proposedTasks; ///< Tasks whose start is being committed.
     std::multiset<JobId> proposedJobs; ///< Jobs that are being committed. A refusal of such an id might not be true.
+    std::multiset<JobId> proposedUnsubmittedCancels; ///< Jobs that were not known when their cancel was proposed.
     std::map<WorkerId, std::pair<int64_t, uint64_t>> lastSequences; ///< By worker: when its incarnation was born (ms) and the sequence of its last announcement.
     std::map<WorkerId, TimePoint> drainEnds;
     std::vector<TaskUpdate> pendingUpdates; ///< To be proposed with the next batch.
