Real processes show that a job whose queue was removed can be cancelled

Two cases of fleet_test: a job runs on a worker, a configuration removes its queue, and its caller cancels it through another entry host, also right after the leader was killed. The cancel has to be acknowledged within 6 s and the runs to be gone 5.4 s later and to stay so.

The worker is the simulated one of the soak, with leases, behind its HTTP server, so that fleet_test now links the soak's library.

--- a/testing/integration/FleetTest.cpp
+++ b/testing/integration/FleetTest.cpp
@@ -1,9 +1,11 @@
 // A fleet of real processes that discover each other from seeds: three control hosts and one entry host.
 
 #include "testing/integration/FleetProcesses.h"
+#include "testing/soak/WorkerServer.h"
 
 #include "cornelpond/adapters/http/HttpClient.h"
 #include "cornelpond/adapters/http/HttpServer.h"
+#include "platform/Decode.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -58,10 +60,8 @@
         request.headers.add("Host", "jobs.example");
         std::optional<HttpOutcome> result;
         this->client.send({ this->ip(host), port }, request, HttpSendOptions(), [&](HttpOutcome const& outcome) { result = outcome; });
-        while (!result) {
-            this->loop.runOnce();
-            usleep(1000);
-        }
+        while (!result)
+            this->step();
         return result->kind == HttpOutcome::Kind::Answered ? result->response : HttpResponse { 0, {}, "" };
     }
 
@@ -76,12 +76,98 @@
         return response;
     }
 
+    /// Sends the request without waiting for the response.
+    void post(Address const& address, HttpRequest const& request)
+    {
+        HttpSendOptions options;
+        options.timeout = Duration::seconds(1);
+        this->client.send(address, request, options, [](HttpOutcome const&) {});
+    }
+
+    /// Serves sockets until `isReached` returns true; false if that takes longer than `bound`.
+    bool runUntil(Duration bound, std::function<bool()> const& isReached)
+    {
+        TimePoint const end = this->loop.now() + bound;
+        while (!isReached()) {
+            if (this->loop.now() >= end)
+                return false;
+            this->step();
+        }
+        return true;
+    }
+
     EventLoop loop;
+    std::function<void()> onStep = [] {}; ///< Called every few milliseconds while a call or runUntil waits.
 
 private:
+    void step()
+    {
+        this->loop.runOnce();
+        this->onStep();
+        usleep(1000);
+    }
+
     HttpClient client { loop, HttpClientLimits() };
 };
 
+/// A worker that runs the tasks of registered jobs until they end, are stopped or their lease ends.
+class SimulatedWorker {
+public:
+    SimulatedWorker(Fleet& fleet, std::string const& ip)
+        : fleet(fleet)
+        , lastStep(fleet.loop.now())
+    {
+        WorkerProfile profile;
+        profile.id = this->id;
+        profile.bornMs = 1;
+        profile.service = ServiceId("s");
+        profile.rack = RackId("r1");
+        profile.labels = { "a", "r1" };
+        profile.capacity = { 4000, 8000, 0 };
+        this->workers.addWorker(profile);
+        this->address = ip + ":" + std::to_string(this->server.listen({ ip, 0 }));
+        fleet.onStep = [this] { this->step(); };
+    }
+    ~SimulatedWorker()
+    {
+        this->fleet.onStep = [] {};
+    }
+    SimulatedWorker(SimulatedWorker const&) = delete;
+    SimulatedWorker& operator=(SimulatedWorker const&) = delete;
+
+    void registerJob(JobId const& job, std::string const& body) { this->workers.registerJob(platform::decodeJob(job, body)); }
+    size_t runningCount(JobId const& job) const { return this->workers.runningCount(job); }
+    unsigned starts() const { return this->workers.record().starts; }
+
+private:
+    void step()
+    {
+        constexpr Duration workerStep = Duration::milliseconds(5);
+        constexpr Duration heartbeatInterval = Duration::milliseconds(500);
+        TimePoint const now = this->fleet.loop.now();
+        for (; now - this->lastStep >= workerStep; this->lastStep = this->lastStep + workerStep) {
+            this->clock.advance(workerStep);
+            this->workers.step();
+        }
+        if (now < this->nextHeartbeat)
+            return;
+        this->nextHeartbeat = now + heartbeatInterval;
+        HttpRequest const heartbeat = WorkerServer::makeHeartbeat(this->workers.report(this->id), this->address);
+        for (int host = 1; host <= 3; host++)
+            this->fleet.post({ this->fleet.ip(host), FleetProcesses::controlPort }, heartbeat);
+    }
+
+    Fleet& fleet;
+    WorkerId id { "w1" };
+    SeededRandom random { 1 };
+    FakeClock clock;
+    FakeFleet workers { clock, random };
+    WorkerServer server { fleet.loop, workers, id };
+    std::string address;
+    TimePoint lastStep;
+    TimePoint nextHeartbeat;
+};
+
 /// A worker that ends each task as done at once. Its lists also hold rows that cannot be read.
 class OddListingWorker {
 public:
@@ -267,3 +353,57 @@
     for (int host = 1; host <= 3; host++)
         CHECK(fleet.process(host).output().find("InternalFault") == std::string::npos);
 }
+
+namespace {
+
+/// Removes the queue of a running job and cancels the job through another entry host than it was submitted by.
+void cancelJobOfRemovedQueue(bool isLeaderKilled)
+{
+    constexpr int entry = 9;
+    constexpr int otherEntry = 8;
+    constexpr Duration acknowledgementBound = Duration::seconds(6);
+    constexpr Duration runBound = Duration::milliseconds(5400); // The time of a cancel and of a stop.
+    constexpr size_t taskCount = 2;
+    std::string const longJob = R"({"task-spec":"x","steps":[{"count":2,"cpu":100,"memory-request-mb":10,"estimated-ms":600000}]})";
+    std::string const otherConfiguration = R"({"version":4,"routes":[{"name":"others","host":"jobs.example","path-prefix":"/others/","timeout-ms":3000,"service":"s","max-attempts":2}],"services":[{"name":"s"}]})";
+    JobId const id("5c0e7a21d94b36f8");
+    Fleet fleet;
+    for (int host = 1; host <= 3; host++)
+        fleet.startControlHost(host, true);
+    fleet.startEntryHost(entry);
+    fleet.startEntryHost(otherEntry);
+    fleet.callUntil(200, 1, controlPort, "POST", "/v1/configuration/replace", configuration);
+    SimulatedWorker worker(fleet, fleet.ip(60));
+    worker.registerJob(id, longJob);
+    fleet.callUntil(200, entry, callerPort, "POST", path, longJob);
+    REQUIRE(fleet.runUntil(Duration::seconds(20), [&] { return worker.runningCount(id) == taskCount; }));
+    fleet.callUntil(200, 1, controlPort, "POST", "/v1/configuration/replace", otherConfiguration);
+    fleet.callUntil(404, otherEntry, callerPort, "GET", path);
+
+    if (isLeaderKilled)
+        fleet.kill(fleet.leader());
+    int status = 0;
+    bool const isAcknowledged = fleet.runUntil(acknowledgementBound, [&] {
+        status = fleet.call(otherEntry, callerPort, "DELETE", path).status;
+        return status / 100 == 2 || status == 410;
+    });
+    CAPTURE(status);
+    CHECK(isAcknowledged);
+    CHECK(fleet.runUntil(runBound, [&] { return worker.runningCount(id) == 0; }));
+    unsigned const starts = worker.starts();
+    fleet.runUntil(Duration::seconds(2), [] { return false; });
+    CHECK(worker.runningCount(id) == 0);
+    CHECK(worker.starts() == starts);
+}
+
+} // namespace
+
+TEST_CASE("a running job whose queue was removed is cancelled through another entry host")
+{
+    cancelJobOfRemovedQueue(false);
+}
+
+TEST_CASE("a running job whose queue was removed is cancelled through another entry host after the leader was killed")
+{
+    cancelJobOfRemovedQueue(true);
+}
