An answer of the leader counts although its attempt has been given up

Callers saw: cancels, submissions and reads that end with 502 or 504 again and again while the leader carries each of them out, as long as it takes more than a second for an answer (a leader short of processor time, a slow link).

Cause: an entry host gives a forwarded attempt 1 s and makes another. The answer to the first was then dropped as that of an unknown request. Where every answer took longer than an attempt, none was ever passed on.

Ruled out: a leader that does not carry the call out, as nothing changed there.

Earlier attempts of an idempotent call stay open until the call ends. Their late answers are passed on if they are true of all attempts; refusals that a later attempt may contradict are not. Calls that must not be carried out twice are forwarded once, as before.

--- a/cornelpond/app/CallAttempts.cpp
+++ b/cornelpond/app/CallAttempts.cpp
@@ -43,4 +43,10 @@
     return refusal(ResultCode::OutcomeUnknown, "an earlier attempt got no answer and may have been carried out");
 }
 
+bool CallAttempts::isConclusive(HttpResponse const& late) const
+{
+    constexpr int firstServerError = 500;
+    return late.status < firstServerError && this->finalAnswer(late).status == late.status;
+}
+
 } // namespace cornelpond
--- a/cornelpond/app/CallAttempts.h
+++ b/cornelpond/app/CallAttempts.h
@@ -32,6 +32,9 @@
     /// have been carried out is not answered as one that was not, but with OutcomeUnknown.
     HttpResponse finalAnswer(HttpResponse const& last) const;
 
+    /// True for a late answer, to an attempt after which others were made, that holds whatever the others bring.
+    bool isConclusive(HttpResponse const& late) const;
+
 private:
     bool isIdempotent;
     bool hasUnknownOutcome = false;
--- a/cornelpond/app/CallAttemptsTest.cpp
+++ b/cornelpond/app/CallAttemptsTest.cpp
@@ -60,3 +60,13 @@
     CHECK(attempts.onAnswer(lostAnswer) == CallAttempts::Next::Answer);
     CHECK(attempts.finalAnswer(lostAnswer).body == lostAnswer.body);
 }
+
+TEST_CASE("a late answer ends the call only if later attempts cannot contradict it")
+{
+    CallAttempts attempts(true);
+    attempts.onAnswer(lostAnswer);
+    for (int const status : { 200, 400, 410, 422 })
+        CHECK(attempts.isConclusive(withStatus(status)));
+    for (int const status : { 404, 429, 502, 503, 504 })
+        CHECK_FALSE(attempts.isConclusive(withStatus(status)));
+}
--- a/cornelpond/app/HostNetwork.cpp
+++ b/cornelpond/app/HostNetwork.cpp
@@ -69,6 +69,9 @@
     LeaderCallOptions options;
     TimePoint started;
     CallAttempts attempts;
+    unsigned forwardCount = 0;
+    unsigned openForward = 0; ///< Number of the forwarded attempt that the call waits for; 0: none.
+    bool isAnswered = false;
 };
 
 HostNetwork::HostNetwork(EventLoop& loop, Random& random, EventSink& events, Settings const& settings, HostNetworkHooks givenHooks)
@@ -362,6 +365,8 @@
 
 void HostNetwork::attemptCall(std::shared_ptr<LeaderCall> const& call)
 {
+    if (call->isAnswered)
+        return;
     GroupId const& group = call->request.group;
     ReplicatedLog const* log = this->groups.find(group);
     if (log && log->isLeader()) {
@@ -376,19 +381,50 @@
         this->retryOrRefuse(call);
         return;
     }
-    this->forwarder.forward(leader, call->request, call->options.attemptTimeout, [this, call](HttpResponse const& response) { this->onCallAttempted(call, response); });
+    this->forwardCall(call, leader);
+}
+
+void HostNetwork::forwardCall(std::shared_ptr<LeaderCall> const& call, HostId const& leader)
+{
+    unsigned const number = call->openForward = ++call->forwardCount;
+    Duration timeout = call->options.attemptTimeout;
+    if (call->options.isIdempotent) {
+        // The answer to this attempt still counts while later ones are made: a leader that is slow for long answers each late.
+        timeout = timeout + std::max(call->options.maxWait - (this->loop.now() - call->started), Duration());
+        this->runAfter(call->options.attemptTimeout, [this, waiting = std::weak_ptr<LeaderCall>(call), number] {
+            if (auto const open = waiting.lock())
+                this->onForwardAnswered(open, number, refusal(ResultCode::ForwardFailed, "the leader did not answer in time"));
+        });
+    }
+    this->forwarder.forward(leader, call->request, timeout, [this, call, number](HttpResponse const& response) { this->onForwardAnswered(call, number, response); });
+}
+
+void HostNetwork::onForwardAnswered(std::shared_ptr<LeaderCall> const& call, unsigned number, HttpResponse const& response)
+{
+    if (call->isAnswered)
+        return;
+    if (call->openForward == number) {
+        call->openForward = 0;
+        this->onCallAttempted(call, response);
+        return;
+    }
+    if (call->attempts.isConclusive(response))
+        this->finishCall(*call, response);
 }
 
 void HostNetwork::onCallAttempted(std::shared_ptr<LeaderCall> const& call, HttpResponse const& response)
 {
+    if (call->isAnswered)
+        return;
     if (call->attempts.onAnswer(response) == CallAttempts::Next::TryAgain)
         this->retryOrRefuse(call);
     else
         this->finishCall(*call, response);
 }
 
-void HostNetwork::finishCall(LeaderCall const& call, HttpResponse const& response)
+void HostNetwork::finishCall(LeaderCall& call, HttpResponse const& response)
 {
+    call.isAnswered = true;
     HttpResponse const answer = call.attempts.finalAnswer(response);
     if (answer.status != response.status) {
         this->events.emit(Event(EventId::RefusalWithheld)
@@ -398,7 +434,10 @@
                               .with("answered", answer.status)
                               .with("lastedMs", this->loop.now() - call.started));
     }
-    call.answer(answer);
+    // Earlier attempts may stay open for longer, and would keep both until then.
+    ApiAnswerCallback const callback = std::move(call.answer);
+    call.request = ForwardedRequest();
+    callback(answer);
 }
 
 void HostNetwork::retryOrRefuse(std::shared_ptr<LeaderCall> const& call)
--- a/cornelpond/app/HostNetwork.h
+++ b/cornelpond/app/HostNetwork.h
@@ -129,9 +129,11 @@
     void openUnknownGroup(GroupId const& group);
     void openWitnessGroup(GroupId const& group);
     void attemptCall(std::shared_ptr<LeaderCall> const& call);
+    void forwardCall(std::shared_ptr<LeaderCall> const& call, HostId const& leader);
+    void onForwardAnswered(std::shared_ptr<LeaderCall> const& call, unsigned number, HttpResponse const& response);
     void onCallAttempted(std::shared_ptr<LeaderCall> const& call, HttpResponse const& response);
     void retryOrRefuse(std::shared_ptr<LeaderCall> const& call);
-    void finishCall(LeaderCall const& call, HttpResponse const& response);
+    void finishCall(LeaderCall& call, HttpResponse const& response);
     bool isMajorityReachable(GroupId const& group) const;
     void runAfter(Duration delay, std::function<void()> action);
     void replaceLostVoters();
--- a/testing/integration/FleetTest.cpp
+++ b/testing/integration/FleetTest.cpp
@@ -1,5 +1,6 @@
 // A fleet of real processes that discover each other from seeds: three control hosts and one entry host.
 
+#include "testing/faultproxy/FaultProxy.h"
 #include "testing/integration/FleetProcesses.h"
 #include "testing/soak/WorkerServer.h"
 
@@ -407,3 +408,30 @@
 {
     cancelJobOfRemovedQueue(true);
 }
+
+// Guards against calls that are carried out and never answered: each answer came after its attempt had been given up.
+TEST_CASE("a cancel is acknowledged although each answer of the leader takes longer than an attempt")
+{
+    constexpr int entry = 9;
+    constexpr int slowEntry = 8;
+    Fleet fleet;
+    SeededRandom random(1);
+    std::vector<std::unique_ptr<FaultProxy>> links;
+    for (int host = 1; host <= 3; host++) {
+        Address const listen { fleet.proxyIp(slowEntry, host), FleetProcesses::peerPort };
+        links.push_back(std::make_unique<FaultProxy>(fleet.loop, random, listen, Address { fleet.ip(host), FleetProcesses::peerPort }));
+        fleet.setPeerRoute(slowEntry, host);
+        fleet.startControlHost(host, true);
+    }
+    fleet.startEntryHost(entry);
+    fleet.startEntryHost(slowEntry);
+    fleet.callUntil(200, 1, controlPort, "POST", "/v1/configuration/replace", configuration);
+    fleet.callUntil(200, slowEntry, readinessPort, "GET", "/v1/readiness");
+    fleet.callUntil(200, entry, callerPort, "POST", path, job);
+    LinkFaults slow;
+    slow.delay = Duration::milliseconds(600);
+    for (auto const& link : links)
+        link->setFaults(slow);
+    CHECK(fleet.call(slowEntry, callerPort, "DELETE", path).status == 200);
+    CHECK(nlohmann::json::parse(fleet.callUntil(200, entry, callerPort, "GET", path).body)["state"] == "cancelled");
+}
