Real processes show that a held-up submission starts no cancelled job

An entry host is frozen with a submission in its socket, the job is cancelled through another one (410), and the first goes on. The leader has to refuse the submission, and a GET to answer 410 still.

Evidence: on a scratch copy without the refusal in JobScheduler::submit the job is accepted after the 410 and a GET is answered 200.

--- a/testing/integration/FleetTest.cpp
+++ b/testing/integration/FleetTest.cpp
@@ -409,6 +409,31 @@
     cancelJobOfRemovedQueue(true);
 }
 
+// Guards against a job that starts although its caller was told that there is none.
+TEST_CASE("a submission that a frozen entry host passes on after the cancel was answered does not start a job")
+{
+    constexpr int frozenEntry = 9;
+    constexpr int entry = 8;
+    Fleet fleet;
+    for (int host = 1; host <= 3; host++)
+        fleet.startControlHost(host, true);
+    fleet.startEntryHost(frozenEntry);
+    fleet.startEntryHost(entry);
+    fleet.callUntil(200, 1, controlPort, "POST", "/v1/configuration/replace", configuration);
+    fleet.callUntil(200, frozenEntry, readinessPort, "GET", "/v1/readiness");
+    fleet.process(frozenEntry).sendSignal(SIGSTOP);
+    HttpRequest submission { "POST", path, "", {}, job };
+    submission.headers.add("Host", "jobs.example");
+    fleet.post({ fleet.ip(frozenEntry), callerPort }, submission);
+    CHECK(fleet.callUntil(410, entry, callerPort, "DELETE", path).status == 410);
+    fleet.process(frozenEntry).sendSignal(SIGCONT);
+    bool const isRefused = fleet.runUntil(Duration::seconds(10), [&] {
+        return fleet.process(fleet.leader()).output().find("cancelled before it was submitted") != std::string::npos;
+    });
+    CHECK(isRefused);
+    CHECK(fleet.call(entry, callerPort, "GET", path).status == 410);
+}
+
 // Guards against calls that are carried out and never answered: each answer came after its attempt had been given up.
 TEST_CASE("a cancel is acknowledged although each answer of the leader takes longer than an attempt")
 {
