A cancelled job does not start anew once its record is gone

Callers saw: a job whose cancel was acknowledged runs again when a repetition of its submission arrives after the record has been removed: 180 s later, or sooner where the wall clock of the leader jumps ahead.

Cause: a repetition is known as such by the job's record alone. Without it the submission was accepted as a new job.

Ruled out: cancels without a record from the start, which keeps.

The removal of a cancelled job keeps its id beside those that were cancelled before they were submitted, for as long and in the same number. The class is now called CancelledIds after what it holds. Jobs that completed or failed are not kept: their repetitions are taken for new jobs after 180 s, as before.

--- a/cornelpond/core/jobs/UnsubmittedCancels.cpp
+++ b/cornelpond/core/jobs/CancelledIds.cpp
@@ -1,8 +1,8 @@
-#include "cornelpond/core/jobs/UnsubmittedCancels.h"
+#include "cornelpond/core/jobs/CancelledIds.h"
 
 namespace cornelpond {
 
-void UnsubmittedCancels::add(JobId const& job, int64_t wallMs)
+void CancelledIds::add(JobId const& job, int64_t wallMs)
 {
     if (!this->jobs.insert(job).second)
         return;
@@ -13,7 +13,7 @@
     }
 }
 
-void UnsubmittedCancels::write(ByteWriter& out) const
+void CancelledIds::write(ByteWriter& out) const
 {
     out.number(this->cancels.size());
     for (auto const& cancel : this->cancels) {
@@ -22,9 +22,9 @@
     }
 }
 
-UnsubmittedCancels UnsubmittedCancels::read(ByteReader& in)
+CancelledIds CancelledIds::read(ByteReader& in)
 {
-    UnsubmittedCancels read;
+    CancelledIds read;
     for (uint64_t remaining = in.number(); remaining; remaining--) {
         JobId const job { std::string(in.text()) };
         read.add(job, static_cast<int64_t>(in.number()));
--- a/cornelpond/core/jobs/UnsubmittedCancels.h
+++ b/cornelpond/core/jobs/CancelledIds.h
@@ -1,10 +1,10 @@
 #pragma once
 
-// The jobs that were cancelled before any submission of them was committed. A submission that was held up on its way must
-// not start a job whose caller has been told that there is none.
+// The jobs that were cancelled and have no record: no submission of them was committed before, or the record has been
+// removed since. A submission that was held up on its way must not start a job whose cancel has been acknowledged.
 //
 // Example:
-//   UnsubmittedCancels cancels;
+//   CancelledIds cancels;
 //   cancels.add(JobId("plan-7"), wallMs);
 //   if (cancels.contains(id))
 //       refuse(id);
@@ -19,7 +19,7 @@
 
 namespace cornelpond {
 
-class UnsubmittedCancels {
+class CancelledIds {
 public:
     static constexpr size_t maxCount = 10000;
     static constexpr int64_t retentionMs = 600'000;
@@ -31,7 +31,7 @@
 
     void write(ByteWriter& out) const;
     /// Throws Error(MalformedMessage).
-    static UnsubmittedCancels read(ByteReader& in);
+    static CancelledIds read(ByteReader& in);
 
 private:
     struct Cancel {
--- a/cornelpond/core/jobs/JobTable.cpp
+++ b/cornelpond/core/jobs/JobTable.cpp
@@ -198,7 +198,7 @@
 {
     JobRecord* job = this->findMutable(command.job);
     if (!job)
-        this->unsubmittedCancels.add(command.job, command.wallMs);
+        this->cancelledIds.add(command.job, command.wallMs);
     else if (job->state == JobState::Active)
         this->endJob(*job, JobState::Cancelled, command.wallMs);
 }
@@ -309,11 +309,13 @@
     this->notifyJobChanged(*job);
 }
 
-void JobTable::applyUpdate(RemoveJob const& remove, int64_t)
+void JobTable::applyUpdate(RemoveJob const& remove, int64_t wallMs)
 {
     JobRecord const* job = this->find(remove.job);
     if (!job || job->state == JobState::Active || job->liveAttemptCount)
         return;
+    if (job->state == JobState::Cancelled)
+        this->cancelledIds.add(remove.job, wallMs);
     this->jobs.erase(remove.job);
     if (this->hooks.onJobRemoved)
         this->hooks.onJobRemoved(remove.job);
@@ -439,8 +441,8 @@
     out.number(this->jobs.size());
     for (auto const& [id, job] : this->jobs)
         write(out, job);
-    if (!this->unsubmittedCancels.empty()) // Earlier versions read no further.
-        this->unsubmittedCancels.write(out);
+    if (!this->cancelledIds.empty()) // Earlier versions read no further.
+        this->cancelledIds.write(out);
     return out.take();
 }
 
@@ -453,12 +455,12 @@
         JobId const id = job.spec.id;
         restored.emplace(id, std::move(job));
     }
-    UnsubmittedCancels cancels;
+    CancelledIds cancels;
     if (!in.isAtEnd())
-        cancels = UnsubmittedCancels::read(in);
+        cancels = CancelledIds::read(in);
     in.expectEnd();
     this->jobs = std::move(restored);
-    this->unsubmittedCancels = std::move(cancels);
+    this->cancelledIds = std::move(cancels);
 }
 
 } // namespace cornelpond
--- a/cornelpond/core/jobs/JobTable.h
+++ b/cornelpond/core/jobs/JobTable.h
@@ -10,9 +10,9 @@
 //
 // Deterministic: uses no clock and no randomness. A command that no longer applies has no effect.
 
+#include "cornelpond/core/jobs/CancelledIds.h"
 #include "cornelpond/core/jobs/JobCommand.h"
 #include "cornelpond/core/jobs/QueueTable.h"
-#include "cornelpond/core/jobs/UnsubmittedCancels.h"
 
 #include <functional>
 #include <map>
@@ -108,9 +108,9 @@
     JobRecord const* find(JobId const& id) const;
     TaskRecord const* findTask(TaskRef const& task) const;
 
-    /// True for a job that is not known and whose cancel was committed lately. Its submission is to be refused: once committed,
-    /// the job would start.
-    bool isCancelledUnsubmitted(JobId const& job) const { return this->unsubmittedCancels.contains(job) && !this->find(job); }
+    /// True for a job that was cancelled lately and has no record. Its submission is to be refused: once committed, the job
+    /// would start.
+    bool isCancelledWithoutRecord(JobId const& job) const { return this->cancelledIds.contains(job) && !this->find(job); }
 
     /// True while the attempt is live and its outcome still matters: the job is active and the task not done, or
     /// the task belongs to a gang.
@@ -154,7 +154,7 @@
 
     JobTableHooks hooks;
     std::unordered_map<JobId, JobRecord> jobs;
-    UnsubmittedCancels unsubmittedCancels;
+    CancelledIds cancelledIds;
 };
 
 } // namespace cornelpond
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -350,8 +350,8 @@
         done({ CallResult::NotLeader, Duration() });
         return;
     }
-    if (this->isCancelledUnsubmitted(job.id)) {
-        this->refuse(job, queue, "cancelled before it was submitted", Duration());
+    if (this->isCancelledWithoutRecord(job.id)) {
+        this->refuse(job, queue, "cancelled before it arrived", Duration());
         done({ CallResult::Cancelled, Duration() });
         return;
     }
@@ -390,9 +390,9 @@
     });
 }
 
-bool JobScheduler::isCancelledUnsubmitted(JobId const& id) const
+bool JobScheduler::isCancelledWithoutRecord(JobId const& id) const
 {
-    return this->jobTable.isCancelledUnsubmitted(id) || this->proposedUnsubmittedCancels.count(id);
+    return this->jobTable.isCancelledWithoutRecord(id) || this->proposedUnsubmittedCancels.count(id);
 }
 
 /// Set if the job would end too late to be useful, behind the tasks that wait now. The refused jobs of one moment are told to
@@ -431,7 +431,7 @@
         done(CallResult::NotLeader);
         return;
     }
-    if (this->jobTable.isCancelledUnsubmitted(id)) {
+    if (this->jobTable.isCancelledWithoutRecord(id)) {
         done(CallResult::NotFound);
         return;
     }
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -117,7 +117,7 @@
     void onLeadership(bool isLeader);
 
     /// Accepted once committed. Submitting an id that exists already is answered as accepted again. Cancelled for an id that was
-    /// cancelled lately without having been submitted.
+    /// cancelled lately and has no record.
     void submit(JobSpec job, QueueSpec const& queue, std::function<void(SubmitResult const&)> done);
     /// Done once committed, or at once for a job that has ended. Also ends a job whose submission is being committed. For a job
     /// that is not known, NotFound once committed: a submission of it that arrives later is not accepted.
@@ -167,7 +167,7 @@
     void onStartApplied(CommitStart const& start);
     void onEndApplied(CommitEnd const& end);
     std::optional<Duration> refusalFor(JobSpec const& job, QueueSpec const& queue) const;
-    bool isCancelledUnsubmitted(JobId const& id) const;
+    bool isCancelledWithoutRecord(JobId const& id) const;
     void refuse(JobSpec const& job, QueueSpec const& queue, char const* reason, Duration retryAfter);
     Done withCancelReport(JobId const& id, JobRecord const* job, Done answer);
     void observeRunTime(CommitEnd const& end);
--- a/testing/integration/FleetTest.cpp
+++ b/testing/integration/FleetTest.cpp
@@ -428,7 +428,7 @@
     CHECK(fleet.callUntil(410, entry, callerPort, "DELETE", path).status == 410);
     fleet.process(frozenEntry).sendSignal(SIGCONT);
     bool const isRefused = fleet.runUntil(Duration::seconds(10), [&] {
-        return fleet.process(fleet.leader()).output().find("cancelled before it was submitted") != std::string::npos;
+        return fleet.process(fleet.leader()).output().find("cancelled before it arrived") != std::string::npos;
     });
     CHECK(isRefused);
     CHECK(fleet.call(entry, callerPort, "GET", path).status == 410);
