The soak removes queues that have jobs and follows each cancel to its end

The soak missed that a cancel of a job whose queue was removed is answered 404 for good: no configuration of it removed a queue, nothing bounded the time to the acknowledgement of a cancel, and only starts of cancelled jobs were checked, not runs that go on.

FaultSet::Cancels alternates faults with calm periods. Configurations remove a second queue that has jobs and add it again; its jobs are cancelled, also over open connections, until 200, or 410 where the queue may be removed. CancelCheck bounds acknowledgements, starts and runs in all sets. Workers reset connections over a limit, which a fault fills with idle connections. The plans of the older sets are unchanged.

--- a/testing/faultproxy/FaultProxy.cpp
+++ b/testing/faultproxy/FaultProxy.cpp
@@ -8,6 +8,7 @@
 #include <cstring>
 #include <netinet/in.h>
 #include <stdexcept>
+#include <sys/socket.h>
 
 namespace cornelpond {
 
@@ -23,6 +24,14 @@
         return result;
     }
 
+    /// Closes the socket with a reset instead of an orderly end.
+    void resetSocket(int socket)
+    {
+        linger const immediate { 1, 0 };
+        setsockopt(socket, SOL_SOCKET, SO_LINGER, &immediate, sizeof(immediate));
+        evutil_closesocket(socket);
+    }
+
 } // namespace
 
 struct FaultProxy::Direction {
@@ -92,6 +101,11 @@
         evutil_closesocket(socket);
         return;
     }
+    if (this->connections.size() >= this->faults.maxConnections) {
+        this->resetConnections++;
+        resetSocket(socket);
+        return;
+    }
     auto connection = std::make_unique<Connection>();
     uint64_t const id = this->nextConnectionId++;
     bufferevent* client = bufferevent_socket_new(this->loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
--- a/testing/faultproxy/FaultProxy.h
+++ b/testing/faultproxy/FaultProxy.h
@@ -11,6 +11,7 @@
 #include "cornelpond/adapters/runtime/EventLoop.h"
 #include "cornelpond/ports/Random.h"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 
@@ -29,6 +30,7 @@
     bool isCutToServer = false; ///< While set, bytes from the client are discarded.
     bool isCutToClient = false; ///< While set, bytes from the server are discarded.
     bool refusesNewConnections = false; ///< New connections are closed at once.
+    size_t maxConnections = SIZE_MAX; ///< Further ones are reset.
     size_t maxBytesToClient = 0; ///< A connection is closed after this many bytes to the client; 0: no limit.
 };
 
@@ -45,6 +47,7 @@
     LinkFaults const& currentFaults() const { return this->faults; }
 
     size_t openConnectionCount() const { return this->connections.size(); }
+    uint64_t resetConnectionCount() const { return this->resetConnections; } ///< Those over `maxConnections`.
 
     /// Discards all further bytes of the connections that are open now, for good, without closing them.
     void silenceOpenConnections();
@@ -75,6 +78,7 @@
     LinkFaults faults;
     std::map<uint64_t, std::unique_ptr<Connection>> connections;
     uint64_t nextConnectionId = 1;
+    uint64_t resetConnections = 0;
 };
 
 } // namespace cornelpond
--- a/testing/soak/FaultPlan.cpp
+++ b/testing/soak/FaultPlan.cpp
@@ -9,14 +9,21 @@
 
 namespace {
 
-    constexpr std::array<std::string_view, 23> names { "KillHost", "StopHost", "PauseHost", "WipeHost", "TearJournal", "ReloadHost", "ResetLinks", "SilenceLinks", "CutOneWay", "SlowLinks",
-        "CrashWorker", "CutWorker", "SilenceWorker", "DrainWorker", "LateOrders", "CancelWave", "RaceOperators", "FillDisk", "LoseMajority", "KillEntryHost", "StopEntryHost", "OddHeartbeats", "OddListings" };
+    constexpr std::array<std::string_view, 26> names { "KillHost", "StopHost", "PauseHost", "WipeHost", "TearJournal", "ReloadHost", "ResetLinks", "SilenceLinks", "CutOneWay", "SlowLinks",
+        "CrashWorker", "CutWorker", "SilenceWorker", "DrainWorker", "LateOrders", "CancelWave", "RaceOperators", "FillDisk", "LoseMajority", "KillEntryHost", "StopEntryHost", "OddHeartbeats", "OddListings",
+        "RemoveQueue", "ReplaceQueue", "ExhaustWorkerConnections" };
 
     /// The kinds of FaultSet::General come first in FaultKind.
     constexpr uint64_t generalKindCount = 17;
     constexpr std::array<FaultKind, 16> outageKinds { FaultKind::FillDisk, FaultKind::FillDisk, FaultKind::FillDisk, FaultKind::LoseMajority, FaultKind::LoseMajority, FaultKind::KillHost, FaultKind::StopHost,
         FaultKind::PauseHost, FaultKind::KillEntryHost, FaultKind::StopEntryHost, FaultKind::OddHeartbeats, FaultKind::OddListings, FaultKind::CancelWave, FaultKind::RaceOperators,
         FaultKind::DrainWorker, FaultKind::LateOrders };
+    constexpr std::array<FaultKind, 22> cancelKinds { FaultKind::RemoveQueue, FaultKind::RemoveQueue, FaultKind::RemoveQueue, FaultKind::ReplaceQueue, FaultKind::ReplaceQueue, FaultKind::CancelWave, FaultKind::CancelWave,
+        FaultKind::RaceOperators, FaultKind::KillHost, FaultKind::StopHost, FaultKind::PauseHost, FaultKind::ResetLinks, FaultKind::SilenceLinks, FaultKind::SlowLinks, FaultKind::SilenceWorker, FaultKind::CutWorker,
+        FaultKind::CrashWorker, FaultKind::LateOrders, FaultKind::KillEntryHost, FaultKind::StopEntryHost, FaultKind::ExhaustWorkerConnections, FaultKind::ExhaustWorkerConnections };
+    /// FaultSet::Cancels has faults only in the first part of each period.
+    constexpr Duration cancelPeriod = Duration::seconds(20);
+    constexpr Duration faultsPerPeriod = Duration::seconds(5);
     constexpr uint64_t stepsPerSeries = 2; ///< On average; a series repeats a kind on one target after the other.
 
     constexpr Duration minGap = Duration::milliseconds(150);
@@ -33,7 +40,19 @@
 
     FaultKind drawKind(FaultSet set, Random& random)
     {
-        return set == FaultSet::General ? static_cast<FaultKind>(random.below(generalKindCount)) : outageKinds.at(random.below(outageKinds.size()));
+        switch (set) {
+        case FaultSet::Outages:
+            return outageKinds.at(random.below(outageKinds.size()));
+        case FaultSet::Cancels:
+            return cancelKinds.at(random.below(cancelKinds.size()));
+        default:
+            return static_cast<FaultKind>(random.below(generalKindCount));
+        }
+    }
+
+    bool isCalmPeriod(FaultSet set, Duration at)
+    {
+        return set == FaultSet::Cancels && at.toMicroseconds() % cancelPeriod.toMicroseconds() > faultsPerPeriod.toMicroseconds();
     }
 
 } // namespace
@@ -43,6 +62,12 @@
     return names.at(static_cast<size_t>(kind));
 }
 
+bool isCalm(FaultKind kind)
+{
+    constexpr std::array<FaultKind, 5> calm { FaultKind::ReloadHost, FaultKind::CancelWave, FaultKind::RaceOperators, FaultKind::RemoveQueue, FaultKind::ReplaceQueue };
+    return std::find(calm.begin(), calm.end(), kind) != calm.end();
+}
+
 bool disruptsControlHost(FaultKind kind)
 {
     constexpr std::array<FaultKind, 11> disrupting { FaultKind::KillHost, FaultKind::StopHost, FaultKind::PauseHost, FaultKind::WipeHost, FaultKind::TearJournal, FaultKind::ResetLinks, FaultKind::SilenceLinks,
@@ -62,10 +87,12 @@
         step.kind = drawKind(set, random);
         step.duration = minDuration + below(random, durationSpread);
         step.targetSelector = random.next();
+        if (isCalmPeriod(set, at) && (!isCalm(step.kind) || step.kind == FaultKind::ReplaceQueue))
+            continue; // Queues stay removed in calm periods, which are longer than the time limit for a cancel.
         if (disruptsControlHost(step.kind)) {
             if (at < hostRecoveredAt)
                 continue;
-            if (set == FaultSet::Outages && lastDisruption.targetSelector && random.below(stepsPerSeries)) {
+            if (set != FaultSet::General && lastDisruption.targetSelector && random.below(stepsPerSeries)) {
                 step.kind = lastDisruption.kind;
                 step.targetSelector = lastDisruption.targetSelector + 1;
             }
--- a/testing/soak/FaultPlan.h
+++ b/testing/soak/FaultPlan.h
@@ -2,7 +2,8 @@
 
 // The schedule of faults for one soak run, drawn from a seed. Faults may overlap, but at most one fault at a time
 // disrupts the control hosts, because a fleet of three tolerates only one host that is down. FaultSet::Outages
-// goes further: it also takes away the majority, whose hosts return with their disks.
+// goes further: it also takes away the majority, whose hosts return with their disks. FaultSet::Cancels alternates
+// periods of faults with calm ones, in which only cancels and changes of the configuration go on.
 //
 // Example:
 //   for (FaultStep const& step : drawFaults(FaultSet::General, seed, Duration::seconds(20)))
@@ -40,11 +41,15 @@
     StopEntryHost, ///< SIGTERM; started again as soon as it has ended.
     OddHeartbeats, ///< For `duration`, heartbeats of another writer come beside those of the workers.
     OddListings, ///< For `duration`, the worker's listings contain odd rows and fields.
+    RemoveQueue, ///< A configuration removes a queue that has jobs, if it is not removed yet; several of its jobs are cancelled.
+    ReplaceQueue, ///< As RemoveQueue; after `duration`, a configuration adds the queue again.
+    ExhaustWorkerConnections, ///< For `duration`, idle connections of another client fill the worker's limit.
 };
 
 enum class FaultSet {
     General, ///< Single faults of many kinds.
     Outages, ///< Full disks, lost majorities, signals and odd messages, in series.
+    Cancels, ///< Removed queues and cancels, through overlapping faults and the calm periods between them.
 };
 
 std::string_view faultName(FaultKind kind);
@@ -56,6 +61,9 @@
     uint64_t targetSelector = 0; ///< Selects the host or worker, modulo their number.
 };
 
+/// True if the hosts and workers, and the links between them, are sound during the fault.
+bool isCalm(FaultKind kind);
+
 /// True for faults that make a control host or its links to its peers fail for a while.
 bool disruptsControlHost(FaultKind kind);
 
--- a/testing/soak/OpenCaller.cpp
+++ b/testing/soak/OpenCaller.cpp
@@ -36,10 +36,10 @@
 
 } // namespace
 
-OpenCaller::OpenCaller(Clock& clock, Address address, std::function<std::string()> nextPath, std::function<void(std::string const&)> onViolation)
+OpenCaller::OpenCaller(Clock& clock, Address address, std::function<Call()> nextCall, std::function<void(std::string const&)> onViolation)
     : clock(clock)
     , address(std::move(address))
-    , nextPath(std::move(nextPath))
+    , nextCall(std::move(nextCall))
     , onViolation(std::move(onViolation))
 {
 }
@@ -85,7 +85,8 @@
 
 void OpenCaller::sendNext()
 {
-    std::string const request = fmt::format("GET {} HTTP/1.1\r\nHost: jobs.example\r\nX-Deadline-Ms: 1000\r\n\r\n", this->nextPath());
+    this->call = this->nextCall();
+    std::string const request = fmt::format("{} {} HTTP/1.1\r\nHost: jobs.example\r\nX-Deadline-Ms: 1000\r\n\r\n", this->call.method, this->call.path);
     this->nextAction = this->clock.now() + requestInterval;
     if (::send(this->descriptor, request.data(), request.size(), MSG_NOSIGNAL | MSG_DONTWAIT) == static_cast<ssize_t>(request.size()))
         this->isWaiting = true;
@@ -129,9 +130,13 @@
     }
     if (this->received.size() < head + headEnd.size() + length)
         return false;
+    int status = 0;
+    std::from_chars(this->received.data() + statusLineStart.size(), this->received.data() + head, status);
     this->received.erase(0, head + headEnd.size() + length);
     this->isWaiting = false;
     this->answered++;
+    if (this->call.onAnswered)
+        this->call.onAnswered(status);
     return !this->received.empty();
 }
 
--- a/testing/soak/OpenCaller.h
+++ b/testing/soak/OpenCaller.h
@@ -4,7 +4,7 @@
 // about closing. It then connects again.
 //
 // Example:
-//   OpenCaller caller(loop, address, [] { return std::string("/jobs/1"); }, [](std::string const& text) { report(text); });
+//   OpenCaller caller(loop, address, [] { return OpenCaller::Call { "GET", "/jobs/1", nullptr }; }, [](std::string const& text) { report(text); });
 //   caller.step(); // every few milliseconds
 
 #include "cornelpond/adapters/http/HttpTypes.h"
@@ -17,8 +17,14 @@
 
 class OpenCaller {
 public:
-    /// `nextPath` names what each request asks for; `onViolation` is called for a response that is cut off or malformed.
-    OpenCaller(Clock& clock, Address address, std::function<std::string()> nextPath, std::function<void(std::string const&)> onViolation);
+    struct Call {
+        std::string method;
+        std::string path;
+        std::function<void(int status)> onAnswered; ///< May be empty; not called if the connection ends before the answer.
+    };
+
+    /// `nextCall` returns what is to be sent next; `onViolation` is called for a response that is cut off or malformed.
+    OpenCaller(Clock& clock, Address address, std::function<Call()> nextCall, std::function<void(std::string const&)> onViolation);
     ~OpenCaller();
     OpenCaller(OpenCaller const&) = delete;
     OpenCaller& operator=(OpenCaller const&) = delete;
@@ -36,10 +42,11 @@
 
     Clock& clock;
     Address address;
-    std::function<std::string()> nextPath;
+    std::function<Call()> nextCall;
     std::function<void(std::string const&)> onViolation;
     int descriptor = -1; ///< -1 while not connected.
     bool isWaiting = false; ///< A request has no complete response yet.
+    Call call; ///< The request that was sent last.
     std::string received;
     TimePoint nextAction;
     size_t answered = 0;
--- a/testing/soak/Soak.cpp
+++ b/testing/soak/Soak.cpp
@@ -4,6 +4,8 @@
 #include "testing/faultproxy/FaultProxy.h"
 #include "testing/integration/FleetProcesses.h"
 #include "testing/integration/JournalFiles.h"
+#include "testing/soak/CancelCheck.h"
+#include "testing/soak/IdleConnections.h"
 #include "testing/soak/OpenCaller.h"
 #include "testing/soak/SoakClients.h"
 #include "testing/soak/WorkerServer.h"
@@ -38,12 +40,14 @@
     /// The default of the setting shutdownBoundMs is 5 s; the rest is for a process that is slow to end.
     constexpr Duration stopTimeout = Duration::seconds(6);
     constexpr Duration cancelDelay = Duration::milliseconds(200);
+    constexpr Duration removedQueueDelay = Duration::milliseconds(1500); ///< Until all hosts know that a queue is removed.
 
     /// The server of one worker and the proxy through which the fleet reaches it.
     struct SoakWorker {
         WorkerId id;
         std::unique_ptr<WorkerServer> server;
         std::unique_ptr<FaultProxy> proxy;
+        std::unique_ptr<IdleConnections> foreignConnections;
         std::string address;
         TimePoint nextHeartbeat;
     };
@@ -66,6 +70,8 @@
         void injectOutage(FaultStep const& fault, int host);
         void fillDisk(FaultStep const& fault, int host);
         void loseMajority(FaultStep const& fault, int spared);
+        void injectQueueChange(FaultStep const& fault);
+        OpenCaller::Call nextCall();
         void startHost(int host);
         void killAndRestart(int host, Duration after, std::function<void()> prepare);
         void stopAndRestart(int host);
@@ -88,6 +94,7 @@
         FakeFleet workers;
         FleetProcesses fleet;
         HttpClient client;
+        CancelCheck cancelCheck;
         SoakClients clients;
         std::map<std::pair<int, int>, std::unique_ptr<FaultProxy>> links; ///< By dialling host and its peer.
         std::vector<SoakWorker> workerServers;
@@ -110,7 +117,9 @@
         , workers(this->workerClock, this->random)
         , fleet(options.program)
         , client(this->loop, HttpClientLimits())
-        , clients(this->loop, this->client, this->random, this->addresses(), [this](JobSpec const& job) { this->workers.registerJob(job); })
+        , cancelCheck(
+              this->loop, [this](JobId const& job) { return this->workers.runningCount(job); }, [this](std::string const& text) { this->violations.push_back(fmt::format("{:6.2f} s {}", (this->loop.now() - this->started).toSeconds(), text)); })
+        , clients(this->loop, this->client, this->random, this->addresses(), this->cancelCheck, options.faultSet == FaultSet::Cancels, [this](JobSpec const& job) { this->workers.registerJob(job); })
         , lastStep(this->loop.now())
     {
         this->workers.setStartObserver([this](TaskRef const& task) { this->clients.onTaskStarted(task.job, this->orderedAt[task]); });
@@ -171,6 +180,10 @@
             worker.server->setStartOrderObserver([this](TaskRef const& task) { this->orderedAt[task] = this->loop.now(); });
             uint16_t const port = worker.server->listen({ "127.0.0.1", 0 });
             worker.proxy = std::make_unique<FaultProxy>(this->loop, this->random, Address { "127.0.0.1", 0 }, Address { "127.0.0.1", port });
+            LinkFaults limits;
+            limits.maxConnections = this->options.workerConnectionLimit;
+            worker.proxy->setFaults(limits);
+            worker.foreignConnections = std::make_unique<IdleConnections>(this->loop, Address { "127.0.0.1", worker.proxy->port() });
             worker.address = "127.0.0.1:" + std::to_string(worker.proxy->port());
             this->workerServers.push_back(std::move(worker));
         }
@@ -180,10 +193,19 @@
     {
         for (auto const& entry : this->addresses().entryAddresses) {
             this->openCallers.push_back(std::make_unique<OpenCaller>(
-                this->loop, entry, [this] { return this->clients.newestJobPath(); }, [this](std::string const& text) { this->reportOnce(text); }));
+                this->loop, entry, [this] { return this->nextCall(); }, [this](std::string const& text) { this->reportOnce(text); }));
         }
     }
 
+    /// Open connections carry cancels only where queues are removed.
+    OpenCaller::Call SoakRun::nextCall()
+    {
+        std::string const cancelPath = this->options.faultSet == FaultSet::Cancels ? this->clients.pendingCancelPath() : "";
+        if (cancelPath.empty())
+            return { "GET", this->clients.newestJobPath(), nullptr };
+        return { "DELETE", cancelPath, [this, cancelPath](int status) { this->clients.onCancelAnswered(cancelPath, status); } };
+    }
+
     void SoakRun::reportOnce(std::string const& text)
     {
         if (std::find(this->violations.begin(), this->violations.end(), text) == this->violations.end())
@@ -205,6 +227,11 @@
         this->clients.onTick();
         for (auto const& caller : this->openCallers)
             caller->step();
+        for (auto const& worker : this->workerServers)
+            worker.foreignConnections->step();
+        if (this->pendingRestarts)
+            this->cancelCheck.noteFaultUntil(this->loop.now());
+        this->cancelCheck.onTick();
         this->checkProcesses();
         usleep(1000);
     }
@@ -285,9 +312,12 @@
         this->faults.push_back(fmt::format("{:6.2f} s {} {} for {} ms", (this->loop.now() - this->started).toSeconds(), faultName(fault.kind), target, fault.duration.toMilliseconds()));
         if (this->options.isVerbose)
             fmt::print("{}\n", this->faults.back());
+        if (!isCalm(fault.kind))
+            this->cancelCheck.noteFaultUntil(this->loop.now() + fault.duration);
         this->injectHost(fault, host);
         this->injectOutage(fault, host);
         this->injectWorker(fault, worker);
+        this->injectQueueChange(fault);
     }
 
     void SoakRun::killAndRestart(int host, Duration after, std::function<void()> prepare)
@@ -388,6 +418,17 @@
         this->loop.after(cancelDelay, [this] { this->clients.cancelJobs(cancelledJobCount); });
     }
 
+    void SoakRun::injectQueueChange(FaultStep const& fault)
+    {
+        if (fault.kind != FaultKind::RemoveQueue && fault.kind != FaultKind::ReplaceQueue)
+            return;
+        this->clients.setSecondQueue(false);
+        for (Duration const delay : { cancelDelay, removedQueueDelay })
+            this->loop.after(delay, [this] { this->clients.cancelSecondQueueJobs(cancelledJobCount / 2); });
+        if (fault.kind == FaultKind::ReplaceQueue)
+            this->loop.after(fault.duration, [this] { this->clients.setSecondQueue(true); });
+    }
+
     void SoakRun::injectHost(FaultStep const& fault, int host)
     {
         switch (fault.kind) {
@@ -480,6 +521,10 @@
             worker.server->setOddListings(&this->random);
             this->loop.after(fault.duration, [&worker] { worker.server->setOddListings(nullptr); });
             return;
+        case FaultKind::ExhaustWorkerConnections:
+            worker.foreignConnections->setCount(this->options.workerConnectionLimit);
+            this->loop.after(fault.duration, [&worker] { worker.foreignConnections->setCount(0); });
+            return;
         case FaultKind::SilenceWorker:
             return worker.proxy->silenceOpenConnections();
         case FaultKind::LateOrders: {
--- a/testing/soak/Soak.h
+++ b/testing/soak/Soak.h
@@ -27,6 +27,7 @@
     Duration maxSettleTime = Duration::seconds(60); ///< Time limit, after the load has ended, for all jobs to end.
     size_t workerCount = 6;
     int entryHostCount = 2;
+    size_t workerConnectionLimit = 64; ///< Connections that a worker keeps open; further ones are reset.
     std::string logFolder; ///< Where the files of the processes are copied after a run with violations; empty: nowhere.
     bool isVerbose = false; ///< Prints each fault when it is injected.
 };
--- a/testing/soak/SoakClients.cpp
+++ b/testing/soak/SoakClients.cpp
@@ -15,6 +15,7 @@
     constexpr Duration retryDelay = Duration::milliseconds(300);
     constexpr Duration configurationReadInterval = Duration::milliseconds(250);
     constexpr Duration configurationApplyBound = Duration::milliseconds(2000);
+    constexpr Duration hostsApplyBound = Duration::seconds(8); ///< After an acknowledged configuration, also for hosts that were out of touch.
     constexpr Duration cancelBound = Duration::seconds(3); ///< From the acknowledgement of a cancel to the last start of a task.
     constexpr Duration acknowledgementBound = Duration::seconds(4); ///< While the fleet serves, a cancel that is sent again and again is acknowledged by then.
     constexpr Duration maxServingGap = Duration::seconds(1);
@@ -24,6 +25,7 @@
 
     constexpr int ok = 200;
     constexpr int gone = 410;
+    constexpr int notFound = 404;
     constexpr int tooMany = 429;
     constexpr int unavailable = 503;
     constexpr int firstClientError = 400;
@@ -39,12 +41,9 @@
         return status == tooMany || status == unavailable;
     }
 
-    std::string configurationBody(uint64_t version)
+    Json routeOf(std::string const& name, uint64_t version)
     {
-        Json const body { { "version", version },
-            { "routes", { { { "name", "jobs" }, { "host", "jobs.example" }, { "path-prefix", "/jobs/" }, { "timeout-ms", 2000 + version }, { "target-latency-ms", 500 }, { "service", "fleet" }, { "max-attempts", 3 }, { "stretch-factor", 2.0 } } } },
-            { "services", { { { "name", "fleet" }, { "enforces-capacity", true } } } } };
-        return body.dump();
+        return { { "name", name }, { "host", "jobs.example" }, { "path-prefix", "/" + name + "/" }, { "timeout-ms", 2000 + version }, { "target-latency-ms", 500 }, { "service", "fleet" }, { "max-attempts", 3 }, { "stretch-factor", 2.0 } };
     }
 
     std::string submissionBody(JobSpec const& job)
@@ -65,11 +64,14 @@
 
 } // namespace
 
-SoakClients::SoakClients(EventLoop& loop, HttpClient& client, Random& random, SoakAddresses addresses, std::function<void(JobSpec const&)> onSubmit)
+SoakClients::SoakClients(EventLoop& loop, HttpClient& client, Random& random, SoakAddresses addresses, CancelCheck& cancelCheck, bool hasSecondQueue, std::function<void(JobSpec const&)> onSubmit)
     : loop(loop)
     , client(client)
     , random(random)
     , addresses(std::move(addresses))
+    , cancelCheck(cancelCheck)
+    , hasSecondQueue(hasSecondQueue)
+    , hasSecondQueueNow(hasSecondQueue)
     , onSubmit(std::move(onSubmit))
 {
 }
@@ -100,7 +102,7 @@
 JobSpec SoakClients::drawJob()
 {
     constexpr uint64_t maxTasks = 4;
-    constexpr uint64_t jobsPerServiceJob = 40; // One job in this many is a service job.
+    uint64_t const jobsPerServiceJob = this->hasSecondQueue ? 20 : 40; // One job in this many is a service job.
     constexpr char const* digits = "0123456789abcdef";
     JobSpec job;
     std::string id;
@@ -128,7 +130,8 @@
 {
     Job job;
     job.spec = this->drawJob();
-    this->newestPath = "/jobs/" + job.spec.id.value();
+    job.isOfSecondQueue = this->hasSecondQueue && this->random.below(2);
+    this->newestPath = pathOf(job);
     this->onSubmit(job.spec);
     this->submit(this->jobs.emplace(job.spec.id, job).first->second);
 }
@@ -140,7 +143,7 @@
 
 void SoakClients::sendRequest(Job& job, std::string const& method, std::string const& body, std::function<void(HttpOutcome const&)> done)
 {
-    HttpRequest request { method, "/jobs/" + job.spec.id.value(), "", {}, body };
+    HttpRequest request { method, pathOf(job), "", {}, body };
     request.headers.add("Host", "jobs.example");
     request.headers.add("Content-Type", "application/json");
     request.headers.add("X-Deadline-Ms", std::to_string(clientDeadlineMs));
@@ -171,10 +174,11 @@
         job.isCancelRequested |= !this->isSubmitting && job.spec.stages.front().isService;
         return;
     }
-    if (status >= firstClientError && status < firstServerError && status != tooMany)
+    bool const isUnconfigured = status == notFound && this->mayBeUnconfigured(job);
+    if (status >= firstClientError && status < firstServerError && status != tooMany && !isUnconfigured)
         this->reportViolation("submission of " + id.value() + " was answered " + std::to_string(status));
     bool const isNotSent = outcome.kind == HttpOutcome::Kind::ConnectFailed;
-    job.hasUnclearOutcome |= !isRefusal(status) && !isNotSent;
+    job.hasUnclearOutcome |= !isRefusal(status) && !isUnconfigured && !isNotSent;
     if (job.tries < maxTries)
         return;
     job.submissionState = job.hasUnclearOutcome ? SubmissionState::GivenUp : SubmissionState::Refused;
@@ -205,6 +209,7 @@
         return;
     Job& job = found->second;
     job.hasStarted = true;
+    this->cancelCheck.onTaskStarted(id, orderedAt);
     if (job.submissionState == SubmissionState::Refused)
         this->reportViolation("job " + id.value() + " ran though every try to submit it was refused");
     if (this->mustNotStart(job, orderedAt))
@@ -221,6 +226,7 @@
     Job& job = this->jobs.at(id);
     job.nextCall = this->loop.now() + queryInterval;
     int const status = statusOf(outcome);
+    job.isOutOfSight = status == notFound && this->mayBeUnconfigured(job);
     if (status == gone)
         this->reportViolation("accepted job " + id.value() + " is no longer known");
     if (status != ok)
@@ -242,17 +248,51 @@
     if (!job.isCancelSent)
         job.cancelFirstSentAt = this->loop.now();
     job.isCancelSent = true;
-    this->sendRequest(job, "DELETE", "", [this, id = job.spec.id](HttpOutcome const& outcome) {
-        int const status = statusOf(outcome);
-        Job& cancelled = this->jobs.at(id);
-        cancelled.isCancelAcknowledged = status == ok;
-        if (cancelled.isCancelAcknowledged) {
-            cancelled.cancelAcknowledgedAt = this->loop.now();
-            this->noteServed();
-        }
-        if (status == gone)
-            this->reportViolation("accepted job " + id.value() + " was unknown when it was cancelled");
-    });
+    this->cancelCheck.onCancelSent(job.spec.id);
+    this->sendRequest(job, "DELETE", "", [this, id = job.spec.id](HttpOutcome const& outcome) { this->onCancelAnswered(id, statusOf(outcome)); });
+}
+
+void SoakClients::onCancelAnswered(JobId const& id, int status)
+{
+    Job& job = this->jobs.at(id);
+    bool const isUnconfigured = status == gone && this->mayBeUnconfigured(job);
+    if (status == gone && !isUnconfigured)
+        this->reportViolation("accepted job " + id.value() + " was unknown when it was cancelled");
+    if ((status != ok && !isUnconfigured) || job.isCancelAcknowledged)
+        return;
+    job.isCancelAcknowledged = true;
+    job.cancelAcknowledgedAt = this->loop.now();
+    this->cancelCheck.onCancelAcknowledged(id);
+    this->noteServed();
+}
+
+std::string SoakClients::pathOf(Job const& job)
+{
+    return (job.isOfSecondQueue ? "/reports/" : "/jobs/") + job.spec.id.value();
+}
+
+std::string SoakClients::pendingCancelPath() const
+{
+    Job const* oldest = nullptr;
+    for (auto const& [id, job] : this->jobs) {
+        if (job.isCancelSent && !job.isCancelAcknowledged && (!oldest || job.cancelFirstSentAt < oldest->cancelFirstSentAt))
+            oldest = &job;
+    }
+    return oldest ? pathOf(*oldest) : "";
+}
+
+void SoakClients::onCancelAnswered(std::string const& path, int status)
+{
+    this->onCancelAnswered(JobId(path.substr(path.rfind('/') + 1)), status);
+}
+
+/// True if a host that knows no newer configuration than it must may not know the job's queue.
+bool SoakClients::mayBeUnconfigured(Job const& job) const
+{
+    if (!job.isOfSecondQueue || !this->lastVersionWithoutQueue)
+        return false;
+    auto const newer = this->acknowledgedAt.upper_bound(this->lastVersionWithoutQueue);
+    return std::none_of(newer, this->acknowledgedAt.end(), [this](auto const& entry) { return this->loop.now() > entry.second + hostsApplyBound; });
 }
 
 void SoakClients::stopSubmitting()
@@ -274,18 +314,46 @@
     }
 }
 
+void SoakClients::cancelSecondQueueJobs(size_t count)
+{
+    for (bool const isService : { true, false }) {
+        for (auto& [id, job] : this->jobs) {
+            bool const isOpen = job.submissionState == SubmissionState::Accepted && job.hasStarted && !job.isEnded && !job.isCancelRequested;
+            if (!count || !isOpen || !job.isOfSecondQueue || job.spec.stages.front().isService != isService)
+                continue;
+            job.isCancelRequested = true;
+            count--;
+        }
+    }
+}
+
+void SoakClients::setSecondQueue(bool isConfigured)
+{
+    this->hasSecondQueueNow = isConfigured;
+    this->raceConfigurations();
+}
+
+std::string SoakClients::configurationBody(uint64_t version) const
+{
+    Json routes = { routeOf("jobs", version) };
+    if (this->hasSecondQueueNow)
+        routes.push_back(routeOf("reports", version));
+    return Json { { "version", version }, { "routes", routes }, { "services", { { { "name", "fleet" }, { "enforces-capacity", true } } } } }.dump();
+}
+
 void SoakClients::raceConfigurations()
 {
     uint64_t const version = this->nextVersion;
     this->nextVersion += 2;
+    if (!this->hasSecondQueueNow)
+        this->lastVersionWithoutQueue = version + 1;
     this->sendConfiguration(version, this->random.below(this->addresses.controlAddresses.size()), maxOperatorTries);
     this->sendConfiguration(version + 1, this->random.below(this->addresses.controlAddresses.size()), maxOperatorTries);
 }
 
 void SoakClients::sendConfiguration(uint64_t version, size_t host, unsigned triesLeft)
 {
-    std::string const body = configurationBody(version);
-    this->sentConfigurations[version] = body;
+    std::string const body = this->sentConfigurations.emplace(version, this->configurationBody(version)).first->second;
     HttpRequest request { "POST", "/v1/configuration/replace", "", {}, body };
     request.headers.add("Content-Type", "application/json");
     HttpSendOptions options;
@@ -328,6 +396,13 @@
     }
 }
 
+/// A job whose queue is removed cannot be read.
+bool SoakClients::isSettled(Job const& job) const
+{
+    bool const isOutOfSight = job.isOutOfSight && this->mayBeUnconfigured(job);
+    return job.submissionState != SubmissionState::Submitting && (job.submissionState != SubmissionState::Accepted || job.isEnded || isOutOfSight);
+}
+
 bool SoakClients::isSettled() const
 {
     return this->unsettledReason().empty();
@@ -336,9 +411,12 @@
 std::string SoakClients::unsettledReason() const
 {
     for (auto const& [id, job] : this->jobs) {
-        if (job.submissionState == SubmissionState::Submitting || (job.submissionState == SubmissionState::Accepted && !job.isEnded))
+        if (!this->isSettled(job))
             return "job " + id.value() + " is '" + job.state + "'";
     }
+    std::string pendingCancel = this->cancelCheck.pendingReason();
+    if (!pendingCancel.empty())
+        return pendingCancel;
     return this->lastReadVersion >= this->highestAcknowledgedVersion ? "" : "configuration " + std::to_string(this->lastReadVersion) + " is read, " + std::to_string(this->highestAcknowledgedVersion) + " was acknowledged";
 }
 
--- a/testing/soak/SoakClients.h
+++ b/testing/soak/SoakClients.h
@@ -4,13 +4,14 @@
 // requests without a clear answer again, and record every answer that violates a guarantee.
 //
 // Example:
-//   SoakClients clients(loop, client, random, addresses, onSubmit);
+//   SoakClients clients(loop, client, random, addresses, cancelCheck, false, onSubmit);
 //   clients.onTick(); // every few milliseconds
 //   clients.violations();
 
 #include "cornelpond/adapters/http/HttpClient.h"
 #include "cornelpond/core/jobs/JobSpec.h"
 #include "cornelpond/ports/Random.h"
+#include "testing/soak/CancelCheck.h"
 
 #include <functional>
 #include <map>
@@ -26,8 +27,9 @@
 
 class SoakClients {
 public:
+    /// `cancelCheck` is told of all cancels. `hasSecondQueue`: a share of the jobs goes to a queue that removeQueue() removes.
     /// `onSubmit` is called for each job before its first submission.
-    SoakClients(EventLoop& loop, HttpClient& client, Random& random, SoakAddresses addresses, std::function<void(JobSpec const&)> onSubmit);
+    SoakClients(EventLoop& loop, HttpClient& client, Random& random, SoakAddresses addresses, CancelCheck& cancelCheck, bool hasSecondQueue, std::function<void(JobSpec const&)> onSubmit);
 
     /// Sends the submissions, queries and cancellations that are due.
     void onTick();
@@ -35,10 +37,20 @@
     /// Submits no new jobs from now on, keeps querying the old ones, and cancels the service jobs.
     void stopSubmitting();
     void cancelJobs(size_t count);
+    /// Cancels jobs of the second queue of which tasks have started, service jobs first.
+    void cancelSecondQueueJobs(size_t count);
 
     /// Sends the next two configuration versions at once, each to a control host drawn at random.
     void raceConfigurations();
 
+    /// Sends two configurations at once, both with or both without the second queue.
+    void setSecondQueue(bool isConfigured);
+
+    /// The cancel that has waited longest for its acknowledgement, as a path; empty if there is none.
+    std::string pendingCancelPath() const;
+    /// To be called with the answer to a DELETE of a path of pendingCancelPath().
+    void onCancelAnswered(std::string const& path, int status);
+
     /// True once all accepted jobs have ended and the newest acknowledged configuration has been read.
     bool isSettled() const;
     std::string unsettledReason() const;
@@ -64,6 +76,7 @@
 
     struct Job {
         JobSpec spec;
+        bool isOfSecondQueue = false;
         SubmissionState submissionState = SubmissionState::Submitting;
         unsigned tries = 0;
         bool hasUnclearOutcome = false; ///< At least one try got no clear answer.
@@ -72,6 +85,7 @@
         bool isCancelAcknowledged = false;
         bool isEnded = false;
         bool hasStarted = false;
+        bool isOutOfSight = false; ///< Last answered 404, as its queue may be removed.
         bool isCancelSent = false;
         TimePoint cancelFirstSentAt;
         TimePoint cancelAcknowledgedAt;
@@ -85,6 +99,11 @@
     void queryJob(Job& job);
     void onJobQueried(JobId const& id, HttpOutcome const& outcome);
     void cancel(Job& job);
+    void onCancelAnswered(JobId const& id, int status);
+    bool mayBeUnconfigured(Job const& job) const;
+    bool isSettled(Job const& job) const;
+    static std::string pathOf(Job const& job);
+    std::string configurationBody(uint64_t version) const;
     bool mustNotStart(Job const& job, TimePoint orderedAt) const;
     void noteServed();
     void sendRequest(Job& job, std::string const& method, std::string const& body, std::function<void(HttpOutcome const&)> done);
@@ -99,6 +118,9 @@
     HttpClient& client;
     Random& random;
     SoakAddresses addresses;
+    CancelCheck& cancelCheck;
+    bool hasSecondQueue;
+    bool hasSecondQueueNow; ///< In the configuration that was sent last.
     std::function<void(JobSpec const&)> onSubmit;
     std::map<JobId, Job> jobs;
     std::vector<std::string> foundViolations;
@@ -109,6 +131,7 @@
     uint64_t highestAcknowledgedVersion = 0; ///< Highest acknowledged configuration version.
     std::map<uint64_t, TimePoint> acknowledgedAt;
     std::map<uint64_t, std::string> sentConfigurations; ///< Configuration bodies by version.
+    uint64_t lastVersionWithoutQueue = 0; ///< Highest version sent without the second queue.
     uint64_t lastReadVersion = 0; ///< Version of the last configuration read.
     std::string newestPath = "/jobs/none";
     TimePoint servingSince; ///< Since this time each second brought an accepted submission or cancel.
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -35,9 +35,13 @@
 
 FaultSet faultSetFromName(std::string const& name)
 {
-    if (name != "general" && name != "outages")
-        throw Error(ResultCode::BadArgument, "--faults is general or outages, not " + name);
-    return name == "general" ? FaultSet::General : FaultSet::Outages;
+    if (name == "general")
+        return FaultSet::General;
+    if (name == "outages")
+        return FaultSet::Outages;
+    if (name == "cancels")
+        return FaultSet::Cancels;
+    throw Error(ResultCode::BadArgument, "--faults is general, outages or cancels, not " + name);
 }
 
 } // namespace
@@ -48,14 +52,15 @@
         cxxopts::Options description("soak", "Runs a fleet of real processes under faults drawn from seeds.");
         description.add_options()("program", "the cornelpond binary", cxxopts::value<std::string>())("first", "first seed", cxxopts::value<uint64_t>()->default_value("1"))(
             "count", "seeds to run", cxxopts::value<uint64_t>()->default_value("1"))("seconds", "duration of load and faults of each run, in seconds", cxxopts::value<int64_t>()->default_value("20"))(
-            "faults", "general or outages", cxxopts::value<std::string>()->default_value("general"))("workers", "simulated workers", cxxopts::value<size_t>()->default_value("6"))(
-            "entries", "entry hosts", cxxopts::value<int>()->default_value("2"))("logs", "folder for the logs of runs with violations", cxxopts::value<std::string>()->default_value(""))("verbose", "print each fault when it is injected");
+            "faults", "general, outages or cancels", cxxopts::value<std::string>()->default_value("general"))("workers", "simulated workers", cxxopts::value<size_t>()->default_value("6"))(
+            "entries", "entry hosts", cxxopts::value<int>()->default_value("2"))("connections", "connections that each worker keeps open", cxxopts::value<size_t>()->default_value("64"))("logs", "folder for the logs of runs with violations", cxxopts::value<std::string>()->default_value(""))("verbose", "print each fault when it is injected");
         auto const given = description.parse(argc, argv);
         SoakOptions options;
         options.program = given["program"].as<std::string>();
         options.loadDuration = Duration::seconds(given["seconds"].as<int64_t>());
         options.workerCount = given["workers"].as<size_t>();
         options.entryHostCount = given["entries"].as<int>();
+        options.workerConnectionLimit = given["connections"].as<size_t>();
         options.faultSet = faultSetFromName(given["faults"].as<std::string>());
         options.logFolder = given["logs"].as<std::string>();
         options.isVerbose = given.count("verbose");
