A call keeps its request until nothing refers to it

A host that serves a call itself hands out a reference to the request, which was emptied as soon as the answer came, while the code that answered may still hold the reference. What earlier attempts keep is freed when they end.

--- a/cornelpond/app/HostNetwork.cpp
+++ b/cornelpond/app/HostNetwork.cpp
@@ -434,10 +434,7 @@
                               .with("answered", answer.status)
                               .with("lastedMs", this->loop.now() - call.started));
     }
-    // Earlier attempts may stay open for longer, and would keep both until then.
-    ApiAnswerCallback const callback = std::move(call.answer);
-    call.request = ForwardedRequest();
-    callback(answer);
+    call.answer(answer);
 }
 
 void HostNetwork::retryOrRefuse(std::shared_ptr<LeaderCall> const& call)
