A task whose start got no answer no longer waits until a stop finds its way

Cause: stops over the connection of a renewal were sent only for attempts that may run. A start without an answer that the listing lacks is concluded only once a stop is confirmed, as it may be carried out late; its stops went on being lost on new connections.

Evidence: the new case of core_stop_delivery_test fails without the change (nothing placed after 5 s) and passes with it. Its lease is still not capped: nothing runs.

Every unconfirmed stop takes its turn on the connection that works.

--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -735,7 +735,7 @@
     if (!this->hooks.canSendOrders() || view.hasHigherEpoch)
         return false;
     for (auto& [key, attempt] : view.placed) {
-        if (!attempt.awaitsStop(view.lastAnswerAt) || now < attempt.stopOrders.nextAfterRenewalAt)
+        if (!attempt.hasUnconfirmedStop() || now < attempt.stopOrders.nextAfterRenewalAt)
             continue;
         this->sendStop(view, attempt, StopWay::RenewalConnection);
         return true;
--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -16,7 +16,7 @@
 {
     // A listing that arrived since and lacks it shows that it does not run, or not yet.
     bool const mayRun = this->phase == Phase::Running || listedAt <= this->stopOrders.firstSentAt;
-    return this->isStopping && this->stopOrders.sent && !this->stopOrders.isConfirmed && !this->isEndProposed && mayRun;
+    return this->hasUnconfirmedStop() && mayRun;
 }
 
 WorkerView::WorkerView(WorkerProfile profile, TimePoint now)
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -100,7 +100,9 @@
     bool isBestEffort() const { return this->stage->isBestEffort; }
     /// True when it runs, is not being stopped and its end is not proposed.
     bool isRunning() const { return this->phase == Phase::Running && !this->isStopping && !this->isEndProposed; }
-    /// True while it may run although it is to be stopped. `listedAt`: when the worker's latest listing arrived.
+    /// True from its first stop order until the worker has confirmed one or it ends.
+    bool hasUnconfirmedStop() const { return this->isStopping && this->stopOrders.sent && !this->stopOrders.isConfirmed && !this->isEndProposed; }
+    /// True while it also may run. `listedAt`: when the worker's latest listing arrived.
     bool awaitsStop(TimePoint listedAt) const;
     /// Resources that count against the worker's capacity: a best-effort task reserves no cores.
     Resources reserved() const;
--- a/cornelpond/core/scheduling/StopDeliveryTest.cpp
+++ b/cornelpond/core/scheduling/StopDeliveryTest.cpp
@@ -142,6 +142,22 @@
     CHECK(shared.timeUntilStopped(unknown) <= times.longPollWait + times.leaseDuration + Duration::milliseconds(100));
 }
 
+// Guards against a task that waits for as long as no stop of a start that got no answer is confirmed.
+TEST_CASE("a task whose start is lost and whose stops only the connection of the renewals carries is placed again in time")
+{
+    JobBench bench(8);
+    bench.addWorkers(1, 4000);
+    bench.fleet.setLostStarts(onlyWorker, true);
+    bench.fleet.setLostStops(onlyWorker, LostStops::AllButIdleConnection);
+    JobSpec const job = makeJob("plan", 1, 1000, second * 60);
+    bench.submit(job);
+    bench.run(second * 3); // The start is given up after three orders.
+    bench.fleet.setLostStarts(onlyWorker, false);
+    bench.run(second * 2);
+    CHECK(bench.fleet.runningCount(job.id) == 1);
+    CHECK(bench.events.count(EventId::LeaseWithheld) == 0);
+}
+
 TEST_CASE("no lease is withheld while many stops are confirmed, however many are open")
 {
     JobBench bench(7);
--- a/testing/fakes/FakeFleet.cpp
+++ b/testing/fakes/FakeFleet.cpp
@@ -170,10 +170,15 @@
     return found == this->workers.end() || (!found->second.profile.address.empty() && found->second.profile.address != target.address);
 }
 
-void FakeFleet::start(WorkerTarget const& worker, StartOrder const& order, Done done)
+void FakeFleet::start(WorkerTarget const& target, StartOrder const& order, Done done)
 {
+    auto const found = this->workers.find(target.id);
+    if (found != this->workers.end() && found->second.losesStarts) {
+        this->clock.after(answerTimeout, [done = std::move(done)] { done(OrderAnswer()); });
+        return;
+    }
     this->deliver(
-        worker, [this, order](Worker& target) { return this->executeStart(target, order); }, std::move(done));
+        target, [this, order](Worker& worker) { return this->executeStart(worker, order); }, std::move(done));
 }
 
 OrderAnswer FakeFleet::executeStart(Worker& worker, StartOrder const& order)
--- a/testing/fakes/FakeFleet.h
+++ b/testing/fakes/FakeFleet.h
@@ -71,6 +71,8 @@
     void restartAt(WorkerId const& worker, std::string address, Duration answerDelay);
     void setCut(WorkerId const& worker, bool isCut);
     void setDraining(WorkerId const& worker) { this->workers.at(worker).profile.isDraining = true; }
+    /// While set, start orders to the worker get no answer and are not carried out.
+    void setLostStarts(WorkerId const& worker, bool isLost) { this->workers.at(worker).losesStarts = isLost; }
     void setLostStops(WorkerId const& worker, LostStops lost) { this->workers.at(worker).lostStops = lost; }
     void setFaults(Faults const& given) { this->faults = given; }
 
@@ -88,10 +90,10 @@
     /// `check` is called for each end that the scheduler acknowledges; false counts as a premature acknowledgement.
     void setAcknowledgementCheck(std::function<bool(ListedEnd const&, WorkerId const&)> check) { this->acknowledgementCheck = std::move(check); }
 
-    void start(WorkerTarget const& worker, StartOrder const& order, Done done) override;
-    void stop(WorkerTarget const& worker, StopOrder const& order, Done done) override;
+    void start(WorkerTarget const& target, StartOrder const& order, Done done) override;
+    void stop(WorkerTarget const& target, StopOrder const& order, Done done) override;
     void throttle(WorkerTarget const& worker, ThrottleOrder const& order, Done done) override;
-    void renew(WorkerTarget const& worker, RenewOrder const& order, std::function<void(RenewAnswer const&)> done) override;
+    void renew(WorkerTarget const& target, RenewOrder const& order, std::function<void(RenewAnswer const&)> done) override;
     void requestPermits(TaskRef const& stage, std::vector<WorkerId> const& workers, Duration timeout, std::function<void(PermitAnswer const&)> done) override;
 
 private:
@@ -119,6 +121,7 @@
         double speed = 1;
         bool isUp = true;
         bool isCut = false;
+        bool losesStarts = false;
         LostStops lostStops = LostStops::None;
         unsigned ordersOnOpenConnection = 0; ///< Renewals and delivered stops without an answer.
         TimePoint startedAt;
