Listings of workers without open orders are not searched for stops

Each listing looked at every attempt of its worker, for stops that await a connection. The leader of a large fleet reads thousands of listings a second.

--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -732,7 +732,8 @@
 bool Dispatcher::sendOverdueStop(WorkerView& view)
 {
     TimePoint const now = this->clock.now();
-    if (!this->hooks.canSendOrders() || view.hasHigherEpoch)
+    bool const mayHaveStops = view.hasOpenOrders || !view.orphanedAttempts.empty();
+    if (!mayHaveStops || !this->hooks.canSendOrders() || view.hasHigherEpoch)
         return false;
     for (auto& [key, attempt] : view.placed) {
         if (!attempt.hasUnconfirmedStop() || now < attempt.stopOrders.nextAfterRenewalAt)
