A stop that fails at once holds up no renewal

Callers saw: nothing yet; found by the review of this change.

Cause: the time until which a renewal waits for a stop was set after the stop was sent. An order that ends before the call returns (an address that cannot be dialled, no connection to be had) had released the renewal by then.

--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -398,8 +398,9 @@
         this->concludeMissing(view, sentAt);
     this->acknowledgeEnds(view);
     view.nextRenewalAt = view.listedEnds.empty() ? now : now + uncommittedEndsRenewalDelay;
-    if (this->sendOverdueStop(view))
-        view.renewalHeldUntil = now + this->times.orderTimeout;
+    view.renewalHeldUntil = now + this->times.orderTimeout; // Set before the stop is sent: it may end at once.
+    if (!this->sendOverdueStop(view))
+        view.renewalHeldUntil = now;
     this->hooks.onListingRead(view);
     if (isFirst)
         this->hooks.onCapacityChanged();
--- a/cornelpond/core/scheduling/StopDeliveryTest.cpp
+++ b/cornelpond/core/scheduling/StopDeliveryTest.cpp
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 #include <map>
+#include <memory>
+#include <optional>
 #include <set>
 
 using namespace cornelpond;
@@ -79,6 +81,50 @@
     JobId cancelled { "cancelled" };
 };
 
+/// Stops that end as not sent before the call returns, and lost answers to starts.
+class FailingOrders final : public WorkerOrders {
+public:
+    FailingOrders(Clock const& clock, WorkerOrders& fleet)
+        : clock(clock)
+        , fleet(fleet)
+    {
+    }
+
+    void start(WorkerTarget const& worker, StartOrder const& order, Done done) override
+    {
+        this->fleet.start(worker, order, [this, done = std::move(done)](OrderAnswer const& answer) { done(this->losesStartAnswers ? OrderAnswer() : answer); });
+    }
+    void stop(WorkerTarget const& worker, StopOrder const& order, Done done) override
+    {
+        if (this->failsStops)
+            done({ OrderResult::NotSent, false, Duration() });
+        else
+            this->fleet.stop(worker, order, std::move(done));
+    }
+    void throttle(WorkerTarget const& worker, ThrottleOrder const& order, Done done) override { this->fleet.throttle(worker, order, std::move(done)); }
+    void renew(WorkerTarget const& worker, RenewOrder const& order, std::function<void(RenewAnswer const&)> done) override
+    {
+        this->longestPause = std::max(this->longestPause, this->clock.now() - this->renewedAt.value_or(this->clock.now()));
+        this->fleet.renew(worker, order, [this, done = std::move(done)](RenewAnswer const& answer) {
+            this->renewedAt = this->clock.now();
+            done(answer);
+        });
+    }
+    void requestPermits(TaskRef const& stage, std::vector<WorkerId> const& workers, Duration timeout, std::function<void(PermitAnswer const&)> done) override
+    {
+        this->fleet.requestPermits(stage, workers, timeout, std::move(done));
+    }
+
+    bool failsStops = false;
+    bool losesStartAnswers = false;
+    Duration longestPause; ///< Between the answer to a renewal and the next one, of one worker.
+
+private:
+    Clock const& clock;
+    WorkerOrders& fleet;
+    std::optional<TimePoint> renewedAt;
+};
+
 } // namespace
 
 TEST_CASE("a run whose stops are lost on their usual way ends in time, and its neighbours run on")
@@ -158,6 +204,21 @@
     CHECK(bench.events.count(EventId::LeaseWithheld) == 0);
 }
 
+TEST_CASE("a stop that fails at once holds up no renewal")
+{
+    JobBench bench(9, 2, [](FakeClock& clock, WorkerOrders& fleet) { return std::make_unique<FailingOrders>(clock, fleet); });
+    auto& orders = dynamic_cast<FailingOrders&>(*bench.orders);
+    bench.addWorkers(1, 16000);
+    bench.submit(makeJob("kept", 2, 1000, second * 60));
+    bench.submit(makeJob("cancelled", 2, 1000, second * 60));
+    bench.run(second * 3);
+    orders.longestPause = Duration();
+    orders.failsStops = true;
+    bench.cancel(JobId("cancelled"));
+    bench.run(second * 2);
+    CHECK(orders.longestPause < Duration::milliseconds(100));
+}
+
 TEST_CASE("no lease is withheld while many stops are confirmed, however many are open")
 {
     JobBench bench(7);
