A restarted worker takes tasks although no stop reaches it

Callers saw: nothing yet; found by the review of this change. A worker that started again under its id got no tasks for as long as stops of what its former process ran were lost.

Cause: an attempt of the former process stayed in the phase Running, so that it counted as one that may run although the present process lists nothing.

Evidence: the new case of core_stop_delivery_test fails before (0 of 2 tasks after 10 s, where the start's answer had been lost) and passes now.

Attempts begin anew as not confirmed with each incarnation, as they do with a new leader.

--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -147,7 +147,10 @@
     this->nextRenewalAt = now;
     // A start order to the earlier incarnation that got no answer may still be executed by this one.
     for (auto& [key, attempt] : this->placed) {
-        attempt.isInherited |= attempt.phase != PlacedAttempt::Phase::Proposed;
+        if (attempt.phase != PlacedAttempt::Phase::Proposed) {
+            attempt.isInherited = true;
+            attempt.phase = PlacedAttempt::Phase::Starting; // What the earlier incarnation ran has ended with it.
+        }
         attempt.stopConfirmedAt.reset();
         attempt.stopOrders = StopProgress();
         attempt.isStopping |= attempt.isStartUncertain;
--- a/cornelpond/core/scheduling/StopDeliveryTest.cpp
+++ b/cornelpond/core/scheduling/StopDeliveryTest.cpp
@@ -219,6 +219,32 @@
     CHECK(orders.longestPause < Duration::milliseconds(100));
 }
 
+// Guards against a worker that gets no tasks for as long as stops of what its former process ran are lost.
+TEST_CASE("a restarted worker that lists nothing gets tasks although no stop reaches it")
+{
+    bool const losesStartAnswers = GENERATE(false, true);
+    JobBench bench(10, 2, [](FakeClock& clock, WorkerOrders& fleet) { return std::make_unique<FailingOrders>(clock, fleet); });
+    auto& orders = dynamic_cast<FailingOrders&>(*bench.orders);
+    bench.addWorkers(1, 16000);
+    bench.run(second);
+    orders.losesStartAnswers = losesStartAnswers;
+    bench.submit(makeJob("cancelled", 2, 1000, second * 60));
+    bench.run(second * 2);
+    orders.losesStartAnswers = false;
+    REQUIRE(bench.fleet.runningCount(JobId("cancelled")) == 2);
+    bench.fleet.setLostStops(onlyWorker, LostStops::All);
+    bench.cancel(JobId("cancelled"));
+    bench.run(Duration::milliseconds(100));
+    bench.fleet.restart(onlyWorker);
+    bench.fleet.setLostStops(onlyWorker, LostStops::All);
+    bench.leader().scheduler().announce(bench.fleet.report(onlyWorker), [](CallResult) {});
+    bench.run(second * 4);
+    REQUIRE(bench.fleet.runningCountOn(onlyWorker) == 0);
+    bench.submit(makeJob("next", 2, 1000, second * 60));
+    bench.run(second * 10);
+    CHECK(bench.fleet.runningCount(JobId("next")) == 2);
+}
+
 TEST_CASE("no lease is withheld while many stops are confirmed, however many are open")
 {
     JobBench bench(7);
