A stop that always fails keeps no other off the connection that works

Callers saw: nothing yet; found by the review of this change.

Cause: after each renewal the first due stop in the order of keys was sent. One that its worker answers without carrying it out is due again by the next renewal, and the others waited for as long.

Evidence: the new case of core_stop_delivery_test fails before (8 tasks run on after 3 s, 2 expected) and passes now. The stop that has waited longest goes first.

--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -728,27 +728,34 @@
     }));
 }
 
-/// Sends the next unconfirmed stop that is due for repetition. Call when no other order to the worker uses the connection
-/// of its latest renewal. False when there is none.
+/// Sends the unconfirmed stop that has waited longest for a connection of a renewal, if one is due for repetition. Call when no
+/// other order to the worker uses the connection of its latest renewal. False when there is none.
 bool Dispatcher::sendOverdueStop(WorkerView& view)
 {
     TimePoint const now = this->clock.now();
     bool const mayHaveStops = view.hasOpenOrders || !view.orphanedAttempts.empty();
     if (!mayHaveStops || !this->hooks.canSendOrders() || view.hasHigherEpoch)
         return false;
-    for (auto& [key, attempt] : view.placed) {
-        if (!attempt.hasUnconfirmedStop() || now < attempt.stopOrders.nextAfterRenewalAt)
-            continue;
-        this->sendStop(view, attempt, StopWay::RenewalConnection);
-        return true;
+    TimePoint dueAt = now;
+    PlacedAttempt* attempt = nullptr;
+    for (auto& [key, placed] : view.placed) {
+        if (placed.hasUnconfirmedStop() && placed.stopOrders.nextAfterRenewalAt <= dueAt) {
+            attempt = &placed;
+            dueAt = placed.stopOrders.nextAfterRenewalAt;
+        }
     }
-    for (auto& [key, orphan] : view.orphanedAttempts) {
-        if (!orphan.awaitsStop() || now < orphan.stopOrders.nextAfterRenewalAt)
-            continue;
-        this->stopOrphanedAttempt(view, key, orphan, StopWay::RenewalConnection);
-        return true;
+    AttemptKey const* orphanKey = nullptr;
+    for (auto const& [key, orphan] : view.orphanedAttempts) {
+        if (orphan.awaitsStop() && orphan.stopOrders.nextAfterRenewalAt <= dueAt) {
+            orphanKey = &key;
+            dueAt = orphan.stopOrders.nextAfterRenewalAt;
+        }
     }
-    return false;
+    if (orphanKey)
+        this->stopOrphanedAttempt(view, *orphanKey, view.orphanedAttempts.at(*orphanKey), StopWay::RenewalConnection);
+    else if (attempt)
+        this->sendStop(view, *attempt, StopWay::RenewalConnection);
+    return orphanKey || attempt;
 }
 
 void Dispatcher::onStopAnswered(WorkerView& view, StopProgress& progress, StopWay way, int64_t bornMs, OrderResult result)
--- a/cornelpond/core/scheduling/StopDeliveryTest.cpp
+++ b/cornelpond/core/scheduling/StopDeliveryTest.cpp
@@ -96,7 +96,7 @@
     }
     void stop(WorkerTarget const& worker, StopOrder const& order, Done done) override
     {
-        if (this->failsStops)
+        if (this->failsStops || this->tasksWithFailingStops.count(order.task))
             done({ OrderResult::NotSent, false, Duration() });
         else
             this->fleet.stop(worker, order, std::move(done));
@@ -116,6 +116,7 @@
     }
 
     bool failsStops = false;
+    std::set<TaskRef> tasksWithFailingStops;
     bool losesStartAnswers = false;
     Duration longestPause; ///< Between the answer to a renewal and the next one, of one worker.
 
@@ -219,6 +220,22 @@
     CHECK(orders.longestPause < Duration::milliseconds(100));
 }
 
+TEST_CASE("a stop that always fails keeps no other off the only connection that works")
+{
+    JobBench bench(11, 2, [](FakeClock& clock, WorkerOrders& fleet) { return std::make_unique<FailingOrders>(clock, fleet); });
+    auto& orders = dynamic_cast<FailingOrders&>(*bench.orders);
+    bench.addWorkers(1, 16000);
+    JobId const cancelled("cancelled");
+    bench.submit(makeJob(cancelled.value(), cancelledTasks, 1000, second * 60));
+    bench.run(second * 3);
+    REQUIRE(bench.fleet.runningCount(cancelled) == cancelledTasks);
+    orders.tasksWithFailingStops = { { cancelled, 0, 0, 0 }, { cancelled, 0, 0, 1 } };
+    bench.fleet.setLostStops(onlyWorker, LostStops::AllButIdleConnection);
+    bench.cancel(cancelled);
+    bench.run(DispatchTimes().leaseDuration - second / 2);
+    CHECK(bench.fleet.runningCount(cancelled) == orders.tasksWithFailingStops.size());
+}
+
 // Guards against a worker that gets no tasks for as long as stops of what its former process ran are lost.
 TEST_CASE("a restarted worker that lists nothing gets tasks although no stop reaches it")
 {
