--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -676,7 +676,7 @@
     progress.isInFlight = true;
     progress.nextAt = now + stopRetryDelay;
     if (progress.sent == 1 || way == StopWay::RenewalConnection)
-        progress.nextAfterRenewalAt = now + stopRetryDelay;
+        progress.nextOnRenewalConnectionAt = now + stopRetryDelay;
     this->stopTotals.sent++;
     if (!view.openStopSince)
         view.openStopSince = progress.firstSentAt;
@@ -739,16 +739,16 @@
     TimePoint dueAt = now;
     PlacedAttempt* attempt = nullptr;
     for (auto& [key, placed] : view.placed) {
-        if (placed.hasUnconfirmedStop() && placed.stopOrders.nextAfterRenewalAt <= dueAt) {
+        if (placed.hasUnconfirmedStop() && placed.stopOrders.nextOnRenewalConnectionAt <= dueAt) {
             attempt = &placed;
-            dueAt = placed.stopOrders.nextAfterRenewalAt;
+            dueAt = placed.stopOrders.nextOnRenewalConnectionAt;
         }
     }
     AttemptKey const* orphanKey = nullptr;
     for (auto const& [key, orphan] : view.orphanedAttempts) {
-        if (orphan.awaitsStop() && orphan.stopOrders.nextAfterRenewalAt <= dueAt) {
+        if (orphan.awaitsStop() && orphan.stopOrders.nextOnRenewalConnectionAt <= dueAt) {
             orphanKey = &key;
-            dueAt = orphan.stopOrders.nextAfterRenewalAt;
+            dueAt = orphan.stopOrders.nextOnRenewalConnectionAt;
         }
     }
     if (orphanKey)
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -53,7 +53,7 @@
     bool isConfirmed = false;
     TimePoint firstSentAt; ///< Meaningless while `sent` is 0.
     TimePoint nextAt;
-    TimePoint nextAfterRenewalAt; ///< On the connection of a renewal, whatever other order is in flight.
+    TimePoint nextOnRenewalConnectionAt; ///< As `nextAt`, but on the connection of a renewal, whatever other order is in flight.
     OrderResult lastResult = OrderResult::Unknown; ///< Of the latest one that was answered or given up.
 };
 
@@ -171,7 +171,7 @@
     /// Updates `openStopSince`.
     void refreshOpenStops();
     /// The time at which a lease that is extended now begins: no later than the first order of the oldest open stop, so that
-    /// what no stop order reaches ends with its lease. Stops that are confirmed soon cost next to nothing of it.
+    /// an attempt that no stop order reaches ends with its lease. A stop that is confirmed soon hardly shortens the lease.
     TimePoint leaseBase(TimePoint now) const { return this->openStopSince ? std::min(now, *this->openStopSince) : now; }
     /// True while a stop order is unconfirmed for longer than its answer may take.
     bool isStopOverdue(TimePoint now, DispatchTimes const& times) const { return this->openStopSince && now - *this->openStopSince > times.orderTimeout; }
--- a/cornelpond/core/scheduling/StopDeliveryTest.cpp
+++ b/cornelpond/core/scheduling/StopDeliveryTest.cpp
@@ -18,7 +18,7 @@
 using LostStops = FakeFleet::LostStops;
 
 constexpr Duration second = Duration::seconds(1);
-constexpr Duration cancelBound = Duration::milliseconds(3400);
+constexpr Duration cancelBound = Duration::milliseconds(3400); // What callers are promised: 3 s, and 0.4 s for the worker to stop.
 constexpr Duration commitDelay = Duration::milliseconds(10);
 constexpr uint32_t keptTasks = 4;
 constexpr uint32_t cancelledTasks = 8;
