A log line and a counter for workers that were started again under their ids

The leader learned of a new process by an announcement, a listing or a clock that went back, and logged only the first. Nothing told whether it had sent an order with a lease after that process began, which is what separates a lease by the former clock from a late order and from a change of leader. 346 WorkerProcessReplaced names the source, the age of the last such order, the former clock and the open starts; workerProcessesReplaced counts. No logic is changed.

--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -36,6 +36,7 @@
     gauge("stopsRepeated", stops.repeated);
     auto const& workers = scheduler.dispatcher().workers();
     gauge("leasesWithheld", static_cast<size_t>(std::count_if(workers.begin(), workers.end(), [](auto const& entry) { return entry.second.isLeaseWithheld; })));
+    gauge("workerProcessesReplaced", scheduler.dispatcher().processCounters().replaced);
     metrics.setHistogram("stopConfirmationMs", stops.confirmationTime);
     gauge("startsDecided", counters.startsDecided);
     gauge("evictions", counters.evictions);
--- a/cornelpond/core/base/Event.cpp
+++ b/cornelpond/core/base/Event.cpp
@@ -63,6 +63,7 @@
         EventInfo { EventId::CancelAnswered, "CancelAnswered", "The leader answered a cancel; `state` is the job's when the cancel arrived, `outcome` what the caller is told, `ageMs` the time since the job was accepted." },
         EventInfo { EventId::StopRepeated, "StopRepeated", "A stop order was not confirmed and is sent again, by the `way`; `lastResult` says how the one before ended, `ageMs` counts from the first." },
         EventInfo { EventId::LeaseWithheld, "LeaseWithheld", "A worker confirms no stop of an attempt that may run there: its lease is not extended and it gets no tasks (`withheld` 1) until it does, or the attempt is gone (`withheld` 0); `ageMs` counts from the oldest such stop." },
+        EventInfo { EventId::WorkerProcessReplaced, "WorkerProcessReplaced", "The leader learned, from the `source`, that a worker was started again under its id. `leaseOrderAgeMs` counts from the last order that extended the lease of its former process, whose clock shows `formerClockMs`: one sent after `bornMs` may have reached the new process. `openStarts`: start orders without an answer." },
         EventInfo { EventId::LeaderElected, "LeaderElected", "This host leads a group." },
         EventInfo { EventId::LeaderLost, "LeaderLost", "This host no longer leads a group." },
         EventInfo { EventId::JournalOpened, "JournalOpened", "A journal was read from disk." },
--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -76,6 +76,7 @@
     CancelAnswered = 343,
     StopRepeated = 344,
     LeaseWithheld = 345,
+    WorkerProcessReplaced = 346,
     LeaderElected = 400,
     LeaderLost = 401,
     JournalOpened = 402,
--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -108,7 +108,7 @@
     view->noteChange();
     if (isNewIncarnation) {
         this->events.emit(Event(EventId::WorkerJoined).with("worker", profile.id).with("bornMs", profile.bornMs).with("reason", "came back under the old id"));
-        view->resetForNewIncarnation(this->clock.now(), this->times.maxOrderDelay);
+        this->onNewIncarnation(*view, "announcement");
     }
     this->hooks.onCapacityChanged();
 }
@@ -363,6 +363,19 @@
     this->events.emit(Event(EventId::WorkerSuperseded).with("worker", view.profile.id).with("epoch", this->epoch));
 }
 
+void Dispatcher::onNewIncarnation(WorkerView& view, char const* source)
+{
+    TimePoint const now = this->clock.now();
+    auto const openStarts = std::count_if(view.placed.begin(), view.placed.end(), [](auto const& entry) { return entry.second.isStartInFlight || entry.second.isStartUncertain; });
+    Event event(EventId::WorkerProcessReplaced);
+    event.with("worker", view.profile.id).with("bornMs", view.profile.bornMs).with("source", source).with("leaseOrderAgeMs", now - view.lastLeaseExtensionAt);
+    if (view.hasClock)
+        event.with("formerClockMs", view.estimatedClock(now));
+    this->events.emit(event.with("openStarts", static_cast<int64_t>(openStarts)));
+    this->processTotals.replaced++;
+    view.resetForNewIncarnation(now, this->times.maxOrderDelay);
+}
+
 /// A clock that went back means a new incarnation of the worker when `isIncarnationKnown` is false. When it is true,
 /// incarnations are told apart by their start, and the answer was overtaken by a later one: its clock is outdated.
 void Dispatcher::updateClock(WorkerView& view, OrderAnswer const& answer, bool isIncarnationKnown)
@@ -374,7 +387,7 @@
     if (wentBack && isIncarnationKnown)
         return;
     if (wentBack)
-        view.resetForNewIncarnation(now, this->times.maxOrderDelay);
+        this->onNewIncarnation(view, "clock");
     view.workerClock = answer.workerClock;
     view.workerClockReadAt = now;
     view.hasClock = true;
@@ -385,7 +398,7 @@
     TimePoint const now = this->clock.now();
     if (listing.bornMs && view.profile.bornMs && listing.bornMs != view.profile.bornMs) {
         view.profile.bornMs = listing.bornMs;
-        view.resetForNewIncarnation(now, this->times.maxOrderDelay);
+        this->onNewIncarnation(view, "listing");
     }
     bool const isFirst = !view.hasListing;
     view.hasListing = true;
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -55,6 +55,11 @@
     Histogram confirmationTime; ///< From an attempt's first stop order to the first that the worker confirmed.
 };
 
+/// Restarts of workers under their ids since the host was started, for metrics and tests.
+struct WorkerProcessCounters {
+    uint64_t replaced = 0; ///< Times at which this host, as the leader, learned of a new process of a worker.
+};
+
 class Dispatcher {
 public:
     /// References must outlive the object. All hooks must be set.
@@ -102,6 +107,7 @@
     /// Placed attempts that checks by the clock have visited, for metrics and tests.
     uint64_t attemptsChecked() const { return this->attemptCheckCount; }
     StopCounters const& stopCounters() const { return this->stopTotals; }
+    WorkerProcessCounters const& processCounters() const { return this->processTotals; }
 
 private:
     using WeakLeadershipToken = std::weak_ptr<bool>;
@@ -117,6 +123,8 @@
     void sendRenewal(WorkerView& view);
     void onRenewalAnswered(WorkerId const& worker, int64_t bornMs, TimePoint sentAt, RenewAnswer const& answer);
     void onRenewalFailed(WorkerView& view, int64_t bornMs, OrderResult result);
+    /// `source`: what showed that the worker was started again, for the log.
+    void onNewIncarnation(WorkerView& view, char const* source);
     void updateClock(WorkerView& view, OrderAnswer const& answer, bool isIncarnationKnown);
     void handleListing(WorkerView& view, TimePoint sentAt, WorkerListing const& listing);
     void handleRunningAttempts(WorkerView& view, WorkerListing const& listing);
@@ -157,6 +165,7 @@
     std::map<WorkerId, WorkerView> views;
     uint64_t attemptCheckCount = 0;
     StopCounters stopTotals;
+    WorkerProcessCounters processTotals;
     std::set<TaskRef> proposedFinishes; ///< Tasks of which an earlier attempt's end as done awaits its commit.
     std::shared_ptr<bool> leadershipToken; ///< Replaced by each lead(), so that answers to orders from before are dropped.
 };
