Starts and leases reach only the process of a worker by whose clock they are

Callers saw one task run in two places at the same time: its worker was started again under its id, cut off soon after, and ran it on for up to 6 s, while the leader gave the task up after 3.75 s and started it elsewhere.

Cause: the end of a lease is a time on the worker's clock. An order that the leader sent before it knew of the restart names a time on the former process's clock, and nothing kept it from the new process: same id, same address, no epoch seen, no attempt closed. The new clock begins anew, so the worker cut the lease to the longest that it grants, for all that ran there and for what started later. Class: a permission is acted on by another process than the one it was given for.

Ruled out: late orders (the end of a lease is absolute), a new leader that forgets a lease (none).

Change: starts and renewals name the process (its start time) of the listing from which the leader knows the clock. Relays get the process with the order; a host of an earlier version relays nothing for a leader of this one (PeerFeature::OrderProcesses).

--- a/bench/relay/RelayBench.cpp
+++ b/bench/relay/RelayBench.cpp
@@ -120,6 +120,7 @@
         hooks.isReachable = [](HostId const&) { return true; };
         hooks.knowsListingChanges = [this](HostId const&) { return this->hasListingChanges; };
         hooks.knowsDeadlines = [](HostId const&) { return true; };
+        hooks.knowsProcesses = [](HostId const&) { return true; };
         hooks.send = [this, self](HostId const& to, std::string payload) { this->frames.push_back({ self, to, encode(PeerMessage { PeerChannel::Orders, std::move(payload) }) }); };
         return hooks;
     }
--- a/cornelpond/adapters/peer/PeerFrame.h
+++ b/cornelpond/adapters/peer/PeerFrame.h
@@ -27,9 +27,11 @@
     ListingChanges = 1, ///< Renewals that name a listing, and listings that contain only what has changed since.
     FastHeartbeats = 2, ///< A control host: sends heartbeats to other control hosts at the least interval, however many peers it has.
     OrderDeadlines = 4, ///< Batches of relayed orders and answers that name the sender's clock and the time until which orders hold.
+    OrderProcesses = 8, ///< Relayed starts and renewals that name the process of the worker that they are meant for.
 };
 
-constexpr uint32_t ownPeerFeatures = static_cast<uint32_t>(PeerFeature::ListingChanges) | static_cast<uint32_t>(PeerFeature::OrderDeadlines);
+constexpr uint32_t ownPeerFeatures = static_cast<uint32_t>(PeerFeature::ListingChanges) | static_cast<uint32_t>(PeerFeature::OrderDeadlines)
+    | static_cast<uint32_t>(PeerFeature::OrderProcesses);
 
 /// The first frame in each direction.
 struct PeerHello {
--- a/cornelpond/app/ControlHost.cpp
+++ b/cornelpond/app/ControlHost.cpp
@@ -63,7 +63,7 @@
     , random(systemEntropy())
     , hostSettings(networkSettings(this->settings, hostIdentity(this->settings, identitySuffix(this->random))))
     , client(loop, workerClientLimits(this->descriptors))
-    , workerClient(this->client, dispatchTimes(this->settings), this->settings.permitService)
+    , workerClient(loop, this->client, dispatchTimes(this->settings), this->settings.permitService)
     , orderRelay(loop, loop, this->workerClient, dispatchTimes(this->settings), this->random.next(), this->relayHooks())
     , jobService(loop, events, this->orderRelay, dispatchTimes(this->settings), JobLimits())
     , controlApi(this->jobService, [this](WorkerProfile const& worker) { return this->heartbeatAddress(worker); })
@@ -110,6 +110,7 @@
     hooks.isReachable = [this](HostId const& host) { return this->hostNetwork.isReachable(host); };
     hooks.knowsListingChanges = [this](HostId const& host) { return this->hostNetwork.hasFeature(host, PeerFeature::ListingChanges); };
     hooks.knowsDeadlines = [this](HostId const& host) { return this->hostNetwork.hasFeature(host, PeerFeature::OrderDeadlines); };
+    hooks.knowsProcesses = [this](HostId const& host) { return this->hostNetwork.hasFeature(host, PeerFeature::OrderProcesses); };
     hooks.send = [this](HostId const& to, std::string payload) { this->hostNetwork.transport().send(to, { PeerChannel::Orders, std::move(payload) }); };
     return hooks;
 }
--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -36,7 +36,9 @@
     gauge("stopsRepeated", stops.repeated);
     auto const& workers = scheduler.dispatcher().workers();
     gauge("leasesWithheld", static_cast<size_t>(std::count_if(workers.begin(), workers.end(), [](auto const& entry) { return entry.second.isLeaseWithheld; })));
-    gauge("workerProcessesReplaced", scheduler.dispatcher().processCounters().replaced);
+    WorkerProcessCounters const& processes = scheduler.dispatcher().processCounters();
+    gauge("workerProcessesReplaced", processes.replaced);
+    gauge("startsForFormerProcess", processes.startsNotSent);
     metrics.setHistogram("stopConfirmationMs", stops.confirmationTime);
     gauge("startsDecided", counters.startsDecided);
     gauge("evictions", counters.evictions);
--- a/cornelpond/app/FleetMetricsTest.cpp
+++ b/cornelpond/app/FleetMetricsTest.cpp
@@ -51,6 +51,7 @@
     hooks.isReachable = [](HostId const&) { return true; };
     hooks.knowsListingChanges = [](HostId const&) { return true; };
     hooks.knowsDeadlines = [](HostId const&) { return true; };
+    hooks.knowsProcesses = [](HostId const&) { return true; };
     hooks.send = [](HostId const&, std::string const&) {};
     OrderRelay relay(clock, clock, workers, DispatchTimes(), 1, hooks);
     relay.renew({ WorkerId("w1"), "10.0.0.1:80", DataCentreId("north") }, RenewOrder(), [](RenewAnswer const&) {});
--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -294,7 +294,7 @@
     RenewOrder order;
     order.epoch = this->epoch;
     order.acknowledgedEnds = view.acknowledgedEnds > view.deliveredAcknowledgedEnds ? view.acknowledgedEnds : 0;
-    order.listedBy = view.listingBornMs;
+    order.processBornMs = view.listingBornMs;
     order.extendsLease = view.hasClock && !isSilent && !view.consecutiveRenewalFailures;
     order.maxWait = view.hasListing && !view.consecutiveRenewalFailures && view.listedEnds.empty() ? this->times.longPollWait : Duration();
     this->noteOpenStops(view);
@@ -539,6 +539,7 @@
     order.epoch = this->epoch;
     order.checkpoint = attempt.stage->savesCheckpoints ? attempt.checkpoint : std::string();
     order.permit = this->hooks.permitFor(attempt.task, view.profile.id);
+    order.processBornMs = view.listingBornMs;
     view.lastLeaseExtensionAt = std::max(view.lastLeaseExtensionAt, leaseBase);
     attempt.startsSent++;
     attempt.isStartInFlight = true;
@@ -614,6 +615,10 @@
         attempt.isStartUncertain = true;
         this->retryOrWithdrawStart(view, attempt);
         return;
+    case OrderResult::OtherProcess:
+        this->processTotals.startsNotSent++;
+        this->retryOrWithdrawStart(view, attempt);
+        return;
     case OrderResult::RefusedLate:
     case OrderResult::NotDone:
     case OrderResult::NotSent:
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -58,6 +58,7 @@
 /// Restarts of workers under their ids since the host was started, for metrics and tests.
 struct WorkerProcessCounters {
     uint64_t replaced = 0; ///< Times at which this host, as the leader, learned of a new process of a worker.
+    uint64_t startsNotSent = 0; ///< Starts that were meant for a former process of the worker.
 };
 
 class Dispatcher {
--- a/cornelpond/core/dispatch/OrderResult.cpp
+++ b/cornelpond/core/dispatch/OrderResult.cpp
@@ -27,6 +27,8 @@
         return "unknown";
     case OrderResult::NotSent:
         return "notSent";
+    case OrderResult::OtherProcess:
+        return "otherProcess";
     }
     return "unknown";
 }
--- a/cornelpond/core/relay/ListingRelayTest.cpp
+++ b/cornelpond/core/relay/ListingRelayTest.cpp
@@ -195,6 +195,7 @@
         hooks.isReachable = [](HostId const&) { return true; };
         hooks.knowsListingChanges = [](HostId const&) { return true; };
         hooks.knowsDeadlines = [](HostId const&) { return true; };
+        hooks.knowsProcesses = [](HostId const&) { return true; };
         hooks.send = [this, own](HostId const& to, std::string payload) { this->sent.push_back({ own, to, std::move(payload) }); };
         this->processCount++;
         uint64_t const number = *rc::gen::arbitrary<bool>() ? 1000 + this->processCount : 1000 - this->processCount;
--- a/cornelpond/core/relay/OrderRelay.cpp
+++ b/cornelpond/core/relay/OrderRelay.cpp
@@ -45,6 +45,8 @@
 HostId OrderRelay::chooseRelay(WorkerTarget const& worker)
 {
     HostId relay = this->hooks.relayFor(worker);
+    if (!relay.empty() && !this->hooks.knowsProcesses(relay))
+        return HostId();
     auto const route = this->routes.find(worker.id);
     if (relay.empty() || route == this->routes.end())
         return relay;
@@ -327,15 +329,17 @@
     this->executeOrder(from, relayed);
 }
 
-/// Passes an acknowledgement on only to the process of which the leader holds a listing from this relay: another process of
-/// the worker, to which a connection may be open already, would forget ends of its own.
+/// For a leader of an earlier version, which names no process, passes an acknowledgement on only to the process of which the
+/// leader holds a listing from this relay: another process of the worker, to which a connection may be open already, would
+/// forget ends of its own.
 void OrderRelay::executeRenewal(HostId const& from, RelayedOrder const& relayed, RenewOrder const& given)
 {
     RenewOrder order = given;
     ListingMemory::Entry const* held = this->sentListings.find(relayed.worker.id, from);
-    if (held && held->number == relayed.heldListing) {
-        order.listedBy = held->answer.listing.bornMs;
-    } else if (order.acknowledgedEnds) {
+    bool const isNamed = order.processBornMs;
+    if (!isNamed && held && held->number == relayed.heldListing) {
+        order.processBornMs = held->answer.listing.bornMs;
+    } else if (!isNamed && order.acknowledgedEnds) {
         order.acknowledgedEnds = 0;
         order.maxWait = Duration(); // The unacknowledged ends are listed again at once.
     }
--- a/cornelpond/core/relay/OrderRelay.h
+++ b/cornelpond/core/relay/OrderRelay.h
@@ -13,9 +13,9 @@
 // When renewals of a worker fail, orders to it alternate between the direct route and its relay. An order whose
 // answer is lost ends as Unknown: the relay may still send it on, as a worker may execute an order late. Epochs, leases
 // and attempt numbers protect relayed orders as they do direct ones. They do not protect a worker that has been restarted
-// under its id, with no memory and a new clock. So each batch of orders names the time, on the relay's clock, at which the
-// leader gives them up: a relay that was paused or overloaded until then starts nothing and extends no lease, but still
-// sends the stops. Loop thread only.
+// under its id, with no memory and a new clock. So starts and leases name the process of the worker that they are meant for,
+// and each batch of orders names the time, on the relay's clock, at which the leader gives them up: a relay that was paused
+// or overloaded until then starts nothing and extends no lease, but still sends the stops. Loop thread only.
 
 #include "cornelpond/core/dispatch/WorkerView.h"
 #include "cornelpond/core/relay/RelayMessage.h"
@@ -40,6 +40,8 @@
     std::function<bool(HostId const& host)> knowsListingChanges;
     /// Whether the host knows batches with deadlines; hosts of earlier versions do not.
     std::function<bool(HostId const& host)> knowsDeadlines;
+    /// Whether the host knows orders for one process of a worker. One that does not would send them to any, so it is no relay.
+    std::function<bool(HostId const& host)> knowsProcesses;
     std::function<void(HostId const& to, std::string payload)> send;
 };
 
--- a/cornelpond/core/relay/OrderRelayWorkTest.cpp
+++ b/cornelpond/core/relay/OrderRelayWorkTest.cpp
@@ -66,6 +66,7 @@
         hooks.isReachable = [](HostId const&) { return true; };
         hooks.knowsListingChanges = [this](HostId const&) { return this->hasListingChanges; };
         hooks.knowsDeadlines = [](HostId const&) { return true; };
+        hooks.knowsProcesses = [](HostId const&) { return true; };
         hooks.send = [this](HostId const& to, std::string payload) {
             if (to == leaderHost) {
                 this->bytesToLeader += payload.size();
--- a/cornelpond/core/relay/RelayMessage.cpp
+++ b/cornelpond/core/relay/RelayMessage.cpp
@@ -19,6 +19,8 @@
         RenewWithHeldListing = 7,
         NumberedListingAnswer = 8,
         ListingChangeAnswer = 9,
+        StartForProcess = 10,
+        RenewForProcess = 11,
     };
 
     /// A count of rows, for which room is reserved up to a bound that a malformed message cannot exceed.
@@ -67,9 +69,8 @@
         out.number(attempt.value());
     }
 
-    void write(ByteWriter& out, StartOrder const& start)
+    void writeStartFields(ByteWriter& out, StartOrder const& start)
     {
-        write(out, Tag::Start);
         writeAttempt(out, start.task, start.attempt);
         out.text(start.payload);
         writeMilliseconds(out, start.leaseUntil);
@@ -78,6 +79,14 @@
         out.text(start.permit);
     }
 
+    void write(ByteWriter& out, StartOrder const& start)
+    {
+        write(out, start.processBornMs ? Tag::StartForProcess : Tag::Start);
+        if (start.processBornMs)
+            out.number(static_cast<uint64_t>(start.processBornMs));
+        writeStartFields(out, start);
+    }
+
     void write(ByteWriter& out, StopOrder const& stop)
     {
         write(out, Tag::Stop);
@@ -111,6 +120,14 @@
     void writeOrder(ByteWriter& out, RelayedOrder const& relayed)
     {
         auto const* renew = std::get_if<RenewOrder>(&relayed.order);
+        if (renew && renew->processBornMs) {
+            write(out, Tag::RenewForProcess);
+            out.number(static_cast<uint64_t>(renew->processBornMs));
+            out.number(relayed.heldListing.has_value());
+            out.number(relayed.heldListing.value_or(0));
+            writeRenewFields(out, *renew);
+            return;
+        }
         if (renew && relayed.heldListing) {
             write(out, Tag::RenewWithHeldListing);
             out.number(*relayed.heldListing);
@@ -163,6 +180,31 @@
         return renew;
     }
 
+    int64_t readBornMs(ByteReader& in)
+    {
+        return static_cast<int64_t>(readUpTo(in, INT64_MAX));
+    }
+
+    StartOrder readStartForProcess(ByteReader& in)
+    {
+        int64_t const bornMs = readBornMs(in);
+        StartOrder start = readStart(in);
+        start.processBornMs = bornMs;
+        return start;
+    }
+
+    void readRenewForProcess(ByteReader& in, RelayedOrder& relayed)
+    {
+        int64_t const bornMs = readBornMs(in);
+        bool const hasHeldListing = in.number();
+        uint64_t const heldListing = in.number();
+        if (hasHeldListing)
+            relayed.heldListing = heldListing;
+        RenewOrder renew = readRenew(in);
+        renew.processBornMs = bornMs;
+        relayed.order = renew;
+    }
+
     RelayedOrder readOrder(ByteReader& in)
     {
         RelayedOrder relayed;
@@ -187,6 +229,12 @@
             relayed.heldListing = in.number();
             relayed.order = readRenew(in);
             return relayed;
+        case Tag::StartForProcess:
+            relayed.order = readStartForProcess(in);
+            return relayed;
+        case Tag::RenewForProcess:
+            readRenewForProcess(in, relayed);
+            return relayed;
         default:
             in.fail();
         }
@@ -208,7 +256,7 @@
     OrderAnswer readOrderAnswer(ByteReader& in)
     {
         OrderAnswer answer;
-        answer.result = static_cast<OrderResult>(readUpTo(in, static_cast<uint64_t>(OrderResult::NotSent)));
+        answer.result = static_cast<OrderResult>(readUpTo(in, static_cast<uint64_t>(OrderResult::OtherProcess)));
         answer.hasClock = in.number();
         answer.workerClock = readMilliseconds(in);
         return answer;
--- a/cornelpond/core/scheduling/CancelFailoverTest.cpp
+++ b/cornelpond/core/scheduling/CancelFailoverTest.cpp
@@ -35,7 +35,7 @@
     hosts.cancel(job.id);
     bench.run(second);
     REQUIRE(hosts.cancelledAt.count(job.id) == 1);
-    hosts.restart(WorkerId("w0"));
+    hosts.bench.fleet.restart(WorkerId("w0"));
     hosts.announce(WorkerId("w0"));
     bench.run(cancelBound);
     unsigned const starts = bench.fleet.record().starts;
@@ -222,7 +222,7 @@
             size_t const relay = random.below(relayCount);
             switch (random.below(10)) {
             case 0:
-                hosts.restart(worker);
+                hosts.bench.fleet.restart(worker);
                 break;
             case 1:
                 bench.fleet.setCut(worker, random.below(2));
--- a/cornelpond/ports/WorkerOrders.h
+++ b/cornelpond/ports/WorkerOrders.h
@@ -2,8 +2,8 @@
 
 // Orders to workers, and the attempts and ends that workers list in answer to a renewal.
 //
-// Contract: an order without an answer may be carried out seconds later, after newer orders. `done` is
-// called exactly once, never before the call returns. Loop thread only.
+// Contract: an order without an answer may be carried out seconds later, after newer orders, and also by a later process
+// of the worker unless it names one. `done` is called exactly once, never before the call returns. Loop thread only.
 //
 // Example:
 //   orders.start(target, StartOrder { ... }, [](OrderAnswer const& answer) {
@@ -40,6 +40,7 @@
     OtherLife, ///< Another worker answered at the address.
     Unknown, ///< No complete answer; the order may still be carried out.
     NotSent, ///< No byte of the order left this host.
+    OtherProcess, ///< The worker was started again; the order was meant for another process of it, and was not sent.
 };
 
 /// The name of the result in log events.
@@ -59,6 +60,9 @@
     Term epoch;
     std::string checkpoint; ///< To resume from; empty: start from the beginning.
     std::string permit; ///< Ticket of the permit; empty: none needed.
+    /// Start time (ms) of the process by whose clock `leaseUntil` is. No other process of the worker gets the order: it would
+    /// hold its lease for as long as it grants one. 0: the worker gives none, and the order is sent to any.
+    int64_t processBornMs = 0;
 };
 
 /// How a stop order travels to the worker. A stop that is not confirmed is repeated another way.
@@ -91,13 +95,12 @@
     bool extendsLease = true; ///< False: the lease end stays as it is.
     Duration leaseUntil; ///< On the worker's clock.
     Term epoch;
-    /// The worker may forget ends up to this number. It is sent only when the order is certain to reach the process
-    /// that listed them: another process of the worker would forget ends of its own.
-    uint64_t acknowledgedEnds = 0;
+    uint64_t acknowledgedEnds = 0; ///< The worker may forget ends up to this number.
     Duration maxWait; ///< Time for which the worker may delay its answer until an attempt ends.
-    /// Start time (ms) of the process that listed the acknowledged ends; 0 if it did not give one. Not passed on to a relay, which goes by
-    /// the listing that it sent.
-    int64_t listedBy = 0;
+    /// Start time (ms) of the process by whose clock `leaseUntil` is and that listed the acknowledged ends; 0 if it did not give
+    /// one. The lease and the acknowledgement are sent only when the order is certain to reach that process: another one of the
+    /// worker would hold its lease for as long as it grants one, and forget ends of its own. Else the order only asks for the listing.
+    int64_t processBornMs = 0;
 };
 
 /// An attempt that a worker lists as running.
--- a/testing/fakes/FakeFleet.cpp
+++ b/testing/fakes/FakeFleet.cpp
@@ -135,8 +135,8 @@
 }
 
 /// Carries an order to the worker and the answer back. A late order times out for the sender and is carried out
-/// afterwards. Only the incarnation that received an order carries it out, never a later one.
-void FakeFleet::deliver(WorkerTarget const& target, std::function<OrderAnswer(Worker&)> action, Done done)
+/// afterwards, by whichever process of the worker is up then. One that names its process is carried out by no other.
+void FakeFleet::deliver(WorkerTarget const& target, int64_t processBornMs, std::function<OrderAnswer(Worker&)> action, Done done)
 {
     bool const isLate = this->random.nextDouble() < this->faults.lateOrderShare;
     auto const span = static_cast<uint64_t>((this->faults.maxLateDelay - this->faults.minLateDelay).toMicroseconds()) + 1;
@@ -149,12 +149,14 @@
         this->clock.after(this->otherWorkerDelay, [done, other] { done(other); });
         return;
     }
-    int64_t const incarnation = this->workers.at(target.id).profile.bornMs;
-    this->clock.after(delay, [this, id = target.id, incarnation, isLate, action = std::move(action), done = std::move(done)] {
+    this->clock.after(delay, [this, id = target.id, processBornMs, isLate, action = std::move(action), done = std::move(done)] {
         Worker& worker = this->workers.at(id);
-        bool const isReached = worker.isUp && !worker.isCut && worker.profile.bornMs == incarnation;
+        bool const isReached = worker.isUp && !worker.isCut;
+        bool const isOtherProcess = processBornMs && worker.profile.bornMs != processBornMs;
         OrderAnswer given;
-        if (isReached)
+        if (isReached && isOtherProcess)
+            given.result = OrderResult::OtherProcess;
+        else if (isReached)
             given = action(worker);
         else if (!worker.isUp)
             given.result = OrderResult::NotSent;
@@ -178,7 +180,12 @@
         return;
     }
     this->deliver(
-        target, [this, order](Worker& worker) { return this->executeStart(worker, order); }, std::move(done));
+        target, order.processBornMs, [this, order](Worker& worker) { return this->executeStart(worker, order); }, std::move(done));
+}
+
+void FakeFleet::extendLease(Worker& worker, TimePoint until, TimePoint now)
+{
+    worker.leaseEnd = std::max(worker.leaseEnd, std::min(until, now + maxLease));
 }
 
 OrderAnswer FakeFleet::executeStart(Worker& worker, StartOrder const& order)
@@ -189,7 +196,7 @@
     TimePoint const leaseEnd = worker.startedAt + order.leaseUntil;
     if (leaseEnd <= this->clock.now())
         return this->makeAnswer(worker, OrderResult::RefusedLate);
-    worker.leaseEnd = std::max(worker.leaseEnd, leaseEnd);
+    extendLease(worker, leaseEnd, this->clock.now());
     AttemptKey const key { order.task, order.attempt };
     if (worker.runs.count(key))
         return this->makeAnswer(worker, OrderResult::Accepted);
@@ -265,7 +272,7 @@
     if (found != this->workers.end())
         found->second.ordersOnOpenConnection++;
     this->deliver(
-        target, [this, order](Worker& worker) { return this->executeStop(worker, order); },
+        target, 0, [this, order](Worker& worker) { return this->executeStop(worker, order); },
         [this, id = target.id, done = std::move(done)](OrderAnswer const& answer) {
             this->leaveOpenConnection(id);
             done(answer);
@@ -294,7 +301,7 @@
 void FakeFleet::throttle(WorkerTarget const& worker, ThrottleOrder const& order, Done done)
 {
     this->deliver(
-        worker,
+        worker, 0,
         [this, order](Worker& target) {
             auto const run = target.runs.find({ order.task, order.attempt });
             if (run != target.runs.end())
@@ -341,8 +348,9 @@
             return;
         }
         worker.epoch = order.epoch;
-        if (order.extendsLease)
-            worker.leaseEnd = std::max(worker.leaseEnd, worker.startedAt + order.leaseUntil);
+        bool const isOtherProcess = order.processBornMs && order.processBornMs != worker.profile.bornMs;
+        if (order.extendsLease && !isOtherProcess)
+            extendLease(worker, worker.startedAt + order.leaseUntil, this->clock.now());
         worker.pendingRenewals.push_back({ order, done, this->clock.now() + order.maxWait });
         this->answerPendingRenewals(worker, false);
     });
--- a/testing/fakes/FakeFleet.h
+++ b/testing/fakes/FakeFleet.h
@@ -2,7 +2,7 @@
 
 // Simulated workers without sockets that follow the rules of orders, leases and epochs. They run tasks for
 // their run time, list them, and let best-effort images interfere with service images. A test can crash,
-// restart, drain or cut off a worker, and let orders time out and be carried out late. The fleet counts
+// restart, drain or cut off a worker, and let orders time out and be carried out late, also by a later process of it. The fleet counts
 // violations of the scheduler's rules.
 //
 // Example:
@@ -52,6 +52,8 @@
         Duration longestTimeOverTarget; ///< Longest uninterrupted time over the target of one service task.
     };
 
+    static constexpr Duration maxLease = Duration::seconds(6); ///< A longer lease is cut to this, from the order's arrival.
+
     FakeFleet(FakeClock& clock, Random& random);
 
     void addWorker(WorkerProfile const& profile, double speed = 1);
@@ -142,7 +144,8 @@
     void leaveOpenConnection(WorkerId const& worker);
     void failPendingRenewals(Worker& worker);
     OrderAnswer makeAnswer(Worker const& worker, OrderResult result) const;
-    void deliver(WorkerTarget const& target, std::function<OrderAnswer(Worker&)> action, Done done);
+    void deliver(WorkerTarget const& target, int64_t processBornMs, std::function<OrderAnswer(Worker&)> action, Done done);
+    static void extendLease(Worker& worker, TimePoint until, TimePoint now);
     OrderAnswer executeStart(Worker& worker, StartOrder const& order);
     void recordStart(TaskRef const& task, StageSpec const& stage, Worker const& worker);
     OrderAnswer executeStop(Worker& worker, StopOrder const& order);
