A test's starts reach any process of a worker, as it is about such starts

core_cancel_failover_test "a run that a restarted worker accepted..." failed on: its start, held back across the restart, names the former process now and is not carried out, so the attempt is concluded as refused. The case that it guards, a start that the new process accepts, is left for workers that give no start time: the test's fake leaves the process out. No check changed.

--- a/cornelpond/core/scheduling/CancelFailoverTest.cpp
+++ b/cornelpond/core/scheduling/CancelFailoverTest.cpp
@@ -117,7 +117,8 @@
 
 namespace {
 
-/// Holds start orders and the answers to renewals back until the test releases them.
+/// Holds start orders and the answers to renewals back until the test releases them. Starts reach any process of the worker, as if
+/// it gave no start time.
 class HoldingOrders final : public WorkerOrders {
 public:
     explicit HoldingOrders(WorkerOrders& fleet)
@@ -127,7 +128,9 @@
 
     void start(WorkerTarget const& worker, StartOrder const& order, Done done) override
     {
-        auto send = [this, worker, order, done = std::move(done)] { this->fleet.start(worker, order, done); };
+        StartOrder toAnyProcess = order;
+        toAnyProcess.processBornMs = 0;
+        auto send = [this, worker, toAnyProcess, done = std::move(done)] { this->fleet.start(worker, toAnyProcess, done); };
         if (this->holdsStarts)
             this->starts.push_back(std::move(send));
         else
