No request is sent to an identified peer once its time is over

PeerBoundClient sent the request with no time left when the answer to its question came at the deadline; the caller would have counted it as possibly carried out. Found by reading; no test fails without it.

--- a/cornelpond/adapters/http/PeerBoundClient.cpp
+++ b/cornelpond/adapters/http/PeerBoundClient.cpp
@@ -25,7 +25,7 @@
             this->client.tagIdleConnection(to, outcome.idleConnection, *answered);
         if (answered && answered != peerTag)
             done({ PeerBoundOutcome::Kind::OtherPeer, outcome });
-        else if (answered && this->client.hasIdleConnection(to, peerTag))
+        else if (answered && this->client.hasIdleConnection(to, peerTag) && this->clock.now() < deadline)
             this->sendIdentified(to, peerTag, request, deadline, done);
         else
             done({ PeerBoundOutcome::Kind::Unidentified, outcome });
--- a/cornelpond/adapters/http/PeerBoundClient.h
+++ b/cornelpond/adapters/http/PeerBoundClient.h
@@ -32,7 +32,7 @@
     enum class Kind {
         Sent, ///< `exchange` is that of the request.
         OtherPeer, ///< Another process answered the question; the request was not sent.
-        Unidentified, ///< The question showed no tag, and `exchange` is its outcome; the request was not sent.
+        Unidentified, ///< The question showed no tag in time or its connection was closed, and `exchange` is its outcome; the request was not sent.
     };
 
     Kind kind = Kind::Unidentified;
