The soak restarts workers and cuts them off soon after

A fault set for it (--faults restarts), with a larger share of service jobs, whose tasks outlast a lease.

--- a/testing/fakes/FakeFleet.h
+++ b/testing/fakes/FakeFleet.h
@@ -65,6 +65,8 @@
 
     WorkerReport report(WorkerId const& worker);
     std::vector<WorkerId> reachableWorkers() const;
+    /// Start time (ms) of the worker's present or latest process.
+    int64_t processBornMs(WorkerId const& worker) const { return this->workers.at(worker).profile.bornMs; }
 
     void crash(WorkerId const& worker);
     /// Starts a new incarnation under the same id, without any earlier state.
--- a/testing/soak/FaultPlan.cpp
+++ b/testing/soak/FaultPlan.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-    constexpr std::array<std::string_view, 26> names { "KillHost", "StopHost", "PauseHost", "WipeHost", "TearJournal", "ReloadHost", "ResetLinks", "SilenceLinks", "CutOneWay", "SlowLinks",
+    constexpr std::array<std::string_view, 27> names { "KillHost", "StopHost", "PauseHost", "WipeHost", "TearJournal", "ReloadHost", "ResetLinks", "SilenceLinks", "CutOneWay", "SlowLinks",
         "CrashWorker", "CutWorker", "SilenceWorker", "DrainWorker", "LateOrders", "CancelWave", "RaceOperators", "FillDisk", "LoseMajority", "KillEntryHost", "StopEntryHost", "OddHeartbeats", "OddListings",
-        "RemoveQueue", "ReplaceQueue", "ExhaustWorkerConnections" };
+        "RemoveQueue", "ReplaceQueue", "ExhaustWorkerConnections", "RestartAndCutWorkers" };
 
     /// The kinds of FaultSet::General come first in FaultKind.
     constexpr uint64_t generalKindCount = 17;
@@ -21,6 +21,8 @@
     constexpr std::array<FaultKind, 22> cancelKinds { FaultKind::RemoveQueue, FaultKind::RemoveQueue, FaultKind::RemoveQueue, FaultKind::ReplaceQueue, FaultKind::ReplaceQueue, FaultKind::CancelWave, FaultKind::CancelWave,
         FaultKind::RaceOperators, FaultKind::KillHost, FaultKind::StopHost, FaultKind::PauseHost, FaultKind::ResetLinks, FaultKind::SilenceLinks, FaultKind::SlowLinks, FaultKind::SilenceWorker, FaultKind::CutWorker,
         FaultKind::CrashWorker, FaultKind::LateOrders, FaultKind::KillEntryHost, FaultKind::StopEntryHost, FaultKind::ExhaustWorkerConnections, FaultKind::ExhaustWorkerConnections };
+    constexpr std::array<FaultKind, 10> restartKinds { FaultKind::RestartAndCutWorkers,
+        FaultKind::CrashWorker, FaultKind::CutWorker, FaultKind::SilenceWorker, FaultKind::LateOrders, FaultKind::KillHost, FaultKind::StopHost, FaultKind::PauseHost, FaultKind::ResetLinks, FaultKind::SlowLinks };
     /// FaultSet::Cancels has faults only in the first part of each period.
     constexpr Duration cancelPeriod = Duration::seconds(20);
     constexpr Duration faultsPerPeriod = Duration::seconds(5);
@@ -45,6 +47,8 @@
             return outageKinds.at(random.below(outageKinds.size()));
         case FaultSet::Cancels:
             return cancelKinds.at(random.below(cancelKinds.size()));
+        case FaultSet::Restarts:
+            return restartKinds.at(random.below(restartKinds.size()));
         default:
             return static_cast<FaultKind>(random.below(generalKindCount));
         }
--- a/testing/soak/FaultPlan.h
+++ b/testing/soak/FaultPlan.h
@@ -3,7 +3,8 @@
 // The schedule of faults for one soak run, drawn from a seed. Faults may overlap, but at most one fault at a time
 // disrupts the control hosts, because a fleet of three tolerates only one host that is down. FaultSet::Outages
 // goes further: it also takes away the majority, whose hosts return with their disks. FaultSet::Cancels alternates
-// periods of faults with calm ones, in which only cancels and changes of the configuration go on.
+// periods of faults with calm ones, in which only cancels and changes of the configuration go on. FaultSet::Restarts
+// cuts workers off soon after they were started again.
 //
 // Example:
 //   for (FaultStep const& step : drawFaults(FaultSet::General, seed, Duration::seconds(20)))
@@ -44,12 +45,14 @@
     RemoveQueue, ///< A configuration removes a queue that has jobs, if it is not removed yet; several of its jobs are cancelled.
     ReplaceQueue, ///< As RemoveQueue; after `duration`, a configuration adds the queue again.
     ExhaustWorkerConnections, ///< For `duration`, idle connections of another client fill the worker's limit.
+    RestartAndCutWorkers, ///< Half of them: restarted under their ids after half a second; `duration` later unreachable for longer than their leases.
 };
 
 enum class FaultSet {
     General, ///< Single faults of many kinds.
     Outages, ///< Full disks, lost majorities, signals and odd messages, in series.
     Cancels, ///< Removed queues and cancels, through overlapping faults and the calm periods between them.
+    Restarts, ///< Workers that are restarted and cut off, beside late orders and faults of the hosts that relay them.
 };
 
 std::string_view faultName(FaultKind kind);
--- a/testing/soak/Soak.cpp
+++ b/testing/soak/Soak.cpp
@@ -66,6 +66,9 @@
         void inject(FaultStep const& fault);
         void injectHost(FaultStep const& fault, int host);
         void injectWorker(FaultStep const& fault, SoakWorker& worker);
+        void crash(SoakWorker& worker);
+        void restart(SoakWorker& worker);
+        void restartAndCut(SoakWorker& worker, Duration cutAfter);
         int entryHostFor(FaultStep const& fault) const;
         void injectOutage(FaultStep const& fault, int host);
         void fillDisk(FaultStep const& fault, int host);
@@ -111,6 +114,19 @@
         int pendingRestarts = 0;
     };
 
+    /// Only tasks that outlast a lease can run in two places once it is over.
+    uint64_t jobsPerServiceJob(FaultSet set)
+    {
+        switch (set) {
+        case FaultSet::Cancels:
+            return 20;
+        case FaultSet::Restarts:
+            return 8;
+        default:
+            return 40;
+        }
+    }
+
     SoakRun::SoakRun(SoakOptions const& options)
         : options(options)
         , random(options.seed)
@@ -119,7 +135,7 @@
         , client(this->loop, HttpClientLimits())
         , cancelCheck(
               this->loop, [this](JobId const& job) { return this->workers.runningCount(job); }, [this](std::string const& text) { this->violations.push_back(fmt::format("{:6.2f} s {}", (this->loop.now() - this->started).toSeconds(), text)); })
-        , clients(this->loop, this->client, this->random, this->addresses(), this->cancelCheck, options.faultSet == FaultSet::Cancels, [this](JobSpec const& job) { this->workers.registerJob(job); })
+        , clients(this->loop, this->client, this->random, this->addresses(), this->cancelCheck, options.faultSet == FaultSet::Cancels, jobsPerServiceJob(options.faultSet), [this](JobSpec const& job) { this->workers.registerJob(job); })
         , lastStep(this->loop.now())
     {
         this->workers.setStartObserver([this](TaskRef const& task) { this->clients.onTaskStarted(task.job, this->orderedAt[task]); });
@@ -493,25 +509,44 @@
         std::ofstream(newest, std::ios::app | std::ios::binary) << garbage;
     }
 
+    void SoakRun::crash(SoakWorker& worker)
+    {
+        this->workers.crash(worker.id);
+        worker.proxy->closeOpenConnections();
+    }
+
+    void SoakRun::restart(SoakWorker& worker)
+    {
+        this->crash(worker);
+        this->workers.restart(worker.id);
+    }
+
+    void SoakRun::restartAndCut(SoakWorker& worker, Duration cutAfter)
+    {
+        constexpr Duration downTime = Duration::milliseconds(500);
+        constexpr Duration cutTime = Duration::seconds(9);
+        this->crash(worker);
+        this->loop.after(downTime, [this, &worker] { this->restart(worker); });
+        this->loop.after(downTime + cutAfter, [this, &worker] { this->workers.setCut(worker.id, true); });
+        this->loop.after(downTime + cutAfter + cutTime, [this, &worker] { this->workers.setCut(worker.id, false); });
+    }
+
     void SoakRun::injectWorker(FaultStep const& fault, SoakWorker& worker)
     {
         switch (fault.kind) {
         case FaultKind::CrashWorker:
         case FaultKind::DrainWorker: {
-            auto const crash = [this, &worker] {
-                this->workers.crash(worker.id);
-                worker.proxy->closeOpenConnections();
-            };
             if (fault.kind == FaultKind::CrashWorker)
-                crash();
+                this->crash(worker);
             else
                 this->workers.setDraining(worker.id);
-            this->loop.after(fault.duration, [this, &worker, crash] {
-                crash();
-                this->workers.restart(worker.id);
-            });
+            this->loop.after(fault.duration, [this, &worker] { this->restart(worker); });
             return;
         }
+        case FaultKind::RestartAndCutWorkers:
+            for (size_t i = fault.targetSelector % 2; i < this->workerServers.size(); i += 2)
+                this->restartAndCut(this->workerServers[i], fault.duration);
+            return;
         case FaultKind::CutWorker: {
             this->workers.setCut(worker.id, true);
             this->loop.after(fault.duration, [this, &worker] { this->workers.setCut(worker.id, false); });
--- a/testing/soak/SoakClients.cpp
+++ b/testing/soak/SoakClients.cpp
@@ -64,7 +64,7 @@
 
 } // namespace
 
-SoakClients::SoakClients(EventLoop& loop, HttpClient& client, Random& random, SoakAddresses addresses, CancelCheck& cancelCheck, bool hasSecondQueue, std::function<void(JobSpec const&)> onSubmit)
+SoakClients::SoakClients(EventLoop& loop, HttpClient& client, Random& random, SoakAddresses addresses, CancelCheck& cancelCheck, bool hasSecondQueue, uint64_t jobsPerServiceJob, std::function<void(JobSpec const&)> onSubmit)
     : loop(loop)
     , client(client)
     , random(random)
@@ -72,6 +72,7 @@
     , cancelCheck(cancelCheck)
     , hasSecondQueue(hasSecondQueue)
     , hasSecondQueueNow(hasSecondQueue)
+    , jobsPerServiceJob(jobsPerServiceJob)
     , onSubmit(std::move(onSubmit))
 {
 }
@@ -102,7 +103,6 @@
 JobSpec SoakClients::drawJob()
 {
     constexpr uint64_t maxTasks = 4;
-    uint64_t const jobsPerServiceJob = this->hasSecondQueue ? 20 : 40; // One job in this many is a service job.
     constexpr char const* digits = "0123456789abcdef";
     JobSpec job;
     std::string id;
@@ -110,7 +110,7 @@
         id += digits[this->random.below(16)];
     job.id = JobId(id);
     job.payload = "payload";
-    bool const isService = this->random.below(jobsPerServiceJob) == 0;
+    bool const isService = this->random.below(this->jobsPerServiceJob) == 0;
     size_t const stages = isService ? 1 : 1 + this->random.below(2);
     for (uint32_t i = 0; i < stages; i++) {
         StageSpec stage;
--- a/testing/soak/SoakClients.h
+++ b/testing/soak/SoakClients.h
@@ -28,8 +28,8 @@
 class SoakClients {
 public:
     /// `cancelCheck` is told of all cancels. `hasSecondQueue`: a share of the jobs goes to a queue that removeQueue() removes.
-    /// `onSubmit` is called for each job before its first submission.
-    SoakClients(EventLoop& loop, HttpClient& client, Random& random, SoakAddresses addresses, CancelCheck& cancelCheck, bool hasSecondQueue, std::function<void(JobSpec const&)> onSubmit);
+    /// One job in `jobsPerServiceJob` is a service job. `onSubmit` is called for each job before its first submission.
+    SoakClients(EventLoop& loop, HttpClient& client, Random& random, SoakAddresses addresses, CancelCheck& cancelCheck, bool hasSecondQueue, uint64_t jobsPerServiceJob, std::function<void(JobSpec const&)> onSubmit);
 
     /// Sends the submissions, queries and cancellations that are due.
     void onTick();
@@ -121,6 +121,7 @@
     CancelCheck& cancelCheck;
     bool hasSecondQueue;
     bool hasSecondQueueNow; ///< In the configuration that was sent last.
+    uint64_t jobsPerServiceJob;
     std::function<void(JobSpec const&)> onSubmit;
     std::map<JobId, Job> jobs;
     std::vector<std::string> foundViolations;
--- a/testing/soak/WorkerServer.cpp
+++ b/testing/soak/WorkerServer.cpp
@@ -176,7 +176,7 @@
     if (path == "/v1/run-start") {
         if (this->onStartOrder)
             this->onStartOrder(task);
-        StartOrder start { task, attempt, body.value("task-spec", ""), Duration::milliseconds(body.at("until-ms").get<int64_t>()), epoch, body.value("checkpoint", ""), "" };
+        StartOrder start { task, attempt, body.value("task-spec", ""), Duration::milliseconds(body.at("until-ms").get<int64_t>()), epoch, body.value("checkpoint", ""), "", this->fleet.processBornMs(this->target.id) };
         this->fleet.start(this->target, start, answer);
     } else if (path == "/v1/run-stop") {
         this->fleet.stop(this->target, { task, attempt, epoch }, answer);
@@ -195,6 +195,7 @@
     order.epoch = Term(body.value("fencing-token", uint64_t()));
     order.acknowledgedEnds = body.value("last-seen", uint64_t());
     order.maxWait = Duration::milliseconds(body.value("wait-ms", int64_t()));
+    order.processBornMs = this->fleet.processBornMs(this->target.id);
     this->fleet.renew(this->target, order, [this, responder](RenewAnswer const& answer) {
         constexpr uint64_t listingsPerOddOne = 3;
         if (answer.order.result == OrderResult::Accepted) {
--- a/testing/soak/WorkerServer.h
+++ b/testing/soak/WorkerServer.h
@@ -6,7 +6,8 @@
 //   WorkerServer server(loop, fleet, WorkerId("w1"));
 //   uint16_t const port = server.listen({ "127.0.0.1", 0 });
 //
-// An order that the fake worker leaves unanswered gets no HTTP answer.
+// An order that the fake worker leaves unanswered gets no HTTP answer. Starts and leases are carried out by the process of the
+// worker that read them, never by a later one.
 
 #include "cornelpond/adapters/http/HttpServer.h"
 #include "testing/fakes/FakeFleet.h"
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -41,7 +41,9 @@
         return FaultSet::Outages;
     if (name == "cancels")
         return FaultSet::Cancels;
-    throw Error(ResultCode::BadArgument, "--faults is general, outages or cancels, not " + name);
+    if (name == "restarts")
+        return FaultSet::Restarts;
+    throw Error(ResultCode::BadArgument, "--faults is general, outages, cancels or restarts, not " + name);
 }
 
 } // namespace
@@ -52,7 +54,7 @@
         cxxopts::Options description("soak", "Runs a fleet of real processes under faults drawn from seeds.");
         description.add_options()("program", "the cornelpond binary", cxxopts::value<std::string>())("first", "first seed", cxxopts::value<uint64_t>()->default_value("1"))(
             "count", "seeds to run", cxxopts::value<uint64_t>()->default_value("1"))("seconds", "duration of load and faults of each run, in seconds", cxxopts::value<int64_t>()->default_value("20"))(
-            "faults", "general, outages or cancels", cxxopts::value<std::string>()->default_value("general"))("workers", "simulated workers", cxxopts::value<size_t>()->default_value("6"))(
+            "faults", "general, outages, cancels or restarts", cxxopts::value<std::string>()->default_value("general"))("workers", "simulated workers", cxxopts::value<size_t>()->default_value("6"))(
             "entries", "entry hosts", cxxopts::value<int>()->default_value("2"))("connections", "connections that each worker keeps open", cxxopts::value<size_t>()->default_value("64"))("logs", "folder for the logs of runs with violations", cxxopts::value<std::string>()->default_value(""))("verbose", "print each fault when it is injected");
         auto const given = description.parse(argc, argv);
         SoakOptions options;
