--- a/cornelpond/core/scheduling/RestartedWorkerLeaseTest.cpp
+++ b/cornelpond/core/scheduling/RestartedWorkerLeaseTest.cpp
@@ -1,16 +1,53 @@
 // The lease of a worker that was restarted under its id.
 
+#include "testing/fakes/ForwardingOrders.h"
 #include "testing/fakes/RelayedBench.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <functional>
+#include <utility>
+#include <vector>
+
 using namespace cornelpond;
 
 namespace {
 
 constexpr Duration second = Duration::seconds(1);
 
+/// Holds the renewals of one worker back until the test releases them, as orders that wait for a connection.
+class HeldRenewals final : public ForwardingOrders {
+public:
+    using ForwardingOrders::ForwardingOrders;
+
+    void renew(WorkerTarget const& target, RenewOrder const& order, std::function<void(RenewAnswer const&)> done) override
+    {
+        if (target.id == this->worker)
+            this->held.push_back([this, target, order, done = std::move(done)] { this->fleet.renew(target, order, done); });
+        else
+            this->fleet.renew(target, order, std::move(done));
+    }
+
+    void release()
+    {
+        this->worker = WorkerId();
+        for (auto const& send : std::exchange(this->held, {}))
+            send();
+    }
+
+    WorkerId worker; ///< Whose renewals are held; empty: none.
+    std::vector<std::function<void()>> held;
+};
+
+/// The worker of the job's only task.
+WorkerId workerOf(JobBench& bench, JobSpec const& job)
+{
+    WorkerId worker;
+    bench.leader().scheduler().jobs().forEachLiveAttemptOf(job.id, [&](TaskRef const&, TaskRecord const&, Attempt const& attempt) { worker = attempt.worker; });
+    return worker;
+}
+
 } // namespace
 
 // The lease in the start is a time on the former process's clock: the present one would cut it to the longest that it grants.
@@ -40,6 +77,37 @@
     CHECK(bench.fleet.runningCount(job.id) == 1);
 }
 
+// The lease in the renewal is a time on the former process's clock and would hold for a task that starts on the present one later.
+TEST_CASE("a renewal that was held up while its worker restarted does not keep a later task running beyond its lease")
+{
+    JobBench bench(1, 2, [](FakeClock&, WorkerOrders& fleet) { return std::make_unique<HeldRenewals>(fleet); });
+    auto& orders = static_cast<HeldRenewals&>(*bench.orders);
+    bench.addWorkers(2, 16000);
+    bench.run(second * 20);
+    JobSpec const job = makeJob("plan", 1, 16000, second * 60);
+    JobSpec const other = makeJob("other", 1, 16000, second * 60);
+    bench.submit(job);
+    bench.submit(other);
+    bench.run(second * 2);
+    WorkerId const worker = workerOf(bench, job);
+    REQUIRE(!worker.empty());
+    orders.worker = worker;
+    bench.run(second);
+    REQUIRE(orders.held.size() == 1);
+    bench.fleet.restart(worker);
+    orders.release();
+    bench.run(second);
+    CHECK(bench.events.count(EventId::WorkerProcessReplaced) == 1);
+    REQUIRE(workerOf(bench, job) == worker);
+    REQUIRE(bench.fleet.runningCountOn(worker) == 1);
+    bench.fleet.setCut(worker, true);
+    bench.cancel(other.id);
+    bench.run(second * 8);
+    CHECK(bench.fleet.record().duplicateRuns == 0);
+    CHECK(bench.fleet.runningCount(job.id) == 1);
+    CHECK(workerOf(bench, job) != worker);
+}
+
 // Orders by the former process's clock, sent or carried out after the restart, must not extend the lease of the present one.
 TEST_CASE("no sequence of restarts, cuts, late orders and leader changes runs a task in two places")
 {
