Orders for a relay that is out of reach end as not sent again

Since a relay of which nothing is known, as its link is down, counted as one of an earlier version, and the leader sent the orders of all its workers itself until the relays were chosen anew. Such orders end as not sent at once, as before; only a reachable host of an earlier version is passed by. Found by reading; the new case in core_relay_test fails without it.

--- a/cornelpond/core/relay/OrderRelay.cpp
+++ b/cornelpond/core/relay/OrderRelay.cpp
@@ -45,7 +45,7 @@
 HostId OrderRelay::chooseRelay(WorkerTarget const& worker)
 {
     HostId relay = this->hooks.relayFor(worker);
-    if (!relay.empty() && !this->hooks.knowsProcesses(relay))
+    if (!relay.empty() && this->hooks.isReachable(relay) && !this->hooks.knowsProcesses(relay))
         return HostId();
     auto const route = this->routes.find(worker.id);
     if (relay.empty() || route == this->routes.end())
--- a/cornelpond/core/relay/OrderRelay.h
+++ b/cornelpond/core/relay/OrderRelay.h
@@ -40,7 +40,8 @@
     std::function<bool(HostId const& host)> knowsListingChanges;
     /// Whether the host knows batches with deadlines; hosts of earlier versions do not.
     std::function<bool(HostId const& host)> knowsDeadlines;
-    /// Whether the host knows orders for one process of a worker. One that does not would send them to any, so it is no relay.
+    /// Whether the host, while it is reachable, knows orders for one process of a worker. One that does not would send them to
+    /// any, so it is no relay.
     std::function<bool(HostId const& host)> knowsProcesses;
     std::function<void(HostId const& to, std::string payload)> send;
 };
--- a/cornelpond/core/relay/OrderRelayTest.cpp
+++ b/cornelpond/core/relay/OrderRelayTest.cpp
@@ -451,3 +451,14 @@
     CHECK(hosts.relayDirect.starts.empty());
     CHECK(hosts.relayDirect.renewOrders.empty());
 }
+
+TEST_CASE("orders for a relay that is out of reach are not sent, whatever is known of it")
+{
+    LeaderAndRelay hosts;
+    hosts.hasProcesses = false;
+    hosts.isLinkUp = false;
+    hosts.start();
+    hosts.deliver();
+    CHECK(hosts.leaderDirect.starts.empty());
+    CHECK(hosts.results == std::vector<OrderResult> { OrderResult::NotSent });
+}
