Fakes that change some orders share one base

ForwardingOrders, which came with the test of held-up renewals, wrote again what FailingOrders, CountingOrders and HoldingOrders each passed on by themselves. They derive from it now.

--- a/cornelpond/core/scheduling/CancelFailoverTest.cpp
+++ b/cornelpond/core/scheduling/CancelFailoverTest.cpp
@@ -1,5 +1,6 @@
 // Cancels beside changes of leader, frozen relays, late orders and restarted workers.
 
+#include "testing/fakes/ForwardingOrders.h"
 #include "testing/fakes/RelayedBench.h"
 
 #include <catch2/catch.hpp>
@@ -49,12 +50,9 @@
 namespace {
 
 /// Counts the orders that it passes on.
-class CountingOrders final : public WorkerOrders {
+class CountingOrders final : public ForwardingOrders {
 public:
-    explicit CountingOrders(WorkerOrders& fleet)
-        : fleet(fleet)
-    {
-    }
+    using ForwardingOrders::ForwardingOrders;
 
     void start(WorkerTarget const& worker, StartOrder const& order, Done done) override
     {
@@ -76,15 +74,8 @@
         this->sent++;
         this->fleet.renew(worker, order, std::move(done));
     }
-    void requestPermits(TaskRef const& stage, std::vector<WorkerId> const& workers, Duration timeout, std::function<void(PermitAnswer const&)> done) override
-    {
-        this->fleet.requestPermits(stage, workers, timeout, std::move(done));
-    }
 
     unsigned sent = 0;
-
-private:
-    WorkerOrders& fleet;
 };
 
 } // namespace
@@ -119,12 +110,9 @@
 
 /// Holds start orders and the answers to renewals back until the test releases them. Starts reach any process of the worker, as if
 /// it gave no start time.
-class HoldingOrders final : public WorkerOrders {
+class HoldingOrders final : public ForwardingOrders {
 public:
-    explicit HoldingOrders(WorkerOrders& fleet)
-        : fleet(fleet)
-    {
-    }
+    using ForwardingOrders::ForwardingOrders;
 
     void start(WorkerTarget const& worker, StartOrder const& order, Done done) override
     {
@@ -136,8 +124,6 @@
         else
             send();
     }
-    void stop(WorkerTarget const& worker, StopOrder const& order, Done done) override { this->fleet.stop(worker, order, std::move(done)); }
-    void throttle(WorkerTarget const& worker, ThrottleOrder const& order, Done done) override { this->fleet.throttle(worker, order, std::move(done)); }
     void renew(WorkerTarget const& worker, RenewOrder const& order, std::function<void(RenewAnswer const&)> done) override
     {
         this->fleet.renew(worker, order, [this, done = std::move(done)](RenewAnswer const& answer) {
@@ -147,10 +133,6 @@
                 done(answer);
         });
     }
-    void requestPermits(TaskRef const& stage, std::vector<WorkerId> const& workers, Duration timeout, std::function<void(PermitAnswer const&)> done) override
-    {
-        this->fleet.requestPermits(stage, workers, timeout, std::move(done));
-    }
 
     void releaseStarts()
     {
@@ -169,9 +151,6 @@
     bool holdsListings = false;
     std::vector<std::function<void()>> starts;
     std::vector<std::function<void()>> listings;
-
-private:
-    WorkerOrders& fleet;
 };
 
 } // namespace
--- a/cornelpond/core/scheduling/StopDeliveryTest.cpp
+++ b/cornelpond/core/scheduling/StopDeliveryTest.cpp
@@ -1,5 +1,6 @@
 #include "cornelpond/core/scheduling/JobService.h"
 
+#include "testing/fakes/ForwardingOrders.h"
 #include "testing/fakes/JobBench.h"
 
 #include <catch2/catch.hpp>
@@ -82,11 +83,11 @@
 };
 
 /// Stops that end as not sent before the call returns, and lost answers to starts.
-class FailingOrders final : public WorkerOrders {
+class FailingOrders final : public ForwardingOrders {
 public:
     FailingOrders(Clock const& clock, WorkerOrders& fleet)
-        : clock(clock)
-        , fleet(fleet)
+        : ForwardingOrders(fleet)
+        , clock(clock)
     {
     }
 
@@ -101,7 +102,6 @@
         else
             this->fleet.stop(worker, order, std::move(done));
     }
-    void throttle(WorkerTarget const& worker, ThrottleOrder const& order, Done done) override { this->fleet.throttle(worker, order, std::move(done)); }
     void renew(WorkerTarget const& worker, RenewOrder const& order, std::function<void(RenewAnswer const&)> done) override
     {
         this->longestPause = std::max(this->longestPause, this->clock.now() - this->renewedAt.value_or(this->clock.now()));
@@ -110,10 +110,6 @@
             done(answer);
         });
     }
-    void requestPermits(TaskRef const& stage, std::vector<WorkerId> const& workers, Duration timeout, std::function<void(PermitAnswer const&)> done) override
-    {
-        this->fleet.requestPermits(stage, workers, timeout, std::move(done));
-    }
 
     bool failsStops = false;
     std::set<TaskRef> tasksWithFailingStops;
@@ -122,7 +118,6 @@
 
 private:
     Clock const& clock;
-    WorkerOrders& fleet;
     std::optional<TimePoint> renewedAt;
 };
 
