--- a/cornelpond/core/scheduling/RestartedWorkerLeaseTest.cpp
+++ b/cornelpond/core/scheduling/RestartedWorkerLeaseTest.cpp
@@ -2,9 +2,9 @@
 
 #include "testing/fakes/ForwardingOrders.h"
 #include "testing/fakes/RelayedBench.h"
+#include "testing/fakes/RestartSequences.h"
 
 #include <catch2/catch.hpp>
-#include <rapidcheck/catch.h>
 
 #include <functional>
 #include <utility>
@@ -48,49 +48,6 @@
     return worker;
 }
 
-/// What the sequences of `checkSequences` contain.
-struct SequenceFaults {
-    FakeFleet::Faults orders;
-    Duration announceInterval = Duration::milliseconds(1500);
-    Duration minTimeToCut; ///< From the last worker's restart until the workers are cut off.
-};
-
-// Orders by the former process's clock, sent or carried out after the restart, must not extend the lease of the present one.
-void checkSequences(SequenceFaults const& faults)
-{
-    rc::prop("", [&faults] {
-        auto const seed = *rc::gen::arbitrary<uint32_t>();
-        constexpr size_t workerCount = 6;
-        constexpr size_t hostCount = 3;
-        RelayedBench hosts(seed, hostCount);
-        JobBench& bench = hosts.bench;
-        bench.announceInterval = faults.announceInterval;
-        SeededRandom random(seed + 1U);
-        bench.addWorkers(workerCount, 8000);
-        bench.run(second * 20);
-        bench.fleet.setFaults(faults.orders);
-        for (int round = 0; round < 12; round++) {
-            bench.submit(makeJob("j" + std::to_string(round), 4, 2000, second * 15));
-            for (size_t i = 0; i < workerCount / 2; i++) {
-                WorkerId const worker("w" + std::to_string(i));
-                bench.fleet.setCut(worker, false);
-                bench.fleet.crash(worker);
-                bench.run(Duration::milliseconds(static_cast<int64_t>(random.below(200))));
-                bench.fleet.restart(worker);
-            }
-            if (!random.below(4))
-                bench.crashLeader();
-            bench.run(faults.minTimeToCut + Duration::milliseconds(static_cast<int64_t>(random.below(3000))));
-            if (!bench.group.hasCurrentLeader())
-                bench.elect(random.below(hostCount));
-            for (size_t i = 0; i < workerCount / 2; i++)
-                bench.fleet.setCut(WorkerId("w" + std::to_string(i)), true);
-            bench.run(second * 6);
-        }
-        RC_ASSERT(bench.fleet.record().duplicateRuns == 0U);
-    });
-}
-
 } // namespace
 
 // The lease in the start is a time on the former process's clock: the present one would cut it to the longest that it grants.
@@ -190,16 +147,16 @@
 
 TEST_CASE("no sequence of restarts, cuts, late orders and leader changes runs a task in two places")
 {
-    SequenceFaults faults;
+    RestartFaults faults;
     faults.orders.lateOrderShare = 0.05;
-    checkSequences(faults);
+    checkRestartSequences(faults);
 }
 
 TEST_CASE("no sequence of restarts, cuts and leader changes runs a task in two places where orders reach later processes")
 {
-    SequenceFaults faults;
+    RestartFaults faults;
     faults.orders.ordersOutliveProcesses = true;
     faults.announceInterval = Duration::milliseconds(100);
     faults.minTimeToCut = Duration::milliseconds(500);
-    checkSequences(faults);
+    checkRestartSequences(faults);
 }
