Relays log and count the starts and stops that they carry out

When the leader's log was lost, no line of any control host named a request: a relay wrote nothing about the orders of its leader. It now writes one line for each start (347) and stop (348) when the order has ended, with the leader, task, attempt, worker, epoch, the process that a start names, its lease and the clock of the process that answered, the result and how long it took; renewals write none. relayedStartsExecuted{result} and relayedStopsExecuted{result} count the same.

core_base_test, core_relay_test, core_relay_work_test and app_test pass.

--- a/cornelpond/app/ControlHost.cpp
+++ b/cornelpond/app/ControlHost.cpp
@@ -113,6 +113,7 @@
     hooks.knowsDeadlines = [this](HostId const& host) { return this->hostNetwork.hasFeature(host, PeerFeature::OrderDeadlines); };
     hooks.knowsProcesses = [this](HostId const& host) { return this->hostNetwork.hasFeature(host, PeerFeature::OrderProcesses); };
     hooks.send = [this](HostId const& to, std::string payload) { this->hostNetwork.transport().send(to, { PeerChannel::Orders, std::move(payload) }); };
+    hooks.emit = [this](Event const& event) { this->events.emit(event); };
     return hooks;
 }
 
--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -100,6 +100,10 @@
     gauge("relayedListingRows", counters.listingRowsReceived);
     gauge("relayedOrdersExpired", counters.ordersExpired);
     gauge("relayedOrdersOpen", relay.openOrderCount());
+    for (auto const& [result, count] : counters.startsExecuted)
+        gauge(("relayedStartsExecuted{result=\"" + std::string(orderResultName(result)) + "\"}").c_str(), count);
+    for (auto const& [result, count] : counters.stopsExecuted)
+        gauge(("relayedStopsExecuted{result=\"" + std::string(orderResultName(result)) + "\"}").c_str(), count);
 }
 
 void fillConnectionMetrics(ConnectionFigures const& figures, Metrics& metrics)
--- a/cornelpond/app/FleetMetricsTest.cpp
+++ b/cornelpond/app/FleetMetricsTest.cpp
@@ -74,3 +74,33 @@
     CHECK(contains(text, "relayedOrdersOpen 0"));
     CHECK(contains(text, "relayedOrdersExpired 0"));
 }
+
+TEST_CASE("a relay's metrics tell how the starts and stops of its leader ended")
+{
+    FakeClock clock;
+    SeededRandom random(1);
+    FakeFleet workers(clock, random);
+    WorkerProfile profile;
+    profile.id = WorkerId("w1");
+    workers.addWorker(profile);
+    OrderRelayHooks hooks;
+    hooks.relayFor = [](WorkerTarget const&) { return HostId(); };
+    hooks.isReachable = [](HostId const&) { return true; };
+    hooks.knowsListingChanges = [](HostId const&) { return true; };
+    hooks.knowsDeadlines = [](HostId const&) { return true; };
+    hooks.knowsProcesses = [](HostId const&) { return true; };
+    hooks.send = [](HostId const&, std::string const&) {};
+    OrderRelay relay(clock, clock, workers, DispatchTimes(), 1, hooks);
+    WorkerTarget const target { WorkerId("w1"), "10.0.0.1:80", DataCentreId("north") };
+    TaskRef const task { JobId("job"), 0, 0, 0 };
+    RelayBatch orders;
+    orders.orders.push_back({ 1, target, StopOrder { task, AttemptNumber(1), Term(2) } });
+    orders.orders.push_back({ 2, target, StartOrder { task, AttemptNumber(2), "", Duration::seconds(4), Term(1), "", "" } });
+    relay.onMessage(HostId("leader"), encodeRelayBatch(orders));
+    clock.advance(Duration::milliseconds(100));
+    Metrics metrics;
+    fillRelayMetrics(relay, metrics);
+    std::string const text = metrics.text();
+    CHECK(contains(text, "relayedStopsExecuted{result=\"accepted\"} 1"));
+    CHECK(contains(text, "relayedStartsExecuted{result=\"refusedEpoch\"} 1"));
+}
--- a/cornelpond/core/relay/OrderRelay.cpp
+++ b/cornelpond/core/relay/OrderRelay.cpp
@@ -303,7 +303,7 @@
     order.done(held->answer);
 }
 
-void OrderRelay::executeOrder(HostId const& from, RelayedOrder const& relayed)
+void OrderRelay::executeOrder(HostId const& from, RelayedOrder const& relayed, bool isExpired)
 {
     if (auto const* renew = std::get_if<RenewOrder>(&relayed.order); renew && relayed.heldListing) {
         this->executeRenewal(from, relayed, *renew);
@@ -313,20 +313,71 @@
         if (!alive.expired())
             this->queueAnswer(from, { id, answer });
     };
-    std::visit([&](auto const& order) { this->sendDirectly(relayed.worker, order, reply); }, relayed.order);
+    std::visit([&](auto const& order) {
+        using Order = std::decay_t<decltype(order)>;
+        if constexpr (std::is_same_v<Order, StartOrder> || std::is_same_v<Order, StopOrder>)
+            this->sendDirectly(relayed.worker, order, this->withReport(from, relayed.worker, order, isExpired, reply));
+        else
+            this->sendDirectly(relayed.worker, order, reply);
+    },
+        relayed.order);
+}
+
+/// The part of an order's event that is known before the order is sent.
+template <typename Order>
+Event OrderRelay::executionEvent(HostId const& leader, WorkerTarget const& worker, Order const& order, bool isExpired) const
+{
+    constexpr bool isStart = std::is_same_v<Order, StartOrder>;
+    Event event(isStart ? EventId::RelayedStartExecuted : EventId::RelayedStopExecuted);
+    event.with("leader", leader).with("task", order.task.text()).with("attempt", order.attempt).with("worker", worker.id).with("epoch", order.epoch);
+    if constexpr (isStart)
+        event.with("processBornMs", order.processBornMs).with("leaseUntilMs", order.leaseUntil);
+    event.with("expired", static_cast<int>(isExpired));
+    return event;
+}
+
+/// Counts and logs the result of an order before it passes on the answer.
+template <typename Order>
+WorkerOrders::Done OrderRelay::withReport(HostId const& leader, WorkerTarget const& worker, Order const& order, bool isExpired, Done done)
+{
+    auto& counts = std::is_same_v<Order, StartOrder> ? this->totals.startsExecuted : this->totals.stopsExecuted;
+    std::optional<Event> event;
+    if (this->hooks.emit)
+        event = this->executionEvent(leader, worker, order, isExpired);
+    return [this, alive = std::weak_ptr<bool>(this->lifetime), &counts, event = std::move(event), receivedAt = this->clock.now(), done = std::move(done)](OrderAnswer const& answer) {
+        if (alive.expired())
+            return;
+        counts[answer.result]++;
+        if (event)
+            this->reportExecution(*event, receivedAt, answer);
+        done(answer);
+    };
+}
+
+void OrderRelay::reportExecution(Event event, TimePoint receivedAt, OrderAnswer const& answer)
+{
+    event.with("result", std::string(orderResultName(answer.result))).with("lastedMs", this->clock.now() - receivedAt);
+    if (answer.hasClock)
+        event.with("clockMs", answer.workerClock);
+    this->hooks.emit(event);
 }
 
 /// Carries out what is safe at any time, as the leader has given the order up: a stop, and a renewal that extends no lease.
 void OrderRelay::executeExpired(HostId const& from, RelayedOrder relayed)
 {
     this->totals.ordersExpired++;
-    if (std::holds_alternative<StartOrder>(relayed.order) || std::holds_alternative<ThrottleOrder>(relayed.order)) {
-        this->queueAnswer(from, { relayed.id, answerWithResult(OrderResult::NotSent) });
+    auto const refuse = [this, from, id = relayed.id](OrderAnswer const& answer) { this->queueAnswer(from, { id, answer }); };
+    if (auto const* start = std::get_if<StartOrder>(&relayed.order)) {
+        this->withReport(from, relayed.worker, *start, true, refuse)(answerWithResult(OrderResult::NotSent));
+        return;
+    }
+    if (std::holds_alternative<ThrottleOrder>(relayed.order)) {
+        refuse(answerWithResult(OrderResult::NotSent));
         return;
     }
     if (auto* renew = std::get_if<RenewOrder>(&relayed.order))
         renew->extendsLease = false;
-    this->executeOrder(from, relayed);
+    this->executeOrder(from, relayed, true);
 }
 
 /// For a leader of an earlier version, which names no process, passes an acknowledgement on only to the process of which the
--- a/cornelpond/core/relay/OrderRelay.h
+++ b/cornelpond/core/relay/OrderRelay.h
@@ -17,6 +17,7 @@
 // and each batch of orders names the time, on the relay's clock, at which the leader gives them up: a relay that was paused
 // or overloaded until then starts nothing and extends no lease, but still sends the stops. Loop thread only.
 
+#include "cornelpond/core/base/Event.h"
 #include "cornelpond/core/dispatch/WorkerView.h"
 #include "cornelpond/core/relay/RelayMessage.h"
 #include "cornelpond/ports/Clock.h"
@@ -44,6 +45,8 @@
     /// any, so it is no relay.
     std::function<bool(HostId const& host)> knowsProcesses;
     std::function<void(HostId const& to, std::string payload)> send;
+    /// Logs what became of an order of another host. May be unset.
+    std::function<void(Event const& event)> emit;
 };
 
 struct OrderRelayTimes {
@@ -76,11 +79,13 @@
     uint64_t listingChangesReceived = 0; ///< Listings that contained only what had changed.
     uint64_t listingRowsReceived = 0; ///< Running and ended attempts that the listings and changes contained.
     uint64_t ordersExpired = 0; ///< Orders of other hosts that arrived after their deadline.
+    std::map<OrderResult, uint64_t> startsExecuted; ///< Starts of other hosts that have ended, also those that arrived too late to be sent.
+    std::map<OrderResult, uint64_t> stopsExecuted; ///< Stops of other hosts that have ended.
 };
 
 class OrderRelay final : public WorkerOrders {
 public:
-    /// References must outlive the object; all hooks must be set. `firstId` must be random, so that a late
+    /// References must outlive the object; all hooks except `emit` must be set. `firstId` must be random, so that a late
     /// answer to an earlier process of this host matches no order of this one, and no listing that such a process sent has
     /// the number of one that this one sends.
     OrderRelay(Clock const& clock, Timers& timers, WorkerOrders& direct, DispatchTimes orderTimes, uint64_t firstId, OrderRelayHooks hooks, OrderRelayTimes times = OrderRelayTimes());
@@ -146,8 +151,13 @@
     void recordRouteResult(WorkerId const& worker, OrderResult result);
     void noteClock(HostId const& peer, TimePoint reading);
     void setDeadline(HostId const& to, RelayBatch& batch) const;
-    void executeOrder(HostId const& from, RelayedOrder const& relayed);
+    void executeOrder(HostId const& from, RelayedOrder const& relayed, bool isExpired = false);
     void executeExpired(HostId const& from, RelayedOrder relayed);
+    template <typename Order>
+    Event executionEvent(HostId const& leader, WorkerTarget const& worker, Order const& order, bool isExpired) const;
+    template <typename Order>
+    Done withReport(HostId const& leader, WorkerTarget const& worker, Order const& order, bool isExpired, Done done);
+    void reportExecution(Event event, TimePoint receivedAt, OrderAnswer const& answer);
     void handleAnswer(HostId const& from, RelayedAnswer& relayed);
     void countListing(RenewAnswer const& answer);
     void finishWithListing(OpenOrder const& order, NumberedListingAnswer numbered);
--- a/cornelpond/core/relay/OrderRelayTest.cpp
+++ b/cornelpond/core/relay/OrderRelayTest.cpp
@@ -1,9 +1,11 @@
 #include "cornelpond/core/relay/OrderRelay.h"
 
 #include "testing/fakes/FakeClock.h"
+#include "testing/fakes/RecordingEventSink.h"
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -79,6 +81,7 @@
         hooks.knowsDeadlines = [this](HostId const&) { return this->hasDeadlines; };
         hooks.knowsProcesses = [this](HostId const&) { return this->hasProcesses; };
         hooks.send = [this](HostId const& to, std::string payload) { this->sent.emplace_back(to, std::move(payload)); };
+        hooks.emit = [this](Event const& event) { this->events.emit(event); };
         return hooks;
     }
 
@@ -119,6 +122,7 @@
     }
 
     FakeClock clock;
+    RecordingEventSink events; ///< Of both hosts.
     bool hasListingChanges = true; ///< Both hosts are of a version that knows them.
     bool hasDeadlines = true; ///< Both hosts are of a version that knows them.
     bool hasProcesses = true; ///< Both hosts are of a version that knows orders for one process.
@@ -462,3 +466,84 @@
     CHECK(hosts.leaderDirect.starts.empty());
     CHECK(hosts.results == std::vector<OrderResult> { OrderResult::NotSent });
 }
+
+namespace {
+
+using Fields = std::vector<std::pair<std::string, std::string>>;
+
+Fields fieldsOf(Event const& event)
+{
+    Fields fields;
+    for (auto const& field : event.fields())
+        fields.emplace_back(field.key, field.value);
+    return fields;
+}
+
+} // namespace
+
+TEST_CASE("a relay logs a start once, when it has the answer")
+{
+    LeaderAndRelay hosts;
+    StartOrder const order { task, AttemptNumber(3), "x", Duration::seconds(4), Term(2097153), "", "", 1700000000000 };
+    hosts.leader.start(worker, order, [](OrderAnswer const&) {});
+    hosts.deliver();
+    CHECK(hosts.events.all().empty());
+    hosts.relayDirect.answers.at(0)(accepted());
+    REQUIRE(hosts.events.all().size() == 1);
+    CHECK(hosts.events.all()[0].id() == EventId::RelayedStartExecuted);
+    CHECK(fieldsOf(hosts.events.all()[0]) == Fields { { "leader", "leader" }, { "task", task.text() }, { "attempt", "3" }, { "worker", "w1" }, { "epoch", "2097153" }, { "processBornMs", "1700000000000" }, { "leaseUntilMs", "4000" }, { "expired", "0" }, { "result", "accepted" }, { "lastedMs", "28" }, { "clockMs", "1000" } });
+    CHECK(hosts.relay.counters().startsExecuted == std::map<OrderResult, uint64_t> { { OrderResult::Accepted, 1 } });
+    CHECK(hosts.leader.counters().startsExecuted.empty());
+}
+
+TEST_CASE("a relay logs a start that got no answer, and a stop")
+{
+    LeaderAndRelay hosts;
+    hosts.start();
+    hosts.stop(StopWay::Usual);
+    hosts.deliver();
+    hosts.relayDirect.answers.at(0)(OrderAnswer());
+    hosts.relayDirect.answers.at(1)(accepted());
+    REQUIRE(hosts.events.all().size() == 2);
+    CHECK(fieldsOf(hosts.events.all()[0]) == Fields { { "leader", "leader" }, { "task", task.text() }, { "attempt", "1" }, { "worker", "w1" }, { "epoch", "2" }, { "processBornMs", "0" }, { "leaseUntilMs", "4000" }, { "expired", "0" }, { "result", "unknown" }, { "lastedMs", "28" } });
+    CHECK(hosts.events.all()[1].id() == EventId::RelayedStopExecuted);
+    CHECK(fieldsOf(hosts.events.all()[1]) == Fields { { "leader", "leader" }, { "task", task.text() }, { "attempt", "1" }, { "worker", "w1" }, { "epoch", "2" }, { "expired", "0" }, { "result", "accepted" }, { "lastedMs", "28" }, { "clockMs", "1000" } });
+    CHECK(hosts.relay.counters().startsExecuted == std::map<OrderResult, uint64_t> { { OrderResult::Unknown, 1 } });
+    CHECK(hosts.relay.counters().stopsExecuted == std::map<OrderResult, uint64_t> { { OrderResult::Accepted, 1 } });
+}
+
+TEST_CASE("a relay logs no renewals and throttles, and nothing of a leader that sends directly")
+{
+    LeaderAndRelay hosts;
+    hosts.renew();
+    hosts.leader.throttle(worker, ThrottleOrder { task, AttemptNumber(1), 50, Term(2) }, [](OrderAnswer const&) {});
+    hosts.relay.start(worker, StartOrder(), [](OrderAnswer const&) {});
+    hosts.deliver();
+    hosts.relayDirect.renewals.at(0)({ accepted(), 0, {} });
+    for (auto const& answer : hosts.relayDirect.answers)
+        answer(accepted());
+    CHECK(hosts.relayDirect.answers.size() == 2);
+    CHECK(hosts.events.all().empty());
+}
+
+TEST_CASE("a relay logs starts and stops that arrive after their deadline as expired")
+{
+    LeaderAndRelay hosts;
+    hosts.exchangeClocks();
+    hosts.start();
+    hosts.stop(StopWay::Usual);
+    hosts.clock.advance(Duration::seconds(2));
+    hosts.deliver();
+    for (auto const& answer : hosts.relayDirect.answers)
+        answer(accepted());
+    REQUIRE(hosts.events.all().size() == 2);
+    auto const valueOf = [&](size_t event, std::string const& key) {
+        auto const fields = fieldsOf(hosts.events.all()[event]);
+        auto const found = std::find_if(fields.begin(), fields.end(), [&](auto const& field) { return field.first == key; });
+        return found == fields.end() ? std::string() : found->second;
+    };
+    CHECK(valueOf(0, "expired") == "1");
+    CHECK(valueOf(0, "result") == "notSent");
+    CHECK(valueOf(1, "expired") == "1");
+    CHECK(valueOf(1, "result") == "accepted");
+}
