The leader logs and counts what orders for a former process may have done

346 also gives the process that listed last, the epoch of orders from now on and until when a lease by former orders counts as held. 349 says the same at the first answer of a new process, and when a new leader takes a worker over, with the time for which it has known the process. 350 sums up a take-over. 351 names a start that another process answered than it names. 339 gives the epoch and what is left of such a lease, and is also written for attempts on workers that are not known any more, which were given up without a line. 311 and 337 mark refusals of orders for a former process. No decision changes.

startsByOtherProcess, ordersRefusedForFormerProcess, workersWithFormerOrders and workersWithFormerLeases count the same.

--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -39,6 +39,11 @@
     WorkerProcessCounters const& processes = scheduler.dispatcher().processCounters();
     gauge("workerProcessesReplaced", processes.replaced);
     gauge("startsForFormerProcess", processes.startsNotSent);
+    gauge("startsByOtherProcess", processes.startsByOtherProcess);
+    gauge("ordersRefusedForFormerProcess", processes.ordersRefused);
+    FormerOrderWorkers const formerOrders = scheduler.dispatcher().formerOrderWorkers();
+    gauge("workersWithFormerOrders", formerOrders.mayReceive);
+    gauge("workersWithFormerLeases", formerOrders.mayHoldLease);
     metrics.setHistogram("stopConfirmationMs", stops.confirmationTime);
     gauge("startsDecided", counters.startsDecided);
     gauge("evictions", counters.evictions);
--- a/cornelpond/app/FleetMetricsTest.cpp
+++ b/cornelpond/app/FleetMetricsTest.cpp
@@ -41,6 +41,34 @@
     CHECK(contains(text, "waitingTasks{class=\"bestEffort\"} 0"));
 }
 
+TEST_CASE("the metrics tell which workers orders for a former process may affect")
+{
+    JobBench bench(1);
+    bench.announceInterval = Duration::milliseconds(100);
+    bench.addWorkers(2, 4000);
+    bench.run(Duration::seconds(20));
+    auto const metricsNow = [&bench] {
+        Metrics metrics;
+        fillSchedulerMetrics(bench.leader().scheduler(), metrics);
+        return metrics.text();
+    };
+    std::string const before = metricsNow();
+    CHECK(contains(before, "workersWithFormerOrders 0"));
+    CHECK(contains(before, "workersWithFormerLeases 0"));
+    CHECK(contains(before, "startsByOtherProcess 0"));
+    CHECK(contains(before, "ordersRefusedForFormerProcess 0"));
+    WorkerId const worker("w0");
+    bench.fleet.restart(worker);
+    bench.leader().scheduler().announce(bench.fleet.report(worker), [](CallResult) {});
+    bench.fleet.setCut(worker, true);
+    bench.run(Duration::milliseconds(500));
+    std::string const restarted = metricsNow();
+    CHECK(contains(restarted, "workersWithFormerOrders 1"));
+    CHECK(contains(restarted, "workersWithFormerLeases 1"));
+    bench.run(Duration::seconds(7));
+    CHECK(contains(metricsNow(), "workersWithFormerLeases 0"));
+}
+
 TEST_CASE("the metrics tell what came by way of the relays")
 {
     FakeClock clock;
--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -59,6 +59,7 @@
     for (auto const& [id, profile] : roster.all())
         this->addView(profile);
     this->jobs.forEachLiveAttempt([this](TaskRef const& task, TaskRecord const& record, Attempt const& attempt) { this->inheritAttempt(task, record, attempt); });
+    this->reportTakeOver();
 }
 
 void Dispatcher::noteProcessChange(WorkerId const& worker)
@@ -81,6 +82,7 @@
         return;
     view.mayHaveFormerOrders = true;
     view.formerOrdersLeaseEnd = change->second + this->times.orderTimeout + this->times.longestLeaseOnSlowClock();
+    this->reportFormerOrders(view, "earlier process");
 }
 
 Term Dispatcher::orderEpoch(WorkerView const& view) const
@@ -93,6 +95,7 @@
 {
     WorkerView* view = this->findWorker(attempt.worker);
     if (!view) {
+        this->reportConcludedWithoutWorker(task, attempt.number, attempt.worker, true);
         this->hooks.proposeEnd({ task, attempt.number, attempt.worker, AttemptEnd::Lost, std::string() });
         return;
     }
@@ -182,6 +185,7 @@
         return;
     WorkerView* view = this->findWorker(start.worker);
     if (!view) {
+        this->reportConcludedWithoutWorker(start.task, start.attempt, start.worker, false);
         this->hooks.proposeEnd({ start.task, start.attempt, start.worker, AttemptEnd::Lost, std::string() });
         return;
     }
@@ -375,7 +379,10 @@
 void Dispatcher::onRenewalFailed(WorkerView& view, uint64_t generation, OrderResult result)
 {
     TimePoint const now = this->clock.now();
+    this->countRefused(view, generation, result);
     if (view.generation != generation) {
+        if (result == OrderResult::RefusedEpoch)
+            this->events.emit(Event(EventId::OrderFailed).with("order", "renewal").with("worker", view.profile.id).with("result", std::string(orderResultName(result))).with("formerProcess", 1));
         view.nextRenewalAt = now; // The renewal was sent to an earlier incarnation, and tells nothing of this one.
         return;
     }
@@ -410,10 +417,11 @@
     event.with("worker", view.profile.id).with("bornMs", view.profile.bornMs).with("source", source).with("leaseOrderAgeMs", now - view.lastLeaseExtensionAt);
     if (view.hasClock)
         event.with("formerClockMs", view.estimatedClock(now));
-    this->events.emit(event.with("openStarts", static_cast<int64_t>(openStarts)));
+    event.with("openStarts", static_cast<int64_t>(openStarts)).with("formerBornMs", view.listingBornMs);
     this->processTotals.replaced++;
     this->noteProcessChange(view.profile.id);
     view.resetForNewIncarnation(++this->lastGeneration, now, this->times);
+    this->events.emit(event.with("epoch", this->orderEpoch(view)).with("formerOrdersLeaseMs", view.formerOrdersLeaseEnd - now));
 }
 
 /// A clock that went back means a new incarnation of the worker when `isIncarnationKnown` is false. When it is true,
@@ -441,8 +449,10 @@
         this->onNewIncarnation(view, "listing");
     }
     bool const hasSeenGeneration = view.generation == sending.generation;
-    if (hasSeenGeneration)
+    if (hasSeenGeneration && view.mayHaveFormerOrders) {
         view.noteGenerationSeen(now, this->times);
+        this->reportFormerOrders(view, "first answer");
+    }
     bool const isFirst = !view.hasListing;
     view.hasListing = true;
     view.listingBornMs = listing.bornMs;
@@ -602,8 +612,11 @@
 void Dispatcher::onStartAnswered(WorkerId const& worker, OrderSending const& sending, AttemptKey const& key, OrderAnswer const& answer)
 {
     WorkerView* view = this->findWorker(worker);
-    if (view)
+    if (view) {
+        this->countRefused(*view, sending.generation, answer.result);
+        this->reportAnsweringProcess(*view, key, sending, answer);
         this->checkAnsweringProcess(*view, sending, answer);
+    }
     PlacedAttempt* attempt = view ? view->find(key) : nullptr;
     if (!attempt)
         return;
@@ -619,7 +632,8 @@
                               .with("attempt", key.second)
                               .with("worker", worker)
                               .with("result", std::string(orderResultName(answer.result)))
-                              .with("starts", attempt->startsSent));
+                              .with("starts", attempt->startsSent)
+                              .with("formerProcess", static_cast<int>(isFromOldIncarnation)));
     }
     if (attempt->isEndProposed)
         return;
@@ -833,6 +847,7 @@
 {
     progress.isInFlight = false;
     progress.lastResult = result;
+    this->countRefused(view, generation, result);
     bool const isAccepted = result == OrderResult::Accepted && view.generation == generation;
     progress.isConfirmed |= isAccepted;
     this->noteOpenStops(view);
@@ -909,6 +924,9 @@
                           .with("reason", reason)
                           .with("answerAgeMs", now - view.lastAnswerAt)
                           .with("promiseAgeMs", now - view.lastLeaseExtensionAt)
+                          .with("formerOrdersLeaseMs", view.formerOrdersLeaseEnd - now)
+                          .with("formerOrders", static_cast<int>(view.mayHaveFormerOrders))
+                          .with("epoch", this->orderEpoch(view))
                           .with("bornMs", view.profile.bornMs)
                           .with("inherited", static_cast<int>(attempt.isInherited))
                           .with("starts", attempt.startsSent)
@@ -950,4 +968,69 @@
     this->hooks.removeWorker(view.profile);
 }
 
+FormerOrderWorkers Dispatcher::formerOrderWorkers() const
+{
+    FormerOrderWorkers workers;
+    for (auto const& [id, view] : this->views) {
+        workers.mayReceive += view.mayHaveFormerOrders;
+        workers.mayHoldLease += view.formerOrdersLeaseEnd > this->clock.now();
+    }
+    return workers;
+}
+
+void Dispatcher::reportTakeOver()
+{
+    size_t attempts = 0;
+    for (auto const& [id, view] : this->views)
+        attempts += view.placed.size();
+    this->events.emit(Event(EventId::AttemptsInherited)
+                          .with("attempts", attempts)
+                          .with("workers", this->views.size())
+                          .with("workersWithFormerOrders", this->formerOrderWorkers().mayReceive)
+                          .with("epoch", this->epoch.value() * generationsPerEpoch));
+}
+
+void Dispatcher::reportFormerOrders(WorkerView const& view, char const* source)
+{
+    TimePoint const now = this->clock.now();
+    this->events.emit(Event(EventId::FormerOrdersCounted)
+                          .with("worker", view.profile.id)
+                          .with("source", source)
+                          .with("bornMs", view.profile.bornMs)
+                          .with("epoch", this->orderEpoch(view))
+                          .with("formerOrdersLeaseMs", view.formerOrdersLeaseEnd - now));
+}
+
+void Dispatcher::reportConcludedWithoutWorker(TaskRef const& task, AttemptNumber attempt, WorkerId const& worker, bool isInherited)
+{
+    this->events.emit(Event(EventId::AttemptConcluded)
+                          .with("task", task.text())
+                          .with("attempt", attempt)
+                          .with("worker", worker)
+                          .with("reason", "worker not known")
+                          .with("inherited", static_cast<int>(isInherited)));
+}
+
+void Dispatcher::reportAnsweringProcess(WorkerView const& view, AttemptKey const& key, OrderSending const& sending, OrderAnswer const& answer)
+{
+    if (!answer.hasClock || answer.workerClock + clockReversalThreshold >= sending.workerClock)
+        return;
+    this->processTotals.startsByOtherProcess++;
+    this->events.emit(Event(EventId::StartByOtherProcess)
+                          .with("task", key.first.text())
+                          .with("attempt", key.second)
+                          .with("worker", view.profile.id)
+                          .with("processBornMs", sending.bornMs)
+                          .with("result", std::string(orderResultName(answer.result)))
+                          .with("clockMs", answer.workerClock)
+                          .with("expectedClockMs", sending.workerClock)
+                          .with("sinceSentMs", this->clock.now() - sending.at));
+}
+
+/// Counts an order that was refused because the worker has executed one for a later process.
+void Dispatcher::countRefused(WorkerView const& view, uint64_t generation, OrderResult result)
+{
+    this->processTotals.ordersRefused += view.generation != generation && result == OrderResult::RefusedEpoch;
+}
+
 } // namespace cornelpond
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -64,6 +64,14 @@
 struct WorkerProcessCounters {
     uint64_t replaced = 0; ///< Times at which this host, as the leader, learned of a new process of a worker.
     uint64_t startsNotSent = 0; ///< Starts that were meant for a former process of the worker.
+    uint64_t startsByOtherProcess = 0; ///< Starts that another process of the worker answered than they name.
+    uint64_t ordersRefused = 0; ///< Orders for a former process that the present one refused for their epoch.
+};
+
+/// Workers that orders for a former process may affect, for metrics.
+struct FormerOrderWorkers {
+    size_t mayReceive = 0; ///< They may still get such orders.
+    size_t mayHoldLease = 0; ///< They may still hold a lease that such an order extended.
 };
 
 class Dispatcher {
@@ -117,6 +125,7 @@
     uint64_t attemptsChecked() const { return this->attemptCheckCount; }
     StopCounters const& stopCounters() const { return this->stopTotals; }
     WorkerProcessCounters const& processCounters() const { return this->processTotals; }
+    FormerOrderWorkers formerOrderWorkers() const;
 
 private:
     using WeakLeadershipToken = std::weak_ptr<bool>;
@@ -131,6 +140,11 @@
 
     void noteProcessChange(WorkerId const& worker);
     void addView(WorkerProfile const& profile);
+    void reportTakeOver();
+    void reportFormerOrders(WorkerView const& view, char const* source);
+    void reportConcludedWithoutWorker(TaskRef const& task, AttemptNumber attempt, WorkerId const& worker, bool isInherited);
+    void reportAnsweringProcess(WorkerView const& view, AttemptKey const& key, OrderSending const& sending, OrderAnswer const& answer);
+    void countRefused(WorkerView const& view, uint64_t generation, OrderResult result);
     void inheritAttempt(TaskRef const& task, TaskRecord const& record, Attempt const& attempt);
     void checkWorker(WorkerView& view);
     void checkAttempts(WorkerView& view);
--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -135,8 +135,6 @@
 
 void WorkerView::noteGenerationSeen(TimePoint now, DispatchTimes const& times)
 {
-    if (!this->mayHaveFormerOrders)
-        return;
     this->mayHaveFormerOrders = false;
     this->formerOrdersLeaseEnd = now + times.longestLeaseOnSlowClock();
 }
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -191,7 +191,7 @@
     /// Discards the state of the worker's earlier incarnation. `newGeneration` must be higher than that of any earlier one.
     void resetForNewIncarnation(uint64_t newGeneration, TimePoint now, DispatchTimes const& times);
 
-    /// To be called when the worker has executed an order of the present generation. From now on it refuses orders for former
+    /// To be called when the worker has executed its first order of the present generation. From now on it refuses orders for former
     /// processes, one of which may just have extended its lease.
     void noteGenerationSeen(TimePoint now, DispatchTimes const& times);
 
