Control hosts that do not lead log the starts of further attempts

352 FurtherAttemptCommitted names task, attempt and worker, so that a task that ran in two places leaves a trace on the hosts that live when the leader's log is gone with its process. First attempts are left out: the relays' 347 and the leader's 301 have them. docs/EVENTS.md says what `inherited` means.

--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -82,6 +82,7 @@
     FormerOrdersCounted = 349,
     AttemptsInherited = 350,
     StartByOtherProcess = 351,
+    FurtherAttemptCommitted = 352,
     LeaderElected = 400,
     LeaderLost = 401,
     JournalOpened = 402,
--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -181,8 +181,10 @@
 
 void Dispatcher::onStartApplied(CommitStart const& start)
 {
-    if (!this->leading)
+    if (!this->leading) {
+        this->reportFurtherAttempt(start);
         return;
+    }
     WorkerView* view = this->findWorker(start.worker);
     if (!view) {
         this->reportConcludedWithoutWorker(start.task, start.attempt, start.worker, false);
@@ -1011,6 +1013,13 @@
                           .with("inherited", static_cast<int>(isInherited)));
 }
 
+/// The leader logs each attempt when it decides on it; the other hosts keep a trace of those that replace an earlier one.
+void Dispatcher::reportFurtherAttempt(CommitStart const& start)
+{
+    if (start.attempt > AttemptNumber(1))
+        this->events.emit(Event(EventId::FurtherAttemptCommitted).with("task", start.task.text()).with("attempt", start.attempt).with("worker", start.worker));
+}
+
 void Dispatcher::reportAnsweringProcess(WorkerView const& view, AttemptKey const& key, OrderSending const& sending, OrderAnswer const& answer)
 {
     if (!answer.hasClock || answer.workerClock + clockReversalThreshold >= sending.workerClock)
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -143,6 +143,7 @@
     void reportTakeOver();
     void reportFormerOrders(WorkerView const& view, char const* source);
     void reportConcludedWithoutWorker(TaskRef const& task, AttemptNumber attempt, WorkerId const& worker, bool isInherited);
+    void reportFurtherAttempt(CommitStart const& start);
     void reportAnsweringProcess(WorkerView const& view, AttemptKey const& key, OrderSending const& sending, OrderAnswer const& answer);
     void countRefused(WorkerView const& view, uint64_t generation, OrderResult result);
     void inheritAttempt(TaskRef const& task, TaskRecord const& record, Attempt const& attempt);
--- a/cornelpond/core/dispatch/DispatcherEventsTest.cpp
+++ b/cornelpond/core/dispatch/DispatcherEventsTest.cpp
@@ -102,6 +102,14 @@
     return std::stoll(valueOf(event, key));
 }
 
+/// The worker of the job's only task.
+WorkerId workerOf(JobBench& bench, JobId const& job)
+{
+    WorkerId worker;
+    bench.leader().scheduler().jobs().forEachLiveAttemptOf(job, [&](TaskRef const&, TaskRecord const&, Attempt const& attempt) { worker = attempt.worker; });
+    return worker;
+}
+
 } // namespace
 
 TEST_CASE("the leader logs a new process of a worker with the epoch of its orders and until when a lease by former orders counts")
@@ -216,3 +224,26 @@
     CHECK(valueOf(concluded.back(), "formerOrders") == "1");
     CHECK(numberOf(concluded.back(), "formerOrdersLeaseMs") <= -DispatchTimes().leaseMargin.toMilliseconds());
 }
+
+TEST_CASE("a host that does not lead logs the starts of further attempts, and no others")
+{
+    JobBench bench(1);
+    bench.addWorkers(2, 16000);
+    bench.run(second * 20);
+    JobSpec const job = makeJob("plan", 1, 16000, second * 60);
+    bench.submit(job);
+    bench.run(second * 2);
+    WorkerId const first = workerOf(bench, job.id);
+    bench.fleet.setCut(first, true);
+    bench.run(second * 8);
+    WorkerId const other = workerOf(bench, job.id);
+    REQUIRE(other != first);
+    CHECK(bench.events.count(EventId::FurtherAttemptCommitted) == 0); // The follower of the bench applies nothing before its election.
+    bench.elect(1);
+    REQUIRE(bench.events.count(EventId::FurtherAttemptCommitted) == 1);
+    auto const& events = bench.events.all();
+    auto const committed = std::find_if(events.begin(), events.end(), [](Event const& event) { return event.id() == EventId::FurtherAttemptCommitted; });
+    CHECK(valueOf(*committed, "task") == "plan.0.0.0");
+    CHECK(valueOf(*committed, "attempt") == "2");
+    CHECK(valueOf(*committed, "worker") == other.value());
+}
