Answers of a later process are news of it, and the first listing that tells of one is followed at once

A stop that a later process answers, and an answer that another process is there, said as much and were ignored: a worker that was cut off then was concluded 3.75 s after the last order, while the process held its longest lease (a task ran twice in core_former_orders_test's two new cases).

Until a process has seen the present generation its renewals do not wait. The new case failed before.

A lease by orders that are under way at the restart is counted from their timeout, as at a take-over; a clock that is 2 % slow stretches a lease by 50/49.

--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -340,7 +340,7 @@
     order.acknowledgedEnds = view.acknowledgedEnds > view.deliveredAcknowledgedEnds ? view.acknowledgedEnds : 0;
     order.processBornMs = view.listingBornMs;
     order.extendsLease = view.hasClock && !isSilent && !view.consecutiveRenewalFailures;
-    order.maxWait = view.hasListing && !view.consecutiveRenewalFailures && view.listedEnds.empty() ? this->times.longPollWait : Duration();
+    order.maxWait = view.hasListing && !view.mayHaveFormerOrders && !view.consecutiveRenewalFailures && view.listedEnds.empty() ? this->times.longPollWait : Duration();
     this->noteOpenStops(view);
     TimePoint const leaseBase = view.leaseBase(now);
     order.extendsLease &= leaseBase + this->times.leaseDuration > now;
@@ -604,16 +604,23 @@
     }));
 }
 
-/// A clock that is behind that of the process for which the order was sent shows that a later one has carried it out.
+/// True when the answer's clock is behind that of the process for which the order was sent: a later one has carried it out.
+bool Dispatcher::isFromLaterProcess(OrderSending const& sending, OrderAnswer const& answer)
+{
+    return answer.hasClock && answer.workerClock + clockReversalThreshold < sending.workerClock;
+}
+
 void Dispatcher::checkAnsweringProcess(WorkerView& view, OrderSending const& sending, OrderAnswer const& answer)
 {
-    if (view.generation == sending.generation && answer.hasClock && answer.workerClock + clockReversalThreshold < sending.workerClock)
-        this->onNewIncarnation(view, "start");
+    bool const isLaterProcess = answer.result == OrderResult::OtherProcess || isFromLaterProcess(sending, answer);
+    if (view.generation == sending.generation && isLaterProcess)
+        this->onNewIncarnation(view, "order");
 }
 
 void Dispatcher::onStartAnswered(WorkerId const& worker, OrderSending const& sending, AttemptKey const& key, OrderAnswer const& answer)
 {
     WorkerView* view = this->findWorker(worker);
+    this->processTotals.startsNotSent += answer.result == OrderResult::OtherProcess;
     if (view) {
         this->countRefused(*view, sending.generation, answer.result);
         this->reportAnsweringProcess(*view, key, sending, answer);
@@ -685,9 +692,6 @@
         this->retryOrWithdrawStart(view, attempt);
         return;
     case OrderResult::OtherProcess:
-        this->processTotals.startsNotSent++;
-        this->retryOrWithdrawStart(view, attempt);
-        return;
     case OrderResult::RefusedLate:
     case OrderResult::NotDone:
     case OrderResult::NotSent:
@@ -773,22 +777,23 @@
 {
     this->noteStopSent(view, { attempt.task, attempt.number }, attempt.stopOrders, way);
     StopOrder const order { attempt.task, attempt.number, this->orderEpoch(view), way };
-    this->orders.stop(view.target(), order, this->ifStillLeading([this, worker = view.profile.id, generation = view.generation, way, key = AttemptKey { attempt.task, attempt.number }](OrderAnswer const& answer) {
+    this->orders.stop(view.target(), order, this->ifStillLeading([this, worker = view.profile.id, sending = this->sendingNow(view), way, key = AttemptKey { attempt.task, attempt.number }](OrderAnswer const& answer) {
         WorkerView* answering = this->findWorker(worker);
         if (!answering)
             return;
+        this->checkAnsweringProcess(*answering, sending, answer);
         PlacedAttempt* stopped = answering->find(key);
         if (!stopped) {
             this->releaseRenewal(*answering, way);
             return;
         }
-        if (answer.result == OrderResult::Accepted && !stopped->stopConfirmedAt && answering->generation == generation) {
+        if (answer.result == OrderResult::Accepted && !stopped->stopConfirmedAt && answering->generation == sending.generation) {
             stopped->stopConfirmedAt = this->clock.now();
             if (stopped->stopOrders.sent)
                 this->stopTotals.confirmationTime.observe(*stopped->stopConfirmedAt - stopped->stopOrders.firstSentAt);
         }
-        this->onStopAnswered(*answering, stopped->stopOrders, way, generation, answer.result);
-        if (answering->generation != generation)
+        this->onStopAnswered(*answering, stopped->stopOrders, way, sending.generation, answer.result);
+        if (answering->generation != sending.generation)
             return; // This incarnation may still carry out a start order that the earlier one never got.
         if (answer.result == OrderResult::OtherLife)
             this->removeReplacedWorker(*answering);
@@ -800,18 +805,19 @@
 void Dispatcher::stopOrphanedAttempt(WorkerView& view, AttemptKey const& key, OrphanedAttempt& orphan, StopWay way)
 {
     this->noteStopSent(view, key, orphan.stopOrders, way);
-    this->orders.stop(view.target(), { key.first, key.second, this->orderEpoch(view), way }, this->ifStillLeading([this, worker = view.profile.id, generation = view.generation, way, key](OrderAnswer const& answer) {
+    this->orders.stop(view.target(), { key.first, key.second, this->orderEpoch(view), way }, this->ifStillLeading([this, worker = view.profile.id, sending = this->sendingNow(view), way, key](OrderAnswer const& answer) {
         WorkerView* answering = this->findWorker(worker);
         if (!answering)
             return;
+        this->checkAnsweringProcess(*answering, sending, answer);
         auto const found = answering->orphanedAttempts.find(key);
         if (found == answering->orphanedAttempts.end()) {
             this->releaseRenewal(*answering, way);
             return;
         }
-        if (answer.result == OrderResult::Accepted && answering->generation == generation)
+        if (answer.result == OrderResult::Accepted && answering->generation == sending.generation)
             found->second.forgetAt = this->clock.now();
-        this->onStopAnswered(*answering, found->second.stopOrders, way, generation, answer.result);
+        this->onStopAnswered(*answering, found->second.stopOrders, way, sending.generation, answer.result);
     }));
 }
 
@@ -1022,7 +1028,7 @@
 
 void Dispatcher::reportAnsweringProcess(WorkerView const& view, AttemptKey const& key, OrderSending const& sending, OrderAnswer const& answer)
 {
-    if (!answer.hasClock || answer.workerClock + clockReversalThreshold >= sending.workerClock)
+    if (!isFromLaterProcess(sending, answer))
         return;
     this->processTotals.startsByOtherProcess++;
     this->events.emit(Event(EventId::StartByOtherProcess)
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -170,6 +170,7 @@
     void acknowledgeEnds(WorkerView& view);
     void sendStart(WorkerView& view, PlacedAttempt& attempt);
     void onStartAnswered(WorkerId const& worker, OrderSending const& sending, AttemptKey const& key, OrderAnswer const& answer);
+    static bool isFromLaterProcess(OrderSending const& sending, OrderAnswer const& answer);
     void checkAnsweringProcess(WorkerView& view, OrderSending const& sending, OrderAnswer const& answer);
     void handleStartAnswer(WorkerView& view, PlacedAttempt& attempt, OrderResult result);
     void retryOrWithdrawStart(WorkerView& view, PlacedAttempt& attempt);
--- a/cornelpond/core/dispatch/DispatcherEventsTest.cpp
+++ b/cornelpond/core/dispatch/DispatcherEventsTest.cpp
@@ -124,7 +124,7 @@
     REQUIRE(replaced.size() == 1);
     CHECK(valueOf(replaced[0], "formerBornMs") == "1");
     CHECK(valueOf(replaced[0], "bornMs") == "2");
-    CHECK(numberOf(replaced[0], "formerOrdersLeaseMs") == longestLease.toMilliseconds());
+    CHECK(numberOf(replaced[0], "formerOrdersLeaseMs") == (DispatchTimes().orderTimeout + longestLease).toMilliseconds());
     CHECK(numberOf(replaced[0], "epoch") > numberOf(inherited[0], "epoch"));
     std::vector<Event> const counted = bench.eventsOf(EventId::FormerOrdersCounted);
     REQUIRE(counted.size() == 1);
--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -144,7 +144,7 @@
     this->noteChange();
     this->generation = newGeneration;
     this->mayHaveFormerOrders = true;
-    this->formerOrdersLeaseEnd = now + times.longestLeaseOnSlowClock();
+    this->formerOrdersLeaseEnd = now + times.orderTimeout + times.longestLeaseOnSlowClock();
     this->hasOpenOrders = true;
     this->hasClock = false;
     this->hasListing = false;
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -46,7 +46,7 @@
     Duration maxOrderDelay = Duration::seconds(15);
 
     /// How long, at most, a lease lasts that a worker extends now, on a clock that runs 2 % slow.
-    Duration longestLeaseOnSlowClock() const { return this->maxLease * 51 / 50; }
+    Duration longestLeaseOnSlowClock() const { return this->maxLease * 50 / 49; }
 };
 
 constexpr unsigned fullSpeedPercent = 100; ///< Speed of a task that is not throttled.
--- a/cornelpond/core/scheduling/FormerOrdersTest.cpp
+++ b/cornelpond/core/scheduling/FormerOrdersTest.cpp
@@ -77,8 +77,8 @@
         return found;
     }
 
-    /// Submits the job and runs until its start has been sent, but not carried out.
-    void sendStart()
+    /// Submits the job and runs until its start has been sent, but not carried out. `runningThere`: tasks that its worker runs.
+    void sendStart(size_t runningThere = 0)
     {
         this->bench.submit(this->job);
         for (int i = 0; i < 50 && this->workerOf(this->job).empty(); i++)
@@ -86,7 +86,7 @@
         this->worker = this->workerOf(this->job);
         REQUIRE(!this->worker.empty());
         REQUIRE(this->worker != this->otherWorker);
-        REQUIRE(this->bench.fleet.runningCountOn(this->worker) == 0);
+        REQUIRE(this->bench.fleet.runningCountOn(this->worker) == runningThere);
     }
 
     void startJob()
@@ -282,3 +282,68 @@
     workers.runUntilStarted();
     CHECK(bench.events.count(EventId::WorkerSuperseded) == 0);
 }
+
+TEST_CASE("a stop that a later process has answered is news of that process")
+{
+    FormerOrdersBench workers;
+    JobBench& bench = workers.bench;
+    bench.announceInterval = second * 60;
+    bench.run(second);
+    JobSpec const cancelled = makeJob("cancelled", 1, FormerOrdersBench::workerMilliCores / 2, second * 60);
+    bench.submit(cancelled);
+    bench.run(second);
+    workers.job = makeJob("plan", 1, FormerOrdersBench::workerMilliCores / 2, second * 60);
+    workers.sendStart(1);
+    workers.orders().lostFor = workers.worker;
+    bench.fleet.crash(workers.worker);
+    bench.run(Duration::milliseconds(300));
+    bench.fleet.restart(workers.worker);
+    REQUIRE(bench.fleet.runningCountOn(workers.worker) == 1);
+    bench.cancel(cancelled.id);
+    bench.run(Duration::milliseconds(50));
+    CHECK(bench.events.count(EventId::WorkerProcessReplaced) == 1);
+    workers.cutOff();
+    workers.checkMovesOnce();
+}
+
+TEST_CASE("an answer that a later process is there instead is news of that process")
+{
+    FormerOrdersBench workers;
+    JobBench& bench = workers.bench;
+    bench.announceInterval = second * 60;
+    bench.run(second);
+    workers.sendStart();
+    workers.orders().lostFor = workers.worker;
+    bench.fleet.crash(workers.worker);
+    bench.run(Duration::milliseconds(300));
+    bench.fleet.restart(workers.worker);
+    REQUIRE(bench.fleet.runningCountOn(workers.worker) == 1);
+    bench.fleet.setFaults(FakeFleet::Faults());
+    auto const& counters = bench.leader().scheduler().dispatcher().processCounters();
+    for (int i = 0; i < 200 && !counters.startsNotSent; i++)
+        bench.run(Duration::milliseconds(10));
+    CHECK(counters.startsNotSent == 1);
+    CHECK(counters.replaced == 1);
+    workers.cutOff();
+    workers.checkMovesOnce();
+}
+
+// The first listing of a new process concludes nothing; the next one must not be delayed.
+TEST_CASE("a task of a restarted worker that the leader found out by a listing starts again without a wait for the worker's events")
+{
+    JobBench bench(1, 1);
+    bench.announceInterval = second * 60;
+    bench.addWorkers(2, 16000);
+    bench.run(second * 10);
+    JobSpec const job = makeJob("plan", 1, 16000, second * 60);
+    bench.submit(job);
+    bench.run(second);
+    WorkerId worker;
+    bench.leader().scheduler().jobs().forEachLiveAttemptOf(job.id, [&](TaskRef const&, TaskRecord const&, Attempt const& attempt) { worker = attempt.worker; });
+    unsigned const startsBefore = bench.fleet.record().starts;
+    TimePoint const restartedAt = bench.clock.now();
+    bench.fleet.restart(worker);
+    while (bench.fleet.record().starts == startsBefore && bench.clock.now() - restartedAt < second * 10)
+        bench.run(Duration::milliseconds(10));
+    CHECK(bench.clock.now() - restartedAt < DispatchTimes().longPollWait);
+}
