A late announcement or departure of a former process leaves the present one alone

Callers saw a task run twice, its first run concluded though it went on, when an announcement of a worker's process that had ended since arrived after the leader had read a listing of the present one: with another address, the leader asked there and took the worker for replaced. With draining set, or for a late deregister call, it drained the present process and moved its tasks away.

The check for outdated announcements knew only the start time in the roster, which a listing doesn't change. It now also refuses those of a process other than the one that the worker has listed since: with an earlier start time, or with the one in the roster, as clocks may be set back. They are acknowledged and change nothing.

--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -528,7 +528,8 @@
         return;
     }
     auto& [lastBornMs, lastSequence] = this->lastSequences[profile.id];
-    bool const isStale = (known && known->bornMs > profile.bornMs) || (lastBornMs == profile.bornMs && announcement.sequence && announcement.sequence < lastSequence);
+    bool const isOvertaken = lastBornMs == profile.bornMs && announcement.sequence && announcement.sequence < lastSequence;
+    bool const isStale = isOvertaken || (known && known->bornMs > profile.bornMs) || this->isOfFormerProcess(profile.id, profile.bornMs);
     if (isStale) {
         done(CallResult::Done);
         return;
@@ -547,6 +548,17 @@
         this->putWorker(expected, std::move(done));
 }
 
+/// True if the worker has listed since as another process, which the roster may not know yet.
+bool JobScheduler::isOfFormerProcess(WorkerId const& worker, int64_t bornMs)
+{
+    WorkerProfile const* known = this->workerRoster.find(worker);
+    WorkerView const* view = this->dispatch.findWorker(worker);
+    if (!known || !view || view->profile.bornMs == bornMs)
+        return false;
+    // The view's start time differs from the roster's only after a listing; it may be the earlier one, as clocks are set.
+    return bornMs < view->profile.bornMs || bornMs == known->bornMs;
+}
+
 bool JobScheduler::isAlreadyRecorded(WorkerReport const& announcement) const
 {
     WorkerProfile const* known = this->workerRoster.find(announcement.profile.id);
@@ -582,7 +594,7 @@
 /// Why the worker is not removed; null when it is.
 char const* JobScheduler::keepReason(WorkerProfile const& known, WorkerDeparture const& departure)
 {
-    if (departure.bornMs && departure.bornMs < known.bornMs)
+    if (departure.bornMs && (departure.bornMs < known.bornMs || this->isOfFormerProcess(known.id, departure.bornMs)))
         return "of an earlier incarnation";
     WorkerView const* view = this->dispatch.findWorker(known.id);
     return view && !view->placed.empty() ? "tasks placed" : nullptr;
@@ -590,7 +602,7 @@
 
 void JobScheduler::drainLeavingWorker(WorkerProfile known, WorkerDeparture const& departure, Done done)
 {
-    bool const isItsOwn = departure.bornMs && departure.bornMs == known.bornMs;
+    bool const isItsOwn = departure.bornMs && departure.bornMs == known.bornMs && !this->isOfFormerProcess(known.id, departure.bornMs);
     if (!isItsOwn || known.isDraining) {
         done(CallResult::Done);
         return;
--- a/testing/fakes/FakeLogGroup.h
+++ b/testing/fakes/FakeLogGroup.h
@@ -96,6 +96,13 @@
             proposal.done({ ResultCode::Ok, LogIndex(this->committed.size()) });
     }
 
+    /// Applies all committed commands on all replicas. Without it a replica applies them when it becomes the leader.
+    void catchUpFollowers()
+    {
+        for (auto const& replica : this->replicas)
+            this->catchUp(*replica);
+    }
+
     /// False: the leader does not know whether it still leads, as when it hears from no majority.
     void setLeadershipConfirmed(bool confirmed) { this->isConfirmed = confirmed; }
 
