A silent worker whose clock was set back is removed too

A worker that was started again with an earlier start time than its predecessor's, and then was gone, stayed in the roster: the leader proposed its removal with each lease, by the start time of the latest listing, and the roster ignored it as one of an earlier process.

The removal now names the later of the start times in the roster and in the listing.

core_late_announcement_test: the new case fails without the change, 20 s after the end of the worker, and passes with it.

--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -145,7 +145,11 @@
     hooks.canSendOrders = [this] { return this->jobLog.isLeadershipConfirmed(); };
     hooks.proposeEnd = [this](CommitEnd const& end) { this->pendingUpdates.emplace_back(end); };
     // The result is not needed: a removal that is not committed is decided again.
-    hooks.removeWorker = [this](WorkerProfile const& profile) { this->removeWorker(profile.id, profile.bornMs, [](CallResult) {}); };
+    hooks.removeWorker = [this](WorkerProfile const& profile) {
+        // The process may have an earlier start time than the one in the roster, which refuses to remove a later one.
+        WorkerProfile const* known = this->workerRoster.find(profile.id);
+        this->removeWorker(profile.id, known ? std::max(known->bornMs, profile.bornMs) : profile.bornMs, [](CallResult) {});
+    };
     hooks.permitFor = [this](TaskRef const& task, WorkerId const& worker) { return this->permits.ticket(task, worker); };
     hooks.onPermitRefused = [this](TaskRef const& task, WorkerId const& worker) { this->permits.invalidate(task, worker); };
     hooks.onListingRead = [this](WorkerView& worker) { this->processListing(worker); };
--- a/cornelpond/core/scheduling/LateAnnouncementTest.cpp
+++ b/cornelpond/core/scheduling/LateAnnouncementTest.cpp
@@ -215,6 +215,20 @@
     CHECK(hosts.bench.fleet.record().duplicateRuns == 0);
 }
 
+TEST_CASE("a process whose start time is earlier than its predecessor's is removed when it is gone")
+{
+    AnnouncementBench hosts;
+    WorkerId const worker("w0");
+    WorkerProfile profile = announceLaterBorn(hosts, worker);
+    profile.bornMs = firstBornMs - 500;
+    hosts.restartAs(profile);
+    hosts.watch.run(second * 2);
+    REQUIRE(hosts.view(worker).profile.bornMs == profile.bornMs);
+    hosts.bench.fleet.crash(worker);
+    hosts.watch.run(second * 20);
+    CHECK(hosts.bench.leader().scheduler().dispatcher().workers().count(worker) == 0);
+}
+
 TEST_CASE("no sequence of restarts, cuts, late announcements and departures runs a task in two places or concludes a run")
 {
     rc::prop("", [] {
