A worker whose clock was set back drains when it says so

A worker that was started again with an earlier start time than its predecessor's had its announcements acknowledged as outdated. It got tasks after it had been told that it drains.

The leader now takes the announcements of the process that the worker listed last. With nothing placed there, it removes the former process from the roster and adds the present one; a start that is decided later follows in the log. With tasks there, it marks the worker as draining under the start time that the roster has, and they run on.

core_late_announcement_test: both new cases fail without the change and pass with it.

--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -533,7 +533,10 @@
     }
     auto& [lastBornMs, lastSequence] = this->lastSequences[profile.id];
     bool const isOvertaken = lastBornMs == profile.bornMs && announcement.sequence && announcement.sequence < lastSequence;
-    bool const isStale = isOvertaken || (known && known->bornMs > profile.bornMs) || this->isOfFormerProcess(profile.id, profile.bornMs);
+    WorkerView const* view = this->dispatch.findWorker(profile.id);
+    bool const isBornEarlier = known && known->bornMs > profile.bornMs;
+    bool const isPresent = view && view->profile.bornMs == profile.bornMs;
+    bool const isStale = isOvertaken || (isBornEarlier && !isPresent) || this->isOfFormerProcess(profile.id, profile.bornMs);
     if (isStale) {
         done(CallResult::Done);
         return;
@@ -543,6 +546,10 @@
     if (profile.isDraining)
         this->drainEnds[profile.id] = this->clock.now() + announcement.drainRemaining;
     this->dispatch.onWorkerAnnounced(profile.id);
+    if (isBornEarlier) {
+        this->recordEarlierBorn(*known, profile, *view, std::move(done));
+        return;
+    }
     WorkerProfile expected = profile;
     if (known && known->bornMs == profile.bornMs)
         expected.isDraining |= known->isDraining;
@@ -552,6 +559,21 @@
         this->putWorker(expected, std::move(done));
 }
 
+/// Records a process that the worker has listed, though the one in the roster has a later start time: its clock was set back.
+void JobScheduler::recordEarlierBorn(WorkerProfile known, WorkerProfile const& announced, WorkerView const& view, Done done)
+{
+    // Starts that are decided from now on follow the removal in the log, so they are not lost with it.
+    if (view.placed.empty() && view.orphanedAttempts.empty()) {
+        this->removeWorker(known.id, known.bornMs, [](CallResult) {});
+        this->putWorker(announced, std::move(done));
+    } else if (announced.isDraining && !known.isDraining) {
+        known.isDraining = true;
+        this->putWorker(known, std::move(done));
+    } else {
+        done(CallResult::Done);
+    }
+}
+
 /// True if the worker has listed since as another process, which the roster may not know yet.
 bool JobScheduler::isOfFormerProcess(WorkerId const& worker, int64_t bornMs)
 {
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -188,6 +188,7 @@
     void reportEnd(JobRecord const& job);
     void putWorker(WorkerProfile const& profile, Done done);
     void removeWorker(WorkerId const& worker, int64_t bornMs, Done done);
+    void recordEarlierBorn(WorkerProfile known, WorkerProfile const& announced, WorkerView const& view, Done done);
     bool isOfFormerProcess(WorkerId const& worker, int64_t bornMs);
     char const* keepReason(WorkerProfile const& known, WorkerDeparture const& departure);
     void drainLeavingWorker(WorkerProfile known, WorkerDeparture const& departure, Done done);
--- a/cornelpond/core/scheduling/LateAnnouncementTest.cpp
+++ b/cornelpond/core/scheduling/LateAnnouncementTest.cpp
@@ -229,6 +229,51 @@
     CHECK(hosts.bench.leader().scheduler().dispatcher().workers().count(worker) == 0);
 }
 
+TEST_CASE("a process whose start time is earlier than its predecessor's gets no task once its draining is acknowledged")
+{
+    AnnouncementBench hosts;
+    WorkerId const worker("w0");
+    WorkerProfile profile = announceLaterBorn(hosts, worker);
+    profile.bornMs = firstBornMs - 500;
+    hosts.restartAs(profile);
+    hosts.watch.run(second * 2);
+    hosts.bench.fleet.setDraining(worker);
+    REQUIRE(hosts.announce(hosts.bench.fleet.report(worker)) == CallResult::Done);
+    hosts.bench.submit(makeJob("a", 1, 16000, second * 60));
+    hosts.bench.submit(makeJob("b", 1, 16000, second * 60));
+    hosts.watch.run(second * 3);
+    CHECK(hosts.bench.fleet.record().startsWhileDraining == 0);
+}
+
+TEST_CASE("a process whose start time is earlier than its predecessor's drains while it runs a task, and its successor gets tasks")
+{
+    AnnouncementBench hosts;
+    WorkerId const worker("w0");
+    WorkerProfile profile = announceLaterBorn(hosts, worker);
+    JobSpec const job = makeJob("plan", 1, 16000, second * 30);
+    hosts.fill(job, makeJob("other", 1, 16000, second * 30));
+    profile.bornMs = firstBornMs - 500;
+    hosts.restartAs(profile);
+    hosts.watch.run(second * 2);
+    REQUIRE(hosts.bench.fleet.runningCountOn(worker) == 1);
+    hosts.bench.fleet.setDraining(worker);
+    REQUIRE(hosts.announce(hosts.bench.fleet.report(worker)) == CallResult::Done);
+    unsigned const concluded = hosts.watch.concluded;
+    hosts.watch.run(second * 2);
+    CHECK(hosts.view(worker).profile.isDraining);
+    CHECK(hosts.bench.fleet.runningCountOn(worker) == 1);
+    CHECK(hosts.watch.concluded == concluded);
+    profile.bornMs = firstBornMs - 300;
+    hosts.restartAs(profile);
+    for (int i = 0; i < 10; i++) {
+        hosts.announce(hosts.bench.fleet.report(worker));
+        hosts.watch.run(second / 2);
+    }
+    CHECK(!hosts.view(worker).profile.isDraining);
+    CHECK(hosts.bench.fleet.runningCountOn(worker) == 1);
+    CHECK(hosts.bench.fleet.record().duplicateRuns == 0);
+}
+
 TEST_CASE("no sequence of restarts, cuts, late announcements and departures runs a task in two places or concludes a run")
 {
     rc::prop("", [] {
