A former process's announcement that commits late does not replace the present one

The leader took a worker back to a former process, at its former address, when that process's announcement was proposed before the present one listed and committed after: it sent orders there and started nothing on the worker. The check at the announcement can't see a listing that comes later; the dispatcher now ignores a profile that is older than the process that it knows.

core_late_announcement_test: the new case fails without the change and passes with it.

--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -135,6 +135,8 @@
         this->events.emit(Event(EventId::WorkerJoined).with("worker", profile.id).with("dataCentre", profile.dataCentre).with("rack", profile.rack).with("bornMs", profile.bornMs));
         return;
     }
+    if (view->profile.bornMs > profile.bornMs)
+        return; // The worker has listed as a later process since this was announced.
     bool const isNewIncarnation = view->profile.bornMs != profile.bornMs;
     if (profile.isDraining && !view->profile.isDraining)
         this->events.emit(Event(EventId::DrainChanged).with("worker", profile.id).with("draining", 1));
--- a/cornelpond/core/scheduling/LateAnnouncementTest.cpp
+++ b/cornelpond/core/scheduling/LateAnnouncementTest.cpp
@@ -128,6 +128,28 @@
     CHECK(hosts.bench.fleet.runningCountOn(worker) == 1);
 }
 
+TEST_CASE("an announcement of a former process that commits after the present one has listed changes nothing")
+{
+    AnnouncementBench hosts;
+    JobSpec const job = makeJob("plan", 1, 16000, second * 60);
+    WorkerId const worker = hosts.fill(job, makeJob("other", 1, 16000, second * 60));
+    REQUIRE(!worker.empty());
+    hosts.bench.fleet.restart(worker);
+    WorkerReport former = hosts.bench.fleet.report(worker);
+    former.profile.address = "10.0.9.9:80";
+    hosts.bench.fleet.crash(worker);
+    hosts.watch.run(Duration::milliseconds(100));
+    hosts.bench.isCommitting = false;
+    hosts.announce(former);
+    hosts.bench.fleet.restart(worker);
+    hosts.watch.run(second);
+    hosts.bench.isCommitting = true;
+    hosts.watch.run(second);
+    CHECK(hosts.replacements() == 1);
+    CHECK(hosts.view(worker).profile.bornMs == hosts.bench.fleet.processBornMs(worker));
+    CHECK(hosts.bench.fleet.runningCountOn(worker) == 1);
+}
+
 TEST_CASE("a late departure of a former process neither drains nor removes the present one")
 {
     AnnouncementBench hosts;
