Another worker's answer at an address that was only announced ends no tasks at once

A task ran twice after a change of leader: the late announcement of a worker's former process, at another address, came before the new leader had heard from the present one. Another worker answered at that address, and the leader concluded all that was placed on the worker, though it ran on at the address of before.

While the leader has no listing of the process that it knows, such an answer no longer concludes the tasks: they end as listed by the present process, once it announces itself, or with their lease.

--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -970,6 +970,11 @@
 {
     if (view.hasHigherEpoch)
         return;
+    // An announcement of a former process may have given that address, while the present one still runs what is placed there.
+    if (!view.hasListing && !view.placed.empty() && !view.isLeaseExpired(this->clock.now(), this->times)) {
+        view.nextRenewalAt = this->clock.now() + this->times.silenceTimeout;
+        return;
+    }
     constexpr char const* reason = "another worker answers at its address";
     this->events.emit(Event(EventId::WorkerLost).with("worker", view.profile.id).with("reason", reason));
     this->concludeAll(view, reason);
--- a/cornelpond/core/scheduling/LateAnnouncementTest.cpp
+++ b/cornelpond/core/scheduling/LateAnnouncementTest.cpp
@@ -150,6 +150,31 @@
     CHECK(hosts.bench.fleet.runningCountOn(worker) == 1);
 }
 
+// The new leader has heard neither from the present process nor, by the roster, of the one at the other address.
+TEST_CASE("a late announcement of a former process at another address does not conclude what the present one runs under a new leader")
+{
+    AnnouncementBench hosts;
+    JobSpec const job = makeJob("plan", 1, 16000, second * 60);
+    JobSpec const other = makeJob("other", 1, 16000, second * 60);
+    WorkerId const worker = hosts.fill(job, other);
+    REQUIRE(!worker.empty());
+    hosts.bench.fleet.restart(worker);
+    WorkerReport former = hosts.bench.fleet.report(worker);
+    former.profile.address = "10.0.9.9:80";
+    hosts.restart(worker);
+    REQUIRE(hosts.bench.fleet.runningCountOn(worker) == 1);
+    hosts.bench.crashLeader();
+    hosts.watch.run(second / 2);
+    hosts.bench.group.elect(1);
+    hosts.bench.leader().scheduler().announce(former, [](CallResult) {});
+    hosts.bench.cancel(other.id);
+    hosts.watch.run(second / 2);
+    hosts.announce(hosts.bench.fleet.report(worker));
+    hosts.watch.run(second * 8);
+    CHECK(hosts.bench.fleet.record().duplicateRuns == 0);
+    CHECK(hosts.watch.concludedRuns == 0);
+}
+
 TEST_CASE("a late departure of a former process neither drains nor removes the present one")
 {
     AnnouncementBench hosts;
