A relay acknowledges no ends by a renewal that it reads after its deadline

A relay that was paused carries a renewal out without its lease once the leader has given it up, but still passed its acknowledgement on. Found by reading; the new case saw the acknowledgement at the worker before. The leader counts an acknowledgement as delivered only when the renewal was answered, so it sends this one again.

--- a/cornelpond/core/relay/OrderRelay.cpp
+++ b/cornelpond/core/relay/OrderRelay.cpp
@@ -362,7 +362,8 @@
     this->hooks.emit(event);
 }
 
-/// Carries out what is safe at any time, as the leader has given the order up: a stop, and a renewal that extends no lease.
+/// Carries out what is safe at any time and for any process of the worker, as the leader has given the order up: a stop, and the
+/// question for the listing.
 void OrderRelay::executeExpired(HostId const& from, RelayedOrder relayed)
 {
     this->totals.ordersExpired++;
@@ -375,8 +376,10 @@
         refuse(answerWithResult(OrderResult::NotSent));
         return;
     }
-    if (auto* renew = std::get_if<RenewOrder>(&relayed.order))
+    if (auto* renew = std::get_if<RenewOrder>(&relayed.order)) {
         renew->extendsLease = false;
+        renew->acknowledgedEnds = 0; // The leader sends the acknowledgement again.
+    }
     this->executeOrder(from, relayed, true);
 }
 
--- a/cornelpond/core/relay/OrderRelayTest.cpp
+++ b/cornelpond/core/relay/OrderRelayTest.cpp
@@ -381,6 +381,21 @@
     CHECK(hosts.relay.counters().ordersExpired == 4);
 }
 
+TEST_CASE("a relay that was paused past the deadline of a renewal acknowledges no ends for a process that may be gone")
+{
+    LeaderAndRelay hosts;
+    hosts.exchangeClocks();
+    RenewOrder order;
+    order.acknowledgedEnds = 57;
+    order.processBornMs = 1700000000123;
+    hosts.renew(order);
+    hosts.clock.advance(Duration::seconds(3));
+    hosts.deliver();
+    REQUIRE(hosts.relayDirect.renewOrders.size() == 1);
+    CHECK(hosts.relayDirect.renewOrders[0].acknowledgedEnds == 0);
+    CHECK_FALSE(hosts.relayDirect.renewOrders[0].extendsLease);
+}
+
 TEST_CASE("orders that reach the relay before the leader gives them up are carried out")
 {
     LeaderAndRelay hosts;
