--- a/testing/fakes/FakeLogGroup.h
+++ b/testing/fakes/FakeLogGroup.h
@@ -103,6 +103,14 @@
             this->catchUp(*replica);
     }
 
+    /// Gives the replica the leader's state as a snapshot.
+    void installSnapshot(size_t replica)
+    {
+        Replica const& source = *this->replicas[this->leaderIndex];
+        this->replicas[replica]->hooks.restore(source.hooks.takeSnapshot());
+        this->replicas[replica]->applied = source.applied;
+    }
+
     /// False: the leader does not know whether it still leads, as when it hears from no majority.
     void setLeadershipConfirmed(bool confirmed) { this->isConfirmed = confirmed; }
 
