Orders for one process of a worker are not sent when its connection has just been lost

PeerBoundClient and WorkerClient look for a connection on which the process has answered, and then send on it. The HTTP client looked again, and opened a new connection when that one had ended or grown too old in between, which may reach a later process of the worker. Found by reading; it takes an end within microseconds and was not seen. A request can now say that it needs an idle connection; without one it ends as not sent, and the leader repeats it.

--- a/cornelpond/adapters/http/HttpClient.cpp
+++ b/cornelpond/adapters/http/HttpClient.cpp
@@ -206,6 +206,10 @@
 {
     IdleConnection const pooled = exchange.options.needsFreshConnection ? IdleConnection() : this->takeIdleConnection(exchange.to, exchange.options.peerTag);
     bool const wasPooled = pooled.connection;
+    if (!wasPooled && exchange.options.needsIdleConnection) {
+        exchange.timer = this->loop.after(Duration(), [this, id = exchange.id] { this->abort(id, HttpOutcome::Kind::ConnectFailed); });
+        return true;
+    }
     if (!wasPooled && !this->makeRoom())
         return false;
     exchange.connection = wasPooled ? pooled.connection : this->makeConnection(exchange.to);
--- a/cornelpond/adapters/http/HttpClient.h
+++ b/cornelpond/adapters/http/HttpClient.h
@@ -48,6 +48,7 @@
     Duration timeout = Duration::seconds(10); ///< From the call to the end of the response.
     bool needsFreshConnection = false; ///< Opens a connection instead of taking one from the pool.
     std::optional<int64_t> peerTag; ///< Reuses only a connection with this tag.
+    bool needsIdleConnection = false; ///< Opens no connection: without one in the pool, the request is not sent and ends as ConnectFailed.
     bool isUrgent = false; ///< Where requests wait for a connection, goes before those that are not urgent.
 };
 
--- a/cornelpond/adapters/http/HttpTest.cpp
+++ b/cornelpond/adapters/http/HttpTest.cpp
@@ -501,6 +501,38 @@
     CHECK(exchange(loop, other, port, makeRequest("/")).response.status == 200);
 }
 
+TEST_CASE("a request that needs an idle connection is not sent on a new one")
+{
+    EventLoop loop;
+    HeldServer server(loop);
+    HttpClient client(loop, HttpClientLimits());
+    Address const address { "127.0.0.1", server.port };
+    constexpr int64_t tag = 7;
+    auto const ask = [&](bool needsIdleConnection) {
+        std::optional<HttpOutcome> result;
+        HttpSendOptions options;
+        options.needsIdleConnection = needsIdleConnection;
+        if (needsIdleConnection)
+            options.peerTag = tag;
+        client.send(address, makeRequest("/"), options, [&](HttpOutcome const& outcome) { result = outcome; });
+        CHECK_FALSE(result);
+        runUntil(loop, [&] {
+            server.answerAll();
+            return result.has_value();
+        });
+        return *result;
+    };
+    HttpOutcome const first = ask(false);
+    HttpOutcome const unsent = ask(true);
+    CHECK(unsent.kind == HttpOutcome::Kind::ConnectFailed);
+    CHECK_FALSE(unsent.mayHaveRun);
+    CHECK(client.counters().connectionsOpened == 1);
+    CHECK(client.openExchanges() == 0);
+    client.tagIdleConnection(address, first.idleConnection, tag);
+    CHECK(ask(true).wasPooled);
+    CHECK(client.counters().connectionsOpened == 1);
+}
+
 TEST_CASE("a request that names a tag reuses only a connection with that tag")
 {
     EventLoop loop;
--- a/cornelpond/adapters/http/PeerBoundClient.cpp
+++ b/cornelpond/adapters/http/PeerBoundClient.cpp
@@ -32,12 +32,13 @@
     });
 }
 
-/// To be called only while a connection with the tag is idle: the request is then sent on it at once.
+/// To be called only while a connection with the tag is idle: the request is then sent on it at once, or not at all.
 void PeerBoundClient::sendIdentified(Address const& to, int64_t peerTag, HttpRequest const& request, TimePoint deadline, Done done)
 {
     HttpSendOptions options;
     options.timeout = deadline - this->clock.now();
     options.peerTag = peerTag;
+    options.needsIdleConnection = true; // It may have been lost since, and a new one may reach another process.
     this->client.send(to, request, options, [done = std::move(done)](HttpOutcome const& outcome) { done({ PeerBoundOutcome::Kind::Sent, outcome }); });
 }
 
