--- a/cornelpond/core/scheduling/LaterProcessSequencesTest.cpp
+++ b/cornelpond/core/scheduling/LaterProcessSequencesTest.cpp
@@ -18,6 +18,7 @@
 {
     rc::prop("", [] {
         SequenceFaults faults;
+        faults.hasStartsInFlight = true;
         faults.orders.ordersOutliveProcesses = true;
         faults.orders.lateOrderShare = 0.05;
         faults.orders.minLateDelay = Duration::milliseconds(100);
@@ -25,3 +26,14 @@
         RC_ASSERT(runSequence(*rc::gen::arbitrary<uint32_t>(), faults).duplicateRuns == 0U);
     });
 }
+
+TEST_CASE("no sequence of restarts, cuts and crashes of leaders runs a task in two places where starts in flight reach later processes")
+{
+    rc::prop("", [] {
+        SequenceFaults faults;
+        faults.hasStartsInFlight = true;
+        faults.orders.ordersOutliveProcesses = true;
+        faults.changesLeaders = true;
+        RC_ASSERT(runSequence(*rc::gen::arbitrary<uint32_t>(), faults).duplicateRuns == 0U);
+    });
+}
--- a/testing/fakes/LaterProcessSequences.h
+++ b/testing/fakes/LaterProcessSequences.h
@@ -15,6 +15,7 @@
 struct SequenceFaults {
     FakeFleet::Faults orders;
     bool changesLeaders = false;
+    bool hasStartsInFlight = false; ///< Workers crash soon after jobs were submitted, and half of the cuts follow the restarts at once.
 };
 
 struct SequenceResult {
@@ -40,6 +41,11 @@
         for (size_t i = 0; i < workerCount / 2; i++) {
             WorkerId const worker("w" + std::to_string(i));
             bench.fleet.setCut(worker, false);
+            if (faults.hasStartsInFlight) {
+                bench.run(Duration::milliseconds(static_cast<int64_t>(random.below(600))));
+                bench.submit(makeJob("s" + std::to_string(round) + worker.value(), 4, 1000, Duration::seconds(15)));
+                bench.run(Duration::milliseconds(10)); // The starts are committed in the next step.
+            }
             bench.fleet.crash(worker);
             bench.run(Duration::milliseconds(static_cast<int64_t>(random.below(600))));
             bench.fleet.restart(worker);
@@ -50,7 +56,8 @@
             bench.run(Duration::milliseconds(static_cast<int64_t>(600 + random.below(400))));
             bench.elect(random.below(hostCount));
         }
-        bench.run(Duration::milliseconds(static_cast<int64_t>(random.below(3000))));
+        uint64_t const longestTimeToCutMs = faults.hasStartsInFlight && random.below(2) ? 200 : 3000;
+        bench.run(Duration::milliseconds(static_cast<int64_t>(random.below(longestTimeToCutMs))));
         for (size_t i = 0; i < workerCount / 2; i++)
             bench.fleet.setCut(WorkerId("w" + std::to_string(i)), true);
         bench.run(Duration::seconds(7));
