--- a/cornelpond/adapters/http/PeerBoundClient.h
+++ b/cornelpond/adapters/http/PeerBoundClient.h
@@ -1,7 +1,8 @@
 #pragma once
 
-// Sends requests that one process of a peer may carry out and no later one at the same address. An open connection ends with
-// the process that accepted it, so such a request goes only over a connection on which the process has identified itself.
+// Sends requests that one process of a peer may carry out and no later one at the same address. An open connection usually ends
+// with the process that accepted it, so such a request goes only over a connection on which the process has identified itself. Where
+// something on the path outlives the process, a later one may read the request all the same.
 // Without one, the client first asks whoever answers at the address which process it is, with a request that changes nothing.
 //
 // Example:
--- a/cornelpond/ports/WorkerOrders.h
+++ b/cornelpond/ports/WorkerOrders.h
@@ -3,7 +3,7 @@
 // Orders to workers, and the attempts and ends that workers list in answer to a renewal.
 //
 // Contract: an order without an answer may be carried out seconds later, after newer orders, and also by a later process
-// of the worker unless it names one. `done` is called exactly once, never before the call returns. Loop thread only.
+// of the worker, even if it names another; one that has seen a higher epoch refuses it. `done` is called exactly once, never before the call returns. Loop thread only.
 //
 // Example:
 //   orders.start(target, StartOrder { ... }, [](OrderAnswer const& answer) {
@@ -60,7 +60,7 @@
     Term epoch;
     std::string checkpoint; ///< To resume from; empty: start from the beginning.
     std::string permit; ///< Ticket of the permit; empty: none needed.
-    /// Start time (ms) of the process by whose clock `leaseUntil` is. No other process of the worker gets the order: it would
+    /// Start time (ms) of the process by whose clock `leaseUntil` is. The order is not sent to another process of the worker, which would
     /// hold its lease for as long as it grants one. 0: the worker gives none, and the order is sent to any.
     int64_t processBornMs = 0;
 };
