Soak: most workers restart silently under their ids and are cut off soon after

A task ran in two places after its workers were started again and cut off. The soak did not show it on: its tasks are short, it closes a worker's connections at the moment of a crash, and orders that come while a worker is down are lost.

FaultSet::SilentRestarts (--faults silent-restarts) lets half or three quarters of the workers go silent for 0.6 s without closing a connection, start again under their ids, and be cut off 1.5 to 2 s later for 9 s, in rounds, with and without the death of the leader. FaultProxy::pause holds bytes and lets new connections hang.

--- a/testing/faultproxy/FaultProxy.cpp
+++ b/testing/faultproxy/FaultProxy.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+    constexpr int listenBacklog = 256;
+
     sockaddr_in toSockaddr(Address const& address)
     {
         sockaddr_in result {};
@@ -61,9 +63,8 @@
     , random(random)
     , target(std::move(target))
 {
-    constexpr int backlog = 256;
     sockaddr_in const address = toSockaddr(listen);
-    this->listener = evconnlistener_new_bind(loop.base(), onAccept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, backlog,
+    this->listener = evconnlistener_new_bind(loop.base(), onAccept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, listenBacklog,
         reinterpret_cast<sockaddr const*>(&address), sizeof(address));
     if (!this->listener)
         throw std::runtime_error("cannot listen on " + listen.text() + ": " + std::strerror(errno));
@@ -90,6 +91,33 @@
     this->connections.clear();
 }
 
+void FaultProxy::pause()
+{
+    // The kernel accepts one connection with this backlog and leaves further ones without an answer, as a host that is down does.
+    evconnlistener_disable(this->listener);
+    ::listen(evconnlistener_get_fd(this->listener), 0);
+    this->setPaused(true);
+}
+
+void FaultProxy::resume()
+{
+    ::listen(evconnlistener_get_fd(this->listener), listenBacklog);
+    evconnlistener_enable(this->listener);
+    this->setPaused(false);
+}
+
+void FaultProxy::setPaused(bool isPaused)
+{
+    for (auto& [id, connection] : this->connections) {
+        for (bufferevent* each : { connection->toServer.from, connection->toClient.from }) {
+            if (isPaused)
+                bufferevent_disable(each, EV_READ);
+            else
+                bufferevent_enable(each, EV_READ);
+        }
+    }
+}
+
 void FaultProxy::onAccept(evconnlistener*, int socket, sockaddr*, int, void* argument)
 {
     static_cast<FaultProxy*>(argument)->accept(socket);
--- a/testing/faultproxy/FaultProxy.h
+++ b/testing/faultproxy/FaultProxy.h
@@ -55,6 +55,10 @@
     /// Closes all open connections.
     void closeOpenConnections();
 
+    /// Until resume(), forwards nothing and lets new connections hang. Bytes that are sent meanwhile are forwarded afterwards.
+    void pause();
+    void resume();
+
 private:
     struct Connection;
     struct Direction;
@@ -64,6 +68,7 @@
     static void onEvent(bufferevent* from, short events, void* argument);
 
     void accept(int socket);
+    void setPaused(bool isPaused);
     void forward(Direction& direction);
     void deliver(uint64_t connectionId, bool toServer, std::string const& bytes);
     void close(uint64_t connectionId);
--- a/testing/soak/FaultPlan.cpp
+++ b/testing/soak/FaultPlan.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-    constexpr std::array<std::string_view, 27> names { "KillHost", "StopHost", "PauseHost", "WipeHost", "TearJournal", "ReloadHost", "ResetLinks", "SilenceLinks", "CutOneWay", "SlowLinks",
+    constexpr std::array<std::string_view, 29> names { "KillHost", "StopHost", "PauseHost", "WipeHost", "TearJournal", "ReloadHost", "ResetLinks", "SilenceLinks", "CutOneWay", "SlowLinks",
         "CrashWorker", "CutWorker", "SilenceWorker", "DrainWorker", "LateOrders", "CancelWave", "RaceOperators", "FillDisk", "LoseMajority", "KillEntryHost", "StopEntryHost", "OddHeartbeats", "OddListings",
-        "RemoveQueue", "ReplaceQueue", "ExhaustWorkerConnections", "RestartAndCutWorkers" };
+        "RemoveQueue", "ReplaceQueue", "ExhaustWorkerConnections", "RestartAndCutWorkers", "RestartSilently", "KillLeader" };
 
     /// The kinds of FaultSet::General come first in FaultKind.
     constexpr uint64_t generalKindCount = 17;
@@ -34,6 +34,9 @@
     constexpr Duration durationSpread = Duration::milliseconds(3500);
     /// Time after a fault in which the host catches up, before the next control host may fail.
     constexpr Duration catchUpTime = Duration::seconds(4);
+    constexpr Duration silentRoundTime = Duration::milliseconds(12500); ///< From a silent restart to the next, at least.
+    constexpr Duration minTimeToCut = Duration::milliseconds(1500);
+    constexpr Duration timeToCutSpread = Duration::milliseconds(500);
 
     Duration below(Random& random, Duration bound)
     {
@@ -59,6 +62,19 @@
         return set == FaultSet::Cancels && at.toMicroseconds() % cancelPeriod.toMicroseconds() > faultsPerPeriod.toMicroseconds();
     }
 
+    std::vector<FaultStep> drawSilentRestarts(Random& random, Duration span)
+    {
+        std::vector<FaultStep> steps;
+        for (Duration at = minGap; at + silentRoundTime <= span; at = at + silentRoundTime + below(random, minGap)) {
+            Duration const timeToCut = minTimeToCut + below(random, timeToCutSpread);
+            steps.push_back({ at, FaultKind::RestartSilently, timeToCut, random.next() });
+            Duration const killedAt = at + silentDownTime + below(random, timeToCut);
+            if (random.below(2))
+                steps.push_back({ killedAt, FaultKind::KillLeader, minDuration + below(random, durationSpread), random.next() });
+        }
+        return steps;
+    }
+
 } // namespace
 
 std::string_view faultName(FaultKind kind)
@@ -74,7 +90,7 @@
 
 bool disruptsControlHost(FaultKind kind)
 {
-    constexpr std::array<FaultKind, 11> disrupting { FaultKind::KillHost, FaultKind::StopHost, FaultKind::PauseHost, FaultKind::WipeHost, FaultKind::TearJournal, FaultKind::ResetLinks, FaultKind::SilenceLinks,
+    constexpr std::array<FaultKind, 12> disrupting { FaultKind::KillHost, FaultKind::KillLeader, FaultKind::StopHost, FaultKind::PauseHost, FaultKind::WipeHost, FaultKind::TearJournal, FaultKind::ResetLinks, FaultKind::SilenceLinks,
         FaultKind::CutOneWay, FaultKind::SlowLinks, FaultKind::FillDisk, FaultKind::LoseMajority };
     return std::find(disrupting.begin(), disrupting.end(), kind) != disrupting.end();
 }
@@ -82,6 +98,8 @@
 std::vector<FaultStep> drawFaults(FaultSet set, uint64_t seed, Duration span)
 {
     SeededRandom random(seed);
+    if (set == FaultSet::SilentRestarts)
+        return drawSilentRestarts(random, span);
     std::vector<FaultStep> steps;
     Duration hostRecoveredAt;
     FaultStep lastDisruption;
--- a/testing/soak/FaultPlan.h
+++ b/testing/soak/FaultPlan.h
@@ -4,7 +4,8 @@
 // disrupts the control hosts, because a fleet of three tolerates only one host that is down. FaultSet::Outages
 // goes further: it also takes away the majority, whose hosts return with their disks. FaultSet::Cancels alternates
 // periods of faults with calm ones, in which only cancels and changes of the configuration go on. FaultSet::Restarts
-// cuts workers off soon after they were started again.
+// cuts workers off soon after they were started again. FaultSet::SilentRestarts does so in rounds with most workers, whose hosts
+// go down without closing a connection, and kills the leader in some of them.
 //
 // Example:
 //   for (FaultStep const& step : drawFaults(FaultSet::General, seed, Duration::seconds(20)))
@@ -46,6 +47,8 @@
     ReplaceQueue, ///< As RemoveQueue; after `duration`, a configuration adds the queue again.
     ExhaustWorkerConnections, ///< For `duration`, idle connections of another client fill the worker's limit.
     RestartAndCutWorkers, ///< Half of them: restarted under their ids after half a second; `duration` later unreachable for longer than their leases.
+    RestartSilently, ///< Half or three quarters of the workers: silent for a while, restarted under their ids, `duration` later unreachable for longer than their leases.
+    KillLeader, ///< As KillHost, for the control host that leads.
 };
 
 enum class FaultSet {
@@ -53,8 +56,11 @@
     Outages, ///< Full disks, lost majorities, signals and odd messages, in series.
     Cancels, ///< Removed queues and cancels, through overlapping faults and the calm periods between them.
     Restarts, ///< Workers that are restarted and cut off, beside late orders and faults of the hosts that relay them.
+    SilentRestarts, ///< Rounds of RestartSilently, some with KillLeader, while tasks run for longer than a lease.
 };
 
+constexpr Duration silentDownTime = Duration::milliseconds(600); ///< From the crash of FaultKind::RestartSilently to the restart.
+
 std::string_view faultName(FaultKind kind);
 
 struct FaultStep {
--- a/testing/soak/Soak.cpp
+++ b/testing/soak/Soak.cpp
@@ -34,6 +34,7 @@
     constexpr Duration heartbeatTimeout = Duration::seconds(1);
     constexpr double injectedLateShare = 0.1;
     constexpr size_t cancelledJobCount = 12;
+    constexpr Duration cutTime = Duration::seconds(9); ///< Longer than any lease.
     constexpr size_t garbageBytes = 37;
     constexpr Duration processCheckInterval = Duration::milliseconds(100);
     constexpr Duration oddHeartbeatInterval = Duration::milliseconds(50);
@@ -69,6 +70,9 @@
         void crash(SoakWorker& worker);
         void restart(SoakWorker& worker);
         void restartAndCut(SoakWorker& worker, Duration cutAfter);
+        void restartSilently(SoakWorker& worker, Duration cutAfter, bool keepsConnections);
+        void restartMostSilently(FaultStep const& fault);
+        void submitWhileDown();
         int entryHostFor(FaultStep const& fault) const;
         void injectOutage(FaultStep const& fault, int host);
         void fillDisk(FaultStep const& fault, int host);
@@ -115,16 +119,17 @@
     };
 
     /// Only tasks that outlast a lease can run in two places once it is over.
-    uint64_t jobsPerServiceJob(FaultSet set)
+    SoakLoad loadOf(SoakOptions const& options)
     {
-        switch (set) {
-        case FaultSet::Cancels:
-            return 20;
-        case FaultSet::Restarts:
-            return 8;
-        default:
-            return 40;
-        }
+        constexpr Duration intervalPerWorker = Duration::seconds(12); ///< Few starts: the leader waits for the lease of each, also where it reaches nobody.
+        SoakLoad load;
+        if (options.faultSet == FaultSet::Cancels)
+            load.jobsPerServiceJob = 20;
+        if (options.faultSet == FaultSet::Restarts)
+            load.jobsPerServiceJob = 8;
+        if (options.faultSet == FaultSet::SilentRestarts)
+            load.submitInterval = intervalPerWorker / static_cast<int64_t>(options.workerCount);
+        return load;
     }
 
     SoakRun::SoakRun(SoakOptions const& options)
@@ -135,7 +140,7 @@
         , client(this->loop, HttpClientLimits())
         , cancelCheck(
               this->loop, [this](JobId const& job) { return this->workers.runningCount(job); }, [this](std::string const& text) { this->violations.push_back(fmt::format("{:6.2f} s {}", (this->loop.now() - this->started).toSeconds(), text)); })
-        , clients(this->loop, this->client, this->random, this->addresses(), this->cancelCheck, options.faultSet == FaultSet::Cancels, jobsPerServiceJob(options.faultSet), [this](JobSpec const& job) { this->workers.registerJob(job); })
+        , clients(this->loop, this->client, this->random, this->addresses(), this->cancelCheck, options.faultSet == FaultSet::Cancels, loadOf(options), [this](JobSpec const& job) { this->workers.registerJob(job); })
         , lastStep(this->loop.now())
     {
         this->workers.setStartObserver([this](TaskRef const& task) { this->clients.onTaskStarted(task.job, this->orderedAt[task]); });
@@ -319,7 +324,7 @@
 
     void SoakRun::inject(FaultStep const& fault)
     {
-        int const host = 1 + static_cast<int>(fault.targetSelector % controlHostCount);
+        int const host = fault.kind == FaultKind::KillLeader ? this->fleet.leaderInLogs() : 1 + static_cast<int>(fault.targetSelector % controlHostCount);
         SoakWorker& worker = this->workerServers[fault.targetSelector % this->workerServers.size()];
         bool const isEntryFault = fault.kind == FaultKind::KillEntryHost || fault.kind == FaultKind::StopEntryHost;
         bool const isControlFault = disruptsControlHost(fault.kind) || fault.kind == FaultKind::ReloadHost;
@@ -449,6 +454,7 @@
     {
         switch (fault.kind) {
         case FaultKind::KillHost:
+        case FaultKind::KillLeader:
             return this->killAndRestart(host, fault.duration, [] {});
         case FaultKind::WipeHost:
             return this->killAndRestart(host, fault.duration, [this, host] { std::filesystem::remove_all(this->fleet.dataFolder(host)); });
@@ -524,13 +530,55 @@
     void SoakRun::restartAndCut(SoakWorker& worker, Duration cutAfter)
     {
         constexpr Duration downTime = Duration::milliseconds(500);
-        constexpr Duration cutTime = Duration::seconds(9);
         this->crash(worker);
         this->loop.after(downTime, [this, &worker] { this->restart(worker); });
         this->loop.after(downTime + cutAfter, [this, &worker] { this->workers.setCut(worker.id, true); });
         this->loop.after(downTime + cutAfter + cutTime, [this, &worker] { this->workers.setCut(worker.id, false); });
     }
 
+    void SoakRun::restartSilently(SoakWorker& worker, Duration cutAfter, bool keepsConnections)
+    {
+        worker.proxy->pause();
+        this->workers.crash(worker.id);
+        this->loop.after(silentDownTime, [this, &worker, keepsConnections] {
+            if (!keepsConnections)
+                worker.proxy->closeOpenConnections();
+            this->workers.restart(worker.id);
+            worker.proxy->resume();
+        });
+        this->loop.after(silentDownTime + cutAfter, [this, &worker] {
+            worker.proxy->pause();
+            this->workers.setCut(worker.id, true);
+        });
+        this->loop.after(silentDownTime + cutAfter + cutTime, [this, &worker] {
+            this->workers.setCut(worker.id, false);
+            worker.proxy->resume();
+        });
+    }
+
+    void SoakRun::restartMostSilently(FaultStep const& fault)
+    {
+        bool const isDrawnKept = fault.targetSelector / 8 % 2;
+        bool const keepsConnections = this->options.connections == ConnectionsOverRestart::Drawn ? isDrawnKept : this->options.connections == ConnectionsOverRestart::Kept;
+        size_t const sparedShare = fault.targetSelector / 4 % 2 ? 4 : 2; ///< One worker in so many stays up.
+        this->faults.push_back(fmt::format("         all workers but one in {}, connections {}", sparedShare, keepsConnections ? "kept" : "closed"));
+        for (size_t i = 0; i < this->workerServers.size(); i++) {
+            if (i % sparedShare != fault.targetSelector % sparedShare)
+                this->restartSilently(this->workerServers[i], fault.duration, keepsConnections);
+        }
+        this->submitWhileDown();
+    }
+
+    /// Lets the leader send starts to workers of which it does not know yet that they are down.
+    void SoakRun::submitWhileDown()
+    {
+        constexpr int64_t submissions = 4;
+        constexpr size_t workersPerJob = 5;
+        size_t const count = this->workerServers.size() / workersPerJob + 1;
+        for (int64_t i = 0; i < submissions; i++)
+            this->loop.after(silentDownTime * i / submissions, [this, count] { this->clients.submitLongJobs(count); });
+    }
+
     void SoakRun::injectWorker(FaultStep const& fault, SoakWorker& worker)
     {
         switch (fault.kind) {
@@ -547,6 +595,8 @@
             for (size_t i = fault.targetSelector % 2; i < this->workerServers.size(); i += 2)
                 this->restartAndCut(this->workerServers[i], fault.duration);
             return;
+        case FaultKind::RestartSilently:
+            return this->restartMostSilently(fault);
         case FaultKind::CutWorker: {
             this->workers.setCut(worker.id, true);
             this->loop.after(fault.duration, [this, &worker] { this->workers.setCut(worker.id, false); });
--- a/testing/soak/Soak.h
+++ b/testing/soak/Soak.h
@@ -19,6 +19,13 @@
 
 namespace cornelpond {
 
+/// What becomes of the connections to a worker of FaultKind::RestartSilently that were open when its process ended.
+enum class ConnectionsOverRestart {
+    Drawn, ///< One of the others in each round.
+    Closed, ///< Closed when the worker is back.
+    Kept, ///< Its next process reads what was sent meanwhile.
+};
+
 struct SoakOptions {
     std::string program; ///< Path of the cornelpond binary.
     uint64_t seed = 1;
@@ -27,6 +34,7 @@
     Duration maxSettleTime = Duration::seconds(60); ///< Time limit, after the load has ended, for all jobs to end.
     size_t workerCount = 6;
     int entryHostCount = 2;
+    ConnectionsOverRestart connections = ConnectionsOverRestart::Drawn;
     size_t workerConnectionLimit = 64; ///< Connections that a worker keeps open; further ones are reset.
     std::string logFolder; ///< Where the files of the processes are copied after a run with violations; empty: nowhere.
     bool isVerbose = false; ///< Prints each fault when it is injected.
--- a/testing/soak/SoakClients.cpp
+++ b/testing/soak/SoakClients.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-    constexpr Duration submitInterval = Duration::milliseconds(60);
     constexpr Duration queryInterval = Duration::milliseconds(700);
     constexpr Duration retryDelay = Duration::milliseconds(300);
     constexpr Duration configurationReadInterval = Duration::milliseconds(250);
@@ -64,7 +63,7 @@
 
 } // namespace
 
-SoakClients::SoakClients(EventLoop& loop, HttpClient& client, Random& random, SoakAddresses addresses, CancelCheck& cancelCheck, bool hasSecondQueue, uint64_t jobsPerServiceJob, std::function<void(JobSpec const&)> onSubmit)
+SoakClients::SoakClients(EventLoop& loop, HttpClient& client, Random& random, SoakAddresses addresses, CancelCheck& cancelCheck, bool hasSecondQueue, SoakLoad const& load, std::function<void(JobSpec const&)> onSubmit)
     : loop(loop)
     , client(client)
     , random(random)
@@ -72,7 +71,7 @@
     , cancelCheck(cancelCheck)
     , hasSecondQueue(hasSecondQueue)
     , hasSecondQueueNow(hasSecondQueue)
-    , jobsPerServiceJob(jobsPerServiceJob)
+    , load(load)
     , onSubmit(std::move(onSubmit))
 {
 }
@@ -81,8 +80,8 @@
 {
     TimePoint const now = this->loop.now();
     if (this->isSubmitting && this->highestAcknowledgedVersion && now >= this->nextSubmit) {
-        this->nextSubmit = now + submitInterval;
-        this->submitNewJob();
+        this->nextSubmit = now + this->load.submitInterval;
+        this->submitNewJob(this->drawJob());
     }
     if (now >= this->nextConfigurationRead) {
         this->nextConfigurationRead = now + configurationReadInterval;
@@ -110,7 +109,7 @@
         id += digits[this->random.below(16)];
     job.id = JobId(id);
     job.payload = "payload";
-    bool const isService = this->random.below(this->jobsPerServiceJob) == 0;
+    bool const isService = this->random.below(this->load.jobsPerServiceJob) == 0;
     size_t const stages = isService ? 1 : 1 + this->random.below(2);
     for (uint32_t i = 0; i < stages; i++) {
         StageSpec stage;
@@ -126,10 +125,26 @@
     return job;
 }
 
-void SoakClients::submitNewJob()
+JobSpec SoakClients::drawLongJob()
+{
+    constexpr Duration minRunTime = Duration::seconds(10);
+    JobSpec job = this->drawJob();
+    job.stages.resize(1);
+    job.stages.front().isService = false;
+    job.stages.front().estimatedRunTime = job.stages.front().estimatedRunTime * 2 + minRunTime;
+    return job;
+}
+
+void SoakClients::submitLongJobs(size_t count)
+{
+    for (size_t i = 0; i < count; i++)
+        this->submitNewJob(this->drawLongJob());
+}
+
+void SoakClients::submitNewJob(JobSpec spec)
 {
     Job job;
-    job.spec = this->drawJob();
+    job.spec = std::move(spec);
     job.isOfSecondQueue = this->hasSecondQueue && this->random.below(2);
     this->newestPath = pathOf(job);
     this->onSubmit(job.spec);
--- a/testing/soak/SoakClients.h
+++ b/testing/soak/SoakClients.h
@@ -25,17 +25,24 @@
     std::vector<Address> controlAddresses; ///< Control hosts, to which operators send requests.
 };
 
+struct SoakLoad {
+    Duration submitInterval = Duration::milliseconds(60);
+    uint64_t jobsPerServiceJob = 40; ///< One job in so many is a service job.
+};
+
 class SoakClients {
 public:
     /// `cancelCheck` is told of all cancels. `hasSecondQueue`: a share of the jobs goes to a queue that removeQueue() removes.
-    /// One job in `jobsPerServiceJob` is a service job. `onSubmit` is called for each job before its first submission.
-    SoakClients(EventLoop& loop, HttpClient& client, Random& random, SoakAddresses addresses, CancelCheck& cancelCheck, bool hasSecondQueue, uint64_t jobsPerServiceJob, std::function<void(JobSpec const&)> onSubmit);
+    /// `onSubmit` is called for each job before its first submission.
+    SoakClients(EventLoop& loop, HttpClient& client, Random& random, SoakAddresses addresses, CancelCheck& cancelCheck, bool hasSecondQueue, SoakLoad const& load, std::function<void(JobSpec const&)> onSubmit);
 
     /// Sends the submissions, queries and cancellations that are due.
     void onTick();
 
     /// Submits no new jobs from now on, keeps querying the old ones, and cancels the service jobs.
     void stopSubmitting();
+    /// Submits jobs whose tasks outlast a lease.
+    void submitLongJobs(size_t count);
     void cancelJobs(size_t count);
     /// Cancels jobs of the second queue of which tasks have started, service jobs first.
     void cancelSecondQueueJobs(size_t count);
@@ -93,7 +100,7 @@
         TimePoint nextCall;
     };
 
-    void submitNewJob();
+    void submitNewJob(JobSpec spec);
     void submit(Job& job);
     void onSubmitted(JobId const& id, HttpOutcome const& outcome);
     void queryJob(Job& job);
@@ -113,6 +120,7 @@
     void reportViolation(std::string text) { this->foundViolations.push_back(std::move(text)); }
     Address const& randomEntryAddress();
     JobSpec drawJob();
+    JobSpec drawLongJob();
 
     EventLoop& loop;
     HttpClient& client;
@@ -121,7 +129,7 @@
     CancelCheck& cancelCheck;
     bool hasSecondQueue;
     bool hasSecondQueueNow; ///< In the configuration that was sent last.
-    uint64_t jobsPerServiceJob;
+    SoakLoad load;
     std::function<void(JobSpec const&)> onSubmit;
     std::map<JobId, Job> jobs;
     std::vector<std::string> foundViolations;
--- a/testing/soak/SoakTest.cpp
+++ b/testing/soak/SoakTest.cpp
@@ -15,7 +15,7 @@
 
 TEST_CASE("a fault plan is the same for the same seed and disrupts one control host at a time")
 {
-    FaultSet const set = GENERATE(FaultSet::General, FaultSet::Outages, FaultSet::Cancels, FaultSet::Restarts);
+    FaultSet const set = GENERATE(FaultSet::General, FaultSet::Outages, FaultSet::Cancels, FaultSet::Restarts, FaultSet::SilentRestarts);
     std::vector<FaultStep> const steps = drawFaults(set, 5, Duration::seconds(60));
     std::vector<FaultStep> const again = drawFaults(set, 5, Duration::seconds(60));
     REQUIRE(steps.size() == again.size());
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -43,7 +43,20 @@
         return FaultSet::Cancels;
     if (name == "restarts")
         return FaultSet::Restarts;
-    throw Error(ResultCode::BadArgument, "--faults is general, outages, cancels or restarts, not " + name);
+    if (name == "silent-restarts")
+        return FaultSet::SilentRestarts;
+    throw Error(ResultCode::BadArgument, "--faults is general, outages, cancels, restarts or silent-restarts, not " + name);
+}
+
+ConnectionsOverRestart connectionsFromName(std::string const& name)
+{
+    if (name == "drawn")
+        return ConnectionsOverRestart::Drawn;
+    if (name == "closed")
+        return ConnectionsOverRestart::Closed;
+    if (name == "kept")
+        return ConnectionsOverRestart::Kept;
+    throw Error(ResultCode::BadArgument, "--over-restart is drawn, closed or kept, not " + name);
 }
 
 } // namespace
@@ -54,8 +67,8 @@
         cxxopts::Options description("soak", "Runs a fleet of real processes under faults drawn from seeds.");
         description.add_options()("program", "the cornelpond binary", cxxopts::value<std::string>())("first", "first seed", cxxopts::value<uint64_t>()->default_value("1"))(
             "count", "seeds to run", cxxopts::value<uint64_t>()->default_value("1"))("seconds", "duration of load and faults of each run, in seconds", cxxopts::value<int64_t>()->default_value("20"))(
-            "faults", "general, outages, cancels or restarts", cxxopts::value<std::string>()->default_value("general"))("workers", "simulated workers", cxxopts::value<size_t>()->default_value("6"))(
-            "entries", "entry hosts", cxxopts::value<int>()->default_value("2"))("connections", "connections that each worker keeps open", cxxopts::value<size_t>()->default_value("64"))("logs", "folder for the logs of runs with violations", cxxopts::value<std::string>()->default_value(""))("verbose", "print each fault when it is injected");
+            "faults", "general, outages, cancels, restarts or silent-restarts", cxxopts::value<std::string>()->default_value("general"))("workers", "simulated workers", cxxopts::value<size_t>()->default_value("6"))(
+            "entries", "entry hosts", cxxopts::value<int>()->default_value("2"))("connections", "connections that each worker keeps open", cxxopts::value<size_t>()->default_value("64"))("over-restart", "connections to workers that restart silently: drawn, closed or kept", cxxopts::value<std::string>()->default_value("drawn"))("logs", "folder for the logs of runs with violations", cxxopts::value<std::string>()->default_value(""))("verbose", "print each fault when it is injected");
         auto const given = description.parse(argc, argv);
         SoakOptions options;
         options.program = given["program"].as<std::string>();
@@ -64,6 +77,7 @@
         options.entryHostCount = given["entries"].as<int>();
         options.workerConnectionLimit = given["connections"].as<size_t>();
         options.faultSet = faultSetFromName(given["faults"].as<std::string>());
+        options.connections = connectionsFromName(given["over-restart"].as<std::string>());
         options.logFolder = given["logs"].as<std::string>();
         options.isVerbose = given.count("verbose");
         auto const first = given["first"].as<uint64_t>();
