Soak: silent restarts break more often, and late orders reach later processes

Starts that go on while the workers are cut off let the leader wait longer for their leases, and few workers had open connections when they went down.

--- a/testing/soak/FaultPlan.cpp
+++ b/testing/soak/FaultPlan.cpp
@@ -34,7 +34,7 @@
     constexpr Duration durationSpread = Duration::milliseconds(3500);
     /// Time after a fault in which the host catches up, before the next control host may fail.
     constexpr Duration catchUpTime = Duration::seconds(4);
-    constexpr Duration silentRoundTime = Duration::milliseconds(12500); ///< From a silent restart to the next, at least.
+    constexpr Duration silentRoundTime = Duration::milliseconds(13500); ///< From a silent restart to the next, at least.
     constexpr Duration minTimeToCut = Duration::milliseconds(1500);
     constexpr Duration timeToCutSpread = Duration::milliseconds(500);
 
--- a/testing/soak/FaultPlan.h
+++ b/testing/soak/FaultPlan.h
@@ -47,7 +47,7 @@
     ReplaceQueue, ///< As RemoveQueue; after `duration`, a configuration adds the queue again.
     ExhaustWorkerConnections, ///< For `duration`, idle connections of another client fill the worker's limit.
     RestartAndCutWorkers, ///< Half of them: restarted under their ids after half a second; `duration` later unreachable for longer than their leases.
-    RestartSilently, ///< Half or three quarters of the workers: silent for a while, restarted under their ids, `duration` later unreachable for longer than their leases.
+    RestartSilently, ///< Half or two thirds of the workers: silent for a while, restarted under their ids, `duration` later unreachable for longer than their leases.
     KillLeader, ///< As KillHost, for the control host that leads.
 };
 
--- a/testing/soak/Soak.cpp
+++ b/testing/soak/Soak.cpp
@@ -73,6 +73,7 @@
         void restartSilently(SoakWorker& worker, Duration cutAfter, bool keepsConnections);
         void restartMostSilently(FaultStep const& fault);
         void submitWhileDown();
+        void setLateOrders(bool outliveProcesses);
         int entryHostFor(FaultStep const& fault) const;
         void injectOutage(FaultStep const& fault, int host);
         void fillDisk(FaultStep const& fault, int host);
@@ -121,7 +122,7 @@
     /// Only tasks that outlast a lease can run in two places once it is over.
     SoakLoad loadOf(SoakOptions const& options)
     {
-        constexpr Duration intervalPerWorker = Duration::seconds(12); ///< Few starts: the leader waits for the lease of each, also where it reaches nobody.
+        constexpr Duration intervalPerWorker = Duration::milliseconds(480);
         SoakLoad load;
         if (options.faultSet == FaultSet::Cancels)
             load.jobsPerServiceJob = 20;
@@ -560,12 +561,13 @@
     {
         bool const isDrawnKept = fault.targetSelector / 8 % 2;
         bool const keepsConnections = this->options.connections == ConnectionsOverRestart::Drawn ? isDrawnKept : this->options.connections == ConnectionsOverRestart::Kept;
-        size_t const sparedShare = fault.targetSelector / 4 % 2 ? 4 : 2; ///< One worker in so many stays up.
+        size_t const sparedShare = fault.targetSelector / 4 % 2 ? 3 : 2; ///< One worker in so many stays up.
         this->faults.push_back(fmt::format("         all workers but one in {}, connections {}", sparedShare, keepsConnections ? "kept" : "closed"));
         for (size_t i = 0; i < this->workerServers.size(); i++) {
             if (i % sparedShare != fault.targetSelector % sparedShare)
                 this->restartSilently(this->workerServers[i], fault.duration, keepsConnections);
         }
+        this->clients.pauseSubmitting(silentDownTime + fault.duration + cutTime); // The leader waits for the lease of each start, also where it reaches nobody.
         this->submitWhileDown();
     }
 
@@ -573,12 +575,20 @@
     void SoakRun::submitWhileDown()
     {
         constexpr int64_t submissions = 4;
-        constexpr size_t workersPerJob = 5;
-        size_t const count = this->workerServers.size() / workersPerJob + 1;
+        constexpr size_t workersPerJob = 6; ///< Their tasks find room on the workers that stay up.
+        size_t const count = std::max<size_t>(this->workerServers.size() / workersPerJob, 1);
         for (int64_t i = 0; i < submissions; i++)
             this->loop.after(silentDownTime * i / submissions, [this, count] { this->clients.submitLongJobs(count); });
     }
 
+    void SoakRun::setLateOrders(bool outliveProcesses)
+    {
+        FakeFleet::Faults late;
+        late.lateOrderShare = injectedLateShare;
+        late.ordersOutliveProcesses = outliveProcesses;
+        this->workers.setFaults(late);
+    }
+
     void SoakRun::injectWorker(FaultStep const& fault, SoakWorker& worker)
     {
         switch (fault.kind) {
@@ -613,9 +623,7 @@
         case FaultKind::SilenceWorker:
             return worker.proxy->silenceOpenConnections();
         case FaultKind::LateOrders: {
-            FakeFleet::Faults late;
-            late.lateOrderShare = injectedLateShare;
-            this->workers.setFaults(late);
+            this->setLateOrders(false);
             this->loop.after(fault.duration, [this] { this->workers.setFaults(FakeFleet::Faults()); });
             return;
         }
@@ -635,6 +643,8 @@
         this->clients.raceConfigurations();
         this->runFor(Duration::seconds(2));
         this->started = this->loop.now();
+        if (this->options.hasLateOrders)
+            this->setLateOrders(true);
         for (auto const& fault : drawFaults(this->options.faultSet, this->options.seed, this->options.loadDuration))
             this->loop.after(fault.startOffset, [this, fault] { this->inject(fault); });
         this->runFor(this->options.loadDuration);
--- a/testing/soak/Soak.h
+++ b/testing/soak/Soak.h
@@ -35,6 +35,7 @@
     size_t workerCount = 6;
     int entryHostCount = 2;
     ConnectionsOverRestart connections = ConnectionsOverRestart::Drawn;
+    bool hasLateOrders = false; ///< All the time a share of the orders to workers is carried out late, by whichever process is up then.
     size_t workerConnectionLimit = 64; ///< Connections that a worker keeps open; further ones are reset.
     std::string logFolder; ///< Where the files of the processes are copied after a run with violations; empty: nowhere.
     bool isVerbose = false; ///< Prints each fault when it is injected.
--- a/testing/soak/SoakCheck.h
+++ b/testing/soak/SoakCheck.h
@@ -11,15 +11,12 @@
 
 namespace cornelpond {
 
-inline void checkSeed(FaultSet set, uint64_t seed, Duration load)
+/// Sets the program.
+inline void checkSoak(SoakOptions options)
 {
-    SoakOptions options;
     options.program = std::string(BINARY_FOLDER) + "/cornelpond";
-    options.seed = seed;
-    options.faultSet = set;
-    options.loadDuration = load;
     SoakResult const result = runSoak(options);
-    UNSCOPED_INFO("seed " << seed);
+    UNSCOPED_INFO("seed " << options.seed);
     for (auto const& fault : result.faults)
         UNSCOPED_INFO(fault);
     for (auto const& violation : result.violations)
@@ -28,4 +25,13 @@
     CHECK(result.acceptedJobs > 0);
 }
 
+inline void checkSeed(FaultSet set, uint64_t seed, Duration load)
+{
+    SoakOptions options;
+    options.seed = seed;
+    options.faultSet = set;
+    options.loadDuration = load;
+    checkSoak(options);
+}
+
 } // namespace cornelpond
--- a/testing/soak/SoakClients.h
+++ b/testing/soak/SoakClients.h
@@ -41,6 +41,7 @@
 
     /// Submits no new jobs from now on, keeps querying the old ones, and cancels the service jobs.
     void stopSubmitting();
+    void pauseSubmitting(Duration span) { this->nextSubmit = this->loop.now() + span; }
     /// Submits jobs whose tasks outlast a lease.
     void submitLongJobs(size_t count);
     void cancelJobs(size_t count);
--- a/testing/soak/SoakSilentRestartsTest.cpp
+++ b/testing/soak/SoakSilentRestartsTest.cpp
@@ -4,9 +4,14 @@
 
 using namespace cornelpond;
 
-// Starts and leases by the clocks of the former processes kept the tasks of the present ones running after they had started elsewhere:
-// sent over new connections, and over connections that outlive their process.
+// Starts by the clocks of the former processes, read by the present ones, kept tasks running after they had started elsewhere.
 TEST_CASE("soak: no task runs in two places while most workers restart without closing a connection and are cut off")
 {
-    checkSeed(FaultSet::SilentRestarts, 4, Duration::seconds(26));
+    SoakOptions options;
+    options.seed = 4;
+    options.faultSet = FaultSet::SilentRestarts;
+    options.loadDuration = Duration::seconds(28);
+    options.workerCount = 8;
+    options.connections = ConnectionsOverRestart::Kept;
+    checkSoak(options);
 }
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -68,7 +68,7 @@
         description.add_options()("program", "the cornelpond binary", cxxopts::value<std::string>())("first", "first seed", cxxopts::value<uint64_t>()->default_value("1"))(
             "count", "seeds to run", cxxopts::value<uint64_t>()->default_value("1"))("seconds", "duration of load and faults of each run, in seconds", cxxopts::value<int64_t>()->default_value("20"))(
             "faults", "general, outages, cancels, restarts or silent-restarts", cxxopts::value<std::string>()->default_value("general"))("workers", "simulated workers", cxxopts::value<size_t>()->default_value("6"))(
-            "entries", "entry hosts", cxxopts::value<int>()->default_value("2"))("connections", "connections that each worker keeps open", cxxopts::value<size_t>()->default_value("64"))("over-restart", "connections to workers that restart silently: drawn, closed or kept", cxxopts::value<std::string>()->default_value("drawn"))("logs", "folder for the logs of runs with violations", cxxopts::value<std::string>()->default_value(""))("verbose", "print each fault when it is injected");
+            "entries", "entry hosts", cxxopts::value<int>()->default_value("2"))("connections", "connections that each worker keeps open", cxxopts::value<size_t>()->default_value("64"))("over-restart", "connections to workers that restart silently: drawn, closed or kept", cxxopts::value<std::string>()->default_value("drawn"))("late-orders", "a share of the orders to workers is carried out late, by whichever process is up then")("logs", "folder for the logs of runs with violations", cxxopts::value<std::string>()->default_value(""))("verbose", "print each fault when it is injected");
         auto const given = description.parse(argc, argv);
         SoakOptions options;
         options.program = given["program"].as<std::string>();
@@ -78,6 +78,7 @@
         options.workerConnectionLimit = given["connections"].as<size_t>();
         options.faultSet = faultSetFromName(given["faults"].as<std::string>());
         options.connections = connectionsFromName(given["over-restart"].as<std::string>());
+        options.hasLateOrders = given.count("late-orders");
         options.logFolder = given["logs"].as<std::string>();
         options.isVerbose = given.count("verbose");
         auto const first = given["first"].as<uint64_t>();
