--- a/testing/integration/ChildProcess.cpp
+++ b/testing/integration/ChildProcess.cpp
@@ -78,7 +78,7 @@
     if (this->processId > 0)
         waitpid(this->processId, &this->waitStatus, 0);
     this->processId = -1;
-    return WIFEXITED(this->waitStatus) ? WEXITSTATUS(this->waitStatus) : -1;
+    return WIFEXITED(this->waitStatus) ? WEXITSTATUS(this->waitStatus) : -WTERMSIG(this->waitStatus);
 }
 
 bool ChildProcess::hasExited()
--- a/testing/integration/ChildProcess.h
+++ b/testing/integration/ChildProcess.h
@@ -31,7 +31,7 @@
     /// Sends SIGKILL and waits for the exit.
     void kill();
 
-    /// Waits for the exit and returns the exit code; -1 when a signal terminated the process.
+    /// Waits for the exit and returns the exit code; the negative number of the signal when one terminated the process.
     int waitForExit();
 
     /// True once the process has exited or a signal terminated it; does not wait.
