--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -80,7 +80,7 @@
     auto const change = this->processChanges.find(profile.id);
     if (change == this->processChanges.end() || now - change->second > this->times.maxOrderDelay)
         return;
-    view.mayHaveFormerOrders = true;
+    view.mayReceiveFormerOrders = true;
     view.formerOrdersLeaseEnd = change->second + this->times.orderTimeout + this->times.longestLeaseOnSlowClock();
     this->reportFormerOrders(view, "earlier process");
 }
@@ -326,7 +326,7 @@
     }
 }
 
-Dispatcher::OrderSending Dispatcher::sendingNow(WorkerView const& view) const
+Dispatcher::SendContext Dispatcher::sendContext(WorkerView const& view) const
 {
     TimePoint const now = this->clock.now();
     return { view.generation, view.profile.bornMs, view.hasClock ? view.estimatedClock(now) : Duration(), now };
@@ -342,7 +342,7 @@
     order.acknowledgedEnds = view.acknowledgedEnds > view.deliveredAcknowledgedEnds ? view.acknowledgedEnds : 0;
     order.processBornMs = view.listingBornMs;
     order.extendsLease = view.hasClock && !isSilent && !view.consecutiveRenewalFailures;
-    order.maxWait = view.hasListing && !view.mayHaveFormerOrders && !view.consecutiveRenewalFailures && view.listedEnds.empty() ? this->times.longPollWait : Duration();
+    order.maxWait = view.hasListing && !view.mayReceiveFormerOrders && !view.consecutiveRenewalFailures && view.listedEnds.empty() ? this->times.longPollWait : Duration();
     this->noteOpenStops(view);
     TimePoint const leaseBase = view.leaseBase(now);
     order.extendsLease &= leaseBase + this->times.leaseDuration > now;
@@ -351,33 +351,33 @@
         view.lastLeaseExtensionAt = std::max(view.lastLeaseExtensionAt, leaseBase);
     }
     view.isRenewalInFlight = true;
-    this->orders.renew(view.target(), order, [this, token = WeakLeadershipToken(this->leadershipToken), worker = view.profile.id, sending = this->sendingNow(view)](RenewAnswer const& answer) {
+    this->orders.renew(view.target(), order, [this, token = WeakLeadershipToken(this->leadershipToken), worker = view.profile.id, sent = this->sendContext(view)](RenewAnswer const& answer) {
         if (!token.expired())
-            this->onRenewalAnswered(worker, sending, answer);
+            this->onRenewalAnswered(worker, sent, answer);
     });
 }
 
-void Dispatcher::onRenewalAnswered(WorkerId const& worker, OrderSending const& sending, RenewAnswer const& answer)
+void Dispatcher::onRenewalAnswered(WorkerId const& worker, SendContext const& sent, RenewAnswer const& answer)
 {
     WorkerView* view = this->findWorker(worker);
     if (!view)
         return;
     view->isRenewalInFlight = false;
     if (answer.order.result != OrderResult::Accepted) {
-        this->onRenewalFailed(*view, sending.generation, answer.order.result);
+        this->onRenewalFailed(*view, sent.generation, answer.order.result);
         return;
     }
-    bool const isFromOldIncarnation = view->generation != sending.generation && answer.listing.bornMs == sending.bornMs;
+    bool const isFromOldIncarnation = view->generation != sent.generation && answer.listing.bornMs == sent.bornMs;
     if (isFromOldIncarnation) {
         view->nextRenewalAt = this->clock.now();
         return;
     }
     if (view->consecutiveRenewalFailures)
         this->events.emit(Event(EventId::WorkerReached).with("worker", worker).with("silentMs", this->clock.now() - view->lastAnswerAt));
-    if (view->generation == sending.generation)
+    if (view->generation == sent.generation)
         view->deliveredAcknowledgedEnds = std::max(view->deliveredAcknowledgedEnds, answer.acknowledgedEnds);
     this->updateClock(*view, answer.order, answer.listing.bornMs);
-    this->handleListing(*view, sending, answer.listing);
+    this->handleListing(*view, sent, answer.listing);
 }
 
 void Dispatcher::onRenewalFailed(WorkerView& view, uint64_t generation, OrderResult result)
@@ -445,15 +445,15 @@
     view.hasClock = true;
 }
 
-void Dispatcher::handleListing(WorkerView& view, OrderSending const& sending, WorkerListing const& listing)
+void Dispatcher::handleListing(WorkerView& view, SendContext const& sent, WorkerListing const& listing)
 {
     TimePoint const now = this->clock.now();
     if (listing.bornMs && view.profile.bornMs && listing.bornMs != view.profile.bornMs) {
         view.profile.bornMs = listing.bornMs;
         this->onNewIncarnation(view, "listing");
     }
-    bool const hasSeenGeneration = view.generation == sending.generation;
-    if (hasSeenGeneration && view.mayHaveFormerOrders) {
+    bool const hasSeenGeneration = view.generation == sent.generation;
+    if (hasSeenGeneration && view.mayReceiveFormerOrders) {
         view.noteGenerationSeen(now, this->times);
         this->reportFormerOrders(view, "first answer");
     }
@@ -466,7 +466,7 @@
     this->handleListedEnds(view, listing);
     // Until the process has seen the present generation, it may still accept a start for a former one.
     if (listing.isComplete && hasSeenGeneration)
-        this->concludeMissing(view, sending.at);
+        this->concludeMissing(view, sent.at);
     this->acknowledgeEnds(view);
     view.nextRenewalAt = view.listedEnds.empty() ? now : now + uncommittedEndsRenewalDelay;
     view.renewalHeldUntil = now + this->times.orderTimeout; // Set before the stop is sent: it may end at once.
@@ -601,32 +601,32 @@
     view.lastLeaseExtensionAt = std::max(view.lastLeaseExtensionAt, leaseBase);
     attempt.startsSent++;
     attempt.isStartInFlight = true;
-    this->orders.start(view.target(), order, this->ifStillLeading([this, worker = view.profile.id, sending = this->sendingNow(view), key = AttemptKey { attempt.task, attempt.number }](OrderAnswer const& answer) {
-        this->onStartAnswered(worker, sending, key, answer);
+    this->orders.start(view.target(), order, this->ifStillLeading([this, worker = view.profile.id, sent = this->sendContext(view), key = AttemptKey { attempt.task, attempt.number }](OrderAnswer const& answer) {
+        this->onStartAnswered(worker, sent, key, answer);
     }));
 }
 
 /// True when the answer's clock is behind that of the process for which the order was sent: a later one has carried it out.
-bool Dispatcher::isFromLaterProcess(OrderSending const& sending, OrderAnswer const& answer)
+bool Dispatcher::isFromLaterProcess(SendContext const& sent, OrderAnswer const& answer)
 {
-    return answer.hasClock && answer.workerClock + clockReversalThreshold < sending.workerClock;
+    return answer.hasClock && answer.workerClock + clockReversalThreshold < sent.workerClock;
 }
 
-void Dispatcher::checkAnsweringProcess(WorkerView& view, OrderSending const& sending, OrderAnswer const& answer)
+void Dispatcher::checkAnsweringProcess(WorkerView& view, SendContext const& sent, OrderAnswer const& answer)
 {
-    bool const isLaterProcess = answer.result == OrderResult::OtherProcess || isFromLaterProcess(sending, answer);
-    if (view.generation == sending.generation && isLaterProcess)
+    bool const isLaterProcess = answer.result == OrderResult::OtherProcess || isFromLaterProcess(sent, answer);
+    if (view.generation == sent.generation && isLaterProcess)
         this->onNewIncarnation(view, "order");
 }
 
-void Dispatcher::onStartAnswered(WorkerId const& worker, OrderSending const& sending, AttemptKey const& key, OrderAnswer const& answer)
+void Dispatcher::onStartAnswered(WorkerId const& worker, SendContext const& sent, AttemptKey const& key, OrderAnswer const& answer)
 {
     WorkerView* view = this->findWorker(worker);
     this->processTotals.startsNotSent += answer.result == OrderResult::OtherProcess;
     if (view) {
-        this->countRefused(*view, sending.generation, answer.result);
-        this->reportAnsweringProcess(*view, key, sending, answer);
-        this->checkAnsweringProcess(*view, sending, answer);
+        this->countRefused(*view, sent.generation, answer.result);
+        this->reportAnsweringProcess(*view, key, sent, answer);
+        this->checkAnsweringProcess(*view, sent, answer);
     }
     PlacedAttempt* attempt = view ? view->find(key) : nullptr;
     if (!attempt)
@@ -634,7 +634,7 @@
     attempt->isStartInFlight = false;
     view->settleStart(*attempt);
     view->hasOpenOrders = true;
-    bool const isFromOldIncarnation = view->generation != sending.generation;
+    bool const isFromOldIncarnation = view->generation != sent.generation;
     if (!isFromOldIncarnation)
         this->updateClock(*view, answer, view->profile.bornMs);
     if (answer.result != OrderResult::Accepted) {
@@ -779,23 +779,23 @@
 {
     this->noteStopSent(view, { attempt.task, attempt.number }, attempt.stopOrders, way);
     StopOrder const order { attempt.task, attempt.number, this->orderEpoch(view), way };
-    this->orders.stop(view.target(), order, this->ifStillLeading([this, worker = view.profile.id, sending = this->sendingNow(view), way, key = AttemptKey { attempt.task, attempt.number }](OrderAnswer const& answer) {
+    this->orders.stop(view.target(), order, this->ifStillLeading([this, worker = view.profile.id, sent = this->sendContext(view), way, key = AttemptKey { attempt.task, attempt.number }](OrderAnswer const& answer) {
         WorkerView* answering = this->findWorker(worker);
         if (!answering)
             return;
-        this->checkAnsweringProcess(*answering, sending, answer);
+        this->checkAnsweringProcess(*answering, sent, answer);
         PlacedAttempt* stopped = answering->find(key);
         if (!stopped) {
             this->releaseRenewal(*answering, way);
             return;
         }
-        if (answer.result == OrderResult::Accepted && !stopped->stopConfirmedAt && answering->generation == sending.generation) {
+        if (answer.result == OrderResult::Accepted && !stopped->stopConfirmedAt && answering->generation == sent.generation) {
             stopped->stopConfirmedAt = this->clock.now();
             if (stopped->stopOrders.sent)
                 this->stopTotals.confirmationTime.observe(*stopped->stopConfirmedAt - stopped->stopOrders.firstSentAt);
         }
-        this->onStopAnswered(*answering, stopped->stopOrders, way, sending.generation, answer.result);
-        if (answering->generation != sending.generation)
+        this->onStopAnswered(*answering, stopped->stopOrders, way, sent.generation, answer.result);
+        if (answering->generation != sent.generation)
             return; // This incarnation may still carry out a start order that the earlier one never got.
         if (answer.result == OrderResult::OtherLife)
             this->removeReplacedWorker(*answering);
@@ -807,19 +807,19 @@
 void Dispatcher::stopOrphanedAttempt(WorkerView& view, AttemptKey const& key, OrphanedAttempt& orphan, StopWay way)
 {
     this->noteStopSent(view, key, orphan.stopOrders, way);
-    this->orders.stop(view.target(), { key.first, key.second, this->orderEpoch(view), way }, this->ifStillLeading([this, worker = view.profile.id, sending = this->sendingNow(view), way, key](OrderAnswer const& answer) {
+    this->orders.stop(view.target(), { key.first, key.second, this->orderEpoch(view), way }, this->ifStillLeading([this, worker = view.profile.id, sent = this->sendContext(view), way, key](OrderAnswer const& answer) {
         WorkerView* answering = this->findWorker(worker);
         if (!answering)
             return;
-        this->checkAnsweringProcess(*answering, sending, answer);
+        this->checkAnsweringProcess(*answering, sent, answer);
         auto const found = answering->orphanedAttempts.find(key);
         if (found == answering->orphanedAttempts.end()) {
             this->releaseRenewal(*answering, way);
             return;
         }
-        if (answer.result == OrderResult::Accepted && answering->generation == sending.generation)
+        if (answer.result == OrderResult::Accepted && answering->generation == sent.generation)
             found->second.forgetAt = this->clock.now();
-        this->onStopAnswered(*answering, found->second.stopOrders, way, sending.generation, answer.result);
+        this->onStopAnswered(*answering, found->second.stopOrders, way, sent.generation, answer.result);
     }));
 }
 
@@ -935,7 +935,7 @@
                           .with("answerAgeMs", now - view.lastAnswerAt)
                           .with("promiseAgeMs", now - view.lastLeaseExtensionAt)
                           .with("formerOrdersLeaseMs", view.formerOrdersLeaseEnd - now)
-                          .with("formerOrders", static_cast<int>(view.mayHaveFormerOrders))
+                          .with("formerOrders", static_cast<int>(view.mayReceiveFormerOrders))
                           .with("epoch", this->orderEpoch(view))
                           .with("bornMs", view.profile.bornMs)
                           .with("inherited", static_cast<int>(attempt.isInherited))
@@ -987,7 +987,7 @@
 {
     FormerOrderWorkers workers;
     for (auto const& [id, view] : this->views) {
-        workers.mayReceive += view.mayHaveFormerOrders;
+        workers.mayReceive += view.mayReceiveFormerOrders;
         workers.mayHoldLease += view.formerOrdersLeaseEnd > this->clock.now();
     }
     return workers;
@@ -1033,20 +1033,20 @@
         this->events.emit(Event(EventId::FurtherAttemptCommitted).with("task", start.task.text()).with("attempt", start.attempt).with("worker", start.worker));
 }
 
-void Dispatcher::reportAnsweringProcess(WorkerView const& view, AttemptKey const& key, OrderSending const& sending, OrderAnswer const& answer)
+void Dispatcher::reportAnsweringProcess(WorkerView const& view, AttemptKey const& key, SendContext const& sent, OrderAnswer const& answer)
 {
-    if (!isFromLaterProcess(sending, answer))
+    if (!isFromLaterProcess(sent, answer))
         return;
     this->processTotals.startsByOtherProcess++;
     this->events.emit(Event(EventId::StartByOtherProcess)
                           .with("task", key.first.text())
                           .with("attempt", key.second)
                           .with("worker", view.profile.id)
-                          .with("processBornMs", sending.bornMs)
+                          .with("processBornMs", sent.bornMs)
                           .with("result", std::string(orderResultName(answer.result)))
                           .with("clockMs", answer.workerClock)
-                          .with("expectedClockMs", sending.workerClock)
-                          .with("sinceSentMs", this->clock.now() - sending.at));
+                          .with("expectedClockMs", sent.workerClock)
+                          .with("sinceSentMs", this->clock.now() - sent.at));
 }
 
 /// Counts an order that was refused because the worker has executed one for a later process.
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -131,7 +131,7 @@
     using WeakLeadershipToken = std::weak_ptr<bool>;
 
     /// What was known when an order was sent.
-    struct OrderSending {
+    struct SendContext {
         uint64_t generation = 0; ///< Of the worker's process.
         int64_t bornMs = 0; ///< Of the same.
         Duration workerClock; ///< Estimate of the process's steady clock.
@@ -144,7 +144,7 @@
     void reportFormerOrders(WorkerView const& view, char const* source);
     void reportConcludedWithoutWorker(TaskRef const& task, AttemptNumber attempt, WorkerId const& worker, bool isInherited);
     void reportFurtherAttempt(CommitStart const& start);
-    void reportAnsweringProcess(WorkerView const& view, AttemptKey const& key, OrderSending const& sending, OrderAnswer const& answer);
+    void reportAnsweringProcess(WorkerView const& view, AttemptKey const& key, SendContext const& sent, OrderAnswer const& answer);
     void countRefused(WorkerView const& view, uint64_t generation, OrderResult result);
     void inheritAttempt(TaskRef const& task, TaskRecord const& record, Attempt const& attempt);
     void checkWorker(WorkerView& view);
@@ -154,14 +154,14 @@
     void stopIfUnwanted(TaskRef const& task, Attempt const& attempt);
     void checkOrphanedAttempts(WorkerView& view);
     void onLeaseExpired(WorkerView& view);
-    OrderSending sendingNow(WorkerView const& view) const;
+    SendContext sendContext(WorkerView const& view) const;
     void sendRenewal(WorkerView& view);
-    void onRenewalAnswered(WorkerId const& worker, OrderSending const& sending, RenewAnswer const& answer);
+    void onRenewalAnswered(WorkerId const& worker, SendContext const& sent, RenewAnswer const& answer);
     void onRenewalFailed(WorkerView& view, uint64_t generation, OrderResult result);
     /// `source`: what showed that the worker was started again, for the log.
     void onNewIncarnation(WorkerView& view, char const* source);
     void updateClock(WorkerView& view, OrderAnswer const& answer, bool isIncarnationKnown);
-    void handleListing(WorkerView& view, OrderSending const& sending, WorkerListing const& listing);
+    void handleListing(WorkerView& view, SendContext const& sent, WorkerListing const& listing);
     void handleRunningAttempts(WorkerView& view, WorkerListing const& listing);
     void handleListedEnds(WorkerView& view, WorkerListing const& listing);
     bool isLateFinish(ListedEnd const& end) const;
@@ -169,9 +169,9 @@
     static bool canConclude(PlacedAttempt const& attempt, TimePoint sentAt);
     void acknowledgeEnds(WorkerView& view);
     void sendStart(WorkerView& view, PlacedAttempt& attempt);
-    void onStartAnswered(WorkerId const& worker, OrderSending const& sending, AttemptKey const& key, OrderAnswer const& answer);
-    static bool isFromLaterProcess(OrderSending const& sending, OrderAnswer const& answer);
-    void checkAnsweringProcess(WorkerView& view, OrderSending const& sending, OrderAnswer const& answer);
+    void onStartAnswered(WorkerId const& worker, SendContext const& sent, AttemptKey const& key, OrderAnswer const& answer);
+    static bool isFromLaterProcess(SendContext const& sent, OrderAnswer const& answer);
+    void checkAnsweringProcess(WorkerView& view, SendContext const& sent, OrderAnswer const& answer);
     void handleStartAnswer(WorkerView& view, PlacedAttempt& attempt, OrderResult result);
     void retryOrWithdrawStart(WorkerView& view, PlacedAttempt& attempt);
     void noteStopSent(WorkerView& view, AttemptKey const& key, StopProgress& progress, StopWay way);
--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -135,7 +135,7 @@
 
 void WorkerView::noteGenerationSeen(TimePoint now, DispatchTimes const& times)
 {
-    this->mayHaveFormerOrders = false;
+    this->mayReceiveFormerOrders = false;
     this->formerOrdersLeaseEnd = now + times.longestLeaseOnSlowClock();
 }
 
@@ -143,7 +143,7 @@
 {
     this->noteChange();
     this->generation = newGeneration;
-    this->mayHaveFormerOrders = true;
+    this->mayReceiveFormerOrders = true;
     this->formerOrdersLeaseEnd = now + times.orderTimeout + times.longestLeaseOnSlowClock();
     this->hasOpenOrders = true;
     this->hasClock = false;
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -218,7 +218,7 @@
     TimePoint lastLeaseExtensionAt; ///< When the last order that extended the lease was sent.
     uint64_t generation = 0; ///< Rises with each process of the worker that this leader learns of.
     /// Orders for a former process, with leases by its clock, may have reached the present one before an order of the present generation.
-    bool mayHaveFormerOrders = false;
+    bool mayReceiveFormerOrders = false;
     TimePoint formerOrdersLeaseEnd; ///< The latest end of a lease on the present process that such an order extended.
     TimePoint lastAnswerAt;
     TimePoint lastAnnouncedAt;
