Worker registration, interference control, evictions and load reports leave the job scheduler

The code is moved, not changed.

Tests: core_scheduling, late_announcement, former_orders, later_process_orders, stop_delivery, decision_work and job_sizes passed.

--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -46,7 +46,7 @@
     gauge("workersWithFormerLeases", formerOrders.mayHoldLease);
     metrics.setHistogram("stopConfirmationMs", stops.confirmationTime);
     gauge("startsDecided", counters.startsDecided);
-    gauge("evictions", counters.evictions);
+    gauge("evictions", scheduler.evictionCount());
     for (auto const& [end, count] : counters.attemptEnds)
         metrics.setGauge("attemptsEnded{outcome=\"" + std::string(attemptEndName(end)) + "\"}", static_cast<int64_t>(count));
     for (auto const& [key, count] : counters.jobEnds)
@@ -76,7 +76,7 @@
     gauge("workersExamined", scheduler.placementCounters().workersExamined);
     gauge("attemptsChecked", scheduler.dispatcher().attemptsChecked());
     metrics.setHistogram("passDurationMs", counters.passDuration);
-    metrics.setHistogram("tickGapMs", counters.tickGap);
+    metrics.setHistogram("tickGapMs", scheduler.tickGap());
     metrics.setHistogram("submitLatencyMs", counters.submitLatency);
     metrics.setHistogram("placeLatencyMs", counters.placeLatency);
     metrics.setHistogram("completionLatencyMs", counters.completionLatency);
--- a/cornelpond/app/FleetMetricsTest.cpp
+++ b/cornelpond/app/FleetMetricsTest.cpp
@@ -59,7 +59,7 @@
     CHECK(contains(before, "ordersRefusedForFormerProcess 0"));
     WorkerId const worker("w0");
     bench.fleet.restart(worker);
-    bench.leader().scheduler().announce(bench.fleet.report(worker), [](CallResult) {});
+    bench.leader().scheduler().workerRegistration().announce(bench.fleet.report(worker), [](CallResult) {});
     bench.fleet.setCut(worker, true);
     bench.run(Duration::milliseconds(500));
     std::string const restarted = metricsNow();
--- a/cornelpond/core/scheduling/JobFaultsTest.cpp
+++ b/cornelpond/core/scheduling/JobFaultsTest.cpp
@@ -323,13 +323,13 @@
         WorkerReport forged = bench.fleet.report(WorkerId("w0"));
         forged.profile.id = WorkerId("w0a");
         forged.profile.bornMs = bornMs;
-        bench.leader().scheduler().announce(forged, [](CallResult) {});
+        bench.leader().scheduler().workerRegistration().announce(forged, [](CallResult) {});
     }
     WorkerReport unknown = bench.fleet.report(WorkerId("w0"));
     unknown.profile.service = ServiceId("nobody");
     unknown.profile.bornMs = 1000;
     CallResult result = CallResult::Done;
-    bench.leader().scheduler().announce(unknown, [&](CallResult given) { result = given; });
+    bench.leader().scheduler().workerRegistration().announce(unknown, [&](CallResult given) { result = given; });
     CHECK(result == CallResult::Refused);
     REQUIRE(bench.runUntilIdle(second * 5));
     CHECK(bench.fleet.record().starts == 4);
@@ -349,13 +349,13 @@
 
 void announce(JobBench& bench, WorkerId const& worker)
 {
-    bench.leader().scheduler().announce(bench.fleet.report(worker), [](CallResult) {});
+    bench.leader().scheduler().workerRegistration().announce(bench.fleet.report(worker), [](CallResult) {});
 }
 
 CallResult deregister(JobBench& bench, WorkerId const& worker, int64_t bornMs)
 {
     CallResult result = CallResult::OutcomeUnknown;
-    bench.leader().scheduler().deregisterWorker({ worker, bornMs }, [&](CallResult given) { result = given; });
+    bench.leader().scheduler().workerRegistration().deregister({ worker, bornMs }, [&](CallResult given) { result = given; });
     bench.run(Duration::milliseconds(50));
     return result;
 }
@@ -514,7 +514,7 @@
                 // Leaves: deregisters, runs on until it has an answer, ends, and comes back elsewhere.
                 departures.push_back({ worker, random.below(4) ? bench.fleet.report(worker).profile.bornMs : 0 });
                 if (random.below(2))
-                    bench.leader().scheduler().deregisterWorker(departures.back(), [](CallResult) {});
+                    bench.leader().scheduler().workerRegistration().deregister(departures.back(), [](CallResult) {});
                 bench.run(Duration::milliseconds(static_cast<int64_t>(random.below(1000))));
                 bench.fleet.crash(worker);
                 bench.run(Duration::milliseconds(static_cast<int64_t>(random.below(500))));
@@ -524,7 +524,7 @@
             }
             case 1:
                 if (!departures.empty())
-                    bench.leader().scheduler().deregisterWorker(departures[random.below(departures.size())], [](CallResult) {});
+                    bench.leader().scheduler().workerRegistration().deregister(departures[random.below(departures.size())], [](CallResult) {});
                 break;
             case 2:
                 bench.elect(random.below(2));
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -1,12 +1,9 @@
 #include "cornelpond/core/scheduling/JobScheduler.h"
 
-#include "cornelpond/core/base/ResultCode.h"
 #include "cornelpond/core/base/StableHash.h"
-#include "cornelpond/core/placement/ThrottlePolicy.h"
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <numeric>
 
 namespace cornelpond {
@@ -19,14 +16,8 @@
     /// Cores of a worker count as idle once they were free for one to two such windows.
     constexpr Duration idleWindow = Duration::seconds(1);
     constexpr Duration roomReportInterval = Duration::seconds(1);
-    constexpr Duration loadReportInterval = Duration::seconds(1);
-    /// A task that saves a checkpoint when stopped is stopped this long before its worker leaves.
-    constexpr Duration evacuationLeadTime = Duration::milliseconds(900);
     /// Upper bound on the wait assumed for a job of an earlier leader, however far the wall clocks differ.
     constexpr Duration maxInheritedWait = Duration::seconds(30);
-    /// Once some service task of a worker has been over its target for this long, all best-effort tasks there are
-    /// set to 0 % speed. Users notice after a few seconds, and the figures seen here are a second old.
-    constexpr Duration maxTimeOverTarget = Duration::milliseconds(1400);
     constexpr Duration overloadRetryAfter = Duration::seconds(2);
     /// A new leader starts no tasks for this long, so that calls that waited for a leader, cancels among them, are
     /// committed first. Entry hosts retry waiting calls every 100 ms, and a commit takes about 30 ms.
@@ -46,18 +37,6 @@
         return common->first;
     }
 
-    CallResult resultOf(ResultCode code)
-    {
-        switch (code) {
-        case ResultCode::Ok:
-            return CallResult::Done;
-        case ResultCode::OutcomeUnknown:
-            return CallResult::OutcomeUnknown;
-        default:
-            return CallResult::NotLeader;
-        }
-    }
-
     /// True while an attempt of a finished task is not concluded: its start order may still be carried out. The members of
     /// a gang that is done only end, and a speculative copy may start late.
     bool mayStillStart(JobRecord const& job)
@@ -75,30 +54,10 @@
 
 } // namespace
 
-std::string_view callResultName(CallResult result)
-{
-    switch (result) {
-    case CallResult::Done:
-        return "done";
-    case CallResult::NotLeader:
-        return "notLeader";
-    case CallResult::Refused:
-        return "refused";
-    case CallResult::OutcomeUnknown:
-        return "outcomeUnknown";
-    case CallResult::NotFound:
-        return "notFound";
-    case CallResult::Cancelled:
-        return "cancelled";
-    }
-    return "outcomeUnknown";
-}
-
 JobScheduler::JobScheduler(Clock const& clock, EventSink& events, CommandLog& jobLog, CommandLog& rosterLog, QueueTable const& queues, WorkerOrders& orders, DispatchTimes times, JobLimits limits)
     : clock(clock)
     , events(events)
     , jobLog(jobLog)
-    , rosterLog(rosterLog)
     , queues(queues)
     , times(times)
     , limits(limits)
@@ -107,6 +66,11 @@
     , permits(orders, clock, [this] { this->isPassNeeded = true; })
     , dispatch(clock, events, orders, times, this->jobTable, this->dispatcherHooks())
     , placer(this->dispatch.workers(), this->interference, this->cpuUsage, this->times, PlacementParameters())
+    , evictor(events, this->dispatch)
+    , interferenceControl(clock, events, this->dispatch, this->placer, this->interference, this->cpuUsage, this->evictor)
+    , registration(clock, events, rosterLog, this->workerRoster, queues, this->dispatch)
+    , loadReport(events)
+    , drainEvacuation(clock, this->dispatch, this->placer, this->registration, this->evictor)
 {
 }
 
@@ -132,8 +96,7 @@
     RosterHooks hooks;
     hooks.onWorkerChanged = [this](WorkerProfile const& profile, bool isOtherProcess) { this->dispatch.onWorkerChanged(profile, isOtherProcess); };
     hooks.onWorkerRemoved = [this](WorkerId const& worker) {
-        // Otherwise one announcement with a number too large would make all later ones of that worker look outdated.
-        this->lastSequences.erase(worker);
+        this->registration.onWorkerRemoved(worker);
         this->dispatch.onWorkerRemoved(worker);
     };
     return hooks;
@@ -148,11 +111,11 @@
     hooks.removeWorker = [this](WorkerProfile const& profile) {
         // The process may have an earlier start time than the one in the roster, which refuses to remove a later one.
         WorkerProfile const* known = this->workerRoster.find(profile.id);
-        this->removeWorker(profile.id, known ? std::max(known->bornMs, profile.bornMs) : profile.bornMs, [](CallResult) {});
+        this->registration.remove(profile.id, known ? std::max(known->bornMs, profile.bornMs) : profile.bornMs, [](CallResult) {});
     };
     hooks.permitFor = [this](TaskRef const& task, WorkerId const& worker) { return this->permits.ticket(task, worker); };
     hooks.onPermitRefused = [this](TaskRef const& task, WorkerId const& worker) { this->permits.invalidate(task, worker); };
-    hooks.onListingRead = [this](WorkerView& worker) { this->processListing(worker); };
+    hooks.onListingRead = [this](WorkerView& worker) { this->interferenceControl.processListing(worker); };
     hooks.onCapacityChanged = [this] { this->isPassNeeded = true; };
     return hooks;
 }
@@ -186,14 +149,13 @@
     this->waitingSince.clear();
     this->serviceTaskEnds.clear();
     this->pendingUpdates.clear();
-    this->lastSequences.clear();
-    this->drainEnds.clear();
+    this->registration.clear();
     this->permits.clear();
     this->interference.clear();
     this->cpuUsage.clear();
     this->runTimes.clear();
     this->backlog.clear();
-    this->lastTickAt.reset();
+    this->loadReport.clear();
     if (!isLeader) {
         this->dispatch.resign();
         return;
@@ -378,7 +340,7 @@
     this->jobLog.propose(encodeJobCommand(std::move(command)), [this, id, stages, size, name = queue.name, since = this->clock.now(), done = std::move(done)](ProposalOutcome const& outcome) {
         if (auto const proposed = this->proposedJobs.find(id); proposed != this->proposedJobs.end())
             this->proposedJobs.erase(proposed);
-        CallResult const result = resultOf(outcome.code);
+        CallResult const result = callResultOf(outcome.code);
         this->schedulerCounters.jobsAccepted += result == CallResult::Done;
         this->schedulerCounters.submitLatency.observe(this->clock.now() - since);
         this->events.emit(Event(result == CallResult::Done ? EventId::JobAccepted : EventId::JobRefused)
@@ -456,7 +418,7 @@
             this->proposedUnsubmittedCancels.erase(proposed);
         this->events.emit(Event(EventId::JobCancelled).with("job", id).with("code", static_cast<int>(outcome.code)));
         bool const wasNeverSubmitted = outcome.code == ResultCode::Ok && !this->jobTable.find(id);
-        done(wasNeverSubmitted ? CallResult::NotFound : resultOf(outcome.code));
+        done(wasNeverSubmitted ? CallResult::NotFound : callResultOf(outcome.code));
     });
 }
 
@@ -515,151 +477,27 @@
     return CallResult::Done;
 }
 
-void JobScheduler::announce(WorkerReport const& announcement, Done done)
-{
-    if (!this->jobLog.isLeader()) {
-        done(CallResult::NotLeader);
-        return;
-    }
-    WorkerProfile const& profile = announcement.profile;
-    // Anyone may send announcements. One for a service that is not configured is refused. One that gives another
-    // worker's address proves nothing about that worker: only an answer from the address does.
-    WorkerProfile const* known = this->workerRoster.find(profile.id);
-    bool const isConfigured = !this->queues.hasConfig() || this->queues.findService(profile.service);
-    bool const servesRunningJobs = known && known->service == profile.service;
-    if (!isConfigured && !servesRunningJobs) {
-        done(CallResult::Refused);
-        return;
-    }
-    auto& [lastBornMs, lastSequence] = this->lastSequences[profile.id];
-    bool const isOvertaken = lastBornMs == profile.bornMs && announcement.sequence && announcement.sequence < lastSequence;
-    WorkerView const* view = this->dispatch.findWorker(profile.id);
-    bool const isBornEarlier = known && known->bornMs > profile.bornMs;
-    bool const isPresent = view && view->profile.bornMs == profile.bornMs;
-    bool const isStale = isOvertaken || (isBornEarlier && !isPresent) || this->isOfFormerProcess(profile.id, profile.bornMs);
-    if (isStale) {
-        done(CallResult::Done);
-        return;
-    }
-    lastBornMs = profile.bornMs;
-    lastSequence = announcement.sequence;
-    if (profile.isDraining)
-        this->drainEnds[profile.id] = this->clock.now() + announcement.drainRemaining;
-    this->dispatch.onWorkerAnnounced(profile.id);
-    if (isBornEarlier) {
-        this->recordEarlierBorn(*known, profile, *view, std::move(done));
-        return;
-    }
-    WorkerProfile expected = profile;
-    if (known && known->bornMs == profile.bornMs)
-        expected.isDraining |= known->isDraining;
-    if (known && *known == expected)
-        done(CallResult::Done);
-    else
-        this->putWorker(expected, std::move(done));
-}
-
-/// Records a process that the worker has listed, though the one in the roster has a later start time: its clock was set back.
-void JobScheduler::recordEarlierBorn(WorkerProfile known, WorkerProfile const& announced, WorkerView const& view, Done done)
-{
-    // Starts that are decided from now on follow the removal in the log, so they are not lost with it.
-    if (view.placed.empty() && view.orphanedAttempts.empty()) {
-        this->removeWorker(known.id, known.bornMs, [](CallResult) {});
-        this->putWorker(announced, std::move(done));
-    } else if (announced.isDraining && !known.isDraining) {
-        known.isDraining = true;
-        this->putWorker(known, std::move(done));
-    } else {
-        done(CallResult::Done);
-    }
-}
-
-/// True if the worker has listed since as another process, which the roster may not know yet.
-bool JobScheduler::isOfFormerProcess(WorkerId const& worker, int64_t bornMs)
-{
-    WorkerProfile const* known = this->workerRoster.find(worker);
-    WorkerView const* view = this->dispatch.findWorker(worker);
-    if (!known || !view || view->profile.bornMs == bornMs)
-        return false;
-    // The view's start time differs from the roster's only after a listing; it may be the earlier one, as clocks are set.
-    return bornMs < view->profile.bornMs || bornMs == known->bornMs;
-}
-
-bool JobScheduler::isAlreadyRecorded(WorkerReport const& announcement) const
-{
-    WorkerProfile const* known = this->workerRoster.find(announcement.profile.id);
-    return known && !known->isDraining && *known == announcement.profile && this->queues.findService(known->service);
-}
-
-void JobScheduler::putWorker(WorkerProfile const& profile, Done done)
-{
-    this->rosterLog.propose(encodeRosterCommand(PutWorker { profile }), [done = std::move(done)](ProposalOutcome const& outcome) { done(resultOf(outcome.code)); });
-}
-
-void JobScheduler::deregisterWorker(WorkerDeparture const& departure, Done done)
-{
-    if (!this->jobLog.isLeader()) {
-        done(CallResult::NotLeader);
-        return;
-    }
-    WorkerProfile const* known = this->workerRoster.find(departure.worker);
-    char const* reason = known ? this->keepReason(*known, departure) : "not known";
-    this->events.emit(Event(EventId::WorkerDeregistered)
-                          .with("worker", departure.worker)
-                          .with("bornMs", departure.bornMs)
-                          .with("knownBornMs", known ? known->bornMs : 0)
-                          .with("outcome", reason ? reason : "removed"));
-    if (!known)
-        done(CallResult::Done);
-    else if (reason)
-        this->drainLeavingWorker(*known, departure, std::move(done));
-    else
-        this->removeWorker(departure.worker, std::max(known->bornMs, departure.bornMs), std::move(done));
-}
-
-/// Why the worker is not removed; null when it is.
-char const* JobScheduler::keepReason(WorkerProfile const& known, WorkerDeparture const& departure)
-{
-    if (departure.bornMs && (departure.bornMs < known.bornMs || this->isOfFormerProcess(known.id, departure.bornMs)))
-        return "of an earlier incarnation";
-    WorkerView const* view = this->dispatch.findWorker(known.id);
-    return view && !view->placed.empty() ? "tasks placed" : nullptr;
-}
-
-void JobScheduler::drainLeavingWorker(WorkerProfile known, WorkerDeparture const& departure, Done done)
-{
-    bool const isItsOwn = departure.bornMs && departure.bornMs == known.bornMs && !this->isOfFormerProcess(known.id, departure.bornMs);
-    if (!isItsOwn || known.isDraining) {
-        done(CallResult::Done);
-        return;
-    }
-    known.isDraining = true;
-    this->drainEnds[known.id] = this->clock.now();
-    this->putWorker(known, std::move(done));
-}
-
-void JobScheduler::removeWorker(WorkerId const& worker, int64_t bornMs, Done done)
-{
-    this->rosterLog.propose(encodeRosterCommand(RemoveWorker { worker, bornMs }), [done = std::move(done)](ProposalOutcome const& outcome) { done(resultOf(outcome.code)); });
-}
-
 void JobScheduler::onTick()
 {
     if (!this->dispatch.isLeading())
         return;
     TimePoint const now = this->clock.now();
-    this->noteTick(now);
+    if (this->loadReport.onTick(now))
+        this->loadReport.emit(now, { this->schedulerCounters.passes, this->schedulerCounters.startsDecided, this->placer.counters().workersExamined, this->activeJobs.size(), this->waitingTasks() });
     this->dispatch.onTick();
     if (now >= this->nextSlowCheck) {
         this->nextSlowCheck = now + slowCheckInterval;
         this->openDueOccurrences();
         this->updateShortTaskNeeds();
         this->updateIdleWindows();
-        this->evacuateDrainingWorkers();
+        this->drainEvacuation.evacuate();
         this->moveThrottledTasks();
         this->forgetEndedJobs();
-        if (this->hasLackedWorker && now >= this->nextRoomReport)
-            this->reportRoom();
+        if (this->hasLackedWorker && now >= this->nextRoomReport) {
+            this->nextRoomReport = now + roomReportInterval;
+            this->hasLackedWorker = false;
+            this->loadReport.emitRoom(this->room(), this->waitingRestartMilliCores());
+        }
     }
     if (now >= this->startsAllowedFrom && (this->isPassNeeded || now >= this->nextPass)) {
         this->nextPass = now + maxPassInterval;
@@ -670,47 +508,6 @@
     this->proposeUpdates();
 }
 
-void JobScheduler::noteTick(TimePoint now)
-{
-    if (this->lastTickAt) {
-        Duration const gap = now - *this->lastTickAt;
-        this->schedulerCounters.tickGap.observe(gap);
-        this->loadWindow.maxTickGap = std::max(this->loadWindow.maxTickGap, gap);
-    }
-    this->lastTickAt = now;
-    if (now - this->loadWindow.startedAt >= loadReportInterval)
-        this->reportLoad(now);
-}
-
-/// Logs the load of the window that ends now, unless nothing waits and the ticks are in time.
-void JobScheduler::reportLoad(TimePoint now)
-{
-    constexpr Duration lateTickGap = Duration::milliseconds(60); ///< Three ticks.
-    LoadWindow const before = this->loadWindow;
-    this->loadWindow = LoadWindow();
-    this->loadWindow.startedAt = now;
-    this->loadWindow.passes = this->schedulerCounters.passes;
-    this->loadWindow.starts = this->schedulerCounters.startsDecided;
-    this->loadWindow.workersExamined = this->placer.counters().workersExamined;
-    WaitingSummary const waiting = this->waitingTasks();
-    if (!waiting.count() && before.maxTickGap < lateTickGap)
-        return;
-    this->events.emit(Event(EventId::LoadReported)
-                          .with("lastedMs", now - before.startedAt)
-                          .with("passes", this->loadWindow.passes - before.passes)
-                          .with("starts", this->loadWindow.starts - before.starts)
-                          .with("workersExamined", this->loadWindow.workersExamined - before.workersExamined)
-                          .with("maxTickGapMs", before.maxTickGap)
-                          .with("maxPassMs", before.maxPass)
-                          .with("activeJobs", this->activeJobs.size())
-                          .with("shortTasks", waiting.shortTasks.count)
-                          .with("oldestShortMs", waiting.shortTasks.oldest)
-                          .with("bestEffortTasks", waiting.bestEffort.count)
-                          .with("oldestBestEffortMs", waiting.bestEffort.oldest)
-                          .with("serviceTasks", waiting.service.count)
-                          .with("oldestServiceMs", waiting.service.oldest));
-}
-
 WaitingSummary JobScheduler::waitingTasks() const
 {
     TimePoint const now = this->clock.now();
@@ -726,28 +523,6 @@
     return milliCores;
 }
 
-void JobScheduler::reportRoom()
-{
-    this->nextRoomReport = this->clock.now() + roomReportInterval;
-    this->hasLackedWorker = false;
-    RoomSummary const room = this->room();
-    int64_t const waitingMilliCores = this->waitingRestartMilliCores();
-    this->events.emit(Event(EventId::RoomReported)
-                          .with("workers", room.workerCount)
-                          .with("capacityMilliCores", room.capacityMilliCores)
-                          .with("reservedMilliCores", room.reservedMilliCores)
-                          .with("serviceMilliCores", room.serviceMilliCores)
-                          .with("waitingRestartMilliCores", waitingMilliCores)
-                          .with("places1", room.freePlaces[0])
-                          .with("places2", room.freePlaces[1])
-                          .with("places4", room.freePlaces[2])
-                          .with("places8", room.freePlaces[3])
-                          .with("placesBesideServices1", room.placesBesideServices[0])
-                          .with("placesBesideServices2", room.placesBesideServices[1])
-                          .with("placesBesideServices4", room.placesBesideServices[2])
-                          .with("placesBesideServices8", room.placesBesideServices[3]));
-}
-
 void JobScheduler::proposeUpdates()
 {
     if (this->pendingUpdates.empty())
@@ -803,57 +578,6 @@
         this->placer.setShortTaskNeed(service, commonNeed(counted));
 }
 
-/// Evicts tasks from draining workers: service tasks as soon as another worker has room for them, tasks that
-/// save checkpoints shortly before the worker leaves.
-void JobScheduler::evacuateDrainingWorkers()
-{
-    TimePoint const now = this->clock.now();
-    this->placer.beginPass(now);
-    for (auto& [id, worker] : this->dispatch.workers()) {
-        if (!worker.profile.isDraining)
-            continue;
-        auto const drainEnd = this->drainEnds.find(id);
-        bool const isLeavingSoon = drainEnd != this->drainEnds.end() && now + evacuationLeadTime >= drainEnd->second;
-        for (auto& [key, attempt] : worker.placed) {
-            if (!attempt.isRunning())
-                continue;
-            if (attempt.isService()) {
-                PlacementRequest request = requestToMove(worker, attempt);
-                request.isRestart = true;
-                if (!this->placer.choose(request, now))
-                    continue;
-            } else if (!isLeavingSoon || !attempt.stage->savesCheckpoints) {
-                continue;
-            }
-            this->evict(worker, attempt, "worker drains");
-        }
-    }
-}
-
-/// The request that placing the attempt's task anew would make. Does not exclude `worker` itself.
-PlacementRequest JobScheduler::requestToMove(WorkerView const& worker, PlacedAttempt const& attempt)
-{
-    PlacementRequest request;
-    request.task = attempt.task;
-    request.stage = attempt.stage;
-    request.image = attempt.image;
-    request.service = worker.profile.service;
-    return request;
-}
-
-void JobScheduler::evict(WorkerView& worker, PlacedAttempt& attempt, char const* reason)
-{
-    this->events.emit(Event(EventId::EvictionRequested)
-                          .with("task", attempt.task.text())
-                          .with("attempt", attempt.number)
-                          .with("worker", worker.profile.id)
-                          .with("image", attempt.stage->image)
-                          .with("tailPercent", static_cast<int>(worker.tailRatio * 100))
-                          .with("reason", reason));
-    this->schedulerCounters.evictions++;
-    this->dispatch.stop(worker, attempt);
-}
-
 void JobScheduler::forgetEndedJobs()
 {
     int64_t const horizon = this->clock.wallMilliseconds() - this->limits.endedJobRetention.toMilliseconds();
@@ -863,107 +587,4 @@
     }
 }
 
-/// Updates the interference and CPU usage models from a worker's listing, then evicts or throttles best-effort
-/// tasks there that interfere with its service tasks.
-void JobScheduler::processListing(WorkerView& worker)
-{
-    TimePoint const now = this->clock.now();
-    worker.tailRatio = worstTailRatio(worker);
-    this->interference.observe(worker, now);
-    this->cpuUsage.observe(worker, now);
-    if (worker.tailRatio < 1)
-        worker.overTargetSince.reset();
-    else if (!worker.overTargetSince)
-        worker.overTargetSince = now;
-    this->evictInterferingTasks(worker, now);
-    this->updateWorkerThrottle(worker, now);
-    bool const isOverTargetTooLong = worker.overTargetSince && now - *worker.overTargetSince >= maxTimeOverTarget;
-    std::vector<ImageId> unprovenImages; // Filled only while the worker is throttled. Empty: all images are.
-    for (auto const& load : worker.bestEffortImages) {
-        if (worker.bestEffortSpeedPercent < fullSpeedPercent && this->isUnproven(worker, load))
-            unprovenImages.push_back(load.image);
-    }
-    for (auto& [key, attempt] : worker.placed) {
-        if (!attempt.isBestEffort() || attempt.isStopping || attempt.isEndProposed)
-            continue;
-        bool const isThrottled = unprovenImages.empty() || std::find(unprovenImages.begin(), unprovenImages.end(), attempt.image) != unprovenImages.end();
-        unsigned percent = isThrottled ? worker.bestEffortSpeedPercent : fullSpeedPercent;
-        if (attempt.isThrottledStart)
-            percent = taskSpeedPercent(attempt.targetSpeedPercent, worker.tailRatio, now - std::max(attempt.throttleConfirmedAt, attempt.confirmedAt));
-        if (isOverTargetTooLong)
-            percent = 0;
-        if (attempt.targetSpeedPercent != percent)
-            this->dispatch.throttle(worker, attempt, percent);
-    }
-}
-
-/// Where a service's tail is predicted to come close to its target or exceed it, evicts tasks of the best-effort
-/// image that adds most to that tail: as many as bring the prediction down to maxTailRatio.
-void JobScheduler::evictInterferingTasks(WorkerView& worker, TimePoint now)
-{
-    constexpr double evictAboveTailRatio = 0.95; ///< Predicted tail latency over target.
-    if (worker.serviceImages.empty())
-        return;
-    ImageCpuShares shares;
-    std::map<ImageId, std::vector<PlacedAttempt*>> tasks;
-    for (auto& [key, attempt] : worker.placed) {
-        if (attempt.isBestEffort() && !attempt.isThrottledStart && attempt.isRunning())
-            tasks[attempt.image].push_back(&attempt);
-    }
-    for (auto const& [image, attempts] : tasks) {
-        double share = 0;
-        for (auto const* attempt : attempts)
-            share += this->placer.expectedCpuShare(worker, image, attempt->stage->need.milliCores);
-        shares.push_back({ image, share });
-    }
-    for (auto const& service : worker.serviceImages) {
-        double const predicted = this->interference.predictedTailRatio(service.image, shares, now);
-        ImageCpuShare const* worst = this->interference.worstInterferer(service.image, shares, now);
-        if (predicted <= evictAboveTailRatio || !worst)
-            continue;
-        double const added = this->interference.interferenceCoefficient(service.image, worst->image, now) * worst->share;
-        double const excessFraction = std::min((predicted - this->interference.modelParameters().maxTailRatio) / added, 1.0);
-        auto const& interferingTasks = tasks.at(worst->image);
-        auto const evictedCount = static_cast<size_t>(std::ceil(excessFraction * static_cast<double>(interferingTasks.size())));
-        for (size_t i = interferingTasks.size() - evictedCount; i < interferingTasks.size(); i++) {
-            this->dispatch.throttle(worker, *interferingTasks[i], 0);
-            this->evict(worker, *interferingTasks[i], "harms a service task");
-        }
-        return; // The remaining tasks are checked at the next listing.
-    }
-}
-
-/// True for an image whose expected use has not been observed as harmless beside every service of the worker.
-/// When a service is near its target, such images are throttled and the others run on at full speed.
-bool JobScheduler::isUnproven(WorkerView const& worker, ImageLoad const& load) const
-{
-    double const use = this->placer.expectedCpuShare(worker, load.image, load.requestedMilliCores);
-    return std::any_of(worker.serviceImages.begin(), worker.serviceImages.end(), [&](ImageLoad const& service) { return !this->interference.isCleared(service.image, load.image, use); });
-}
-
-/// True while a best-effort task is being stopped: interference that it causes ends with it.
-bool JobScheduler::hasStoppingBestEffortTask(WorkerView const& worker)
-{
-    return std::any_of(worker.placed.begin(), worker.placed.end(), [](auto const& entry) { return entry.second.isBestEffort() && entry.second.isStopping; });
-}
-
-/// Lowers the speed of a worker's best-effort tasks when its service tasks come near their targets without a
-/// known pair of interfering images, and raises it again later.
-void JobScheduler::updateWorkerThrottle(WorkerView& worker, TimePoint now)
-{
-    bool const canLowerSpeed = !worker.bestEffortImages.empty() && !hasStoppingBestEffortTask(worker);
-    unsigned const next = worker.serviceImages.empty() ? fullSpeedPercent : workerSpeedPercent(worker.bestEffortSpeedPercent, worker.tailRatio, now - worker.bestEffortSpeedChangedAt, canLowerSpeed);
-    if (next == worker.bestEffortSpeedPercent)
-        return;
-    this->events.emit(Event(EventId::WorkerThrottled)
-                          .with("worker", worker.profile.id)
-                          .with("percent", next)
-                          .with("before", worker.bestEffortSpeedPercent)
-                          .with("tailPercent", static_cast<int>(worker.tailRatio * 100))
-                          .with("bestEffortMilliCores", worker.bestEffortImages.requestedMilliCores()));
-    worker.bestEffortSpeedPercent = next;
-    worker.noteChange();
-    worker.bestEffortSpeedChangedAt = now;
-}
-
 } // namespace cornelpond
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -20,8 +20,14 @@
 #include "cornelpond/core/queueing/JobProgress.h"
 #include "cornelpond/core/queueing/RunTimeModel.h"
 #include "cornelpond/core/queueing/StageRank.h"
+#include "cornelpond/core/scheduling/CallResult.h"
+#include "cornelpond/core/scheduling/DrainEvacuation.h"
+#include "cornelpond/core/scheduling/InterferenceControl.h"
+#include "cornelpond/core/scheduling/LoadReport.h"
 #include "cornelpond/core/scheduling/PassPacing.h"
 #include "cornelpond/core/scheduling/PermitCache.h"
+#include "cornelpond/core/scheduling/TaskEvictor.h"
+#include "cornelpond/core/scheduling/WorkerRegistration.h"
 
 namespace cornelpond {
 
@@ -32,19 +38,6 @@
     Duration endedJobRetention = Duration::seconds(180); ///< How long ended jobs can be looked up.
 };
 
-/// Outcome of a call that changes state, or of a lookup.
-enum class CallResult {
-    Done,
-    NotLeader, ///< Nothing was changed; ask the leader.
-    Refused, ///< Nothing was changed; the call is not carried out later either.
-    OutcomeUnknown, ///< It may have been carried out; send it again.
-    NotFound,
-    Cancelled, ///< Of a submission: the job was cancelled before it arrived, and will not run.
-};
-
-/// Name for logs and metrics, such as "notLeader".
-std::string_view callResultName(CallResult result);
-
 struct SubmitResult {
     CallResult result = CallResult::Done;
     Duration retryAfter; ///< With Refused.
@@ -58,13 +51,11 @@
     uint64_t jobsCompleted = 0;
     uint64_t jobsFailed = 0;
     uint64_t jobsCancelled = 0;
-    uint64_t evictions = 0;
     std::map<CallResult, uint64_t> cancelsAnswered;
     std::map<AttemptEnd, uint64_t> attemptEnds;
     std::map<std::pair<size_t, JobOutcome>, uint64_t> jobEnds; ///< By size class and outcome; without service jobs.
     uint64_t passes = 0;
     Histogram passDuration;
-    Histogram tickGap; ///< Between two ticks: a busy event loop runs them late.
     Histogram submitLatency; ///< From the call to the commit.
     Histogram placeLatency; ///< From a job's acceptance to each decision to start one of its tasks.
     Histogram completionLatency; ///< From a job's acceptance to its completion.
@@ -77,19 +68,6 @@
     Duration oldest; ///< Longest time since such a job's cancel was decided, by the wall clock.
 };
 
-/// A worker's announcement of itself.
-struct WorkerReport {
-    WorkerProfile profile;
-    uint64_t sequence = 0; ///< Rises within one incarnation of the worker.
-    Duration drainRemaining; ///< Minimum time until a draining worker leaves.
-};
-
-/// A worker's announcement that it ends.
-struct WorkerDeparture {
-    WorkerId worker;
-    int64_t bornMs = 0; ///< Of the incarnation that ends, as in WorkerProfile; 0: not given.
-};
-
 struct JobLookup {
     CallResult result = CallResult::NotFound;
     JobState state = JobState::Active;
@@ -98,7 +76,7 @@
 
 class JobScheduler {
 public:
-    using Done = std::function<void(CallResult)>;
+    using Done = CallDone;
 
     /// References must outlive the object; the logs must carry only this object's commands.
     JobScheduler(Clock const& clock, EventSink& events, CommandLog& jobLog, CommandLog& rosterLog, QueueTable const& queues, WorkerOrders& orders, DispatchTimes times, JobLimits limits);
@@ -130,19 +108,9 @@
     /// unchanged, unless this host is the confirmed leader.
     CallResult countPending(QueueId const& queue, size_t& count) const;
 
-    /// Done once the announcement may be acknowledged to the worker: its profile is committed, or it is stale.
-    /// Refused where the configuration has no such service, unless the worker has been accepted for it before: jobs of a
-    /// removed service may still run there.
-    void announce(WorkerReport const& announcement, Done done);
-
-    /// True when the worker is not draining and the replicated state already holds exactly its profile, so that
-    /// the announcement need not go to the leader. Valid on any host.
-    bool isAlreadyRecorded(WorkerReport const& announcement) const;
-
-    /// Removes a worker that is shutting down, unless a later incarnation than the given one is known or tasks are placed there:
-    /// the announcement may be late, and its sender runs on until it has an answer. With tasks, the worker drains, if the
-    /// announcement is certain to be its own; the tasks end as listed or with its lease, and it is removed as a silent worker.
-    void deregisterWorker(WorkerDeparture const& departure, Done done);
+    /// The roster of workers, as they announce themselves.
+    WorkerRegistration& workerRegistration() { return this->registration; }
+    WorkerRegistration const& workerRegistration() const { return this->registration; }
 
     /// Call every 10 to 20 ms.
     void onTick();
@@ -150,6 +118,8 @@
     JobTable const& jobs() const { return this->jobTable; }
     Dispatcher const& dispatcher() const { return this->dispatch; }
     SchedulerCounters const& counters() const { return this->schedulerCounters; }
+    uint64_t evictionCount() const { return this->evictor.count(); }
+    Histogram const& tickGap() const { return this->loadReport.tickGap(); }
     PlacementCounters const& placementCounters() const { return this->placer.counters(); }
     size_t workerCount() const { return this->workerRoster.all().size(); } ///< On followers too.
     size_t activeJobCount() const { return this->activeJobs.size(); }
@@ -186,14 +156,6 @@
     ActiveJob& activeJob(JobRecord const& job);
     JobObjective const& objectiveFor(JobRecord const& job) { return this->activeJob(job).objective; }
     void reportEnd(JobRecord const& job);
-    void putWorker(WorkerProfile const& profile, Done done);
-    void removeWorker(WorkerId const& worker, int64_t bornMs, Done done);
-    void recordEarlierBorn(WorkerProfile known, WorkerProfile const& announced, WorkerView const& view, Done done);
-    bool isOfFormerProcess(WorkerId const& worker, int64_t bornMs);
-    char const* keepReason(WorkerProfile const& known, WorkerDeparture const& departure);
-    void drainLeavingWorker(WorkerProfile known, WorkerDeparture const& departure, Done done);
-    static PlacementRequest requestToMove(WorkerView const& worker, PlacedAttempt const& attempt);
-    void evict(WorkerView& worker, PlacedAttempt& attempt, char const* reason);
 
     void runPass();
     /// Without `isFull`, only of jobs that have other than best-effort stages.
@@ -212,22 +174,12 @@
     PlacementRequest requestFor(ReadyStage const& ready, TimePoint now);
     void decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now, std::optional<unsigned> startSpeedPercent = std::nullopt);
     void openDueOccurrences();
-    void evacuateDrainingWorkers();
     void forgetEndedJobs();
-    void processListing(WorkerView& worker);
-    void evictInterferingTasks(WorkerView& worker, TimePoint now);
-    bool isUnproven(WorkerView const& worker, ImageLoad const& load) const;
-    static bool hasStoppingBestEffortTask(WorkerView const& worker);
-    void updateWorkerThrottle(WorkerView& worker, TimePoint now);
     void proposeUpdates();
-    void reportRoom();
-    void noteTick(TimePoint now);
-    void reportLoad(TimePoint now);
 
     Clock const& clock;
     EventSink& events;
     CommandLog& jobLog;
-    CommandLog& rosterLog;
     QueueTable const& queues;
     DispatchTimes times;
     JobLimits limits;
@@ -240,6 +192,11 @@
     RunTimeModel runTimes;
     BacklogForecast backlog;
     TaskPlacer placer;
+    TaskEvictor evictor;
+    InterferenceControl interferenceControl;
+    WorkerRegistration registration;
+    LoadReport loadReport;
+    DrainEvacuation drainEvacuation;
 
     std::map<JobId, ActiveJob> activeJobs; ///< Kept on the leader only.
     std::map<TaskRef, TimePoint> waitingSince; ///< Best-effort stages that found no room, by their first task.
@@ -247,8 +204,6 @@
     std::set<TaskRef> proposedTasks; ///< Tasks whose start is being committed.
     std::multiset<JobId> proposedJobs; ///< Jobs that are being committed. A refusal of such an id might not be true.
     std::multiset<JobId> proposedUnsubmittedCancels; ///< Jobs that were not known when their cancel was proposed.
-    std::map<WorkerId, std::pair<int64_t, uint64_t>> lastSequences; ///< By worker: when its incarnation was born (ms) and the sequence of its last announcement.
-    std::map<WorkerId, TimePoint> drainEnds;
     std::vector<TaskUpdate> pendingUpdates; ///< To be proposed with the next batch.
     bool isPassNeeded = false; ///< Something changed, so that waiting tasks may find a worker.
     TimePoint nextPass;
@@ -259,18 +214,6 @@
     TimePoint nextRoomReport;
     TimePoint nextIdleWindow;
 
-    /// Since the load was last reported.
-    struct LoadWindow {
-        TimePoint startedAt;
-        uint64_t passes = 0;
-        uint64_t starts = 0;
-        uint64_t workersExamined = 0;
-        Duration maxTickGap;
-        Duration maxPass;
-    };
-
-    LoadWindow loadWindow;
-    std::optional<TimePoint> lastTickAt; ///< Unset: no tick since this host leads.
     SchedulerCounters schedulerCounters;
 };
 
--- a/cornelpond/core/scheduling/JobServiceTest.cpp
+++ b/cornelpond/core/scheduling/JobServiceTest.cpp
@@ -262,14 +262,14 @@
     bench.run(second);
     bench.fleet.setDraining(leaving);
     CallResult answered = CallResult::NotLeader;
-    bench.leader().scheduler().announce(bench.fleet.report(leaving), [&](CallResult result) { answered = result; });
+    bench.leader().scheduler().workerRegistration().announce(bench.fleet.report(leaving), [&](CallResult result) { answered = result; });
     bench.run(second * 2);
     CHECK(answered == CallResult::Done);
     CHECK(bench.fleet.runningCountOn(leaving) == 0);
     CHECK(bench.fleet.runningCount(job.id) == 1);
     WorkerReport newcomer = bench.fleet.report(leaving);
     newcomer.profile.id = WorkerId("newcomer");
-    bench.leader().scheduler().announce(newcomer, [&](CallResult result) { answered = result; });
+    bench.leader().scheduler().workerRegistration().announce(newcomer, [&](CallResult result) { answered = result; });
     CHECK(answered == CallResult::Refused);
 }
 
--- a/cornelpond/core/scheduling/LateAnnouncementTest.cpp
+++ b/cornelpond/core/scheduling/LateAnnouncementTest.cpp
@@ -27,7 +27,7 @@
     CallResult announce(WorkerReport const& report)
     {
         CallResult answer = CallResult::Refused;
-        this->bench.leader().scheduler().announce(report, [&answer](CallResult result) { answer = result; });
+        this->bench.leader().scheduler().workerRegistration().announce(report, [&answer](CallResult result) { answer = result; });
         this->watch.run(Duration::milliseconds(20));
         return answer;
     }
@@ -166,7 +166,7 @@
     hosts.bench.crashLeader();
     hosts.watch.run(second / 2);
     hosts.bench.group.elect(1);
-    hosts.bench.leader().scheduler().announce(former, [](CallResult) {});
+    hosts.bench.leader().scheduler().workerRegistration().announce(former, [](CallResult) {});
     hosts.bench.cancel(other.id);
     hosts.watch.run(second / 2);
     hosts.announce(hosts.bench.fleet.report(worker));
@@ -193,7 +193,7 @@
         hosts.watch.run(second);
     }
     unsigned const starts = hosts.bench.fleet.record().starts;
-    hosts.bench.leader().scheduler().deregisterWorker(former, [](CallResult) {});
+    hosts.bench.leader().scheduler().workerRegistration().deregister(former, [](CallResult) {});
     hosts.watch.run(second * 3);
     CHECK(hosts.bench.leader().scheduler().dispatcher().workers().count(worker) == 1);
     CHECK(!hosts.view(worker).profile.isDraining);
@@ -341,9 +341,9 @@
                 return;
             WorkerReport const& report = late[random.below(late.size())];
             if (random.below(3))
-                bench.leader().scheduler().announce(report, [](CallResult) {});
+                bench.leader().scheduler().workerRegistration().announce(report, [](CallResult) {});
             else
-                bench.leader().scheduler().deregisterWorker({ report.profile.id, report.profile.bornMs }, [](CallResult) {});
+                bench.leader().scheduler().workerRegistration().deregister({ report.profile.id, report.profile.bornMs }, [](CallResult) {});
         };
         for (int round = 0; round < 12; round++) {
             for (size_t i = 0; i < 4; i++)
--- a/cornelpond/core/scheduling/LaterProcessOrdersTest.cpp
+++ b/cornelpond/core/scheduling/LaterProcessOrdersTest.cpp
@@ -79,7 +79,7 @@
     orders.holdsRenewals = true;
     bench.run(second);
     REQUIRE(orders.renewals.size() == 1);
-    bench.leader().scheduler().announce(late, [](CallResult) {});
+    bench.leader().scheduler().workerRegistration().announce(late, [](CallResult) {});
     bench.run(Duration::milliseconds(20));
     CHECK(bench.events.count(EventId::WorkerProcessReplaced) == 1);
     HeldAnswers::release(orders.starts);
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -56,7 +56,7 @@
     Duration const lasted = endedAt - now;
     this->schedulerCounters.passes++;
     this->schedulerCounters.passDuration.observe(lasted);
-    this->loadWindow.maxPass = std::max(this->loadWindow.maxPass, lasted);
+    this->loadReport.onPass(lasted);
 }
 
 std::vector<ReadyStage> JobScheduler::collectReadyStages(TimePoint now, bool isFull) const
@@ -183,9 +183,9 @@
             bool const isSlow = attempt.isThrottledStart && attempt.isRunning() && attempt.targetSpeedPercent < moveBelowSpeedPercent && now - attempt.confirmedAt >= minRunTimeBeforeMove;
             if (!isSlow || movedCount >= maxMovesPerCheck)
                 continue;
-            if (!this->placer.choose(requestToMove(worker, attempt), now))
+            if (!this->placer.choose(TaskEvictor::requestToMove(worker, attempt), now))
                 continue;
-            this->evict(worker, attempt, "another worker lets it work");
+            this->evictor.evict(worker, attempt, "another worker lets it work");
             movedCount++;
         }
     }
--- a/cornelpond/core/scheduling/StopDeliveryTest.cpp
+++ b/cornelpond/core/scheduling/StopDeliveryTest.cpp
@@ -250,7 +250,7 @@
     bench.run(Duration::milliseconds(100));
     bench.fleet.restart(onlyWorker);
     bench.fleet.setLostStops(onlyWorker, LostStops::All);
-    bench.leader().scheduler().announce(bench.fleet.report(onlyWorker), [](CallResult) {});
+    bench.leader().scheduler().workerRegistration().announce(bench.fleet.report(onlyWorker), [](CallResult) {});
     bench.run(second * 4);
     REQUIRE(bench.fleet.runningCountOn(onlyWorker) == 0);
     bench.submit(makeJob("next", 2, 1000, second * 60));
--- a/testing/fakes/JobBench.cpp
+++ b/testing/fakes/JobBench.cpp
@@ -148,7 +148,7 @@
     if (!this->group.hasCurrentLeader())
         return;
     for (auto const& worker : this->fleet.reachableWorkers())
-        this->leader().scheduler().announce(this->fleet.report(worker), [](CallResult) {});
+        this->leader().scheduler().workerRegistration().announce(this->fleet.report(worker), [](CallResult) {});
 }
 
 Duration JobBench::turnaroundTime(JobId const& job) const
--- a/testing/fakes/LaterProcessBench.h
+++ b/testing/fakes/LaterProcessBench.h
@@ -129,7 +129,7 @@
 
     void announce(WorkerId const& worker)
     {
-        this->bench.leader().scheduler().announce(this->bench.fleet.report(worker), [](CallResult) {});
+        this->bench.leader().scheduler().workerRegistration().announce(this->bench.fleet.report(worker), [](CallResult) {});
     }
 
     /// Runs until the job's task is committed to the free worker.
--- a/testing/fakes/RelayedBench.h
+++ b/testing/fakes/RelayedBench.h
@@ -45,7 +45,7 @@
 
     void announce(WorkerId const& worker)
     {
-        this->bench.leader().scheduler().announce(this->bench.fleet.report(worker), [](CallResult) {});
+        this->bench.leader().scheduler().workerRegistration().announce(this->bench.fleet.report(worker), [](CallResult) {});
     }
 
     std::map<JobId, TimePoint> cancelledAt; ///< When each cancel was acknowledged.
