Tasks wait for the rack of their data, and gangs for one rack, as long as that is expected to pay

Cause: a task waited for its data's rack for twice its estimated run time since its job's acceptance, whatever the rack's queue looked like, and a gang for one rack for once; where most jobs want the same rack all of them waited.

Ruled out: a fixed delay, a delay by slack, copies at both places, room held near (docs/design/locality.md).

On where the settings say how much longer tasks run elsewhere (placement.slowdownElsewhere, from the platform's spread factor); the former rule else. Event 380, counters and histograms by outcome.

--- a/cornelpond/app/ControlHost.cpp
+++ b/cornelpond/app/ControlHost.cpp
@@ -31,6 +31,13 @@
         return times;
     }
 
+    JobLimits jobLimits(FleetSettings const& settings)
+    {
+        JobLimits limits;
+        limits.slowdownElsewhere = settings.placement.slowdownElsewhere;
+        return limits;
+    }
+
     HttpClientLimits workerClientLimits(DescriptorBudget const& descriptors)
     {
         HttpClientLimits limits;
@@ -66,7 +73,7 @@
     , client(loop, workerClientLimits(this->descriptors))
     , workerClient(loop, this->client, dispatchTimes(this->settings), this->settings.permitService)
     , orderRelay(loop, loop, this->workerClient, dispatchTimes(this->settings), this->random.next(), this->relayHooks())
-    , jobService(loop, events, this->orderRelay, dispatchTimes(this->settings), JobLimits())
+    , jobService(loop, events, this->orderRelay, dispatchTimes(this->settings), jobLimits(this->settings))
     , controlApi(this->jobService, [this](WorkerProfile const& worker) { return this->heartbeatAddress(worker); })
     , hostNetwork(loop, this->random, events, this->hostSettings, this->networkHooks())
     , controlServer(loop, controlLimits(this->descriptors), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleControl(request, responder); })
--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -45,6 +45,10 @@
     gauge("workersWithFormerOrders", formerOrders.mayReceive);
     gauge("workersWithFormerLeases", formerOrders.mayHoldLease);
     metrics.setHistogram("stopConfirmationMs", stops.confirmationTime);
+    for (auto const& [outcome, count] : scheduler.localityCounters().starts)
+        metrics.setGauge("localityStarts{outcome=\"" + std::string(localityOutcomeName(outcome)) + "\"}", static_cast<int64_t>(count));
+    for (auto const& [outcome, waits] : scheduler.localityCounters().waits)
+        metrics.setHistogram("localityWaitMs" + std::string(outcome == LocalityOutcome::NearAfterWait ? "Near" : "Elsewhere"), waits);
     gauge("startsDecided", counters.startsDecided);
     gauge("evictions", scheduler.evictionCount());
     for (auto const& [end, count] : counters.attemptEnds)
--- a/cornelpond/app/FleetSettings.cpp
+++ b/cornelpond/app/FleetSettings.cpp
@@ -50,6 +50,13 @@
         "shutdownBoundMs": { "type": "integer", "minimum": 0, "maximum": 600000 }
       }
     },
+    "placement": {
+      "type": "object",
+      "additionalProperties": false,
+      "properties": {
+        "slowdownElsewhere": { "type": "number", "minimum": 1, "maximum": 1000 }
+      }
+    },
     "limits": {
       "type": "object",
       "additionalProperties": false,
@@ -183,6 +190,9 @@
     settings.times.maxLease = Duration::milliseconds(times.value("maxLeaseMs", settings.times.maxLease.toMilliseconds()));
     settings.times.shutdownBound = Duration::milliseconds(times.value("shutdownBoundMs", settings.times.shutdownBound.toMilliseconds()));
     settings.limits = limitsOf(document);
+    nlohmann::json const placement = document.value("placement", nlohmann::json::object());
+    if (placement.contains("slowdownElsewhere"))
+        settings.placement.slowdownElsewhere = placement["slowdownElsewhere"].get<double>();
     return settings;
 }
 
--- a/cornelpond/app/FleetSettings.h
+++ b/cornelpond/app/FleetSettings.h
@@ -13,6 +13,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,11 @@
     size_t availableDescriptors() const { return this->descriptors - this->reservedDescriptors; }
 };
 
+/// How tasks fare on the fleet's workers.
+struct FleetPlacement {
+    std::optional<double> slowdownElsewhere; ///< How many times as long tasks run away from their data, and gangs on several racks; unset: not known.
+};
+
 struct FleetSettings {
     FleetRole role = FleetRole::Entry;
     std::string cluster;
@@ -59,6 +65,7 @@
     std::map<Address, Address> peerRoutes; ///< Where to dial a peer that cannot be reached at its own address (the key), as behind port forwarding.
     FleetTimes times;
     FleetLimits limits;
+    FleetPlacement placement;
 };
 
 /// All faults of a settings document; empty when it is valid.
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -69,6 +69,7 @@
     , evictor(events, this->dispatch)
     , interferenceControl(clock, events, this->dispatch, this->placer, this->interference, this->cpuUsage, this->evictor)
     , registration(clock, events, rosterLog, this->workerRoster, queues, this->dispatch)
+    , locality(clock, events, this->dispatch.workers(), this->times, limits.slowdownElsewhere)
     , loadReport(events)
     , drainEvacuation(clock, this->dispatch, this->placer, this->registration, this->evictor)
 {
@@ -155,6 +156,7 @@
     this->cpuUsage.clear();
     this->runTimes.clear();
     this->backlog.clear();
+    this->locality.clear();
     this->loadReport.clear();
     if (!isLeader) {
         this->dispatch.resign();
@@ -197,6 +199,7 @@
     this->activeJobs.erase(job.spec.id);
     for (auto* since : { &this->waitingSince, &this->serviceTaskEnds })
         since->erase(since->lower_bound({ job.spec.id, 0, 0, 0 }), since->lower_bound({ job.spec.id, UINT32_MAX, 0, 0 }));
+    this->locality.forgetJob(job.spec.id);
     this->dispatch.stopUnwanted(job.spec.id);
     this->isPassNeeded = true;
 }
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -24,6 +24,7 @@
 #include "cornelpond/core/scheduling/DrainEvacuation.h"
 #include "cornelpond/core/scheduling/InterferenceControl.h"
 #include "cornelpond/core/scheduling/LoadReport.h"
+#include "cornelpond/core/scheduling/LocalityControl.h"
 #include "cornelpond/core/scheduling/PassPacing.h"
 #include "cornelpond/core/scheduling/PermitCache.h"
 #include "cornelpond/core/scheduling/TaskEvictor.h"
@@ -36,6 +37,7 @@
     size_t maxUnsubmittedCancels = 100; ///< Of jobs that are not known: cancels that are being committed at a time; further ones are refused.
     size_t maxStartsPerPass = 200; ///< Bounds the duration of one event loop iteration.
     Duration endedJobRetention = Duration::seconds(180); ///< How long ended jobs can be looked up.
+    std::optional<double> slowdownElsewhere; ///< How many times as long tasks run away from their data, and gangs on several racks; unset: not known.
 };
 
 struct SubmitResult {
@@ -119,6 +121,7 @@
     Dispatcher const& dispatcher() const { return this->dispatch; }
     SchedulerCounters const& counters() const { return this->schedulerCounters; }
     uint64_t evictionCount() const { return this->evictor.count(); }
+    LocalityCounters const& localityCounters() const { return this->locality.counters(); }
     Histogram const& tickGap() const { return this->loadReport.tickGap(); }
     PlacementCounters const& placementCounters() const { return this->placer.counters(); }
     size_t workerCount() const { return this->workerRoster.all().size(); } ///< On followers too.
@@ -171,7 +174,7 @@
     bool startThrottled(ReadyStage const& ready, PlacementRequest request, TimePoint now);
     void moveThrottledTasks();
     bool preparePermits(ReadyStage const& ready, PlacementRequest& request);
-    PlacementRequest requestFor(ReadyStage const& ready, TimePoint now);
+    PlacementRequest requestFor(ReadyStage const& ready);
     void decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now, std::optional<unsigned> startSpeedPercent = std::nullopt);
     void openDueOccurrences();
     void forgetEndedJobs();
@@ -195,6 +198,7 @@
     TaskEvictor evictor;
     InterferenceControl interferenceControl;
     WorkerRegistration registration;
+    LocalityControl locality;
     LoadReport loadReport;
     DrainEvacuation drainEvacuation;
 
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-    /// A task may run outside its data's rack once the time since its job's acceptance exceeds this multiple of its
-    /// estimated run time.
-    constexpr int64_t rackWaitFactor = 2;
-
     /// A best-effort stage that found no room for this long may start a task throttled.
     constexpr Duration throttledStartDelay = Duration::milliseconds(2000);
     /// A task that was started throttled runs for at least this long before it is moved, as a move restarts it.
@@ -31,6 +27,7 @@
 {
     TimePoint const now = this->clock.now();
     this->placer.beginPass(now);
+    this->locality.beginPass();
     bool const isFull = this->pacing.isFullPassDue(now);
     std::vector<ReadyStage> ready = this->collectReadyStages(now, isFull);
     std::stable_sort(ready.begin(), ready.end(), [](ReadyStage const& left, ReadyStage const& right) { return left.rank < right.rank; });
@@ -87,26 +84,20 @@
     }
 }
 
-PlacementRequest JobScheduler::requestFor(ReadyStage const& ready, TimePoint now)
+PlacementRequest JobScheduler::requestFor(ReadyStage const& ready)
 {
     PlacementRequest request;
     request.task = { ready.job->spec.id, ready.occurrence, ready.stage, 0 };
     request.stage = &ready.job->spec.stages[ready.stage];
     request.image = this->dispatch.imageId(request.stage->image);
     request.service = ready.job->service;
-    if (!request.stage->dataRack.empty()) {
-        Duration const waited = now - this->objectiveFor(*ready.job).acceptedAt;
-        bool const hasRack = std::any_of(this->dispatch.workers().begin(), this->dispatch.workers().end(), [&](auto const& entry) {
-            return entry.second.profile.rack == request.stage->dataRack && entry.second.canTakeTasks(now, this->times);
-        });
-        request.canLeaveDataRack = !hasRack || waited > request.stage->estimatedRunTime * rackWaitFactor;
-    }
+    request.canLeaveDataRack = request.stage->dataRack.empty();
     return request;
 }
 
 StagePlacement JobScheduler::placeStage(ReadyStage const& ready, TimePoint now)
 {
-    PlacementRequest request = this->requestFor(ready, now);
+    PlacementRequest request = this->requestFor(ready);
     StagePlacement placement;
     if (!this->preparePermits(ready, request))
         return placement;
@@ -126,6 +117,14 @@
         if (hasNoRoom[request.isRestart][request.canUseReserve] || this->proposedTasks.count(request.task))
             continue;
         WorkerView* worker = this->placer.chooseNext(request, now);
+        if (!worker && !request.canLeaveDataRack) {
+            if (this->locality.shouldWaitForDataRack(request, ready.acceptedAt)) {
+                placement.lacksWorker = true;
+                continue;
+            }
+            request.canLeaveDataRack = true;
+            worker = this->placer.chooseNext(request, now);
+        }
         if (!worker) {
             hasNoRoom[request.isRestart][request.canUseReserve] = true;
             if (!placement.lacksWorker && ready.rank.isUseful())
@@ -133,6 +132,7 @@
             placement.lacksWorker = true;
             continue;
         }
+        this->locality.onTaskStarted(request, *worker);
         this->decideStart(*worker, { request.task, tasks[index].lastAttempt.next(), worker->profile.id }, ready, now);
         placement.starts++;
     }
@@ -216,8 +216,8 @@
     return true;
 }
 
-/// Starts all members or none, and holds a worker for each while there is no room for all. A stage that prefers one rack starts on workers of several racks only once its
-/// estimated run time has passed since the job's acceptance.
+/// Starts all members or none, and holds a worker for each while there is no room for all. A stage that prefers one rack starts on
+/// workers of several racks only where waiting for one rack does not pay.
 StagePlacement JobScheduler::placeGang(ReadyStage const& ready, PlacementRequest request, TimePoint now)
 {
     auto const& tasks = ready.job->occurrences.at(ready.occurrence).stages[ready.stage].tasks;
@@ -238,14 +238,15 @@
         }
         request.requiredRack = RackId();
     }
-    bool const isWaitingForRack = request.stage->prefersOneRack && now - this->objectiveFor(*ready.job).acceptedAt < request.stage->estimatedRunTime;
-    if (!isPlaced && !isWaitingForRack)
+    bool const isOnOneRack = isPlaced;
+    if (!isPlaced && !(request.stage->prefersOneRack && this->locality.shouldWaitForOneRack(request, ready.acceptedAt)))
         isPlaced = this->chooseGangWorkers(ready, request, now, placed);
     if (!isPlaced) {
         for (size_t member = 0; member < tasks.size() && ready.rank.isUseful(); member++)
             this->placer.holdWorkerFor(request, now);
         return { 0, true };
     }
+    this->locality.onGangStarted(request, isOnOneRack);
     for (auto const& start : placed)
         this->decideStart(*this->dispatch.findWorker(start.worker), start, ready, now);
     return { placed.size(), false };
--- a/testing/fakes/FakeFleet.cpp
+++ b/testing/fakes/FakeFleet.cpp
@@ -234,7 +234,8 @@
     this->recordStart(order.task, stage, worker);
     Run run;
     run.stage = stage;
-    run.remainingWork = Duration::microseconds(static_cast<int64_t>(static_cast<double>(stage.estimatedRunTime.toMicroseconds()) * job->second.second));
+    bool const isAway = !stage.dataRack.empty() && worker.profile.rack != stage.dataRack;
+    run.remainingWork = stage.estimatedRunTime.scaled(job->second.second * (isAway ? this->slowdownElsewhere : 1));
     run.checkpoint = order.checkpoint;
     run.willFail = this->random.nextDouble() < this->faults.failureShare;
     worker.runs.emplace(key, run);
--- a/testing/fakes/FakeFleet.h
+++ b/testing/fakes/FakeFleet.h
@@ -82,6 +82,8 @@
     void setLostStarts(WorkerId const& worker, bool isLost) { this->workers.at(worker).losesStarts = isLost; }
     void setLostStops(WorkerId const& worker, LostStops lost) { this->workers.at(worker).lostStops = lost; }
     void setFaults(Faults const& given) { this->faults = given; }
+    /// Tasks run this many times as long away from the rack of their data.
+    void setSlowdownElsewhere(double factor) { this->slowdownElsewhere = factor; }
 
     /// Advances all workers to the clock's current time.
     void step();
@@ -167,6 +169,7 @@
 
     FakeClock& clock;
     Random& random;
+    double slowdownElsewhere = 1;
     Faults faults;
     Record recorded;
     std::map<WorkerId, Worker> workers;
--- a/testing/fakes/JobBench.cpp
+++ b/testing/fakes/JobBench.cpp
@@ -33,12 +33,13 @@
 
 } // namespace
 
-JobBench::JobBench(uint64_t seed, size_t hosts, OrdersFactory const& makeOrders)
+JobBench::JobBench(uint64_t seed, size_t hosts, OrdersFactory const& makeOrders, JobLimits const& limits)
     : random(seed)
     , group(hosts, this->random)
     , fleet(this->clock, this->random)
     , orders(makeOrders ? makeOrders(this->clock, this->fleet) : nullptr)
     , services(hosts)
+    , limits(limits)
     , queues(benchQueues())
 {
     for (size_t host = 0; host < hosts; host++)
@@ -51,7 +52,7 @@
 void JobBench::startService(size_t host)
 {
     WorkerOrders& reached = this->orders ? *this->orders : this->fleet;
-    this->services[host] = std::make_unique<JobService>(this->clock, this->events, reached, DispatchTimes(), JobLimits());
+    this->services[host] = std::make_unique<JobService>(this->clock, this->events, reached, DispatchTimes(), this->limits);
     this->group.setHooks(host, this->services[host]->hooks());
     this->services[host]->attach(this->group.log(host));
 }
--- a/testing/fakes/JobBench.h
+++ b/testing/fakes/JobBench.h
@@ -25,7 +25,7 @@
     using OrdersFactory = std::function<std::unique_ptr<WorkerOrders>(FakeClock& clock, WorkerOrders& fleet)>;
 
     /// `makeOrders`: unset for orders that reach the fleet directly.
-    explicit JobBench(uint64_t seed, size_t hosts = 2, OrdersFactory const& makeOrders = OrdersFactory());
+    explicit JobBench(uint64_t seed, size_t hosts = 2, OrdersFactory const& makeOrders = OrdersFactory(), JobLimits const& limits = JobLimits());
 
     /// Adds equal workers "w0", "w1", ... with 62000 MiB each, eight per rack.
     void addWorkers(size_t count, int64_t milliCores);
@@ -67,6 +67,7 @@
     void announceWorkers();
     void startService(size_t host);
 
+    JobLimits limits;
     QueueConfig queues;
     std::map<JobId, TimePoint> submittedAt;
     std::map<JobId, TimePoint> endedAt;
