Tasks that may run twice get a second attempt where their worker is silent or far slower than the others of the stage

Cause: a stage whose tasks may run twice waited for the lease of a silent worker, or for a slow one, though the job table admits two attempts.

Ruled out: copies by the estimate alone, copies before waiting tasks (docs/design/copies.md).

Change: SpeculativeCopies, after each full pass; at most one copy, on another worker, none where it could fail the job. The placement can exclude a worker. Event 381, counter copiesStarted.

--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -50,6 +50,7 @@
     for (auto const& [outcome, waits] : scheduler.localityCounters().waits)
         metrics.setHistogram("localityWaitMs" + std::string(outcome == LocalityOutcome::NearAfterWait ? "Near" : "Elsewhere"), waits);
     gauge("startsDecided", counters.startsDecided);
+    gauge("copiesStarted", counters.copiesStarted);
     gauge("evictions", scheduler.evictionCount());
     for (auto const& [end, count] : counters.attemptEnds)
         metrics.setGauge("attemptsEnded{outcome=\"" + std::string(attemptEndName(end)) + "\"}", static_cast<int64_t>(count));
--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -84,6 +84,7 @@
     StartByOtherProcess = 351,
     FurtherAttemptCommitted = 352,
     LocalityDecided = 380,
+    CopyStarted = 381,
     LeaderElected = 400,
     LeaderLost = 401,
     JournalOpened = 402,
--- a/cornelpond/core/placement/PlacementRequest.h
+++ b/cornelpond/core/placement/PlacementRequest.h
@@ -27,13 +27,14 @@
     bool canOvercommitCores = false; ///< A best-effort task may share the cores that other such tasks are expected to use.
     RackId requiredRack; ///< Empty: any.
     std::set<WorkerId> const* permittedWorkers = nullptr; ///< Null: all.
+    WorkerId excludedWorker; ///< Empty: none.
 
     /// True when both ask the same of a worker, so that one search serves both.
     bool isLike(PlacementRequest const& other) const
     {
         return this->stage == other.stage && this->task.occurrence == other.task.occurrence && this->isRestart == other.isRestart && this->canUseReserve == other.canUseReserve
             && this->canStartThrottled == other.canStartThrottled && this->canOvercommitCores == other.canOvercommitCores && this->canLeaveDataRack == other.canLeaveDataRack
-            && this->requiredRack == other.requiredRack && this->permittedWorkers == other.permittedWorkers && this->service == other.service;
+            && this->requiredRack == other.requiredRack && this->permittedWorkers == other.permittedWorkers && this->excludedWorker == other.excludedWorker && this->service == other.service;
     }
 };
 
--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -23,7 +23,7 @@
     {
         StageSpec const& stage = *request.stage;
         bool const hasConstraints = !stage.requiredLabel.empty() || !stage.dataRack.empty() || stage.maxTasksPerWorker || request.permittedWorkers;
-        return !hasConstraints && request.requiredRack.empty();
+        return !hasConstraints && request.requiredRack.empty() && request.excludedWorker.empty();
     }
 
     /// Under which failed requests are remembered: the image decides nothing for a short task.
@@ -278,6 +278,8 @@
         return false;
     if (request.permittedWorkers && !request.permittedWorkers->count(worker.profile.id))
         return false;
+    if (!request.excludedWorker.empty() && worker.profile.id == request.excludedWorker)
+        return false;
     if (!request.requiredRack.empty() && worker.profile.rack != request.requiredRack)
         return false;
     if (!request.canLeaveDataRack && worker.profile.rack != stage.dataRack)
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -70,6 +70,7 @@
     , interferenceControl(clock, events, this->dispatch, this->placer, this->interference, this->cpuUsage, this->evictor)
     , registration(clock, events, rosterLog, this->workerRoster, queues, this->dispatch)
     , locality(clock, events, this->dispatch.workers(), this->times, limits.slowdownElsewhere)
+    , copies(clock, this->dispatch, this->times)
     , loadReport(events)
     , drainEvacuation(clock, this->dispatch, this->placer, this->registration, this->evictor)
 {
@@ -157,6 +158,7 @@
     this->runTimes.clear();
     this->backlog.clear();
     this->locality.clear();
+    this->copies.clear();
     this->loadReport.clear();
     if (!isLeader) {
         this->dispatch.resign();
@@ -182,6 +184,7 @@
         entry->second.progress.size = sizeOf(job.spec);
         entry->second.record = &job;
         entry->second.isBestEffort = std::all_of(job.spec.stages.begin(), job.spec.stages.end(), [](StageSpec const& stage) { return stage.isBestEffort; });
+        entry->second.allowsCopies = std::any_of(job.spec.stages.begin(), job.spec.stages.end(), [](StageSpec const& stage) { return stage.allowsSpeculativeCopies; });
     }
     return entry->second;
 }
@@ -200,6 +203,7 @@
     for (auto* since : { &this->waitingSince, &this->serviceTaskEnds })
         since->erase(since->lower_bound({ job.spec.id, 0, 0, 0 }), since->lower_bound({ job.spec.id, UINT32_MAX, 0, 0 }));
     this->locality.forgetJob(job.spec.id);
+    this->copies.forgetJob(job.spec.id);
     this->dispatch.stopUnwanted(job.spec.id);
     this->isPassNeeded = true;
 }
@@ -275,6 +279,8 @@
     PlacedAttempt const* attempt = worker ? worker->find(end.task, end.attempt) : nullptr;
     if (attempt && end.end == AttemptEnd::Done && !attempt->isThrottledStart && attempt->placedAt)
         this->runTimes.observe(*attempt->stage, this->clock.now() - *attempt->placedAt);
+    if (attempt && end.end == AttemptEnd::Done && attempt->stage->allowsSpeculativeCopies && attempt->placedAt)
+        this->copies.onTaskDone(end.task, this->clock.now() - *attempt->placedAt);
 }
 
 /// Notes since when a service task that ran waits for a worker.
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -27,6 +27,7 @@
 #include "cornelpond/core/scheduling/LocalityControl.h"
 #include "cornelpond/core/scheduling/PassPacing.h"
 #include "cornelpond/core/scheduling/PermitCache.h"
+#include "cornelpond/core/scheduling/SpeculativeCopies.h"
 #include "cornelpond/core/scheduling/TaskEvictor.h"
 #include "cornelpond/core/scheduling/WorkerRegistration.h"
 
@@ -48,6 +49,7 @@
 /// Counted by this host as leader since it was started, for metrics.
 struct SchedulerCounters {
     uint64_t startsDecided = 0;
+    uint64_t copiesStarted = 0; ///< Second attempts among them.
     uint64_t jobsAccepted = 0;
     uint64_t jobsRefused = 0;
     uint64_t jobsCompleted = 0;
@@ -152,6 +154,7 @@
     struct ActiveJob {
         JobRecord const* record = nullptr; ///< Valid while the job is active.
         bool isBestEffort = false; ///< All its stages are.
+        bool allowsCopies = false; ///< One of its stages does.
         JobObjective objective;
         JobProgress progress;
     };
@@ -173,6 +176,8 @@
     bool chooseGangWorkers(ReadyStage const& ready, PlacementRequest const& request, TimePoint now, std::vector<CommitStart>& placed);
     bool startThrottled(ReadyStage const& ready, PlacementRequest request, TimePoint now);
     void moveThrottledTasks();
+    void startCopies(TimePoint now);
+    void startCopy(JobRecord const& job, CopyCandidate const& candidate, TimePoint now);
     bool preparePermits(ReadyStage const& ready, PlacementRequest& request);
     PlacementRequest requestFor(ReadyStage const& ready);
     void decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now, std::optional<unsigned> startSpeedPercent = std::nullopt);
@@ -199,6 +204,7 @@
     InterferenceControl interferenceControl;
     WorkerRegistration registration;
     LocalityControl locality;
+    SpeculativeCopies copies;
     LoadReport loadReport;
     DrainEvacuation drainEvacuation;
 
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -46,6 +46,7 @@
     if (isFull) {
         this->pacing.onFullPass(now, endedAt);
         this->backlog.onPass(now, this->dispatch.workers().size(), ready, placements);
+        this->startCopies(now);
     } else {
         this->backlog.onStarts(ready, placements);
         this->isPassNeeded = true; // Best-effort stages may find room too.
@@ -191,6 +192,41 @@
     }
 }
 
+/// Runs after all waiting tasks had their turn, so that copies take only the room that these have left.
+void JobScheduler::startCopies(TimePoint now)
+{
+    for (auto const& [id, active] : this->activeJobs) {
+        if (!active.allowsCopies)
+            continue;
+        for (auto const& candidate : this->copies.candidates(*active.record))
+            this->startCopy(*active.record, candidate, now);
+    }
+}
+
+void JobScheduler::startCopy(JobRecord const& job, CopyCandidate const& candidate, TimePoint now)
+{
+    TaskRef const& task = candidate.task;
+    TaskRecord const& record = job.occurrences.at(task.occurrence).stages[task.stage].tasks[task.index];
+    ReadyStage const stage { &job, task.occurrence, task.stage, StageRank(), this->objectiveFor(job).acceptedAt };
+    PlacementRequest request = this->requestFor(stage);
+    request.task = task;
+    request.excludedWorker = candidate.runsOn;
+    request.canLeaveDataRack = true;
+    if (this->proposedTasks.count(task) || !this->preparePermits(stage, request))
+        return;
+    WorkerView* worker = this->placer.choose(request, now);
+    if (!worker)
+        return;
+    this->events.emit(Event(EventId::CopyStarted)
+                          .with("task", task.text())
+                          .with("runsOn", candidate.runsOn)
+                          .with("answers", static_cast<int>(candidate.isWorkerAnswering))
+                          .with("runningMs", candidate.running)
+                          .with("worker", worker->profile.id));
+    this->schedulerCounters.copiesStarted++;
+    this->decideStart(*worker, { task, record.lastAttempt.next(), worker->profile.id }, stage, now);
+}
+
 /// Where the queue requires permits, adds the permitted workers to the request or asks for permits. False while
 /// there are none.
 bool JobScheduler::preparePermits(ReadyStage const& ready, PlacementRequest& request)
