--- a/cornelpond/core/base/Event.cpp
+++ b/cornelpond/core/base/Event.cpp
@@ -70,6 +70,8 @@
         EventInfo { EventId::AttemptsInherited, "AttemptsInherited", "A new leader took over `attempts` on `workers`; orders for a former process may still reach `workersWithFormerOrders` of them. The epochs of its orders are above `epoch`." },
         EventInfo { EventId::StartByOtherProcess, "StartByOtherProcess", "A start was answered by another process of the worker than it names (`processBornMs`): its clock shows `clockMs` instead of `expectedClockMs`. With `result=accepted` that process runs the attempt, with a lease by the clock of the named one." },
         EventInfo { EventId::FurtherAttemptCommitted, "FurtherAttemptCommitted", "A control host that does not lead applied the committed start of a further attempt of a task, also one that it reads from its journal after it has started (402)." },
+        EventInfo { EventId::LocalityDecided, "LocalityDecided", "A stage found no room on the rack of its data, or a gang no rack for all its members: whether it waits (`waits`), when room is expected there (`untilRoomMs`, -1: not known), what a run elsewhere takes longer (`costElsewhereMs`) and how long it has waited. Logged when the decision changes." },
+        EventInfo { EventId::CopyStarted, "CopyStarted", "A task that may run twice at once gets a second attempt on `worker`: the worker of the first does not answer (`answers` 0), or the first takes much longer than other tasks of its stage (`runningMs`)." },
         EventInfo { EventId::LeaderElected, "LeaderElected", "This host leads a group." },
         EventInfo { EventId::LeaderLost, "LeaderLost", "This host no longer leads a group." },
         EventInfo { EventId::JournalOpened, "JournalOpened", "A journal was read from disk." },
