--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -34,6 +34,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <utility>
 
 namespace cornelpond {
 
@@ -130,6 +131,8 @@
 private:
     using WeakLeadershipToken = std::weak_ptr<bool>;
 
+    static constexpr uint64_t generationsPerEpoch = uint64_t(1) << 20U; ///< Keeps the epochs of orders below 2^53, which JSON numbers hold exactly.
+
     /// What was known when an order was sent.
     struct SendContext {
         uint64_t generation = 0; ///< Of the worker's process.
@@ -187,8 +190,16 @@
     bool concludeAll(WorkerView& view, char const* reason);
     void onHigherEpoch(WorkerView& view);
     void removeReplacedWorker(WorkerView& view);
+
+    /// Wraps the handler of an answer so that answers that arrive after a change of leader are dropped.
     template <typename Handler>
-    WorkerOrders::Done ifStillLeading(Handler handler);
+    WorkerOrders::Done ifStillLeading(Handler handler)
+    {
+        return [token = WeakLeadershipToken(this->leadershipToken), handler = std::move(handler)](OrderAnswer const& answer) {
+            if (!token.expired())
+                handler(answer);
+        };
+    }
 
     Clock const& clock;
     EventSink& events;
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -60,6 +60,9 @@
     TimePoint nextAt;
     TimePoint nextOnRenewalConnectionAt; ///< As `nextAt`, but on the connection of a renewal, whatever other order is in flight.
     OrderResult lastResult = OrderResult::Unknown; ///< Of the latest one that was answered or given up.
+
+    /// The way of the next order that awaits no renewal: by turns, as a route or a pooled connection may fail without notice.
+    StopWay nextWay() const { return this->sent % 2 ? StopWay::OtherRoute : StopWay::Usual; }
 };
 
 /// One attempt on a worker, from the placement decision until its end is committed.
