--- a/cornelpond/app/ControlHost.cpp
+++ b/cornelpond/app/ControlHost.cpp
@@ -67,7 +67,8 @@
     , workerClient(loop, this->client, dispatchTimes(this->settings), this->settings.permitService)
     , orderRelay(loop, loop, this->workerClient, dispatchTimes(this->settings), this->random.next(), this->relayHooks())
     , jobService(loop, events, this->orderRelay, dispatchTimes(this->settings), JobLimits())
-    , controlApi(this->jobService, [this](WorkerProfile const& worker) { return this->heartbeatAddress(worker); })
+    , controlApi(
+          this->jobService, [this](WorkerProfile const& worker) { return this->heartbeatAddress(worker); }, [this](DataCentreId const& dataCentre) { return this->hasHosts(dataCentre); })
     , hostNetwork(loop, this->random, events, this->hostSettings, this->networkHooks())
     , controlServer(loop, controlLimits(this->descriptors), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleControl(request, responder); })
     , metricsServer(loop, metricsLimits(), [this](HttpRequest const& request, HttpResponder const& responder) { this->handleMetrics(request, responder); })
@@ -150,6 +151,12 @@
     return ip.empty() ? ip : Address { ip, this->settings.listen.control.port }.text();
 }
 
+bool ControlHost::hasHosts(DataCentreId const& dataCentre) const
+{
+    auto const& hosts = this->hostNetwork.hosts().all();
+    return dataCentre == this->settings.dataCentre || std::any_of(hosts.begin(), hosts.end(), [&](auto const& host) { return host.second.dataCentre == dataCentre; });
+}
+
 bool ControlHost::isFollowingLeader() const
 {
     HostId const leader = this->hostNetwork.leaderOf(configGroupId());
--- a/cornelpond/app/ControlHost.h
+++ b/cornelpond/app/ControlHost.h
@@ -51,6 +51,7 @@
     void updateRelays();
     void failOrdersOfLostRelays(std::vector<RelayHost> const& relays);
     std::string heartbeatAddress(WorkerProfile const& worker) const;
+    bool hasHosts(DataCentreId const& dataCentre) const;
     bool isFollowingLeader() const;
     StateMachineHooks groupHooks();
     void serveLocally(ApiKind api, HttpRequest const& request, ApiAnswerCallback const& answer);
--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -12,6 +12,25 @@
         return sizeClass < sizeClassBoundsCoreSeconds.size() ? std::to_string(sizeClassBoundsCoreSeconds.at(sizeClass)) : "inf";
     }
 
+    /// Workers announce the names of data centres themselves.
+    std::string labelValue(DataCentreId const& dataCentre)
+    {
+        std::string text = dataCentre.value();
+        std::replace_if(text.begin(), text.end(), [](char byte) { return byte < ' ' || byte > '~' || byte == '"' || byte == '\\'; }, '_');
+        return text;
+    }
+
+    void setEvacuationGauges(DataCentreId const& dataCentre, EvacuationProgress const& left, bool isEvacuated, Metrics& metrics)
+    {
+        std::string const label = "dataCentre=\"" + labelValue(dataCentre) + "\"";
+        metrics.setGauge("evacuated{" + label + "}", isEvacuated ? 1 : 0);
+        metrics.setGauge("evacuationAgeMs{" + label + "}", left.age.toMilliseconds());
+        auto const tasks = [&](char const* taskClass, size_t count) { metrics.setGauge("evacuationTasksLeft{" + label + ",class=\"" + taskClass + "\"}", static_cast<int64_t>(count)); };
+        tasks("short", left.shortTasks);
+        tasks("bestEffort", left.bestEffort);
+        tasks("service", left.service);
+    }
+
 } // namespace
 
 void fillSchedulerMetrics(JobScheduler const& scheduler, Metrics& metrics)
@@ -30,6 +49,14 @@
     CancelledRuns const cancelled = scheduler.cancelledRuns();
     gauge("cancelledJobsWithRuns", cancelled.jobs);
     gauge("cancelledAttempts", cancelled.attempts);
+    auto const evacuations = scheduler.evacuation().progress();
+    for (auto const& [id, worker] : scheduler.roster().all()) {
+        if (!evacuations.count(worker.dataCentre))
+            setEvacuationGauges(worker.dataCentre, EvacuationProgress(), false, metrics);
+    }
+    for (auto const& [dataCentre, left] : evacuations)
+        setEvacuationGauges(dataCentre, left, true, metrics);
+    gauge("jobsWithoutWorkers", scheduler.evacuation().jobsWithoutWorkers().count);
     metrics.setGauge("oldestCancelledRunMs", cancelled.oldest.toMilliseconds());
     StopCounters const& stops = scheduler.dispatcher().stopCounters();
     gauge("stopsSent", stops.sent);
--- a/cornelpond/core/agreement/StateMachineSet.cpp
+++ b/cornelpond/core/agreement/StateMachineSet.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <set>
+
 namespace cornelpond {
 
 class StateMachineSet::Facade final : public CommandLog {
@@ -77,6 +79,8 @@
     nlohmann::json snapshot = nlohmann::json::array();
     for (auto const& [part, entry] : this->parts) {
         std::string const state = entry->hooks.takeSnapshot();
+        if (state.empty() && part >= StateMachinePart::Evacuations)
+            continue; // So that hosts of earlier versions, which lack these parts, can restore it.
         snapshot.push_back({ static_cast<uint8_t>(part), nlohmann::json::binary(std::vector<uint8_t>(state.begin(), state.end())) });
     }
     return toCbor(snapshot);
@@ -84,6 +88,11 @@
 
 void StateMachineSet::restore(std::string const& state)
 {
+    std::set<StateMachinePart> missing;
+    for (auto const& [part, entry] : this->parts) {
+        if (part >= StateMachinePart::Evacuations)
+            missing.insert(part);
+    }
     try {
         for (auto const& part : fromCbor(state)) {
             auto const found = this->parts.find(static_cast<StateMachinePart>(part.at(0).get<uint8_t>()));
@@ -91,7 +100,10 @@
                 throw Error(ResultCode::StorageDamaged, "a snapshot of an unknown part");
             auto const& bytes = part.at(1).get_binary();
             found->second->hooks.restore(std::string(bytes.begin(), bytes.end()));
+            missing.erase(found->first);
         }
+        for (StateMachinePart const part : missing)
+            this->parts.at(part)->hooks.restore(std::string());
     } catch (nlohmann::json::exception const& error) {
         throw Error(ResultCode::StorageDamaged, std::string("snapshot: ") + error.what());
     }
--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -576,7 +576,7 @@
 void Dispatcher::sendStart(WorkerView& view, PlacedAttempt& attempt)
 {
     TimePoint const now = this->clock.now();
-    if (!this->jobs.isWanted(attempt.task, { attempt.number, view.profile.id })) {
+    if (!this->jobs.isWanted(attempt.task, { attempt.number, view.profile.id }) || !this->hooks.mayStart(view.profile, attempt.task, attempt.number)) {
         if (!attempt.startsSent)
             this->conclude(view, attempt, AttemptEnd::Refused, "not started");
         else
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -44,6 +44,8 @@
     std::function<void(CommitEnd const&)> proposeEnd;
     /// Proposes the removal of a worker on which nothing can be running any more.
     std::function<void(WorkerProfile const&)> removeWorker;
+    /// Whether a committed start may still be sent to the worker.
+    std::function<bool(WorkerProfile const&, TaskRef const&, AttemptNumber)> mayStart;
     /// Returns the permit for starting a task on a worker; empty when none is needed.
     std::function<std::string(TaskRef const&, WorkerId const&)> permitFor;
     std::function<void(TaskRef const&, WorkerId const&)> onPermitRefused;
--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -121,7 +121,7 @@
 
 bool WorkerView::canTakeTasks(TimePoint now, DispatchTimes const& times) const
 {
-    return this->hasListing && this->hasClock && !this->hasHigherEpoch && !this->profile.isDraining && this->isAnswering(now, times)
+    return this->hasListing && this->hasClock && !this->hasHigherEpoch && !this->profile.isDraining && !this->isEvacuated && this->isAnswering(now, times)
         && now >= this->startsPausedUntil && !this->isStopOverdue(now, times) && std::none_of(this->orphanedAttempts.begin(), this->orphanedAttempts.end(), [](auto const& entry) { return entry.second.isListed; });
 }
 
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -244,6 +244,7 @@
     unsigned bestEffortSpeedPercent = fullSpeedPercent; ///< For its best-effort tasks; throttled starts have their own speeds.
     TimePoint bestEffortSpeedChangedAt;
     TimePoint bestEffortLeftAt; ///< When the end of a best-effort task was last committed.
+    bool isEvacuated = false; ///< Its data centre is being evacuated: no tasks are placed there.
     std::optional<TimePoint> overTargetSince; ///< Since then every listing had a service task at or over its latency target.
     uint64_t lastPassAvailable = 0; ///< Number of the latest pass in which it could take tasks.
     uint64_t lastPassChanged = 0; ///< Number of the first pass that saw its latest change.
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -54,7 +54,7 @@
 
 } // namespace
 
-JobScheduler::JobScheduler(Clock const& clock, EventSink& events, CommandLog& jobLog, CommandLog& rosterLog, QueueTable const& queues, WorkerOrders& orders, DispatchTimes times, JobLimits limits)
+JobScheduler::JobScheduler(Clock const& clock, EventSink& events, CommandLog& jobLog, CommandLog& rosterLog, QueueTable const& queues, EvacuationTable const& evacuations, WorkerOrders& orders, DispatchTimes times, JobLimits limits)
     : clock(clock)
     , events(events)
     , jobLog(jobLog)
@@ -71,6 +71,7 @@
     , registration(clock, events, rosterLog, this->workerRoster, queues, this->dispatch)
     , loadReport(events)
     , drainEvacuation(clock, this->dispatch, this->placer, this->registration, this->evictor)
+    , dataCentreEvacuation(clock, events, evacuations, this->jobTable, this->dispatch, this->placer, this->evictor)
 {
 }
 
@@ -113,6 +114,7 @@
         WorkerProfile const* known = this->workerRoster.find(profile.id);
         this->registration.remove(profile.id, known ? std::max(known->bornMs, profile.bornMs) : profile.bornMs, [](CallResult) {});
     };
+    hooks.mayStart = [this](WorkerProfile const& worker, TaskRef const& task, AttemptNumber attempt) { return this->dataCentreEvacuation.mayStart(worker, task, attempt); };
     hooks.permitFor = [this](TaskRef const& task, WorkerId const& worker) { return this->permits.ticket(task, worker); };
     hooks.onPermitRefused = [this](TaskRef const& task, WorkerId const& worker) { this->permits.invalidate(task, worker); };
     hooks.onListingRead = [this](WorkerView& worker) { this->interferenceControl.processListing(worker); };
@@ -140,6 +142,12 @@
     this->isPassNeeded = true;
 }
 
+void JobScheduler::onEvacuationsChanged()
+{
+    this->dataCentreEvacuation.markWorkers();
+    this->isPassNeeded = true;
+}
+
 void JobScheduler::onLeadership(bool isLeader)
 {
     this->activeJobs.clear();
@@ -156,6 +164,7 @@
     this->runTimes.clear();
     this->backlog.clear();
     this->loadReport.clear();
+    this->dataCentreEvacuation.clear();
     if (!isLeader) {
         this->dispatch.resign();
         return;
@@ -491,6 +500,8 @@
         this->updateShortTaskNeeds();
         this->updateIdleWindows();
         this->drainEvacuation.evacuate();
+        this->dataCentreEvacuation.moveTasks();
+        this->dataCentreEvacuation.reportProgress();
         this->moveThrottledTasks();
         this->forgetEndedJobs();
         if (this->hasLackedWorker && now >= this->nextRoomReport) {
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -4,7 +4,7 @@
 // Combines the replicated jobs, the ranking of ready stages, placement, orders to workers and recovery.
 //
 // Example:
-//   JobScheduler scheduler(clock, events, jobLog, rosterLog, queues, orders, times, limits);
+//   JobScheduler scheduler(clock, events, jobLog, rosterLog, queues, evacuations, orders, times, limits);
 //   scheduler.submit(job, queue, [](SubmitResult const& result) { answer(result); });
 //   scheduler.onTick(); // every 10 to 20 ms
 //
@@ -21,6 +21,7 @@
 #include "cornelpond/core/queueing/RunTimeModel.h"
 #include "cornelpond/core/queueing/StageRank.h"
 #include "cornelpond/core/scheduling/CallResult.h"
+#include "cornelpond/core/scheduling/DataCentreEvacuation.h"
 #include "cornelpond/core/scheduling/DrainEvacuation.h"
 #include "cornelpond/core/scheduling/InterferenceControl.h"
 #include "cornelpond/core/scheduling/LoadReport.h"
@@ -79,7 +80,7 @@
     using Done = CallDone;
 
     /// References must outlive the object; the logs must carry only this object's commands.
-    JobScheduler(Clock const& clock, EventSink& events, CommandLog& jobLog, CommandLog& rosterLog, QueueTable const& queues, WorkerOrders& orders, DispatchTimes times, JobLimits limits);
+    JobScheduler(Clock const& clock, EventSink& events, CommandLog& jobLog, CommandLog& rosterLog, QueueTable const& queues, EvacuationTable const& evacuations, WorkerOrders& orders, DispatchTimes times, JobLimits limits);
     ~JobScheduler();
     JobScheduler(JobScheduler const&) = delete;
     JobScheduler& operator=(JobScheduler const&) = delete;
@@ -92,6 +93,7 @@
     void restoreJobs(std::string const& state) { this->jobTable.restore(state); }
     void restoreRoster(std::string const& state) { this->workerRoster.restore(state); }
     void onQueuesChanged();
+    void onEvacuationsChanged();
     void onLeadership(bool isLeader);
 
     /// Accepted once committed. Submitting an id that exists already is answered as accepted again. Cancelled for an id that was
@@ -128,6 +130,8 @@
     CancelledRuns cancelledRuns() const;
     /// Tasks that wait for a worker. Empty on a follower.
     WaitingSummary waitingTasks() const;
+    WorkerRoster const& roster() const { return this->workerRoster; }
+    DataCentreEvacuation const& evacuation() const { return this->dataCentreEvacuation; }
     RoomSummary room() const { return summarizeRoom(this->dispatch.workers(), this->clock.now(), this->times); }
 
 private:
@@ -197,6 +201,7 @@
     WorkerRegistration registration;
     LoadReport loadReport;
     DrainEvacuation drainEvacuation;
+    DataCentreEvacuation dataCentreEvacuation;
 
     std::map<JobId, ActiveJob> activeJobs; ///< Kept on the leader only.
     std::map<TaskRef, TimePoint> waitingSince; ///< Best-effort stages that found no room, by their first task.
--- a/cornelpond/core/scheduling/JobService.cpp
+++ b/cornelpond/core/scheduling/JobService.cpp
@@ -4,12 +4,22 @@
 
 namespace cornelpond {
 
+namespace {
+
+    constexpr Duration evacuationResendLimit = Duration::seconds(5); ///< Operators send a call again for no longer.
+    constexpr size_t maxDataCentres = 1000; ///< Anyone may send announcements.
+
+} // namespace
+
 JobService::JobService(Clock const& clock, EventSink& events, WorkerOrders& orders, DispatchTimes times, JobLimits limits)
-    : events(events)
+    : clock(clock)
+    , events(events)
+    , repeatedCalls(evacuationResendLimit)
     , queueLog(this->stateMachines.add(StateMachinePart::Queues, this->queueHooks()))
     , workerLog(this->stateMachines.add(StateMachinePart::Workers, this->workerHooks()))
     , jobLog(this->stateMachines.add(StateMachinePart::Jobs, this->jobHooks()))
-    , jobScheduler(clock, events, this->jobLog, this->workerLog, this->queues, orders, times, limits)
+    , evacuationLog(this->stateMachines.add(StateMachinePart::Evacuations, this->evacuationHooks()))
+    , jobScheduler(clock, events, this->jobLog, this->workerLog, this->queues, this->evacuationTable, orders, times, limits)
 {
 }
 
@@ -37,9 +47,15 @@
 StateMachineHooks JobService::workerHooks()
 {
     StateMachineHooks hooks;
-    hooks.apply = [this](LogIndex, std::string const& command) { this->jobScheduler.applyRosterCommand(command); };
+    hooks.apply = [this](LogIndex, std::string const& command) {
+        this->jobScheduler.applyRosterCommand(command);
+        this->noteDataCentres();
+    };
     hooks.takeSnapshot = [this] { return this->jobScheduler.takeRosterSnapshot(); };
-    hooks.restore = [this](std::string const& state) { this->jobScheduler.restoreRoster(state); };
+    hooks.restore = [this](std::string const& state) {
+        this->jobScheduler.restoreRoster(state);
+        this->noteDataCentres();
+    };
     hooks.onLeadership = [](bool) {};
     return hooks;
 }
@@ -54,6 +70,64 @@
     return hooks;
 }
 
+StateMachineHooks JobService::evacuationHooks()
+{
+    StateMachineHooks hooks;
+    hooks.apply = [this](LogIndex, std::string const& command) { this->applyEvacuation(decodeEvacuationCommand(command)); };
+    hooks.takeSnapshot = [this] { return this->evacuationTable.takeSnapshot(); };
+    hooks.restore = [this](std::string const& state) { this->evacuationTable.restore(state); };
+    hooks.onLeadership = [](bool) {};
+    return hooks;
+}
+
+void JobService::applyEvacuation(EvacuationCommand const& command)
+{
+    if (!this->evacuationTable.apply(command))
+        return;
+    this->repeatedCalls.noteApplied(command.change, command.dataCentre, this->clock.now());
+    bool const isStart = command.change == EvacuationChange::Start;
+    this->events.emit(Event(isStart ? EventId::EvacuationStarted : EventId::EvacuationFinished).with("dataCentre", command.dataCentre).with("evacuated", this->evacuationTable.all().size()));
+    this->jobScheduler.onEvacuationsChanged();
+}
+
+void JobService::noteDataCentres()
+{
+    for (auto const& [id, worker] : this->jobScheduler.roster().all()) {
+        if (this->announcedDataCentres.size() < maxDataCentres)
+            this->announcedDataCentres.insert(worker.dataCentre);
+    }
+}
+
+std::set<DataCentreId> JobService::dataCentres() const
+{
+    std::set<DataCentreId> all = this->announcedDataCentres;
+    for (auto const& [dataCentre, startedWallMs] : this->evacuationTable.all())
+        all.insert(dataCentre);
+    return all;
+}
+
+void JobService::changeEvacuation(EvacuationChange change, DataCentreId const& dataCentre, std::function<void(CallResult, Duration)> done)
+{
+    if (!this->carrierLog || !this->carrierLog->isLeadershipConfirmed()) {
+        done(CallResult::NotLeader, Duration());
+        return;
+    }
+    bool const isStart = change == EvacuationChange::Start;
+    std::optional<Duration> const ambiguousFor = this->repeatedCalls.ambiguousFor(change, dataCentre, this->clock.now());
+    if (this->evacuationTable.isEvacuated(dataCentre) != isStart && ambiguousFor) {
+        this->events.emit(Event(EventId::EvacuationRefused).with("dataCentre", dataCentre).with("start", isStart).with("reason", "may be a copy of an earlier call").with("retryAfterMs", *ambiguousFor));
+        done(CallResult::Refused, *ambiguousFor);
+        return;
+    }
+    // Proposed even if it changes nothing: a call that reverses the state may be on its way to its commit.
+    EvacuationCommand const command { change, dataCentre, this->clock.wallMilliseconds() };
+    this->evacuationLog.propose(encodeEvacuationCommand(command), [this, command, isStart, done = std::move(done)](ProposalOutcome const& outcome) {
+        if (outcome.code != ResultCode::Ok)
+            this->events.emit(Event(EventId::EvacuationRefused).with("dataCentre", command.dataCentre).with("start", isStart).with("reason", "not committed").with("code", static_cast<int>(outcome.code)));
+        done(callResultOf(outcome.code), Duration());
+    });
+}
+
 QueueLookup JobService::findQueue(std::string_view host, std::string_view path, QueueSpec& queue) const
 {
     if (!this->carrierLog || !this->carrierLog->isLeadershipConfirmed())
--- a/cornelpond/core/scheduling/JobService.h
+++ b/cornelpond/core/scheduling/JobService.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// The replicated job state of one group of hosts: the configuration of queues, the workers and the jobs as parts of
-// one replicated log, with the scheduler that works on them.
+// The replicated job state of one group of hosts: the configuration of queues, the workers, the
+// evacuations of data centres and the jobs as parts of one replicated log, with the scheduler that works on them.
 //
 // Example:
 //   JobService service(clock, events, orders, DispatchTimes(), JobLimits());
@@ -14,8 +14,11 @@
 // Loop thread only.
 
 #include "cornelpond/core/agreement/StateMachineSet.h"
+#include "cornelpond/core/evacuation/RepeatedEvacuationCalls.h"
 #include "cornelpond/core/scheduling/JobScheduler.h"
 
+#include <set>
+
 namespace cornelpond {
 
 /// Outcome of looking up a queue.
@@ -45,6 +48,14 @@
     /// configuration.
     void replaceQueues(QueueConfig const& config, JobScheduler::Done done);
 
+    /// Starts or finishes the evacuation of a data centre; done once it is committed, also if it was before. Refused, with the time
+    /// after which to send it again, while the call may be a late copy of one that a later call has reversed.
+    void changeEvacuation(EvacuationChange change, DataCentreId const& dataCentre, std::function<void(CallResult, Duration retryAfter)> done);
+
+    EvacuationTable const& evacuations() const { return this->evacuationTable; }
+    /// The data centres that workers have announced to the group since this host was started, or are evacuated.
+    std::set<DataCentreId> dataCentres() const;
+
     /// The newest configuration; null when this host is not the confirmed leader or there is none.
     QueueConfig const* readQueues() const;
 
@@ -56,14 +67,22 @@
     StateMachineHooks queueHooks();
     StateMachineHooks workerHooks();
     StateMachineHooks jobHooks();
+    StateMachineHooks evacuationHooks();
+    void applyEvacuation(EvacuationCommand const& command);
+    void noteDataCentres();
 
+    Clock const& clock;
     EventSink& events;
     CommandLog* carrierLog = nullptr;
     StateMachineSet stateMachines;
     QueueTable queues;
+    EvacuationTable evacuationTable;
+    RepeatedEvacuationCalls repeatedCalls;
+    std::set<DataCentreId> announcedDataCentres;
     CommandLog& queueLog;
     CommandLog& workerLog;
     CommandLog& jobLog;
+    CommandLog& evacuationLog;
     JobScheduler jobScheduler;
 };
 
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -30,6 +30,7 @@
 void JobScheduler::runPass()
 {
     TimePoint const now = this->clock.now();
+    this->dataCentreEvacuation.markWorkers();
     this->placer.beginPass(now);
     bool const isFull = this->pacing.isFullPassDue(now);
     std::vector<ReadyStage> ready = this->collectReadyStages(now, isFull);
--- a/testing/fakes/JobBench.cpp
+++ b/testing/fakes/JobBench.cpp
@@ -69,7 +69,7 @@
     this->startService(crashed);
 }
 
-void JobBench::addWorkers(size_t count, int64_t milliCores)
+void JobBench::addWorkers(size_t count, int64_t milliCores, size_t dataCentres)
 {
     constexpr size_t workersPerRack = 8;
     constexpr int64_t memoryMiB = 62000;
@@ -78,6 +78,8 @@
         profile.id = WorkerId("w" + std::to_string(i));
         profile.bornMs = 1;
         profile.service = ServiceId("fleet");
+        if (dataCentres)
+            profile.dataCentre = DataCentreId("dc" + std::to_string(i % dataCentres));
         profile.address = "10.0.0." + std::to_string(i) + ":80";
         profile.rack = RackId("r" + std::to_string(i / workersPerRack));
         profile.labels = { "a", profile.rack.value() };
@@ -88,6 +90,14 @@
     this->run(Duration::milliseconds(200));
 }
 
+std::optional<CallResult> JobBench::evacuate(EvacuationChange change, std::string const& dataCentre)
+{
+    auto const answer = std::make_shared<std::optional<CallResult>>(); // It may come after this function has returned.
+    this->leader().changeEvacuation(change, DataCentreId(dataCentre), [answer](CallResult result, Duration) { *answer = result; });
+    this->run(Duration::milliseconds(50));
+    return *answer;
+}
+
 QueueSpec const& JobBench::queueOf(JobSpec const& job) const
 {
     return this->queues.queues[job.stages.front().isBestEffort ? 1 : 0];
