--- a/testing/fakes/JobBench.cpp
+++ b/testing/fakes/JobBench.cpp
@@ -78,11 +78,13 @@
         profile.id = WorkerId("w" + std::to_string(i));
         profile.bornMs = 1;
         profile.service = ServiceId("fleet");
-        if (dataCentres)
-            profile.dataCentre = DataCentreId("dc" + std::to_string(i % dataCentres));
         profile.address = "10.0.0." + std::to_string(i) + ":80";
         profile.rack = RackId("r" + std::to_string(i / workersPerRack));
         profile.labels = { "a", profile.rack.value() };
+        if (dataCentres) {
+            profile.dataCentre = DataCentreId("dc" + std::to_string(i % dataCentres));
+            profile.labels.push_back(profile.dataCentre.value());
+        }
         profile.capacity = { milliCores, memoryMiB, 0 };
         this->fleet.addWorker(profile);
     }
--- a/testing/fakes/JobBench.h
+++ b/testing/fakes/JobBench.h
@@ -29,7 +29,7 @@
     explicit JobBench(uint64_t seed, size_t hosts = 2, OrdersFactory const& makeOrders = OrdersFactory());
 
     /// Adds equal workers "w0", "w1", ... with 62000 MiB each, eight per rack. With `dataCentres`, they are in "dc0", "dc1", ... by
-    /// turns.
+    /// turns, and have that as a label.
     void addWorkers(size_t count, int64_t milliCores, size_t dataCentres = 0);
     /// Starts or finishes an evacuation at the leader; returns the answer after 50 ms, unset if there is none yet.
     std::optional<CallResult> evacuate(EvacuationChange change, std::string const& dataCentre);
