--- a/testing/soak/FaultPlan.cpp
+++ b/testing/soak/FaultPlan.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-    constexpr std::array<std::string_view, 29> names { "KillHost", "StopHost", "PauseHost", "WipeHost", "TearJournal", "ReloadHost", "ResetLinks", "SilenceLinks", "CutOneWay", "SlowLinks",
+    constexpr std::array<std::string_view, 30> names { "KillHost", "StopHost", "PauseHost", "WipeHost", "TearJournal", "ReloadHost", "ResetLinks", "SilenceLinks", "CutOneWay", "SlowLinks",
         "CrashWorker", "CutWorker", "SilenceWorker", "DrainWorker", "LateOrders", "CancelWave", "RaceOperators", "FillDisk", "LoseMajority", "KillEntryHost", "StopEntryHost", "OddHeartbeats", "OddListings",
-        "RemoveQueue", "ReplaceQueue", "ExhaustWorkerConnections", "RestartAndCutWorkers", "RestartSilently", "KillLeader" };
+        "RemoveQueue", "ReplaceQueue", "ExhaustWorkerConnections", "RestartAndCutWorkers", "RestartSilently", "KillLeader", "Evacuate" };
 
     /// The kinds of FaultSet::General come first in FaultKind.
     constexpr uint64_t generalKindCount = 17;
@@ -23,6 +23,8 @@
         FaultKind::CrashWorker, FaultKind::LateOrders, FaultKind::KillEntryHost, FaultKind::StopEntryHost, FaultKind::ExhaustWorkerConnections, FaultKind::ExhaustWorkerConnections };
     constexpr std::array<FaultKind, 10> restartKinds { FaultKind::RestartAndCutWorkers,
         FaultKind::CrashWorker, FaultKind::CutWorker, FaultKind::SilenceWorker, FaultKind::LateOrders, FaultKind::KillHost, FaultKind::StopHost, FaultKind::PauseHost, FaultKind::ResetLinks, FaultKind::SlowLinks };
+    constexpr std::array<FaultKind, 13> evacuationKinds { FaultKind::Evacuate, FaultKind::Evacuate, FaultKind::Evacuate, FaultKind::Evacuate, FaultKind::KillLeader, FaultKind::KillHost, FaultKind::StopHost,
+        FaultKind::PauseHost, FaultKind::LoseMajority, FaultKind::CrashWorker, FaultKind::CutWorker, FaultKind::DrainWorker, FaultKind::LateOrders };
     /// FaultSet::Cancels has faults only in the first part of each period.
     constexpr Duration cancelPeriod = Duration::seconds(20);
     constexpr Duration faultsPerPeriod = Duration::seconds(5);
@@ -52,6 +54,8 @@
             return cancelKinds.at(random.below(cancelKinds.size()));
         case FaultSet::Restarts:
             return restartKinds.at(random.below(restartKinds.size()));
+        case FaultSet::Evacuations:
+            return evacuationKinds.at(random.below(evacuationKinds.size()));
         default:
             return static_cast<FaultKind>(random.below(generalKindCount));
         }
@@ -84,7 +88,7 @@
 
 bool isCalm(FaultKind kind)
 {
-    constexpr std::array<FaultKind, 5> calm { FaultKind::ReloadHost, FaultKind::CancelWave, FaultKind::RaceOperators, FaultKind::RemoveQueue, FaultKind::ReplaceQueue };
+    constexpr std::array<FaultKind, 6> calm { FaultKind::Evacuate, FaultKind::ReloadHost, FaultKind::CancelWave, FaultKind::RaceOperators, FaultKind::RemoveQueue, FaultKind::ReplaceQueue };
     return std::find(calm.begin(), calm.end(), kind) != calm.end();
 }
 
--- a/testing/soak/FaultPlan.h
+++ b/testing/soak/FaultPlan.h
@@ -49,6 +49,7 @@
     RestartAndCutWorkers, ///< Half of them: restarted under their ids after half a second; `duration` later unreachable for longer than their leases.
     RestartSilently, ///< Half or two thirds of the workers: silent for a while, restarted under their ids, `duration` later unreachable for longer than their leases.
     KillLeader, ///< As KillHost, for the control host that leads.
+    Evacuate, ///< An operator evacuates the worker's data centre, and finishes that `duration` and some seconds later.
 };
 
 enum class FaultSet {
@@ -57,6 +58,7 @@
     Cancels, ///< Removed queues and cancels, through overlapping faults and the calm periods between them.
     Restarts, ///< Workers that are restarted and cut off, beside late orders and faults of the hosts that relay them.
     SilentRestarts, ///< Rounds of RestartSilently, some with KillLeader, while tasks run for longer than a lease.
+    Evacuations, ///< Evacuated data centres, beside restarts, signals and lost majorities.
 };
 
 constexpr Duration silentDownTime = Duration::milliseconds(600); ///< From the crash of FaultKind::RestartSilently to the restart.
--- a/testing/soak/Soak.cpp
+++ b/testing/soak/Soak.cpp
@@ -5,6 +5,7 @@
 #include "testing/integration/FleetProcesses.h"
 #include "testing/integration/JournalFiles.h"
 #include "testing/soak/CancelCheck.h"
+#include "testing/soak/EvacuationCheck.h"
 #include "testing/soak/IdleConnections.h"
 #include "testing/soak/OpenCaller.h"
 #include "testing/soak/SoakClients.h"
@@ -34,6 +35,7 @@
     constexpr Duration heartbeatTimeout = Duration::seconds(1);
     constexpr double injectedLateShare = 0.1;
     constexpr size_t cancelledJobCount = 12;
+    constexpr Duration evacuationTime = Duration::seconds(6);
     constexpr Duration cutTime = Duration::seconds(9); ///< Longer than any lease.
     constexpr size_t garbageBytes = 37;
     constexpr Duration processCheckInterval = Duration::milliseconds(100);
@@ -43,6 +45,12 @@
     constexpr Duration cancelDelay = Duration::milliseconds(200);
     constexpr Duration removedQueueDelay = Duration::milliseconds(1500); ///< Until all hosts know that a queue is removed.
 
+    DataCentreId dataCentreOf(size_t worker)
+    {
+        constexpr size_t dataCentreCount = 3;
+        return DataCentreId("dc" + std::to_string(worker % dataCentreCount));
+    }
+
     /// The server of one worker and the proxy through which the fleet reaches it.
     struct SoakWorker {
         WorkerId id;
@@ -103,6 +111,7 @@
         FleetProcesses fleet;
         HttpClient client;
         CancelCheck cancelCheck;
+        EvacuationCheck evacuationCheck;
         SoakClients clients;
         std::map<std::pair<int, int>, std::unique_ptr<FaultProxy>> links; ///< By dialling host and its peer.
         std::vector<SoakWorker> workerServers;
@@ -141,6 +150,7 @@
         , client(this->loop, HttpClientLimits())
         , cancelCheck(
               this->loop, [this](JobId const& job) { return this->workers.runningCount(job); }, [this](std::string const& text) { this->violations.push_back(fmt::format("{:6.2f} s {}", (this->loop.now() - this->started).toSeconds(), text)); })
+        , evacuationCheck(this->loop, this->client, this->addresses().controlAddresses, this->random, [this](std::string const& text) { this->violations.push_back(text); })
         , clients(this->loop, this->client, this->random, this->addresses(), this->cancelCheck, options.faultSet == FaultSet::Cancels, loadOf(options), [this](JobSpec const& job) { this->workers.registerJob(job); })
         , lastStep(this->loop.now())
     {
@@ -194,12 +204,17 @@
             profile.service = ServiceId("fleet");
             profile.rack = RackId("r" + std::to_string(i / workersPerRack));
             profile.labels = { "a", profile.rack.value() };
+            if (this->options.faultSet == FaultSet::Evacuations) // Otherwise in that of the hosts.
+                profile.dataCentre = dataCentreOf(i);
             profile.capacity = { milliCores, memoryMiB, 0 };
             this->workers.addWorker(profile);
             SoakWorker worker;
             worker.id = profile.id;
             worker.server = std::make_unique<WorkerServer>(this->loop, this->workers, profile.id);
-            worker.server->setStartOrderObserver([this](TaskRef const& task) { this->orderedAt[task] = this->loop.now(); });
+            worker.server->setStartOrderObserver([this, dataCentre = profile.dataCentre.value()](TaskRef const& task) {
+                this->orderedAt[task] = this->loop.now();
+                this->evacuationCheck.onStartOrder(dataCentre);
+            });
             uint16_t const port = worker.server->listen({ "127.0.0.1", 0 });
             worker.proxy = std::make_unique<FaultProxy>(this->loop, this->random, Address { "127.0.0.1", 0 }, Address { "127.0.0.1", port });
             LinkFaults limits;
@@ -629,6 +644,8 @@
         }
         case FaultKind::CancelWave:
             return this->clients.cancelJobs(cancelledJobCount);
+        case FaultKind::Evacuate:
+            return this->evacuationCheck.evacuate(dataCentreOf(fault.targetSelector % this->workerServers.size()).value(), evacuationTime + fault.duration);
         case FaultKind::RaceOperators:
             return this->clients.raceConfigurations();
         default:
@@ -650,7 +667,7 @@
         this->runFor(this->options.loadDuration);
         this->clients.stopSubmitting();
         TimePoint const bound = this->loop.now() + this->options.maxSettleTime;
-        while (this->loop.now() < bound && (this->pendingRestarts || !this->clients.isSettled()))
+        while (this->loop.now() < bound && (this->pendingRestarts || !this->clients.isSettled() || !this->evacuationCheck.isSettled()))
             this->step();
         SoakResult result;
         this->collect(result);
@@ -673,6 +690,10 @@
         std::string const unsettled = this->clients.unsettledReason();
         if (!unsettled.empty())
             result.violations.push_back("not settled: " + unsettled);
+        if (!this->evacuationCheck.isSettled())
+            result.violations.emplace_back("an evacuation call was not acknowledged");
+        if (this->options.faultSet == FaultSet::Evacuations && !this->evacuationCheck.acknowledgedCount())
+            result.violations.emplace_back("no evacuation was acknowledged");
         if (!this->clients.acceptedJobs())
             result.violations.emplace_back("no job was accepted");
         result.faults = this->faults;
--- a/testing/soak/WorkerServer.cpp
+++ b/testing/soak/WorkerServer.cpp
@@ -129,7 +129,7 @@
 HttpRequest WorkerServer::makeHeartbeat(WorkerReport const& report, std::string const& address)
 {
     WorkerProfile const& profile = report.profile;
-    Json body { { "service", profile.service.value() }, { "address", address }, { "zone", "z1" }, { "version", "v1" }, { "slots", 8 }, { "state", profile.isDraining ? "draining" : "ready" },
+    Json body { { "service", profile.service.value() }, { "address", address }, { "zone", profile.dataCentre.empty() ? "z1" : profile.dataCentre.value() }, { "version", "v1" }, { "slots", 8 }, { "state", profile.isDraining ? "draining" : "ready" },
         { "cold-remaining-ms", 0 }, { "capacity", { { "cpu", profile.capacity.milliCores }, { "memory-request-mb", profile.capacity.memoryMiB }, { "gpu", 0 } } },
         { "labels", profile.labels }, { "born", profile.bornMs }, { "sequence", report.sequence } };
     if (profile.isDraining)
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -45,7 +45,9 @@
         return FaultSet::Restarts;
     if (name == "silent-restarts")
         return FaultSet::SilentRestarts;
-    throw Error(ResultCode::BadArgument, "--faults is general, outages, cancels, restarts or silent-restarts, not " + name);
+    if (name == "evacuations")
+        return FaultSet::Evacuations;
+    throw Error(ResultCode::BadArgument, "--faults is general, outages, cancels, restarts, silent-restarts or evacuations, not " + name);
 }
 
 ConnectionsOverRestart connectionsFromName(std::string const& name)
@@ -67,7 +69,7 @@
         cxxopts::Options description("soak", "Runs a fleet of real processes under faults drawn from seeds.");
         description.add_options()("program", "the cornelpond binary", cxxopts::value<std::string>())("first", "first seed", cxxopts::value<uint64_t>()->default_value("1"))(
             "count", "seeds to run", cxxopts::value<uint64_t>()->default_value("1"))("seconds", "duration of load and faults of each run, in seconds", cxxopts::value<int64_t>()->default_value("20"))(
-            "faults", "general, outages, cancels, restarts or silent-restarts", cxxopts::value<std::string>()->default_value("general"))("workers", "simulated workers", cxxopts::value<size_t>()->default_value("6"))(
+            "faults", "general, outages, cancels, restarts, silent-restarts or evacuations", cxxopts::value<std::string>()->default_value("general"))("workers", "simulated workers", cxxopts::value<size_t>()->default_value("6"))(
             "entries", "entry hosts", cxxopts::value<int>()->default_value("2"))("connections", "connections that each worker keeps open", cxxopts::value<size_t>()->default_value("64"))("over-restart", "connections to workers that restart silently: drawn, closed or kept", cxxopts::value<std::string>()->default_value("drawn"))("late-orders", "a share of the orders to workers is carried out late, by whichever process is up then")("logs", "folder for the logs of runs with violations", cxxopts::value<std::string>()->default_value(""))("verbose", "print each fault when it is injected");
         auto const given = description.parse(argc, argv);
         SoakOptions options;
