--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -26,6 +26,7 @@
 void JobScheduler::runPass()
 {
     TimePoint const now = this->clock.now();
+    this->dataCentreEvacuation.markWorkers();
     this->placer.beginPass(now);
     this->locality.beginPass();
     bool const isFull = this->pacing.isFullPassDue(now);
--- a/testing/fakes/JobBench.cpp
+++ b/testing/fakes/JobBench.cpp
@@ -70,7 +70,7 @@
     this->startService(crashed);
 }
 
-void JobBench::addWorkers(size_t count, int64_t milliCores)
+void JobBench::addWorkers(size_t count, int64_t milliCores, size_t dataCentres)
 {
     constexpr size_t workersPerRack = 8;
     constexpr int64_t memoryMiB = 62000;
@@ -82,6 +82,10 @@
         profile.address = "10.0.0." + std::to_string(i) + ":80";
         profile.rack = RackId("r" + std::to_string(i / workersPerRack));
         profile.labels = { "a", profile.rack.value() };
+        if (dataCentres) {
+            profile.dataCentre = DataCentreId("dc" + std::to_string(i % dataCentres));
+            profile.labels.push_back(profile.dataCentre.value());
+        }
         profile.capacity = { milliCores, memoryMiB, 0 };
         this->fleet.addWorker(profile);
     }
@@ -89,6 +93,14 @@
     this->run(Duration::milliseconds(200));
 }
 
+std::optional<CallResult> JobBench::evacuate(EvacuationChange change, std::string const& dataCentre)
+{
+    auto const answer = std::make_shared<std::optional<CallResult>>(); // It may come after this function has returned.
+    this->leader().changeEvacuation(change, DataCentreId(dataCentre), [answer](CallResult result, Duration) { *answer = result; });
+    this->run(Duration::milliseconds(50));
+    return *answer;
+}
+
 QueueSpec const& JobBench::queueOf(JobSpec const& job) const
 {
     return this->queues.queues[job.stages.front().isBestEffort ? 1 : 0];
