--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -20,6 +20,7 @@
     , times(times)
     , jobs(jobs)
     , hooks(std::move(hooks))
+    , processChanges(times)
 {
 }
 
@@ -34,23 +35,24 @@
     this->views.clear();
     this->proposedFinishes.clear();
     for (auto const& [id, profile] : roster.all())
-        this->addView(profile);
+        this->addView(profile, roster.isSettled(id));
     this->jobs.forEachLiveAttempt([this](TaskRef const& task, TaskRecord const& record, Attempt const& attempt) { this->inheritAttempt(task, record, attempt); });
     this->reportTakeOver();
 }
 
 /// The generation is higher than that of an earlier view of the same worker. This leader or an earlier one may have sent orders to a
 /// former process before it learned of the present one.
-void Dispatcher::addView(WorkerProfile const& profile)
+void Dispatcher::addView(WorkerProfile const& profile, bool isSettled)
 {
     TimePoint const now = this->clock.now();
     WorkerView& view = this->views.emplace(profile.id, WorkerView(profile, now)).first->second;
     view.generation = ++this->lastGeneration;
-    auto const change = this->processChanges.find(profile.id);
-    if (change == this->processChanges.end() || now - change->second > this->times.maxOrderDelay)
+    view.isSettled = isSettled;
+    auto const change = this->processChanges.find(profile.id, now);
+    view.mayReceiveFormerOrders = change || !isSettled;
+    if (!change)
         return;
-    view.mayReceiveFormerOrders = true;
-    view.formerOrdersLeaseEnd = change->second + this->times.orderTimeout + this->times.longestLeaseOnSlowClock();
+    view.formerOrdersLeaseEnd = *change + this->times.orderTimeout + this->times.longestLeaseOnSlowClock();
     this->reportFormerOrders(view, "earlier process");
 }
 
@@ -90,17 +92,18 @@
 void Dispatcher::onWorkerChanged(WorkerProfile const& profile, bool isOtherProcess)
 {
     if (isOtherProcess)
-        this->noteProcessChange(profile.id);
+        this->processChanges.note(profile.id, this->clock.now());
     if (!this->leading)
         return;
     WorkerView* view = this->findWorker(profile.id);
     if (!view) {
-        this->addView(profile);
+        this->addView(profile, !isOtherProcess);
         this->events.emit(Event(EventId::WorkerJoined).with("worker", profile.id).with("dataCentre", profile.dataCentre).with("rack", profile.rack).with("bornMs", profile.bornMs));
         return;
     }
     if (view->profile.bornMs > profile.bornMs)
         return; // The worker has listed as a later process since this was announced.
+    view->isSettled &= !isOtherProcess;
     bool const isNewIncarnation = view->profile.bornMs != profile.bornMs;
     if (profile.isDraining && !view->profile.isDraining)
         this->events.emit(Event(EventId::DrainChanged).with("worker", profile.id).with("draining", 1));
@@ -115,7 +118,7 @@
 
 void Dispatcher::onWorkerRemoved(WorkerId const& worker)
 {
-    this->noteProcessChange(worker);
+    this->processChanges.note(worker, this->clock.now());
     if (!this->leading)
         return;
     this->events.emit(Event(EventId::WorkerLost).with("worker", worker).with("reason", "removed"));
@@ -126,6 +129,13 @@
     this->views.erase(found);
 }
 
+void Dispatcher::onWorkerSettled(WorkerId const& worker)
+{
+    this->processChanges.forget(worker);
+    if (WorkerView* view = this->findWorker(worker))
+        view->isSettled = true;
+}
+
 void Dispatcher::onWorkerAnnounced(WorkerId const& worker)
 {
     if (WorkerView* view = this->findWorker(worker))
@@ -190,6 +200,7 @@
     view.nextCheckAt = now + attemptCheckInterval;
     if (view.openStopSince)
         this->noteOpenStops(view);
+    this->settleProcess(view);
     bool const isSilent = now - view.lastAnswerAt > this->times.silenceTimeout;
     if (isSilent && view.isLeaseExpired(now, this->times)) {
         this->onLeaseExpired(view);
@@ -248,12 +259,14 @@
     attempt.isThrottleInFlight = true;
     unsigned const percent = attempt.targetSpeedPercent;
     ThrottleOrder const order { attempt.task, attempt.number, percent, this->orderEpoch(view) };
-    this->orders.throttle(view.target(), order, this->ifStillLeading([this, worker = view.profile.id, key = AttemptKey { attempt.task, attempt.number }, percent](OrderAnswer const& answer) {
+    this->orders.throttle(view.target(), order, this->ifStillLeading([this, worker = view.profile.id, key = AttemptKey { attempt.task, attempt.number }, percent, generation = view.generation](OrderAnswer const& answer) {
         WorkerView* answering = this->findWorker(worker);
         PlacedAttempt* throttled = answering ? answering->find(key) : nullptr;
         if (!throttled)
             return;
         throttled->isThrottleInFlight = false;
+        if (answering->generation != generation)
+            return; // Another process of the worker has carried it out, or none.
         if (answer.result == OrderResult::Accepted) {
             throttled->acknowledgedSpeedPercent = percent;
             throttled->throttleConfirmedAt = this->clock.now();
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -22,9 +22,11 @@
 // The lease in an order is a time on the clock of one process of the worker, and a later process at the same address may read the
 // order: it would hold its lease for as long as it grants one. So the epoch of orders rises with each process of a worker that the
 // leader learns of. Once a process has executed an order, it refuses those for former ones; until then one of them may have extended
-// its lease, which the leader takes into account.
+// its lease, which the leader takes into account. Once no such lease can be left it commits that (`settleProcess`), so that a new leader
+// knows of which processes it has to assume it.
 
 #include "cornelpond/core/base/Histogram.h"
+#include "cornelpond/core/dispatch/ProcessChanges.h"
 #include "cornelpond/core/dispatch/WorkerView.h"
 #include "cornelpond/core/jobs/JobTable.h"
 #include "cornelpond/ports/Clock.h"
@@ -45,6 +47,10 @@
     std::function<void(CommitEnd const&)> proposeEnd;
     /// Proposes the removal of a worker on which nothing can be running any more.
     std::function<void(WorkerProfile const&)> removeWorker;
+    /// Proposes to record a process of a worker that has listed. The profile is that of its former process but for the start time.
+    std::function<void(WorkerProfile const&)> recordProcess;
+    /// Proposes to record that orders for a former process cannot take effect on the worker's present one any more.
+    std::function<void(WorkerProfile const&)> settleProcess;
     /// Returns the permit for starting a task on a worker; empty when none is needed.
     std::function<std::string(TaskRef const&, WorkerId const&)> permitFor;
     std::function<void(TaskRef const&, WorkerId const&)> onPermitRefused;
@@ -92,6 +98,9 @@
     /// `isOtherProcess`: the worker was known before, with another start time.
     void onWorkerChanged(WorkerProfile const& profile, bool isOtherProcess);
     void onWorkerRemoved(WorkerId const& worker);
+    void onWorkerSettled(WorkerId const& worker);
+    /// To be called for each worker of a restored roster that is not settled.
+    void onUnsettledRestored(WorkerId const& worker) { this->processChanges.note(worker, this->clock.now()); }
     void onWorkerAnnounced(WorkerId const& worker);
 
     /// Reserves resources on the worker for a start that is about to be proposed.
@@ -141,8 +150,8 @@
         TimePoint at;
     };
 
-    void noteProcessChange(WorkerId const& worker);
-    void addView(WorkerProfile const& profile);
+    void addView(WorkerProfile const& profile, bool isSettled);
+    void settleProcess(WorkerView& view);
     void reportTakeOver();
     void reportFormerOrders(WorkerView const& view, char const* source);
     void reportConcludedWithoutWorker(TaskRef const& task, AttemptNumber attempt, WorkerId const& worker, bool isInherited);
@@ -215,9 +224,7 @@
     uint64_t attemptCheckCount = 0;
     StopCounters stopTotals;
     WorkerProcessCounters processTotals;
-    /// When this host last learned that a worker was started again or removed, if orders for its former process may still be executed.
-    /// Kept by followers too, for the orders of a leader from which they take over.
-    std::map<WorkerId, TimePoint> processChanges;
+    ProcessChanges processChanges;
     std::set<TaskRef> proposedFinishes; ///< Tasks of which an earlier attempt's end as done awaits its commit.
     std::shared_ptr<bool> leadershipToken; ///< Replaced by each lead(), so that answers to orders from before are dropped.
 };
--- a/cornelpond/core/dispatch/DispatcherListings.cpp
+++ b/cornelpond/core/dispatch/DispatcherListings.cpp
@@ -19,6 +19,7 @@
     if (listing.bornMs && view.profile.bornMs && listing.bornMs != view.profile.bornMs) {
         view.profile.bornMs = listing.bornMs;
         this->onNewIncarnation(view, "listing");
+        this->hooks.recordProcess(view.profile);
     }
     bool const hasSeenGeneration = view.generation == sent.generation;
     if (hasSeenGeneration && view.mayReceiveFormerOrders) {
@@ -83,6 +84,7 @@
             continue;
         }
         view.listedEnds.push_back(end);
+        view.endsListedAt.try_emplace(end.number, this->clock.now());
         PlacedAttempt* attempt = view.find(end.task, end.attempt);
         if (attempt && attempt->phase != PlacedAttempt::Phase::Proposed) {
             this->proposeEnd(view, *attempt, end.end, end.checkpoint.empty() ? attempt->checkpoint : end.checkpoint);
@@ -101,10 +103,16 @@
 
 /// Acknowledges listed ends, in their order, so that the worker may drop them: those that are committed or belong to
 /// an attempt that had ended before. An end as done must stay listed while another attempt of its task is live: the
-/// start order of that attempt may still be in flight.
+/// start order of that attempt may still be in flight. So must one that was listed while a start was open: a later process may read
+/// the start and then the acknowledgement, which would make it forget the end of what it started.
 void Dispatcher::acknowledgeEnds(WorkerView& view)
 {
+    if (view.listedEnds.empty())
+        return;
+    TimePoint const oldestOpenStart = view.oldestOpenStart();
     auto const isOpen = [&](ListedEnd const& end) {
+        if (oldestOpenStart <= view.endsListedAt[end.number])
+            return true;
         bool const hasLiveAttempt = end.end == AttemptEnd::Done && this->jobs.hasLiveNonServiceAttempt(end.task);
         return hasLiveAttempt || this->jobs.isLive(end.task, { end.attempt, view.profile.id }) || this->isLateFinish(end);
     };
@@ -112,6 +120,7 @@
     if (firstOpen != view.listedEnds.begin())
         view.acknowledgedEnds = std::max(view.acknowledgedEnds, std::prev(firstOpen)->number);
     view.listedEnds.erase(view.listedEnds.begin(), firstOpen);
+    view.endsListedAt.erase(view.endsListedAt.begin(), view.endsListedAt.upper_bound(view.acknowledgedEnds));
 }
 
 } // namespace cornelpond
--- a/cornelpond/core/dispatch/DispatcherProcesses.cpp
+++ b/cornelpond/core/dispatch/DispatcherProcesses.cpp
@@ -9,17 +9,10 @@
 namespace {
 
     constexpr Duration clockReversalThreshold = Duration::milliseconds(500); ///< A steady clock that is further back belongs to a new incarnation of the worker.
+    constexpr Duration settleRetryDelay = Duration::seconds(5); ///< In case the proposal is not committed.
 
 } // namespace
 
-void Dispatcher::noteProcessChange(WorkerId const& worker)
-{
-    TimePoint const now = this->clock.now();
-    for (auto at = this->processChanges.begin(); at != this->processChanges.end();)
-        at = now - at->second > this->times.maxOrderDelay ? this->processChanges.erase(at) : std::next(at);
-    this->processChanges[worker] = now;
-}
-
 Term Dispatcher::orderEpoch(WorkerView const& view) const
 {
     return Term(this->epoch.value() * generationsPerEpoch + std::min(view.generation, generationsPerEpoch - 1));
@@ -41,7 +34,7 @@
         event.with("formerClockMs", view.estimatedClock(now));
     event.with("openStarts", static_cast<int64_t>(openStarts)).with("formerBornMs", view.listingBornMs);
     this->processTotals.replaced++;
-    this->noteProcessChange(view.profile.id);
+    this->processChanges.note(view.profile.id, now);
     view.resetForNewIncarnation(++this->lastGeneration, now, this->times);
     this->events.emit(event.with("epoch", this->orderEpoch(view)).with("formerOrdersLeaseMs", view.formerOrdersLeaseEnd - now));
 }
@@ -76,6 +69,16 @@
         this->onNewIncarnation(view, "order");
 }
 
+/// Commits once for each process that no lease can be left which an order for a former one extended.
+void Dispatcher::settleProcess(WorkerView& view)
+{
+    TimePoint const now = this->clock.now();
+    if (view.isSettled || view.mayReceiveFormerOrders || now <= view.formerOrdersLeaseEnd + this->times.leaseMargin || now < view.nextSettleAt)
+        return;
+    view.nextSettleAt = now + settleRetryDelay;
+    this->hooks.settleProcess(view.profile);
+}
+
 FormerOrderWorkers Dispatcher::formerOrderWorkers() const
 {
     FormerOrderWorkers workers;
--- a/cornelpond/core/dispatch/DispatcherStarts.cpp
+++ b/cornelpond/core/dispatch/DispatcherStarts.cpp
@@ -55,8 +55,9 @@
             this->stop(view, attempt);
         return;
     }
-    // A start that was committed before the end as done must not follow it to the workers.
-    if (this->proposedFinishes.count(attempt.task) || !view.hasClock || !this->hooks.canSendOrders() || view.isStopOverdue(now, this->times)) {
+    // A start that was committed before the end as done must not follow it to the workers. A process that has not seen the present
+    // generation may still carry out a start of the same attempt for a former one.
+    if (this->proposedFinishes.count(attempt.task) || !view.hasClock || view.mayReceiveFormerOrders || !this->hooks.canSendOrders() || view.isStopOverdue(now, this->times)) {
         attempt.nextStartAt = now + startRetryDelay;
         return;
     }
@@ -72,6 +73,8 @@
     order.processBornMs = view.listingBornMs;
     view.lastLeaseExtensionAt = std::max(view.lastLeaseExtensionAt, leaseBase);
     attempt.startsSent++;
+    if (!attempt.isStartUncertain)
+        attempt.openStartSince = now;
     attempt.isStartInFlight = true;
     this->orders.start(view.target(), order, this->ifStillLeading([this, worker = view.profile.id, sent = this->sendContext(view), key = AttemptKey { attempt.task, attempt.number }](OrderAnswer const& answer) {
         this->onStartAnswered(worker, sent, key, answer);
--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -119,9 +119,19 @@
     }
 }
 
+TimePoint WorkerView::oldestOpenStart() const
+{
+    TimePoint oldest = TimePoint::infiniteFuture();
+    for (auto const& [key, attempt] : this->placed) {
+        if (attempt.phase == PlacedAttempt::Phase::Starting && (attempt.isStartInFlight || attempt.isStartUncertain))
+            oldest = std::min(oldest, attempt.openStartSince);
+    }
+    return oldest;
+}
+
 bool WorkerView::canTakeTasks(TimePoint now, DispatchTimes const& times) const
 {
-    return this->hasListing && this->hasClock && !this->hasHigherEpoch && !this->profile.isDraining && this->isAnswering(now, times)
+    return this->hasListing && this->hasClock && !this->mayReceiveFormerOrders && !this->hasHigherEpoch && !this->profile.isDraining && this->isAnswering(now, times)
         && now >= this->startsPausedUntil && !this->isStopOverdue(now, times) && std::none_of(this->orphanedAttempts.begin(), this->orphanedAttempts.end(), [](auto const& entry) { return entry.second.isListed; });
 }
 
@@ -152,6 +162,7 @@
     this->acknowledgedEnds = 0;
     this->deliveredAcknowledgedEnds = 0;
     this->listedEnds.clear();
+    this->endsListedAt.clear();
     this->bestEffortSpeedPercent = fullSpeedPercent;
     this->nextRenewalAt = now;
     // A start order to the earlier incarnation that got no answer may still be executed by this one.
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -87,6 +87,7 @@
     bool isStartPending = true; ///< Neither listed nor answered yet, whatever the answer.
     bool isStartInFlight = false; ///< A start order awaits its answer.
     bool isStartUncertain = false; ///< A start order got no answer and may be executed late.
+    TimePoint openStartSince; ///< When the first start order was sent of those that got no answer yet.
     TimePoint nextStartAt;
 
     bool isStopping = false;
@@ -185,6 +186,9 @@
     /// True while a stop order is unconfirmed for longer than its answer may take.
     bool isStopOverdue(TimePoint now, DispatchTimes const& times) const { return this->openStopSince && now - *this->openStopSince > times.orderTimeout; }
 
+    /// When the first start was sent of those that no listing or answer settles; infinite if there is none.
+    TimePoint oldestOpenStart() const;
+
     /// True when new tasks may be placed there.
     bool canTakeTasks(TimePoint now, DispatchTimes const& times) const;
 
@@ -222,6 +226,8 @@
     uint64_t generation = 0; ///< Rises with each process of the worker that this leader learns of.
     /// Orders for a former process, with leases by its clock, may have reached the present one before an order of the present generation.
     bool mayReceiveFormerOrders = false;
+    bool isSettled = true; ///< As the roster has it: orders for a former process cannot take effect on the present one any more.
+    TimePoint nextSettleAt;
     TimePoint formerOrdersLeaseEnd; ///< The latest end of a lease on the present process that such an order extended.
     TimePoint lastAnswerAt;
     TimePoint lastAnnouncedAt;
@@ -242,6 +248,7 @@
     uint64_t acknowledgedEnds = 0; ///< The worker may drop its listed ends up to this number.
     uint64_t deliveredAcknowledgedEnds = 0; ///< The part of acknowledgedEnds that is known to have been passed on to the worker.
     std::vector<ListedEnd> listedEnds; ///< By the worker, and not acknowledged yet.
+    std::map<uint64_t, TimePoint> endsListedAt; ///< When each of these was first listed, by number.
 
     TimePoint startsPausedUntil; ///< Set when the worker refused a start for lack of resources or as invalid, or did not confirm one.
     unsigned bestEffortSpeedPercent = fullSpeedPercent; ///< For its best-effort tasks; throttled starts have their own speeds.
--- a/cornelpond/core/jobs/WorkerRoster.cpp
+++ b/cornelpond/core/jobs/WorkerRoster.cpp
@@ -10,6 +10,7 @@
     enum class Tag : uint64_t {
         Put = 1,
         Remove = 2,
+        Settle = 3,
     };
 
     void write(ByteWriter& out, WorkerProfile const& profile)
@@ -59,11 +60,15 @@
     if (auto const* put = std::get_if<PutWorker>(&command)) {
         out.number(static_cast<uint64_t>(Tag::Put));
         write(out, put->profile);
-    } else {
-        auto const& remove = std::get<RemoveWorker>(command);
+    } else if (auto const* remove = std::get_if<RemoveWorker>(&command)) {
         out.number(static_cast<uint64_t>(Tag::Remove));
-        out.text(remove.id.value());
-        out.number(static_cast<uint64_t>(remove.bornMs));
+        out.text(remove->id.value());
+        out.number(static_cast<uint64_t>(remove->bornMs));
+    } else {
+        auto const& settle = std::get<SettleWorker>(command);
+        out.number(static_cast<uint64_t>(Tag::Settle));
+        out.text(settle.id.value());
+        out.number(static_cast<uint64_t>(settle.bornMs));
     }
     return out.take();
 }
@@ -80,6 +85,11 @@
         remove.id = WorkerId(std::string(in.text()));
         remove.bornMs = static_cast<int64_t>(in.number());
         command = remove;
+    } else if (tag == Tag::Settle) {
+        SettleWorker settle;
+        settle.id = WorkerId(std::string(in.text()));
+        settle.bornMs = static_cast<int64_t>(in.number());
+        command = settle;
     } else {
         in.fail();
     }
@@ -108,6 +118,8 @@
         bool const staysDraining = stored.isDraining && !isOtherProcess;
         stored = command.profile;
         stored.isDraining |= staysDraining;
+        if (isOtherProcess)
+            this->unsettled.insert(stored.id);
     }
     if (this->hooks.onWorkerChanged)
         this->hooks.onWorkerChanged(stored, isOtherProcess);
@@ -119,16 +131,31 @@
     if (found == this->workers.end() || found->second.bornMs > command.bornMs)
         return;
     this->workers.erase(found);
+    this->unsettled.erase(command.id);
     if (this->hooks.onWorkerRemoved)
         this->hooks.onWorkerRemoved(command.id);
 }
 
+void WorkerRoster::apply(SettleWorker const& command)
+{
+    WorkerProfile const* stored = this->find(command.id);
+    if (!stored || stored->bornMs != command.bornMs || !this->unsettled.erase(command.id))
+        return;
+    if (this->hooks.onWorkerSettled)
+        this->hooks.onWorkerSettled(command.id);
+}
+
 std::string WorkerRoster::takeSnapshot() const
 {
     ByteWriter out;
     out.number(this->workers.size());
     for (auto const& [id, profile] : this->workers)
         write(out, profile);
+    // Left out when empty, so that earlier versions can read it.
+    if (!this->unsettled.empty())
+        out.number(this->unsettled.size());
+    for (auto const& id : this->unsettled)
+        out.text(id.value());
     return out.take();
 }
 
@@ -141,8 +168,18 @@
         WorkerId const id = profile.id;
         restored.emplace(id, std::move(profile));
     }
+    std::set<WorkerId> restoredUnsettled;
+    if (!in.isAtEnd()) {
+        for (uint64_t remaining = in.number(); remaining; remaining--)
+            restoredUnsettled.insert(WorkerId(std::string(in.text())));
+    }
     in.expectEnd();
     this->workers = std::move(restored);
+    this->unsettled = std::move(restoredUnsettled);
+    if (!this->hooks.onUnsettledRestored)
+        return;
+    for (auto const& id : this->unsettled)
+        this->hooks.onUnsettledRestored(id);
 }
 
 WorkerProfile const* WorkerRoster::find(WorkerId const& id) const
--- a/cornelpond/core/jobs/WorkerRoster.h
+++ b/cornelpond/core/jobs/WorkerRoster.h
@@ -7,12 +7,14 @@
 //   roster.apply(decodeRosterCommand(bytes));
 //   roster.find(WorkerId("w-17"))->address;
 //
-// A worker may come back under its old id without any of its earlier state: `bornMs` tells its incarnations apart.
+// A worker may come back under its old id without any of its earlier state: `bornMs` tells its incarnations apart. An order for its
+// former incarnation may still reach the new one, until the leader records that none can take effect there any more.
 
 #include "cornelpond/core/jobs/JobSpec.h"
 
 #include <functional>
 #include <map>
+#include <set>
 #include <variant>
 
 namespace cornelpond {
@@ -44,7 +46,13 @@
     int64_t bornMs = 0; ///< Of the incarnation that is over; a later one is not removed.
 };
 
-using RosterCommand = std::variant<PutWorker, RemoveWorker>;
+/// Records that no order for a former incarnation can take effect on this one any more. Without effect on another incarnation.
+struct SettleWorker {
+    WorkerId id;
+    int64_t bornMs = 0;
+};
+
+using RosterCommand = std::variant<PutWorker, RemoveWorker, SettleWorker>;
 
 std::string encodeRosterCommand(RosterCommand const& command);
 
@@ -55,6 +63,9 @@
     /// `isOtherProcess`: the stored profile was of another incarnation of the worker.
     std::function<void(WorkerProfile const&, bool isOtherProcess)> onWorkerChanged;
     std::function<void(WorkerId const&)> onWorkerRemoved;
+    std::function<void(WorkerId const&)> onWorkerSettled;
+    /// Called by restore(), for each worker whose present incarnation is not settled.
+    std::function<void(WorkerId const&)> onUnsettledRestored;
 };
 
 class WorkerRoster {
@@ -70,14 +81,19 @@
 
     WorkerProfile const* find(WorkerId const& id) const;
 
+    /// False from the worker's return as another incarnation until SettleWorker.
+    bool isSettled(WorkerId const& id) const { return !this->unsettled.count(id); }
+
     std::map<WorkerId, WorkerProfile> const& all() const { return this->workers; }
 
 private:
     void apply(PutWorker const& command);
     void apply(RemoveWorker const& command);
+    void apply(SettleWorker const& command);
 
     RosterHooks hooks;
     std::map<WorkerId, WorkerProfile> workers;
+    std::set<WorkerId> unsettled;
 };
 
 } // namespace cornelpond
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -99,6 +99,8 @@
         this->registration.onWorkerRemoved(worker);
         this->dispatch.onWorkerRemoved(worker);
     };
+    hooks.onWorkerSettled = [this](WorkerId const& worker) { this->dispatch.onWorkerSettled(worker); };
+    hooks.onUnsettledRestored = [this](WorkerId const& worker) { this->dispatch.onUnsettledRestored(worker); };
     return hooks;
 }
 
@@ -113,6 +115,8 @@
         WorkerProfile const* known = this->workerRoster.find(profile.id);
         this->registration.remove(profile.id, known ? std::max(known->bornMs, profile.bornMs) : profile.bornMs, [](CallResult) {});
     };
+    hooks.recordProcess = [this](WorkerProfile const& profile) { this->registration.recordListed(profile); };
+    hooks.settleProcess = [this](WorkerProfile const& profile) { this->registration.settle(profile); };
     hooks.permitFor = [this](TaskRef const& task, WorkerId const& worker) { return this->permits.ticket(task, worker); };
     hooks.onPermitRefused = [this](TaskRef const& task, WorkerId const& worker) { this->permits.invalidate(task, worker); };
     hooks.onListingRead = [this](WorkerView& worker) { this->interferenceControl.processListing(worker); };
--- a/cornelpond/core/scheduling/LaterProcessListingTest.cpp
+++ b/cornelpond/core/scheduling/LaterProcessListingTest.cpp
@@ -61,3 +61,26 @@
     workers.checkOneRun();
     CHECK(workerOf(bench, workers.job) == workers.free);
 }
+
+TEST_CASE("a worker gets no start until its present process has answered an order of its own generation")
+{
+    JobBench bench(3, 2, [](FakeClock&, WorkerOrders& fleet) { return std::make_unique<HeldAnswers>(fleet); });
+    auto& orders = static_cast<HeldAnswers&>(*bench.orders);
+    TwoWorkers workers(bench);
+    orders.worker = workers.free;
+    bench.fleet.crash(workers.free);
+    bench.fleet.restart(workers.free);
+    bench.run(Duration::milliseconds(150));
+    REQUIRE(orders.held.size() == 1);
+    workers.announce(workers.free);
+    bench.run(Duration::milliseconds(20));
+    for (auto const& answer : std::exchange(orders.held, {}))
+        answer(); // To an order for the former process, by the present one.
+    bench.submit(workers.job);
+    bench.run(Duration::milliseconds(100));
+    CHECK(bench.fleet.runningCountOn(workers.free) == 0);
+    orders.release();
+    bench.run(second);
+    CHECK(workerOf(bench, workers.job) == workers.free);
+    workers.checkOneRun();
+}
--- a/cornelpond/core/scheduling/WorkerRegistration.cpp
+++ b/cornelpond/core/scheduling/WorkerRegistration.cpp
@@ -143,6 +143,25 @@
     this->rosterLog.propose(encodeRosterCommand(RemoveWorker { worker, bornMs }), [done = std::move(done)](ProposalOutcome const& outcome) { done(callResultOf(outcome.code)); });
 }
 
+void WorkerRegistration::recordListed(WorkerProfile const& profile)
+{
+    WorkerProfile const* known = this->roster.find(profile.id);
+    if (!known || known->bornMs >= profile.bornMs)
+        return;
+    WorkerProfile listed = profile;
+    listed.isDraining = false; // That of the former process.
+    this->put(listed, [](CallResult) {});
+}
+
+void WorkerRegistration::settle(WorkerProfile const& profile)
+{
+    WorkerProfile const* known = this->roster.find(profile.id);
+    if (!known || known->bornMs != profile.bornMs)
+        return;
+    this->events.emit(Event(EventId::WorkerProcessSettled).with("worker", profile.id).with("bornMs", profile.bornMs));
+    this->rosterLog.propose(encodeRosterCommand(SettleWorker { profile.id, profile.bornMs }), [](ProposalOutcome const&) {});
+}
+
 std::optional<TimePoint> WorkerRegistration::drainEnd(WorkerId const& worker) const
 {
     auto const found = this->drainEnds.find(worker);
--- a/cornelpond/core/scheduling/WorkerRegistration.h
+++ b/cornelpond/core/scheduling/WorkerRegistration.h
@@ -54,6 +54,12 @@
     /// Proposes the removal of a worker. `bornMs`: of the incarnation that is over.
     void remove(WorkerId const& worker, int64_t bornMs, CallDone done);
 
+    /// Proposes to record a process that has listed and not announced itself yet: a new leader has to know of it.
+    void recordListed(WorkerProfile const& profile);
+
+    /// Proposes to record that orders for a former process cannot take effect on this one any more.
+    void settle(WorkerProfile const& profile);
+
     /// When a draining worker may leave, by its announcements to this leader; unset if it gave no time.
     std::optional<TimePoint> drainEnd(WorkerId const& worker) const;
 
