--- a/cornelpond/core/base/Event.cpp
+++ b/cornelpond/core/base/Event.cpp
@@ -77,6 +77,7 @@
         EventInfo { EventId::EvacuationProgress, "EvacuationProgress", "The tasks that are left in an evacuated data centre, by class; `jobsWithoutWorkers` jobs wait for workers that only evacuated data centres have, `exampleJob` among them. Every two seconds." },
         EventInfo { EventId::EvacuationRefused, "EvacuationRefused", "A call to start or finish an evacuation was not carried out: `reason`." },
         EventInfo { EventId::EvacuatedTask, "EvacuatedTask", "A committed start in an evacuated data centre was withdrawn, or a task is stopped there to run elsewhere: `outcome`." },
+        EventInfo { EventId::WorkerProcessSettled, "WorkerProcessSettled", "The leader records that orders for a former process of a worker cannot take effect on the present one (`bornMs`) any more. Once for each process that came after another." },
         EventInfo { EventId::LeaderElected, "LeaderElected", "This host leads a group." },
         EventInfo { EventId::LeaderLost, "LeaderLost", "This host no longer leads a group." },
         EventInfo { EventId::JournalOpened, "JournalOpened", "A journal was read from disk." },
--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -90,6 +90,7 @@
     EvacuationProgress = 362,
     EvacuationRefused = 363,
     EvacuatedTask = 364,
+    WorkerProcessSettled = 353,
     LeaderElected = 400,
     LeaderLost = 401,
     JournalOpened = 402,
