Evacuated data centres: tasks move only while no other task lacks a worker

Change: no move within a second after a task without a required label found no worker.

Tests: core_data_centre_evacuation (13 cases) passed.

--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -16,7 +16,8 @@
     std::string labelValue(DataCentreId const& dataCentre)
     {
         std::string text = dataCentre.value();
-        std::replace_if(text.begin(), text.end(), [](char byte) { return byte < ' ' || byte > '~' || byte == '"' || byte == '\\'; }, '_');
+        std::replace_if(
+            text.begin(), text.end(), [](char byte) { return byte < ' ' || byte > '~' || byte == '"' || byte == '\\'; }, '_');
         return text;
     }
 
--- a/cornelpond/core/scheduling/DataCentreEvacuation.cpp
+++ b/cornelpond/core/scheduling/DataCentreEvacuation.cpp
@@ -7,6 +7,8 @@
 namespace {
 
     constexpr Duration reportInterval = Duration::seconds(2);
+    /// Longer than the intervals at which waiting tasks are compared with all workers again.
+    constexpr Duration lackOfRoomTime = Duration::seconds(1);
 
     EvacuationLimits limitsFor(DispatchTimes const& times)
     {
@@ -57,6 +59,13 @@
     return false;
 }
 
+/// A task that may run on few workers only says nothing about the room on the others.
+void DataCentreEvacuation::noteLackOfRoom(StageSpec const& stage, TimePoint now)
+{
+    if (stage.requiredLabel.empty())
+        this->lackedRoomAt = now;
+}
+
 void DataCentreEvacuation::moveTasks()
 {
     this->markWorkers();
@@ -64,6 +73,8 @@
         this->moved.clear();
         return;
     }
+    if (this->clock.now() < this->lackedRoomAt + lackOfRoomTime)
+        return;
     EvacuationMoves const inProgress = this->movesInProgress();
     this->candidates.clear();
     this->attempts.clear();
@@ -262,6 +273,7 @@
 void DataCentreEvacuation::clear()
 {
     this->moved.clear();
+    this->lackedRoomAt = TimePoint::distantPast();
     this->hasMarks = false;
 }
 
--- a/cornelpond/core/scheduling/DataCentreEvacuation.h
+++ b/cornelpond/core/scheduling/DataCentreEvacuation.h
@@ -49,6 +49,9 @@
     /// Whether a committed start may still be sent to the worker; logs each that may not.
     bool mayStart(WorkerProfile const& worker, TaskRef const& task, AttemptNumber attempt);
 
+    /// To be called when a task found no worker. Moves wait until that is some time ago: room that others wait for is not free.
+    void noteLackOfRoom(StageSpec const& stage, TimePoint now);
+
     void moveTasks();
 
     /// Logs what is left, every two seconds for each evacuated data centre.
@@ -79,6 +82,7 @@
     EvacuationPlan plan;
     bool hasMarks = false; ///< Some worker is marked as evacuated.
     std::map<TaskRef, bool> moved; ///< Tasks that were stopped here and do not run elsewhere yet; true: of a service.
+    TimePoint lackedRoomAt = TimePoint::distantPast();
     TimePoint nextReport;
 
     // Of one call of moveTasks:
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -41,6 +41,8 @@
         placements.push_back(this->placeStage(stage, now));
         placed += placements.back().starts;
         this->hasLackedWorker = this->hasLackedWorker || placements.back().lacksWorker;
+        if (placements.back().lacksWorker)
+            this->dataCentreEvacuation.noteLackOfRoom(stage.job->spec.stages[stage.stage], now);
         if (placed >= this->limits.maxStartsPerPass)
             break;
     }
