Interference is learned as lost headroom at the peak of a service's load; the likeliest cause is stopped at the first listing over target; learned figures survive a change of leader

Tail latency grows like 1 / (1 - load), so that a coefficient learned at a low load says too little at the peak of the swing.

--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -83,6 +83,8 @@
     AttemptsInherited = 350,
     StartByOtherProcess = 351,
     FurtherAttemptCommitted = 352,
+    ServiceOverTarget = 370,
+    InterferenceRestored = 371,
     LeaderElected = 400,
     LeaderLost = 401,
     JournalOpened = 402,
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -151,8 +151,7 @@
     this->pendingUpdates.clear();
     this->registration.clear();
     this->permits.clear();
-    this->interference.clear();
-    this->cpuUsage.clear();
+    this->interferenceControl.clear();
     this->runTimes.clear();
     this->backlog.clear();
     this->loadReport.clear();
--- a/cornelpond/core/scheduling/JobService.h
+++ b/cornelpond/core/scheduling/JobService.h
@@ -14,6 +14,7 @@
 // Loop thread only.
 
 #include "cornelpond/core/agreement/StateMachineSet.h"
+#include "cornelpond/core/scheduling/InterferenceReplication.h"
 #include "cornelpond/core/scheduling/JobScheduler.h"
 
 namespace cornelpond {
@@ -50,12 +51,13 @@
 
     bool isLeader() const { return this->carrierLog && this->carrierLog->isLeader(); }
 
-    void onTick() { this->jobScheduler.onTick(); }
+    void onTick();
 
 private:
     StateMachineHooks queueHooks();
     StateMachineHooks workerHooks();
     StateMachineHooks jobHooks();
+    StateMachineHooks interferenceHooks();
 
     EventSink& events;
     CommandLog* carrierLog = nullptr;
@@ -64,7 +66,9 @@
     CommandLog& queueLog;
     CommandLog& workerLog;
     CommandLog& jobLog;
+    CommandLog& interferenceLog;
     JobScheduler jobScheduler;
+    InterferenceReplication interferenceReplication;
 };
 
 } // namespace cornelpond
