--- a/cornelpond/core/placement/ServiceLoadModel.cpp
+++ b/cornelpond/core/placement/ServiceLoadModel.cpp
@@ -27,7 +27,8 @@
         load.headroom = headroom;
         load.samples = 0;
     } else {
-        load.headroom += (headroom - load.headroom) * this->parameters.sampleWeight;
+        double const maxStep = load.headroom * this->parameters.maxStepShare;
+        load.headroom += std::clamp((headroom - load.headroom) * this->parameters.sampleWeight, -maxStep, maxStep);
     }
     load.observedAt = now;
     load.samples++;
--- a/cornelpond/core/placement/ServiceLoadModel.h
+++ b/cornelpond/core/placement/ServiceLoadModel.h
@@ -26,6 +26,7 @@
     double defaultHeadroom = 2; ///< Assumed of a service image until it was observed.
     double minPeakHeadroom = 1; ///< A lower peak needs no interference to be over the target.
     double sampleWeight = 0.3;
+    double maxStepShare = 0.08; ///< Of the estimate, per sample: a task on a slow worker says little about its job.
     double imageSampleWeight = 0.02;
     double figureError = 0.1; ///< Standard error of a fresh estimate by job.
     double swingError = 0.5; ///< Standard error where only the image's mean is known.
--- a/cornelpond/core/scheduling/InterferenceControl.cpp
+++ b/cornelpond/core/scheduling/InterferenceControl.cpp
@@ -42,12 +42,13 @@
     this->evictStandingTasks(worker, now);
 }
 
-/// Where a service's tail is predicted to come close to its target or exceed it, evicts tasks of the best-effort
-/// image that adds most to that tail: as many as bring the prediction down to maxTailRatio.
+/// Where a service's tail is not far from its target and predicted to exceed it at the peak of its load, evicts tasks of the
+/// best-effort image that adds most to that tail: as many as bring the prediction down to maxTailRatio.
 void InterferenceControl::evictInterferingTasks(WorkerView& worker, TimePoint now)
 {
     constexpr double evictAboveTailRatio = 1.05; ///< Predicted tail latency over target, at the peak of the service's load.
-    if (worker.serviceImages.empty())
+    constexpr double minTailRatio = 0.8; ///< Below it, tasks may end before the service's load is at its peak.
+    if (worker.serviceImages.empty() || worker.tailRatio < minTailRatio)
         return;
     ImageCpuShares shares;
     std::map<ImageId, std::vector<PlacedAttempt*>> tasks;
--- a/cornelpond/core/scheduling/InterferenceReplayTest.cpp
+++ b/cornelpond/core/scheduling/InterferenceReplayTest.cpp
@@ -71,7 +71,7 @@
     CHECK(fleet.completedCount() * 10 >= fleet.jobs.size() * 9);
 }
 
-TEST_CASE("load: a new leader in the middle of a flood tries no pairs of images again that harm")
+TEST_CASE("load: a new leader in the middle of a flood keeps what was learned about images")
 {
     SwingingFleet fleet(2);
     fleet.flood(second * 15);
@@ -79,6 +79,7 @@
     fleet.bench.crashLeader();
     Duration const after = fleet.flood(second * 8);
     INFO("over target: " << before.toMilliseconds() << " ms before, " << after.toMilliseconds() << " ms after");
+    CHECK(fleet.bench.events.count(EventId::InterferenceRestored) == 1);
     CHECK(after.toMilliseconds() < before.toMilliseconds() + 84 * 80);
 }
 
@@ -106,3 +107,22 @@
     INFO("over target: " << before.toMilliseconds() << " ms before, " << after.toMilliseconds() << " ms after");
     CHECK(after.toMilliseconds() < before.toMilliseconds() + 84 * 80);
 }
+
+TEST_CASE("what was learned about images reaches the other hosts, by one proposal of a few figures every few seconds")
+{
+    SwingingFleet fleet(5);
+    fleet.flood(second * 10);
+    fleet.bench.run(second * 4);
+    size_t const learned = fleet.bench.leader().interferences().replicated().figures().size();
+    CHECK(learned >= imageCount);
+    CHECK(learned <= imageCount * 3);
+}
+
+TEST_CASE("a snapshot of a version that learned nothing restores to nothing learned")
+{
+    JobBench bench(6, 1);
+    bench.addWorkers(2, 16000);
+    bench.run(second);
+    CHECK(bench.leader().interferences().replicated().empty());
+    CHECK_NOTHROW(bench.leader().hooks().restore(bench.leader().hooks().takeSnapshot()));
+}
--- a/cornelpond/core/scheduling/JobService.h
+++ b/cornelpond/core/scheduling/JobService.h
@@ -42,6 +42,8 @@
     JobScheduler& scheduler() { return this->jobScheduler; }
     JobScheduler const& scheduler() const { return this->jobScheduler; }
 
+    InterferenceReplication const& interferences() const { return this->interferenceReplication; }
+
     /// Done once a version at least as high is committed. Throws Error(SchemaViolation) for an invalid
     /// configuration.
     void replaceQueues(QueueConfig const& config, JobScheduler::Done done);
