--- a/cornelpond/core/base/Event.cpp
+++ b/cornelpond/core/base/Event.cpp
@@ -78,6 +78,8 @@
         EventInfo { EventId::EvacuationRefused, "EvacuationRefused", "A call to start or finish an evacuation was not carried out: `reason`." },
         EventInfo { EventId::EvacuatedTask, "EvacuatedTask", "A committed start in an evacuated data centre was withdrawn, or a task is stopped there to run elsewhere: `outcome`." },
         EventInfo { EventId::WorkerProcessSettled, "WorkerProcessSettled", "The leader records that orders for a former process of a worker cannot take effect on the present one (`bornMs`) any more. Once for each process that came after another." },
+        EventInfo { EventId::ServiceOverTarget, "ServiceOverTarget", "The service tasks of a worker are under their targets again after `overMs` since the first listing that showed one over it, at most at `tailPercent` of its target. At that first listing, `listingGapMs` after the one before: `service` and `suspect`, the images of the task nearest to its target and of the best-effort tasks expected to harm it most; `knowledge` of that pair (none: no best-effort tasks; unknown; trial; known); `images`, the number of best-effort images; `stopped`, those stopped at once; `leadingMs`, the time since this host took over." },
+        EventInfo { EventId::InterferenceRestored, "InterferenceRestored", "A new leader took over `restored` of the `figures` that earlier leaders had learned about images; the others were too old." },
         EventInfo { EventId::LeaderElected, "LeaderElected", "This host leads a group." },
         EventInfo { EventId::LeaderLost, "LeaderLost", "This host no longer leads a group." },
         EventInfo { EventId::JournalOpened, "JournalOpened", "A journal was read from disk." },
--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -91,6 +91,8 @@
     EvacuationRefused = 363,
     EvacuatedTask = 364,
     WorkerProcessSettled = 353,
+    ServiceOverTarget = 370,
+    InterferenceRestored = 371,
     LeaderElected = 400,
     LeaderLost = 401,
     JournalOpened = 402,
--- a/cornelpond/core/scheduling/JobService.h
+++ b/cornelpond/core/scheduling/JobService.h
@@ -15,6 +15,7 @@
 
 #include "cornelpond/core/agreement/StateMachineSet.h"
 #include "cornelpond/core/evacuation/RepeatedEvacuationCalls.h"
+#include "cornelpond/core/scheduling/InterferenceReplication.h"
 #include "cornelpond/core/scheduling/JobScheduler.h"
 
 #include <set>
@@ -44,6 +45,8 @@
     JobScheduler& scheduler() { return this->jobScheduler; }
     JobScheduler const& scheduler() const { return this->jobScheduler; }
 
+    InterferenceReplication const& interferences() const { return this->interferenceReplication; }
+
     /// Done once a version at least as high is committed. Throws Error(SchemaViolation) for an invalid
     /// configuration.
     void replaceQueues(QueueConfig const& config, JobScheduler::Done done);
@@ -61,7 +64,7 @@
 
     bool isLeader() const { return this->carrierLog && this->carrierLog->isLeader(); }
 
-    void onTick() { this->jobScheduler.onTick(); }
+    void onTick();
 
 private:
     StateMachineHooks queueHooks();
@@ -70,6 +73,7 @@
     StateMachineHooks evacuationHooks();
     void applyEvacuation(EvacuationCommand const& command);
     void noteDataCentres();
+    StateMachineHooks interferenceHooks();
 
     Clock const& clock;
     EventSink& events;
@@ -83,7 +87,9 @@
     CommandLog& workerLog;
     CommandLog& jobLog;
     CommandLog& evacuationLog;
+    CommandLog& interferenceLog;
     JobScheduler jobScheduler;
+    InterferenceReplication interferenceReplication;
 };
 
 } // namespace cornelpond
