--- a/cornelpond/core/placement/ThrottlePolicy.cpp
+++ b/cornelpond/core/placement/ThrottlePolicy.cpp
@@ -37,6 +37,7 @@
     constexpr double noticeableLoss = 0.05; ///< Smaller ones are within the error of the figures.
     constexpr unsigned raiseStepPercent = 25;
     std::vector<unsigned> next;
+    next.reserve(images.size());
     for (auto const& image : images)
         next.push_back(image.percent);
     if (tailRatio >= 1 && timeOverTarget >= maxTimeOverTarget)
--- a/cornelpond/core/scheduling/InterferenceControl.cpp
+++ b/cornelpond/core/scheduling/InterferenceControl.cpp
@@ -47,7 +47,7 @@
 void InterferenceControl::evictInterferingTasks(WorkerView& worker, TimePoint now)
 {
     constexpr double evictAboveTailRatio = 1.05; ///< Predicted tail latency over target, at the peak of the service's load.
-    constexpr double minTailRatio = 0.8; ///< Below it, tasks may end before the service's load is at its peak.
+    constexpr double minTailRatio = 1; ///< Below it, tasks may end before the service's load is at its peak.
     if (worker.serviceImages.empty() || worker.tailRatio < minTailRatio)
         return;
     ImageCpuShares shares;
@@ -135,6 +135,7 @@
 {
     std::map<ImageId, ImageSpeed> const images = this->imageSpeeds(worker, now);
     std::vector<ImageSpeed> speeds;
+    speeds.reserve(images.size());
     for (auto const& [image, speed] : images)
         speeds.push_back(speed);
     Duration const timeOverTarget = worker.overTargetSince ? now - *worker.overTargetSince : Duration();
--- a/cornelpond/core/scheduling/InterferenceReplayTest.cpp
+++ b/cornelpond/core/scheduling/InterferenceReplayTest.cpp
@@ -77,6 +77,8 @@
     fleet.flood(second * 15);
     Duration const before = fleet.flood(second * 8);
     fleet.bench.crashLeader();
+    fleet.bench.run(second);
+    fleet.bench.elect(1);
     Duration const after = fleet.flood(second * 8);
     INFO("over target: " << before.toMilliseconds() << " ms before, " << after.toMilliseconds() << " ms after");
     CHECK(fleet.bench.events.count(EventId::InterferenceRestored) == 1);
--- a/cornelpond/core/scheduling/InterferenceReplication.cpp
+++ b/cornelpond/core/scheduling/InterferenceReplication.cpp
@@ -64,6 +64,7 @@
     std::stable_sort(changes.begin(), changes.end(), [](auto const& left, auto const& right) { return left.first > right.first; });
     changes.resize(std::min(changes.size(), maxFiguresPerProposal));
     std::vector<LearnedFigure> figures;
+    figures.reserve(changes.size());
     for (auto& [change, figure] : changes)
         figures.push_back(std::move(figure));
     return figures;
