Step times: how long each step takes from a submission, or a last end, to a stage's first start

Of a short job, commits, passes and orders take as long as the work, and the total does not say which. StepTimes keeps a histogram of each step on the leader and logs one 365 JobSteps line a stage; bounded, and emptied with the job and the leadership.

--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -80,6 +80,11 @@
     metrics.setHistogram("submitLatencyMs", counters.submitLatency);
     metrics.setHistogram("placeLatencyMs", counters.placeLatency);
     metrics.setHistogram("completionLatencyMs", counters.completionLatency);
+    StepTimes const& steps = scheduler.stepTimes();
+    for (size_t step = 0; step < jobStepCount; step++)
+        metrics.setHistogram(std::string(jobStepName(static_cast<JobStep>(step))) + "Ms", steps.histogram(static_cast<JobStep>(step)));
+    metrics.setHistogram("firstStageStartMs", steps.firstStages());
+    metrics.setHistogram("laterStageStartMs", steps.laterStages());
     gauge("leads", scheduler.dispatcher().isLeading());
     size_t placedAttempts = 0;
     size_t workersWithListing = 0;
--- a/cornelpond/core/base/Event.cpp
+++ b/cornelpond/core/base/Event.cpp
@@ -70,6 +70,7 @@
         EventInfo { EventId::AttemptsInherited, "AttemptsInherited", "A new leader took over `attempts` on `workers`; orders for a former process may still reach `workersWithFormerOrders` of them. The epochs of its orders are above `epoch`." },
         EventInfo { EventId::StartByOtherProcess, "StartByOtherProcess", "A start was answered by another process of the worker than it names (`processBornMs`): its clock shows `clockMs` instead of `expectedClockMs`. With `result=accepted` that process runs the attempt, with a lease by the clock of the named one." },
         EventInfo { EventId::FurtherAttemptCommitted, "FurtherAttemptCommitted", "A control host that does not lead applied the committed start of a further attempt of a task, also one that it reads from its journal after it has started (402)." },
+        EventInfo { EventId::JobSteps, "JobSteps", "The first start of a stage was answered; milliseconds of each step since the submission (`after=submission`) or the listing of the last end that it waited for (`after=end`): the commit that made it ready, the decision after it (negative: before it), the commit of the start, the order." },
         EventInfo { EventId::LeaderElected, "LeaderElected", "This host leads a group." },
         EventInfo { EventId::LeaderLost, "LeaderLost", "This host no longer leads a group." },
         EventInfo { EventId::JournalOpened, "JournalOpened", "A journal was read from disk." },
--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -83,6 +83,7 @@
     AttemptsInherited = 350,
     StartByOtherProcess = 351,
     FurtherAttemptCommitted = 352,
+    JobSteps = 365,
     LeaderElected = 400,
     LeaderLost = 401,
     JournalOpened = 402,
--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -659,6 +659,8 @@
     TimePoint const now = this->clock.now();
     switch (result) {
     case OrderResult::Accepted:
+        if (this->hooks.onStartAccepted)
+            this->hooks.onStartAccepted(attempt.task);
         if (attempt.phase == PlacedAttempt::Phase::Starting) {
             attempt.phase = PlacedAttempt::Phase::Running;
             attempt.confirmedAt = now;
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -49,6 +49,8 @@
     std::function<void(TaskRef const&, WorkerId const&)> onPermitRefused;
     /// Called after a worker's listing was processed.
     std::function<void(WorkerView&)> onListingRead;
+    /// Called when a worker has accepted the start order of an attempt. May be unset.
+    std::function<void(TaskRef const&)> onStartAccepted;
     /// Called when workers or their free resources changed, so that waiting tasks may fit now.
     std::function<void()> onCapacityChanged;
 };
@@ -76,7 +78,7 @@
 
 class Dispatcher {
 public:
-    /// References must outlive the object. All hooks must be set.
+    /// References must outlive the object. All hooks must be set, unless their description says otherwise.
     Dispatcher(Clock const& clock, EventSink& events, WorkerOrders& orders, DispatchTimes times, JobTable const& jobs, DispatcherHooks hooks);
     ~Dispatcher();
     Dispatcher(Dispatcher const&) = delete;
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -70,6 +70,7 @@
     , interferenceControl(clock, events, this->dispatch, this->placer, this->interference, this->cpuUsage, this->evictor)
     , registration(clock, events, rosterLog, this->workerRoster, queues, this->dispatch)
     , loadReport(events)
+    , steps(clock, events)
     , drainEvacuation(clock, this->dispatch, this->placer, this->registration, this->evictor)
 {
 }
@@ -82,6 +83,7 @@
     hooks.onStartApplied = [this](CommitStart const& start) { this->onStartApplied(start); };
     hooks.onStartRefused = [this](CommitStart const& start) {
         this->proposedTasks.erase(start.task);
+        this->steps.onStartRefused(start.task);
         this->dispatch.onStartRefused(start);
         this->isPassNeeded = true;
     };
@@ -106,7 +108,11 @@
 {
     DispatcherHooks hooks;
     hooks.canSendOrders = [this] { return this->jobLog.isLeadershipConfirmed(); };
-    hooks.proposeEnd = [this](CommitEnd const& end) { this->pendingUpdates.emplace_back(end); };
+    hooks.proposeEnd = [this](CommitEnd const& end) {
+        this->steps.onEndListed(end.task);
+        this->pendingUpdates.emplace_back(end);
+    };
+    hooks.onStartAccepted = [this](TaskRef const& task) { this->steps.onStartAccepted(task); };
     // The result is not needed: a removal that is not committed is decided again.
     hooks.removeWorker = [this](WorkerProfile const& profile) {
         // The process may have an earlier start time than the one in the roster, which refuses to remove a later one.
@@ -156,6 +162,7 @@
     this->runTimes.clear();
     this->backlog.clear();
     this->loadReport.clear();
+    this->steps.clear();
     if (!isLeader) {
         this->dispatch.resign();
         return;
@@ -189,10 +196,13 @@
     if (!this->dispatch.isLeading())
         return;
     if (job.state == JobState::Active) {
+        if (!this->activeJobs.count(job.spec.id))
+            this->noteReadyStages(job, std::nullopt);
         this->activeJob(job);
         this->isPassNeeded = true;
         return;
     }
+    this->steps.onJobEnded(job.spec.id);
     this->reportEnd(job);
     this->activeJobs.erase(job.spec.id);
     for (auto* since : { &this->waitingSince, &this->serviceTaskEnds })
@@ -245,6 +255,7 @@
 {
     this->proposedTasks.erase(start.task);
     this->serviceTaskEnds.erase(start.task);
+    this->steps.onStartCommitted(start.task);
     this->dispatch.onStartApplied(start);
 }
 
@@ -259,6 +270,9 @@
                           .with("outcome", std::string(attemptEndName(end.end)))
                           .with("checkpoint", end.checkpoint));
     this->schedulerCounters.attemptEnds[end.end]++;
+    std::optional<TimePoint> const listedAt = this->steps.takeListed(end.task);
+    if (JobRecord const* job = this->jobTable.find(end.task.job); job && listedAt && end.end == AttemptEnd::Done)
+        this->noteReadyStages(*job, listedAt);
     this->observeRunTime(end);
     this->dispatch.onEndApplied(end);
     this->noteServiceTaskEnd(end.task);
@@ -266,6 +280,21 @@
     this->isPassNeeded = true;
 }
 
+/// Notes the stages of which no task has started yet and that have just become ready: by the commit of the submission without
+/// `listedAt`, else by that of an end that was listed then.
+void JobScheduler::noteReadyStages(JobRecord const& job, std::optional<TimePoint> listedAt)
+{
+    for (auto const& [number, occurrence] : job.occurrences) {
+        for (uint32_t stage = 0; stage < occurrence.stages.size(); stage++) {
+            auto const& tasks = occurrence.stages[stage].tasks;
+            bool const hasStarted = std::any_of(tasks.begin(), tasks.end(), [](TaskRecord const& task) { return task.lastAttempt > AttemptNumber(); });
+            bool const isEligible = listedAt.has_value() != job.spec.stages[stage].dependsOn.empty();
+            if (!hasStarted && isEligible && job.isStageReady(occurrence, stage))
+                this->steps.onStageReady({ job.spec.id, number, stage, 0 }, listedAt);
+        }
+    }
+}
+
 void JobScheduler::observeRunTime(CommitEnd const& end)
 {
     WorkerView* worker = this->dispatch.findWorker(end.worker);
@@ -336,10 +365,12 @@
     size_t const stages = job.stages.size();
     JobSize const size = sizeOf(job);
     this->proposedJobs.insert(id);
+    this->steps.onSubmitted(id);
     SubmitJob command { std::move(job), queue.name, this->clock.wallMilliseconds() };
     this->jobLog.propose(encodeJobCommand(std::move(command)), [this, id, stages, size, name = queue.name, since = this->clock.now(), done = std::move(done)](ProposalOutcome const& outcome) {
         if (auto const proposed = this->proposedJobs.find(id); proposed != this->proposedJobs.end())
             this->proposedJobs.erase(proposed);
+        this->steps.onSubmitEnded(id);
         CallResult const result = callResultOf(outcome.code);
         this->schedulerCounters.jobsAccepted += result == CallResult::Done;
         this->schedulerCounters.submitLatency.observe(this->clock.now() - since);
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -26,6 +26,7 @@
 #include "cornelpond/core/scheduling/LoadReport.h"
 #include "cornelpond/core/scheduling/PassPacing.h"
 #include "cornelpond/core/scheduling/PermitCache.h"
+#include "cornelpond/core/scheduling/StepTimes.h"
 #include "cornelpond/core/scheduling/TaskEvictor.h"
 #include "cornelpond/core/scheduling/WorkerRegistration.h"
 
@@ -118,6 +119,7 @@
     JobTable const& jobs() const { return this->jobTable; }
     Dispatcher const& dispatcher() const { return this->dispatch; }
     SchedulerCounters const& counters() const { return this->schedulerCounters; }
+    StepTimes const& stepTimes() const { return this->steps; }
     uint64_t evictionCount() const { return this->evictor.count(); }
     Histogram const& tickGap() const { return this->loadReport.tickGap(); }
     PlacementCounters const& placementCounters() const { return this->placer.counters(); }
@@ -144,6 +146,7 @@
     void observeRunTime(CommitEnd const& end);
     void noteServiceTaskEnd(TaskRef const& task);
     void stopRestOfGang(CommitEnd const& end);
+    void noteReadyStages(JobRecord const& job, std::optional<TimePoint> listedAt);
 
     /// What only the leader keeps of a job that has not ended.
     struct ActiveJob {
@@ -196,6 +199,7 @@
     InterferenceControl interferenceControl;
     WorkerRegistration registration;
     LoadReport loadReport;
+    StepTimes steps;
     DrainEvacuation drainEvacuation;
 
     std::map<JobId, ActiveJob> activeJobs; ///< Kept on the leader only.
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -290,6 +290,7 @@
                           .with("lateness", static_cast<int>(ready.rank.lateness)));
     this->dispatch.reserve(worker, start.task, start.attempt, startSpeedPercent);
     this->proposedTasks.insert(start.task);
+    this->steps.onStartDecided(start.task, true);
     this->pendingUpdates.emplace_back(start);
     this->waitingSince.erase({ start.task.job, start.task.occurrence, start.task.stage, 0 });
     this->schedulerCounters.startsDecided++;
