Appends leave before the leader's own sync, and an idle log syncs at once

On top of that, leader and followers each waited for 25 ms since their latest flush, while each tick synced in between.

GroupHost sends appends in one turn and syncs in a later one. FlushPacing lets an idle log sync at once; a busy one pauses after a sync for as long as it took (25 ms at most), so that syncs take half of the time at most. Ticks request a flush where the owner flushes, instead of making one.

Ruled out: a sync in a thread of its own, which the storage's contract does not allow; shorter fixed intervals, which take more of the loop on a slow disk.

--- a/cornelpond/app/FleetSettings.cpp
+++ b/cornelpond/app/FleetSettings.cpp
@@ -71,8 +71,8 @@
     /// the next host may be lost right then. So the next step of a replacement is checked for after no more than
     /// a round trip.
     constexpr Duration voterCheckInterval = Duration::milliseconds(60);
-    /// A sync blocks the loop for about 6 ms; more frequent ones leave too little time for other work.
-    constexpr Duration minLogFlushInterval = Duration::milliseconds(25);
+    /// A sync blocks the loop, and a pause as long follows it; a slow disk must not hold up entries for longer.
+    constexpr Duration maxLogFlushPause = Duration::milliseconds(25);
     constexpr Duration peerHandshakeTimeout = Duration::milliseconds(500);
     constexpr Duration maxPeerBackoff = Duration::milliseconds(300);
 
@@ -216,7 +216,7 @@
     bool const isSeed = std::any_of(fleet.seeds.begin(), fleet.seeds.end(), [&](auto const& seed) { return seed.ip == fleet.listen.peers.ip; });
     settings.dialsAllPeers = !hasIpIdentity || !isSeed;
     settings.voterCheckInterval = voterCheckInterval;
-    settings.minLogFlushInterval = minLogFlushInterval;
+    settings.maxLogFlushPause = maxLogFlushPause;
     settings.peerHeartbeatInterval = peerHeartbeatInterval;
     settings.peerHandshakeTimeout = peerHandshakeTimeout;
     settings.maxPeerBackoff = maxPeerBackoff;
--- a/cornelpond/app/GroupHost.cpp
+++ b/cornelpond/app/GroupHost.cpp
@@ -1,6 +1,7 @@
 #include "cornelpond/app/GroupHost.h"
 
 #include "cornelpond/adapters/file/DurableFile.h"
+#include "cornelpond/core/agreement/FlushPacing.h"
 
 #include <algorithm>
 
@@ -23,8 +24,9 @@
 } // namespace
 
 struct GroupHost::Group {
-    Group(std::string const& folder, EventSink& events)
+    Group(std::string const& folder, EventSink& events, Duration maxFlushPause)
         : storage(folder, events)
+        , flushPacing(maxFlushPause)
     {
     }
 
@@ -34,8 +36,8 @@
     ResultCode startFailure = ResultCode::Ok; ///< Of the latest start.
     TimePoint startedAt = TimePoint::distantPast(); ///< When it was last tried to start the log.
     TimePoint startFaultReportedAt = TimePoint::distantPast();
+    FlushPacing flushPacing;
     TimerId flushTimer;
-    TimePoint lastFlush = TimePoint::distantPast();
 };
 
 /// Stands for every group's log on a host without a disk: it never leads and reports no leader.
@@ -48,14 +50,14 @@
     void propose(std::string, Done done) override { done({ ResultCode::NotLeader, LogIndex() }); }
 };
 
-GroupHost::GroupHost(Clock const& clock, Timers& timers, Random& random, EventSink& events, HostId self, std::string dataFolder, Duration flushInterval, Send send)
+GroupHost::GroupHost(Clock const& clock, Timers& timers, Random& random, EventSink& events, HostId self, std::string dataFolder, Duration maxFlushPause, Send send)
     : clock(clock)
     , timers(timers)
     , random(random)
     , events(events)
     , self(std::move(self))
     , dataFolder(std::move(dataFolder))
-    , flushInterval(flushInterval)
+    , maxFlushPause(maxFlushPause)
     , send(std::move(send))
     , disklessLog(std::make_unique<DisklessLog>())
 {
@@ -71,7 +73,7 @@
 {
     if (this->dataFolder.empty())
         return *this->disklessLog;
-    auto entry = std::make_unique<Group>(this->dataFolder + "/" + folderName, this->events);
+    auto entry = std::make_unique<Group>(this->dataFolder + "/" + folderName, this->events, this->maxFlushPause);
     Membership const initial = this->initialMembership(bootstrap, folderName);
     auto sendOne = [this, group](HostId const& to, std::string const& bytes) { this->send(to, encodeGroupMessage(group, bytes)); };
     entry->log = std::make_unique<ReplicatedLog>(group, this->self, initial, ReplicatedLogTimes(), this->clock, this->random, this->events, entry->storage, sendOne, std::move(hooks));
@@ -126,17 +128,25 @@
 }
 
 void GroupHost::scheduleFlush(GroupId const& group)
+{
+    // At the end of the turn, so that all that arrives in it is sent together.
+    this->groups.at(group)->flushTimer = this->timers.after(Duration(), [this, group] { this->sendBeforeFlush(group); });
+}
+
+/// Messages leave at the end of a turn, and a sync blocks the loop: in this turn they would leave after the sync.
+void GroupHost::sendBeforeFlush(GroupId const& group)
 {
     Group& entry = *this->groups.at(group);
-    Duration const wait = std::max(entry.lastFlush + this->flushInterval - this->clock.now(), Duration());
-    entry.flushTimer = this->timers.after(wait, [this, group] { this->flush(group); });
+    entry.log->sendPending();
+    entry.flushTimer = this->timers.after(entry.flushPacing.waitAt(this->clock.now()), [this, group] { this->flush(group); });
 }
 
 void GroupHost::flush(GroupId const& group)
 {
     Group& entry = *this->groups.at(group);
+    TimePoint const startedAt = this->clock.now();
     entry.log->flush();
-    entry.lastFlush = this->clock.now();
+    entry.flushPacing.onFlush(startedAt, this->clock.now());
 }
 
 void GroupHost::onMessage(HostId const& from, std::string const& payload)
--- a/cornelpond/app/GroupHost.h
+++ b/cornelpond/app/GroupHost.h
@@ -28,8 +28,9 @@
     using Send = std::function<void(HostId const& to, std::string payload)>;
 
     /// References must outlive the object. `dataFolder` is empty for a host without a disk.
-    /// Two syncs of one log are at least `flushInterval` apart; entries that arrive in between share the next.
-    GroupHost(Clock const& clock, Timers& timers, Random& random, EventSink& events, HostId self, std::string dataFolder, Duration flushInterval, Send send);
+    /// A log that is idle syncs at once; a busy one at intervals that FlushPacing bounds, with pauses of `maxFlushPause` at most,
+    /// and entries that arrive in between share the next sync.
+    GroupHost(Clock const& clock, Timers& timers, Random& random, EventSink& events, HostId self, std::string dataFolder, Duration maxFlushPause, Send send);
     ~GroupHost();
     GroupHost(GroupHost const&) = delete;
     GroupHost& operator=(GroupHost const&) = delete;
@@ -75,6 +76,7 @@
     void startAgainWhenDue(GroupId const& id, Group& group);
     void flush(GroupId const& group);
     void scheduleFlush(GroupId const& group);
+    void sendBeforeFlush(GroupId const& group);
     Membership initialMembership(BootstrapMembers const& bootstrap, std::string const& folderName) const;
 
     Clock const& clock;
@@ -83,7 +85,7 @@
     EventSink& events;
     HostId self;
     std::string dataFolder;
-    Duration flushInterval;
+    Duration maxFlushPause;
     Send send;
     std::map<GroupId, std::unique_ptr<Group>> groups;
     std::unique_ptr<DisklessLog> disklessLog;
--- a/cornelpond/app/HostNetwork.cpp
+++ b/cornelpond/app/HostNetwork.cpp
@@ -83,7 +83,7 @@
     , configuredHosts(plannedHosts(settings))
     , hostTable(hostTimes(settings.peerHeartbeatInterval), [this](HostChange const& change) { this->onHostChange(change); })
     , link(loop, random, events, this->linkSelf(), linkTimes(settings), linkLimits(settings), this->linkHooks())
-    , groups(loop, loop, random, events, settings.host, settings.dataFolder, settings.minLogFlushInterval,
+    , groups(loop, loop, random, events, settings.host, settings.dataFolder, settings.maxLogFlushPause,
           [this](HostId const& to, std::string payload) { this->link.send(to, { PeerChannel::Agreement, std::move(payload) }); })
     , forwarder(loop, this->link, random.next(), [this](ForwardedRequest const& request, ApiAnswerCallback const& answer) { this->serveForwarded(request, answer); })
     , localConfig({ [this](ConfigRecord const& record) { this->hooks.onConfiguration(record); }, [this](std::string const& bytes) { this->storeConfiguration(bytes); } })
--- a/cornelpond/app/Settings.h
+++ b/cornelpond/app/Settings.h
@@ -69,7 +69,7 @@
     bool dialsAllPeers = false; ///< Dials every peer, since the peers may not know this host's address.
     Duration learnerLostAfter = Duration::seconds(10);
     Duration voterCheckInterval = Duration::milliseconds(500);
-    Duration minLogFlushInterval; ///< Minimum time between two syncs of one log.
+    Duration maxLogFlushPause; ///< Between two syncs of one log; zero: a busy log syncs without pauses.
     Duration peerHeartbeatInterval = Duration::milliseconds(500);
     Duration peerHandshakeTimeout = Duration::seconds(2); ///< A dial that takes longer is abandoned.
     Duration maxPeerBackoff = Duration::seconds(2); ///< Longest pause between two dials of a peer.
--- a/cornelpond/core/agreement/ReplicatedLog.cpp
+++ b/cornelpond/core/agreement/ReplicatedLog.cpp
@@ -99,7 +99,10 @@
     else
         this->campaignWhenDue();
     this->snapshotWhenDue();
-    this->flush();
+    if (!this->flushCallback)
+        this->flush();
+    else if (this->synced < this->log.lastIndex() || this->deferredAppendReply)
+        this->requestFlush();
 }
 
 void ReplicatedLog::requestFlush()
@@ -113,6 +116,14 @@
         this->flushCallback();
 }
 
+void ReplicatedLog::sendPending()
+{
+    if (this->storageOutage)
+        return;
+    for (auto& [host, progress] : this->peers)
+        this->sendAppends(host, progress);
+}
+
 void ReplicatedLog::flush()
 {
     if (this->isFlushing || this->storageOutage)
@@ -120,8 +131,7 @@
     this->isFlushing = true;
     do {
         this->isFlushRequested = false;
-        for (auto& [host, progress] : this->peers)
-            this->sendAppends(host, progress);
+        this->sendPending();
         LogIndex const last = this->log.lastIndex();
         if (this->synced < last && !this->runStorageCall([this] { this->storage.sync(); }))
             break;
--- a/cornelpond/core/agreement/ReplicatedLog.h
+++ b/cornelpond/core/agreement/ReplicatedLog.h
@@ -74,7 +74,8 @@
     /// Handles one encoded agreement message. Drops a malformed one and emits AgreementMessageRefused.
     void onMessage(HostId const& from, std::string_view bytes);
 
-    /// Runs what is due: heartbeats, elections, snapshots, a flush. To be called every 10 to 20 ms.
+    /// Runs what is due: heartbeats, elections, snapshots; also a flush, or with a flush callback the request for one that is
+    /// needed. To be called every 10 to 20 ms.
     void onTick();
 
     /// Batches all that arrives in one turn of the loop into one sync: `callback` is called when entries or
@@ -82,6 +83,10 @@
     /// the log flushes by itself at once, as it always does for a sole voter.
     void setFlushCallback(std::function<void()> callback) { this->flushCallback = std::move(callback); }
 
+    /// Sends pending entries. An owner whose messages leave at the end of a turn of the loop calls it a turn before `flush`, so
+    /// that the others' syncs run beside this host's.
+    void sendPending();
+
     /// Sends pending entries, syncs the storage, sends the reply that waited for the sync and commits and
     /// applies what a majority now holds.
     void flush();
--- a/cornelpond/core/agreement/ReplicatedLogTest.cpp
+++ b/cornelpond/core/agreement/ReplicatedLogTest.cpp
@@ -268,6 +268,26 @@
     CHECK(cluster.hosts.at(first)->disk.syncCount() - before == 1);
 }
 
+TEST_CASE("pending entries leave before the leader's sync, and a tick makes no sync of its own where the owner flushes")
+{
+    AgreementCluster cluster(seed, { "a", "b", "c" });
+    useLinks(cluster, 5);
+    HostId const leader = awaitLeader(cluster);
+    cluster.runFor(Duration::seconds(1));
+    auto& host = cluster.host(leader.value());
+    size_t const syncs = host.disk.syncCount();
+    size_t const sent = cluster.network.messageCount();
+    REQUIRE(cluster.propose("x"));
+    host.log->sendPending();
+    CHECK(cluster.network.messageCount() == sent + 2);
+    host.log->onTick();
+    CHECK(host.disk.syncCount() == syncs);
+    CHECK(host.isFlushDue);
+    host.log->flush();
+    CHECK(host.disk.syncCount() == syncs + 1);
+    CHECK(cluster.runUntil([&] { return cluster.acknowledgedCount() == 1; }, Duration::milliseconds(20)));
+}
+
 TEST_CASE("a malformed message is dropped with an event and changes nothing")
 {
     AgreementCluster cluster(seed, { "a" });
