Starts are proposed behind the submission or the ends that make their stage ready

Each stage's first start waited for two commits in series: that of the submission or of the last end, and its own. The log applies commands in their order, and JobTable refuses a start whose job it does not know or whose stage is not ready, so the first need not be waited for.

JobTable keeps an expected record of a job whose submission was proposed, on the leader only and outside the replicated state; it becomes the job's record and keeps its address. ExpectedEnds holds the ends as done that were proposed: a stage counts as ready for a pass when all tasks before it are done or expected to be. Both are dropped with the leadership. Jobs with schedules or permits are not expected. The 2xx, the start order and the acknowledgement of an end each follow their commit as before.

--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -174,7 +174,7 @@
     placed.task = task;
     placed.number = attempt;
     placed.placedAt = this->clock.now();
-    placed.stage = &this->jobs.find(task.job)->spec.stages[task.stage];
+    placed.stage = &this->jobs.findSpec(task.job)->stages[task.stage];
     placed.image = this->imageIds.idOf(placed.stage->image);
     placed.isThrottledStart = startSpeedPercent.has_value();
     placed.targetSpeedPercent = startSpeedPercent.value_or(placed.targetSpeedPercent);
--- a/cornelpond/core/jobs/JobTable.cpp
+++ b/cornelpond/core/jobs/JobTable.cpp
@@ -49,6 +49,20 @@
         job.maxAttempts = queue->maxAttempts;
     }
 
+    JobRecord newRecord(SubmitJob const& command, QueueTable const& queues)
+    {
+        JobRecord job;
+        job.spec = command.job;
+        job.queue = command.queue;
+        job.acceptedWallMs = command.acceptedWallMs;
+        copyQueueSettings(job, queues);
+        if (!job.spec.isScheduled()) {
+            job.occurrences.emplace(0, newOccurrence(job.spec));
+            job.occurrencesOpened = 1;
+        }
+        return job;
+    }
+
     void write(ByteWriter& out, TaskRecord const& task)
     {
         out.number(task.lastAttempt.value());
@@ -181,17 +195,29 @@
 {
     if (this->jobs.count(command.job.id))
         return;
-    JobRecord job;
-    job.spec = command.job;
-    job.queue = command.queue;
-    job.acceptedWallMs = command.acceptedWallMs;
-    copyQueueSettings(job, queues);
-    if (!job.spec.isScheduled()) {
-        job.occurrences.emplace(0, newOccurrence(job.spec));
-        job.occurrencesOpened = 1;
-    }
-    JobRecord const& added = this->jobs.emplace(command.job.id, std::move(job)).first->second;
-    this->notifyJobChanged(added);
+    // Keeps the address of an expected record.
+    auto node = this->expectedJobs.extract(command.job.id);
+    if (node)
+        copyQueueSettings(node.mapped(), queues);
+    else
+        this->jobs.emplace(command.job.id, newRecord(command, queues));
+    if (node)
+        this->jobs.insert(std::move(node));
+    this->notifyJobChanged(this->jobs.at(command.job.id));
+}
+
+JobRecord const& JobTable::expect(SubmitJob const& command, QueueTable const& queues)
+{
+    return this->expectedJobs.insert_or_assign(command.job.id, newRecord(command, queues)).first->second;
+}
+
+JobSpec const* JobTable::findSpec(JobId const& id) const
+{
+    auto const expected = this->expectedJobs.find(id);
+    if (expected != this->expectedJobs.end())
+        return &expected->second.spec;
+    JobRecord const* job = this->find(id);
+    return job ? &job->spec : nullptr;
 }
 
 void JobTable::apply(CancelJob const& command, QueueTable const&)
--- a/cornelpond/core/jobs/JobTable.h
+++ b/cornelpond/core/jobs/JobTable.h
@@ -106,6 +106,15 @@
     void restore(std::string const& snapshot);
 
     JobRecord const* find(JobId const& id) const;
+
+    /// Returns the record that the job is going to have once its submission, which was proposed, is applied; it keeps its address
+    /// then. Until then `find` does not return it, and it is no part of the table's state.
+    JobRecord const& expect(SubmitJob const& command, QueueTable const& queues);
+    /// To be called when the leadership changes, once nothing refers to expected records any more.
+    void dropExpected() { this->expectedJobs.clear(); }
+    /// Also of an expected job. Null when the job is not known.
+    JobSpec const* findSpec(JobId const& id) const;
+
     TaskRecord const* findTask(TaskRef const& task) const;
 
     /// True for a job that was cancelled lately and has no record. Its submission is to be refused: once committed, the job
@@ -154,6 +163,7 @@
 
     JobTableHooks hooks;
     std::unordered_map<JobId, JobRecord> jobs;
+    std::unordered_map<JobId, JobRecord> expectedJobs; ///< Their submissions await their commit.
     CancelledIds cancelledIds;
 };
 
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -108,10 +108,7 @@
 {
     DispatcherHooks hooks;
     hooks.canSendOrders = [this] { return this->jobLog.isLeadershipConfirmed(); };
-    hooks.proposeEnd = [this](CommitEnd const& end) {
-        this->steps.onEndListed(end.task);
-        this->addUpdate(end);
-    };
+    hooks.proposeEnd = [this](CommitEnd const& end) { this->addEnd(end); };
     hooks.onStartAccepted = [this](TaskRef const& task) { this->steps.onStartAccepted(task); };
     // The result is not needed: a removal that is not committed is decided again.
     hooks.removeWorker = [this](WorkerProfile const& profile) {
@@ -140,7 +137,7 @@
 {
     this->jobTable.onQueuesChanged(this->queues);
     for (auto& [id, active] : this->activeJobs) {
-        JobRecord const& job = *this->jobTable.find(id);
+        JobRecord const& job = *active.record;
         active.objective = objectiveOf(job.spec, this->queues.find(job.queue), active.objective.acceptedAt);
     }
     this->isPassNeeded = true;
@@ -163,10 +160,11 @@
     this->backlog.clear();
     this->loadReport.clear();
     this->steps.clear();
-    if (!isLeader) {
-        this->dispatch.resign();
+    this->expectedEnds.clear();
+    this->dispatch.resign();
+    this->jobTable.dropExpected();
+    if (!isLeader)
         return;
-    }
     this->startsAllowedFrom = this->clock.now() + startDelayOfNewLeader;
     this->dispatch.lead(this->jobLog.term(), this->workerRoster);
     for (auto const& [id, job] : this->jobTable.all()) {
@@ -196,8 +194,7 @@
     if (!this->dispatch.isLeading())
         return;
     if (job.state == JobState::Active) {
-        if (!this->activeJobs.count(job.spec.id))
-            this->noteReadyStages(job, std::nullopt);
+        this->noteReadyStages(job, std::nullopt);
         this->activeJob(job);
         this->callForPass();
         return;
@@ -245,7 +242,7 @@
 {
     std::array<size_t, sizeClassCount> counts {};
     for (auto const& [id, active] : this->activeJobs) {
-        if (!this->jobTable.find(id)->spec.hasServiceStage())
+        if (!active.record->spec.hasServiceStage())
             counts.at(sizeClassOf(active.progress.size))++;
     }
     return counts;
@@ -270,6 +267,7 @@
                           .with("outcome", std::string(attemptEndName(end.end)))
                           .with("checkpoint", end.checkpoint));
     this->schedulerCounters.attemptEnds[end.end]++;
+    this->expectedEnds.onApplied(end);
     std::optional<TimePoint> const listedAt = this->steps.takeListed(end.task);
     if (JobRecord const* job = this->jobTable.find(end.task.job); job && listedAt && end.end == AttemptEnd::Done)
         this->noteReadyStages(*job, listedAt);
@@ -366,8 +364,8 @@
     JobSize const size = sizeOf(job);
     this->proposedJobs.insert(id);
     this->steps.onSubmitted(id);
-    SubmitJob command { std::move(job), queue.name, this->clock.wallMilliseconds() };
-    this->jobLog.propose(encodeJobCommand(std::move(command)), [this, id, stages, size, name = queue.name, since = this->clock.now(), done = std::move(done)](ProposalOutcome const& outcome) {
+    SubmitJob const command { std::move(job), queue.name, this->clock.wallMilliseconds() };
+    this->jobLog.propose(encodeJobCommand(command), [this, id, stages, size, name = queue.name, since = this->clock.now(), done = std::move(done)](ProposalOutcome const& outcome) {
         if (auto const proposed = this->proposedJobs.find(id); proposed != this->proposedJobs.end())
             this->proposedJobs.erase(proposed);
         this->steps.onSubmitEnded(id);
@@ -385,6 +383,20 @@
                               .with("code", static_cast<int>(outcome.code)));
         done({ result, Duration() });
     });
+    if (mayBeRefused)
+        this->expectJob(command, queue);
+}
+
+/// Lets the next pass decide the job's first starts, which are proposed behind its submission: the log keeps the order of
+/// proposals, and JobTable refuses starts of a job that it does not know.
+void JobScheduler::expectJob(SubmitJob const& command, QueueSpec const& queue)
+{
+    bool const isProposed = this->proposedJobs.count(command.job.id) && !this->jobTable.find(command.job.id) && this->jobLog.isLeader();
+    // Permits are asked for in the name of a job, so that it must exist. A job with a schedule has nothing to start yet.
+    if (!isProposed || queue.permits.isRequired || command.job.isScheduled())
+        return;
+    this->activeJob(this->jobTable.expect(command, this->queues));
+    this->callForPass();
 }
 
 bool JobScheduler::isCancelledWithoutRecord(JobId const& id) const
@@ -443,6 +455,8 @@
     }
     if (isUnsubmitted)
         this->proposedUnsubmittedCancels.insert(id);
+    if (!job)
+        this->activeJobs.erase(id); // Of a job that is being committed no more starts are decided.
     // The log keeps the order of proposals: a submission that is being committed takes effect before its cancel.
     this->jobLog.propose(encodeJobCommand(CancelJob { id, this->clock.wallMilliseconds() }), [this, id, done](ProposalOutcome const& outcome) {
         if (auto const proposed = this->proposedUnsubmittedCancels.find(id); proposed != this->proposedUnsubmittedCancels.end())
@@ -570,6 +584,15 @@
     this->workCallback();
 }
 
+/// The starts of stages that become ready by the end are decided at once and proposed behind it.
+void JobScheduler::addEnd(CommitEnd const& end)
+{
+    this->steps.onEndListed(end.task);
+    if (this->expectedEnds.onProposed(end, this->jobTable.find(end.task.job)))
+        this->isPassNeeded = true;
+    this->addUpdate(end);
+}
+
 void JobScheduler::addUpdate(TaskUpdate update)
 {
     this->pendingUpdates.push_back(std::move(update));
@@ -612,7 +635,7 @@
 {
     int64_t const wall = this->clock.wallMilliseconds();
     for (auto const& [id, active] : this->activeJobs) {
-        JobRecord const& job = *this->jobTable.find(id);
+        JobRecord const& job = *active.record;
         ScheduleSpec const& schedule = job.spec.schedule;
         if (job.occurrencesOpened >= schedule.occurrences)
             continue;
@@ -636,7 +659,7 @@
 {
     std::map<ServiceId, std::vector<std::pair<int64_t, uint64_t>>> needs; // With the number of tasks.
     for (auto const& [id, active] : this->activeJobs) {
-        JobRecord const& job = *this->jobTable.find(id);
+        JobRecord const& job = *active.record;
         for (auto const& stage : job.spec.stages) {
             if (stage.isShort())
                 needs[job.service].emplace_back(stage.need.milliCores, stage.taskCount);
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -22,6 +22,7 @@
 #include "cornelpond/core/queueing/StageRank.h"
 #include "cornelpond/core/scheduling/CallResult.h"
 #include "cornelpond/core/scheduling/DrainEvacuation.h"
+#include "cornelpond/core/scheduling/ExpectedEnds.h"
 #include "cornelpond/core/scheduling/InterferenceControl.h"
 #include "cornelpond/core/scheduling/LoadReport.h"
 #include "cornelpond/core/scheduling/PassPacing.h"
@@ -146,6 +147,7 @@
     void onJobChanged(JobRecord const& job);
     void onStartApplied(CommitStart const& start);
     void onEndApplied(CommitEnd const& end);
+    void expectJob(SubmitJob const& command, QueueSpec const& queue);
     std::optional<Duration> refusalFor(JobSpec const& job, QueueSpec const& queue) const;
     bool isCancelledWithoutRecord(JobId const& id) const;
     void refuse(JobSpec const& job, QueueSpec const& queue, char const* reason, Duration retryAfter);
@@ -157,7 +159,7 @@
 
     /// What only the leader keeps of a job that has not ended.
     struct ActiveJob {
-        JobRecord const* record = nullptr; ///< Valid while the job is active.
+        JobRecord const* record = nullptr; ///< Valid while the job is active; before that, of the job as JobTable expects it.
         bool isBestEffort = false; ///< All its stages are.
         JobObjective objective;
         JobProgress progress;
@@ -190,6 +192,7 @@
     void callForPass();
     void callForWork();
     void addUpdate(TaskUpdate update);
+    void addEnd(CommitEnd const& end);
 
     Clock const& clock;
     EventSink& events;
@@ -219,6 +222,7 @@
     std::set<TaskRef> proposedTasks; ///< Tasks whose start is being committed.
     std::multiset<JobId> proposedJobs; ///< Jobs that are being committed. A refusal of such an id might not be true.
     std::multiset<JobId> proposedUnsubmittedCancels; ///< Jobs that were not known when their cancel was proposed.
+    ExpectedEnds expectedEnds;
     std::vector<TaskUpdate> pendingUpdates; ///< To be proposed with the next batch.
     std::function<void()> workCallback;
     bool isWorkCalledFor = false; ///< `workCallback` was called, and `onWork` has not been called since.
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -79,7 +79,7 @@
             acceptedAt = now + Duration::milliseconds(dueInMs);
         }
         for (uint32_t stage = 0; stage < occurrence.stages.size(); stage++) {
-            if (!occurrence.stages[stage].waitingCount || !job.isStageReady(occurrence, stage))
+            if (!occurrence.stages[stage].waitingCount || !this->expectedEnds.isStageReady(job, number, stage))
                 continue;
             // Short tasks run at full speed; their large jobs, which get workers bit by bit, would rank as late too soon.
             double const stretch = job.spec.stages[stage].isBestEffort ? this->runTimes.stretchOf(job.spec.stages[stage]) : 1;
@@ -291,7 +291,8 @@
                           .with("lateness", static_cast<int>(ready.rank.lateness)));
     this->dispatch.reserve(worker, start.task, start.attempt, startSpeedPercent);
     this->proposedTasks.insert(start.task);
-    this->steps.onStartDecided(start.task, true);
+    bool const isStageReady = this->jobTable.find(start.task.job) && ready.job->isStageReady(ready.job->occurrences.at(ready.occurrence), ready.stage);
+    this->steps.onStartDecided(start.task, isStageReady);
     this->pendingUpdates.emplace_back(start);
     this->waitingSince.erase({ start.task.job, start.task.occurrence, start.task.stage, 0 });
     this->schedulerCounters.startsDecided++;
