The renewal that acknowledges ends leaves with their commit, and listings with ends wait less

A worker that has listed an end reports the next one only once the first is acknowledged. The renewal that does so waited for the next tick. It now leaves when the last listed end is committed. Relays held all answers back for 8 ms, or 20 ms while they are many; listings with ends now wait as long as orders (2 ms), or 8 ms while answers are many.

--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -228,9 +228,13 @@
         view->bestEffortLeftAt = this->clock.now();
     view->remove({ end.task, end.attempt });
     this->acknowledgeEnds(*view);
-    if (view->listedEnds.empty())
-        view->nextRenewalAt = this->clock.now();
     this->hooks.onCapacityChanged();
+    if (!view->listedEnds.empty())
+        return;
+    // At once: until a renewal reaches the worker, further ends there are not noticed.
+    view->nextRenewalAt = this->clock.now();
+    if (!view->hasHigherEpoch && this->hooks.canSendOrders())
+        this->renewWhenDue(*view);
 }
 
 void Dispatcher::onTick()
@@ -250,8 +254,7 @@
     TimePoint const now = this->clock.now();
     if (view.hasHigherEpoch)
         return;
-    if (!view.isRenewalInFlight && now >= view.nextRenewalAt && now >= view.renewalHeldUntil)
-        this->sendRenewal(view);
+    this->renewWhenDue(view);
     if (now < view.nextCheckAt)
         return;
     view.nextCheckAt = now + attemptCheckInterval;
@@ -332,6 +335,13 @@
     return { view.generation, view.profile.bornMs, view.hasClock ? view.estimatedClock(now) : Duration(), now };
 }
 
+void Dispatcher::renewWhenDue(WorkerView& view)
+{
+    TimePoint const now = this->clock.now();
+    if (!view.isRenewalInFlight && now >= view.nextRenewalAt && now >= view.renewalHeldUntil)
+        this->sendRenewal(view);
+}
+
 void Dispatcher::sendRenewal(WorkerView& view)
 {
     TimePoint const now = this->clock.now();
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -157,6 +157,7 @@
     void checkOrphanedAttempts(WorkerView& view);
     void onLeaseExpired(WorkerView& view);
     SendContext sendContext(WorkerView const& view) const;
+    void renewWhenDue(WorkerView& view);
     void sendRenewal(WorkerView& view);
     void onRenewalAnswered(WorkerId const& worker, SendContext const& sent, RenewAnswer const& answer);
     void onRenewalFailed(WorkerView& view, uint64_t generation, OrderResult result);
--- a/cornelpond/core/relay/OrderRelay.cpp
+++ b/cornelpond/core/relay/OrderRelay.cpp
@@ -18,6 +18,16 @@
         return answer;
     }
 
+    bool listsEnds(RelayedAnswer const& relayed)
+    {
+        if (auto const* change = std::get_if<ListingChangeAnswer>(&relayed.answer))
+            return !change->change.ended.empty();
+        if (auto const* numbered = std::get_if<NumberedListingAnswer>(&relayed.answer))
+            return !numbered->answer.listing.ended.empty();
+        auto const* renewed = std::get_if<RenewAnswer>(&relayed.answer);
+        return renewed && !renewed->listing.ended.empty();
+    }
+
     std::function<void(RenewAnswer const&)> asRenewDone(WorkerOrders::Done done)
     {
         return [done = std::move(done)](RenewAnswer const& answer) { done(answer.order); };
@@ -438,11 +448,11 @@
 
 void OrderRelay::queueAnswer(HostId const& to, RelayedAnswer answer)
 {
-    this->outgoingBatch(to, this->answerDelay(to)).answers.push_back(std::move(answer));
+    this->outgoingBatch(to, this->answerDelay(to, listsEnds(answer))).answers.push_back(std::move(answer));
 }
 
 /// Counts an answer to the host, and returns how long it may wait for others.
-Duration OrderRelay::answerDelay(HostId const& to)
+Duration OrderRelay::answerDelay(HostId const& to, bool hasEnds)
 {
     TimePoint const now = this->clock.now();
     AnswerRate& rate = this->answerRates[to];
@@ -454,6 +464,8 @@
         rate.answersInWindow = 0;
     }
     rate.answersInWindow++;
+    if (hasEnds)
+        return rate.isBusy ? this->times.answerBatchDelay : this->times.orderBatchDelay;
     return rate.isBusy ? this->times.busyAnswerBatchDelay : this->times.answerBatchDelay;
 }
 
--- a/cornelpond/core/relay/OrderRelay.h
+++ b/cornelpond/core/relay/OrderRelay.h
@@ -55,7 +55,8 @@
     Duration orderBatchDelay = Duration::milliseconds(2);
     Duration answerBatchDelay = Duration::milliseconds(8);
     /// The same while more than `busyAnswersPerSecond` go to one host: at its leader each message costs processor time
-    /// that decisions need more than the answers need the few milliseconds.
+    /// that decisions need more than the answers need the few milliseconds. Listings with ends wait less, as the next stage of a
+    /// job may wait for them: like orders, or for `answerBatchDelay` while answers are many.
     Duration busyAnswerBatchDelay = Duration::milliseconds(20);
     int64_t busyAnswersPerSecond = 250;
     /// Added to the timeout of a direct order: two batch delays and a round trip between hosts.
@@ -167,7 +168,7 @@
     void forgetOldListings();
     void queueAnswer(HostId const& to, RelayedAnswer answer);
     RelayBatch& outgoingBatch(HostId const& to, Duration delay);
-    Duration answerDelay(HostId const& to);
+    Duration answerDelay(HostId const& to, bool hasEnds);
     void flushAll();
     void flush(HostId const& to, RelayBatch& batch);
     void finish(uint64_t id, RenewAnswer const& answer);
--- a/cornelpond/core/relay/OrderRelayTest.cpp
+++ b/cornelpond/core/relay/OrderRelayTest.cpp
@@ -253,6 +253,25 @@
     }
 }
 
+TEST_CASE("a listing with ends waits for other answers no longer than an order for others")
+{
+    constexpr Duration orderDelay = Duration::milliseconds(2);
+    constexpr Duration oneWay = Duration::milliseconds(1);
+    for (bool const hasEnds : { true, false }) {
+        LeaderAndRelay hosts;
+        hosts.renew();
+        hosts.deliver();
+        WorkerListing listing = listingOf(1);
+        if (hasEnds)
+            listing.ended.push_back({ 1, task, AttemptNumber(1), AttemptEnd::Done, "" });
+        hosts.relayDirect.renewals.at(0)({ accepted(), 0, listing });
+        hosts.deliver(orderDelay + oneWay);
+        CHECK(hosts.results.size() == (hasEnds ? 1 : 0));
+        hosts.deliver();
+        CHECK(hosts.results.size() == 1);
+    }
+}
+
 TEST_CASE("after a lost answer the relay sends the whole listing")
 {
     LeaderAndRelay hosts;
--- a/cornelpond/core/scheduling/JobPathTest.cpp
+++ b/cornelpond/core/scheduling/JobPathTest.cpp
@@ -1,6 +1,7 @@
 // How many commits a job needs, one after another, until its stages start; and what becomes of starts that were proposed behind a
 // submission or an end that is lost, cancelled or decided under another leader.
 
+#include "testing/fakes/ForwardingOrders.h"
 #include "testing/fakes/JobBench.h"
 
 #include <catch2/catch.hpp>
@@ -23,10 +24,29 @@
     return job;
 }
 
+/// Counts the renewals that acknowledge ends.
+class AcknowledgingOrders final : public ForwardingOrders {
+public:
+    AcknowledgingOrders(WorkerOrders& fleet, unsigned& count)
+        : ForwardingOrders(fleet)
+        , count(count)
+    {
+    }
+
+    void renew(WorkerTarget const& worker, RenewOrder const& order, std::function<void(RenewAnswer const&)> done) override
+    {
+        this->count += order.acknowledgedEnds > 0;
+        this->fleet.renew(worker, order, std::move(done));
+    }
+
+private:
+    unsigned& count;
+};
+
 /// A bench with idle workers, whose proposals await `commit`.
 struct PathBench {
-    explicit PathBench(uint64_t seed)
-        : bench(seed)
+    explicit PathBench(uint64_t seed, JobBench::OrdersFactory const& makeOrders = JobBench::OrdersFactory())
+        : bench(seed, 2, makeOrders)
     {
         this->bench.addWorkers(4, 16000);
         this->bench.run(second); // A new leader starts nothing at first.
@@ -101,6 +121,16 @@
     path.checkRules();
 }
 
+TEST_CASE("the renewal that acknowledges ends leaves with their commit, not with the next tick")
+{
+    unsigned acknowledging = 0;
+    PathBench path(8, [&](FakeClock&, WorkerOrders& fleet) { return std::make_unique<AcknowledgingOrders>(fleet, acknowledging); });
+    path.runFirstStage(makeTwoStageJob("check"));
+    CHECK(acknowledging == 0);
+    path.commit();
+    CHECK(acknowledging > 0);
+}
+
 TEST_CASE("the steps of both stages are logged, with the decision before the commit")
 {
     PathBench path(3);
