--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -93,6 +93,7 @@
     WorkerProcessSettled = 353,
     ServiceOverTarget = 370,
     InterferenceRestored = 371,
+    JobSteps = 365,
     LeaderElected = 400,
     LeaderLost = 401,
     JournalOpened = 402,
--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -148,7 +148,7 @@
     placed.task = task;
     placed.number = attempt;
     placed.placedAt = this->clock.now();
-    placed.stage = &this->jobs.find(task.job)->spec.stages[task.stage];
+    placed.stage = &this->jobs.findSpec(task.job)->stages[task.stage];
     placed.image = this->imageIds.idOf(placed.stage->image);
     placed.isThrottledStart = startSpeedPercent.has_value();
     placed.targetSpeedPercent = startSpeedPercent.value_or(placed.targetSpeedPercent);
@@ -171,9 +171,13 @@
         view->bestEffortLeftAt = this->clock.now();
     view->remove({ end.task, end.attempt });
     this->acknowledgeEnds(*view);
-    if (view->listedEnds.empty())
-        view->nextRenewalAt = this->clock.now();
     this->hooks.onCapacityChanged();
+    if (!view->listedEnds.empty())
+        return;
+    // At once: until a renewal reaches the worker, further ends there are not noticed.
+    view->nextRenewalAt = this->clock.now();
+    if (!view->hasHigherEpoch && this->hooks.canSendOrders())
+        this->renewWhenDue(*view);
 }
 
 void Dispatcher::onTick()
@@ -193,8 +197,7 @@
     TimePoint const now = this->clock.now();
     if (view.hasHigherEpoch)
         return;
-    if (!view.isRenewalInFlight && now >= view.nextRenewalAt && now >= view.renewalHeldUntil)
-        this->sendRenewal(view);
+    this->renewWhenDue(view);
     if (now < view.nextCheckAt)
         return;
     view.nextCheckAt = now + attemptCheckInterval;
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -58,6 +58,8 @@
     std::function<void(TaskRef const&, WorkerId const&)> onPermitRefused;
     /// Called after a worker's listing was processed.
     std::function<void(WorkerView&)> onListingRead;
+    /// Called when a worker has accepted the start order of an attempt. May be unset.
+    std::function<void(TaskRef const&)> onStartAccepted;
     /// Called when workers or their free resources changed, so that waiting tasks may fit now.
     std::function<void()> onCapacityChanged;
 };
@@ -85,7 +87,7 @@
 
 class Dispatcher {
 public:
-    /// References must outlive the object. All hooks must be set.
+    /// References must outlive the object. All hooks must be set, unless their description says otherwise.
     Dispatcher(Clock const& clock, EventSink& events, WorkerOrders& orders, DispatchTimes times, JobTable const& jobs, DispatcherHooks hooks);
     ~Dispatcher();
     Dispatcher(Dispatcher const&) = delete;
@@ -170,6 +172,7 @@
     void checkOrphanedAttempts(WorkerView& view);
     void onLeaseExpired(WorkerView& view);
     SendContext sendContext(WorkerView const& view) const;
+    void renewWhenDue(WorkerView& view);
     void sendRenewal(WorkerView& view);
     void onRenewalAnswered(WorkerId const& worker, SendContext const& sent, RenewAnswer const& answer);
     void onRenewalFailed(WorkerView& view, uint64_t generation, OrderResult result);
--- a/cornelpond/core/dispatch/DispatcherRenewals.cpp
+++ b/cornelpond/core/dispatch/DispatcherRenewals.cpp
@@ -6,6 +6,13 @@
 
 namespace cornelpond {
 
+void Dispatcher::renewWhenDue(WorkerView& view)
+{
+    TimePoint const now = this->clock.now();
+    if (!view.isRenewalInFlight && now >= view.nextRenewalAt && now >= view.renewalHeldUntil)
+        this->sendRenewal(view);
+}
+
 void Dispatcher::sendRenewal(WorkerView& view)
 {
     TimePoint const now = this->clock.now();
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -63,7 +63,7 @@
     , limits(limits)
     , jobTable(this->tableHooks())
     , workerRoster(this->rosterHooks())
-    , permits(orders, clock, [this] { this->isPassNeeded = true; })
+    , permits(orders, clock, [this] { this->callForPass(); })
     , dispatch(clock, events, orders, times, this->jobTable, this->dispatcherHooks())
     , placer(this->dispatch.workers(), this->interference, this->cpuUsage, this->times, PlacementParameters())
     , evictor(events, this->dispatch)
@@ -72,6 +72,7 @@
     , locality(clock, events, this->dispatch.workers(), this->times, limits.slowdownElsewhere)
     , copies(clock, this->dispatch, this->times)
     , loadReport(events)
+    , steps(clock, events)
     , drainEvacuation(clock, this->dispatch, this->placer, this->registration, this->evictor)
     , dataCentreEvacuation(clock, events, evacuations, this->jobTable, this->dispatch, this->placer, this->evictor)
 {
@@ -85,8 +86,9 @@
     hooks.onStartApplied = [this](CommitStart const& start) { this->onStartApplied(start); };
     hooks.onStartRefused = [this](CommitStart const& start) {
         this->proposedTasks.erase(start.task);
+        this->steps.onStartRefused(start.task);
         this->dispatch.onStartRefused(start);
-        this->isPassNeeded = true;
+        this->callForPass();
     };
     hooks.onEndApplied = [this](CommitEnd const& end) { this->onEndApplied(end); };
     hooks.onJobChanged = [this](JobRecord const& job) { this->onJobChanged(job); };
@@ -111,7 +113,8 @@
 {
     DispatcherHooks hooks;
     hooks.canSendOrders = [this] { return this->jobLog.isLeadershipConfirmed(); };
-    hooks.proposeEnd = [this](CommitEnd const& end) { this->pendingUpdates.emplace_back(end); };
+    hooks.proposeEnd = [this](CommitEnd const& end) { this->addEnd(end); };
+    hooks.onStartAccepted = [this](TaskRef const& task) { this->steps.onStartAccepted(task); };
     // The result is not needed: a removal that is not committed is decided again.
     hooks.removeWorker = [this](WorkerProfile const& profile) {
         // The process may have an earlier start time than the one in the roster, which refuses to remove a later one.
@@ -124,7 +127,7 @@
     hooks.permitFor = [this](TaskRef const& task, WorkerId const& worker) { return this->permits.ticket(task, worker); };
     hooks.onPermitRefused = [this](TaskRef const& task, WorkerId const& worker) { this->permits.invalidate(task, worker); };
     hooks.onListingRead = [this](WorkerView& worker) { this->interferenceControl.processListing(worker); };
-    hooks.onCapacityChanged = [this] { this->isPassNeeded = true; };
+    hooks.onCapacityChanged = [this] { this->callForPass(); };
     return hooks;
 }
 
@@ -142,7 +145,7 @@
 {
     this->jobTable.onQueuesChanged(this->queues);
     for (auto& [id, active] : this->activeJobs) {
-        JobRecord const& job = *this->jobTable.find(id);
+        JobRecord const& job = *active.record;
         active.objective = objectiveOf(job.spec, this->queues.find(job.queue), active.objective.acceptedAt);
     }
     this->isPassNeeded = true;
@@ -172,10 +175,12 @@
     this->copies.clear();
     this->loadReport.clear();
     this->dataCentreEvacuation.clear();
-    if (!isLeader) {
-        this->dispatch.resign();
+    this->steps.clear();
+    this->expectedEnds.clear();
+    this->dispatch.resign();
+    this->jobTable.dropExpected();
+    if (!isLeader)
         return;
-    }
     this->startsAllowedFrom = this->clock.now() + startDelayOfNewLeader;
     this->dispatch.lead(this->jobLog.term(), this->workerRoster);
     for (auto const& [id, job] : this->jobTable.all()) {
@@ -206,10 +211,12 @@
     if (!this->dispatch.isLeading())
         return;
     if (job.state == JobState::Active) {
+        this->noteReadyStages(job, std::nullopt);
         this->activeJob(job);
-        this->isPassNeeded = true;
+        this->callForPass();
         return;
     }
+    this->steps.onJobEnded(job.spec.id);
     this->reportEnd(job);
     this->activeJobs.erase(job.spec.id);
     for (auto* since : { &this->waitingSince, &this->serviceTaskEnds })
@@ -217,7 +224,7 @@
     this->locality.forgetJob(job.spec.id);
     this->copies.forgetJob(job.spec.id);
     this->dispatch.stopUnwanted(job.spec.id);
-    this->isPassNeeded = true;
+    this->callForPass();
 }
 
 /// Logs and counts the end of a job.
@@ -254,7 +261,7 @@
 {
     std::array<size_t, sizeClassCount> counts {};
     for (auto const& [id, active] : this->activeJobs) {
-        if (!this->jobTable.find(id)->spec.hasServiceStage())
+        if (!active.record->spec.hasServiceStage())
             counts.at(sizeClassOf(active.progress.size))++;
     }
     return counts;
@@ -264,6 +271,7 @@
 {
     this->proposedTasks.erase(start.task);
     this->serviceTaskEnds.erase(start.task);
+    this->steps.onStartCommitted(start.task);
     this->dispatch.onStartApplied(start);
 }
 
@@ -278,11 +286,30 @@
                           .with("outcome", std::string(attemptEndName(end.end)))
                           .with("checkpoint", end.checkpoint));
     this->schedulerCounters.attemptEnds[end.end]++;
+    this->expectedEnds.onApplied(end);
+    std::optional<TimePoint> const listedAt = this->steps.takeListed(end.task);
+    if (JobRecord const* job = this->jobTable.find(end.task.job); job && listedAt && end.end == AttemptEnd::Done)
+        this->noteReadyStages(*job, listedAt);
     this->observeRunTime(end);
     this->dispatch.onEndApplied(end);
     this->noteServiceTaskEnd(end.task);
     this->stopRestOfGang(end);
-    this->isPassNeeded = true;
+    this->callForPass();
+}
+
+/// Notes the stages of which no task has started yet and that have just become ready: by the commit of the submission without
+/// `listedAt`, else by that of an end that was listed then.
+void JobScheduler::noteReadyStages(JobRecord const& job, std::optional<TimePoint> listedAt)
+{
+    for (auto const& [number, occurrence] : job.occurrences) {
+        for (uint32_t stage = 0; stage < occurrence.stages.size(); stage++) {
+            auto const& tasks = occurrence.stages[stage].tasks;
+            bool const hasStarted = std::any_of(tasks.begin(), tasks.end(), [](TaskRecord const& task) { return task.lastAttempt > AttemptNumber(); });
+            bool const isEligible = listedAt.has_value() != job.spec.stages[stage].dependsOn.empty();
+            if (!hasStarted && isEligible && job.isStageReady(occurrence, stage))
+                this->steps.onStageReady({ job.spec.id, number, stage, 0 }, listedAt);
+        }
+    }
 }
 
 void JobScheduler::observeRunTime(CommitEnd const& end)
@@ -357,10 +384,12 @@
     size_t const stages = job.stages.size();
     JobSize const size = sizeOf(job);
     this->proposedJobs.insert(id);
-    SubmitJob command { std::move(job), queue.name, this->clock.wallMilliseconds() };
-    this->jobLog.propose(encodeJobCommand(std::move(command)), [this, id, stages, size, name = queue.name, since = this->clock.now(), done = std::move(done)](ProposalOutcome const& outcome) {
+    this->steps.onSubmitted(id);
+    SubmitJob const command { std::move(job), queue.name, this->clock.wallMilliseconds() };
+    this->jobLog.propose(encodeJobCommand(command), [this, id, stages, size, name = queue.name, since = this->clock.now(), done = std::move(done)](ProposalOutcome const& outcome) {
         if (auto const proposed = this->proposedJobs.find(id); proposed != this->proposedJobs.end())
             this->proposedJobs.erase(proposed);
+        this->steps.onSubmitEnded(id);
         CallResult const result = callResultOf(outcome.code);
         this->schedulerCounters.jobsAccepted += result == CallResult::Done;
         this->schedulerCounters.submitLatency.observe(this->clock.now() - since);
@@ -375,6 +404,20 @@
                               .with("code", static_cast<int>(outcome.code)));
         done({ result, Duration() });
     });
+    if (mayBeRefused)
+        this->expectJob(command, queue);
+}
+
+/// Lets the next pass decide the job's first starts, which are proposed behind its submission: the log keeps the order of
+/// proposals, and JobTable refuses starts of a job that it does not know.
+void JobScheduler::expectJob(SubmitJob const& command, QueueSpec const& queue)
+{
+    bool const isProposed = this->proposedJobs.count(command.job.id) && !this->jobTable.find(command.job.id) && this->jobLog.isLeader();
+    // Permits are asked for in the name of a job, so that it must exist. A job with a schedule has nothing to start yet.
+    if (!isProposed || queue.permits.isRequired || command.job.isScheduled())
+        return;
+    this->activeJob(this->jobTable.expect(command, this->queues));
+    this->callForPass();
 }
 
 bool JobScheduler::isCancelledWithoutRecord(JobId const& id) const
@@ -433,6 +476,8 @@
     }
     if (isUnsubmitted)
         this->proposedUnsubmittedCancels.insert(id);
+    if (!job)
+        this->activeJobs.erase(id); // Of a job that is being committed no more starts are decided.
     // The log keeps the order of proposals: a submission that is being committed takes effect before its cancel.
     this->jobLog.propose(encodeJobCommand(CancelJob { id, this->clock.wallMilliseconds() }), [this, id, done](ProposalOutcome const& outcome) {
         if (auto const proposed = this->proposedUnsubmittedCancels.find(id); proposed != this->proposedUnsubmittedCancels.end())
@@ -522,15 +567,61 @@
             this->loadReport.emitRoom(this->room(), this->waitingRestartMilliCores());
         }
     }
-    if (now >= this->startsAllowedFrom && (this->isPassNeeded || now >= this->nextPass)) {
-        this->nextPass = now + maxPassInterval;
-        this->isPassNeeded = false;
-        if (this->jobLog.isLeadershipConfirmed())
-            this->runPass();
-    }
+    this->runPassWhenDue(true);
+    this->proposeUpdates();
+}
+
+void JobScheduler::onWork()
+{
+    this->isWorkCalledFor = false;
+    if (!this->dispatch.isLeading())
+        return;
+    this->runPassWhenDue(false);
     this->proposeUpdates();
 }
 
+/// `isTick`: false for a pass before the next tick, which must be called for and follow the latest one at the pace of early passes.
+void JobScheduler::runPassWhenDue(bool isTick)
+{
+    TimePoint const now = this->clock.now();
+    bool const isDue = isTick ? this->isPassNeeded || now >= this->nextPass : this->isPassNeeded && this->pacing.isEarlyPassDue(now);
+    if (!isDue || now < this->startsAllowedFrom)
+        return;
+    this->nextPass = now + maxPassInterval;
+    this->isPassNeeded = false;
+    if (this->jobLog.isLeadershipConfirmed())
+        this->runPass();
+}
+
+void JobScheduler::callForPass()
+{
+    this->isPassNeeded = true;
+    this->callForWork();
+}
+
+void JobScheduler::callForWork()
+{
+    if (!this->workCallback || this->isWorkCalledFor || !this->dispatch.isLeading())
+        return;
+    this->isWorkCalledFor = true;
+    this->workCallback();
+}
+
+/// The starts of stages that become ready by the end are decided at once and proposed behind it.
+void JobScheduler::addEnd(CommitEnd const& end)
+{
+    this->steps.onEndListed(end.task);
+    if (this->expectedEnds.onProposed(end, this->jobTable.find(end.task.job)))
+        this->isPassNeeded = true;
+    this->addUpdate(end);
+}
+
+void JobScheduler::addUpdate(TaskUpdate update)
+{
+    this->pendingUpdates.push_back(std::move(update));
+    this->callForWork();
+}
+
 WaitingSummary JobScheduler::waitingTasks() const
 {
     TimePoint const now = this->clock.now();
@@ -567,7 +658,7 @@
 {
     int64_t const wall = this->clock.wallMilliseconds();
     for (auto const& [id, active] : this->activeJobs) {
-        JobRecord const& job = *this->jobTable.find(id);
+        JobRecord const& job = *active.record;
         ScheduleSpec const& schedule = job.spec.schedule;
         if (job.occurrencesOpened >= schedule.occurrences)
             continue;
@@ -591,7 +682,7 @@
 {
     std::map<ServiceId, std::vector<std::pair<int64_t, uint64_t>>> needs; // With the number of tasks.
     for (auto const& [id, active] : this->activeJobs) {
-        JobRecord const& job = *this->jobTable.find(id);
+        JobRecord const& job = *active.record;
         for (auto const& stage : job.spec.stages) {
             if (stage.isShort())
                 needs[job.service].emplace_back(stage.need.milliCores, stage.taskCount);
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -23,12 +23,14 @@
 #include "cornelpond/core/scheduling/CallResult.h"
 #include "cornelpond/core/scheduling/DataCentreEvacuation.h"
 #include "cornelpond/core/scheduling/DrainEvacuation.h"
+#include "cornelpond/core/scheduling/ExpectedEnds.h"
 #include "cornelpond/core/scheduling/InterferenceControl.h"
 #include "cornelpond/core/scheduling/LoadReport.h"
 #include "cornelpond/core/scheduling/LocalityControl.h"
 #include "cornelpond/core/scheduling/PassPacing.h"
 #include "cornelpond/core/scheduling/PermitCache.h"
 #include "cornelpond/core/scheduling/SpeculativeCopies.h"
+#include "cornelpond/core/scheduling/StepTimes.h"
 #include "cornelpond/core/scheduling/TaskEvictor.h"
 #include "cornelpond/core/scheduling/WorkerRegistration.h"
 
@@ -123,9 +125,17 @@
     /// Call every 10 to 20 ms.
     void onTick();
 
+    /// `callback` is called when there is something to decide or to propose before the next tick; the owner then calls `onWork` at
+    /// the end of the turn of its loop. Without a callback all waits for the tick.
+    void setWorkCallback(std::function<void()> callback) { this->workCallback = std::move(callback); }
+
+    /// Runs a pass if one is called for and the pace of passes allows it, and proposes what has been decided.
+    void onWork();
+
     JobTable const& jobs() const { return this->jobTable; }
     Dispatcher const& dispatcher() const { return this->dispatch; }
     SchedulerCounters const& counters() const { return this->schedulerCounters; }
+    StepTimes const& stepTimes() const { return this->steps; }
     uint64_t evictionCount() const { return this->evictor.count(); }
     LocalityCounters const& localityCounters() const { return this->locality.counters(); }
     Histogram const& tickGap() const { return this->loadReport.tickGap(); }
@@ -148,6 +158,7 @@
     void onJobChanged(JobRecord const& job);
     void onStartApplied(CommitStart const& start);
     void onEndApplied(CommitEnd const& end);
+    void expectJob(SubmitJob const& command, QueueSpec const& queue);
     std::optional<Duration> refusalFor(JobSpec const& job, QueueSpec const& queue) const;
     bool isCancelledWithoutRecord(JobId const& id) const;
     void refuse(JobSpec const& job, QueueSpec const& queue, char const* reason, Duration retryAfter);
@@ -155,10 +166,11 @@
     void observeRunTime(CommitEnd const& end);
     void noteServiceTaskEnd(TaskRef const& task);
     void stopRestOfGang(CommitEnd const& end);
+    void noteReadyStages(JobRecord const& job, std::optional<TimePoint> listedAt);
 
     /// What only the leader keeps of a job that has not ended.
     struct ActiveJob {
-        JobRecord const* record = nullptr; ///< Valid while the job is active.
+        JobRecord const* record = nullptr; ///< Valid while the job is active; before that, of the job as JobTable expects it.
         bool isBestEffort = false; ///< All its stages are.
         bool allowsCopies = false; ///< One of its stages does.
         JobObjective objective;
@@ -189,7 +201,12 @@
     void decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now, std::optional<unsigned> startSpeedPercent = std::nullopt);
     void openDueOccurrences();
     void forgetEndedJobs();
+    void runPassWhenDue(bool isTick);
     void proposeUpdates();
+    void callForPass();
+    void callForWork();
+    void addUpdate(TaskUpdate update);
+    void addEnd(CommitEnd const& end);
 
     Clock const& clock;
     EventSink& events;
@@ -212,6 +229,7 @@
     LocalityControl locality;
     SpeculativeCopies copies;
     LoadReport loadReport;
+    StepTimes steps;
     DrainEvacuation drainEvacuation;
     DataCentreEvacuation dataCentreEvacuation;
 
@@ -221,7 +239,10 @@
     std::set<TaskRef> proposedTasks; ///< Tasks whose start is being committed.
     std::multiset<JobId> proposedJobs; ///< Jobs that are being committed. A refusal of such an id might not be true.
     std::multiset<JobId> proposedUnsubmittedCancels; ///< Jobs that were not known when their cancel was proposed.
+    ExpectedEnds expectedEnds;
     std::vector<TaskUpdate> pendingUpdates; ///< To be proposed with the next batch.
+    std::function<void()> workCallback;
+    bool isWorkCalledFor = false; ///< `workCallback` was called, and `onWork` has not been called since.
     bool isPassNeeded = false; ///< Something changed, so that waiting tasks may find a worker.
     TimePoint nextPass;
     PassPacing pacing;
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -54,6 +54,7 @@
         this->backlog.onStarts(ready, placements);
         this->isPassNeeded = true; // Best-effort stages may find room too.
     }
+    this->pacing.onPass(now, endedAt);
     Duration const lasted = endedAt - now;
     this->schedulerCounters.passes++;
     this->schedulerCounters.passDuration.observe(lasted);
@@ -79,7 +80,7 @@
             acceptedAt = now + Duration::milliseconds(dueInMs);
         }
         for (uint32_t stage = 0; stage < occurrence.stages.size(); stage++) {
-            if (!occurrence.stages[stage].waitingCount || !job.isStageReady(occurrence, stage))
+            if (!occurrence.stages[stage].waitingCount || !this->expectedEnds.isStageReady(job, number, stage))
                 continue;
             // Short tasks run at full speed; their large jobs, which get workers bit by bit, would rank as late too soon.
             double const stretch = job.spec.stages[stage].isBestEffort ? this->runTimes.stretchOf(job.spec.stages[stage]) : 1;
@@ -330,6 +331,8 @@
                           .with("lateness", static_cast<int>(ready.rank.lateness)));
     this->dispatch.reserve(worker, start.task, start.attempt, startSpeedPercent);
     this->proposedTasks.insert(start.task);
+    bool const isStageReady = this->jobTable.find(start.task.job) && ready.job->isStageReady(ready.job->occurrences.at(ready.occurrence), ready.stage);
+    this->steps.onStartDecided(start.task, isStageReady);
     this->pendingUpdates.emplace_back(start);
     this->waitingSince.erase({ start.task.job, start.task.occurrence, start.task.stage, 0 });
     this->schedulerCounters.startsDecided++;
