--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -179,6 +179,7 @@
     bool isLateFinish(ListedEnd const& end) const;
     void concludeMissing(WorkerView& view, TimePoint sentAt);
     static bool canConclude(PlacedAttempt const& attempt, TimePoint sentAt);
+    void acknowledgeHeldEnds(WorkerView& view);
     void acknowledgeEnds(WorkerView& view);
     void sendStart(WorkerView& view, PlacedAttempt& attempt);
     void onStartAnswered(WorkerId const& worker, SendContext const& sent, AttemptKey const& key, OrderAnswer const& answer);
--- a/cornelpond/core/dispatch/DispatcherListings.cpp
+++ b/cornelpond/core/dispatch/DispatcherListings.cpp
@@ -101,6 +101,16 @@
     return end.end == AttemptEnd::Done && this->jobs.canFinishLate(end.task, end.attempt);
 }
 
+/// Acknowledges without delay the ends that waited for a start's answer: while they are listed, no renewal waits for further ones.
+void Dispatcher::acknowledgeHeldEnds(WorkerView& view)
+{
+    if (view.listedEnds.empty())
+        return;
+    this->acknowledgeEnds(view);
+    if (view.listedEnds.empty())
+        view.nextRenewalAt = this->clock.now();
+}
+
 /// Acknowledges listed ends, in their order, so that the worker may drop them: those that are committed or belong to
 /// an attempt that had ended before. An end as done must stay listed while another attempt of its task is live: the
 /// start order of that attempt may still be in flight. So must one that was listed while a start was open: a later process may read
--- a/cornelpond/core/dispatch/DispatcherStarts.cpp
+++ b/cornelpond/core/dispatch/DispatcherStarts.cpp
@@ -108,6 +108,8 @@
                               .with("starts", attempt->startsSent)
                               .with("formerProcess", static_cast<int>(isFromOldIncarnation)));
     }
+    if (answer.result != OrderResult::Unknown)
+        this->acknowledgeHeldEnds(*view);
     if (attempt->isEndProposed)
         return;
     // Why an earlier incarnation did not carry out the order tells nothing of this one: not that it is replaced or superseded,
