--- a/cornelpond/core/agreement/StateMachineSetTest.cpp
+++ b/cornelpond/core/agreement/StateMachineSetTest.cpp
@@ -45,3 +45,21 @@
     CHECK(tasks == "a");
     CHECK(claims == std::string("\0b", 2));
 }
+
+TEST_CASE("a snapshot without evacuations can be restored by a host that lacks the part, and empties it elsewhere")
+{
+    std::string tasks = "a";
+    std::string evacuations;
+    StateMachineSet set;
+    set.add(StateMachinePart::Tasks, recordInto(tasks));
+    set.add(StateMachinePart::Evacuations, recordInto(evacuations));
+    std::string const snapshot = set.hooks().takeSnapshot();
+    std::string earlierTasks;
+    StateMachineSet earlier;
+    earlier.add(StateMachinePart::Tasks, recordInto(earlierTasks));
+    earlier.hooks().restore(snapshot);
+    CHECK(earlierTasks == "a");
+    evacuations = "b";
+    set.hooks().restore(snapshot);
+    CHECK(evacuations.empty());
+}
