--- a/cornelpond/core/placement/ThrottlePolicy.cpp
+++ b/cornelpond/core/placement/ThrottlePolicy.cpp
@@ -31,18 +31,19 @@
 
 std::vector<unsigned> imageSpeedPercents(std::vector<ImageSpeed> const& images, double tailRatio, Duration timeOverTarget, bool isEvicting)
 {
-    constexpr double lowerFromTailRatio = 0.9;
-    constexpr double raiseBelowTailRatio = 0.7;
+    constexpr double lowerFromTailRatio = 0.95;
+    constexpr double raiseBelowTailRatio = 0.75;
     constexpr double restoredHeadroom = 1.25; ///< Tail latency at four fifths of the target.
     constexpr double noticeableLoss = 0.05; ///< Smaller ones are within the error of the figures.
-    constexpr unsigned raiseStepPercent = 25;
+    constexpr unsigned raiseStepPercent = 50;
+    constexpr unsigned minPercent = 10; ///< Lower speeds become 0.
     std::vector<unsigned> next;
     next.reserve(images.size());
     for (auto const& image : images)
         next.push_back(image.percent);
     if (tailRatio >= 1 && timeOverTarget >= maxTimeOverTarget)
         return std::vector<unsigned>(images.size(), 0);
-    bool const isEffectPending = isEvicting || std::any_of(images.begin(), images.end(), [](auto const& image) { return !image.percent && image.sinceChange < effectDelay; });
+    bool const isEffectPending = isEvicting || std::any_of(images.begin(), images.end(), [](auto const& image) { return image.percent < maxPercent && image.sinceChange < effectDelay; });
     if (tailRatio >= lowerFromTailRatio && !isEffectPending) {
         std::vector<size_t> order(images.size());
         std::iota(order.begin(), order.end(), size_t(0));
@@ -51,7 +52,9 @@
         for (size_t i : order) {
             if (missing <= 0 || images[i].lostHeadroom < noticeableLoss)
                 break;
-            next[i] = 0;
+            double const kept = std::max(1 - missing / images[i].lostHeadroom, 0.0);
+            next[i] = static_cast<unsigned>(images[i].percent * kept);
+            next[i] = next[i] < minPercent ? 0 : next[i];
             missing -= images[i].lostHeadroom;
         }
     }
--- a/cornelpond/core/placement/ThrottlePolicy.h
+++ b/cornelpond/core/placement/ThrottlePolicy.h
@@ -29,8 +29,8 @@
     double lostHeadroom = 0;
 };
 
-/// Next speeds of the images, in their order. Where a service is near its target, the likeliest cause is stopped: as many images,
-/// the one with the largest expected effect first, as bring the service well under its target. Once a service has stayed over
+/// Next speeds of the images, in their order. Where a service is near its target, the likeliest cause is slowed: as many images,
+/// the one with the largest expected effect first, and as far as brings the service well under its target. Once a service has stayed over
 /// its target for longer than a change takes to show, all images are stopped. Each returns in steps while the services are
 /// well under their targets.
 /// `tailRatio`: highest tail latency over target on the worker; `timeOverTarget`: since the first listing that showed a service
--- a/cornelpond/core/scheduling/InterferenceControl.cpp
+++ b/cornelpond/core/scheduling/InterferenceControl.cpp
@@ -47,7 +47,7 @@
 void InterferenceControl::evictInterferingTasks(WorkerView& worker, TimePoint now)
 {
     constexpr double evictAboveTailRatio = 1.05; ///< Predicted tail latency over target, at the peak of the service's load.
-    constexpr double minTailRatio = 1; ///< Below it, tasks may end before the service's load is at its peak.
+    constexpr double minTailRatio = 0.8; ///< Below it, tasks may end before the service's load is at its peak.
     if (worker.serviceImages.empty() || worker.tailRatio < minTailRatio)
         return;
     ImageCpuShares shares;
