What the reviews found: second attempts, waits for a rack, expected jobs, evacuations, settled processes

Cause: readings by people who had not written the parts. A service task on a worker that was silent for a moment got a second attempt for good; copies ignored the limit of starts of a pass, could use up the last failures of a task and left run times behind; tasks beyond a rack's known places waited in full, and a waiting gang held workers; a job that was expected with a queue that a configuration then removed had other settings at the leader than on the other hosts; each end scanned all tasks of stages that had not started; a late copy of an evacuation call could undo one on its way to its commit; a settled process's record covered a later process.

Change: each of these, with tests for service tasks, the failure limit, the places of a rack and the expected job. The check that a rack has no third place became one that it has one after the run time of the first, and that none is expected for a need above the capacity. The metrics of evacuations are set once for each data centre.

Tests: core_locality, core_speculative_copies, core_task_placer, core_data_centre_evacuation, core_settled_process, core_job_path, core_scheduling, core_cancel_failover and platform_evacuation passed. That the new cases fail without the changes was not tried.

--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -1,6 +1,7 @@
 #include "cornelpond/app/FleetMetrics.h"
 
 #include <algorithm>
+#include <set>
 
 namespace cornelpond {
 
@@ -51,9 +52,12 @@
     gauge("cancelledJobsWithRuns", cancelled.jobs);
     gauge("cancelledAttempts", cancelled.attempts);
     auto const evacuations = scheduler.evacuation().progress();
-    for (auto const& [id, worker] : scheduler.roster().all()) {
-        if (!evacuations.count(worker.dataCentre))
-            setEvacuationGauges(worker.dataCentre, EvacuationProgress(), false, metrics);
+    std::set<DataCentreId> dataCentres;
+    for (auto const& [id, worker] : scheduler.roster().all())
+        dataCentres.insert(worker.dataCentre);
+    for (auto const& dataCentre : dataCentres) {
+        if (!evacuations.count(dataCentre))
+            setEvacuationGauges(dataCentre, EvacuationProgress(), false, metrics);
     }
     for (auto const& [dataCentre, left] : evacuations)
         setEvacuationGauges(dataCentre, left, true, metrics);
--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -131,8 +131,11 @@
 
 void Dispatcher::onWorkerSettled(WorkerId const& worker)
 {
+    WorkerView* view = this->findWorker(worker);
+    if (view && view->mayReceiveFormerOrders)
+        return; // There is a later process by now than the one that was settled.
     this->processChanges.forget(worker);
-    if (WorkerView* view = this->findWorker(worker))
+    if (view)
         view->isSettled = true;
 }
 
--- a/cornelpond/core/jobs/JobTable.cpp
+++ b/cornelpond/core/jobs/JobTable.cpp
@@ -49,6 +49,16 @@
         job.maxAttempts = queue->maxAttempts;
     }
 
+    /// Without the queue, the settings of a record that has never had one: all hosts must come to the same.
+    void initializeQueueSettings(JobRecord& job, QueueTable const& queues)
+    {
+        JobRecord const unset;
+        job.service = unset.service;
+        job.priority = unset.priority;
+        job.maxAttempts = unset.maxAttempts;
+        copyQueueSettings(job, queues);
+    }
+
     JobRecord newRecord(SubmitJob const& command, QueueTable const& queues)
     {
         JobRecord job;
@@ -198,7 +208,7 @@
     // Keeps the address of an expected record.
     auto node = this->expectedJobs.extract(command.job.id);
     if (node)
-        copyQueueSettings(node.mapped(), queues);
+        initializeQueueSettings(node.mapped(), queues);
     else
         this->jobs.emplace(command.job.id, newRecord(command, queues));
     if (node)
--- a/cornelpond/core/placement/LocalityWait.cpp
+++ b/cornelpond/core/placement/LocalityWait.cpp
@@ -46,7 +46,7 @@
         if (attempt.stage->isShort())
             room.releases.push_back({ expectedRemainder(attempt, now), attempt.reserved() });
     }
-    std::sort(room.releases.begin(), room.releases.end(), [](Release const& left, Release const& right) { return left.after < right.after; });
+    std::sort(room.releases.begin(), room.releases.end(), endsBefore);
     return room;
 }
 
@@ -64,7 +64,7 @@
 }
 
 /// Room that was free before then counts as free from then on only.
-void RackOutlook::WorkerRoom::take(Resources const& need, Duration after)
+void RackOutlook::WorkerRoom::take(Resources const& need, Duration after, Duration runTime)
 {
     auto const later = std::find_if(this->releases.begin(), this->releases.end(), [&](Release const& release) { return release.after > after; });
     for (auto release = this->releases.begin(); release != later; release++)
@@ -72,9 +72,11 @@
     this->releases.erase(this->releases.begin(), later);
     this->free = this->free - need;
     this->freeFrom = after;
+    Release const own { after + runTime, need };
+    this->releases.insert(std::upper_bound(this->releases.begin(), this->releases.end(), own, endsBefore), own);
 }
 
-std::optional<Duration> RackOutlook::takePlace(Resources const& need)
+std::optional<Duration> RackOutlook::takePlace(Resources const& need, Duration runTime)
 {
     std::optional<Duration> earliest;
     WorkerRoom* best = nullptr;
@@ -86,7 +88,7 @@
         }
     }
     if (best)
-        best->take(need, *earliest);
+        best->take(need, *earliest, runTime);
     return earliest;
 }
 
--- a/cornelpond/core/placement/LocalityWait.h
+++ b/cornelpond/core/placement/LocalityWait.h
@@ -46,9 +46,9 @@
     /// True when no worker of the rack takes tasks.
     bool empty() const { return this->workers.empty(); }
 
-    /// Takes the earliest place for a task and returns the time until then; unset if no end of a running task is known to make
-    /// room for it.
-    std::optional<Duration> takePlace(Resources const& need);
+    /// Takes the earliest place for a task that runs for `runTime`, and returns the time until then; unset if no end of a task is
+    /// expected to make room for it.
+    std::optional<Duration> takePlace(Resources const& need, Duration runTime);
 
 private:
     /// Resources that become free on a worker.
@@ -57,13 +57,15 @@
         Resources resources;
     };
 
+    static bool endsBefore(Release const& left, Release const& right) { return left.after < right.after; }
+
     struct WorkerRoom {
         Resources free; ///< From `freeFrom` on.
         Duration freeFrom;
         std::vector<Release> releases; ///< The earliest first.
 
         std::optional<Duration> untilRoomFor(Resources const& need) const;
-        void take(Resources const& need, Duration after);
+        void take(Resources const& need, Duration after, Duration runTime);
     };
 
     static WorkerRoom roomOf(WorkerView const& worker, TimePoint now);
--- a/cornelpond/core/placement/LocalityWaitTest.cpp
+++ b/cornelpond/core/placement/LocalityWaitTest.cpp
@@ -72,16 +72,18 @@
     std::vector<WorkerView const*> const workers { &worker };
     RackOutlook outlook(workers, now);
     // The first is due in 100 ms, but as long as a quarter of its estimate is allowed for estimates that are too low.
-    CHECK(outlook.takePlace(stage.need) == Duration::milliseconds(200));
-    CHECK(outlook.takePlace(stage.need) == Duration::milliseconds(500));
-    CHECK(outlook.takePlace(stage.need) == std::nullopt);
+    CHECK(outlook.takePlace(stage.need, runTime) == Duration::milliseconds(200));
+    CHECK(outlook.takePlace(stage.need, runTime) == Duration::milliseconds(500));
+    // After the first of those two.
+    CHECK(outlook.takePlace(stage.need, runTime) == Duration::milliseconds(1000));
+    CHECK(outlook.takePlace({ 17000, 100, 0 }, runTime) == std::nullopt);
 }
 
 TEST_CASE("a rack without workers that take tasks has no outlook")
 {
     RackOutlook outlook(std::vector<WorkerView const*>(), now);
     CHECK(outlook.empty());
-    CHECK(outlook.takePlace({ 1000, 100, 0 }) == std::nullopt);
+    CHECK(outlook.takePlace({ 1000, 100, 0 }, runTime) == std::nullopt);
 }
 
 TEST_CASE("a task that runs for longer than estimated is expected to end soon, not at once")
@@ -90,5 +92,5 @@
     WorkerView const worker = workerWith(stage, { Duration::seconds(5) });
     std::vector<WorkerView const*> const workers { &worker };
     RackOutlook outlook(workers, now);
-    CHECK(outlook.takePlace(stage.need) == Duration::milliseconds(200));
+    CHECK(outlook.takePlace(stage.need, runTime) == Duration::milliseconds(200));
 }
--- a/cornelpond/core/scheduling/JobPathTest.cpp
+++ b/cornelpond/core/scheduling/JobPathTest.cpp
@@ -289,3 +289,29 @@
         RC_ASSERT(bench.leader().scheduler().stepTimes().openCount() == 0U);
     });
 }
+
+TEST_CASE("a job whose queue was removed while it was expected has the same record as on hosts that did not expect it")
+{
+    QueueConfig config;
+    config.version = ConfigVersion(1);
+    config.services.push_back({ ServiceId("fleet"), true, false });
+    QueueSpec queue;
+    queue.name = QueueId("plans");
+    queue.service = ServiceId("fleet");
+    queue.priority = 2;
+    queue.maxAttempts = 3;
+    config.queues = { queue };
+    QueueTable before;
+    before.replace(config);
+    config.version = ConfigVersion(2);
+    config.queues.clear();
+    QueueTable after = before;
+    after.replace(config);
+    SubmitJob const command { makeJob("plan", 2, 1000, Duration::seconds(1)), queue.name, 1 };
+    JobTable leader;
+    leader.expect(command, before);
+    JobTable follower;
+    leader.apply(JobCommand(command), after);
+    follower.apply(JobCommand(command), after);
+    CHECK(leader.takeSnapshot() == follower.takeSnapshot());
+}
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -304,10 +304,12 @@
 {
     for (auto const& [number, occurrence] : job.occurrences) {
         for (uint32_t stage = 0; stage < occurrence.stages.size(); stage++) {
+            bool const isEligible = listedAt.has_value() != job.spec.stages[stage].dependsOn.empty();
+            if (!isEligible || !job.isStageReady(occurrence, stage))
+                continue;
             auto const& tasks = occurrence.stages[stage].tasks;
             bool const hasStarted = std::any_of(tasks.begin(), tasks.end(), [](TaskRecord const& task) { return task.lastAttempt > AttemptNumber(); });
-            bool const isEligible = listedAt.has_value() != job.spec.stages[stage].dependsOn.empty();
-            if (!hasStarted && isEligible && job.isStageReady(occurrence, stage))
+            if (!hasStarted)
                 this->steps.onStageReady({ job.spec.id, number, stage, 0 }, listedAt);
         }
     }
@@ -319,7 +321,8 @@
     PlacedAttempt const* attempt = worker ? worker->find(end.task, end.attempt) : nullptr;
     if (attempt && end.end == AttemptEnd::Done && !attempt->isThrottledStart && attempt->placedAt)
         this->runTimes.observe(*attempt->stage, this->clock.now() - *attempt->placedAt);
-    if (attempt && end.end == AttemptEnd::Done && attempt->stage->allowsSpeculativeCopies && attempt->placedAt)
+    bool const isActive = this->activeJobs.count(end.task.job);
+    if (attempt && end.end == AttemptEnd::Done && attempt->stage->allowsSpeculativeCopies && attempt->placedAt && isActive)
         this->copies.onTaskDone(end.task, this->clock.now() - *attempt->placedAt);
 }
 
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -192,8 +192,9 @@
     bool chooseGangWorkers(ReadyStage const& ready, PlacementRequest const& request, TimePoint now, std::vector<CommitStart>& placed);
     bool startThrottled(ReadyStage const& ready, PlacementRequest request, TimePoint now);
     void moveThrottledTasks();
-    void startCopies(TimePoint now);
-    void startCopy(JobRecord const& job, CopyCandidate const& candidate, TimePoint now);
+    void startCopies(size_t most, TimePoint now);
+    /// False when no worker has room for it.
+    bool startCopy(JobRecord const& job, CopyCandidate const& candidate, TimePoint now);
     bool preparePermits(ReadyStage const& ready, PlacementRequest& request);
     PlacementRequest requestFor(ReadyStage const& ready);
     void decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now, std::optional<unsigned> startSpeedPercent = std::nullopt);
--- a/cornelpond/core/scheduling/JobService.cpp
+++ b/cornelpond/core/scheduling/JobService.cpp
@@ -82,9 +82,10 @@
 
 void JobService::applyEvacuation(EvacuationCommand const& command)
 {
+    // Also a call that changes nothing may be sent again after the state was reversed.
+    this->repeatedCalls.noteApplied(command.change, command.dataCentre, this->clock.now());
     if (!this->evacuationTable.apply(command))
         return;
-    this->repeatedCalls.noteApplied(command.change, command.dataCentre, this->clock.now());
     bool const isStart = command.change == EvacuationChange::Start;
     this->events.emit(Event(isStart ? EventId::EvacuationStarted : EventId::EvacuationFinished).with("dataCentre", command.dataCentre).with("evacuated", this->evacuationTable.all().size()));
     this->jobScheduler.onEvacuationsChanged();
@@ -114,14 +115,21 @@
     }
     bool const isStart = change == EvacuationChange::Start;
     std::optional<Duration> const ambiguousFor = this->repeatedCalls.ambiguousFor(change, dataCentre, this->clock.now());
-    if (this->evacuationTable.isEvacuated(dataCentre) != isStart && ambiguousFor) {
+    auto const proposed = this->proposedEvacuations.find(dataCentre);
+    bool const reversesProposed = proposed != this->proposedEvacuations.end() && proposed->second.first != change;
+    if ((this->evacuationTable.isEvacuated(dataCentre) != isStart || reversesProposed) && ambiguousFor) {
         this->events.emit(Event(EventId::EvacuationRefused).with("dataCentre", dataCentre).with("start", isStart).with("reason", "may be a copy of an earlier call").with("retryAfterMs", *ambiguousFor));
         done(CallResult::Refused, *ambiguousFor);
         return;
     }
     // Proposed even if it changes nothing: a call that reverses the state may be on its way to its commit.
     EvacuationCommand const command { change, dataCentre, this->clock.wallMilliseconds() };
-    this->evacuationLog.propose(encodeEvacuationCommand(command), [this, command, isStart, done = std::move(done)](ProposalOutcome const& outcome) {
+    uint64_t const number = ++this->lastEvacuationCall;
+    this->proposedEvacuations[dataCentre] = { change, number };
+    this->evacuationLog.propose(encodeEvacuationCommand(command), [this, command, isStart, number, done = std::move(done)](ProposalOutcome const& outcome) {
+        auto const latest = this->proposedEvacuations.find(command.dataCentre);
+        if (latest != this->proposedEvacuations.end() && latest->second.second == number)
+            this->proposedEvacuations.erase(latest);
         if (outcome.code != ResultCode::Ok)
             this->events.emit(Event(EventId::EvacuationRefused).with("dataCentre", command.dataCentre).with("start", isStart).with("reason", "not committed").with("code", static_cast<int>(outcome.code)));
         done(callResultOf(outcome.code), Duration());
--- a/cornelpond/core/scheduling/JobService.h
+++ b/cornelpond/core/scheduling/JobService.h
@@ -17,6 +17,7 @@
 #include "cornelpond/core/evacuation/RepeatedEvacuationCalls.h"
 #include "cornelpond/core/scheduling/JobScheduler.h"
 
+#include <map>
 #include <set>
 
 namespace cornelpond {
@@ -81,6 +82,8 @@
     QueueTable queues;
     EvacuationTable evacuationTable;
     RepeatedEvacuationCalls repeatedCalls;
+    std::map<DataCentreId, std::pair<EvacuationChange, uint64_t>> proposedEvacuations; ///< The latest call of each data centre that awaits its commit, with its number.
+    uint64_t lastEvacuationCall = 0;
     std::set<DataCentreId> announcedDataCentres;
     CommandLog& queueLog;
     CommandLog& workerLog;
--- a/cornelpond/core/scheduling/LocalityControl.cpp
+++ b/cornelpond/core/scheduling/LocalityControl.cpp
@@ -71,7 +71,10 @@
     if (!this->slowdownElsewhere)
         return this->clock.now() - acceptedAt <= request.stage->estimatedRunTime * dataRackWaitFactor;
     // The cores of best-effort tasks are not reserved, so that no end of a task tells when there is room for one.
-    return this->decide(request, request.stage->isBestEffort ? std::nullopt : outlook.takePlace(request.stage->need));
+    if (request.stage->isBestEffort)
+        return this->decide(request, std::nullopt);
+    std::optional<Duration> const untilRoom = outlook.takePlace(request.stage->need, request.stage->estimatedRunTime);
+    return untilRoom && this->decide(request, untilRoom);
 }
 
 bool LocalityControl::shouldWaitForOneRack(PlacementRequest const& request, TimePoint acceptedAt)
@@ -91,14 +94,22 @@
             racks.insert(worker.profile.rack);
     }
     std::optional<Duration> earliest;
+    RackOutlook* best = nullptr;
+    std::optional<RackOutlook> bestAfterwards;
     for (auto const& rack : racks) {
-        RackOutlook outlook = this->outlookOf(request.service, rack);
+        RackOutlook& present = this->outlookOf(request.service, rack);
+        RackOutlook outlook = present;
         std::optional<Duration> last = Duration();
         for (uint32_t member = 0; last && member < request.stage->taskCount; member++)
-            last = outlook.takePlace(request.stage->need);
-        if (last && (!earliest || *last < *earliest))
-            earliest = last;
+            last = outlook.takePlace(request.stage->need, request.stage->estimatedRunTime);
+        if (!last || (earliest && *last >= *earliest))
+            continue;
+        earliest = last;
+        best = &present;
+        bestAfterwards = std::move(outlook);
     }
+    if (best)
+        *best = std::move(*bestAfterwards);
     return earliest;
 }
 
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -45,11 +45,12 @@
     }
     countPassedOver(ready, placements, [this](JobId const& job, PassedOver const& count) { this->activeJobs.at(job).progress.passedOver += count; });
     this->isPassNeeded = this->isPassNeeded || placed >= this->limits.maxStartsPerPass;
+    if (isFull && placed < this->limits.maxStartsPerPass)
+        this->startCopies(this->limits.maxStartsPerPass - placed, now);
     TimePoint const endedAt = this->clock.now();
     if (isFull) {
         this->pacing.onFullPass(now, endedAt);
         this->backlog.onPass(now, this->dispatch.workers().size(), ready, placements);
-        this->startCopies(now);
     } else {
         this->backlog.onStarts(ready, placements);
         this->isPassNeeded = true; // Best-effort stages may find room too.
@@ -123,10 +124,8 @@
             continue;
         WorkerView* worker = this->placer.chooseNext(request, now);
         if (!worker && !request.canLeaveDataRack) {
-            if (this->locality.shouldWaitForDataRack(request, ready.acceptedAt)) {
-                placement.lacksWorker = true;
-                continue;
-            }
+            if (this->locality.shouldWaitForDataRack(request, ready.acceptedAt))
+                continue; // By choice: it does not lack a worker.
             request.canLeaveDataRack = true;
             worker = this->placer.chooseNext(request, now);
         }
@@ -197,17 +196,24 @@
 }
 
 /// Runs after all waiting tasks had their turn, so that copies take only the room that these have left.
-void JobScheduler::startCopies(TimePoint now)
+void JobScheduler::startCopies(size_t most, TimePoint now)
 {
+    size_t started = 0;
     for (auto const& [id, active] : this->activeJobs) {
         if (!active.allowsCopies)
             continue;
-        for (auto const& candidate : this->copies.candidates(*active.record))
-            this->startCopy(*active.record, candidate, now);
+        for (auto const& candidate : this->copies.candidates(*active.record)) {
+            if (started == most)
+                return;
+            // Without room for one of a job's copies there is hardly any for its others.
+            if (!this->startCopy(*active.record, candidate, now))
+                break;
+            started++;
+        }
     }
 }
 
-void JobScheduler::startCopy(JobRecord const& job, CopyCandidate const& candidate, TimePoint now)
+bool JobScheduler::startCopy(JobRecord const& job, CopyCandidate const& candidate, TimePoint now)
 {
     TaskRef const& task = candidate.task;
     TaskRecord const& record = job.occurrences.at(task.occurrence).stages[task.stage].tasks[task.index];
@@ -217,10 +223,10 @@
     request.excludedWorker = candidate.runsOn;
     request.canLeaveDataRack = true;
     if (this->proposedTasks.count(task) || !this->preparePermits(stage, request))
-        return;
+        return false;
     WorkerView* worker = this->placer.choose(request, now);
     if (!worker)
-        return;
+        return false;
     this->events.emit(Event(EventId::CopyStarted)
                           .with("task", task.text())
                           .with("runsOn", candidate.runsOn)
@@ -229,6 +235,7 @@
                           .with("worker", worker->profile.id));
     this->schedulerCounters.copiesStarted++;
     this->decideStart(*worker, { task, record.lastAttempt.next(), worker->profile.id }, stage, now);
+    return true;
 }
 
 /// Where the queue requires permits, adds the permitted workers to the request or asks for permits. False while
@@ -279,7 +286,9 @@
         request.requiredRack = RackId();
     }
     bool const isOnOneRack = isPlaced;
-    if (!isPlaced && !(request.stage->prefersOneRack && this->locality.shouldWaitForOneRack(request, ready.acceptedAt)))
+    if (!isPlaced && request.stage->prefersOneRack && this->locality.shouldWaitForOneRack(request, ready.acceptedAt))
+        return {};
+    if (!isPlaced)
         isPlaced = this->chooseGangWorkers(ready, request, now, placed);
     if (!isPlaced) {
         for (size_t member = 0; member < tasks.size() && ready.rank.isUseful(); member++)
--- a/cornelpond/core/scheduling/SpeculativeCopies.cpp
+++ b/cornelpond/core/scheduling/SpeculativeCopies.cpp
@@ -19,7 +19,7 @@
 
 bool shouldStartCopy(CopyInputs const& inputs)
 {
-    if (inputs.failures + 2 > inputs.maxAttempts)
+    if (inputs.failures + 2 >= inputs.maxAttempts)
         return false;
     bool const isStraggler = inputs.typicalRunTime && inputs.running > inputs.typicalRunTime->scaled(stragglerFactor) + stragglerMargin;
     return !inputs.isWorkerAnswering || isStraggler;
@@ -57,7 +57,8 @@
     for (auto const& [number, occurrence] : job.occurrences) {
         for (uint32_t stage = 0; stage < occurrence.stages.size(); stage++) {
             StageRecord const& record = occurrence.stages[stage];
-            if (!job.spec.stages[stage].allowsSpeculativeCopies || job.spec.stages[stage].isGang || record.isDone())
+            StageSpec const& spec = job.spec.stages[stage];
+            if (!spec.allowsSpeculativeCopies || spec.isGang || spec.isService || record.isDone())
                 continue;
             TaskRef task { job.spec.id, number, stage, 0 };
             std::optional<Duration> const typical = this->typicalRunTime(task, record);
--- a/cornelpond/core/scheduling/SpeculativeCopiesTest.cpp
+++ b/cornelpond/core/scheduling/SpeculativeCopiesTest.cpp
@@ -46,8 +46,9 @@
 
 TEST_CASE("no copy is started where it could fail the job")
 {
-    CHECK(shouldStartCopy({ runTime, std::nullopt, false, 1, 3 }));
-    CHECK_FALSE(shouldStartCopy({ runTime, std::nullopt, false, 2, 3 }));
+    CHECK(shouldStartCopy({ runTime, std::nullopt, false, 0, 3 }));
+    CHECK_FALSE(shouldStartCopy({ runTime, std::nullopt, false, 1, 3 }));
+    CHECK_FALSE(shouldStartCopy({ runTime, std::nullopt, false, 0, 2 }));
 }
 
 TEST_CASE("load: a stage does not wait for the lease of a worker that was cut off")
@@ -94,6 +95,23 @@
     CHECK(bench.turnaroundTime(job.id).toMilliseconds() < 3000);
 }
 
+TEST_CASE("load: service tasks on a worker that is silent for a moment get no second attempt")
+{
+    JobBench bench(1);
+    bench.addWorkers(8, 16000);
+    JobSpec job = makeServiceJob("watch", 8, 4000, "odd");
+    job.stages[0].allowsSpeculativeCopies = true;
+    bench.submit(job);
+    bench.run(Duration::milliseconds(300));
+    WorkerId const worker = workerOf(bench, job.id);
+    bench.fleet.setCut(worker, true);
+    bench.run(second * 2);
+    bench.fleet.setCut(worker, false);
+    bench.run(second * 3);
+    CHECK(copiesStarted(bench) == 0);
+    CHECK(bench.fleet.runningCount(job.id) == 8);
+}
+
 TEST_CASE("load: copies wait while tasks that have not started need the room")
 {
     JobBench bench(1);
