No start of a job is sent while its cancel is being committed

Cause: starts are proposed behind the submission that they belong to.

Ruled out: to take the proposed starts back, as the log already holds them.

Change: the scheduler keeps the jobs whose cancel is being committed, and the dispatcher withdraws committed starts of theirs that were not sent.

--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -121,7 +121,9 @@
         WorkerProfile const* known = this->workerRoster.find(profile.id);
         this->registration.remove(profile.id, known ? std::max(known->bornMs, profile.bornMs) : profile.bornMs, [](CallResult) {});
     };
-    hooks.mayStart = [this](WorkerProfile const& worker, TaskRef const& task, AttemptNumber attempt) { return this->dataCentreEvacuation.mayStart(worker, task, attempt); };
+    hooks.mayStart = [this](WorkerProfile const& worker, TaskRef const& task, AttemptNumber attempt) {
+        return !this->proposedCancels.count(task.job) && this->dataCentreEvacuation.mayStart(worker, task, attempt);
+    };
     hooks.recordProcess = [this](WorkerProfile const& profile) { this->registration.recordListed(profile); };
     hooks.settleProcess = [this](WorkerProfile const& profile) { this->registration.settle(profile); };
     hooks.permitFor = [this](TaskRef const& task, WorkerId const& worker) { return this->permits.ticket(task, worker); };
@@ -162,6 +164,7 @@
     this->activeJobs.clear();
     this->proposedTasks.clear();
     this->proposedJobs.clear();
+    this->proposedCancels.clear();
     this->proposedUnsubmittedCancels.clear();
     this->waitingSince.clear();
     this->serviceTaskEnds.clear();
@@ -482,8 +485,11 @@
         this->proposedUnsubmittedCancels.insert(id);
     if (!job)
         this->activeJobs.erase(id); // Of a job that is being committed no more starts are decided.
+    this->proposedCancels.insert(id);
     // The log keeps the order of proposals: a submission that is being committed takes effect before its cancel.
     this->jobLog.propose(encodeJobCommand(CancelJob { id, this->clock.wallMilliseconds() }), [this, id, done](ProposalOutcome const& outcome) {
+        if (auto const proposed = this->proposedCancels.find(id); proposed != this->proposedCancels.end())
+            this->proposedCancels.erase(proposed);
         if (auto const proposed = this->proposedUnsubmittedCancels.find(id); proposed != this->proposedUnsubmittedCancels.end())
             this->proposedUnsubmittedCancels.erase(proposed);
         this->events.emit(Event(EventId::JobCancelled).with("job", id).with("code", static_cast<int>(outcome.code)));
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -237,6 +237,7 @@
     std::map<TaskRef, TimePoint> serviceTaskEnds; ///< When the last attempt of a waiting service task ended. Under an earlier leader: not listed.
     std::set<TaskRef> proposedTasks; ///< Tasks whose start is being committed.
     std::multiset<JobId> proposedJobs; ///< Jobs that are being committed. A refusal of such an id might not be true.
+    std::multiset<JobId> proposedCancels; ///< Jobs whose cancel is being committed: no start of theirs is sent any more.
     std::multiset<JobId> proposedUnsubmittedCancels; ///< Jobs that were not known when their cancel was proposed.
     ExpectedEnds expectedEnds;
     std::vector<TaskUpdate> pendingUpdates; ///< To be proposed with the next batch.
