One key of a stage for all that keep state by stage

Cause: four modules of this change each wrote the reference of a stage's first task anew, under two names; applying a submission asked twice whether its job was expected.

Change: stageKey in core/jobs, called by the four; one branch in JobTable. Behaviour and checks as before.

Tests: the whole tree built, 42 of 42 core, platform and app tests passed, lint of the five sources clean.

--- a/cornelpond/core/jobs/JobTable.cpp
+++ b/cornelpond/core/jobs/JobTable.cpp
@@ -207,12 +207,12 @@
         return;
     // Keeps the address of an expected record.
     auto node = this->expectedJobs.extract(command.job.id);
-    if (node)
+    if (node) {
         initializeQueueSettings(node.mapped(), queues);
-    else
-        this->jobs.emplace(command.job.id, newRecord(command, queues));
-    if (node)
         this->jobs.insert(std::move(node));
+    } else {
+        this->jobs.emplace(command.job.id, newRecord(command, queues));
+    }
     this->notifyJobChanged(this->jobs.at(command.job.id));
 }
 
--- a/cornelpond/core/scheduling/DataCentreEvacuation.cpp
+++ b/cornelpond/core/scheduling/DataCentreEvacuation.cpp
@@ -1,5 +1,7 @@
 #include "cornelpond/core/scheduling/DataCentreEvacuation.h"
 
+#include "cornelpond/core/jobs/StageKey.h"
+
 #include <algorithm>
 
 namespace cornelpond {
@@ -17,12 +19,6 @@
         return limits;
     }
 
-    TaskRef firstTaskOf(TaskRef task)
-    {
-        task.index = 0;
-        return task;
-    }
-
 } // namespace
 
 DataCentreEvacuation::DataCentreEvacuation(Clock const& clock, EventSink& events, EvacuationTable const& evacuations, JobTable const& jobs, Dispatcher& dispatch, TaskPlacer& placer, TaskEvictor& evictor)
@@ -115,7 +111,7 @@
         candidate.isGang = attempt.stage->isGang;
         candidate.savesCheckpoints = attempt.stage->savesCheckpoints;
         candidate.remaining = attempt.stage->estimatedRunTime * (allPercent - std::min(attempt.progressPercent, allPercent)) / allPercent;
-        candidate.stage = this->stageNumbers.try_emplace(firstTaskOf(attempt.task), this->stageNumbers.size()).first->second;
+        candidate.stage = this->stageNumbers.try_emplace(stageKey(attempt.task), this->stageNumbers.size()).first->second;
         candidate.stageTasks = attempt.stage->taskCount;
         candidate.maxUnavailable = attempt.stage->maxUnavailable;
         if (candidate.isService)
--- a/cornelpond/core/scheduling/LocalityControl.cpp
+++ b/cornelpond/core/scheduling/LocalityControl.cpp
@@ -1,5 +1,7 @@
 #include "cornelpond/core/scheduling/LocalityControl.h"
 
+#include "cornelpond/core/jobs/StageKey.h"
+
 #include <algorithm>
 #include <set>
 
@@ -11,13 +13,6 @@
     constexpr int64_t dataRackWaitFactor = 2;
     constexpr int64_t oneRackWaitFactor = 1;
 
-    TaskRef stageKey(PlacementRequest const& request)
-    {
-        TaskRef key = request.task;
-        key.index = 0;
-        return key;
-    }
-
 } // namespace
 
 std::string_view localityOutcomeName(LocalityOutcome outcome)
@@ -115,7 +110,7 @@
 
 bool LocalityControl::decide(PlacementRequest const& request, std::optional<Duration> untilRoom)
 {
-    auto const [known, isNew] = this->waitingSince.try_emplace(stageKey(request), Wait { this->clock.now(), false });
+    auto const [known, isNew] = this->waitingSince.try_emplace(stageKey(request.task), Wait { this->clock.now(), false });
     Wait& wait = known->second;
     LocalityInputs const inputs { request.stage->estimatedRunTime, *this->slowdownElsewhere, untilRoom, this->clock.now() - wait.since };
     bool const isWaiting = shouldWaitForRack(inputs);
@@ -146,7 +141,7 @@
 
 void LocalityControl::onStart(PlacementRequest const& request, bool isNear)
 {
-    auto const wait = this->waitingSince.find(stageKey(request));
+    auto const wait = this->waitingSince.find(stageKey(request.task));
     Duration const waited = wait == this->waitingSince.end() ? Duration() : this->clock.now() - wait->second.since;
     bool const hasWaited = waited > Duration();
     LocalityOutcome const afterWait = isNear ? LocalityOutcome::NearAfterWait : LocalityOutcome::ElsewhereAfterWait;
--- a/cornelpond/core/scheduling/SpeculativeCopies.cpp
+++ b/cornelpond/core/scheduling/SpeculativeCopies.cpp
@@ -1,5 +1,7 @@
 #include "cornelpond/core/scheduling/SpeculativeCopies.h"
 
+#include "cornelpond/core/jobs/StageKey.h"
+
 #include <algorithm>
 
 namespace cornelpond {
@@ -10,11 +12,6 @@
     /// Covers the commits and orders of an attempt, which count as run time.
     constexpr Duration stragglerMargin = Duration::milliseconds(200);
 
-    TaskRef stageKey(TaskRef const& task)
-    {
-        return { task.job, task.occurrence, task.stage, 0 };
-    }
-
 } // namespace
 
 bool shouldStartCopy(CopyInputs const& inputs)
--- a/cornelpond/core/scheduling/StepTimes.cpp
+++ b/cornelpond/core/scheduling/StepTimes.cpp
@@ -1,5 +1,7 @@
 #include "cornelpond/core/scheduling/StepTimes.h"
 
+#include "cornelpond/core/jobs/StageKey.h"
+
 #include <algorithm>
 
 namespace cornelpond {
@@ -9,12 +11,6 @@
     /// Bounds memory; what happens beyond it is not measured.
     constexpr size_t maxOpen = 20000;
 
-    TaskRef firstTaskOf(TaskRef task)
-    {
-        task.index = 0;
-        return task;
-    }
-
 } // namespace
 
 std::string_view jobStepName(JobStep step)
@@ -47,7 +43,7 @@
 
 StepTimes::Stage* StepTimes::find(TaskRef const& task)
 {
-    auto const found = this->stages.find(firstTaskOf(task));
+    auto const found = this->stages.find(stageKey(task));
     return found == this->stages.end() ? nullptr : &found->second;
 }
 
@@ -79,7 +75,7 @@
     if (!stage && !this->hasRoom())
         return;
     if (!stage)
-        stage = &this->stages[firstTaskOf(firstTask)];
+        stage = &this->stages[stageKey(firstTask)];
     if (stage->readyAt)
         return;
     auto const submitted = this->submissions.find(firstTask.job);
@@ -94,7 +90,7 @@
 {
     Stage* stage = this->find(task);
     if (!stage && !isStageReady && this->hasRoom())
-        stage = &this->stages[firstTaskOf(task)];
+        stage = &this->stages[stageKey(task)];
     if (!stage || stage->decidedAt)
         return;
     stage->decidedAt = this->clock.now();
@@ -121,7 +117,7 @@
     if (!stage || stage->task != task || !stage->committedAt)
         return;
     this->report(*stage, this->clock.now());
-    this->stages.erase(firstTaskOf(task));
+    this->stages.erase(stageKey(task));
 }
 
 void StepTimes::report(Stage const& stage, TimePoint acceptedAt)
