--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -5,12 +5,13 @@
 cd "$folder/../.."
 [ -x target/bin/cornelpond ] && [ -x target/review-2/standin-2 ] || exit 2
 set -m # The case and its processes get a group of their own.
-target/review-2/standin-2 many-configurations "$folder/record.txt" &
+target/review-2/standin-2 pending-count "$folder/record.txt" &
 case=$!
 (sleep 116 && kill -KILL -- "-$case") 2> /dev/null &
 watch=$!
-wait "$case"
+wait "$case" 2> /dev/null
 code=$?
 kill -KILL -- "-$watch" "-$case" 2> /dev/null
+wait "$watch" 2> /dev/null
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -9,8 +9,9 @@
 case=$!
 (sleep 116 && kill -KILL -- "-$case") 2> /dev/null &
 watch=$!
-wait "$case"
+wait "$case" 2> /dev/null
 code=$?
 kill -KILL -- "-$watch" "-$case" 2> /dev/null
+wait "$watch" 2> /dev/null
 [ "$code" -le 2 ] || code=2
 exit "$code"
