--- a/review/standin-2/Executors.cpp
+++ b/review/standin-2/Executors.cpp
@@ -37,6 +37,7 @@
         spec["ms"].push_back(step.runMs);
         spec["cpu"].push_back(step.cpu);
         spec["gang"].push_back(step.isGang ? step.count : 0);
+        spec["requirement"].push_back(step.requirement);
         Json one { { "count", step.count }, { "cpu", step.cpu }, { "memory-request-mb", 64 }, { "estimated-ms", step.estimatedMs } };
         if (step.antiAffinity)
             one["anti-affinity"] = step.antiAffinity;
@@ -236,7 +237,10 @@
         if (begins.gangSize && gang.present == begins.gangSize)
             gang.completeAt = begins.startedAt;
     }
-    this->record.line("executor " + id(executor.number) + ": begins " + task + " run " + std::to_string(run));
+    std::string const requirement = spec["requirement"][step].get<std::string>();
+    bool const isOtherKind = !requirement.empty() && std::find(executor.labels.begin(), executor.labels.end(), requirement) == executor.labels.end();
+    this->otherKindStarts += isOtherKind ? 1 : 0;
+    this->record.line("executor " + id(executor.number) + ": begins " + task + " run " + std::to_string(run) + (isOtherKind ? ", which requires " + requirement : ""));
     return this->answer(executor, 200, Json::object());
 }
 
--- a/review/standin-2/Executors.h
+++ b/review/standin-2/Executors.h
@@ -46,6 +46,8 @@
     size_t begunTasks(std::string const& submission);
     /// Runs of the submission's tasks, by their number, of which a task has ended failed.
     size_t failedRuns(std::string const& submission);
+    /// Starts on executors without the label that their step requires.
+    size_t startsOnOtherKind() const { return this->otherKindStarts; }
     /// Share of all executors' cores that is in use now.
     double usedShare();
     /// Cores, in thousandths, that are free on the executor now.
@@ -108,6 +110,7 @@
     std::map<std::string, std::set<int64_t>> failed; ///< By submission.
     std::map<std::pair<std::string, int64_t>, Gang> gangs; ///< By step and run.
     std::atomic<bool> needsTickets { false };
+    std::atomic<size_t> otherKindStarts { 0 };
 };
 
 /// One step of a submission: what it asks for, and how long each of its tasks runs.
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -353,7 +353,8 @@
             sleepMs(100);
         }
         sleepMs(3000);
-        return Verdict::Held;
+        record.line("judge: " + std::to_string(executors.startsOnOtherKind()) + " starts on executors without the required label");
+        return executors.startsOnOtherKind() ? Verdict::Broken : Verdict::Held;
     }
 
     /// One of eight executors fails all that it starts.
