--- a/review/standin-3/Hosts.cpp
+++ b/review/standin-3/Hosts.cpp
@@ -34,7 +34,7 @@
     {
         constexpr int octets = 250;
         for (int number = getpid();; number++) {
-            std::string const prefix = "127." + std::to_string(2 + number % octets) + "." + std::to_string(number / octets % octets) + ".";
+            std::string prefix = "127." + std::to_string(2 + number % octets) + "." + std::to_string(number / octets % octets) + ".";
             try {
                 HttpServer const control(prefix + "1", controlPort, [](HttpMessage const&) { return std::nullopt; });
                 HttpServer const front(prefix + "11", frontPort, [](HttpMessage const&) { return std::nullopt; });
@@ -69,6 +69,7 @@
 std::vector<std::string> Hosts::controlAddresses() const
 {
     std::vector<std::string> addresses;
+    addresses.reserve(controlCount);
     for (int number = 1; number <= controlCount; number++)
         addresses.push_back(address(this->ip(number), controlPort));
     return addresses;
@@ -77,6 +78,7 @@
 std::vector<std::string> Hosts::entryAddresses() const
 {
     std::vector<std::string> addresses;
+    addresses.reserve(entryCount);
     for (int number = 0; number < entryCount; number++)
         addresses.push_back(address(this->ip(firstEntryNumber + number), frontPort));
     return addresses;
