--- a/review/standin-3/Case.cpp
+++ b/review/standin-3/Case.cpp
@@ -64,11 +64,9 @@
     this->hosts.start();
     Json route { { "name", "queue" }, { "host", queueHost }, { "path-prefix", queuePrefix }, { "kind", "non_idempotent" }, { "timeout-ms", 3000 }, { "target-latency-ms", 1000 }, { "priority", 2 }, { "service", "svc" },
         { "max-attempts", 2 }, { "stretch-factor", 2.0 } };
-    Json urgent = route;
-    urgent.update({ { "name", "urgent" }, { "path-prefix", "/urgent/" }, { "priority", 0 } });
     route.update(queue);
     Json const service { { "name", "svc" }, { "health-check-path", "/health" }, { "max-connections", 64 }, { "protocol", "h1" }, { "tls", false }, { "enforces-capacity", true }, { "standby", false } };
-    this->hosts.replaceConfig({ { "version", 7 }, { "routes", Json::array({ route, urgent }) }, { "services", Json::array({ service }) },
+    this->hosts.replaceConfig({ { "version", 7 }, { "routes", Json::array({ route }) }, { "services", Json::array({ service }) },
         { "limits", { { "max-header-bytes", 16384 }, { "max-body-bytes", 262144 }, { "header-timeout-ms", 3000 }, { "idle-timeout-ms", 15000 } } } });
     this->executors = std::make_unique<Executors>(this->record, this->hosts.controlAddresses(), Bounds());
     for (auto const& spec : specs)
@@ -101,12 +99,12 @@
     return answered;
 }
 
-int Case::submit(std::string const& id, Json const& body, std::string const& prefix)
+int Case::submit(std::string const& id, Json const& body)
 {
     constexpr int attempts = 5;
     constexpr int lastSuccess = 299;
     for (int attempt = 0; attempt < attempts; attempt++) {
-        auto const answered = this->ask("POST", prefix + id, body.dump());
+        auto const answered = this->ask("POST", queuePrefix + id, body.dump());
         if (answered && (answered->status <= lastSuccess || answered->status == 404 || answered->status == 400))
             return answered->status;
         sleepMs(500);
@@ -120,12 +118,6 @@
     return answered && answered->status == 200 ? Json::parse(answered->body).value("state", "") : std::string();
 }
 
-int64_t Case::pending()
-{
-    auto const answered = this->ask("GET", queuePrefix, std::string());
-    return answered && answered->status == 200 ? Json::parse(answered->body).value("pending", int64_t(-1)) : -1;
-}
-
 int runCase(int argc, char const* const* argv, std::function<bool(Case&)> const& run)
 {
     constexpr int couldNotRun = 2;
--- a/review/standin-3/Case.h
+++ b/review/standin-3/Case.h
@@ -15,19 +15,17 @@
 public:
     explicit Case(Record& record);
 
-    /// Starts hosts and executors and sends the configuration with a queue of priority 2 at /q/ and one of priority 0 at /urgent/.
-    /// `queue`: fields of the former besides. Returns once each executor has answered a renewal.
+    /// Starts hosts and executors and sends the configuration with one queue at /q/. `queue`: fields of the queue besides. Returns
+    /// once each executor has answered a renewal.
     void startFleet(std::vector<ExecutorSpec> const& specs, nlohmann::json const& queue);
     /// Executors e01 to eNN of 16 cores each, on racks of 8.
     std::vector<ExecutorSpec> equalExecutors(int count) const;
     ExecutorSpec executor(int number, int64_t cpu, std::string const& kind) const;
 
     /// Submits as a requester does, again after no answer; returns the final status.
-    int submit(std::string const& id, nlohmann::json const& body, std::string const& prefix = "/q/");
+    int submit(std::string const& id, nlohmann::json const& body);
     /// The state shown; empty when there is no answer of 200.
     std::string state(std::string const& id);
-    /// The count of pending submissions; -1 without an answer of 200.
-    int64_t pending();
     /// Waits until the condition holds; false after the time.
     static bool waitUntil(int64_t longestMs, std::function<bool()> const& condition);
 
--- a/review/standin-3/Executors.cpp
+++ b/review/standin-3/Executors.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-    constexpr int64_t failingRunMs = 20;
-
     /// The number behind `name` in a task's spec; 0 without one.
     int64_t specNumber(std::string const& spec, std::string const& name)
     {
@@ -18,12 +16,6 @@
         return at == std::string::npos ? 0 : std::stoll(spec.substr(at + name.size()));
     }
 
-    /// "ID.K.STEP" of "ID.K.STEP.INDEX".
-    std::string stepOf(std::string const& task)
-    {
-        return task.substr(0, task.rfind('.'));
-    }
-
     HttpAnswer answer(int status, Json const& body)
     {
         return { status, body.dump() };
@@ -66,12 +58,17 @@
     executor.spec = spec;
     executor.bornWallMs = wallMs();
     executor.bornSteadyMs = steadyMs();
-    executor.server = std::make_unique<HttpServer>(spec.ip, spec.port, [this, &executor](HttpMessage const& request) { return this->handle(executor, request); });
-    executor.heart = std::thread([this, &executor] { this->checkIn(executor); });
+    this->startServer(executor);
+    executor.heart = std::thread([this, &executor] { this->checkIn(executor, 0); });
     std::lock_guard<std::mutex> const lock(this->mutex);
     this->executors.emplace(spec.id, std::move(owned));
 }
 
+void Executors::startServer(Executor& executor)
+{
+    executor.server = std::make_unique<HttpServer>(executor.spec.ip, executor.spec.port, [this, &executor](HttpMessage const& request) { return this->handle(executor, request); });
+}
+
 void Executors::cut(std::string const& executor, bool isCut)
 {
     std::lock_guard<std::mutex> const lock(this->mutex);
@@ -80,32 +77,48 @@
     this->changed.notify_all();
 }
 
-void Executors::setFailing(std::string const& executor, bool isFailing)
+void Executors::restart(std::string const& executor, int64_t downMs, std::vector<std::string> const& labels)
 {
-    std::lock_guard<std::mutex> const lock(this->mutex);
-    this->executors.at(executor)->isFailing = isFailing;
-    this->record.add(executor, isFailing ? "fails all that it starts" : "is sound again");
-}
-
-void Executors::crash(std::string const& executor, bool isDark)
-{
-    Executor* crashed = nullptr;
+    Executor* restarted = nullptr;
     {
         std::lock_guard<std::mutex> const lock(this->mutex);
-        crashed = this->executors.at(executor).get();
-        crashed->isCrashed = true;
-        crashed->isDark = isDark;
-        this->record.add(executor, isDark ? "crashes for good, with its machine" : "crashes for good");
-        for (auto const& [task, run] : crashed->running) {
+        restarted = this->executors.at(executor).get();
+        restarted->isCrashed = true;
+        this->record.add(executor, "crashes");
+        for (auto const& [task, run] : restarted->running) {
             RunRecord& ended = this->history[run.record];
             ended.endedMs = steadyMs();
             ended.how = "crashed";
         }
-        crashed->running.clear();
+        restarted->running.clear();
         this->changed.notify_all();
     }
-    if (!isDark)
-        crashed->server->close();
+    restarted->heart.join();
+    restarted->server->close();
+    sleepMs(downMs);
+    {
+        std::lock_guard<std::mutex> const lock(this->mutex);
+        restarted->spec.labels = labels;
+        restarted->bornWallMs = wallMs();
+        restarted->bornSteadyMs = steadyMs();
+        restarted->fence = restarted->sequence = restarted->lastEnd = 0;
+        restarted->leaseUntilMs = 0;
+        restarted->closedRuns.clear();
+        restarted->ended.clear();
+        restarted->isCrashed = false;
+        this->record.add(executor, "is back as kind " + labels.front());
+    }
+    constexpr int64_t marginMs = 100;
+    this->startServer(*restarted);
+    restarted->heart = std::thread([this, restarted] { this->checkIn(*restarted, this->bounds.heartbeatMs - marginMs); });
+}
+
+bool Executors::hasLabel(std::string const& executor, std::string const& label)
+{
+    std::lock_guard<std::mutex> const lock(this->mutex);
+    Executor const& asked = *this->executors.at(executor);
+    auto const& labels = asked.spec.labels;
+    return !asked.isCrashed && std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
 bool Executors::areAllReached()
@@ -137,16 +150,16 @@
 }
 
 /// What is under way in a cut is lost: its sender has closed the connection by the end of the cut.
-void Executors::waitWhileSilent(Executor const& executor, std::unique_lock<std::mutex>& lock)
+void Executors::waitWhileCut(Executor const& executor, std::unique_lock<std::mutex>& lock)
 {
-    this->changed.wait(lock, [&] { return !(executor.isCut || executor.isDark) || this->isEnding; });
+    this->changed.wait(lock, [&] { return !executor.isCut || executor.isCrashed || this->isEnding; });
 }
 
 std::optional<HttpAnswer> Executors::handle(Executor& executor, HttpMessage const& request)
 {
     std::unique_lock<std::mutex> lock(this->mutex);
     if (executor.isUnreachable()) {
-        this->waitWhileSilent(executor, lock);
+        this->waitWhileCut(executor, lock);
         return std::nullopt;
     }
     auto const expected = request.fields.find("x-expected-instance");
@@ -157,7 +170,7 @@
         return answer(400, Json::object());
     HttpAnswer given = this->answerOrder(executor, request, body, lock);
     if (executor.isUnreachable()) {
-        this->waitWhileSilent(executor, lock);
+        this->waitWhileCut(executor, lock);
         return std::nullopt;
     }
     return given;
@@ -216,34 +229,13 @@
     run.number = number;
     run.cpu = need;
     run.workMs = specNumber(spec, "ms=");
-    run.gangSize = static_cast<size_t>(specNumber(spec, "gang="));
     run.startedMs = steadyMs();
-    run.workingSinceMs = run.gangSize ? -1 : run.startedMs;
-    run.fails = executor.isFailing;
     this->history.push_back({ task, number, executor.spec.id, run.startedMs, 0, "" });
     executor.running[task] = run;
     this->record.add(executor.spec.id, "starts " + task + " run " + std::to_string(number));
-    if (run.gangSize)
-        this->startWorkOfGang(stepOf(task), number, run.gangSize);
     return answer(200, { { "clock-ms", executor.clockMs() } });
 }
 
-/// The members of a gang work from the moment when all are present.
-void Executors::startWorkOfGang(std::string const& step, uint64_t run, size_t size)
-{
-    std::vector<Run*> members;
-    for (auto& [id, executor] : this->executors) {
-        for (auto& [task, member] : executor->running) {
-            if (stepOf(task) == step && member.number == run)
-                members.push_back(&member);
-        }
-    }
-    for (auto* member : members) {
-        if (members.size() == size && member->workingSinceMs < 0)
-            member->workingSinceMs = steadyMs();
-    }
-}
-
 HttpAnswer Executors::stop(Executor& executor, Json const& body)
 {
     std::string const task = body.at("task").get<std::string>();
@@ -268,9 +260,8 @@
         this->changed.wait_for(lock, std::chrono::milliseconds(untilMs - steadyMs()));
     Json running = Json::array();
     for (auto const& [task, run] : executor.running) {
-        bool const isWorking = run.workingSinceMs >= 0 && run.workMs > 0;
-        int64_t const percent = isWorking ? std::min<int64_t>(100, (steadyMs() - run.workingSinceMs) * 100 / run.workMs) : 0;
-        running.push_back({ task, run.number, "", percent, isWorking ? run.cpu : 0 });
+        int64_t const percent = std::min<int64_t>(100, (steadyMs() - run.startedMs) * 100 / std::max<int64_t>(run.workMs, 1));
+        running.push_back({ task, run.number, "", percent, run.cpu });
     }
     Json rows = Json::array();
     for (auto const& end : ended)
@@ -291,22 +282,9 @@
     this->history[run.record].endedMs = steadyMs();
     this->history[run.record].how = how;
     this->record.add(executor.spec.id, "ends " + task + " run " + std::to_string(run.number) + ": " + how);
-    if (run.gangSize && how != "done")
-        this->breakGang(stepOf(task), run.number);
     this->changed.notify_all();
 }
 
-/// The other members of a gang end as broken; those that have failed by then end as failed.
-void Executors::breakGang(std::string const& step, uint64_t run)
-{
-    for (auto& [id, executor] : this->executors) {
-        for (auto& [task, member] : executor->running) {
-            if (stepOf(task) == step && member.number == run)
-                member.isBroken = true;
-        }
-    }
-}
-
 void Executors::tick()
 {
     constexpr auto interval = std::chrono::milliseconds(5);
@@ -331,23 +309,21 @@
             ends.emplace_back(task, "lapsed");
         else if (run.stopAtMs >= 0 && now >= run.stopAtMs)
             ends.emplace_back(task, "stopped");
-        else if (run.fails && now >= run.startedMs + failingRunMs)
-            ends.emplace_back(task, "failed");
-        else if (run.isBroken && !run.fails)
-            ends.emplace_back(task, "broken");
-        else if (run.workingSinceMs >= 0 && now >= run.workingSinceMs + run.workMs)
+        else if (now >= run.startedMs + run.workMs)
             ends.emplace_back(task, "done");
-        else if (run.workingSinceMs < 0 && now >= run.startedMs + this->bounds.gangTimeoutMs)
-            ends.emplace_back(task, "alone");
     }
     for (auto const& [task, how] : ends)
         this->end(executor, task, how);
 }
 
-void Executors::checkIn(Executor& executor)
+void Executors::checkIn(Executor& executor, int64_t firstAfterMs)
 {
     constexpr int64_t ackMs = 1000;
     size_t next = std::hash<std::string>()(executor.spec.id);
+    {
+        std::unique_lock<std::mutex> lock(this->mutex);
+        this->changed.wait_for(lock, std::chrono::milliseconds(firstAfterMs), [&] { return this->isEnding || executor.isCrashed; });
+    }
     while (true) {
         bool isAcknowledged = false;
         Json const room { { "cpu", executor.spec.cpu }, { "memory-request-mb", 64000 }, { "gpu", 0 } };
--- a/review/standin-3/Executors.h
+++ b/review/standin-3/Executors.h
@@ -3,7 +3,7 @@
 // Executors of one service, as PROTOCOL.md describes them: they check in, take starts, stops and leases, and list what runs and
 // what has ended. All share one lock.
 //
-// A task's spec is "ms=N", and for a gang "ms=N gang=M" with its number of members: it works for N ms.
+// A task's spec is "ms=N": it works for N ms.
 //
 // Example:
 //   Executors executors(record, controlAddresses, bounds);
@@ -24,7 +24,6 @@
     int64_t heartbeatMs = 1500;
     int64_t maxHoldMs = 6000;
     int64_t stopMs = 200; ///< At most stop-timeout-ms, 400.
-    int64_t gangTimeoutMs = 3000;
 };
 
 struct ExecutorSpec {
@@ -59,10 +58,11 @@
     void add(ExecutorSpec const& spec);
     /// While an executor is cut off, nothing reaches it and nothing that it sends arrives; it runs on.
     void cut(std::string const& executor, bool isCut);
-    /// While an executor fails all that it starts, its runs end as failed at once.
-    void setFailing(std::string const& executor, bool isFailing);
-    /// Ends the executor for good. What runs there ends with it. `isDark`: with its machine, so that connections to it hang.
-    void crash(std::string const& executor, bool isDark = false);
+    /// Ends the executor with all that it runs; it starts again after the time, under its id and address, with other labels. It
+    /// checks in a while later, within the interval of its check-ins. Returns once it has started again.
+    void restart(std::string const& executor, int64_t downMs, std::vector<std::string> const& labels);
+    /// True while an executor with this id runs and has the label.
+    bool hasLabel(std::string const& executor, std::string const& label);
     /// True once each executor has answered a renewal.
     bool areAllReached();
 
@@ -78,12 +78,8 @@
         uint64_t number = 0;
         int64_t cpu = 0;
         int64_t workMs = 0;
-        size_t gangSize = 0; ///< 0: no gang.
         int64_t startedMs = 0;
-        int64_t workingSinceMs = -1; ///< -1: waits for the other members.
-        int64_t stopAtMs = -1;
-        bool fails = false;
-        bool isBroken = false;
+        int64_t stopAtMs = -1; ///< -1: it isn't being stopped.
     };
 
     struct End {
@@ -105,9 +101,7 @@
         std::vector<End> ended;
         uint64_t lastEnd = 0;
         bool isCut = false;
-        bool isFailing = false;
         bool isCrashed = false;
-        bool isDark = false; ///< Crashed with its machine: nothing answers there any more.
         bool isReached = false;
         std::unique_ptr<HttpServer> server;
         std::thread heart;
@@ -116,7 +110,7 @@
         int64_t clockMs() const { return steadyMs() - this->bornSteadyMs; }
     };
 
-    void waitWhileSilent(Executor const& executor, std::unique_lock<std::mutex>& lock);
+    void waitWhileCut(Executor const& executor, std::unique_lock<std::mutex>& lock);
     std::optional<HttpAnswer> handle(Executor& executor, HttpMessage const& request);
     HttpAnswer answerOrder(Executor& executor, HttpMessage const& request, nlohmann::json const& body, std::unique_lock<std::mutex>& lock);
     HttpAnswer start(Executor& executor, nlohmann::json const& body);
@@ -124,11 +118,10 @@
     HttpAnswer hold(Executor& executor, nlohmann::json const& body, std::unique_lock<std::mutex>& lock);
     static void extendLease(Executor& executor, nlohmann::json const& body, int64_t maxHoldMs);
     void end(Executor& executor, std::string const& task, std::string const& how);
-    void breakGang(std::string const& step, uint64_t run);
-    void startWorkOfGang(std::string const& step, uint64_t run, size_t size);
     void tick();
     void tick(Executor& executor);
-    void checkIn(Executor& executor);
+    void startServer(Executor& executor);
+    void checkIn(Executor& executor, int64_t firstAfterMs);
 
     Record& record;
     std::vector<std::string> controlAddresses;
--- a/review/standin-3/Hosts.cpp
+++ b/review/standin-3/Hosts.cpp
@@ -97,7 +97,6 @@
         Json settings = this->commonSettings(number, "control", number);
         settings["dataFolder"] = this->folder + "/data-" + std::to_string(number);
         std::filesystem::create_directory(settings["dataFolder"].get<std::string>());
-        settings["permitService"] = address(this->adviceIp(), advicePort);
         settings["listen"]["control"] = address(this->ip(number), controlPort);
         settings["placement"]["slowdownElsewhere"] = 3;
         this->startProcess(number, settings);
--- a/review/standin-3/Hosts.h
+++ b/review/standin-3/Hosts.h
@@ -32,14 +32,11 @@
     std::string ip(int number) const { return this->prefix + std::to_string(number); }
     std::vector<std::string> controlAddresses() const;
     std::vector<std::string> entryAddresses() const;
-    std::string adviceIp() const { return this->ip(adviceNumber); }
-    static constexpr uint16_t advicePort = 8169;
 
 private:
     static constexpr int controlCount = 3;
     static constexpr int entryCount = 2;
     static constexpr int firstEntryNumber = 11;
-    static constexpr int adviceNumber = 9;
 
     nlohmann::json commonSettings(int number, char const* role, int zone) const;
     void startProcess(int number, nlohmann::json const& settings);
