Review: a lasting gang does not start again after it lost a worker

Placing a gang asks for workers as for tasks that never ran, so that the reserve for short tasks keeps a service that ran from starting again, without end in time. review/12/run.sh shows it after the loss of one worker of 24; without it it passes.

--- a/review/standin-3/Executors.cpp
+++ b/review/standin-3/Executors.cpp
@@ -16,6 +16,12 @@
         return at == std::string::npos ? 0 : std::stoll(spec.substr(at + name.size()));
     }
 
+    /// "ID.K.STEP" of "ID.K.STEP.INDEX".
+    std::string stepOf(std::string const& task)
+    {
+        return task.substr(0, task.rfind('.'));
+    }
+
     HttpAnswer answer(int status, Json const& body)
     {
         return { status, body.dump() };
@@ -77,24 +83,32 @@
     this->changed.notify_all();
 }
 
-void Executors::restart(std::string const& executor, int64_t downMs, std::vector<std::string> const& labels)
+void Executors::crash(std::string const& executor)
 {
-    Executor* restarted = nullptr;
+    Executor* crashed = nullptr;
     {
         std::lock_guard<std::mutex> const lock(this->mutex);
-        restarted = this->executors.at(executor).get();
-        restarted->isCrashed = true;
+        crashed = this->executors.at(executor).get();
+        crashed->isCrashed = true;
         this->record.add(executor, "crashes");
-        for (auto const& [task, run] : restarted->running) {
-            RunRecord& ended = this->history[run.record];
-            ended.endedMs = steadyMs();
-            ended.how = "crashed";
+        auto const ended = std::move(crashed->running);
+        crashed->running.clear();
+        for (auto const& [task, run] : ended) {
+            this->history[run.record].endedMs = steadyMs();
+            this->history[run.record].how = "crashed";
+            if (run.gangSize)
+                this->breakGang(stepOf(task), run.number);
         }
-        restarted->running.clear();
         this->changed.notify_all();
     }
+    crashed->server->close();
+}
+
+void Executors::restart(std::string const& executor, int64_t downMs, std::vector<std::string> const& labels)
+{
+    this->crash(executor);
+    Executor* const restarted = this->executors.at(executor).get();
     restarted->heart.join();
-    restarted->server->close();
     sleepMs(downMs);
     {
         std::lock_guard<std::mutex> const lock(this->mutex);
@@ -229,13 +243,33 @@
     run.number = number;
     run.cpu = need;
     run.workMs = specNumber(spec, "ms=");
+    run.gangSize = static_cast<size_t>(specNumber(spec, "gang="));
     run.startedMs = steadyMs();
+    run.workingSinceMs = run.gangSize ? -1 : run.startedMs;
     this->history.push_back({ task, number, executor.spec.id, run.startedMs, 0, "" });
     executor.running[task] = run;
     this->record.add(executor.spec.id, "starts " + task + " run " + std::to_string(number));
+    if (run.gangSize)
+        this->startWorkOfGang(stepOf(task), number, run.gangSize);
     return answer(200, { { "clock-ms", executor.clockMs() } });
 }
 
+/// The members of a gang work from the moment when all are present.
+void Executors::startWorkOfGang(std::string const& step, uint64_t run, size_t size)
+{
+    std::vector<Run*> members;
+    for (auto& [id, executor] : this->executors) {
+        for (auto& [task, member] : executor->running) {
+            if (stepOf(task) == step && member.number == run)
+                members.push_back(&member);
+        }
+    }
+    for (auto* member : members) {
+        if (members.size() == size && member->workingSinceMs < 0)
+            member->workingSinceMs = steadyMs();
+    }
+}
+
 HttpAnswer Executors::stop(Executor& executor, Json const& body)
 {
     std::string const task = body.at("task").get<std::string>();
@@ -260,7 +294,8 @@
         this->changed.wait_for(lock, std::chrono::milliseconds(untilMs - steadyMs()));
     Json running = Json::array();
     for (auto const& [task, run] : executor.running) {
-        int64_t const percent = std::min<int64_t>(100, (steadyMs() - run.startedMs) * 100 / std::max<int64_t>(run.workMs, 1));
+        int64_t const workedMs = run.workingSinceMs < 0 ? 0 : steadyMs() - run.workingSinceMs;
+        int64_t const percent = std::min<int64_t>(100, workedMs * 100 / std::max<int64_t>(run.workMs, 1));
         running.push_back({ task, run.number, "", percent, run.cpu });
     }
     Json rows = Json::array();
@@ -282,9 +317,21 @@
     this->history[run.record].endedMs = steadyMs();
     this->history[run.record].how = how;
     this->record.add(executor.spec.id, "ends " + task + " run " + std::to_string(run.number) + ": " + how);
+    if (run.gangSize && how != "done")
+        this->breakGang(stepOf(task), run.number);
     this->changed.notify_all();
 }
 
+void Executors::breakGang(std::string const& step, uint64_t run)
+{
+    for (auto& [id, executor] : this->executors) {
+        for (auto& [task, member] : executor->running) {
+            if (stepOf(task) == step && member.number == run)
+                member.isBroken = true;
+        }
+    }
+}
+
 void Executors::tick()
 {
     constexpr auto interval = std::chrono::milliseconds(5);
@@ -309,8 +356,12 @@
             ends.emplace_back(task, "lapsed");
         else if (run.stopAtMs >= 0 && now >= run.stopAtMs)
             ends.emplace_back(task, "stopped");
-        else if (now >= run.startedMs + run.workMs)
+        else if (run.isBroken)
+            ends.emplace_back(task, "broken");
+        else if (run.workingSinceMs >= 0 && now >= run.workingSinceMs + run.workMs)
             ends.emplace_back(task, "done");
+        else if (run.workingSinceMs < 0 && now >= run.startedMs + this->bounds.gangTimeoutMs)
+            ends.emplace_back(task, "alone");
     }
     for (auto const& [task, how] : ends)
         this->end(executor, task, how);
--- a/review/standin-3/Executors.h
+++ b/review/standin-3/Executors.h
@@ -3,7 +3,7 @@
 // Executors of one service, as PROTOCOL.md describes them: they check in, take starts, stops and leases, and list what runs and
 // what has ended. All share one lock.
 //
-// A task's spec is "ms=N": it works for N ms.
+// A task's spec is "ms=N", and for a gang "ms=N gang=M" with its number of members: it works for N ms.
 //
 // Example:
 //   Executors executors(record, controlAddresses, bounds);
@@ -24,6 +24,7 @@
     int64_t heartbeatMs = 1500;
     int64_t maxHoldMs = 6000;
     int64_t stopMs = 200; ///< At most stop-timeout-ms, 400.
+    int64_t gangTimeoutMs = 3000;
 };
 
 struct ExecutorSpec {
@@ -58,6 +59,8 @@
     void add(ExecutorSpec const& spec);
     /// While an executor is cut off, nothing reaches it and nothing that it sends arrives; it runs on.
     void cut(std::string const& executor, bool isCut);
+    /// Ends the executor for good, with all that it runs.
+    void crash(std::string const& executor);
     /// Ends the executor with all that it runs; it starts again after the time, under its id and address, with other labels. It
     /// checks in a while later, within the interval of its check-ins. Returns once it has started again.
     void restart(std::string const& executor, int64_t downMs, std::vector<std::string> const& labels);
@@ -78,8 +81,11 @@
         uint64_t number = 0;
         int64_t cpu = 0;
         int64_t workMs = 0;
+        size_t gangSize = 0; ///< 0: no gang.
         int64_t startedMs = 0;
+        int64_t workingSinceMs = -1; ///< -1: waits for the other members.
         int64_t stopAtMs = -1; ///< -1: it isn't being stopped.
+        bool isBroken = false; ///< Another member of its gang has ended.
     };
 
     struct End {
@@ -118,6 +124,8 @@
     HttpAnswer hold(Executor& executor, nlohmann::json const& body, std::unique_lock<std::mutex>& lock);
     static void extendLease(Executor& executor, nlohmann::json const& body, int64_t maxHoldMs);
     void end(Executor& executor, std::string const& task, std::string const& how);
+    void breakGang(std::string const& step, uint64_t run);
+    void startWorkOfGang(std::string const& step, uint64_t run, size_t size);
     void tick();
     void tick(Executor& executor);
     void startServer(Executor& executor);
