Log and count the queries to the policy service

A job on a queue with permits may wait for five reasons that the leader's log does not tell apart: its query waits behind others, gets no answer, is answered that none of the workers may run the stage, names the same workers as before, or the permits expire or are refused before they are used. Only the last one leaves a line (311, result=refusedPermit).

366 PermitsAnswered gives each query its stage, workers, answer and times. Counters and a histogram go to the metrics address. No decision changes.

--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -81,6 +81,13 @@
         metrics.setGauge("localityStarts{outcome=\"" + std::string(localityOutcomeName(outcome)) + "\"}", static_cast<int64_t>(count));
     for (auto const& [outcome, waits] : scheduler.localityCounters().waits)
         metrics.setHistogram("localityWaitMs" + std::string(outcome == LocalityOutcome::NearAfterWait ? "Near" : "Elsewhere"), waits);
+    PermitCounters const& permits = scheduler.permitCache().counters();
+    gauge("permitQueries{outcome=\"answered\"}", permits.answered);
+    gauge("permitQueries{outcome=\"unanswered\"}", permits.unanswered);
+    gauge("permitWorkersAsked", permits.workersAsked);
+    gauge("permitWorkersGranted", permits.workersPermitted);
+    gauge("permitQueriesWaiting", scheduler.permitCache().waitingQueries());
+    metrics.setHistogram("permitQueryMs", permits.queryDuration);
     gauge("startsDecided", counters.startsDecided);
     gauge("copiesStarted", counters.copiesStarted);
     gauge("evictions", scheduler.evictionCount());
--- a/cornelpond/core/base/Event.cpp
+++ b/cornelpond/core/base/Event.cpp
@@ -79,6 +79,7 @@
         EventInfo { EventId::EvacuatedTask, "EvacuatedTask", "A committed start in an evacuated data centre was withdrawn, or a task is stopped there to run elsewhere: `outcome`." },
         EventInfo { EventId::WorkerProcessSettled, "WorkerProcessSettled", "The leader records that orders for a former process of a worker cannot take effect on the present one (`bornMs`) any more. Once for each process that came after another." },
         EventInfo { EventId::JobSteps, "JobSteps", "The first start of a stage was answered; milliseconds of each step since the submission (`after=submission`) or the listing of the last end that it waited for (`after=end`): the commit that made it ready, the decision after it (negative: before it), the commit of the start, the order." },
+        EventInfo { EventId::PermitsAnswered, "PermitsAnswered", "The policy service was asked which of `asked` workers may run a stage, the first of them `workers`, and allowed `granted` of them; `answered` 0: it was busy, unreachable or gave no valid answer. `lastedMs` is the time from the query to its answer, `waitedMs` the time before, behind other queries, `waiting` the number of stages that wait still." },
         EventInfo { EventId::LeaderElected, "LeaderElected", "This host leads a group." },
         EventInfo { EventId::LeaderLost, "LeaderLost", "This host no longer leads a group." },
         EventInfo { EventId::JournalOpened, "JournalOpened", "A journal was read from disk." },
--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -92,6 +92,7 @@
     EvacuatedTask = 364,
     WorkerProcessSettled = 353,
     JobSteps = 365,
+    PermitsAnswered = 366,
     LeaderElected = 400,
     LeaderLost = 401,
     JournalOpened = 402,
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -63,7 +63,7 @@
     , limits(limits)
     , jobTable(this->tableHooks())
     , workerRoster(this->rosterHooks())
-    , permits(orders, clock, [this] { this->callForPass(); })
+    , permits(orders, clock, events, [this] { this->callForPass(); })
     , dispatch(clock, events, orders, times, this->jobTable, this->dispatcherHooks())
     , placer(this->dispatch.workers(), this->interference, this->cpuUsage, this->times, PlacementParameters())
     , evictor(events, this->dispatch)
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -137,6 +137,7 @@
     uint64_t evictionCount() const { return this->evictor.count(); }
     LocalityCounters const& localityCounters() const { return this->locality.counters(); }
     Histogram const& tickGap() const { return this->loadReport.tickGap(); }
+    PermitCache const& permitCache() const { return this->permits; }
     PlacementCounters const& placementCounters() const { return this->placer.counters(); }
     size_t workerCount() const { return this->workerRoster.all().size(); } ///< On followers too.
     size_t activeJobCount() const { return this->activeJobs.size(); }
--- a/cornelpond/core/scheduling/PermitCache.cpp
+++ b/cornelpond/core/scheduling/PermitCache.cpp
@@ -1,5 +1,7 @@
 #include "cornelpond/core/scheduling/PermitCache.h"
 
+#include <algorithm>
+
 namespace cornelpond {
 
 namespace {
@@ -17,11 +19,22 @@
         return task;
     }
 
+    /// The first of the workers, separated by commas.
+    std::string textOf(std::vector<WorkerId> const& workers)
+    {
+        constexpr size_t maxLogged = 12;
+        std::string text;
+        for (size_t i = 0; i < std::min(maxLogged, workers.size()); i++)
+            text.append(i ? "," : "").append(workers[i].value());
+        return text;
+    }
+
 } // namespace
 
-PermitCache::PermitCache(WorkerOrders& orders, Clock const& clock, std::function<void()> onNewPermits)
+PermitCache::PermitCache(WorkerOrders& orders, Clock const& clock, EventSink& events, std::function<void()> onNewPermits)
     : orders(orders)
     , clock(clock)
+    , events(events)
     , onNewPermits(std::move(onNewPermits))
 {
 }
@@ -38,7 +51,7 @@
     permits.isQueryPending = true;
     permits.workers.clear();
     permits.tickets.clear();
-    this->pendingQueries.push_back({ stage, spec, candidates });
+    this->pendingQueries.push_back({ stage, spec, candidates, now, now });
     this->sendNextQuery();
     return false;
 }
@@ -47,20 +60,40 @@
 {
     if (this->isQueryInFlight || this->pendingQueries.empty())
         return;
-    PermitQuery const query = std::move(this->pendingQueries.front());
+    PermitQuery query = std::move(this->pendingQueries.front());
     this->pendingQueries.pop_front();
     this->isQueryInFlight = true;
     Duration const timeout = query.spec.decisionTime + query.spec.decisionTimePerWorker * static_cast<int64_t>(query.candidates.size()) + answerTimeoutMargin;
-    TimePoint const sentAt = this->clock.now();
-    this->orders.requestPermits(query.stage, query.candidates, timeout, [this, alive = std::weak_ptr<bool>(this->lifetime), stage = query.stage, sentAt](PermitAnswer const& answer) {
+    query.sentAt = this->clock.now();
+    this->orders.requestPermits(query.stage, query.candidates, timeout, [this, alive = std::weak_ptr<bool>(this->lifetime), query](PermitAnswer const& answer) {
         if (alive.expired())
             return;
         this->isQueryInFlight = false;
-        this->onAnswered(stage, sentAt, answer);
+        this->report(query, answer);
+        this->onAnswered(query.stage, query.sentAt, answer);
         this->sendNextQuery();
     });
 }
 
+void PermitCache::report(PermitQuery const& query, PermitAnswer const& answer)
+{
+    Duration const lasted = this->clock.now() - query.sentAt;
+    this->totals.answered += answer.isAnswered;
+    this->totals.unanswered += !answer.isAnswered;
+    this->totals.workersAsked += query.candidates.size();
+    this->totals.workersPermitted += answer.permits.size();
+    this->totals.queryDuration.observe(lasted);
+    this->events.emit(Event(EventId::PermitsAnswered)
+                          .with("stage", query.stage.text())
+                          .with("asked", query.candidates.size())
+                          .with("workers", textOf(query.candidates))
+                          .with("granted", answer.permits.size())
+                          .with("answered", static_cast<int>(answer.isAnswered))
+                          .with("lastedMs", lasted)
+                          .with("waitedMs", query.sentAt - query.requestedAt)
+                          .with("waiting", this->pendingQueries.size()));
+}
+
 void PermitCache::onAnswered(TaskRef const& stage, TimePoint sentAt, PermitAnswer const& answer)
 {
     auto const found = this->permitsByStage.find(stage);
--- a/cornelpond/core/scheduling/PermitCache.h
+++ b/cornelpond/core/scheduling/PermitCache.h
@@ -12,8 +12,10 @@
 //
 // The task index of a `stage` argument is ignored.
 
+#include "cornelpond/core/base/Histogram.h"
 #include "cornelpond/core/jobs/QueueTable.h"
 #include "cornelpond/ports/Clock.h"
+#include "cornelpond/ports/EventSink.h"
 #include "cornelpond/ports/WorkerOrders.h"
 
 #include <deque>
@@ -24,10 +26,19 @@
 
 namespace cornelpond {
 
+/// Queries to the policy service since the host was started, for metrics.
+struct PermitCounters {
+    uint64_t answered = 0;
+    uint64_t unanswered = 0; ///< The service was busy, unreachable or gave no valid answer.
+    uint64_t workersAsked = 0; ///< In all queries, each worker of each query.
+    uint64_t workersPermitted = 0;
+    Histogram queryDuration;
+};
+
 class PermitCache {
 public:
-    /// `orders` and `clock` must outlive the cache. `onNewPermits` is called when an answer grants permits.
-    PermitCache(WorkerOrders& orders, Clock const& clock, std::function<void()> onNewPermits);
+    /// References must outlive the cache. `onNewPermits` is called when an answer grants permits.
+    PermitCache(WorkerOrders& orders, Clock const& clock, EventSink& events, std::function<void()> onNewPermits);
 
     /// True when the stage has permits that stay valid long enough to be used; otherwise requests them for
     /// `candidates`, unless a request is pending or the last answer is too recent.
@@ -45,6 +56,10 @@
     void forgetJob(JobId const& job);
     void clear();
 
+    PermitCounters const& counters() const { return this->totals; }
+    /// Stages whose query waits for its turn.
+    size_t waitingQueries() const { return this->pendingQueries.size(); }
+
 private:
     struct StagePermits {
         std::map<WorkerId, std::string> tickets;
@@ -58,17 +73,22 @@
         TaskRef stage;
         PermitSpec spec;
         std::vector<WorkerId> candidates;
+        TimePoint requestedAt;
+        TimePoint sentAt;
     };
 
     void sendNextQuery();
     void onAnswered(TaskRef const& stage, TimePoint sentAt, PermitAnswer const& answer);
+    void report(PermitQuery const& query, PermitAnswer const& answer);
 
     WorkerOrders& orders;
     Clock const& clock;
+    EventSink& events;
     std::function<void()> onNewPermits;
     std::map<TaskRef, StagePermits> permitsByStage;
     std::deque<PermitQuery> pendingQueries;
     bool isQueryInFlight = false;
+    PermitCounters totals;
     std::shared_ptr<bool> lifetime = std::make_shared<bool>(true); ///< Replaced by clear(): answers to earlier queries are dropped.
 };
 
