Ask the policy service about every worker that could run a stage

Cause: JobScheduler::preparePermits() named the twelve workers with the most free cores in each query. PermitCache kept what was allowed and nothing of what was not, so that the next query named the same twelve. The choice also knew nothing of the placement: neither label, rack, anti-affinity, excluded worker nor the tasks' size; and a stage with permits asked about no other workers while these were full, gone or refused starts.

Change: a query names workers that the placement would take (TaskPlacer::eligibleWorkers): those with room, the best first, and busy ones as long as the permitted ones could not hold the stage.

--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -87,6 +87,7 @@
     gauge("permitWorkersAsked", permits.workersAsked);
     gauge("permitWorkersGranted", permits.workersPermitted);
     gauge("permitQueriesWaiting", scheduler.permitCache().waitingQueries());
+    gauge("stagesWithoutPermit", scheduler.permitCache().stagesWithoutPermit());
     metrics.setHistogram("permitQueryMs", permits.queryDuration);
     gauge("startsDecided", counters.startsDecided);
     gauge("copiesStarted", counters.copiesStarted);
--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -93,6 +93,7 @@
     WorkerProcessSettled = 353,
     JobSteps = 365,
     PermitsAnswered = 366,
+    PermitsExhausted = 367,
     LeaderElected = 400,
     LeaderLost = 401,
     JournalOpened = 402,
--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -6,10 +6,7 @@
 
 Resources PlacedAttempt::reserved() const
 {
-    Resources amount = this->stage->need;
-    if (this->stage->isBestEffort)
-        amount.milliCores = 0;
-    return amount;
+    return this->stage->reservedPerTask();
 }
 
 bool PlacedAttempt::awaitsStop(TimePoint listedAt) const
--- a/cornelpond/core/jobs/JobSpec.h
+++ b/cornelpond/core/jobs/JobSpec.h
@@ -44,6 +44,8 @@
 
     /// True for tasks that end soon and whose cores are reserved.
     bool isShort() const { return !this->isService && !this->isBestEffort; }
+    /// What one task takes of its worker's capacity: a best-effort task reserves no cores.
+    Resources reservedPerTask() const { return this->isBestEffort ? Resources { 0, this->need.memoryMiB, this->need.accelerators } : this->need; }
     /// Estimated work of one task in milli-cores times milliseconds.
     int64_t taskWork() const { return this->need.milliCores * this->estimatedRunTime.toMilliseconds(); }
 };
--- a/cornelpond/core/placement/TaskPlacer.cpp
+++ b/cornelpond/core/placement/TaskPlacer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <tuple>
 
 namespace cornelpond {
 
@@ -289,14 +290,30 @@
 
 bool TaskPlacer::fits(WorkerView const& worker, PlacementRequest const& request, TimePoint now) const
 {
-    Resources need = request.stage->need;
-    if (request.stage->isBestEffort)
-        need.milliCores = 0;
-    if (!need.fitsIn(worker.freeResources()))
+    if (!request.stage->reservedPerTask().fitsIn(worker.freeResources()))
         return false;
     return !(request.stage->isShort() && this->heldWorkers.count(&worker)) && this->isAllowed(worker, request, now);
 }
 
+std::vector<EligibleWorker> TaskPlacer::eligibleWorkers(PlacementRequest const& request, TimePoint now) const
+{
+    std::vector<std::tuple<bool, bool, double, WorkerView const*>> ranked;
+    for (auto const& [id, worker] : this->workers) {
+        if (!request.stage->reservedPerTask().fitsIn(worker.profile.capacity) || !this->isAllowed(worker, request, now))
+            continue;
+        bool const isNear = !request.stage->dataRack.empty() && worker.profile.rack == request.stage->dataRack;
+        ranked.emplace_back(isNear, this->fits(worker, request, now), this->score(worker, request), &worker);
+    }
+    std::stable_sort(ranked.begin(), ranked.end(), [](auto const& left, auto const& right) {
+        return std::tie(std::get<0>(left), std::get<1>(left), std::get<2>(left)) > std::tie(std::get<0>(right), std::get<1>(right), std::get<2>(right));
+    });
+    std::vector<EligibleWorker> eligible;
+    eligible.reserve(ranked.size());
+    for (auto const& [isNear, hasRoom, score, worker] : ranked)
+        eligible.push_back({ worker, hasRoom });
+    return eligible;
+}
+
 void TaskPlacer::holdWorkerFor(PlacementRequest const& request, TimePoint now)
 {
     if (!request.stage->isShort())
--- a/cornelpond/core/placement/TaskPlacer.h
+++ b/cornelpond/core/placement/TaskPlacer.h
@@ -53,6 +53,12 @@
     uint64_t workersExamined = 0; ///< By those calls, each worker of each call.
 };
 
+/// A worker that could run a request's tasks.
+struct EligibleWorker {
+    WorkerView const* worker = nullptr;
+    bool hasRoom = false; ///< For one of them now; else once other tasks have ended there.
+};
+
 class TaskPlacer {
 public:
     /// References must outlive the object.
@@ -71,6 +77,9 @@
     /// changed nothing else.
     WorkerView* chooseNext(PlacementRequest const& request, TimePoint now);
 
+    /// The workers that could run the request's tasks: first those on the rack of its data, then those with room, then the best.
+    std::vector<EligibleWorker> eligibleWorkers(PlacementRequest const& request, TimePoint now) const;
+
     /// Keeps one worker for a short task that found none: the one with the most cores free among those where it fits
     /// once other short tasks end. Later requests of this pass, which rank behind, do not get it.
     void holdWorkerFor(PlacementRequest const& request, TimePoint now);
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -63,7 +63,8 @@
     , limits(limits)
     , jobTable(this->tableHooks())
     , workerRoster(this->rosterHooks())
-    , permits(orders, clock, events, [this] { this->callForPass(); })
+    , permits(
+          orders, clock, events, [this](TaskRef const& stage) { return this->permitNeedOf(stage); }, [this] { this->callForPass(); })
     , dispatch(clock, events, orders, times, this->jobTable, this->dispatcherHooks())
     , placer(this->dispatch.workers(), this->interference, this->cpuUsage, this->times, PlacementParameters())
     , evictor(events, this->dispatch)
@@ -92,7 +93,6 @@
     };
     hooks.onEndApplied = [this](CommitEnd const& end) { this->onEndApplied(end); };
     hooks.onJobChanged = [this](JobRecord const& job) { this->onJobChanged(job); };
-    hooks.onJobRemoved = [this](JobId const& job) { this->permits.forgetJob(job); };
     return hooks;
 }
 
@@ -225,6 +225,7 @@
     this->activeJobs.erase(job.spec.id);
     for (auto* since : { &this->waitingSince, &this->serviceTaskEnds })
         since->erase(since->lower_bound({ job.spec.id, 0, 0, 0 }), since->lower_bound({ job.spec.id, UINT32_MAX, 0, 0 }));
+    this->permits.forgetJob(job.spec.id);
     this->locality.forgetJob(job.spec.id);
     this->copies.forgetJob(job.spec.id);
     this->dispatch.stopUnwanted(job.spec.id);
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -196,8 +196,13 @@
     void startCopies(size_t most, TimePoint now);
     /// False when no worker has room for it.
     bool startCopy(JobRecord const& job, CopyCandidate const& candidate, TimePoint now);
-    bool preparePermits(ReadyStage const& ready, PlacementRequest& request);
     PlacementRequest requestFor(ReadyStage const& ready);
+    StagePlacement placeTasks(ReadyStage const& ready, PlacementRequest request, TimePoint now);
+    /// Whether starts of the queue's jobs need permits, and how these are asked for; null when they need none.
+    PermitSpec const* requiredPermits(QueueId const& queue) const;
+    void applyPermits(PlacementRequest& request);
+    PermitNeed permitNeedOf(TaskRef const& stage);
+    bool hasUnplacedTask(JobRecord const& job, TaskRef const& stage) const;
     void decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now, std::optional<unsigned> startSpeedPercent = std::nullopt);
     void openDueOccurrences();
     void forgetEndedJobs();
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -47,6 +47,7 @@
     this->isPassNeeded = this->isPassNeeded || placed >= this->limits.maxStartsPerPass;
     if (isFull && placed < this->limits.maxStartsPerPass)
         this->startCopies(this->limits.maxStartsPerPass - placed, now);
+    this->permits.sendQueries();
     TimePoint const endedAt = this->clock.now();
     if (isFull) {
         this->pacing.onFullPass(now, endedAt);
@@ -104,11 +105,20 @@
 StagePlacement JobScheduler::placeStage(ReadyStage const& ready, TimePoint now)
 {
     PlacementRequest request = this->requestFor(ready);
+    bool const needsPermits = this->requiredPermits(ready.job->queue);
+    if (needsPermits)
+        this->applyPermits(request);
+    StagePlacement placement;
+    if (!needsPermits || !request.permittedWorkers->empty())
+        placement = request.stage->isGang ? this->placeGang(ready, request, now) : this->placeTasks(ready, request, now);
+    if (needsPermits && this->hasUnplacedTask(*ready.job, request.task))
+        this->permits.request(request.task);
+    return placement;
+}
+
+StagePlacement JobScheduler::placeTasks(ReadyStage const& ready, PlacementRequest request, TimePoint now)
+{
     StagePlacement placement;
-    if (!this->preparePermits(ready, request))
-        return placement;
-    if (request.stage->isGang)
-        return this->placeGang(ready, request, now);
     auto const& tasks = ready.job->occurrences.at(ready.occurrence).stages[ready.stage].tasks;
     std::array<std::array<bool, 2>, 2> hasNoRoom {}; // By isRestart and canUseReserve.
     for (uint32_t index = 0; index < tasks.size(); index++) {
@@ -222,11 +232,17 @@
     request.task = task;
     request.excludedWorker = candidate.runsOn;
     request.canLeaveDataRack = true;
-    if (this->proposedTasks.count(task) || !this->preparePermits(stage, request))
+    if (this->proposedTasks.count(task))
         return false;
-    WorkerView* worker = this->placer.choose(request, now);
-    if (!worker)
+    bool const needsPermits = this->requiredPermits(job.queue);
+    if (needsPermits)
+        this->applyPermits(request);
+    WorkerView* worker = needsPermits && request.permittedWorkers->empty() ? nullptr : this->placer.choose(request, now);
+    if (!worker) {
+        if (needsPermits)
+            this->permits.request(task);
         return false;
+    }
     this->events.emit(Event(EventId::CopyStarted)
                           .with("task", task.text())
                           .with("runsOn", candidate.runsOn)
@@ -238,31 +254,6 @@
     return true;
 }
 
-/// Where the queue requires permits, adds the permitted workers to the request or asks for permits. False while
-/// there are none.
-bool JobScheduler::preparePermits(ReadyStage const& ready, PlacementRequest& request)
-{
-    QueueSpec const* queue = this->queues.find(ready.job->queue);
-    if (!queue || !queue->permits.isRequired)
-        return true;
-    std::vector<WorkerView const*> workers;
-    for (auto const& [id, worker] : this->dispatch.workers()) {
-        if (worker.profile.service == request.service && worker.canTakeTasks(this->clock.now(), this->times))
-            workers.push_back(&worker);
-    }
-    constexpr size_t maxCandidates = 12; // The policy service takes longer with each candidate.
-    size_t const candidateCount = std::min(maxCandidates, workers.size());
-    std::partial_sort(workers.begin(), workers.begin() + static_cast<std::ptrdiff_t>(candidateCount), workers.end(),
-        [](auto const* left, auto const* right) { return left->freeResources().milliCores > right->freeResources().milliCores; });
-    std::vector<WorkerId> candidates;
-    for (size_t i = 0; i < candidateCount; i++)
-        candidates.push_back(workers[i]->profile.id);
-    if (!this->permits.ensurePermits(request.task, queue->permits, candidates))
-        return false;
-    request.permittedWorkers = &this->permits.permittedWorkers(request.task);
-    return true;
-}
-
 /// Starts all members or none, and holds a worker for each while there is no room for all. A stage that prefers one rack starts on
 /// workers of several racks only where waiting for one rack does not pay.
 StagePlacement JobScheduler::placeGang(ReadyStage const& ready, PlacementRequest request, TimePoint now)
--- a/testing/fakes/FakeFleet.cpp
+++ b/testing/fakes/FakeFleet.cpp
@@ -223,11 +223,12 @@
         this->recorded.unknownJobStarts++;
         return this->makeAnswer(worker, OrderResult::Invalid);
     }
+    if (this->jobsWithPermits.count(order.task.job) && !this->hasValidTicket(worker, order)) {
+        this->recorded.startsWithoutPermit++;
+        return this->makeAnswer(worker, OrderResult::RefusedPermit);
+    }
     StageSpec const& stage = job->second.first.stages[order.task.stage];
-    Resources need = stage.need;
-    if (stage.isBestEffort)
-        need.milliCores = 0;
-    if (!(need + this->reservedResources(worker)).fitsIn(worker.profile.capacity)) {
+    if (!(stage.reservedPerTask() + this->reservedResources(worker)).fitsIn(worker.profile.capacity)) {
         this->recorded.overCapacityStarts++;
         return this->makeAnswer(worker, OrderResult::RefusedRoom);
     }
@@ -436,25 +437,47 @@
     return answer;
 }
 
-void FakeFleet::requestPermits(TaskRef const&, std::vector<WorkerId> const& asked, Duration, std::function<void(PermitAnswer const&)> done)
+void FakeFleet::requestPermits(TaskRef const& stage, std::vector<WorkerId> const& asked, Duration timeout, std::function<void(PermitAnswer const&)> done)
+{
+    this->receivedPermitQueries.push_back({ stage, asked, this->clock.now() });
+    if (!this->policyService.isAnswering) {
+        this->clock.after(timeout, [done] { done(PermitAnswer()); });
+        return;
+    }
+    PermitSpec const& times = this->policyService.times;
+    Duration const takes = times.decisionTime + times.decisionTimePerWorker * static_cast<int64_t>(asked.size());
+    this->clock.after(oneWayDelay + takes, [this, stage, asked, done] {
+        PermitAnswer answer;
+        answer.isAnswered = true;
+        answer.validity = this->policyService.times.validity;
+        for (auto const& id : asked) {
+            if (this->policyService.allows && !this->policyService.allows(stage, id))
+                continue;
+            std::string const ticket = this->ticketText(stage, this->workers.at(id));
+            this->ticketsValidUntil[ticket] = this->clock.now() + answer.validity;
+            answer.permits.push_back({ id, ticket });
+        }
+        this->clock.after(oneWayDelay, [done, answer] { done(answer); });
+    });
+}
+
+/// Names the stage, the worker and its process.
+std::string FakeFleet::ticketText(TaskRef const& task, Worker const& worker) const
+{
+    return stageKey(task).text() + "/" + worker.profile.id.value() + "/" + std::to_string(worker.profile.bornMs);
+}
+
+bool FakeFleet::hasValidTicket(Worker const& worker, StartOrder const& order) const
 {
-    PermitAnswer answer;
-    answer.isAnswered = true;
-    answer.validity = Duration::seconds(3);
-    for (size_t i = 0; i < asked.size(); i += 2)
-        answer.permits.push_back({ asked[i], "ticket" });
-    this->clock.after(oneWayDelay * 2, [done, answer] { done(answer); });
+    auto const issued = this->ticketsValidUntil.find(order.permit);
+    return order.permit == this->ticketText(order.task, worker) && issued != this->ticketsValidUntil.end() && this->clock.now() <= issued->second;
 }
 
 Resources FakeFleet::reservedResources(Worker const& worker) const
 {
     Resources sum;
-    for (auto const& [key, run] : worker.runs) {
-        Resources need = run.stage.need;
-        if (run.stage.isBestEffort)
-            need.milliCores = 0;
-        sum += need;
-    }
+    for (auto const& [key, run] : worker.runs)
+        sum += run.stage.reservedPerTask();
     return sum;
 }
 
--- a/testing/fakes/FakeFleet.h
+++ b/testing/fakes/FakeFleet.h
@@ -11,6 +11,7 @@
 //   JobService service(clock, events, fleet, DispatchTimes(), JobLimits());
 //   fleet.step(); // every 10 ms
 
+#include "cornelpond/core/jobs/StageKey.h"
 #include "cornelpond/core/scheduling/JobScheduler.h"
 #include "cornelpond/ports/Random.h"
 #include "cornelpond/ports/WorkerOrders.h"
@@ -42,11 +43,26 @@
         All,
     };
 
+    /// What the policy service allows, and how it answers.
+    struct Policy {
+        std::function<bool(TaskRef const& stage, WorkerId const& worker)> allows; ///< The index of `stage` is 0.
+        PermitSpec times;
+        bool isAnswering = true; ///< False: queries get no answer until they time out.
+    };
+
+    /// A query to the policy service.
+    struct PermitQuery {
+        TaskRef stage;
+        std::vector<WorkerId> workers;
+        TimePoint at;
+    };
+
     struct Record {
         unsigned starts = 0;
         unsigned duplicateRuns = 0; ///< Starts of a task without speculative copies that was already running, counted for each worker that ran it.
         unsigned startsAfterDone = 0; ///< Starts of tasks whose end as done had been acknowledged.
         unsigned overCapacityStarts = 0; ///< Start orders refused because the worker lacked free resources.
+        unsigned startsWithoutPermit = 0; ///< Start orders refused because their ticket was missing, expired or for another worker or stage.
         unsigned unknownJobStarts = 0; ///< Start orders for jobs that were never registered.
         unsigned startsWhileDraining = 0;
         unsigned startsBeforeDependencies = 0; ///< Counts each task of a preceding stage that was not done at the start.
@@ -62,6 +78,10 @@
     void addWorker(WorkerProfile const& profile, double speed = 1);
     /// Allows the job's tasks to be started. They run for `factor` times their estimated run time.
     void registerJob(JobSpec const& job, double factor = 1);
+    /// Starts of the job need a ticket of the policy service from now on.
+    void requirePermits(JobId const& job) { this->jobsWithPermits.insert(job); }
+    Policy& policy() { return this->policyService; }
+    std::vector<PermitQuery> const& permitQueries() const { return this->receivedPermitQueries; }
     /// The best-effort image raises the tail latency of the service image by the latency target times `slope`
     /// times the share of the worker's CPU that it uses.
     void setInterference(std::string const& service, std::string const& bestEffort, double slope);
@@ -157,6 +177,8 @@
     bool acceptRenewal(Worker& worker, RenewOrder const& order);
     void executeUnanswered(Worker& worker, RenewOrder const& order);
     static void extendLease(Worker& worker, TimePoint until, TimePoint now);
+    std::string ticketText(TaskRef const& task, Worker const& worker) const;
+    bool hasValidTicket(Worker const& worker, StartOrder const& order) const;
     OrderAnswer executeStart(Worker& worker, StartOrder const& order);
     void recordStart(TaskRef const& task, StageSpec const& stage, Worker const& worker);
     OrderAnswer executeStop(Worker& worker, StopOrder const& order);
@@ -175,6 +197,10 @@
     std::map<WorkerId, Worker> workers;
     std::map<JobId, std::pair<JobSpec, double>> jobs;
     std::map<std::pair<std::string, std::string>, double> interferenceSlopes;
+    Policy policyService;
+    std::set<JobId> jobsWithPermits;
+    std::map<std::string, TimePoint> ticketsValidUntil;
+    std::vector<PermitQuery> receivedPermitQueries;
     std::set<TaskRef> acknowledgedDoneTasks;
     std::map<TaskRef, bool> doneTasks;
     std::map<TaskRef, std::set<WorkerId>> workersStartedOn; ///< Every worker that began an attempt of the task.
--- a/testing/fakes/JobBench.cpp
+++ b/testing/fakes/JobBench.cpp
@@ -8,6 +8,8 @@
 
     constexpr Duration step = Duration::milliseconds(10);
 
+    QueueId const restrictedQueue("restricted");
+
     QueueConfig benchQueues()
     {
         QueueConfig config;
@@ -27,7 +29,11 @@
         plans.priority = 2;
         plans.stretchFactor = 2;
         plans.latencyTarget = Duration::seconds(1);
-        config.queues = { urgent, plans };
+        QueueSpec restricted = plans;
+        restricted.name = restrictedQueue;
+        restricted.pathPrefix = "/restricted/";
+        restricted.permits = { true, Duration::milliseconds(20), Duration::milliseconds(2), Duration::seconds(3) };
+        config.queues = { urgent, plans, restricted };
         return config;
     }
 
@@ -44,6 +50,7 @@
 {
     for (size_t host = 0; host < hosts; host++)
         this->startService(host);
+    this->fleet.policy().times = this->queues.queues.back().permits;
     this->elect(0);
     this->leader().replaceQueues(this->queues, [](CallResult) {});
     this->run(step * 2);
@@ -113,6 +120,23 @@
     this->leader().scheduler().submit(job, this->queueOf(job), [this](SubmitResult const& result) { this->submitResults.push_back(result); });
 }
 
+void JobBench::submitWithPermits(JobSpec const& job)
+{
+    this->fleet.registerJob(job);
+    this->fleet.requirePermits(job.id);
+    this->submittedAt.try_emplace(job.id, this->clock.now());
+    this->leader().scheduler().submit(job, this->queues.queues.back(), [this](SubmitResult const& result) { this->submitResults.push_back(result); });
+}
+
+void JobBench::setPolicyTimes(PermitSpec const& times)
+{
+    this->fleet.policy().times = times;
+    this->queues.version = ConfigVersion(this->queues.version.value() + 1);
+    this->queues.queues.back().permits = times;
+    this->leader().replaceQueues(this->queues, [](CallResult) {});
+    this->run(step * 2);
+}
+
 void JobBench::cancel(JobId const& job)
 {
     this->leader().scheduler().cancel(job, [](CallResult) {});
--- a/testing/fakes/JobBench.h
+++ b/testing/fakes/JobBench.h
@@ -37,6 +37,10 @@
     /// Submits the job to the leader; the result arrives in `submitResults`. The tasks run for `runTimeFactor` times
     /// their estimated run time.
     void submit(JobSpec const& job, double runTimeFactor = 1);
+    /// As `submit`, into a queue whose starts need permits.
+    void submitWithPermits(JobSpec const& job);
+    /// Replaces the times of the policy service, as the configuration gives them and as it keeps to them.
+    void setPolicyTimes(PermitSpec const& times);
     void cancel(JobId const& job);
     void elect(size_t host);
     void crashLeader();
