Use permits that are valid for a short time

Callers would see: on a queue whose permits are valid for 200 ms or less, no job ever runs.

Cause: PermitCache took 200 ms off each permit's validity, whatever that was, and counted it from the time at which the query was sent, before the service had decided.

Change: the margin is at most a quarter of the validity, the validity counts from the end of the configured decision time, and a query names no more workers than the service decides on within half of it.

Test: "permits of a short validity are used" (180 ms) failed before: nothing had run after 5 s.

--- a/cornelpond/core/scheduling/PermitCache.cpp
+++ b/cornelpond/core/scheduling/PermitCache.cpp
@@ -15,8 +15,10 @@
     /// Wait for an answer beyond the time that the policy service is configured to take.
     constexpr Duration answerTimeoutMargin = Duration::milliseconds(500);
     constexpr Duration retryDelay = Duration::milliseconds(150);
-    /// A permit that expires sooner than this may be refused when the order arrives.
+    /// A permit that expires sooner than this may be refused when the order arrives. At most this share of its validity, so that
+    /// permits of a short validity can be used at all.
     constexpr Duration validityMargin = Duration::milliseconds(200);
+    constexpr int64_t validitySharesKept = 4;
     /// A policy may change its mind: after such a pause, refused workers are asked about again.
     constexpr Duration minRoundPause = Duration::seconds(2);
     constexpr Duration maxRoundPause = Duration::seconds(30);
@@ -27,12 +29,15 @@
         return spec.decisionTime + spec.decisionTimePerWorker * static_cast<int64_t>(workerCount);
     }
 
-    /// The largest number of workers, up to `wanted`, whose query does not hold up those of other stages for long.
+    /// The largest number of workers, up to `wanted`, whose permits arrive early enough to be used and whose query does not hold up
+    /// those of other stages for long.
     size_t boundedQueryWorkers(size_t wanted, PermitSpec const& spec)
     {
         size_t count = std::clamp(wanted, minQueryWorkers, maxQueryWorkers);
         while (count > minQueryWorkers && decisionTime(spec, count) > maxDecisionTime)
             count--;
+        while (count > 1 && decisionTime(spec, count) * 2 > spec.validity)
+            count--;
         return count;
     }
 
@@ -192,7 +197,9 @@
 
 void PermitCache::storeAnswer(StagePermits& permits, PermitQuery const& query, PermitAnswer const& answer)
 {
-    TimePoint const validUntil = query.sentAt + answer.validity - validityMargin;
+    // The service takes the time that it is configured to take before it decides.
+    TimePoint const decidedAt = std::min(this->clock.now(), query.sentAt + decisionTime(query.spec, query.workers.size()));
+    TimePoint const validUntil = decidedAt + answer.validity - std::min(validityMargin, answer.validity / validitySharesKept);
     for (auto const& worker : query.workers)
         this->setRefused(permits, worker, true);
     for (auto const& permit : answer.permits) {
--- a/cornelpond/core/scheduling/PermitsTest.cpp
+++ b/cornelpond/core/scheduling/PermitsTest.cpp
@@ -136,6 +136,18 @@
     CHECK(bench.fleet.runningCount(job.id) == 30);
 }
 
+// Failure: permits that are valid for less than the margin of 200 ms were never used.
+TEST_CASE("permits of a short validity are used")
+{
+    JobBench bench(8);
+    bench.addWorkers(24, 16000);
+    bench.setPolicyTimes({ true, Duration::milliseconds(20), Duration::milliseconds(2), Duration::milliseconds(180) });
+    JobSpec const job = makeJob("plan", 4, 1000, second);
+    bench.submitWithPermits(job);
+    CHECK(bench.runUntilIdle(second * 5));
+    CHECK(bench.fleet.record().startsWithoutPermit == 0);
+}
+
 TEST_CASE("a job whose policy allows no worker is told from one that waits for room, and runs once the policy changes")
 {
     JobBench bench(9);
