Do not wait for the rack of a stage's data when the policy allows no worker there

Callers would see: a job whose data is on a rack of which the policy allows no worker waits until the wait does not pay any more (its estimated run time and longer), beside a worker that it may use.

Cause: LocalityControl weighs the room on the rack, which such a job may not use.

Change: once the policy has refused all workers of the rack, the job looks elsewhere.

Test: "tasks do not wait for the rack of their data when the policy allows none of its workers" failed before: nothing ran after 2 s.

--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -201,6 +201,7 @@
     /// Whether starts of the queue's jobs need permits, and how these are asked for; null when they need none.
     PermitSpec const* requiredPermits(QueueId const& queue) const;
     void applyPermits(PlacementRequest& request);
+    bool mayRunOnDataRack(PlacementRequest const& request) const;
     PermitNeed permitNeedOf(TaskRef const& stage);
     bool hasUnplacedTask(JobRecord const& job, TaskRef const& stage) const;
     void decideStart(WorkerView& worker, CommitStart const& start, ReadyStage const& ready, TimePoint now, std::optional<unsigned> startSpeedPercent = std::nullopt);
--- a/cornelpond/core/scheduling/PermitCache.cpp
+++ b/cornelpond/core/scheduling/PermitCache.cpp
@@ -237,6 +237,12 @@
     }
 }
 
+bool PermitCache::mayPermit(TaskRef const& task, WorkerId const& worker) const
+{
+    auto const found = this->permitsByStage.find(stageKey(task));
+    return found == this->permitsByStage.end() || !this->isRefused(found->second, worker);
+}
+
 std::string PermitCache::ticket(TaskRef const& task, WorkerId const& worker) const
 {
     auto const stage = this->permitsByStage.find(stageKey(task));
--- a/cornelpond/core/scheduling/PermitCache.h
+++ b/cornelpond/core/scheduling/PermitCache.h
@@ -67,6 +67,9 @@
     /// Workers with a permit that stays valid long enough to be used. Valid until the next call for the stage or change of its permits.
     std::set<WorkerId> const& permittedWorkers(TaskRef const& stage);
 
+    /// False while the policy is known not to allow the worker.
+    bool mayPermit(TaskRef const& stage, WorkerId const& worker) const;
+
     /// Permit ticket to be sent with a start; empty when the worker has none.
     std::string ticket(TaskRef const& stage, WorkerId const& worker) const;
 
--- a/cornelpond/core/scheduling/PermitNeeds.cpp
+++ b/cornelpond/core/scheduling/PermitNeeds.cpp
@@ -32,10 +32,21 @@
     return spec && spec->permits.isRequired ? &spec->permits : nullptr;
 }
 
-/// Restricts the request to workers with a permit.
+/// Restricts the request to workers with a permit. Waiting for the rack of its data is of no use where the policy allows none of
+/// its workers.
 void JobScheduler::applyPermits(PlacementRequest& request)
 {
     request.permittedWorkers = &this->permits.permittedWorkers(request.task);
+    request.canLeaveDataRack = request.canLeaveDataRack || !this->mayRunOnDataRack(request);
+}
+
+bool JobScheduler::mayRunOnDataRack(PlacementRequest const& request) const
+{
+    auto const& workers = this->dispatch.workers();
+    return std::any_of(workers.begin(), workers.end(), [&](auto const& entry) {
+        WorkerProfile const& profile = entry.second.profile;
+        return profile.service == request.service && profile.rack == request.stage->dataRack && this->permits.mayPermit(request.task, profile.id);
+    });
 }
 
 /// The workers that have room for the stage. Also those that are busy now, as long as those with a permit could not take all its
--- a/cornelpond/core/scheduling/PermitsTest.cpp
+++ b/cornelpond/core/scheduling/PermitsTest.cpp
@@ -244,6 +244,18 @@
     CHECK(bench.state(job.id) == JobState::Completed);
 }
 
+TEST_CASE("tasks do not wait for the rack of their data when the policy allows none of its workers")
+{
+    JobBench bench(15);
+    bench.addWorkers(32, 16000);
+    allowOnly(bench, { WorkerId("w30") });
+    JobSpec job = makeJob("plan", 2, 1000, second * 5);
+    job.stages[0].dataRack = RackId("r0");
+    bench.submitWithPermits(job);
+    bench.run(second * 2);
+    CHECK(bench.fleet.runningCountOn(WorkerId("w30")) == 2);
+}
+
 TEST_CASE("a second attempt of a task goes to another worker that the policy allows")
 {
     JobBench bench(16);
