Show a job as begun only once a worker was seen to run one of its tasks

Cause: JobTable::startIfAllowed() set hasStarted with the commit of a start. An order that is refused, lost or carried out late left it set, and pendingJobCount() and the shown state go by it.

Change: a job has begun once the leader learns that a worker ran one of its tasks: by the answer to a start, by a listing (also of an attempt that was given up), or by the committed end of an attempt that a worker listed. What is lost or refused tells nothing.

--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -94,6 +94,7 @@
     JobSteps = 365,
     PermitsAnswered = 366,
     PermitsExhausted = 367,
+    JobBegan = 368,
     LeaderElected = 400,
     LeaderLost = 401,
     JournalOpened = 402,
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -60,6 +60,9 @@
     std::function<void(WorkerView&)> onListingRead;
     /// Called when a worker has accepted the start order of an attempt. May be unset.
     std::function<void(TaskRef const&)> onStartAccepted;
+    /// Called when a worker is first seen to run an attempt, also one that is not placed there. `source`: "answer" or "listing". May
+    /// be unset.
+    std::function<void(CommitStart const&, char const* source)> onAttemptSeen;
     /// Called when workers or their free resources changed, so that waiting tasks may fit now.
     std::function<void()> onCapacityChanged;
 };
@@ -190,6 +193,7 @@
     void onStartAnswered(WorkerId const& worker, SendContext const& sent, AttemptKey const& key, OrderAnswer const& answer);
     static bool isFromLaterProcess(SendContext const& sent, OrderAnswer const& answer);
     void checkAnsweringProcess(WorkerView& view, SendContext const& sent, OrderAnswer const& answer);
+    void reportSeen(WorkerView const& view, AttemptKey const& key, char const* source) const;
     void handleStartAnswer(WorkerView& view, PlacedAttempt& attempt, OrderResult result);
     void retryOrWithdrawStart(WorkerView& view, PlacedAttempt& attempt);
     void noteStopSent(WorkerView& view, AttemptKey const& key, StopProgress& progress, StopWay way);
--- a/cornelpond/core/dispatch/DispatcherListings.cpp
+++ b/cornelpond/core/dispatch/DispatcherListings.cpp
@@ -57,13 +57,16 @@
         if (!attempt || attempt->phase == PlacedAttempt::Phase::Proposed) {
             auto const [orphan, isNew] = view.orphanedAttempts.try_emplace({ row.task, row.attempt });
             orphan->second.isListed = true;
-            if (isNew)
-                this->events.emit(Event(EventId::StrayAttempt).with("worker", view.profile.id).with("task", row.task.text()).with("attempt", row.attempt));
+            if (!isNew)
+                continue;
+            this->events.emit(Event(EventId::StrayAttempt).with("worker", view.profile.id).with("task", row.task.text()).with("attempt", row.attempt));
+            this->reportSeen(view, orphan->first, "listing");
             continue;
         }
         if (attempt->phase != PlacedAttempt::Phase::Running) {
             attempt->phase = PlacedAttempt::Phase::Running;
             attempt->confirmedAt = now;
+            this->reportSeen(view, { row.task, row.attempt }, "listing");
         }
         view.settleStart(*attempt);
         attempt->lastListing = view.listingCount;
--- a/cornelpond/core/dispatch/DispatcherStarts.cpp
+++ b/cornelpond/core/dispatch/DispatcherStarts.cpp
@@ -118,6 +118,12 @@
     this->handleStartAnswer(*view, *attempt, isFromOldIncarnation && !mayBeCarriedOut ? OrderResult::NotDone : answer.result);
 }
 
+void Dispatcher::reportSeen(WorkerView const& view, AttemptKey const& key, char const* source) const
+{
+    if (this->hooks.onAttemptSeen)
+        this->hooks.onAttemptSeen({ key.first, key.second, view.profile.id }, source);
+}
+
 void Dispatcher::handleStartAnswer(WorkerView& view, PlacedAttempt& attempt, OrderResult result)
 {
     TimePoint const now = this->clock.now();
@@ -125,6 +131,7 @@
     case OrderResult::Accepted:
         if (this->hooks.onStartAccepted)
             this->hooks.onStartAccepted(attempt.task);
+        this->reportSeen(view, { attempt.task, attempt.number }, "answer");
         if (attempt.phase == PlacedAttempt::Phase::Starting) {
             attempt.phase = PlacedAttempt::Phase::Running;
             attempt.confirmedAt = now;
--- a/cornelpond/core/jobs/JobCommand.cpp
+++ b/cornelpond/core/jobs/JobCommand.cpp
@@ -15,6 +15,9 @@
         Remove = 7,
     };
 
+    /// Stands for MarkBegun: versions that lack it ignore an occurrence that no job has, and could not read a new tag.
+    constexpr uint32_t begunMarkOccurrence = UINT32_MAX;
+
     void write(ByteWriter& out, Tag tag)
     {
         out.number(static_cast<uint64_t>(tag));
@@ -51,6 +54,11 @@
         out.number(open.occurrence);
     }
 
+    void write(ByteWriter& out, MarkBegun const& mark)
+    {
+        write(out, OpenOccurrence { mark.job, begunMarkOccurrence });
+    }
+
     void write(ByteWriter& out, RemoveJob const& remove)
     {
         write(out, Tag::Remove);
@@ -104,6 +112,8 @@
             OpenOccurrence open;
             open.job = readId<JobId>(in);
             open.occurrence = static_cast<uint32_t>(in.number());
+            if (open.occurrence == begunMarkOccurrence)
+                return MarkBegun { open.job };
             return open;
         }
         case Tag::Remove:
@@ -166,6 +176,11 @@
     return "unknown";
 }
 
+bool isEndOfRun(AttemptEnd end)
+{
+    return end != AttemptEnd::Lost && end != AttemptEnd::Refused;
+}
+
 std::string encodeJobCommand(JobCommand const& command)
 {
     ByteWriter out;
--- a/cornelpond/core/jobs/JobCommand.h
+++ b/cornelpond/core/jobs/JobCommand.h
@@ -28,6 +28,9 @@
 
 std::string_view attemptEndName(AttemptEnd end);
 
+/// True for an end that a worker listed, which shows that it ran the attempt. Lost tells nothing: the order may have been on its way.
+bool isEndOfRun(AttemptEnd end);
+
 struct SubmitJob {
     JobSpec job;
     QueueId queue;
@@ -64,7 +67,12 @@
     JobId job;
 };
 
-using TaskUpdate = std::variant<CommitStart, CommitEnd, OpenOccurrence, RemoveJob>;
+/// Notes that a worker was seen to run a task of the job. Earlier versions ignore it.
+struct MarkBegun {
+    JobId job;
+};
+
+using TaskUpdate = std::variant<CommitStart, CommitEnd, OpenOccurrence, RemoveJob, MarkBegun>;
 
 /// The decisions of one scheduler pass, committed together.
 struct UpdateTasks {
--- a/cornelpond/core/jobs/JobTable.cpp
+++ b/cornelpond/core/jobs/JobTable.cpp
@@ -266,7 +266,6 @@
     task.lastAttempt = start.attempt;
     task.liveAttempts.push_back({ start.attempt, start.worker });
     job->liveAttemptCount++;
-    job->hasStarted = true;
     return true;
 }
 
@@ -279,6 +278,7 @@
         auto const attempt = std::find(task.liveAttempts.begin(), task.liveAttempts.end(), Attempt { end.attempt, end.worker });
         if (attempt != task.liveAttempts.end()) {
             task.liveAttempts.erase(attempt);
+            job->hasStarted |= isEndOfRun(end.end);
             stage->waitingCount += task.isWaiting();
             job->liveAttemptCount--;
             StageSpec const& spec = job->spec.stages[end.task.stage];
@@ -294,6 +294,7 @@
                 this->countFailure(*job, *stage, end.task, wallMs);
             this->dropFinishedRecords(*job);
         } else if (end.end == AttemptEnd::Done && this->canFinishLate(end.task, end.attempt)) {
+            job->hasStarted = true;
             this->finishTask(*job, job->occurrences.at(end.task.occurrence), end.task, wallMs);
             this->dropFinishedRecords(*job);
         }
@@ -357,6 +358,12 @@
         this->hooks.onJobRemoved(remove.job);
 }
 
+void JobTable::applyUpdate(MarkBegun const& mark, int64_t)
+{
+    if (JobRecord* job = this->findMutable(mark.job))
+        job->hasStarted = true;
+}
+
 void JobTable::endJob(JobRecord& job, JobState state, int64_t wallMs)
 {
     job.state = state;
@@ -463,14 +470,6 @@
     return !record->isDone || job->spec.stages[task.stage].isGang;
 }
 
-size_t JobTable::pendingJobCount(QueueId const& queue) const
-{
-    return static_cast<size_t>(std::count_if(this->jobs.begin(), this->jobs.end(), [&](auto const& entry) {
-        JobRecord const& job = entry.second;
-        return job.queue == queue && job.state == JobState::Active && !job.hasStarted && !job.spec.isScheduled();
-    }));
-}
-
 std::string JobTable::takeSnapshot() const
 {
     ByteWriter out;
--- a/cornelpond/core/jobs/JobTable.h
+++ b/cornelpond/core/jobs/JobTable.h
@@ -70,7 +70,7 @@
     uint32_t priority = 0;
     uint32_t maxAttempts = 1;
     JobState state = JobState::Active;
-    bool hasStarted = false; ///< At least one task has had an attempt.
+    bool hasStarted = false; ///< A worker has begun a task: it confirmed a start or listed an end.
     int64_t acceptedWallMs = 0;
     int64_t endedWallMs = 0;
     uint32_t occurrencesOpened = 0;
@@ -140,9 +140,6 @@
     /// The job's live attempts only. `visit` must not change the table.
     void forEachLiveAttemptOf(JobId const& job, std::function<void(TaskRef const&, TaskRecord const&, Attempt const&)> const& visit) const;
 
-    /// Number of the queue's active jobs that have no schedule and no started task.
-    size_t pendingJobCount(QueueId const& queue) const;
-
     std::unordered_map<JobId, JobRecord> const& all() const { return this->jobs; }
 
 private:
@@ -153,6 +150,7 @@
     void applyUpdate(CommitEnd const& end, int64_t wallMs);
     void applyUpdate(OpenOccurrence const& open, int64_t wallMs);
     void applyUpdate(RemoveJob const& remove, int64_t wallMs);
+    void applyUpdate(MarkBegun const& mark, int64_t wallMs);
     bool startIfAllowed(CommitStart const& start);
     void finishTask(JobRecord& job, OccurrenceRecord& occurrence, TaskRef const& task, int64_t wallMs);
     void countFailure(JobRecord& job, StageRecord& stage, TaskRef const& task, int64_t wallMs);
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -114,6 +114,7 @@
     DispatcherHooks hooks;
     hooks.canSendOrders = [this] { return this->jobLog.isLeadershipConfirmed(); };
     hooks.proposeEnd = [this](CommitEnd const& end) { this->addEnd(end); };
+    hooks.onAttemptSeen = [this](CommitStart const& seen, char const* source) { this->noteBegun(seen, source); };
     hooks.onStartAccepted = [this](TaskRef const& task) { this->steps.onStartAccepted(task); };
     // The result is not needed: a removal that is not committed is decided again.
     hooks.removeWorker = [this](WorkerProfile const& profile) {
@@ -169,6 +170,7 @@
     this->waitingSince.clear();
     this->serviceTaskEnds.clear();
     this->pendingUpdates.clear();
+    this->pendingMarks.clear();
     this->registration.clear();
     this->permits.clear();
     this->interference.clear();
@@ -542,7 +544,7 @@
         return found;
     found.result = CallResult::Done;
     found.state = job->state == JobState::Completed && mayStillStart(*job) ? JobState::Active : job->state;
-    found.hasStarted = job->hasStarted;
+    found.hasStarted = this->hasBegun(*job);
     return found;
 }
 
@@ -550,10 +552,47 @@
 {
     if (!this->jobLog.isLeadershipConfirmed())
         return CallResult::NotLeader;
-    count = this->jobTable.pendingJobCount(queue);
+    count = 0;
+    for (auto const& [id, active] : this->activeJobs)
+        count += active.record->queue == queue && !active.record->spec.isScheduled() && this->jobTable.find(id) && !this->hasBegun(*active.record);
     return CallResult::Done;
 }
 
+size_t JobScheduler::notBegunJobCount() const
+{
+    return static_cast<size_t>(std::count_if(this->activeJobs.begin(), this->activeJobs.end(), [this](auto const& entry) { return this->jobTable.find(entry.first) && !this->hasBegun(*entry.second.record); }));
+}
+
+bool JobScheduler::hasBegun(JobRecord const& job) const
+{
+    auto const active = this->activeJobs.find(job.spec.id);
+    return job.hasStarted || (active != this->activeJobs.end() && active->second.hasBegun);
+}
+
+/// A start that is committed may be refused, get lost or be carried out late: a job has begun once a worker is seen to run a task.
+void JobScheduler::noteBegun(CommitStart const& seen, char const* source)
+{
+    JobRecord const* job = this->jobTable.find(seen.task.job);
+    if (!job || job->state != JobState::Active || this->hasBegun(*job))
+        return;
+    ActiveJob& active = this->activeJob(*job);
+    active.hasBegun = true;
+    this->pendingMarks.push_back({ job->spec.id });
+    this->events.emit(Event(EventId::JobBegan)
+                          .with("job", job->spec.id)
+                          .with("task", seen.task.text())
+                          .with("attempt", seen.attempt)
+                          .with("worker", seen.worker)
+                          .with("source", std::string(source))
+                          .with("sinceAcceptedMs", this->clock.now() - active.objective.acceptedAt));
+}
+
+void JobScheduler::addPendingMarks()
+{
+    this->pendingUpdates.insert(this->pendingUpdates.end(), this->pendingMarks.begin(), this->pendingMarks.end());
+    this->pendingMarks.clear();
+}
+
 void JobScheduler::onTick()
 {
     if (!this->dispatch.isLeading())
@@ -564,6 +603,7 @@
     this->dispatch.onTick();
     if (now >= this->nextSlowCheck) {
         this->nextSlowCheck = now + slowCheckInterval;
+        this->addPendingMarks();
         this->openDueOccurrences();
         this->updateShortTaskNeeds();
         this->updateIdleWindows();
@@ -652,6 +692,7 @@
 {
     if (this->pendingUpdates.empty())
         return;
+    this->addPendingMarks();
     auto batch = std::make_shared<UpdateTasks>();
     batch->updates.swap(this->pendingUpdates);
     batch->wallMs = this->clock.wallMilliseconds();
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -78,7 +78,7 @@
 struct JobLookup {
     CallResult result = CallResult::NotFound;
     JobState state = JobState::Active;
-    bool hasStarted = false;
+    bool hasStarted = false; ///< A worker is known to have begun one of its tasks.
 };
 
 class JobScheduler {
@@ -112,7 +112,7 @@
     JobLookup lookUp(JobId const& job) const;
     /// True on the leader for a job that is accepted or being committed, so that a denial of its submission would not be true.
     bool mayBeAccepted(JobId const& job) const { return this->jobTable.find(job) || this->proposedJobs.count(job); }
-    /// Sets `count` to the queue's active jobs without a schedule of which no task has started. NotLeader, with `count`
+    /// Sets `count` to the queue's active jobs without a schedule of which no worker is known to have begun a task. NotLeader, with `count`
     /// unchanged, unless this host is the confirmed leader.
     CallResult countPending(QueueId const& queue, size_t& count) const;
 
@@ -141,6 +141,8 @@
     PlacementCounters const& placementCounters() const { return this->placer.counters(); }
     size_t workerCount() const { return this->workerRoster.all().size(); } ///< On followers too.
     size_t activeJobCount() const { return this->activeJobs.size(); }
+    /// Accepted jobs of which no worker is known to have begun a task. Zero on a follower.
+    size_t notBegunJobCount() const;
     /// Accepted jobs that have not ended, by size class; without service jobs. Zeros on a follower.
     std::array<size_t, sizeClassCount> activeJobsBySize() const;
     CancelledRuns cancelledRuns() const;
@@ -165,6 +167,9 @@
     void observeRunTime(CommitEnd const& end);
     void noteServiceTaskEnd(TaskRef const& task);
     void stopRestOfGang(CommitEnd const& end);
+    void noteBegun(CommitStart const& seen, char const* source);
+    bool hasBegun(JobRecord const& job) const;
+    void addPendingMarks();
     void noteReadyStages(JobRecord const& job, std::optional<TimePoint> listedAt);
 
     /// What only the leader keeps of a job that has not ended.
@@ -172,6 +177,7 @@
         JobRecord const* record = nullptr; ///< Valid while the job is active; before that, of the job as JobTable expects it.
         bool isBestEffort = false; ///< All its stages are.
         bool allowsCopies = false; ///< One of its stages does.
+        bool hasBegun = false; ///< A worker was seen to run one of its tasks.
         JobObjective objective;
         JobProgress progress;
     };
@@ -248,6 +254,7 @@
     std::multiset<JobId> proposedUnsubmittedCancels; ///< Jobs that were not known when their cancel was proposed.
     ExpectedEnds expectedEnds;
     std::vector<TaskUpdate> pendingUpdates; ///< To be proposed with the next batch.
+    std::vector<MarkBegun> pendingMarks; ///< To be proposed with other updates, or at the next slow check.
     std::function<void()> workCallback;
     bool isWorkCalledFor = false; ///< `workCallback` was called, and `onWork` has not been called since.
     bool isPassNeeded = false; ///< Something changed, so that waiting tasks may find a worker.
--- a/testing/fakes/FakeFleet.cpp
+++ b/testing/fakes/FakeFleet.cpp
@@ -205,6 +205,8 @@
 
 OrderAnswer FakeFleet::executeStart(Worker& worker, StartOrder const& order)
 {
+    if (worker.isUnhealthy)
+        return this->makeAnswer(worker, OrderResult::NotDone);
     if (order.epoch < worker.epoch)
         return this->makeAnswer(worker, OrderResult::RefusedEpoch);
     worker.epoch = order.epoch;
--- a/testing/fakes/FakeFleet.h
+++ b/testing/fakes/FakeFleet.h
@@ -100,6 +100,8 @@
     void setDraining(WorkerId const& worker) { this->workers.at(worker).profile.isDraining = true; }
     /// While set, start orders to the worker get no answer and are not carried out.
     void setLostStarts(WorkerId const& worker, bool isLost) { this->workers.at(worker).losesStarts = isLost; }
+    /// While set, the worker answers start orders as an unhealthy one does, which has then done nothing.
+    void setUnhealthy(WorkerId const& worker, bool isUnhealthy) { this->workers.at(worker).isUnhealthy = isUnhealthy; }
     void setLostStops(WorkerId const& worker, LostStops lost) { this->workers.at(worker).lostStops = lost; }
     void setFaults(Faults const& given) { this->faults = given; }
     /// Tasks run this many times as long away from the rack of their data.
@@ -151,6 +153,7 @@
         bool isUp = true;
         bool isCut = false;
         bool losesStarts = false;
+        bool isUnhealthy = false;
         LostStops lostStops = LostStops::None;
         unsigned ordersOnOpenConnection = 0; ///< Renewals and delivered stops without an answer.
         TimePoint startedAt;
