--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -41,7 +41,7 @@
     gauge("jobsKnown", scheduler.jobs().all().size());
     SchedulerCounters const& counters = scheduler.counters();
     gauge("jobsActive", scheduler.activeJobCount());
-    gauge("jobsNotBegun", scheduler.notBegunJobCount());
+    gauge("jobsPending", scheduler.pendingJobCount());
     gauge("jobsAccepted", counters.jobsAccepted);
     gauge("jobsRefused", counters.jobsRefused);
     gauge("jobsCompleted", counters.jobsCompleted);
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -554,13 +554,19 @@
         return CallResult::NotLeader;
     count = 0;
     for (auto const& [id, active] : this->activeJobs)
-        count += active.record->queue == queue && !active.record->spec.isScheduled() && this->jobTable.find(id) && !this->hasBegun(*active.record);
+        count += this->isPending(active) && active.record->queue == queue && !active.record->spec.isScheduled();
     return CallResult::Done;
 }
 
-size_t JobScheduler::notBegunJobCount() const
+size_t JobScheduler::pendingJobCount() const
 {
-    return static_cast<size_t>(std::count_if(this->activeJobs.begin(), this->activeJobs.end(), [this](auto const& entry) { return this->jobTable.find(entry.first) && !this->hasBegun(*entry.second.record); }));
+    return static_cast<size_t>(std::count_if(this->activeJobs.begin(), this->activeJobs.end(), [this](auto const& entry) { return this->isPending(entry.second); }));
+}
+
+/// True for an accepted job of which no worker is known to have begun a task. An expected job is not accepted yet.
+bool JobScheduler::isPending(ActiveJob const& active) const
+{
+    return !active.hasBegun && !active.record->hasStarted && this->jobTable.find(active.record->spec.id);
 }
 
 bool JobScheduler::hasBegun(JobRecord const& job) const
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -142,7 +142,7 @@
     size_t workerCount() const { return this->workerRoster.all().size(); } ///< On followers too.
     size_t activeJobCount() const { return this->activeJobs.size(); }
     /// Accepted jobs of which no worker is known to have begun a task. Zero on a follower.
-    size_t notBegunJobCount() const;
+    size_t pendingJobCount() const;
     /// Accepted jobs that have not ended, by size class; without service jobs. Zeros on a follower.
     std::array<size_t, sizeClassCount> activeJobsBySize() const;
     CancelledRuns cancelledRuns() const;
@@ -183,6 +183,7 @@
     };
 
     ActiveJob& activeJob(JobRecord const& job);
+    bool isPending(ActiveJob const& active) const;
     JobObjective const& objectiveFor(JobRecord const& job) { return this->activeJob(job).objective; }
     void reportEnd(JobRecord const& job);
 
@@ -206,7 +207,8 @@
     StagePlacement placeTasks(ReadyStage const& ready, PlacementRequest request, TimePoint now);
     /// Whether starts of the queue's jobs need permits, and how these are asked for; null when they need none.
     PermitSpec const* requiredPermits(QueueId const& queue) const;
-    void applyPermits(PlacementRequest& request);
+    /// Restricts the request to workers with a permit where the queue requires that. False when there are none.
+    bool applyPermits(QueueId const& queue, PlacementRequest& request);
     bool mayRunOnDataRack(PlacementRequest const& request) const;
     PermitNeed permitNeedOf(TaskRef const& stage);
     bool hasUnplacedTask(JobRecord const& job, TaskRef const& stage) const;
--- a/cornelpond/core/scheduling/PermitCache.cpp
+++ b/cornelpond/core/scheduling/PermitCache.cpp
@@ -187,7 +187,7 @@
     }
     this->storeAnswer(permits, query, answer);
     if (answer.permits.empty()) {
-        permits.queryWorkers = std::max(minQueryWorkers, permits.queryWorkers) * 2;
+        permits.queryWorkers = std::clamp(permits.queryWorkers, minQueryWorkers, maxQueryWorkers) * 2;
         this->request(query.stage);
         return;
     }
--- a/cornelpond/core/scheduling/PermitNeeds.cpp
+++ b/cornelpond/core/scheduling/PermitNeeds.cpp
@@ -32,12 +32,14 @@
     return spec && spec->permits.isRequired ? &spec->permits : nullptr;
 }
 
-/// Restricts the request to workers with a permit. Waiting for the rack of its data is of no use where the policy allows none of
-/// its workers.
-void JobScheduler::applyPermits(PlacementRequest& request)
+bool JobScheduler::applyPermits(QueueId const& queue, PlacementRequest& request)
 {
+    if (!this->requiredPermits(queue))
+        return true;
     request.permittedWorkers = &this->permits.permittedWorkers(request.task);
+    // Waiting for the rack of its data is of no use where the policy allows none of its workers.
     request.canLeaveDataRack = request.canLeaveDataRack || !this->mayRunOnDataRack(request);
+    return !request.permittedWorkers->empty();
 }
 
 bool JobScheduler::mayRunOnDataRack(PlacementRequest const& request) const
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -105,13 +105,10 @@
 StagePlacement JobScheduler::placeStage(ReadyStage const& ready, TimePoint now)
 {
     PlacementRequest request = this->requestFor(ready);
-    bool const needsPermits = this->requiredPermits(ready.job->queue);
-    if (needsPermits)
-        this->applyPermits(request);
     StagePlacement placement;
-    if (!needsPermits || !request.permittedWorkers->empty())
+    if (this->applyPermits(ready.job->queue, request))
         placement = request.stage->isGang ? this->placeGang(ready, request, now) : this->placeTasks(ready, request, now);
-    if (needsPermits && this->hasUnplacedTask(*ready.job, request.task))
+    if (request.permittedWorkers && this->hasUnplacedTask(*ready.job, request.task))
         this->permits.request(request.task);
     return placement;
 }
@@ -234,12 +231,9 @@
     request.canLeaveDataRack = true;
     if (this->proposedTasks.count(task))
         return false;
-    bool const needsPermits = this->requiredPermits(job.queue);
-    if (needsPermits)
-        this->applyPermits(request);
-    WorkerView* worker = needsPermits && request.permittedWorkers->empty() ? nullptr : this->placer.choose(request, now);
+    WorkerView* worker = this->applyPermits(job.queue, request) ? this->placer.choose(request, now) : nullptr;
     if (!worker) {
-        if (needsPermits)
+        if (request.permittedWorkers)
             this->permits.request(task);
         return false;
     }
