Count the listed end of a given-up attempt as a beginning

Callers would see: a job that has run is shown as queued and counted as pending. A start got no answer, was carried out, and its worker could not be reached until the lease was over; the leader gave the attempt up as lost. The worker lists its end (leaseExpired) when it is back, but ends of attempts that are not placed any more were read for done only.

Test: "a job has begun when its worker lists the end of an attempt that was given up" failed before (pending 1 instead of 0).

--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -60,8 +60,8 @@
     std::function<void(WorkerView&)> onListingRead;
     /// Called when a worker has accepted the start order of an attempt. May be unset.
     std::function<void(TaskRef const&)> onStartAccepted;
-    /// Called when a worker is first seen to run an attempt, also one that is not placed there. `source`: "answer" or "listing". May
-    /// be unset.
+    /// Called when a worker is first seen to run an attempt, or lists the end of one that is not placed there. `source`: "answer",
+    /// "listing" or "listed end". May be unset.
     std::function<void(CommitStart const&, char const* source)> onAttemptSeen;
     /// Called when workers or their free resources changed, so that waiting tasks may fit now.
     std::function<void()> onCapacityChanged;
--- a/cornelpond/core/dispatch/DispatcherListings.cpp
+++ b/cornelpond/core/dispatch/DispatcherListings.cpp
@@ -91,7 +91,11 @@
         PlacedAttempt* attempt = view.find(end.task, end.attempt);
         if (attempt && attempt->phase != PlacedAttempt::Phase::Proposed) {
             this->proposeEnd(view, *attempt, end.end, end.checkpoint.empty() ? attempt->checkpoint : end.checkpoint);
-        } else if (!attempt && this->isLateFinish(end)) {
+            continue;
+        }
+        if (isEndOfRun(end.end))
+            this->reportSeen(view, { end.task, end.attempt }, "listed end");
+        if (!attempt && this->isLateFinish(end)) {
             this->proposedFinishes.insert(end.task);
             this->hooks.proposeEnd({ end.task, end.attempt, view.profile.id, end.end, end.checkpoint });
         }
--- a/cornelpond/core/scheduling/JobsBegunTest.cpp
+++ b/cornelpond/core/scheduling/JobsBegunTest.cpp
@@ -95,6 +95,32 @@
     CHECK(pendingCount(bench) == 1);
 }
 
+// Failure: a run whose start got no answer and whose worker was then silent left no trace, though the worker listed its end later.
+TEST_CASE("a job has begun when its worker lists the end of an attempt that was given up")
+{
+    JobBench bench(8);
+    bench.addWorkers(1, 16000);
+    bench.fleet.setStartObserver([&](TaskRef const&) { bench.fleet.setCut(WorkerId("w0"), true); });
+    FakeFleet::Faults late;
+    late.lateOrderShare = 1;
+    late.minLateDelay = Duration::milliseconds(500);
+    late.maxLateDelay = late.minLateDelay;
+    bench.fleet.setFaults(late);
+    JobSpec const job = makeJob("plan", 1, 1000, second * 60);
+    bench.submit(job);
+    bench.run(second);
+    bench.fleet.setFaults(FakeFleet::Faults());
+    bench.run(second * 8);
+    REQUIRE(bench.fleet.record().starts == 1);
+    REQUIRE(bench.fleet.runningCount(job.id) == 0); // Its lease has expired.
+    CHECK(pendingCount(bench) == 1);
+    bench.fleet.setUnhealthy(WorkerId("w0"), true);
+    bench.fleet.setCut(WorkerId("w0"), false);
+    bench.run(second * 2);
+    CHECK(bench.fleet.record().starts == 1);
+    CHECK(pendingCount(bench) == 0);
+}
+
 TEST_CASE("a gang of which no member began is pending, and one with a member that began is not")
 {
     JobBench bench(5);
