--- a/cornelpond/core/scheduling/PermitCache.cpp
+++ b/cornelpond/core/scheduling/PermitCache.cpp
@@ -137,7 +137,7 @@
                           .with("pauseMs", pause));
 }
 
-void PermitCache::send(PermitQuery query)
+void PermitCache::send(PermitQuery const& query)
 {
     this->isQueryInFlight = true;
     Duration const timeout = decisionTime(query.spec, query.workers.size()) + answerTimeoutMargin;
--- a/cornelpond/core/scheduling/PermitCache.h
+++ b/cornelpond/core/scheduling/PermitCache.h
@@ -120,7 +120,7 @@
     void takeTurn(Turn const& turn);
     std::vector<WorkerId> chooseWorkers(StagePermits& permits, PermitNeed const& need);
     void pauseRound(TaskRef const& stage, StagePermits& permits, size_t workerCount);
-    void send(PermitQuery query);
+    void send(PermitQuery const& query);
     void onAnswered(PermitQuery const& query, PermitAnswer const& answer);
     void storeAnswer(StagePermits& permits, PermitQuery const& query, PermitAnswer const& answer);
     void report(PermitQuery const& query, PermitAnswer const& answer);
