Log what the end of an attempt changed

304 said how an attempt ended, and not what followed. Now 304 names the effect of the end on its task, stage, occurrence and job, and 332 the occurrences asked for and opened.

The logic is the same: applyUpdate(CommitEnd) is split into the removal of the live attempt, its checkpoint and what counts.

--- a/cornelpond/core/base/Event.cpp
+++ b/cornelpond/core/base/Event.cpp
@@ -34,7 +34,7 @@
         EventInfo { EventId::TaskPlaced, "TaskPlaced", "A worker was chosen for a task; `reason` says why that worker." },
         EventInfo { EventId::TaskWaits, "TaskWaits", "A task stays queued; `reason` says what it waits for." },
         EventInfo { EventId::AttemptStarted, "AttemptStarted", "A worker reported that it runs the attempt." },
-        EventInfo { EventId::AttemptEnded, "AttemptEnded", "An attempt ended; `outcome` says how." },
+        EventInfo { EventId::AttemptEnded, "AttemptEnded", "An attempt ended; `outcome` says how, and `effect` what that changed for its task, stage, occurrence and job (`attemptOver`: nothing; `ignored`: the attempt had ended before)." },
         EventInfo { EventId::TaskCancelled, "TaskCancelled", "A task was cancelled." },
         EventInfo { EventId::WorkerJoined, "WorkerJoined", "A worker announced itself." },
         EventInfo { EventId::WorkerLost, "WorkerLost", "A worker's lease and drift margin passed; its attempts count as ended." },
--- a/cornelpond/core/jobs/JobTable.cpp
+++ b/cornelpond/core/jobs/JobTable.cpp
@@ -73,6 +73,29 @@
         return job;
     }
 
+    /// False when the attempt is not live.
+    bool removeLiveAttempt(JobRecord& job, StageRecord& stage, CommitEnd const& end)
+    {
+        TaskRecord& task = stage.tasks[end.task.index];
+        auto const attempt = std::find(task.liveAttempts.begin(), task.liveAttempts.end(), Attempt { end.attempt, end.worker });
+        if (attempt == task.liveAttempts.end())
+            return false;
+        task.liveAttempts.erase(attempt);
+        stage.waitingCount += task.isWaiting();
+        job.liveAttemptCount--;
+        return true;
+    }
+
+    void keepCheckpoint(StageSpec const& spec, StageRecord& stage, CommitEnd const& end)
+    {
+        if (end.checkpoint.empty())
+            return;
+        for (size_t i = 0; i < stage.tasks.size(); i++) {
+            if (spec.isGang || i == end.task.index)
+                stage.tasks[i].checkpoint = end.checkpoint;
+        }
+    }
+
     void write(ByteWriter& out, TaskRecord const& task)
     {
         out.number(task.lastAttempt.value());
@@ -185,6 +208,29 @@
     return "unknown";
 }
 
+std::string_view endEffectName(EndEffect effect)
+{
+    switch (effect) {
+    case EndEffect::Ignored:
+        return "ignored";
+    case EndEffect::AttemptOver:
+        return "attemptOver";
+    case EndEffect::FailureCounted:
+        return "failureCounted";
+    case EndEffect::JobFailed:
+        return "jobFailed";
+    case EndEffect::TaskDone:
+        return "taskDone";
+    case EndEffect::StageDone:
+        return "stageDone";
+    case EndEffect::OccurrenceDone:
+        return "occurrenceDone";
+    case EndEffect::JobCompleted:
+        return "jobCompleted";
+    }
+    return "unknown";
+}
+
 bool JobRecord::isStageReady(OccurrenceRecord const& occurrence, size_t stage) const
 {
     auto const& after = this->spec.stages[stage].dependsOn;
@@ -273,37 +319,31 @@
 {
     JobRecord* job = this->findMutable(end.task.job);
     StageRecord* stage = job ? stageOf(*job, end.task) : nullptr;
-    if (stage) {
-        TaskRecord& task = stage->tasks[end.task.index];
-        auto const attempt = std::find(task.liveAttempts.begin(), task.liveAttempts.end(), Attempt { end.attempt, end.worker });
-        if (attempt != task.liveAttempts.end()) {
-            task.liveAttempts.erase(attempt);
-            job->hasStarted |= isEndOfRun(end.end);
-            stage->waitingCount += task.isWaiting();
-            job->liveAttemptCount--;
-            StageSpec const& spec = job->spec.stages[end.task.stage];
-            if (!end.checkpoint.empty()) {
-                for (size_t i = 0; i < stage->tasks.size(); i++) {
-                    if (spec.isGang || i == end.task.index)
-                        stage->tasks[i].checkpoint = end.checkpoint;
-                }
-            }
-            if (end.end == AttemptEnd::Done && !spec.isService && job->state == JobState::Active)
-                this->finishTask(*job, job->occurrences.at(end.task.occurrence), end.task, wallMs);
-            else if (end.end == AttemptEnd::Failed && !spec.isService && job->state == JobState::Active)
-                this->countFailure(*job, *stage, end.task, wallMs);
-            this->dropFinishedRecords(*job);
-        } else if (end.end == AttemptEnd::Done && this->canFinishLate(end.task, end.attempt)) {
-            job->hasStarted = true;
-            this->finishTask(*job, job->occurrences.at(end.task.occurrence), end.task, wallMs);
-            this->dropFinishedRecords(*job);
-        }
-    }
+    EndEffect const effect = stage ? this->applyEnd(*job, *stage, end, wallMs) : EndEffect::Ignored;
     if (this->hooks.onEndApplied)
-        this->hooks.onEndApplied(end);
+        this->hooks.onEndApplied(end, effect);
+}
+
+EndEffect JobTable::applyEnd(JobRecord& job, StageRecord& stage, CommitEnd const& end, int64_t wallMs)
+{
+    bool const wasLive = removeLiveAttempt(job, stage, end);
+    bool const isLateFinish = !wasLive && end.end == AttemptEnd::Done && this->canFinishLate(end.task, end.attempt);
+    if (!wasLive && !isLateFinish)
+        return EndEffect::Ignored;
+    job.hasStarted |= isEndOfRun(end.end);
+    if (wasLive)
+        keepCheckpoint(job.spec.stages[end.task.stage], stage, end);
+    EndEffect effect = EndEffect::AttemptOver;
+    bool const counts = job.state == JobState::Active && !job.spec.stages[end.task.stage].isService;
+    if (counts && end.end == AttemptEnd::Done)
+        effect = this->finishTask(job, job.occurrences.at(end.task.occurrence), end.task, wallMs);
+    else if (counts && end.end == AttemptEnd::Failed)
+        effect = this->countFailure(job, stage, end.task, wallMs);
+    this->dropFinishedRecords(job);
+    return effect;
 }
 
-void JobTable::finishTask(JobRecord& job, OccurrenceRecord& occurrence, TaskRef const& task, int64_t wallMs)
+EndEffect JobTable::finishTask(JobRecord& job, OccurrenceRecord& occurrence, TaskRef const& task, int64_t wallMs)
 {
     StageRecord& stage = occurrence.stages[task.stage];
     bool const isGang = job.spec.stages[task.stage].isGang;
@@ -316,24 +356,27 @@
         stage.doneCount++;
     }
     if (!stage.isDone())
-        return;
+        return EndEffect::TaskDone;
     bool const isOver = std::all_of(occurrence.stages.begin(), occurrence.stages.end(), [](auto const& each) { return each.isDone(); });
     if (isOver) {
         job.occurrencesDone++;
         uint32_t const all = std::max(job.spec.schedule.occurrences, 1U);
         if (job.occurrencesDone == all) {
             this->endJob(job, JobState::Completed, wallMs);
-            return;
+            return EndEffect::JobCompleted;
         }
     }
     this->notifyJobChanged(job);
+    return isOver ? EndEffect::OccurrenceDone : EndEffect::StageDone;
 }
 
-void JobTable::countFailure(JobRecord& job, StageRecord& stage, TaskRef const& task, int64_t wallMs)
+EndEffect JobTable::countFailure(JobRecord& job, StageRecord& stage, TaskRef const& task, int64_t wallMs)
 {
     uint32_t const failures = job.spec.stages[task.stage].isGang ? ++stage.gangFailures : ++stage.tasks[task.index].failures;
-    if (failures >= job.maxAttempts)
-        this->endJob(job, JobState::Failed, wallMs);
+    if (failures < job.maxAttempts)
+        return EndEffect::FailureCounted;
+    this->endJob(job, JobState::Failed, wallMs);
+    return EndEffect::JobFailed;
 }
 
 void JobTable::applyUpdate(OpenOccurrence const& open, int64_t)
--- a/cornelpond/core/jobs/JobTable.h
+++ b/cornelpond/core/jobs/JobTable.h
@@ -82,11 +82,26 @@
     bool isStageReady(OccurrenceRecord const& occurrence, size_t stage) const;
 };
 
+/// What the end of an attempt changed.
+enum class EndEffect : uint8_t {
+    Ignored, ///< Nothing: the attempt was not live, and did not finish its task late.
+    AttemptOver, ///< The attempt is no longer live; nothing else changed.
+    FailureCounted, ///< One more failure of the task, or of the gang.
+    JobFailed,
+    TaskDone,
+    StageDone,
+    OccurrenceDone,
+    JobCompleted,
+};
+
+/// Name for logs, such as "stageDone".
+std::string_view endEffectName(EndEffect effect);
+
 /// Called while commands are applied. Unset hooks are skipped.
 struct JobTableHooks {
     std::function<void(CommitStart const&)> onStartApplied;
     std::function<void(CommitStart const&)> onStartRefused; ///< The start did not apply any more.
-    std::function<void(CommitEnd const&)> onEndApplied; ///< Also when the attempt was no longer live.
+    std::function<void(CommitEnd const&, EndEffect)> onEndApplied; ///< Also when the attempt was no longer live.
     std::function<void(JobRecord const&)> onJobChanged; ///< It was submitted or ended, a stage is done or an occurrence was opened.
     std::function<void(JobId const&)> onJobRemoved;
 };
@@ -152,8 +167,9 @@
     void applyUpdate(RemoveJob const& remove, int64_t wallMs);
     void applyUpdate(MarkBegun const& mark, int64_t wallMs);
     bool startIfAllowed(CommitStart const& start);
-    void finishTask(JobRecord& job, OccurrenceRecord& occurrence, TaskRef const& task, int64_t wallMs);
-    void countFailure(JobRecord& job, StageRecord& stage, TaskRef const& task, int64_t wallMs);
+    EndEffect applyEnd(JobRecord& job, StageRecord& stage, CommitEnd const& end, int64_t wallMs);
+    EndEffect finishTask(JobRecord& job, OccurrenceRecord& occurrence, TaskRef const& task, int64_t wallMs);
+    EndEffect countFailure(JobRecord& job, StageRecord& stage, TaskRef const& task, int64_t wallMs);
     void endJob(JobRecord& job, JobState state, int64_t wallMs);
     void dropFinishedRecords(JobRecord& job);
     void notifyJobChanged(JobRecord const& job) const;
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -91,7 +91,7 @@
         this->dispatch.onStartRefused(start);
         this->callForPass();
     };
-    hooks.onEndApplied = [this](CommitEnd const& end) { this->onEndApplied(end); };
+    hooks.onEndApplied = [this](CommitEnd const& end, EndEffect effect) { this->onEndApplied(end, effect); };
     hooks.onJobChanged = [this](JobRecord const& job) { this->onJobChanged(job); };
     return hooks;
 }
@@ -247,6 +247,8 @@
                           .with("state", std::string(jobStateName(job.state)))
                           .with("lastedMs", lasted)
                           .with("objectiveMs", active.objective.latencyObjective)
+                          .with("occurrences", std::max(job.spec.schedule.occurrences, 1U))
+                          .with("occurrencesOpened", job.occurrencesOpened)
                           .with("tasks", progress.size.taskCount)
                           .with("coreMs", progress.size.coreMs)
                           .with("taskMilliCores", progress.size.largestTaskMilliCores)
@@ -282,7 +284,7 @@
     this->dispatch.onStartApplied(start);
 }
 
-void JobScheduler::onEndApplied(CommitEnd const& end)
+void JobScheduler::onEndApplied(CommitEnd const& end, EndEffect effect)
 {
     if (!this->dispatch.isLeading())
         return;
@@ -291,6 +293,7 @@
                           .with("attempt", end.attempt)
                           .with("worker", end.worker)
                           .with("outcome", std::string(attemptEndName(end.end)))
+                          .with("effect", std::string(endEffectName(effect)))
                           .with("checkpoint", end.checkpoint));
     this->schedulerCounters.attemptEnds[end.end]++;
     this->expectedEnds.onApplied(end);
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -158,7 +158,7 @@
     DispatcherHooks dispatcherHooks();
     void onJobChanged(JobRecord const& job);
     void onStartApplied(CommitStart const& start);
-    void onEndApplied(CommitEnd const& end);
+    void onEndApplied(CommitEnd const& end, EndEffect effect);
     void expectJob(SubmitJob const& command, QueueSpec const& queue);
     std::optional<Duration> refusalFor(JobSpec const& job, QueueSpec const& queue) const;
     bool isCancelledWithoutRecord(JobId const& id) const;
