Count the end of a task once, however many of its attempts end as done

Accepted work is lost.

Cause: JobTable applied each end of a live attempt as done to the task, also when the other attempt had finished it. finishTask() found the stage and the occurrence done, counted the occurrence again, and at two of two completed the job.

Now one place decides what an end may change: only the end of a task that is not done reaches the stage, the occurrence and the job. That holds for every caller of the table, as a task goes from not done to done once and is never taken back.

--- a/cornelpond/core/jobs/JobTable.cpp
+++ b/cornelpond/core/jobs/JobTable.cpp
@@ -331,18 +331,25 @@
     if (!wasLive && !isLateFinish)
         return EndEffect::Ignored;
     job.hasStarted |= isEndOfRun(end.end);
-    if (wasLive)
-        keepCheckpoint(job.spec.stages[end.task.stage], stage, end);
-    EndEffect effect = EndEffect::AttemptOver;
-    bool const counts = job.state == JobState::Active && !job.spec.stages[end.task.stage].isService;
-    if (counts && end.end == AttemptEnd::Done)
-        effect = this->finishTask(job, job.occurrences.at(end.task.occurrence), end.task, wallMs);
-    else if (counts && end.end == AttemptEnd::Failed)
-        effect = this->countFailure(job, stage, end.task, wallMs);
+    bool const isOpen = job.state == JobState::Active && !stage.tasks[end.task.index].isDone;
+    EndEffect const effect = isOpen ? this->applyEndOfOpenTask(job, stage, end, wallMs) : EndEffect::AttemptOver;
     this->dropFinishedRecords(job);
     return effect;
 }
 
+/// A task is done once: the ends that come later, of its other attempt or of the other members of its gang, must not reach the
+/// stage, the occurrence or the job.
+EndEffect JobTable::applyEndOfOpenTask(JobRecord& job, StageRecord& stage, CommitEnd const& end, int64_t wallMs)
+{
+    StageSpec const& spec = job.spec.stages[end.task.stage];
+    keepCheckpoint(spec, stage, end);
+    if (end.end == AttemptEnd::Done && !spec.isService)
+        return this->finishTask(job, job.occurrences.at(end.task.occurrence), end.task, wallMs);
+    if (end.end == AttemptEnd::Failed && !spec.isService)
+        return this->countFailure(job, stage, end.task, wallMs);
+    return EndEffect::AttemptOver;
+}
+
 EndEffect JobTable::finishTask(JobRecord& job, OccurrenceRecord& occurrence, TaskRef const& task, int64_t wallMs)
 {
     StageRecord& stage = occurrence.stages[task.stage];
--- a/cornelpond/core/jobs/JobTable.h
+++ b/cornelpond/core/jobs/JobTable.h
@@ -168,6 +168,7 @@
     void applyUpdate(MarkBegun const& mark, int64_t wallMs);
     bool startIfAllowed(CommitStart const& start);
     EndEffect applyEnd(JobRecord& job, StageRecord& stage, CommitEnd const& end, int64_t wallMs);
+    EndEffect applyEndOfOpenTask(JobRecord& job, StageRecord& stage, CommitEnd const& end, int64_t wallMs);
     EndEffect finishTask(JobRecord& job, OccurrenceRecord& occurrence, TaskRef const& task, int64_t wallMs);
     EndEffect countFailure(JobRecord& job, StageRecord& stage, TaskRef const& task, int64_t wallMs);
     void endJob(JobRecord& job, JobState state, int64_t wallMs);
--- /dev/null
+++ b/cornelpond/core/jobs/JobTableTest.cpp
@@ -0,0 +1,97 @@
+#include "cornelpond/core/jobs/JobTable.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cornelpond;
+
+namespace {
+
+constexpr uint32_t maxAttempts = 3;
+
+StageSpec stageOf(uint32_t tasks, std::vector<uint32_t> dependsOn = {})
+{
+    StageSpec stage;
+    stage.taskCount = tasks;
+    stage.dependsOn = std::move(dependsOn);
+    return stage;
+}
+
+StageSpec copyableStage(uint32_t tasks)
+{
+    StageSpec stage = stageOf(tasks);
+    stage.allowsSpeculativeCopies = true;
+    return stage;
+}
+
+/// A table with one job.
+class OneJob {
+public:
+    /// All `occurrences` are opened at once; 0: the job has no schedule.
+    OneJob(std::vector<StageSpec> stages, uint32_t occurrences)
+    {
+        QueueConfig config;
+        config.version = ConfigVersion(1);
+        QueueSpec queue;
+        queue.name = QueueId("plans");
+        queue.maxAttempts = maxAttempts;
+        config.queues = { queue };
+        this->queues.replace(config);
+        JobSpec spec;
+        spec.id = this->id;
+        spec.stages = std::move(stages);
+        spec.schedule.occurrences = occurrences;
+        this->jobs.apply(JobCommand(SubmitJob { spec, queue.name, 1 }), this->queues);
+        for (uint32_t i = 0; i < occurrences; i++)
+            this->apply({ OpenOccurrence { this->id, i } });
+    }
+
+    void apply(std::vector<TaskUpdate> updates) { this->jobs.apply(JobCommand(UpdateTasks { std::move(updates), 2 }), this->queues); }
+
+    CommitStart start(uint32_t occurrence, uint32_t stage, uint32_t index, uint64_t attempt) const
+    {
+        return { { this->id, occurrence, stage, index }, AttemptNumber(attempt), WorkerId("w" + std::to_string(attempt)) };
+    }
+
+    static CommitEnd end(CommitStart const& start, AttemptEnd how) { return { start.task, start.attempt, start.worker, how, std::string() }; }
+
+    /// Starts and ends all tasks of the stage in their first attempt.
+    void finish(uint32_t occurrence, uint32_t stage)
+    {
+        std::vector<TaskUpdate> ends;
+        for (uint32_t index = 0; index < this->job().spec.stages[stage].taskCount; index++) {
+            CommitStart const started = this->start(occurrence, stage, index, 1);
+            this->apply({ started });
+            ends.emplace_back(end(started, AttemptEnd::Done));
+        }
+        this->apply(ends);
+    }
+
+    JobRecord const& job() const { return *this->jobs.find(this->id); }
+    JobState state() const { return this->job().state; }
+
+    JobId const id { "rounds" };
+    QueueTable queues;
+    JobTable jobs;
+};
+
+} // namespace
+
+// Failure: a second attempt that ended as done counted its occurrence again, so that the job was completed before its last occurrence.
+TEST_CASE("an occurrence counts once though two attempts of its task end as done")
+{
+    OneJob each({ copyableStage(1) }, 2);
+    CommitStart const first = each.start(0, 0, 0, 1);
+    CommitStart const copy = each.start(0, 0, 0, 2);
+    each.apply({ first, copy });
+    bool const endsInOneCommand = GENERATE(true, false);
+    if (endsInOneCommand) {
+        each.apply({ OneJob::end(first, AttemptEnd::Done), OneJob::end(copy, AttemptEnd::Done) });
+    } else {
+        each.apply({ OneJob::end(first, AttemptEnd::Lost) });
+        for (CommitStart const& late : { first, first, copy })
+            each.apply({ OneJob::end(late, AttemptEnd::Done) });
+    }
+    CHECK(each.state() == JobState::Active);
+    each.finish(1, 0);
+    CHECK(each.state() == JobState::Completed);
+}
--- /dev/null
+++ b/cornelpond/core/scheduling/RepeatedEndsTest.cpp
@@ -0,0 +1,42 @@
+// Ends that are reported more than once: by two attempts of a task, or by each member of a gang.
+
+#include "testing/fakes/JobBench.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cornelpond;
+
+namespace {
+
+constexpr Duration second = Duration::seconds(1);
+
+JobSpec makeScheduledJob(JobBench const& bench, uint32_t tasks, uint32_t occurrences)
+{
+    JobSpec job = makeJob("rounds", tasks, 1000, Duration::milliseconds(700));
+    job.schedule = { bench.clock.wallMilliseconds() + 1000, second * 6, occurrences };
+    return job;
+}
+
+} // namespace
+
+// Failure: the run of a worker that was cut off counted its occurrence again, and the second one never ran (review/11).
+TEST_CASE("all occurrences run though a copy ends before the attempt of a worker that was cut off")
+{
+    JobBench bench(1);
+    bench.addWorkers(8, 16000);
+    JobSpec job = makeScheduledJob(bench, 1, 2);
+    job.stages[0].allowsSpeculativeCopies = true;
+    bench.submit(job);
+    while (!bench.fleet.runningCount(job.id))
+        bench.run(Duration::milliseconds(100));
+    WorkerId const worker = bench.find(job.id)->occurrences.at(0).stages[0].tasks[0].liveAttempts.front().worker;
+    bench.fleet.setCut(worker, true);
+    bench.run(Duration::milliseconds(2700));
+    bench.fleet.setCut(worker, false);
+    bench.run(second);
+    REQUIRE(bench.fleet.record().starts == 2);
+    CHECK(bench.state(job.id) == JobState::Active);
+    REQUIRE(bench.runUntilIdle(second * 10));
+    CHECK(bench.state(job.id) == JobState::Completed);
+    CHECK(bench.fleet.record().starts == 3);
+}
