Test that a gang's occurrences each run

Callers saw, without any disruption: a scheduled job whose stage is a gang is shown as completed after its first occurrences (a gang of four with three occurrences after the first), and the others never run.

The end of one member stands for all, so the first one finished the stage; the ends of the other members, which are live attempts too, each counted the occurrence again.

A gang that another stage waits for was not affected: its further ends come before that stage is done.

--- a/cornelpond/core/jobs/JobTableTest.cpp
+++ b/cornelpond/core/jobs/JobTableTest.cpp
@@ -23,6 +23,13 @@
     return stage;
 }
 
+StageSpec gangStage(uint32_t tasks)
+{
+    StageSpec stage = stageOf(tasks);
+    stage.isGang = true;
+    return stage;
+}
+
 /// A table with one job.
 class OneJob {
 public:
@@ -95,3 +102,27 @@
     each.finish(1, 0);
     CHECK(each.state() == JobState::Completed);
 }
+
+// Failure: each member of a gang counted the occurrence, so that the job was completed after the first occurrences.
+TEST_CASE("an occurrence counts once though each member of its gang ends as done")
+{
+    OneJob each({ gangStage(4) }, 3);
+    for (uint32_t const occurrence : { 1, 0, 2 }) {
+        CHECK(each.state() == JobState::Active);
+        each.finish(occurrence, 0);
+    }
+    CHECK(each.state() == JobState::Completed);
+}
+
+// Failure: as above.
+TEST_CASE("a gang counts once where another stage waits for it or ends before it")
+{
+    bool const waits = GENERATE(true, false);
+    OneJob each({ gangStage(4), stageOf(2, waits ? std::vector<uint32_t> { 0 } : std::vector<uint32_t>()) }, 2);
+    for (uint32_t const occurrence : { 0, 1 }) {
+        each.finish(occurrence, waits ? 0 : 1);
+        CHECK(each.state() == JobState::Active);
+        each.finish(occurrence, waits ? 1 : 0);
+    }
+    CHECK(each.state() == JobState::Completed);
+}
--- a/cornelpond/core/scheduling/RepeatedEndsTest.cpp
+++ b/cornelpond/core/scheduling/RepeatedEndsTest.cpp
@@ -40,3 +40,20 @@
     CHECK(bench.state(job.id) == JobState::Completed);
     CHECK(bench.fleet.record().starts == 3);
 }
+
+// Failure: the job was completed after the first occurrences, as each member counted one.
+TEST_CASE("all occurrences of a gang run, also under another leader")
+{
+    JobBench bench(2);
+    bench.addWorkers(8, 16000);
+    JobSpec job = makeScheduledJob(bench, 4, 3);
+    job.stages[0].isGang = true;
+    bench.submit(job);
+    bench.run(second * 3);
+    REQUIRE(bench.fleet.record().starts == 4);
+    CHECK(bench.state(job.id) == JobState::Active);
+    bench.elect(1);
+    REQUIRE(bench.runUntilIdle(second * 20));
+    CHECK(bench.state(job.id) == JobState::Completed);
+    CHECK(bench.fleet.record().starts == 12);
+}
