Test that a failure does not count once the task is done

Callers would have seen: a job shown as failed though all its tasks end as done. The table counted the failure of the other attempt, or of another member of a gang, also after the task was done, while another occurrence or stage kept the job active.

Not seen with workers: a copy starts only two failures below the limit, so that it takes a limit which a configuration lowers meanwhile; the members of a gang end as done together.

--- a/cornelpond/core/jobs/JobTableTest.cpp
+++ b/cornelpond/core/jobs/JobTableTest.cpp
@@ -126,3 +126,26 @@
     }
     CHECK(each.state() == JobState::Completed);
 }
+
+// Failure: a failure that came after the end as done counted, and the job was shown as failed.
+TEST_CASE("a failure of another attempt or of another member of a gang does not count once the task is done")
+{
+    OneJob copyable({ copyableStage(1) }, 2);
+    for (uint64_t attempt = 1; attempt < maxAttempts; attempt++)
+        copyable.apply({ copyable.start(0, 0, 0, attempt), OneJob::end(copyable.start(0, 0, 0, attempt), AttemptEnd::Failed) });
+    CommitStart const first = copyable.start(0, 0, 0, maxAttempts);
+    CommitStart const copy = copyable.start(0, 0, 0, maxAttempts + 1);
+    copyable.apply({ first, copy, OneJob::end(first, AttemptEnd::Done), OneJob::end(copy, AttemptEnd::Failed) });
+    CHECK(copyable.state() == JobState::Active);
+    copyable.finish(1, 0);
+    CHECK(copyable.state() == JobState::Completed);
+
+    OneJob gang({ gangStage(1 + maxAttempts) }, 2);
+    for (uint32_t index = 0; index <= maxAttempts; index++)
+        gang.apply({ gang.start(0, 0, index, 1) });
+    for (uint32_t index = 0; index <= maxAttempts; index++)
+        gang.apply({ OneJob::end(gang.start(0, 0, index, 1), index ? AttemptEnd::Failed : AttemptEnd::Done) });
+    CHECK(gang.state() == JobState::Active);
+    gang.finish(1, 0);
+    CHECK(gang.state() == JobState::Completed);
+}
