Derive the occurrences done from the records instead of counting them

An occurrence is done when it was opened and no record of it is left, or its record's stages are all done; so the number follows from the records, and a job can be completed only once all its occurrences are opened and done.

Hosts of two versions, while they are restarted in turn: both apply the same log, so that a job whose ends were counted twice is completed for the earlier version and active for this one. What is shown follows the leader. Under a leader of the earlier version the job is shown as completed, its attempts are stopped, and its removal is ignored by hosts of this version; the first leader of this version shows it as running again, and opens the occurrences that are missing, late. No start is sent for what the log says is done, so that nothing runs twice while each host is restarted once. A former leader of this version is the exception: if one of the earlier version takes over from it, acknowledges ends of the job without a commit, and this version leads again, such a task runs once more. Left as it is, as a table cannot know what another version concludes.

--- a/cornelpond/core/base/Event.h
+++ b/cornelpond/core/base/Event.h
@@ -95,6 +95,7 @@
     PermitsAnswered = 366,
     PermitsExhausted = 367,
     JobBegan = 368,
+    JobEndedEarly = 369,
     LeaderElected = 400,
     LeaderLost = 401,
     JournalOpened = 402,
--- a/cornelpond/core/jobs/JobTable.cpp
+++ b/cornelpond/core/jobs/JobTable.cpp
@@ -27,6 +27,11 @@
         }
     }
 
+    bool hasLiveAttempt(StageRecord const& stage)
+    {
+        return std::any_of(stage.tasks.begin(), stage.tasks.end(), [](TaskRecord const& task) { return !task.liveAttempts.empty(); });
+    }
+
     OccurrenceRecord newOccurrence(JobSpec const& spec)
     {
         OccurrenceRecord occurrence;
@@ -155,7 +160,7 @@
         out.number(static_cast<uint64_t>(job.acceptedWallMs));
         out.number(static_cast<uint64_t>(job.endedWallMs));
         out.number(job.occurrencesOpened);
-        out.number(job.occurrencesDone);
+        out.number(job.occurrencesDone()); // Earlier versions count on from it.
         out.number(job.liveAttemptCount);
         out.number(job.occurrences.size());
         for (auto const& [number, occurrence] : job.occurrences) {
@@ -179,7 +184,7 @@
         job.acceptedWallMs = static_cast<int64_t>(in.number());
         job.endedWallMs = static_cast<int64_t>(in.number());
         job.occurrencesOpened = static_cast<uint32_t>(in.number());
-        job.occurrencesDone = static_cast<uint32_t>(in.number());
+        in.number(); // The occurrences done; earlier versions may have counted some twice.
         job.liveAttemptCount = static_cast<uint32_t>(in.number());
         for (uint64_t remaining = in.number(); remaining; remaining--) {
             auto const number = static_cast<uint32_t>(in.number());
@@ -231,6 +236,17 @@
     return "unknown";
 }
 
+bool OccurrenceRecord::isDone() const
+{
+    return std::all_of(this->stages.begin(), this->stages.end(), [](StageRecord const& stage) { return stage.isDone(); });
+}
+
+uint32_t JobRecord::occurrencesDone() const
+{
+    auto const isOpen = [](auto const& entry) { return !entry.second.isDone(); };
+    return this->occurrencesOpened - static_cast<uint32_t>(std::count_if(this->occurrences.begin(), this->occurrences.end(), isOpen));
+}
+
 bool JobRecord::isStageReady(OccurrenceRecord const& occurrence, size_t stage) const
 {
     auto const& after = this->spec.stages[stage].dependsOn;
@@ -364,17 +380,13 @@
     }
     if (!stage.isDone())
         return EndEffect::TaskDone;
-    bool const isOver = std::all_of(occurrence.stages.begin(), occurrence.stages.end(), [](auto const& each) { return each.isDone(); });
-    if (isOver) {
-        job.occurrencesDone++;
-        uint32_t const all = std::max(job.spec.schedule.occurrences, 1U);
-        if (job.occurrencesDone == all) {
-            this->endJob(job, JobState::Completed, wallMs);
-            return EndEffect::JobCompleted;
-        }
+    if (job.occurrencesDone() == job.occurrenceCount()) {
+        this->endJob(job, JobState::Completed, wallMs);
+        return EndEffect::JobCompleted;
     }
+    EndEffect const effect = occurrence.isDone() ? EndEffect::OccurrenceDone : EndEffect::StageDone;
     this->notifyJobChanged(job);
-    return isOver ? EndEffect::OccurrenceDone : EndEffect::StageDone;
+    return effect;
 }
 
 EndEffect JobTable::countFailure(JobRecord& job, StageRecord& stage, TaskRef const& task, int64_t wallMs)
@@ -432,9 +444,7 @@
         return;
     }
     for (auto at = job.occurrences.begin(); at != job.occurrences.end();) {
-        bool const isOver = std::all_of(at->second.stages.begin(), at->second.stages.end(), [](StageRecord const& stage) {
-            return stage.isDone() && std::all_of(stage.tasks.begin(), stage.tasks.end(), [](auto const& task) { return task.liveAttempts.empty(); });
-        });
+        bool const isOver = at->second.isDone() && std::none_of(at->second.stages.begin(), at->second.stages.end(), hasLiveAttempt);
         at = isOver ? job.occurrences.erase(at) : std::next(at);
     }
 }
--- a/cornelpond/core/jobs/JobTable.h
+++ b/cornelpond/core/jobs/JobTable.h
@@ -14,6 +14,7 @@
 #include "cornelpond/core/jobs/JobCommand.h"
 #include "cornelpond/core/jobs/QueueTable.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <string_view>
@@ -61,6 +62,8 @@
 /// One run through a job's stages.
 struct OccurrenceRecord {
     std::vector<StageRecord> stages;
+
+    bool isDone() const;
 };
 
 struct JobRecord {
@@ -74,10 +77,13 @@
     int64_t acceptedWallMs = 0;
     int64_t endedWallMs = 0;
     uint32_t occurrencesOpened = 0;
-    uint32_t occurrencesDone = 0;
     uint32_t liveAttemptCount = 0;
     std::map<uint32_t, OccurrenceRecord> occurrences; ///< Opened ones; dropped once they are done and without live attempts.
 
+    /// The number of occurrences that the job asks for: 1 without a schedule.
+    uint32_t occurrenceCount() const { return std::max(this->spec.schedule.occurrences, 1U); }
+    /// The opened occurrences that are done. Of an active job; the records of others may have been dropped.
+    uint32_t occurrencesDone() const;
     /// True when all stages that the stage depends on are done.
     bool isStageReady(OccurrenceRecord const& occurrence, size_t stage) const;
 };
--- a/cornelpond/core/jobs/JobTableTest.cpp
+++ b/cornelpond/core/jobs/JobTableTest.cpp
@@ -149,3 +149,22 @@
     gang.finish(1, 0);
     CHECK(gang.state() == JobState::Completed);
 }
+
+// Failure: an earlier version counted an occurrence twice and left the count in a snapshot, so that the last one would never run.
+TEST_CASE("a snapshot that counts too many occurrences as done does not end the job early")
+{
+    OneJob each({ gangStage(4) }, 3);
+    each.finish(0, 0);
+    std::string snapshot = each.jobs.takeSnapshot();
+    std::string const counted("\3\1\0\2", 4); // Occurrences opened and done, live attempts, records.
+    size_t const at = snapshot.find(counted);
+    REQUIRE(at != std::string::npos);
+    REQUIRE(snapshot.find(counted, at + 1) == std::string::npos);
+    snapshot[at + 1] = 2;
+    each.jobs.restore(snapshot);
+    each.finish(1, 0);
+    CHECK(each.state() == JobState::Active);
+    each.apply({ RemoveJob { each.id } }); // By a leader of the earlier version, for which the job has ended.
+    each.finish(2, 0);
+    CHECK(each.state() == JobState::Completed);
+}
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -192,6 +192,8 @@
     for (auto const& [id, job] : this->jobTable.all()) {
         if (job.state == JobState::Active)
             this->activeJob(job);
+        else if (job.state == JobState::Completed && job.occurrencesOpened < job.occurrenceCount())
+            this->events.emit(Event(EventId::JobEndedEarly).with("job", id).with("opened", job.occurrencesOpened).with("occurrences", job.occurrenceCount()));
     }
     this->isPassNeeded = true;
 }
@@ -247,7 +249,7 @@
                           .with("state", std::string(jobStateName(job.state)))
                           .with("lastedMs", lasted)
                           .with("objectiveMs", active.objective.latencyObjective)
-                          .with("occurrences", std::max(job.spec.schedule.occurrences, 1U))
+                          .with("occurrences", job.occurrenceCount())
                           .with("occurrencesOpened", job.occurrencesOpened)
                           .with("tasks", progress.size.taskCount)
                           .with("coreMs", progress.size.coreMs)
--- a/cornelpond/core/scheduling/RepeatedEndsTest.cpp
+++ b/cornelpond/core/scheduling/RepeatedEndsTest.cpp
@@ -57,3 +57,22 @@
     CHECK(bench.state(job.id) == JobState::Completed);
     CHECK(bench.fleet.record().starts == 12);
 }
+
+TEST_CASE("a new leader reports a job that an earlier version completed before its last occurrence")
+{
+    JobBench bench(3);
+    bench.addWorkers(1, 16000);
+    JobSpec job = makeScheduledJob(bench, 1, 1);
+    job.schedule = { 300, Duration(), 1 };
+    bench.submit(job);
+    REQUIRE(bench.runUntilIdle(second * 3));
+    std::string snapshot = bench.leader().scheduler().takeJobSnapshot();
+    std::string const schedule("\xac\2\0\1", 4); // 300, 0 and 1 as varints.
+    size_t const at = snapshot.find(schedule);
+    REQUIRE(at != std::string::npos);
+    snapshot[at + 3] = 2;
+    bench.services[1]->scheduler().restoreJobs(snapshot);
+    bench.elect(1);
+    CHECK(bench.events.count(EventId::JobEndedEarly) == 1);
+    CHECK(bench.state(job.id) == JobState::Completed);
+}
