--- a/cornelpond/core/jobs/JobTableTest.cpp
+++ b/cornelpond/core/jobs/JobTableTest.cpp
@@ -163,7 +163,7 @@
     snapshot[at + 1] = 2;
     each.jobs.restore(snapshot);
     each.finish(1, 0);
-    CHECK(each.state() == JobState::Active);
+    REQUIRE(each.state() == JobState::Active);
     each.apply({ RemoveJob { each.id } }); // By a leader of the earlier version, for which the job has ended.
     each.finish(2, 0);
     CHECK(each.state() == JobState::Completed);
