Count one failure for an attempt of a gang, however many members fail

Cause: countFailure() raised the gang's failures for each member that ended as failed. The members share the number of their attempt, and they start again only once all of them have ended; so the latest attempt that was counted tells a first failure from a further one.

core_job_table_test and core_repeated_ends_test: without the change the gang is failed after the first attempt, with 4 starts instead of 12.

--- a/cornelpond/core/jobs/JobTable.cpp
+++ b/cornelpond/core/jobs/JobTable.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+    /// In snapshots the number of a gang's failures takes the lower bits, which are all that earlier versions read, and the latest
+    /// failed attempt the others.
+    constexpr unsigned gangFailureBits = 32;
     constexpr size_t maxAttemptsWithCopies = 2; ///< Live attempts of one task when speculative copies are allowed.
 
     /// The stage that the task belongs to, or null when there is no such task.
@@ -130,7 +133,7 @@
 
     void write(ByteWriter& out, StageRecord const& stage)
     {
-        out.number(stage.gangFailures);
+        out.number(stage.gangFailures | stage.lastGangFailure.value() << gangFailureBits);
         out.number(stage.tasks.size());
         for (auto const& task : stage.tasks)
             write(out, task);
@@ -139,7 +142,9 @@
     StageRecord readStage(ByteReader& in)
     {
         StageRecord stage;
-        stage.gangFailures = static_cast<uint32_t>(in.number());
+        uint64_t const failures = in.number();
+        stage.gangFailures = static_cast<uint32_t>(failures);
+        stage.lastGangFailure = AttemptNumber(failures >> gangFailureBits);
         for (uint64_t remaining = in.number(); remaining; remaining--) {
             stage.tasks.push_back(readTask(in));
             stage.doneCount += stage.tasks.back().isDone;
@@ -362,7 +367,7 @@
     if (end.end == AttemptEnd::Done && !spec.isService)
         return this->finishTask(job, job.occurrences.at(end.task.occurrence), end.task, wallMs);
     if (end.end == AttemptEnd::Failed && !spec.isService)
-        return this->countFailure(job, stage, end.task, wallMs);
+        return this->countFailure(job, stage, end, wallMs);
     return EndEffect::AttemptOver;
 }
 
@@ -389,9 +394,15 @@
     return effect;
 }
 
-EndEffect JobTable::countFailure(JobRecord& job, StageRecord& stage, TaskRef const& task, int64_t wallMs)
+EndEffect JobTable::countFailure(JobRecord& job, StageRecord& stage, CommitEnd const& end, int64_t wallMs)
 {
-    uint32_t const failures = job.spec.stages[task.stage].isGang ? ++stage.gangFailures : ++stage.tasks[task.index].failures;
+    bool const isGang = job.spec.stages[end.task.stage].isGang;
+    // Several members may fail in one attempt, which is one failure of the gang.
+    if (isGang && end.attempt <= stage.lastGangFailure)
+        return EndEffect::AttemptOver;
+    if (isGang)
+        stage.lastGangFailure = end.attempt;
+    uint32_t const failures = isGang ? ++stage.gangFailures : ++stage.tasks[end.task.index].failures;
     if (failures < job.maxAttempts)
         return EndEffect::FailureCounted;
     this->endJob(job, JobState::Failed, wallMs);
--- a/cornelpond/core/jobs/JobTable.h
+++ b/cornelpond/core/jobs/JobTable.h
@@ -54,7 +54,8 @@
     std::vector<TaskRecord> tasks;
     uint32_t doneCount = 0;
     uint32_t waitingCount = 0;
-    uint32_t gangFailures = 0;
+    uint32_t gangFailures = 0; ///< Failed attempts of the gang, however many members failed in each.
+    AttemptNumber lastGangFailure; ///< The latest attempt among them; zero: none.
 
     bool isDone() const { return this->doneCount == this->tasks.size(); }
 };
@@ -176,7 +177,7 @@
     EndEffect applyEnd(JobRecord& job, StageRecord& stage, CommitEnd const& end, int64_t wallMs);
     EndEffect applyEndOfOpenTask(JobRecord& job, StageRecord& stage, CommitEnd const& end, int64_t wallMs);
     EndEffect finishTask(JobRecord& job, OccurrenceRecord& occurrence, TaskRef const& task, int64_t wallMs);
-    EndEffect countFailure(JobRecord& job, StageRecord& stage, TaskRef const& task, int64_t wallMs);
+    EndEffect countFailure(JobRecord& job, StageRecord& stage, CommitEnd const& end, int64_t wallMs);
     void endJob(JobRecord& job, JobState state, int64_t wallMs);
     void dropFinishedRecords(JobRecord& job);
     void notifyJobChanged(JobRecord const& job) const;
--- a/cornelpond/core/jobs/JobTableTest.cpp
+++ b/cornelpond/core/jobs/JobTableTest.cpp
@@ -168,3 +168,19 @@
     each.finish(2, 0);
     CHECK(each.state() == JobState::Completed);
 }
+
+// Failure: each member that failed counted, so that a gang of four was shown as failed after one of three attempts (review/9).
+TEST_CASE("members of a gang that fail in one attempt are one failure, also across a snapshot")
+{
+    OneJob each({ gangStage(4) }, 0);
+    for (uint64_t attempt = 1; attempt <= maxAttempts; attempt++) {
+        CHECK(each.state() == JobState::Active);
+        for (uint32_t index = 0; index < 4; index++)
+            each.apply({ each.start(0, 0, index, attempt) });
+        for (uint32_t index = 0; index < 4; index++) {
+            each.apply({ OneJob::end(each.start(0, 0, index, attempt), AttemptEnd::Failed) });
+            each.jobs.restore(each.jobs.takeSnapshot());
+        }
+    }
+    CHECK(each.state() == JobState::Failed);
+}
--- a/cornelpond/core/scheduling/RepeatedEndsTest.cpp
+++ b/cornelpond/core/scheduling/RepeatedEndsTest.cpp
@@ -58,6 +58,22 @@
     CHECK(bench.fleet.record().starts == 12);
 }
 
+// Failure: each member that failed counted (review/9).
+TEST_CASE("a gang fails after as many attempts as its queue allows, though all members fail in each")
+{
+    JobBench bench(4);
+    bench.addWorkers(8, 16000);
+    FakeFleet::Faults failing;
+    failing.failureShare = 1;
+    bench.fleet.setFaults(failing);
+    JobSpec job = makeJob("gang", 4, 1000, Duration::milliseconds(700));
+    job.stages[0].isGang = true;
+    bench.submit(job);
+    REQUIRE(bench.runUntilIdle(second * 20));
+    CHECK(bench.state(job.id) == JobState::Failed);
+    CHECK(bench.fleet.record().starts == 4 * bench.queueOf(job).maxAttempts);
+}
+
 TEST_CASE("a new leader reports a job that an earlier version completed before its last occurrence")
 {
     JobBench bench(3);
