Count and learn from an attempt's end once

Operators would have seen: attemptsEnded counts an end for each time that the log holds its command (66 for 60 attempts in the new test). The stages that an end makes ready were looked for at each end, and members of a gang that is done were sent stops when another member's worker was lost.

The leader now goes by the effect of the end: counters leave out ends that changed nothing, run times are those of the end that finished its task, and stages are looked for after an end that finished one. An attempt that was concluded as lost and then finished its task late is still counted under both outcomes, as both were decided.

core_repeated_ends_test: 'the end of an attempt is counted once...' fails without the change (66 for 60).

--- a/cornelpond/core/jobs/JobTable.cpp
+++ b/cornelpond/core/jobs/JobTable.cpp
@@ -241,6 +241,11 @@
     return "unknown";
 }
 
+bool isTaskFinished(EndEffect effect)
+{
+    return effect >= EndEffect::TaskDone;
+}
+
 bool OccurrenceRecord::isDone() const
 {
     return std::all_of(this->stages.begin(), this->stages.end(), [](StageRecord const& stage) { return stage.isDone(); });
--- a/cornelpond/core/jobs/JobTable.h
+++ b/cornelpond/core/jobs/JobTable.h
@@ -104,6 +104,9 @@
 /// Name for logs, such as "stageDone".
 std::string_view endEffectName(EndEffect effect);
 
+/// True for the one end that made its task done.
+bool isTaskFinished(EndEffect effect);
+
 /// Called while commands are applied. Unset hooks are skipped.
 struct JobTableHooks {
     std::function<void(CommitStart const&)> onStartApplied;
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -297,12 +297,14 @@
                           .with("outcome", std::string(attemptEndName(end.end)))
                           .with("effect", std::string(endEffectName(effect)))
                           .with("checkpoint", end.checkpoint));
-    this->schedulerCounters.attemptEnds[end.end]++;
+    if (effect != EndEffect::Ignored)
+        this->schedulerCounters.attemptEnds[end.end]++;
     this->expectedEnds.onApplied(end);
     std::optional<TimePoint> const listedAt = this->steps.takeListed(end.task);
-    if (JobRecord const* job = this->jobTable.find(end.task.job); job && listedAt && end.end == AttemptEnd::Done)
-        this->noteReadyStages(*job, listedAt);
-    this->observeRunTime(end);
+    if (listedAt && effect == EndEffect::StageDone)
+        this->noteReadyStages(*this->jobTable.find(end.task.job), listedAt);
+    if (isTaskFinished(effect))
+        this->observeRunTime(end);
     this->dispatch.onEndApplied(end);
     this->noteServiceTaskEnd(end.task);
     this->stopRestOfGang(end);
@@ -326,15 +328,18 @@
     }
 }
 
+/// Of the end that finished the task: another attempt may have been cut off for a while, and the members of a gang end together.
 void JobScheduler::observeRunTime(CommitEnd const& end)
 {
     WorkerView* worker = this->dispatch.findWorker(end.worker);
     PlacedAttempt const* attempt = worker ? worker->find(end.task, end.attempt) : nullptr;
-    if (attempt && end.end == AttemptEnd::Done && !attempt->isThrottledStart && attempt->placedAt)
-        this->runTimes.observe(*attempt->stage, this->clock.now() - *attempt->placedAt);
-    bool const isActive = this->activeJobs.count(end.task.job);
-    if (attempt && end.end == AttemptEnd::Done && attempt->stage->allowsSpeculativeCopies && attempt->placedAt && isActive)
-        this->copies.onTaskDone(end.task, this->clock.now() - *attempt->placedAt);
+    if (!attempt || !attempt->placedAt)
+        return;
+    Duration const ran = this->clock.now() - *attempt->placedAt;
+    if (!attempt->isThrottledStart)
+        this->runTimes.observe(*attempt->stage, ran);
+    if (attempt->stage->allowsSpeculativeCopies && this->activeJobs.count(end.task.job))
+        this->copies.onTaskDone(end.task, ran);
 }
 
 /// Notes since when a service task that ran waits for a worker.
@@ -346,17 +351,17 @@
         this->serviceTaskEnds.try_emplace(task, this->clock.now());
 }
 
-/// A gang makes progress only with all its members: once one is gone, the others would wait in vain until they
+/// A gang that is not done makes progress only with all its members: once one is gone, the others would wait in vain until they
 /// time out.
 void JobScheduler::stopRestOfGang(CommitEnd const& end)
 {
-    JobRecord const* job = this->jobTable.find(end.task.job);
-    if (!job || end.end == AttemptEnd::Done || !job->spec.stages[end.task.stage].isGang)
+    TaskRecord const* record = this->jobTable.findTask(end.task);
+    if (!record || record->isDone)
         return;
-    auto const occurrence = job->occurrences.find(end.task.occurrence);
-    if (occurrence == job->occurrences.end())
+    JobRecord const& job = *this->jobTable.find(end.task.job);
+    if (!job.spec.stages[end.task.stage].isGang)
         return;
-    auto const& tasks = occurrence->second.stages[end.task.stage].tasks;
+    auto const& tasks = job.occurrences.at(end.task.occurrence).stages[end.task.stage].tasks;
     for (uint32_t index = 0; index < tasks.size(); index++) {
         for (auto const& attempt : tasks[index].liveAttempts) {
             TaskRef member = end.task;
--- a/cornelpond/core/scheduling/RepeatedEndsTest.cpp
+++ b/cornelpond/core/scheduling/RepeatedEndsTest.cpp
@@ -74,6 +74,21 @@
     CHECK(bench.fleet.record().starts == 4 * bench.queueOf(job).maxAttempts);
 }
 
+// Failure: the metric counted the end of an attempt for each time that the log holds it.
+TEST_CASE("the end of an attempt is counted once though its command was committed twice")
+{
+    JobBench bench(1);
+    bench.addWorkers(8, 16000);
+    constexpr int jobs = 60;
+    for (int i = 0; i < jobs; i++) {
+        bench.submit(makeJob("due" + std::to_string(i), 1, 1000, Duration::milliseconds(100)));
+        bench.run(Duration::milliseconds(50));
+    }
+    REQUIRE(bench.runUntilIdle(second * 5));
+    REQUIRE(bench.events.count(EventId::AttemptEnded) > jobs);
+    CHECK(bench.leader().scheduler().counters().attemptEnds.at(AttemptEnd::Done) == jobs);
+}
+
 TEST_CASE("a new leader reports a job that an earlier version completed before its last occurrence")
 {
     JobBench bench(3);
