--- a/cornelpond/core/jobs/JobTableTest.cpp
+++ b/cornelpond/core/jobs/JobTableTest.cpp
@@ -1,6 +1,10 @@
 #include "cornelpond/core/jobs/JobTable.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <array>
+#include <set>
 
 using namespace cornelpond;
 
@@ -184,3 +188,96 @@
     }
     CHECK(each.state() == JobState::Failed);
 }
+
+namespace {
+
+/// What the job's ends add up to, each counted for its task, in the order in which they are applied.
+class ExpectedOutcome {
+public:
+    struct Task {
+        std::set<uint64_t> live;
+        uint64_t lastAttempt = 0;
+        bool isDone = false;
+    };
+
+    explicit ExpectedOutcome(std::vector<StageSpec> const& stages, uint32_t occurrences)
+        : stages(stages)
+        , tasks(occurrences)
+    {
+        for (auto& occurrence : this->tasks) {
+            for (auto const& stage : stages)
+                occurrence.emplace_back(stage.taskCount);
+        }
+    }
+
+    void end(CommitEnd const& end)
+    {
+        bool const isGang = this->stages[end.task.stage].isGang;
+        std::vector<Task>& stage = this->tasks[end.task.occurrence][end.task.stage];
+        Task& task = stage[end.task.index];
+        bool const wasLive = task.live.erase(end.attempt.value());
+        if (this->state != JobState::Active || task.isDone)
+            return;
+        if (end.end == AttemptEnd::Done && (wasLive || !isGang)) {
+            task.isDone = true;
+            for (Task& each : stage)
+                each.isDone |= isGang;
+        } else if (end.end == AttemptEnd::Failed && wasLive) {
+            this->failedAttempts[{ end.task.occurrence, end.task.stage, isGang ? 0 : end.task.index }].insert(end.attempt.value());
+        }
+        bool const areAllDone = std::all_of(this->tasks.begin(), this->tasks.end(), [](auto const& occurrence) {
+            return std::all_of(occurrence.begin(), occurrence.end(), [](auto const& each) { return std::all_of(each.begin(), each.end(), [](Task const& one) { return one.isDone; }); });
+        });
+        bool const hasFailed = std::any_of(this->failedAttempts.begin(), this->failedAttempts.end(), [](auto const& each) { return each.second.size() >= maxAttempts; });
+        this->state = areAllDone ? JobState::Completed : hasFailed ? JobState::Failed
+                                                                   : JobState::Active;
+    }
+
+    std::vector<StageSpec> const& stages;
+    std::vector<std::vector<std::vector<Task>>> tasks; ///< By occurrence, stage and index.
+    std::map<std::array<uint32_t, 3>, std::set<uint64_t>> failedAttempts;
+    JobState state = JobState::Active;
+};
+
+} // namespace
+
+TEST_CASE("a job ends as its tasks do, whichever of their attempts end, how often and in which order")
+{
+    rc::prop("", [](uint8_t shape) {
+        StageSpec const pair = copyableStage(2);
+        std::vector<std::vector<StageSpec>> const shapes { { copyableStage(1) }, { gangStage(3) }, { gangStage(2), pair }, { pair, stageOf(1) } };
+        std::vector<StageSpec> const& stages = shapes[shape % shapes.size()];
+        constexpr uint32_t occurrences = 2;
+        OneJob each(stages, occurrences);
+        ExpectedOutcome expected(stages, occurrences);
+        std::vector<CommitStart> started;
+        auto const start = [&](uint32_t occurrence, uint32_t stage, uint32_t index) {
+            auto& task = expected.tasks[occurrence][stage][index];
+            CommitStart const next = each.start(occurrence, stage, index, ++task.lastAttempt);
+            task.live.insert(task.lastAttempt);
+            started.push_back(next);
+            each.apply({ next });
+        };
+        for (int step = 0; step < 120 && expected.state == JobState::Active; step++) {
+            auto const occurrence = *rc::gen::inRange(0U, occurrences);
+            auto const stage = *rc::gen::inRange(size_t(0), stages.size());
+            auto const& tasks = expected.tasks[occurrence][stage];
+            auto const index = *rc::gen::inRange(size_t(0), tasks.size());
+            bool const isGangIdle = std::all_of(tasks.begin(), tasks.end(), [](auto const& task) { return task.live.empty(); });
+            bool const mayStart = !tasks[index].isDone && (stages[stage].isGang ? isGangIdle : tasks[index].live.size() < (stages[stage].allowsSpeculativeCopies ? 2 : 1));
+            if (mayStart) {
+                for (uint32_t member = 0; member < tasks.size(); member++) {
+                    if (stages[stage].isGang || member == index)
+                        start(occurrence, static_cast<uint32_t>(stage), member);
+                }
+            }
+            if (started.empty())
+                continue;
+            CommitEnd const end = OneJob::end(*rc::gen::elementOf(started), *rc::gen::element(AttemptEnd::Done, AttemptEnd::Failed, AttemptEnd::Failed, AttemptEnd::Lost));
+            expected.end(end);
+            each.apply({ end });
+            RC_ASSERT(each.state() == expected.state);
+            each.jobs.restore(each.jobs.takeSnapshot());
+        }
+    });
+}
