Move a stage's placement request, and name its bounds once

placeStage copied its request once more on every path; unlimitedPlaces repeated maxTasksPerStage; maxSearchesPerTurn bounds the searches of one call. No change of behaviour.

--- a/cornelpond/core/scheduling/PermitCache.cpp
+++ b/cornelpond/core/scheduling/PermitCache.cpp
@@ -22,7 +22,7 @@
     /// A policy may change its mind: after such a pause, refused workers are asked about again.
     constexpr Duration minRoundPause = Duration::seconds(2);
     constexpr Duration maxRoundPause = Duration::seconds(30);
-    constexpr size_t maxSearchesPerTurn = 8; ///< Of the workers of a stage; bounds the work where many stages have nothing to ask.
+    constexpr size_t maxSearchesPerCall = 8; ///< Of the workers of a stage; bounds the work where many stages have nothing to ask.
 
     Duration decisionTime(PermitSpec const& spec, size_t workerCount)
     {
@@ -75,7 +75,7 @@
 
 void PermitCache::sendQueries()
 {
-    for (size_t searches = 0; !this->isQueryInFlight && !this->turns.empty() && this->clock.now() >= this->pausedUntil && searches < maxSearchesPerTurn;) {
+    for (size_t searches = 0; !this->isQueryInFlight && !this->turns.empty() && this->clock.now() >= this->pausedUntil && searches < maxSearchesPerCall;) {
         Turn const turn = this->turns.front();
         this->turns.pop_front();
         if (!this->permitsByStage.count(turn.stage))
--- a/cornelpond/core/scheduling/PermitNeeds.cpp
+++ b/cornelpond/core/scheduling/PermitNeeds.cpp
@@ -8,11 +8,9 @@
 
 namespace {
 
-    constexpr int64_t unlimitedPlaces = 100000; ///< maxTasksPerStage: no stage has more tasks.
-
     int64_t placesOf(int64_t capacity, int64_t need)
     {
-        return need ? capacity / need : unlimitedPlaces;
+        return need ? capacity / need : int64_t(maxTasksPerStage);
     }
 
     /// How many tasks of the stage fit on the worker when nothing else runs there.
@@ -20,7 +18,7 @@
     {
         Resources const need = stage.reservedPerTask();
         Resources const& capacity = worker.profile.capacity;
-        int64_t const limit = stage.maxTasksPerWorker ? stage.maxTasksPerWorker : unlimitedPlaces;
+        int64_t const limit = stage.maxTasksPerWorker ? stage.maxTasksPerWorker : int64_t(maxTasksPerStage);
         return std::min({ limit, placesOf(capacity.milliCores, need.milliCores), placesOf(capacity.memoryMiB, need.memoryMiB), placesOf(capacity.accelerators, need.accelerators) });
     }
 
--- a/cornelpond/core/scheduling/SchedulePass.cpp
+++ b/cornelpond/core/scheduling/SchedulePass.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace cornelpond {
 
@@ -105,11 +106,14 @@
 StagePlacement JobScheduler::placeStage(ReadyStage const& ready, TimePoint now)
 {
     PlacementRequest request = this->requestFor(ready);
+    TaskRef const stage = request.task;
     StagePlacement placement;
-    if (this->applyPermits(ready.job->queue, request))
-        placement = request.stage->isGang ? this->placeGang(ready, request, now) : this->placeTasks(ready, request, now);
-    if (request.permittedWorkers && this->hasUnplacedTask(*ready.job, request.task))
-        this->permits.request(request.task);
+    bool const mayStart = this->applyPermits(ready.job->queue, request);
+    bool const needsPermits = request.permittedWorkers;
+    if (mayStart)
+        placement = request.stage->isGang ? this->placeGang(ready, std::move(request), now) : this->placeTasks(ready, std::move(request), now);
+    if (needsPermits && this->hasUnplacedTask(*ready.job, stage))
+        this->permits.request(stage);
     return placement;
 }
 
