Stop a gang's members only for an end of an attempt that was live

Seen by reading the diff: a command that the log holds twice ends an attempt of a gang a second time.

--- a/cornelpond/core/base/Event.cpp
+++ b/cornelpond/core/base/Event.cpp
@@ -49,7 +49,7 @@
         EventInfo { EventId::AttemptWithdrawn, "AttemptWithdrawn", "An attempt that its worker never confirmed gets no further start commands." },
         EventInfo { EventId::JobAccepted, "JobAccepted", "A job was committed; `configuration` is the version that named its queue, `coreMs` its estimated work." },
         EventInfo { EventId::JobRefused, "JobRefused", "A job was not accepted; `reason` or `code` says why." },
-        EventInfo { EventId::JobEnded, "JobEnded", "A job completed, failed or was cancelled; `lastedMs` counts from its acceptance. `passedByLaterJobs` and `passedByLowerRank` count the starts of other jobs while its tasks found no worker, `starts` those of its own, all under this leader." },
+        EventInfo { EventId::JobEnded, "JobEnded", "A job completed, failed or was cancelled; `lastedMs` counts from its acceptance, `occurrencesOpened` those of its `occurrences` that fell due. `passedByLaterJobs` and `passedByLowerRank` count the starts of other jobs while its tasks found no worker, `starts` those of its own, all under this leader." },
         EventInfo { EventId::WorkerReached, "WorkerReached", "A silent worker answers again." },
         EventInfo { EventId::WorkerSilent, "WorkerSilent", "A worker did not answer the renewal of its lease; it gets no new tasks." },
         EventInfo { EventId::WorkerSuperseded, "WorkerSuperseded", "A worker has seen a higher epoch; this leader sends it no more orders." },
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -307,7 +307,8 @@
         this->observeRunTime(end);
     this->dispatch.onEndApplied(end);
     this->noteServiceTaskEnd(end.task);
-    this->stopRestOfGang(end);
+    if (effect != EndEffect::Ignored)
+        this->stopRestOfGang(end);
     this->callForPass();
 }
 
@@ -356,7 +357,7 @@
 void JobScheduler::stopRestOfGang(CommitEnd const& end)
 {
     TaskRecord const* record = this->jobTable.findTask(end.task);
-    if (!record || record->isDone)
+    if (!record || record->isDone || end.end == AttemptEnd::Done)
         return;
     JobRecord const& job = *this->jobTable.find(end.task.job);
     if (!job.spec.stages[end.task.stage].isGang)
--- a/cornelpond/core/scheduling/RepeatedEndsTest.cpp
+++ b/cornelpond/core/scheduling/RepeatedEndsTest.cpp
@@ -74,6 +74,26 @@
     CHECK(bench.fleet.record().starts == 4 * bench.queueOf(job).maxAttempts);
 }
 
+// Failure: a command that the log holds twice ended an attempt of a gang again, and the members of its next attempt were stopped.
+TEST_CASE("a gang runs on when the end of an attempt before is committed again")
+{
+    JobBench bench(6);
+    bench.addWorkers(8, 16000);
+    JobSpec job = makeJob("gang", 4, 1000, second * 20);
+    job.stages[0].isGang = true;
+    bench.submit(job);
+    bench.run(second);
+    TaskRef const member { job.id, 0, 0, 0 };
+    Attempt const first = bench.leader().scheduler().jobs().findTask(member)->liveAttempts.at(0);
+    bench.fleet.crash(first.worker);
+    bench.run(second * 10);
+    REQUIRE(bench.fleet.runningCount(job.id) == 4);
+    unsigned const starts = bench.fleet.record().starts;
+    bench.leader().scheduler().applyJobCommand(encodeJobCommand(UpdateTasks { { CommitEnd { member, first.number, first.worker, AttemptEnd::Lost, std::string() } }, 1 }));
+    bench.run(second * 2);
+    CHECK(bench.fleet.record().starts == starts);
+}
+
 // Failure: the metric counted the end of an attempt for each time that the log holds it.
 TEST_CASE("the end of an attempt is counted once though its command was committed twice")
 {
