Test scheduled gangs and copies through random faults

A job of gangs, copies and occurrences is shown as completed once all tasks of all occurrences have ended as done on a worker, and not before, through crashes, cuts and changes of leader; it ends, and nothing runs twice. No test combined these features.

--- a/cornelpond/core/scheduling/RepeatedEndsTest.cpp
+++ b/cornelpond/core/scheduling/RepeatedEndsTest.cpp
@@ -3,6 +3,7 @@
 #include "testing/fakes/JobBench.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
 
 using namespace cornelpond;
 
@@ -17,6 +18,43 @@
     return job;
 }
 
+/// True when all tasks of all occurrences have ended as done on a worker; of a gang, one member stands for all.
+bool isDoneOnWorkers(FakeFleet const& fleet, JobSpec const& job)
+{
+    for (TaskRef task { job.id, 0, 0, 0 }; task.occurrence < job.schedule.occurrences; task.occurrence++) {
+        for (task.stage = 0; task.stage < job.stages.size(); task.stage++) {
+            StageSpec const& stage = job.stages[task.stage];
+            uint32_t done = 0;
+            for (task.index = 0; task.index < stage.taskCount; task.index++)
+                done += fleet.isDone(task);
+            if (done < (stage.isGang ? 1 : stage.taskCount))
+                return false;
+        }
+    }
+    return true;
+}
+
+/// Crashes, cuts or restores a worker, or changes the leader.
+void disturb(JobBench& bench, SeededRandom& random, uint64_t workers)
+{
+    WorkerId const worker("w" + std::to_string(random.below(workers)));
+    switch (random.below(5)) {
+    case 0:
+        bench.fleet.crash(worker);
+        bench.fleet.restart(worker);
+        break;
+    case 1:
+        bench.fleet.setCut(worker, true);
+        break;
+    case 2:
+    case 3:
+        bench.fleet.setCut(worker, false);
+        break;
+    default:
+        bench.elect(random.below(3));
+    }
+}
+
 } // namespace
 
 // Failure: the run of a worker that was cut off counted its occurrence again, and the second one never ran (review/11).
@@ -127,3 +165,37 @@
     CHECK(bench.events.count(EventId::JobEndedEarly) == 1);
     CHECK(bench.state(job.id) == JobState::Completed);
 }
+
+// Failure: jobs whose stages end by several attempts or members were shown as completed before all their occurrences had run.
+TEST_CASE("through random faults, a scheduled job is shown as completed when all tasks of all its occurrences have ended as done, and not before")
+{
+    rc::prop("", [] {
+        auto const seed = *rc::gen::arbitrary<uint32_t>();
+        constexpr uint64_t workers = 8;
+        JobBench bench(seed, 3);
+        SeededRandom random(seed + 1U);
+        bench.addWorkers(workers, 16000);
+        JobSpec rounds = makeScheduledJob(bench, 3, 3);
+        rounds.schedule.interval = second * 2;
+        rounds.stages.push_back(rounds.stages[0]);
+        rounds.stages[0].isGang = random.below(2);
+        rounds.stages[1].allowsSpeculativeCopies = true;
+        rounds.stages[1].isGang = !rounds.stages[0].isGang;
+        if (random.below(2))
+            rounds.stages[1].dependsOn = { 0 };
+        bench.submit(rounds);
+        bench.run(second);
+        for (int round = 0; round < 20; round++) {
+            disturb(bench, random, workers);
+            bench.run(Duration::milliseconds(static_cast<int64_t>(random.below(900))));
+            RC_ASSERT(bench.leader().scheduler().lookUp(rounds.id).state != JobState::Completed || isDoneOnWorkers(bench.fleet, rounds));
+        }
+        for (uint64_t i = 0; i < workers; i++)
+            bench.fleet.setCut(WorkerId("w" + std::to_string(i)), false);
+        RC_ASSERT(bench.runUntilIdle(second * 60));
+        RC_ASSERT(bench.state(rounds.id) == JobState::Completed);
+        RC_ASSERT(isDoneOnWorkers(bench.fleet, rounds));
+        RC_ASSERT(bench.fleet.record().duplicateRuns == 0U);
+        RC_ASSERT(bench.fleet.record().startsAfterDone == 0U);
+    });
+}
--- a/testing/fakes/FakeFleet.h
+++ b/testing/fakes/FakeFleet.h
@@ -113,6 +113,8 @@
     Record const& record() const { return this->recorded; }
     size_t runningCount(JobId const& job) const;
     size_t runningCountOn(WorkerId const& worker) const { return this->workers.at(worker).runs.size(); }
+    /// True once an attempt of the task has ended as done.
+    bool isDone(TaskRef const& task) const { return this->doneTasks.count(task); }
     /// Speed in percent of the job's most throttled task; 100 if none runs.
     unsigned lowestSpeedPercent(JobId const& job) const;
     std::set<std::string> imagesOn(WorkerId const& worker) const;
