--- a/cornelpond/core/scheduling/SpeculativeCopiesTest.cpp
+++ b/cornelpond/core/scheduling/SpeculativeCopiesTest.cpp
@@ -23,6 +23,14 @@
     return bench.leader().scheduler().counters().copiesStarted;
 }
 
+void addWorkerLike(JobBench& bench, std::string const& like, std::string const& id, double speed)
+{
+    WorkerProfile profile = bench.fleet.report(WorkerId(like)).profile;
+    profile.id = WorkerId(id);
+    profile.address = id + ":80";
+    bench.fleet.addWorker(profile, speed);
+}
+
 /// A worker on which a task of the job runs.
 WorkerId workerOf(JobBench& bench, JobId const& job)
 {
@@ -83,10 +91,7 @@
 {
     JobBench bench(1);
     bench.addWorkers(8, 16000);
-    WorkerProfile slow = bench.fleet.report(WorkerId("w0")).profile;
-    slow.id = WorkerId("slow");
-    slow.address = "10.0.1.0:80";
-    bench.fleet.addWorker(slow, 0.1);
+    addWorkerLike(bench, "w0", "slow", 0.1);
     bench.run(second * 2);
     JobSpec const job = copyableJob("due", 36);
     bench.submit(job);
@@ -95,6 +100,30 @@
     CHECK(bench.turnaroundTime(job.id).toMilliseconds() < 3000);
 }
 
+// Failure: both attempts of a task counted towards the half of the stage after which its stragglers have copies.
+TEST_CASE("load: two attempts that end as done are one task of the half that must be done before stragglers get a second attempt")
+{
+    JobBench bench(1);
+    bench.addWorkers(1, 16000);
+    addWorkerLike(bench, "w0", "slow0", 0.02);
+    addWorkerLike(bench, "w0", "slow1", 0.02);
+    bench.run(second * 2);
+    JobSpec job = copyableJob("due", 3);
+    job.stages[0].need.milliCores = 16000;
+    bench.submit(job);
+    bench.run(Duration::milliseconds(400));
+    REQUIRE(bench.fleet.runningCount(job.id) == 3);
+    for (char const* id : { "spare0", "spare1", "spare2" })
+        addWorkerLike(bench, "w0", id, 1);
+    bench.fleet.setCut(WorkerId("w0"), true);
+    bench.run(Duration::milliseconds(2700));
+    REQUIRE(copiesStarted(bench) == 1);
+    bench.fleet.setCut(WorkerId("w0"), false);
+    bench.run(second * 16);
+    CHECK(bench.leader().scheduler().counters().attemptEnds.at(AttemptEnd::Done) == 2);
+    CHECK(copiesStarted(bench) == 1);
+}
+
 TEST_CASE("load: service tasks on a worker that is silent for a moment get no second attempt")
 {
     JobBench bench(1);
