--- a/cornelpond/core/jobs/JobTableTest.cpp
+++ b/cornelpond/core/jobs/JobTableTest.cpp
@@ -3,8 +3,12 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <algorithm>
 #include <array>
+#include <map>
 #include <set>
+#include <string>
+#include <vector>
 
 using namespace cornelpond;
 
