--- a/testing/fakes/FakeLogGroup.h
+++ b/testing/fakes/FakeLogGroup.h
@@ -1,7 +1,7 @@
 #pragma once
 
 // A simulated replicated log with several replicas that exchange no messages. The test decides when proposals
-// are committed. A change of leader commits or drops each proposal in flight at random.
+// are committed. A change of leader commits or drops each proposal in flight at random, unless the test says which.
 //
 // Example:
 //   FakeLogGroup group(2, random);
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace cornelpond {
@@ -58,11 +59,9 @@
         unfinished.swap(this->inFlight);
         Replica& old = *this->replicas[this->leaderIndex];
         old.hooks.onLeadership(false);
-        for (auto& proposal : unfinished) {
-            if (this->random.below(2))
-                this->committed.push_back(proposal.command);
+        this->commitKept(unfinished);
+        for (auto& proposal : unfinished)
             proposal.done({ ResultCode::OutcomeUnknown, LogIndex() });
-        }
     }
 
     /// Crashes the leader. Proposals in flight are committed or dropped at random; their callbacks are never called.
@@ -71,13 +70,16 @@
         if (!this->hasLeader)
             return;
         this->hasLeader = false;
-        for (auto& proposal : this->inFlight) {
-            if (this->random.below(2))
-                this->committed.push_back(proposal.command);
-        }
+        this->commitKept(this->inFlight);
         this->inFlight.clear();
     }
 
+    /// The next change of leader commits the first `count` proposals in flight and drops the others.
+    void keepOnNextChange(size_t count) { this->keptOnNextChange = count; }
+
+    /// While set, proposals are refused with this code, as by a leader that hands its leadership over.
+    void setRefusal(std::optional<ResultCode> code) { this->refusal = code; }
+
     /// Commits up to `limit` proposals. All are applied before the first callback; on average one in 20 is committed twice.
     void commit(size_t limit)
     {
@@ -117,6 +119,7 @@
     bool hasCurrentLeader() const { return this->hasLeader; }
     size_t leader() const { return this->leaderIndex; }
     size_t commitCount() const { return this->committed.size(); }
+    size_t inFlightCount() const { return this->inFlight.size(); }
 
 private:
     struct Proposal {
@@ -143,6 +146,10 @@
                 done({ ResultCode::NotLeader, LogIndex() });
                 return;
             }
+            if (this->group.refusal) {
+                done({ *this->group.refusal, LogIndex() });
+                return;
+            }
             this->group.inFlight.push_back({ std::move(command), std::move(done) });
         }
 
@@ -152,6 +159,15 @@
         size_t applied = 0;
     };
 
+    void commitKept(std::deque<Proposal> const& unfinished)
+    {
+        for (size_t i = 0; i < unfinished.size(); i++) {
+            if (this->keptOnNextChange ? i < *this->keptOnNextChange : this->random.below(2) != 0)
+                this->committed.push_back(unfinished[i].command);
+        }
+        this->keptOnNextChange.reset();
+    }
+
     void catchUp(Replica& replica)
     {
         while (replica.applied < this->committed.size()) {
@@ -168,6 +184,8 @@
     size_t leaderIndex = 0;
     bool hasLeader = false;
     bool isConfirmed = true;
+    std::optional<size_t> keptOnNextChange;
+    std::optional<ResultCode> refusal;
 };
 
 } // namespace cornelpond
