What the leader does about an applied update cannot keep the rest of its batch from being applied

An exception in a hook of JobTable or WorkerRoster, which send orders, left the rest of the UpdateTasks batch unapplied on the leader alone: ReplicatedLog counts the entry as applied first and rethrows. The other hosts applied it, and the leader's own proposals never took effect there: tasks stayed proposed, attempts whose end was proposed stayed so.

No way was found by which an order throws in a fleet: worker ids and addresses are checked when they arrive, and texts of orders come from parsed JSON. Nor did the loss leave a run that nobody stops: what a listing shows and the table lacks is stopped as a stray. What remains: a start whose sending throws counts as in flight under this leader, so that its task waits for the next one.

--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <array>
+#include <exception>
 #include <numeric>
+#include <utility>
 
 namespace cornelpond {
 
@@ -81,6 +83,20 @@
 
 JobScheduler::~JobScheduler() = default;
 
+/// Wraps what the leader does about an applied command, so that an exception ends only that: it must not keep the rest of the
+/// command from being applied, which the other hosts apply.
+template <typename... Arguments>
+std::function<void(Arguments...)> JobScheduler::guarded(std::function<void(Arguments...)> reaction)
+{
+    return [this, reaction = std::move(reaction)](Arguments... arguments) {
+        try {
+            reaction(arguments...);
+        } catch (std::exception const& error) {
+            this->events.emit(Event(EventId::InternalFault).with("what", std::string(error.what())));
+        }
+    };
+}
+
 JobTableHooks JobScheduler::tableHooks()
 {
     JobTableHooks hooks;
@@ -93,6 +109,10 @@
     };
     hooks.onEndApplied = [this](CommitEnd const& end, EndEffect effect) { this->onEndApplied(end, effect); };
     hooks.onJobChanged = [this](JobRecord const& job) { this->onJobChanged(job); };
+    for (auto* hook : { &hooks.onStartApplied, &hooks.onStartRefused })
+        *hook = this->guarded(std::move(*hook));
+    hooks.onEndApplied = this->guarded(std::move(hooks.onEndApplied));
+    hooks.onJobChanged = this->guarded(std::move(hooks.onJobChanged));
     return hooks;
 }
 
@@ -106,6 +126,9 @@
     };
     hooks.onWorkerSettled = [this](WorkerId const& worker) { this->dispatch.onWorkerSettled(worker); };
     hooks.onUnsettledRestored = [this](WorkerId const& worker) { this->dispatch.onUnsettledRestored(worker); };
+    hooks.onWorkerChanged = this->guarded(std::move(hooks.onWorkerChanged));
+    for (auto* hook : { &hooks.onWorkerRemoved, &hooks.onWorkerSettled, &hooks.onUnsettledRestored })
+        *hook = this->guarded(std::move(*hook));
     return hooks;
 }
 
--- a/cornelpond/core/scheduling/JobScheduler.h
+++ b/cornelpond/core/scheduling/JobScheduler.h
@@ -156,6 +156,8 @@
     JobTableHooks tableHooks();
     RosterHooks rosterHooks();
     DispatcherHooks dispatcherHooks();
+    template <typename... Arguments>
+    std::function<void(Arguments...)> guarded(std::function<void(Arguments...)> reaction);
     void onJobChanged(JobRecord const& job);
     void onStartApplied(CommitStart const& start);
     void onEndApplied(CommitEnd const& end, EndEffect effect);
