Fakes: an internal fault fails the test that does not expect it

The scheduler logs an exception in its reaction to an applied update instead of passing it on, and the fake log went on after one, so that the tests on the fakes would have passed over exceptions that failed them before.

--- a/cornelpond/core/scheduling/AppliedUpdatesTest.cpp
+++ b/cornelpond/core/scheduling/AppliedUpdatesTest.cpp
@@ -44,6 +44,7 @@
 {
     constexpr uint32_t tasks = 8;
     JobBench bench(2, 2, [](FakeClock&, WorkerOrders& fleet) { return std::make_unique<FailingOrders>(fleet); });
+    bench.events.expectsInternalFaults = true;
     bench.addWorkers(2, 8000);
     JobSpec const job = makeJob("plan", tasks, 1000, Duration::seconds(60));
     bench.submit(job);
@@ -52,7 +53,6 @@
     CHECK(bench.find(job.id)->liveAttemptCount == tasks);
     bench.group.catchUpFollowers();
     CHECK(bench.services[0]->scheduler().takeJobSnapshot() == bench.services[1]->scheduler().takeJobSnapshot());
-    CHECK(bench.group.applyFaultCount() == 0);
     CHECK(bench.events.count(EventId::InternalFault) == 1);
 
     bench.cancel(job.id);
--- a/testing/fakes/FakeLogGroup.h
+++ b/testing/fakes/FakeLogGroup.h
@@ -14,7 +14,6 @@
 
 #include <algorithm>
 #include <deque>
-#include <exception>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -121,7 +120,6 @@
     size_t leader() const { return this->leaderIndex; }
     size_t commitCount() const { return this->committed.size(); }
     size_t inFlightCount() const { return this->inFlight.size(); }
-    size_t applyFaultCount() const { return this->applyFaults; } ///< Commands whose application threw an exception, on each replica.
 
 private:
     struct Proposal {
@@ -170,16 +168,11 @@
         this->keptOnNextChange.reset();
     }
 
-    /// An exception ends the application of its command only; the event loop would log it.
     void catchUp(Replica& replica)
     {
         while (replica.applied < this->committed.size()) {
             size_t const next = replica.applied++;
-            try {
-                replica.hooks.apply(LogIndex(next + 1), this->committed[next]);
-            } catch (std::exception const&) {
-                this->applyFaults++;
-            }
+            replica.hooks.apply(LogIndex(next + 1), this->committed[next]);
         }
     }
 
@@ -191,7 +184,6 @@
     size_t leaderIndex = 0;
     bool hasLeader = false;
     bool isConfirmed = true;
-    size_t applyFaults = 0;
     std::optional<size_t> keptOnNextChange;
     std::optional<ResultCode> refusal;
 };
--- a/testing/fakes/RecordingEventSink.h
+++ b/testing/fakes/RecordingEventSink.h
@@ -1,17 +1,23 @@
 #pragma once
 
-// An event sink that records the events for a test.
+// An event sink that records the events for a test. An internal fault fails the test that does not expect it.
 
 #include "cornelpond/ports/EventSink.h"
 
 #include <algorithm>
+#include <stdexcept>
 #include <vector>
 
 namespace cornelpond {
 
 class RecordingEventSink final : public EventSink {
 public:
-    void emit(Event const& event) override { this->events.push_back(event); }
+    void emit(Event const& event) override
+    {
+        this->events.push_back(event);
+        if (event.id() == EventId::InternalFault && !this->expectsInternalFaults)
+            throw std::runtime_error("internal fault: " + event.fields().front().value);
+    }
 
     size_t count(EventId id) const
     {
@@ -20,6 +26,8 @@
 
     std::vector<Event> const& all() const { return this->events; }
 
+    bool expectsInternalFaults = false;
+
 private:
     std::vector<Event> events;
 };
