Property: no task of a cancelled job outlasts a calm stretch after composed faults

Sequences of restarted, moved, departing and wrongly reported workers, orders that are lost, late or overtake each other on the path of one host, frozen and restarted relays, cut links, changes of leader, and a log that refuses or holds proposals. Runs are taken from the fleet's own record.

--- a/testing/fakes/FakeFleet.cpp
+++ b/testing/fakes/FakeFleet.cpp
@@ -79,13 +79,18 @@
 }
 
 void FakeFleet::restart(WorkerId const& id)
+{
+    this->restart(id, this->workers.at(id).profile.bornMs + 1);
+}
+
+void FakeFleet::restart(WorkerId const& id, int64_t bornMs)
 {
     Worker& worker = this->workers.at(id);
     this->failPendingRenewals(worker);
     WorkerProfile profile = worker.profile;
     double const speed = worker.speed;
     auto const unread = std::move(worker.unreadOrders);
-    profile.bornMs++;
+    profile.bornMs = bornMs;
     profile.isDraining = false;
     this->addWorker(profile, speed);
     for (auto const& read : unread)
@@ -104,6 +109,16 @@
     this->workers.at(id).isCut = isCut;
 }
 
+std::vector<FakeFleet::RunningTask> FakeFleet::runningTasks() const
+{
+    std::vector<RunningTask> running;
+    for (auto const& [id, worker] : this->workers) {
+        for (auto const& [key, run] : worker.runs)
+            running.push_back({ id, key.first, key.second, run.age });
+    }
+    return running;
+}
+
 size_t FakeFleet::runningCount(JobId const& job) const
 {
     size_t count = 0;
@@ -312,8 +327,18 @@
     AttemptNumber& closed = worker.closedUpTo[order.task];
     closed = std::max(closed, order.attempt);
     AttemptKey const key { order.task, order.attempt };
-    if (worker.runs.count(key))
+    if (!worker.runs.count(key))
+        return this->makeAnswer(worker, OrderResult::Accepted);
+    if (this->faults.maxStopTime <= Duration()) {
         this->endAttempt(worker, key, AttemptEnd::Stopped);
+        return this->makeAnswer(worker, OrderResult::Accepted);
+    }
+    auto const takes = Duration::microseconds(static_cast<int64_t>(this->random.below(static_cast<uint64_t>(this->faults.maxStopTime.toMicroseconds()))));
+    this->clock.after(takes, [this, id = worker.profile.id, bornMs = worker.profile.bornMs, key] {
+        Worker& stopping = this->workers.at(id);
+        if (stopping.profile.bornMs == bornMs && stopping.runs.count(key))
+            this->endAttempt(stopping, key, AttemptEnd::Stopped);
+    });
     return this->makeAnswer(worker, OrderResult::Accepted);
 }
 
--- a/testing/fakes/FakeFleet.h
+++ b/testing/fakes/FakeFleet.h
@@ -33,6 +33,7 @@
         /// Orders are carried out by whichever process of the worker reads them, also those that name another. A worker that is
         /// down reads those that were sent meanwhile when it is back, without an answer.
         bool ordersOutliveProcesses = false;
+        Duration maxStopTime; ///< A worker takes up to this long to stop a run, and lists it until then.
     };
 
     /// Stop orders to a worker that get no answer and are not carried out, while its renewals are answered.
@@ -50,6 +51,14 @@
         bool isAnswering = true; ///< False: queries get no answer until they time out.
     };
 
+    /// A run on a worker, whatever the scheduler knows of it.
+    struct RunningTask {
+        WorkerId worker;
+        TaskRef task;
+        AttemptNumber attempt;
+        Duration age;
+    };
+
     /// A query to the policy service.
     struct PermitQuery {
         TaskRef stage;
@@ -94,6 +103,8 @@
     void crash(WorkerId const& worker);
     /// Starts a new incarnation under the same id, without any earlier state.
     void restart(WorkerId const& worker);
+    /// As `restart`, with the start time that the worker's wall clock gives; it may have been set.
+    void restart(WorkerId const& worker, int64_t bornMs);
     /// As `restart`, at another address. Another worker answers orders to the former one, after `answerDelay`.
     void restartAt(WorkerId const& worker, std::string address, Duration answerDelay);
     void setCut(WorkerId const& worker, bool isCut);
@@ -112,6 +123,7 @@
 
     Record const& record() const { return this->recorded; }
     size_t runningCount(JobId const& job) const;
+    std::vector<RunningTask> runningTasks() const;
     size_t runningCountOn(WorkerId const& worker) const { return this->workers.at(worker).runs.size(); }
     /// True once an attempt of the task has ended as done.
     bool isDone(TaskRef const& task) const { return this->doneTasks.count(task); }
--- a/testing/fakes/FakeLogGroup.h
+++ b/testing/fakes/FakeLogGroup.h
@@ -114,6 +114,9 @@
     /// False: the leader does not know whether it still leads, as when it hears from no majority.
     void setLeadershipConfirmed(bool confirmed) { this->isConfirmed = confirmed; }
 
+    /// False: the leader refuses proposals, as while it hands its leadership over.
+    void setAcceptingProposals(bool accepting) { this->isAccepting = accepting; }
+
     bool hasCurrentLeader() const { return this->hasLeader; }
     size_t leader() const { return this->leaderIndex; }
     size_t commitCount() const { return this->committed.size(); }
@@ -139,7 +142,7 @@
 
         void propose(std::string command, Done done) override
         {
-            if (!this->isLeader()) {
+            if (!this->isLeader() || !this->group.isAccepting) {
                 done({ ResultCode::NotLeader, LogIndex() });
                 return;
             }
@@ -168,6 +171,7 @@
     size_t leaderIndex = 0;
     bool hasLeader = false;
     bool isConfirmed = true;
+    bool isAccepting = true;
 };
 
 } // namespace cornelpond
