A listed run whose start was refused as old is stopped when it is not wanted

What callers would see: a task of a cancelled job goes on for as long as its worker's lease is renewed, on one worker.

Cause: a start that is refused as old was taken for a confirmed stop, without a time for a further one. Whatever the worker listed afterwards, the run was neither stopped, nor concluded, nor a reason to withhold the lease. A wanted one counted as being stopped.

Now a listing that was requested after the refusal decides: a run that it holds counts as running again, and is stopped once it is not wanted. One for which a stop had been sent stays to be stopped.

--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -182,7 +182,8 @@
     void onNewIncarnation(WorkerView& view, char const* source);
     void updateClock(WorkerView& view, OrderAnswer const& answer, bool isIncarnationKnown);
     void handleListing(WorkerView& view, SendContext const& sent, WorkerListing const& listing);
-    void handleRunningAttempts(WorkerView& view, WorkerListing const& listing);
+    void handleRunningAttempts(WorkerView& view, WorkerListing const& listing, TimePoint sentAt);
+    static void reopen(PlacedAttempt& attempt);
     void handleListedEnds(WorkerView& view, WorkerListing const& listing);
     bool isLateFinish(ListedEnd const& end) const;
     void concludeMissing(WorkerView& view, TimePoint sentAt);
--- a/cornelpond/core/dispatch/DispatcherListings.cpp
+++ b/cornelpond/core/dispatch/DispatcherListings.cpp
@@ -31,7 +31,7 @@
     view.listingBornMs = listing.bornMs;
     view.consecutiveRenewalFailures = 0;
     view.lastAnswerAt = now;
-    this->handleRunningAttempts(view, listing);
+    this->handleRunningAttempts(view, listing, sent.at);
     this->handleListedEnds(view, listing);
     // Until the process has seen the present generation, it may still accept a start for a former one.
     if (listing.isComplete && hasSeenGeneration)
@@ -46,7 +46,8 @@
         this->hooks.onCapacityChanged();
 }
 
-void Dispatcher::handleRunningAttempts(WorkerView& view, WorkerListing const& listing)
+/// `sentAt`: when the listing was requested.
+void Dispatcher::handleRunningAttempts(WorkerView& view, WorkerListing const& listing, TimePoint sentAt)
 {
     TimePoint const now = this->clock.now();
     for (auto& [key, orphan] : view.orphanedAttempts)
@@ -68,6 +69,8 @@
             attempt->confirmedAt = now;
             this->reportSeen(view, { row.task, row.attempt }, "listing");
         }
+        if (attempt->isRefusedAsOld && *attempt->stopConfirmedAt < sentAt)
+            reopen(*attempt);
         view.settleStart(*attempt);
         attempt->lastListing = view.listingCount;
         attempt->isInherited = false;
@@ -78,6 +81,16 @@
     }
 }
 
+/// Of an attempt that runs although the worker refused its start as old: it goes on, unless it has been stopped.
+void Dispatcher::reopen(PlacedAttempt& attempt)
+{
+    attempt.isRefusedAsOld = false;
+    attempt.isStopping = attempt.stopOrders.sent;
+    attempt.stopConfirmedAt.reset();
+    attempt.stopOrders.isConfirmed = false;
+    attempt.stopOrders.nextAt = TimePoint();
+}
+
 void Dispatcher::handleListedEnds(WorkerView& view, WorkerListing const& listing)
 {
     view.listedEnds.clear();
--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -169,6 +169,7 @@
             attempt.phase = PlacedAttempt::Phase::Starting; // What the earlier incarnation ran has ended with it.
         }
         attempt.stopConfirmedAt.reset();
+        attempt.isRefusedAsOld = false;
         attempt.stopOrders = StopProgress();
         attempt.isStopping |= attempt.isStartUncertain;
         if (!attempt.isStartUncertain)
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -91,6 +91,7 @@
     TimePoint nextStartAt;
 
     bool isStopping = false;
+    bool isRefusedAsOld = false; ///< The worker refused its start as old, and no listing since has held it.
     StopProgress stopOrders;
     std::optional<TimePoint> stopConfirmedAt;
 
