A run that outlives a confirmed stop by a second ends with its lease

What callers would see: a task of a cancelled job goes on although stops are answered, and its worker's lease is renewed. Not the cause of a known case: no worker is known to confirm a stop and run on, and the incident was not reproduced.

Cause: a stop that was confirmed once never withheld the lease again, whatever the worker listed afterwards. Further stops were sent twice a second, and nothing else ended the run.

Now a listing that was requested more than a second after the confirmation decides: if it holds the run, the stop counts as open until the run is gone. Workers take 0.4 to 0.9 s to stop a task, and no lease is withheld for these.

Evidence: core_listed_runs_test.

--- a/cornelpond/core/dispatch/DispatcherListings.cpp
+++ b/cornelpond/core/dispatch/DispatcherListings.cpp
@@ -58,6 +58,7 @@
         if (!attempt || attempt->phase == PlacedAttempt::Phase::Proposed) {
             auto const [orphan, isNew] = view.orphanedAttempts.try_emplace({ row.task, row.attempt });
             orphan->second.isListed = true;
+            orphan->second.stopOrders.noteListed(sentAt);
             if (!isNew)
                 continue;
             this->events.emit(Event(EventId::StrayAttempt).with("worker", view.profile.id).with("task", row.task.text()).with("attempt", row.attempt));
@@ -71,6 +72,7 @@
         }
         if (attempt->isRefusedAsOld && *attempt->stopConfirmedAt < sentAt)
             reopen(*attempt);
+        attempt->stopOrders.noteListed(sentAt);
         view.settleStart(*attempt);
         attempt->lastListing = view.listingCount;
         attempt->isInherited = false;
--- a/cornelpond/core/dispatch/DispatcherStarts.cpp
+++ b/cornelpond/core/dispatch/DispatcherStarts.cpp
@@ -142,7 +142,7 @@
         attempt.isStopping = true;
         attempt.isRefusedAsOld = true;
         attempt.stopConfirmedAt = now;
-        attempt.stopOrders.isConfirmed = true;
+        attempt.stopOrders.confirm(now);
         attempt.stopOrders.nextAt = TimePoint::infiniteFuture();
         return;
     case OrderResult::RefusedRoom:
--- a/cornelpond/core/dispatch/DispatcherStops.cpp
+++ b/cornelpond/core/dispatch/DispatcherStops.cpp
@@ -60,7 +60,7 @@
     TimePoint const now = this->clock.now();
     if (!progress.sent)
         progress.firstSentAt = now;
-    else if (!progress.isConfirmed) {
+    else if (progress.isOpen()) {
         this->stopTotals.repeated++;
         this->events.emit(Event(EventId::StopRepeated)
                               .with("task", key.first.text())
@@ -165,7 +165,8 @@
     progress.lastResult = result;
     this->countRefused(view, generation, result);
     bool const isAccepted = result == OrderResult::Accepted && view.generation == generation;
-    progress.isConfirmed |= isAccepted;
+    if (isAccepted)
+        progress.confirm(this->clock.now());
     this->noteOpenStops(view);
     // Further stops take their turns on the connection, as long as it works and the renewal can wait.
     bool const isConnectionFree = way == StopWay::RenewalConnection && isAccepted && this->clock.now() < view.renewalHeldUntil;
--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -4,6 +4,18 @@
 
 namespace cornelpond {
 
+void StopProgress::confirm(TimePoint now)
+{
+    if (!std::exchange(this->isConfirmed, true))
+        this->confirmedAt = now;
+}
+
+void StopProgress::noteListed(TimePoint requestedAt)
+{
+    constexpr Duration maxStopTime = Duration::seconds(1); // Workers take up to 400 to 900 ms to stop a task.
+    this->isOutlived |= this->isConfirmed && requestedAt - this->confirmedAt > maxStopTime;
+}
+
 Resources PlacedAttempt::reserved() const
 {
     return this->stage->reservedPerTask();
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -56,11 +56,20 @@
     unsigned sent = 0;
     bool isInFlight = false;
     bool isConfirmed = false;
+    TimePoint confirmedAt; ///< When the first was confirmed; meaningless while `isConfirmed` is false.
+    bool isOutlived = false; ///< A listing that was requested long after that still held the run, so the confirmation does not count.
     TimePoint firstSentAt; ///< Meaningless while `sent` is 0.
     TimePoint nextAt;
     TimePoint nextOnRenewalConnectionAt; ///< As `nextAt`, but on the connection of a renewal, whatever other order is in flight.
     OrderResult lastResult = OrderResult::Unknown; ///< Of the latest one that was answered or given up.
 
+    /// True from the first order until one is confirmed.
+    bool isOpen() const { return this->sent && (!this->isConfirmed || this->isOutlived); }
+
+    void confirm(TimePoint now);
+    /// To be called when a listing that was requested at `requestedAt` holds the run.
+    void noteListed(TimePoint requestedAt);
+
     /// The way of the next order that awaits no renewal: by turns, as a route or a pooled connection may fail without notice.
     StopWay nextWay() const { return this->sent % 2 ? StopWay::OtherRoute : StopWay::Usual; }
 };
@@ -110,8 +119,8 @@
     bool isBestEffort() const { return this->stage->isBestEffort; }
     /// True when it runs, is not being stopped and its end is not proposed.
     bool isRunning() const { return this->phase == Phase::Running && !this->isStopping && !this->isEndProposed; }
-    /// True from its first stop order until the worker has confirmed one or it ends.
-    bool hasUnconfirmedStop() const { return this->isStopping && this->stopOrders.sent && !this->stopOrders.isConfirmed && !this->isEndProposed; }
+    /// True from its first stop order until the worker has confirmed one, and again when it is listed long after that, until it ends.
+    bool hasUnconfirmedStop() const { return this->isStopping && this->stopOrders.isOpen() && !this->isEndProposed; }
     /// True while it also may run. `listedAt`: when the worker's latest listing arrived.
     bool awaitsStop(TimePoint listedAt) const;
     /// Resources that count against the worker's capacity: a best-effort task reserves no cores.
@@ -146,8 +155,8 @@
     TimePoint forgetAt; ///< Earliest time of removal when it is not listed.
     bool isListed = true; ///< In the worker's latest listing.
 
-    /// True while it runs and no stop order is confirmed.
-    bool awaitsStop() const { return this->isListed && this->stopOrders.sent && !this->stopOrders.isConfirmed; }
+    /// True while it runs and no stop order is confirmed, or one was that it outlived.
+    bool awaitsStop() const { return this->isListed && this->stopOrders.isOpen(); }
 };
 
 class WorkerView {
--- a/cornelpond/core/scheduling/ListedRunsTest.cpp
+++ b/cornelpond/core/scheduling/ListedRunsTest.cpp
@@ -13,7 +13,11 @@
 namespace {
 
 constexpr Duration second = Duration::seconds(1);
+constexpr uint32_t keptTasks = 4;
 constexpr uint32_t taskCount = 3;
+/// After a confirmed stop: the listing that shows the run is requested a second later, and the lease was extended until then.
+Duration const longestRunAfterStop = second + DispatchTimes().longPollWait + DispatchTimes().leaseDuration + Duration::milliseconds(100);
+JobId const kept("kept");
 JobId const cancelled("cancelled");
 
 /// Answers that contradict what the worker has done.
@@ -29,8 +33,29 @@
             done(answer);
         });
     }
+    void stop(WorkerTarget const& worker, StopOrder const& order, Done done) override
+    {
+        if (!this->ignoresStops) {
+            this->fleet.stop(worker, order, std::move(done));
+            return;
+        }
+        ThrottleOrder const unchanged { order.task, order.attempt, fullSpeedPercent, order.epoch };
+        this->fleet.throttle(worker, unchanged, std::move(done)); // Is accepted and changes nothing.
+    }
+    void renew(WorkerTarget const& worker, RenewOrder const& order, std::function<void(RenewAnswer const&)> done) override
+    {
+        this->fleet.renew(worker, order, [this, done = std::move(done)](RenewAnswer answer) {
+            if (std::exchange(this->listsRunsAsEnded, false)) {
+                for (auto const& run : std::exchange(answer.listing.running, {}))
+                    answer.listing.ended.push_back({ answer.listing.ended.size() + 1, run.task, run.attempt, AttemptEnd::LeaseExpired, std::string() });
+            }
+            done(answer);
+        });
+    }
 
     bool refusesStarts = false; ///< Starts are carried out, and answered as refused because the attempt is over.
+    bool ignoresStops = false; ///< Stops are answered as accepted, and not carried out.
+    bool listsRunsAsEnded = false; ///< In the next listing.
 };
 
 struct ListedRunsBench {
@@ -66,3 +91,46 @@
     hosts.bench.run(second);
     CHECK(hosts.bench.fleet.runningCount(cancelled) == 0);
 }
+
+TEST_CASE("a run that goes on after a confirmed stop ends with its lease")
+{
+    ListedRunsBench hosts(2);
+    hosts.submit(kept, keptTasks);
+    hosts.submit(cancelled, taskCount);
+    hosts.orders.ignoresStops = true;
+    hosts.bench.cancel(cancelled);
+    hosts.bench.run(longestRunAfterStop);
+    CHECK(hosts.bench.fleet.runningCount(cancelled) == 0);
+    hosts.bench.run(second * 3);
+    CHECK(hosts.bench.fleet.runningCount(kept) == keptTasks);
+    CHECK(hosts.bench.fleet.record().duplicateRuns == 0);
+}
+
+TEST_CASE("an attempt that its leader does not know ends with its lease when it goes on after a confirmed stop")
+{
+    ListedRunsBench hosts(3);
+    hosts.submit(cancelled, taskCount);
+    hosts.orders.ignoresStops = true;
+    hosts.orders.listsRunsAsEnded = true;
+    hosts.bench.run(second / 2);
+    REQUIRE(hosts.bench.events.count(EventId::AttemptEnded) >= taskCount);
+    hosts.bench.cancel(cancelled);
+    hosts.bench.run(DispatchTimes().longPollWait + longestRunAfterStop); // The stop follows the next listing.
+    CHECK(hosts.bench.fleet.runningCount(cancelled) == 0);
+}
+
+TEST_CASE("stops that take their time withhold no lease")
+{
+    ListedRunsBench hosts(4);
+    hosts.submit(kept, keptTasks);
+    hosts.submit(cancelled, taskCount);
+    FakeFleet::Faults faults;
+    faults.maxStopTime = Duration::milliseconds(900);
+    hosts.bench.fleet.setFaults(faults);
+    hosts.bench.cancel(cancelled);
+    hosts.bench.run(second * 5);
+    CHECK(hosts.bench.fleet.runningCount(cancelled) == 0);
+    CHECK(hosts.bench.events.count(EventId::LeaseWithheld) == 0);
+    CHECK(hosts.bench.fleet.runningCount(kept) == keptTasks);
+    CHECK(hosts.bench.fleet.record().starts == keptTasks + taskCount);
+}
