A run that is listed after its end was proposed is stopped

What callers would see: a task of a cancelled job goes on for as long as the log commits nothing. Not the cause of a known case: an end that was proposed is committed or proposed again, and the run then counts as a stray one; no sequence was found that keeps the end from being applied for seconds while the leader is confirmed.

Cause: the stops of an attempt ended with the proposal of its end, and everything hung on the commit of that end. The end may be wrong, as when the address of the worker was reported wrongly, or a later process of the worker may have started the attempt again.

Now such a run counts as a stray one from its first listing: it is stopped, and its stops withhold the lease until they are confirmed. It would be stopped after the commit anyway.

Evidence: core_listed_runs_test, 'a run that is listed after its end was proposed is stopped before that end is committed', on: 3 of 3 tasks run 3.4 s after their cancel; now none.

--- a/cornelpond/core/dispatch/DispatcherListings.cpp
+++ b/cornelpond/core/dispatch/DispatcherListings.cpp
@@ -55,7 +55,7 @@
     view.listingCount++;
     for (auto const& row : listing.running) {
         PlacedAttempt* attempt = view.find(row.task, row.attempt);
-        if (!attempt || attempt->phase == PlacedAttempt::Phase::Proposed) {
+        if (!attempt || attempt->phase == PlacedAttempt::Phase::Proposed || attempt->isEndProposed) {
             auto const [orphan, isNew] = view.orphanedAttempts.try_emplace({ row.task, row.attempt });
             orphan->second.isListed = true;
             orphan->second.stopOrders.noteListed(sentAt);
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -148,7 +148,7 @@
     }
 };
 
-/// An attempt to be stopped: the worker lists it though it is not placed there, or may still execute a start order
+/// An attempt to be stopped: the worker lists it though it is not placed there or its end is proposed, or may still execute a start order
 /// that was sent to its earlier incarnation.
 struct OrphanedAttempt {
     StopProgress stopOrders;
--- a/cornelpond/core/scheduling/ListedRunsTest.cpp
+++ b/cornelpond/core/scheduling/ListedRunsTest.cpp
@@ -13,12 +13,14 @@
 namespace {
 
 constexpr Duration second = Duration::seconds(1);
+constexpr Duration cancelBound = Duration::milliseconds(3400); ///< What callers are promised: 3 s, and 0.4 s for the worker to stop.
 constexpr uint32_t keptTasks = 4;
 constexpr uint32_t taskCount = 3;
 /// After a confirmed stop: the listing that shows the run is requested a second later, and the lease was extended until then.
 Duration const longestRunAfterStop = second + DispatchTimes().longPollWait + DispatchTimes().leaseDuration + Duration::milliseconds(100);
 JobId const kept("kept");
 JobId const cancelled("cancelled");
+WorkerId const onlyWorker("w0");
 
 /// Answers that contradict what the worker has done.
 class UntruthfulOrders final : public ForwardingOrders {
@@ -134,3 +136,20 @@
     CHECK(hosts.bench.fleet.runningCount(kept) == keptTasks);
     CHECK(hosts.bench.fleet.record().starts == keptTasks + taskCount);
 }
+
+TEST_CASE("a run that is listed after its end was proposed is stopped before that end is committed")
+{
+    ListedRunsBench hosts(5);
+    hosts.submit(cancelled, taskCount);
+    hosts.bench.fleet.setLostStops(onlyWorker, FakeFleet::LostStops::All);
+    hosts.bench.cancel(cancelled);
+    hosts.bench.run(Duration::milliseconds(50));
+    REQUIRE(hosts.bench.state(cancelled) == JobState::Cancelled);
+    hosts.bench.isCommitting = false;
+    hosts.orders.listsRunsAsEnded = true;
+    hosts.bench.run(second);
+    REQUIRE(hosts.bench.fleet.runningCount(cancelled) == taskCount);
+    hosts.bench.fleet.setLostStops(onlyWorker, FakeFleet::LostStops::None);
+    hosts.bench.run(cancelBound - second);
+    CHECK(hosts.bench.fleet.runningCount(cancelled) == 0);
+}
