--- a/cornelpond/core/dispatch/DispatcherListings.cpp
+++ b/cornelpond/core/dispatch/DispatcherListings.cpp
@@ -31,7 +31,7 @@
     view.listingBornMs = listing.bornMs;
     view.consecutiveRenewalFailures = 0;
     view.lastAnswerAt = now;
-    this->handleRunningAttempts(view, listing);
+    this->handleRunningAttempts(view, listing, sent.at);
     this->handleListedEnds(view, listing);
     // Until the process has seen the present generation, it may still accept a start for a former one.
     if (listing.isComplete && hasSeenGeneration)
@@ -46,7 +46,8 @@
         this->hooks.onCapacityChanged();
 }
 
-void Dispatcher::handleRunningAttempts(WorkerView& view, WorkerListing const& listing)
+/// `sentAt`: when the listing was requested.
+void Dispatcher::handleRunningAttempts(WorkerView& view, WorkerListing const& listing, TimePoint sentAt)
 {
     TimePoint const now = this->clock.now();
     for (auto& [key, orphan] : view.orphanedAttempts)
@@ -54,9 +55,10 @@
     view.listingCount++;
     for (auto const& row : listing.running) {
         PlacedAttempt* attempt = view.find(row.task, row.attempt);
-        if (!attempt || attempt->phase == PlacedAttempt::Phase::Proposed) {
+        if (!attempt || attempt->phase == PlacedAttempt::Phase::Proposed || attempt->isEndProposed) {
             auto const [orphan, isNew] = view.orphanedAttempts.try_emplace({ row.task, row.attempt });
             orphan->second.isListed = true;
+            orphan->second.stopOrders.noteListed(sentAt);
             if (!isNew)
                 continue;
             this->events.emit(Event(EventId::StrayAttempt).with("worker", view.profile.id).with("task", row.task.text()).with("attempt", row.attempt));
@@ -68,6 +70,9 @@
             attempt->confirmedAt = now;
             this->reportSeen(view, { row.task, row.attempt }, "listing");
         }
+        if (attempt->isRefusedAsOld && *attempt->stopConfirmedAt < sentAt)
+            reopen(*attempt);
+        attempt->stopOrders.noteListed(sentAt);
         view.settleStart(*attempt);
         attempt->lastListing = view.listingCount;
         attempt->isInherited = false;
@@ -78,6 +83,16 @@
     }
 }
 
+/// Of an attempt that runs although the worker refused its start as old: it goes on, unless it has been stopped.
+void Dispatcher::reopen(PlacedAttempt& attempt)
+{
+    attempt.isRefusedAsOld = false;
+    attempt.isStopping = attempt.stopOrders.sent;
+    attempt.stopConfirmedAt.reset();
+    attempt.stopOrders.isConfirmed = false;
+    attempt.stopOrders.nextAt = TimePoint();
+}
+
 void Dispatcher::handleListedEnds(WorkerView& view, WorkerListing const& listing)
 {
     view.listedEnds.clear();
--- /dev/null
+++ b/cornelpond/core/scheduling/ListedRunsTest.cpp
@@ -0,0 +1,155 @@
+// Runs that a worker lists although one of its answers says that they cannot go on: the listing decides.
+
+#include "testing/fakes/ForwardingOrders.h"
+#include "testing/fakes/JobBench.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <utility>
+
+using namespace cornelpond;
+
+namespace {
+
+constexpr Duration second = Duration::seconds(1);
+constexpr Duration cancelBound = Duration::milliseconds(3400); ///< What callers are promised: 3 s, and 0.4 s for the worker to stop.
+constexpr uint32_t keptTasks = 4;
+constexpr uint32_t taskCount = 3;
+/// After a confirmed stop: the listing that shows the run is requested a second later, and the lease was extended until then.
+Duration const longestRunAfterStop = second + DispatchTimes().longPollWait + DispatchTimes().leaseDuration + Duration::milliseconds(100);
+JobId const kept("kept");
+JobId const cancelled("cancelled");
+WorkerId const onlyWorker("w0");
+
+/// Answers that contradict what the worker has done.
+class UntruthfulOrders final : public ForwardingOrders {
+public:
+    using ForwardingOrders::ForwardingOrders;
+
+    void start(WorkerTarget const& worker, StartOrder const& order, Done done) override
+    {
+        this->fleet.start(worker, order, [this, done = std::move(done)](OrderAnswer answer) {
+            if (this->refusesStarts)
+                answer.result = OrderResult::RefusedOld;
+            done(answer);
+        });
+    }
+    void stop(WorkerTarget const& worker, StopOrder const& order, Done done) override
+    {
+        if (!this->ignoresStops) {
+            this->fleet.stop(worker, order, std::move(done));
+            return;
+        }
+        ThrottleOrder const unchanged { order.task, order.attempt, fullSpeedPercent, order.epoch };
+        this->fleet.throttle(worker, unchanged, std::move(done)); // Is accepted and changes nothing.
+    }
+    void renew(WorkerTarget const& worker, RenewOrder const& order, std::function<void(RenewAnswer const&)> done) override
+    {
+        this->fleet.renew(worker, order, [this, done = std::move(done)](RenewAnswer answer) {
+            if (std::exchange(this->listsRunsAsEnded, false)) {
+                for (auto const& run : std::exchange(answer.listing.running, {}))
+                    answer.listing.ended.push_back({ answer.listing.ended.size() + 1, run.task, run.attempt, AttemptEnd::LeaseExpired, std::string() });
+            }
+            done(answer);
+        });
+    }
+
+    bool refusesStarts = false; ///< Starts are carried out, and answered as refused because the attempt is over.
+    bool ignoresStops = false; ///< Stops are answered as accepted, and not carried out.
+    bool listsRunsAsEnded = false; ///< In the next listing.
+};
+
+struct ListedRunsBench {
+    explicit ListedRunsBench(uint64_t seed)
+        : bench(seed, 2, [](FakeClock&, WorkerOrders& fleet) { return std::make_unique<UntruthfulOrders>(fleet); })
+    {
+        this->bench.addWorkers(1, 16000);
+        this->bench.run(second);
+    }
+
+    void submit(JobId const& job, uint32_t tasks)
+    {
+        this->bench.submit(makeJob(job.value(), tasks, 1000, second * 300));
+        this->bench.run(second * 2);
+        REQUIRE(this->bench.fleet.runningCount(job) == tasks);
+    }
+
+    JobBench bench;
+    UntruthfulOrders& orders { static_cast<UntruthfulOrders&>(*this->bench.orders) };
+};
+
+} // namespace
+
+TEST_CASE("a run whose start was answered as refused goes on while it is wanted, and is stopped with its job")
+{
+    ListedRunsBench hosts(1);
+    hosts.orders.refusesStarts = true;
+    hosts.submit(cancelled, taskCount);
+    hosts.bench.run(second * 10);
+    CHECK(hosts.bench.fleet.runningCount(cancelled) == taskCount);
+    CHECK(hosts.bench.fleet.record().starts == taskCount);
+    hosts.bench.cancel(cancelled);
+    hosts.bench.run(second);
+    CHECK(hosts.bench.fleet.runningCount(cancelled) == 0);
+}
+
+TEST_CASE("a run that goes on after a confirmed stop ends with its lease")
+{
+    ListedRunsBench hosts(2);
+    hosts.submit(kept, keptTasks);
+    hosts.submit(cancelled, taskCount);
+    hosts.orders.ignoresStops = true;
+    hosts.bench.cancel(cancelled);
+    hosts.bench.run(longestRunAfterStop);
+    CHECK(hosts.bench.fleet.runningCount(cancelled) == 0);
+    hosts.bench.run(second * 3);
+    CHECK(hosts.bench.fleet.runningCount(kept) == keptTasks);
+    CHECK(hosts.bench.fleet.record().duplicateRuns == 0);
+}
+
+TEST_CASE("an attempt that its leader does not know ends with its lease when it goes on after a confirmed stop")
+{
+    ListedRunsBench hosts(3);
+    hosts.submit(cancelled, taskCount);
+    hosts.orders.ignoresStops = true;
+    hosts.orders.listsRunsAsEnded = true;
+    hosts.bench.run(second / 2);
+    REQUIRE(hosts.bench.events.count(EventId::AttemptEnded) >= taskCount);
+    hosts.bench.cancel(cancelled);
+    hosts.bench.run(DispatchTimes().longPollWait + longestRunAfterStop); // The stop follows the next listing.
+    CHECK(hosts.bench.fleet.runningCount(cancelled) == 0);
+}
+
+TEST_CASE("stops that take their time withhold no lease")
+{
+    ListedRunsBench hosts(4);
+    hosts.submit(kept, keptTasks);
+    hosts.submit(cancelled, taskCount);
+    FakeFleet::Faults faults;
+    faults.maxStopTime = Duration::milliseconds(900);
+    hosts.bench.fleet.setFaults(faults);
+    hosts.bench.cancel(cancelled);
+    hosts.bench.run(second * 5);
+    CHECK(hosts.bench.fleet.runningCount(cancelled) == 0);
+    CHECK(hosts.bench.events.count(EventId::LeaseWithheld) == 0);
+    CHECK(hosts.bench.fleet.runningCount(kept) == keptTasks);
+    CHECK(hosts.bench.fleet.record().starts == keptTasks + taskCount);
+}
+
+TEST_CASE("a run that is listed after its end was proposed is stopped before that end is committed")
+{
+    ListedRunsBench hosts(5);
+    hosts.submit(cancelled, taskCount);
+    hosts.bench.fleet.setLostStops(onlyWorker, FakeFleet::LostStops::All);
+    hosts.bench.cancel(cancelled);
+    hosts.bench.run(Duration::milliseconds(50));
+    REQUIRE(hosts.bench.state(cancelled) == JobState::Cancelled);
+    hosts.bench.isCommitting = false;
+    hosts.orders.listsRunsAsEnded = true;
+    hosts.bench.run(second);
+    REQUIRE(hosts.bench.fleet.runningCount(cancelled) == taskCount);
+    hosts.bench.fleet.setLostStops(onlyWorker, FakeFleet::LostStops::None);
+    hosts.bench.run(cancelBound - second);
+    CHECK(hosts.bench.fleet.runningCount(cancelled) == 0);
+}
