The leader logs the way of each cancel from its commit to the last end

Operators could not tell from the logs why an attempt of a cancelled job ran on: 338 and 343 say that the cancel was committed and answered, but no line says which attempts were live then, what was done about each of them, and when the last one ended. A new leader that took such attempts over logged only their total number.

354 JobStopsBegun names the live attempts when the cancel takes effect, also at a new leader; 355 JobStopsDone the time until the last one has ended and the stops that were sent; 356 AttemptOutlivesJob, every two seconds from two seconds on, what the leader did about an attempt and what it knows of the worker. 336 StrayAttempt gives the state of the run's job and the latest committed attempt of its task, and 356 repeats strays that stay listed. Jobs that fail or complete with live attempts are reported likewise, as a cancel of such a job is answered as done. Bounded to 50 lines of 356 each 500 ms; those left out are counted in a 106 line. New metrics: endedJobAttempts{olderThanMs} and strayAttempts.

--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -64,6 +64,10 @@
         setEvacuationGauges(dataCentre, left, true, metrics);
     gauge("jobsWithoutWorkers", scheduler.evacuation().jobsWithoutWorkers().count);
     metrics.setGauge("oldestCancelledRunMs", cancelled.oldest.toMilliseconds());
+    EndedJobReport const& endedJobs = scheduler.dispatcher().endedJobReport();
+    for (int const seconds : { 2, 5 })
+        gauge(("endedJobAttempts{olderThanMs=\"" + std::to_string(Duration::seconds(seconds).toMilliseconds()) + "\"}").c_str(), endedJobs.attemptsOlderThan(Duration::seconds(seconds)));
+    gauge("strayAttempts", endedJobs.listedOrphans());
     StopCounters const& stops = scheduler.dispatcher().stopCounters();
     gauge("stopsSent", stops.sent);
     gauge("stopsRepeated", stops.repeated);
--- a/cornelpond/app/FleetMetricsTest.cpp
+++ b/cornelpond/app/FleetMetricsTest.cpp
@@ -132,3 +132,26 @@
     CHECK(contains(text, "relayedStopsExecuted{result=\"accepted\"} 1"));
     CHECK(contains(text, "relayedStartsExecuted{result=\"refusedEpoch\"} 1"));
 }
+
+TEST_CASE("the metrics tell attempts that outlive their cancelled job by two and five seconds")
+{
+    JobBench bench(1);
+    bench.addWorkers(1, 4000);
+    bench.submit(makeJob("plan", 2, 1000, Duration::seconds(60)));
+    bench.run(Duration::seconds(3));
+    bench.fleet.setCut(WorkerId("w0"), true);
+    bench.cancel(JobId("plan"));
+    bench.run(Duration::seconds(1));
+    auto const metricsNow = [&bench] {
+        Metrics metrics;
+        fillSchedulerMetrics(bench.leader().scheduler(), metrics);
+        return metrics.text();
+    };
+    CHECK(contains(metricsNow(), "endedJobAttempts{olderThanMs=\"2000\"} 0"));
+    bench.run(Duration::milliseconds(1500));
+    CHECK(contains(metricsNow(), "endedJobAttempts{olderThanMs=\"2000\"} 2"));
+    CHECK(contains(metricsNow(), "endedJobAttempts{olderThanMs=\"5000\"} 0"));
+    CHECK(contains(metricsNow(), "strayAttempts 0"));
+    bench.run(Duration::seconds(4));
+    CHECK(contains(metricsNow(), "endedJobAttempts{olderThanMs=\"2000\"} 0"));
+}
--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -20,6 +20,7 @@
     , times(times)
     , jobs(jobs)
     , hooks(std::move(hooks))
+    , endedJobs(clock, events, jobs, this->times, this->views)
     , processChanges(times)
 {
 }
@@ -38,6 +39,7 @@
         this->addView(profile, roster.isSettled(id));
     this->jobs.forEachLiveAttempt([this](TaskRef const& task, TaskRecord const& record, Attempt const& attempt) { this->inheritAttempt(task, record, attempt); });
     this->reportTakeOver();
+    this->endedJobs.lead();
 }
 
 /// The generation is higher than that of an earlier view of the same worker. This leader or an earlier one may have sent orders to a
@@ -81,6 +83,7 @@
     this->leading = false;
     this->leadershipToken.reset();
     this->views.clear();
+    this->endedJobs.resign();
 }
 
 WorkerView* Dispatcher::findWorker(WorkerId const& worker)
@@ -167,6 +170,7 @@
         this->stopCopies(end.task);
     }
     WorkerView* view = this->findWorker(end.worker);
+    this->endedJobs.onEndApplied(end, view ? view->find(end.task, end.attempt) : nullptr);
     if (!view)
         return;
     PlacedAttempt const* ended = view->find(end.task, end.attempt);
@@ -185,7 +189,11 @@
 
 void Dispatcher::onTick()
 {
-    if (!this->leading || !this->hooks.canSendOrders())
+    if (!this->leading)
+        return;
+    bool const canSendOrders = this->hooks.canSendOrders();
+    this->endedJobs.onTick(canSendOrders);
+    if (!canSendOrders)
         return;
     for (auto at = this->views.begin(); at != this->views.end();) {
         // checkWorker() may remove the worker from the map at once.
--- a/cornelpond/core/dispatch/Dispatcher.h
+++ b/cornelpond/core/dispatch/Dispatcher.h
@@ -26,6 +26,7 @@
 // knows of which processes it has to assume it.
 
 #include "cornelpond/core/base/Histogram.h"
+#include "cornelpond/core/dispatch/EndedJobReport.h"
 #include "cornelpond/core/dispatch/ProcessChanges.h"
 #include "cornelpond/core/dispatch/WorkerView.h"
 #include "cornelpond/core/jobs/JobTable.h"
@@ -122,6 +123,9 @@
     /// end has been proposed.
     void stop(WorkerView& worker, PlacedAttempt& attempt);
 
+    /// To be called once for each job that ends, before `stopUnwanted`. `hasBegun`: a worker was seen to run one of its tasks.
+    void reportJobEnd(JobRecord const& job, bool hasBegun) { this->endedJobs.onJobEnded(job, hasBegun); }
+
     /// Stops all attempts of the job whose outcome no longer matters.
     void stopUnwanted(JobId const& job);
 
@@ -143,6 +147,7 @@
     StopCounters const& stopCounters() const { return this->stopTotals; }
     WorkerProcessCounters const& processCounters() const { return this->processTotals; }
     FormerOrderWorkers formerOrderWorkers() const;
+    EndedJobReport const& endedJobReport() const { return this->endedJobs; }
 
 private:
     using WeakLeadershipToken = std::weak_ptr<bool>;
@@ -163,6 +168,7 @@
     void reportFormerOrders(WorkerView const& view, char const* source);
     void reportConcludedWithoutWorker(TaskRef const& task, AttemptNumber attempt, WorkerId const& worker, bool isInherited);
     void reportFurtherAttempt(CommitStart const& start);
+    void reportStray(WorkerView const& view, AttemptKey const& key);
     void reportAnsweringProcess(WorkerView const& view, AttemptKey const& key, SendContext const& sent, OrderAnswer const& answer);
     void countRefused(WorkerView const& view, uint64_t generation, OrderResult result);
     void inheritAttempt(TaskRef const& task, TaskRecord const& record, Attempt const& attempt);
@@ -231,6 +237,7 @@
     uint64_t lastGeneration = 0; ///< Of the processes of all workers in this leadership.
     ImageIdTable imageIds;
     std::map<WorkerId, WorkerView> views;
+    EndedJobReport endedJobs;
     uint64_t attemptCheckCount = 0;
     StopCounters stopTotals;
     WorkerProcessCounters processTotals;
--- a/cornelpond/core/dispatch/DispatcherListings.cpp
+++ b/cornelpond/core/dispatch/DispatcherListings.cpp
@@ -59,7 +59,8 @@
             orphan->second.isListed = true;
             if (!isNew)
                 continue;
-            this->events.emit(Event(EventId::StrayAttempt).with("worker", view.profile.id).with("task", row.task.text()).with("attempt", row.attempt));
+            orphan->second.listedSince = now;
+            this->reportStray(view, orphan->first);
             this->reportSeen(view, orphan->first, "listing");
             continue;
         }
@@ -70,6 +71,7 @@
         }
         view.settleStart(*attempt);
         attempt->lastListing = view.listingCount;
+        attempt->lastListedAt = now;
         attempt->isInherited = false;
         attempt->progressPercent = row.progressPercent;
         attempt->latencyMsOrMilliCores = row.latencyMsOrMilliCores;
--- a/cornelpond/core/dispatch/DispatcherReports.cpp
+++ b/cornelpond/core/dispatch/DispatcherReports.cpp
@@ -44,6 +44,18 @@
         this->events.emit(Event(EventId::FurtherAttemptCommitted).with("task", start.task.text()).with("attempt", start.attempt).with("worker", start.worker));
 }
 
+void Dispatcher::reportStray(WorkerView const& view, AttemptKey const& key)
+{
+    JobRecord const* job = this->jobs.find(key.first.job);
+    TaskRecord const* task = job ? this->jobs.findTask(key.first) : nullptr;
+    this->events.emit(Event(EventId::StrayAttempt)
+                          .with("worker", view.profile.id)
+                          .with("task", key.first.text())
+                          .with("attempt", key.second)
+                          .with("state", std::string(job ? jobStateName(job->state) : "notKnown"))
+                          .with("lastAttempt", task ? task->lastAttempt : AttemptNumber()));
+}
+
 void Dispatcher::reportAnsweringProcess(WorkerView const& view, AttemptKey const& key, SendContext const& sent, OrderAnswer const& answer)
 {
     if (!isFromLaterProcess(sent, answer))
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -95,6 +95,7 @@
     std::optional<TimePoint> stopConfirmedAt;
 
     uint64_t lastListing = 0; ///< Number of the latest listing that held it.
+    std::optional<TimePoint> lastListedAt; ///< When that listing arrived, for the log.
     std::string checkpoint; ///< The latest that the worker listed, else the task's committed one; empty: none.
     unsigned progressPercent = 0;
     int64_t latencyMsOrMilliCores = -1; ///< As in ListedAttempt; -1: not given.
@@ -144,6 +145,8 @@
     StopProgress stopOrders;
     TimePoint forgetAt; ///< Earliest time of removal when it is not listed.
     bool isListed = true; ///< In the worker's latest listing.
+    TimePoint listedSince; ///< When it was first listed, for the log.
+    TimePoint nextReportAt;
 
     /// True while it runs and no stop order is confirmed.
     bool awaitsStop() const { return this->isListed && this->stopOrders.sent && !this->stopOrders.isConfirmed; }
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -226,6 +226,7 @@
     }
     this->steps.onJobEnded(job.spec.id);
     this->reportEnd(job);
+    this->dispatch.reportJobEnd(job, this->hasBegun(job));
     this->activeJobs.erase(job.spec.id);
     for (auto* since : { &this->waitingSince, &this->serviceTaskEnds })
         since->erase(since->lower_bound({ job.spec.id, 0, 0, 0 }), since->lower_bound({ job.spec.id, UINT32_MAX, 0, 0 }));
