The log of a fleet's host loses no start or end in a burst

The log let 400 lines of each event and second through, whichever came first.

Events about tasks of one stage that come within 100 ms now share a line: fields that are the same come once, the rest in compact rows. Single events keep their lines. The limit of each event is 1 MiB and 4,000 lines a second. The buffer for a slow reader is 2 MiB, of which events that follow the rate of starts and calls get half, so that they cannot suppress cancels, stops, strays, conclusions or refusals. 106 counts events instead of lines, and the metrics address shows eventsSuppressed{event} since the start.

The events of the last 100 ms are lost when the process is killed, where a part of the last 50 ms was before.

--- a/cornelpond/adapters/log/JsonEventSink.cpp
+++ b/cornelpond/adapters/log/JsonEventSink.cpp
@@ -16,17 +16,33 @@
 
     constexpr Duration reportInterval = Duration::seconds(1);
 
-    void appendText(std::string& line, std::string_view value)
+    /// Events whose number follows the starts and calls of the fleet.
+    bool isFrequent(EventId id)
     {
-        appendQuoted(line, value, "\\u00");
+        switch (id) {
+        case EventId::CallForwarded:
+        case EventId::TaskPlaced:
+        case EventId::AttemptEnded:
+        case EventId::RelayedStartExecuted:
+        case EventId::JobSteps:
+        case EventId::JobBegan:
+            return true;
+        default:
+            return false;
+        }
     }
 
 } // namespace
 
+void appendJsonText(std::string& line, std::string_view text)
+{
+    appendQuoted(line, text, "\\u00");
+}
+
 std::string formatJsonEvent(Event const& event, HostId const& host, int64_t wallMilliseconds)
 {
     std::string line = fmt::format("{{\"time\":\"{}\",\"id\":{},\"event\":\"{}\",\"host\":", formatUtcTime(wallMilliseconds), static_cast<int>(event.id()), eventInfo(event.id()).name);
-    appendText(line, host.value());
+    appendJsonText(line, host.value());
     for (auto const& field : event.fields()) {
         line += ",\"";
         line += field.key;
@@ -34,7 +50,7 @@
         if (field.isNumber)
             line += field.value;
         else
-            appendText(line, field.value);
+            appendJsonText(line, field.value);
     }
     line += '}';
     return line;
@@ -45,51 +61,69 @@
     , host(std::move(host))
     , limits(limits)
     , write(std::move(write))
+    , gathering(limits.gathering, [this](GatheredEvents const& events) { this->appendWithinLimits(events); })
 {
 }
 
 JsonEventSink::~JsonEventSink()
 {
+    this->gathering.releaseAll();
     this->flush();
 }
 
 void JsonEventSink::emit(Event const& event)
 {
-    if (!this->isWithinBudget(event.id()) || this->buffer.size() >= this->limits.maxBufferedBytes) {
-        this->suppressedLines[event.id()]++;
+    int64_t const wallMs = this->clock.wallMilliseconds();
+    if (!this->gathering.add(event, this->clock.now(), wallMs))
+        this->appendWithinLimits({ { event, wallMs } });
+}
+
+/// Appends one line, or counts its events as suppressed.
+void JsonEventSink::appendWithinLimits(GatheredEvents const& events)
+{
+    EventId const id = events.front().event.id();
+    Usage& used = this->usageOf(id);
+    size_t const maxBufferedBytes = isFrequent(id) ? this->limits.maxBufferedBytes / 2 : this->limits.maxBufferedBytes;
+    if (this->buffer.size() >= maxBufferedBytes || used.lines >= this->limits.maxLinesPerEventPerSecond || used.bytes >= this->limits.maxBytesPerEventPerSecond) {
+        this->suppressed[id] += events.size();
+        this->suppressedTotals[id] += events.size();
         return;
     }
-    this->append(event);
+    size_t const before = this->buffer.size();
+    this->append(formatGatheredEvents(events, this->host));
+    used.lines++;
+    used.bytes += this->buffer.size() - before;
 }
 
-bool JsonEventSink::isWithinBudget(EventId id)
+JsonEventSink::Usage& JsonEventSink::usageOf(EventId id)
 {
     constexpr int64_t microsecondsPerSecond = 1000 * 1000;
     int64_t const second = this->clock.now().toMicroseconds() / microsecondsPerSecond;
-    LineBudget& budget = this->lineBudgets[id];
-    if (budget.second != second)
-        budget = { second, 0 };
-    return budget.lines++ < this->limits.maxLinesPerEventPerSecond;
+    Usage& used = this->usage[id];
+    if (used.second != second)
+        used = { second, 0, 0 };
+    return used;
 }
 
-void JsonEventSink::append(Event const& event)
+void JsonEventSink::append(std::string const& line)
 {
-    this->buffer += formatJsonEvent(event, this->host, this->clock.wallMilliseconds());
+    this->buffer += line;
     this->buffer += '\n';
 }
 
 void JsonEventSink::reportSuppressed()
 {
-    if (this->suppressedLines.empty() || this->clock.now() < this->nextReportAt || this->buffer.size() >= this->limits.maxBufferedBytes)
+    if (this->suppressed.empty() || this->clock.now() < this->nextReportAt || this->buffer.size() >= this->limits.maxBufferedBytes)
         return;
     this->nextReportAt = this->clock.now() + reportInterval;
-    for (auto const& [id, count] : this->suppressedLines)
-        this->append(Event(EventId::EventsSuppressed).with("suppressed", std::string(eventInfo(id).name)).with("lines", count));
-    this->suppressedLines.clear();
+    for (auto const& [id, count] : this->suppressed)
+        this->append(formatJsonEvent(Event(EventId::EventsSuppressed).with("suppressed", std::string(eventInfo(id).name)).with("lines", count), this->host, this->clock.wallMilliseconds()));
+    this->suppressed.clear();
 }
 
 void JsonEventSink::flush()
 {
+    this->gathering.release(this->clock.now());
     this->reportSuppressed();
     if (!this->buffer.empty())
         this->buffer.erase(0, this->write(this->buffer));
--- a/cornelpond/adapters/log/JsonEventSink.h
+++ b/cornelpond/adapters/log/JsonEventSink.h
@@ -3,13 +3,15 @@
 // Writes events to standard output, one JSON object per line, with a limited volume and without blocking:
 //   {"time":"2026-12-04T09:00:00.123Z","id":301,"event":"TaskPlaced","host":"core-1","task":"7.0.0.3",...}
 //
-// Lines are buffered in memory until the pipe accepts them. Lines that come while the buffer is full, and
-// lines of one event beyond its limit per second, are dropped and counted in an EventsSuppressed line.
+// Events about tasks are kept for a moment, and those of one stage share a line (EventGathering.h). Lines are buffered in
+// memory until the pipe accepts them. Each event has limits of its own, and the frequent ones may fill only a part of the
+// buffer, so that they never suppress others. What is beyond a limit is dropped and counted in an EventsSuppressed line.
 //
 // Example:
 //   JsonEventSink sink(loop, HostId("core-1"), JsonLogLimits(), writeToStandardOutput);
 //   // from the loop: sink.flush();
 
+#include "cornelpond/adapters/log/EventGathering.h"
 #include "cornelpond/core/base/Ids.h"
 #include "cornelpond/ports/Clock.h"
 #include "cornelpond/ports/EventSink.h"
@@ -22,8 +24,10 @@
 namespace cornelpond {
 
 struct JsonLogLimits {
-    size_t maxBufferedBytes = 256 * 1024;
-    unsigned maxLinesPerEventPerSecond = 400;
+    size_t maxBufferedBytes = 2 * 1024 * 1024; ///< Half of it for frequent events.
+    unsigned maxLinesPerEventPerSecond = 4000;
+    size_t maxBytesPerEventPerSecond = 1024 * 1024;
+    GatheringLimits gathering;
 };
 
 class JsonEventSink final : public EventSink {
@@ -38,6 +42,7 @@
     JsonEventSink& operator=(JsonEventSink const&) = delete;
 
     void emit(Event const& event) override;
+    std::map<EventId, uint64_t> suppressedEvents() const override { return this->suppressedTotals; }
 
     /// Writes as much of the buffer as the pipe accepts.
     void flush();
@@ -45,28 +50,35 @@
     size_t bufferedBytes() const { return this->buffer.size(); }
 
 private:
-    struct LineBudget {
+    struct Usage {
         int64_t second = 0;
         unsigned lines = 0;
+        size_t bytes = 0;
     };
 
-    bool isWithinBudget(EventId id);
-    void append(Event const& event);
+    void appendWithinLimits(GatheredEvents const& events);
+    Usage& usageOf(EventId id);
+    void append(std::string const& line);
     void reportSuppressed();
 
     Clock const& clock;
     HostId host;
     JsonLogLimits limits;
     Write write;
+    EventGathering gathering;
     std::string buffer;
-    std::map<EventId, LineBudget> lineBudgets;
-    std::map<EventId, uint64_t> suppressedLines;
+    std::map<EventId, Usage> usage; ///< In the present second.
+    std::map<EventId, uint64_t> suppressed; ///< Since they were last reported.
+    std::map<EventId, uint64_t> suppressedTotals;
     TimePoint nextReportAt;
 };
 
 /// Returns the line without a line end.
 std::string formatJsonEvent(Event const& event, HostId const& host, int64_t wallMilliseconds);
 
+/// Appends the text as a JSON string.
+void appendJsonText(std::string& line, std::string_view text);
+
 /// Writes to standard output what its pipe accepts without blocking; returns the number of bytes written.
 /// When the pipe has no reader any more, all bytes count as written.
 size_t writeToStandardOutput(std::string_view bytes);
--- a/cornelpond/app/ControlHost.cpp
+++ b/cornelpond/app/ControlHost.cpp
@@ -240,6 +240,7 @@
     this->hostNetwork.fillMetrics(this->metrics);
     fillRelayMetrics(this->orderRelay, this->metrics);
     fillConnectionMetrics(this->connectionFigures(), this->metrics);
+    fillLogMetrics(this->events, this->metrics);
     this->metrics.setGauge("loopTurns", static_cast<int64_t>(this->loop.turns()));
     responder.answer(metricsResponse(this->metrics));
 }
--- a/cornelpond/app/EntryGateway.cpp
+++ b/cornelpond/app/EntryGateway.cpp
@@ -158,6 +158,7 @@
     this->metrics.setGauge("openCalls", static_cast<int64_t>(this->callerServer.openRequests()));
     this->hostNetwork.fillMetrics(this->metrics);
     fillConnectionMetrics(this->connectionFigures(), this->metrics);
+    fillLogMetrics(this->events, this->metrics);
     responder.answer(metricsResponse(this->metrics));
 }
 
--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -179,6 +179,12 @@
     gauge("outgoingRequestsUnsent", figures.requestsUnsent);
 }
 
+void fillLogMetrics(EventSink const& events, Metrics& metrics)
+{
+    for (auto const& [id, count] : events.suppressedEvents())
+        metrics.setGauge("eventsSuppressed{event=\"" + std::string(eventInfo(id).name) + "\"}", static_cast<int64_t>(count));
+}
+
 HttpResponse metricsResponse(Metrics const& metrics)
 {
     HttpResponse response;
--- a/cornelpond/app/FleetMetricsTest.cpp
+++ b/cornelpond/app/FleetMetricsTest.cpp
@@ -1,5 +1,6 @@
 #include "cornelpond/app/FleetMetrics.h"
 
+#include "cornelpond/adapters/log/JsonEventSink.h"
 #include "testing/fakes/FakeClock.h"
 #include "testing/fakes/FakeFleet.h"
 #include "testing/fakes/JobBench.h"
@@ -155,3 +156,19 @@
     bench.run(Duration::seconds(4));
     CHECK(contains(metricsNow(), "endedJobAttempts{olderThanMs=\"2000\"} 0"));
 }
+
+TEST_CASE("the metrics tell the events that were left out of the log, by event")
+{
+    FakeClock clock;
+    JsonLogLimits limits;
+    limits.maxLinesPerEventPerSecond = 1;
+    JsonEventSink sink(clock, HostId("h1"), limits, [](std::string_view bytes) { return bytes.size(); });
+    Metrics metrics;
+    fillLogMetrics(sink, metrics);
+    CHECK(metrics.text().empty());
+    for (int i = 0; i < 3; i++)
+        sink.emit(Event(EventId::CallRefused));
+    sink.emit(Event(EventId::JobCancelled));
+    fillLogMetrics(sink, metrics);
+    CHECK(metrics.text() == "eventsSuppressed{event=\"CallRefused\"} 2\n");
+}
--- a/cornelpond/core/base/Event.cpp
+++ b/cornelpond/core/base/Event.cpp
@@ -14,7 +14,7 @@
         EventInfo { EventId::ListenerOpened, "ListenerOpened", "A listener accepts connections." },
         EventInfo { EventId::InputRefused, "InputRefused", "A request was refused for bad input; nothing was changed." },
         EventInfo { EventId::InternalFault, "InternalFault", "An unexpected error was caught; the process continues." },
-        EventInfo { EventId::EventsSuppressed, "EventsSuppressed", "Lines of another event were dropped to bound the log volume or because nobody reads the log; `lines` counts them." },
+        EventInfo { EventId::EventsSuppressed, "EventsSuppressed", "Lines of another event were dropped to bound the log volume or because nobody reads the log; `lines` counts the events in them." },
         EventInfo { EventId::ConnectionBoundReached, "ConnectionBoundReached", "In the last second requests to workers waited for a connection (`delayed`), found none in time (`unsent`) or new connections were refused (`refused`); open connections by kind, with their bounds." },
         EventInfo { EventId::RequestRouted, "RequestRouted", "An interactive request was sent to a backend server; `reason` says why that server was chosen." },
         EventInfo { EventId::RequestAnswered, "RequestAnswered", "A backend server's whole answer was passed to the caller." },
