A relay's stop line tells what became of the start before it

A run that goes on after its stop was confirmed may come from a start that was carried out after the stop, or from one that another relay sent. The line of a stop (348) did not tell, and that of the start (347) comes only with its answer, or was dropped.

A relay remembers the latest 50,000 attempts that it sent starts for; 348 says how many orders those were, when the first was sent and what the latest answer is. The expected fields of 348 in "a relay logs a start that got no answer, and a stop" are extended by the new ones; the comparison is still of all fields.

--- a/cornelpond/core/relay/OrderRelay.cpp
+++ b/cornelpond/core/relay/OrderRelay.cpp
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr unsigned failuresPerRoute = 2; ///< In a row, before the other route is tried.
+    constexpr size_t maxExecutedStarts = 50000; ///< Bounds memory.
     constexpr Duration answerRateWindow = Duration::milliseconds(200);
 
     OrderAnswer answerWithResult(OrderResult result)
@@ -43,6 +44,7 @@
     , hooks(std::move(hooks))
     , times(times)
     , nextId(firstId)
+    , executedStarts(maxExecutedStarts)
 {
 }
 
@@ -351,20 +353,43 @@
 WorkerOrders::Done OrderRelay::withReport(HostId const& leader, WorkerTarget const& worker, Order const& order, bool isExpired, Done done)
 {
     auto& counts = std::is_same_v<Order, StartOrder> ? this->totals.startsExecuted : this->totals.stopsExecuted;
+    TimePoint const receivedAt = this->clock.now();
     std::optional<Event> event;
-    if (this->hooks.emit)
+    std::optional<ExecutedStarts::Key> startKey; ///< Unset for a stop.
+    if (this->hooks.emit) {
         event = this->executionEvent(leader, worker, order, isExpired);
-    return [this, alive = std::weak_ptr<bool>(this->lifetime), &counts, event = std::move(event), receivedAt = this->clock.now(), done = std::move(done)](OrderAnswer const& answer) {
+        ExecutedStarts::Key const key = ExecutedStarts::keyOf(order.task, order.attempt, worker.id);
+        if constexpr (std::is_same_v<Order, StartOrder>) {
+            startKey = key;
+            this->executedStarts.onSent(key, receivedAt);
+        } else
+            this->addStartBefore(*event, key);
+    }
+    return [this, alive = std::weak_ptr<bool>(this->lifetime), &counts, event = std::move(event), startKey, receivedAt, done = std::move(done)](OrderAnswer const& answer) {
         if (alive.expired())
             return;
         counts[answer.result]++;
+        if (startKey)
+            this->executedStarts.onAnswered(*startKey, answer.result);
         if (event)
             this->reportExecution(*event, receivedAt, answer);
         done(answer);
     };
 }
 
-void OrderRelay::reportExecution(Event event, TimePoint receivedAt, OrderAnswer const& answer)
+/// What this relay knows, when a stop arrives, of the starts of the same attempt.
+void OrderRelay::addStartBefore(Event& event, ExecutedStarts::Key key) const
+{
+    ExecutedStart const* start = this->executedStarts.find(key);
+    std::string result = "notKnown";
+    if (start)
+        result = start->result ? orderResultName(*start->result) : "open";
+    event.with("starts", start ? start->orders : 0)
+        .with("startResult", result)
+        .with("sinceStartMs", start ? (this->clock.now() - start->sentAt).toMilliseconds() : -1);
+}
+
+void OrderRelay::reportExecution(Event event, TimePoint receivedAt, OrderAnswer const& answer) const
 {
     event.with("result", std::string(orderResultName(answer.result))).with("lastedMs", this->clock.now() - receivedAt);
     if (answer.hasClock)
--- a/cornelpond/core/relay/OrderRelay.h
+++ b/cornelpond/core/relay/OrderRelay.h
@@ -19,6 +19,7 @@
 
 #include "cornelpond/core/base/Event.h"
 #include "cornelpond/core/dispatch/WorkerView.h"
+#include "cornelpond/core/relay/ExecutedStarts.h"
 #include "cornelpond/core/relay/RelayMessage.h"
 #include "cornelpond/ports/Clock.h"
 #include "cornelpond/ports/Timers.h"
@@ -158,7 +159,8 @@
     Event executionEvent(HostId const& leader, WorkerTarget const& worker, Order const& order, bool isExpired) const;
     template <typename Order>
     Done withReport(HostId const& leader, WorkerTarget const& worker, Order const& order, bool isExpired, Done done);
-    void reportExecution(Event event, TimePoint receivedAt, OrderAnswer const& answer);
+    void reportExecution(Event event, TimePoint receivedAt, OrderAnswer const& answer) const;
+    void addStartBefore(Event& event, ExecutedStarts::Key key) const;
     void handleAnswer(HostId const& from, RelayedAnswer& relayed);
     void countListing(RenewAnswer const& answer);
     void finishWithListing(OpenOrder const& order, NumberedListingAnswer numbered);
@@ -194,6 +196,7 @@
     TimerId timeoutTimer;
     ListingMemory heldListings; ///< On the leader: as the relays listed them.
     ListingMemory sentListings; ///< On a relay: as the leader holds them.
+    ExecutedStarts executedStarts; ///< On a relay, for the lines of stops.
     TimePoint nextForgetAt;
     bool isTimeoutCheckDue = false; ///< `timeoutTimer` is running.
     OrderRelayCounters totals;
--- a/cornelpond/core/relay/OrderRelayTest.cpp
+++ b/cornelpond/core/relay/OrderRelayTest.cpp
@@ -513,6 +513,13 @@
     return fields;
 }
 
+/// Empty without such a field.
+std::string valueOf(Fields const& fields, std::string const& key)
+{
+    auto const found = std::find_if(fields.begin(), fields.end(), [&](auto const& field) { return field.first == key; });
+    return found == fields.end() ? std::string() : found->second;
+}
+
 } // namespace
 
 TEST_CASE("a relay logs a start once, when it has the answer")
@@ -541,11 +548,37 @@
     REQUIRE(hosts.events.all().size() == 2);
     CHECK(fieldsOf(hosts.events.all()[0]) == Fields { { "leader", "leader" }, { "task", task.text() }, { "attempt", "1" }, { "worker", "w1" }, { "epoch", "2" }, { "processBornMs", "0" }, { "leaseUntilMs", "4000" }, { "expired", "0" }, { "result", "unknown" }, { "lastedMs", "28" } });
     CHECK(hosts.events.all()[1].id() == EventId::RelayedStopExecuted);
-    CHECK(fieldsOf(hosts.events.all()[1]) == Fields { { "leader", "leader" }, { "task", task.text() }, { "attempt", "1" }, { "worker", "w1" }, { "epoch", "2" }, { "expired", "0" }, { "result", "accepted" }, { "lastedMs", "28" }, { "clockMs", "1000" } });
+    CHECK(fieldsOf(hosts.events.all()[1]) == Fields { { "leader", "leader" }, { "task", task.text() }, { "attempt", "1" }, { "worker", "w1" }, { "epoch", "2" }, { "expired", "0" }, { "starts", "1" }, { "startResult", "open" }, { "sinceStartMs", "0" }, { "result", "accepted" }, { "lastedMs", "28" }, { "clockMs", "1000" } });
     CHECK(hosts.relay.counters().startsExecuted == std::map<OrderResult, uint64_t> { { OrderResult::Unknown, 1 } });
     CHECK(hosts.relay.counters().stopsExecuted == std::map<OrderResult, uint64_t> { { OrderResult::Accepted, 1 } });
 }
 
+TEST_CASE("the line of a stop tells which starts of the attempt the relay sent before, when and with which result")
+{
+    LeaderAndRelay hosts;
+    hosts.start();
+    hosts.deliver();
+    hosts.relayDirect.answers.at(0)(accepted());
+    hosts.clock.advance(Duration::seconds(3));
+    hosts.stop(StopWay::Usual);
+    hosts.deliver();
+    hosts.relayDirect.answers.at(1)(accepted());
+    REQUIRE(hosts.events.all().size() == 2);
+    Fields const known = fieldsOf(hosts.events.all()[1]);
+    CHECK(valueOf(known, "starts") == "1");
+    CHECK(valueOf(known, "startResult") == "accepted");
+    CHECK(std::stoi(valueOf(known, "sinceStartMs")) >= 3000);
+    CHECK(std::stoi(valueOf(known, "sinceStartMs")) < 3100);
+    hosts.leader.stop(worker, StopOrder { task, AttemptNumber(2), Term(2), StopWay::Usual }, [](OrderAnswer const&) {});
+    hosts.deliver();
+    hosts.relayDirect.answers.at(2)(accepted());
+    REQUIRE(hosts.events.all().size() == 3);
+    Fields const unknown = fieldsOf(hosts.events.all()[2]);
+    CHECK(valueOf(unknown, "starts") == "0");
+    CHECK(valueOf(unknown, "startResult") == "notKnown");
+    CHECK(valueOf(unknown, "sinceStartMs") == "-1");
+}
+
 TEST_CASE("a relay logs no renewals and throttles, and nothing of a leader that sends directly")
 {
     LeaderAndRelay hosts;
