Every stray attempt gets its line when a worker first lists it

Operators found no 336 StrayAttempt for a run that no committed record accounted for: the line was written only when the listing created the record of the orphaned attempt. After a restart of a worker the leader creates that record itself, for a start that the new process may still carry out, so that a run by such a start was stopped without a line. It showed nowhere but as 344 lines, and not at all if its stops were confirmed.

The line now depends on whether the attempt was listed before. When a job counts as begun is decided as before.

--- a/cornelpond/core/dispatch/DispatcherListings.cpp
+++ b/cornelpond/core/dispatch/DispatcherListings.cpp
@@ -57,11 +57,12 @@
         if (!attempt || attempt->phase == PlacedAttempt::Phase::Proposed) {
             auto const [orphan, isNew] = view.orphanedAttempts.try_emplace({ row.task, row.attempt });
             orphan->second.isListed = true;
-            if (!isNew)
-                continue;
-            orphan->second.listedSince = now;
-            this->reportStray(view, orphan->first);
-            this->reportSeen(view, orphan->first, "listing");
+            if (!orphan->second.listedSince) {
+                orphan->second.listedSince = now;
+                this->reportStray(view, orphan->first);
+            }
+            if (isNew)
+                this->reportSeen(view, orphan->first, "listing");
             continue;
         }
         if (attempt->phase != PlacedAttempt::Phase::Running) {
--- a/cornelpond/core/dispatch/EndedJobReport.cpp
+++ b/cornelpond/core/dispatch/EndedJobReport.cpp
@@ -229,7 +229,7 @@
     TimePoint const now = this->clock.now();
     for (auto& [worker, view] : this->workers) {
         for (auto& [key, orphan] : view.orphanedAttempts) {
-            if (orphan.isListed && now >= std::max(orphan.listedSince + firstReportAfter, orphan.nextReportAt)) {
+            if (orphan.isListed && orphan.listedSince && now >= std::max(*orphan.listedSince + firstReportAfter, orphan.nextReportAt)) {
                 orphan.nextReportAt = now + reportInterval;
                 if (this->takeLine())
                     this->reportOrphan(worker, key, orphan, canSendOrders);
@@ -247,7 +247,7 @@
         .with("worker", worker)
         .with("phase", "stray")
         .with("state", std::string(job ? jobStateName(job->state) : "notKnown"))
-        .with("sinceMs", this->clock.now() - orphan.listedSince);
+        .with("sinceMs", ageMs(this->clock.now(), orphan.listedSince));
     addStops(event, orphan.stopOrders);
     this->addWorker(event, worker);
     event.with("canSendOrders", static_cast<int>(canSendOrders));
--- a/cornelpond/core/dispatch/EndedJobReportTest.cpp
+++ b/cornelpond/core/dispatch/EndedJobReportTest.cpp
@@ -235,6 +235,47 @@
     CHECK(dispatcher.endedJobReport().listedOrphans() == 0);
 }
 
+// Guards against a run without a 336 line: the leader expected the attempt as orphaned before the worker listed it.
+TEST_CASE("a run of an attempt that was concluded after a restart of its worker is logged as a stray")
+{
+    JobBench bench(8);
+    bench.announceInterval = Duration::milliseconds(100);
+    bench.addWorkers(1, 16000);
+    bench.run(second * 3);
+    bench.fleet.setLostStarts(onlyWorker, true);
+    JobSpec const job = makeJob("plan", 1, 1000, second * 60);
+    bench.submit(job);
+    bench.run(Duration::milliseconds(800));
+    bench.fleet.crash(onlyWorker);
+    bench.fleet.restart(onlyWorker);
+    bench.fleet.setLostStarts(onlyWorker, false);
+    bench.fleet.setLostStops(onlyWorker, LostStops::All);
+    bench.run(second / 2);
+    bench.fleet.setCut(onlyWorker, true);
+    bench.run(second * 8);
+    REQUIRE(bench.events.count(EventId::AttemptConcluded) == 1);
+    bench.fleet.setCut(onlyWorker, false);
+    bench.run(second);
+    Dispatcher const& dispatcher = bench.leader().scheduler().dispatcher();
+    REQUIRE(dispatcher.workers().at(onlyWorker).orphanedAttempts.size() == 1);
+    REQUIRE(bench.events.count(EventId::StrayAttempt) == 0);
+    StartOrder order;
+    order.task = { job.id, 0, 0, 0 };
+    order.attempt = AttemptNumber(1);
+    order.leaseUntil = second * 20;
+    order.epoch = dispatcher.orderEpoch(dispatcher.workers().at(onlyWorker));
+    bench.fleet.start({ onlyWorker, "10.0.0.0:80", DataCentreId() }, order, [](OrderAnswer const&) {});
+    bench.run(second);
+    CHECK(dispatcher.endedJobReport().listedOrphans() == 1);
+    std::vector<Event> const strays = eventsOf(bench, EventId::StrayAttempt);
+    REQUIRE(strays.size() == 1);
+    CHECK(valueOf(strays[0], "task") == "plan.0.0.0");
+    CHECK(valueOf(strays[0], "attempt") == "1");
+    CHECK(valueOf(strays[0], "state") == "active");
+    CHECK(numberOf(strays[0], "lastAttempt") >= 2);
+    CHECK(bench.events.count(EventId::AttemptOutlivesJob) == 0);
+}
+
 TEST_CASE("the lines about the attempts of a large cancelled job are bounded, and those left out are counted")
 {
     constexpr uint32_t tasks = 120;
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -145,7 +145,7 @@
     StopProgress stopOrders;
     TimePoint forgetAt; ///< Earliest time of removal when it is not listed.
     bool isListed = true; ///< In the worker's latest listing.
-    TimePoint listedSince; ///< When it was first listed, for the log.
+    std::optional<TimePoint> listedSince; ///< When it was first listed, for the log.
     TimePoint nextReportAt;
 
     /// True while it runs and no stop order is confirmed.
