Lines of calls that cancel have log limits of their own

An entry host logs a DELETE as 211 or 212 like any other call, so that a flood of submissions or refusals could use up the limit of these events, and the answer to a cancel left no line. With nobody reading the log, 100,000 other calls of each event and 200 DELETE calls between them, 14 of the 200 were kept; now all are (adapter_log_test, "calls that cancel are logged beside a flood of other calls", which failed before with 14 == 200).

Calls with the method DELETE are counted apart, and refused calls of other methods share the half of the buffer that frequent events may fill.

--- a/cornelpond/adapters/log/EventGatheringTest.cpp
+++ b/cornelpond/adapters/log/EventGatheringTest.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <set>
 #include <string>
 #include <vector>
@@ -251,7 +252,7 @@
 
 TEST_CASE("a flood of frequent events while nobody reads the log leaves room for cancels, stops, strays and conclusions")
 {
-    std::vector<EventId> const rareEvents { EventId::JobCancelled, EventId::CancelAnswered, EventId::JobStopsBegun, EventId::JobStopsDone, EventId::AttemptOutlivesJob, EventId::StopRepeated, EventId::RelayedStopExecuted, EventId::StrayAttempt, EventId::AttemptConcluded, EventId::CallRefused };
+    std::vector<EventId> const rareEvents { EventId::JobCancelled, EventId::CancelAnswered, EventId::JobStopsBegun, EventId::JobStopsDone, EventId::AttemptOutlivesJob, EventId::StopRepeated, EventId::RelayedStopExecuted, EventId::StrayAttempt, EventId::AttemptConcluded, EventId::AttemptRefused, EventId::JobRefused };
     Log log;
     log.isRead = false;
     int rare = 0;
@@ -310,3 +311,26 @@
     }
     CHECK(log.sink.bufferedBytes() <= limits.maxBufferedBytes + 1000);
 }
+
+TEST_CASE("calls that cancel are logged beside a flood of other calls, also while nobody reads the log")
+{
+    Log log;
+    log.isRead = false;
+    size_t cancels = 0;
+    for (int call = 0; call < 100000; call++) {
+        for (EventId const id : { EventId::CallForwarded, EventId::CallRefused }) {
+            log.sink.emit(Event(id).with("method", "POST").with("path", "/koli954/" + taskName(call, 0)));
+            if (call % 1000 == 0) {
+                log.sink.emit(Event(id).with("method", "DELETE").with("path", "/koli954/" + taskName(call, 0)));
+                cancels++;
+            }
+        }
+        if (call % 1000 == 0)
+            log.run(flushInterval);
+    }
+    log.isRead = true;
+    log.run(second * 5);
+    std::vector<nlohmann::json> const lines = log.lines();
+    CHECK(static_cast<size_t>(std::count_if(lines.begin(), lines.end(), [](auto const& line) { return line.value("method", "") == "DELETE"; })) == cancels);
+    CHECK(log.sink.suppressedEvents().at(EventId::CallRefused) > 0);
+}
--- a/cornelpond/adapters/log/JsonEventSink.cpp
+++ b/cornelpond/adapters/log/JsonEventSink.cpp
@@ -16,11 +16,18 @@
 
     constexpr Duration reportInterval = Duration::seconds(1);
 
+    bool isCancelCall(Event const& event)
+    {
+        auto const& fields = event.fields();
+        return std::any_of(fields.begin(), fields.end(), [](EventField const& field) { return field.key == "method" && field.value == "DELETE"; });
+    }
+
     /// Events whose number follows the starts and calls of the fleet.
     bool isFrequent(EventId id)
     {
         switch (id) {
         case EventId::CallForwarded:
+        case EventId::CallRefused:
         case EventId::TaskPlaced:
         case EventId::AttemptEnded:
         case EventId::RelayedStartExecuted:
@@ -82,8 +89,9 @@
 void JsonEventSink::appendWithinLimits(GatheredEvents const& events)
 {
     EventId const id = events.front().event.id();
-    Usage& used = this->usageOf(id);
-    size_t const maxBufferedBytes = isFrequent(id) ? this->limits.maxBufferedBytes / 2 : this->limits.maxBufferedBytes;
+    bool const isCancel = isCancelCall(events.front().event);
+    Usage& used = this->usageOf({ id, isCancel });
+    size_t const maxBufferedBytes = isFrequent(id) && !isCancel ? this->limits.maxBufferedBytes / 2 : this->limits.maxBufferedBytes;
     if (this->buffer.size() >= maxBufferedBytes || used.lines >= this->limits.maxLinesPerEventPerSecond || used.bytes >= this->limits.maxBytesPerEventPerSecond) {
         this->suppressed[id] += events.size();
         this->suppressedTotals[id] += events.size();
@@ -95,11 +103,11 @@
     used.bytes += this->buffer.size() - before;
 }
 
-JsonEventSink::Usage& JsonEventSink::usageOf(EventId id)
+JsonEventSink::Usage& JsonEventSink::usageOf(LimitKey key)
 {
     constexpr int64_t microsecondsPerSecond = 1000 * 1000;
     int64_t const second = this->clock.now().toMicroseconds() / microsecondsPerSecond;
-    Usage& used = this->usage[id];
+    Usage& used = this->usage[key];
     if (used.second != second)
         used = { second, 0, 0 };
     return used;
--- a/cornelpond/adapters/log/JsonEventSink.h
+++ b/cornelpond/adapters/log/JsonEventSink.h
@@ -20,6 +20,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace cornelpond {
 
@@ -56,8 +57,10 @@
         size_t bytes = 0;
     };
 
+    using LimitKey = std::pair<EventId, bool>; ///< True for calls that cancel: other calls do not use up their limits.
+
     void appendWithinLimits(GatheredEvents const& events);
-    Usage& usageOf(EventId id);
+    Usage& usageOf(LimitKey key);
     void append(std::string const& line);
     void reportSuppressed();
 
@@ -67,7 +70,7 @@
     Write write;
     EventGathering gathering;
     std::string buffer;
-    std::map<EventId, Usage> usage; ///< In the present second.
+    std::map<LimitKey, Usage> usage; ///< In the present second.
     std::map<EventId, uint64_t> suppressed; ///< Since they were last reported.
     std::map<EventId, uint64_t> suppressedTotals;
     TimePoint nextReportAt;
