--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -64,6 +64,10 @@
         setEvacuationGauges(dataCentre, left, true, metrics);
     gauge("jobsWithoutWorkers", scheduler.evacuation().jobsWithoutWorkers().count);
     metrics.setGauge("oldestCancelledRunMs", cancelled.oldest.toMilliseconds());
+    EndedJobReport const& endedJobs = scheduler.dispatcher().endedJobReport();
+    for (int const seconds : { 2, 5 })
+        gauge(("endedJobAttempts{olderThanMs=\"" + std::to_string(Duration::seconds(seconds).toMilliseconds()) + "\"}").c_str(), endedJobs.attemptsOlderThan(Duration::seconds(seconds)));
+    gauge("strayAttempts", endedJobs.listedOrphans());
     StopCounters const& stops = scheduler.dispatcher().stopCounters();
     gauge("stopsSent", stops.sent);
     gauge("stopsRepeated", stops.repeated);
@@ -175,6 +179,12 @@
     gauge("outgoingRequestsUnsent", figures.requestsUnsent);
 }
 
+void fillLogMetrics(EventSink const& events, Metrics& metrics)
+{
+    for (auto const& [id, count] : events.suppressedEvents())
+        metrics.setGauge("eventsSuppressed{event=\"" + std::string(eventInfo(id).name) + "\"}", static_cast<int64_t>(count));
+}
+
 HttpResponse metricsResponse(Metrics const& metrics)
 {
     HttpResponse response;
--- a/cornelpond/app/FleetMetricsTest.cpp
+++ b/cornelpond/app/FleetMetricsTest.cpp
@@ -1,5 +1,6 @@
 #include "cornelpond/app/FleetMetrics.h"
 
+#include "cornelpond/adapters/log/JsonEventSink.h"
 #include "testing/fakes/FakeClock.h"
 #include "testing/fakes/FakeFleet.h"
 #include "testing/fakes/JobBench.h"
@@ -132,3 +133,42 @@
     CHECK(contains(text, "relayedStopsExecuted{result=\"accepted\"} 1"));
     CHECK(contains(text, "relayedStartsExecuted{result=\"refusedEpoch\"} 1"));
 }
+
+TEST_CASE("the metrics tell attempts that outlive their cancelled job by two and five seconds")
+{
+    JobBench bench(1);
+    bench.addWorkers(1, 4000);
+    bench.submit(makeJob("plan", 2, 1000, Duration::seconds(60)));
+    bench.run(Duration::seconds(3));
+    bench.fleet.setCut(WorkerId("w0"), true);
+    bench.cancel(JobId("plan"));
+    bench.run(Duration::seconds(1));
+    auto const metricsNow = [&bench] {
+        Metrics metrics;
+        fillSchedulerMetrics(bench.leader().scheduler(), metrics);
+        return metrics.text();
+    };
+    CHECK(contains(metricsNow(), "endedJobAttempts{olderThanMs=\"2000\"} 0"));
+    bench.run(Duration::milliseconds(1500));
+    CHECK(contains(metricsNow(), "endedJobAttempts{olderThanMs=\"2000\"} 2"));
+    CHECK(contains(metricsNow(), "endedJobAttempts{olderThanMs=\"5000\"} 0"));
+    CHECK(contains(metricsNow(), "strayAttempts 0"));
+    bench.run(Duration::seconds(4));
+    CHECK(contains(metricsNow(), "endedJobAttempts{olderThanMs=\"2000\"} 0"));
+}
+
+TEST_CASE("the metrics tell the events that were left out of the log, by event")
+{
+    FakeClock clock;
+    JsonLogLimits limits;
+    limits.maxLinesPerEventPerSecond = 1;
+    JsonEventSink sink(clock, HostId("h1"), limits, [](std::string_view bytes) { return bytes.size(); });
+    Metrics metrics;
+    fillLogMetrics(sink, metrics);
+    CHECK(metrics.text().empty());
+    for (int i = 0; i < 3; i++)
+        sink.emit(Event(EventId::CallRefused));
+    sink.emit(Event(EventId::JobCancelled));
+    fillLogMetrics(sink, metrics);
+    CHECK(metrics.text() == "eventsSuppressed{event=\"CallRefused\"} 2\n");
+}
--- a/cornelpond/core/dispatch/DispatcherListings.cpp
+++ b/cornelpond/core/dispatch/DispatcherListings.cpp
@@ -59,10 +59,12 @@
             auto const [orphan, isNew] = view.orphanedAttempts.try_emplace({ row.task, row.attempt });
             orphan->second.isListed = true;
             orphan->second.stopOrders.noteListed(sentAt);
-            if (!isNew)
-                continue;
-            this->events.emit(Event(EventId::StrayAttempt).with("worker", view.profile.id).with("task", row.task.text()).with("attempt", row.attempt));
-            this->reportSeen(view, orphan->first, "listing");
+            if (!orphan->second.listedSince) {
+                orphan->second.listedSince = now;
+                this->reportStray(view, orphan->first);
+            }
+            if (isNew)
+                this->reportSeen(view, orphan->first, "listing");
             continue;
         }
         if (attempt->phase != PlacedAttempt::Phase::Running) {
@@ -75,6 +77,7 @@
         attempt->stopOrders.noteListed(sentAt);
         view.settleStart(*attempt);
         attempt->lastListing = view.listingCount;
+        attempt->lastListedAt = now;
         attempt->isInherited = false;
         attempt->progressPercent = row.progressPercent;
         attempt->latencyMsOrMilliCores = row.latencyMsOrMilliCores;
