A worker that answers again while its removal is proposed gets its stops at once

What callers would see: a task that a worker started late, after it had been silent for some 10 s, runs up to 3.5 s longer than needed, where the removal of the worker was proposed and is not committed.

Cause: the proposal of the removal put off all further checks of the worker by a lease, and its answer did not undo that, so that neither stray attempts were stopped nor unwanted ones.

Evidence: core_stop_delivery_test, 'a worker that answers again while its removal is proposed gets its stops at once', fails on (bound: 1.2 s) and passes with this.

--- a/cornelpond/core/dispatch/DispatcherListings.cpp
+++ b/cornelpond/core/dispatch/DispatcherListings.cpp
@@ -29,6 +29,8 @@
     bool const isFirst = !view.hasListing;
     view.hasListing = true;
     view.listingBornMs = listing.bornMs;
+    if (view.consecutiveRenewalFailures)
+        view.nextCheckAt = now; // The proposal to remove a silent worker puts it off.
     view.consecutiveRenewalFailures = 0;
     view.lastAnswerAt = now;
     this->handleRunningAttempts(view, listing, sent.at);
--- a/cornelpond/core/scheduling/StopDeliveryTest.cpp
+++ b/cornelpond/core/scheduling/StopDeliveryTest.cpp
@@ -185,6 +185,22 @@
     CHECK(shared.timeUntilStopped(unknown) <= times.longPollWait + times.leaseDuration + Duration::milliseconds(100));
 }
 
+TEST_CASE("a worker that answers again while its removal is proposed gets its stops at once")
+{
+    SharedWorker shared(12);
+    shared.bench.cancel(shared.kept);
+    shared.bench.cancel(shared.cancelled);
+    shared.bench.run(second);
+    REQUIRE(shared.bench.fleet.runningCountOn(onlyWorker) == 0);
+    DispatchTimes const times;
+    shared.bench.fleet.setCut(onlyWorker, true);
+    shared.bench.isCommitting = false;
+    shared.bench.run(times.leaseDuration * 3 + second / 2);
+    shared.bench.fleet.setCut(onlyWorker, false);
+    JobId const unknown = shared.startUnknownAttempt();
+    CHECK(shared.timeUntilStopped(unknown) <= times.maxRetryDelay + times.orderTimeout + Duration::milliseconds(100));
+}
+
 // Guards against a task that waits for as long as no stop of a start that got no answer is confirmed.
 TEST_CASE("a task whose start is lost and whose stops only the connection of the renewals carries is placed again in time")
 {
