Soak: connections of other clients do not block the harness

Cause: IdleConnections connected with a blocking socket. A paused proxy has a backlog of one connection and runs in the same process, so that connect() returned only when the kernel gave up its SYN retries.

Sockets of IdleConnections and OpenCaller no longer block.

--- a/testing/soak/IdleConnections.cpp
+++ b/testing/soak/IdleConnections.cpp
@@ -16,12 +16,13 @@
     /// The connected socket, or -1. On loopback a connection is made or refused at once.
     int connectTo(Address const& address)
     {
-        int const descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        int const descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
         sockaddr_in to {};
         to.sin_family = AF_INET;
         to.sin_port = htons(address.port);
         inet_pton(AF_INET, address.ip.c_str(), &to.sin_addr);
-        if (descriptor >= 0 && ::connect(descriptor, reinterpret_cast<sockaddr const*>(&to), sizeof to) == 0)
+        // A server whose backlog is full leaves the connection in progress.
+        if (descriptor >= 0 && (::connect(descriptor, reinterpret_cast<sockaddr const*>(&to), sizeof to) == 0 || errno == EINPROGRESS))
             return descriptor;
         if (descriptor >= 0)
             ::close(descriptor);
--- a/testing/soak/OpenCaller.cpp
+++ b/testing/soak/OpenCaller.cpp
@@ -64,12 +64,12 @@
 void OpenCaller::connect()
 {
     this->nextAction = this->clock.now() + reconnectDelay;
-    this->descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    this->descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
     sockaddr_in to {};
     to.sin_family = AF_INET;
     to.sin_port = htons(this->address.port);
     inet_pton(AF_INET, this->address.ip.c_str(), &to.sin_addr);
-    // On loopback a connection is made or refused at once.
+    // On loopback a connection is made or refused at once, unless the server's backlog is full.
     if (::connect(this->descriptor, reinterpret_cast<sockaddr const*>(&to), sizeof to) < 0)
         this->disconnect();
 }
