Soak: cancelled jobs with tasks that last, through rounds of overlapping faults

Two thirds of the jobs last, and each of these is cancelled within twelve seconds, one in eight before its submission is answered. Callers repeat the DELETE twice a second, over connections that stay open too, until it is answered 2xx or 410.

New faults: PauseLeader, PauseRelay, CutWorkerOneWay, RestartWorkerSilently, SilenceWays. The sets none, dead-ways and dead-relay measure how long runs take to stop. DrainWorker counts as calm, as the rule on cancelled tasks does not leave out workers that shut down gracefully.

A run of FaultSet::Cancels or CancelledRuns goes on until each cancel has been judged, and is broken if none of a job that lasts was.

The logs of a broken run hold workers.log: the orders that reached workers, what they executed, what was acknowledged, and when the system held up a host. The harness runs all links and workers; a standstill of it of half a second or more counts as a fault.

--late-orders stays in force after a LateOrders fault.

--- a/testing/faultproxy/FaultProxy.cpp
+++ b/testing/faultproxy/FaultProxy.cpp
@@ -80,10 +80,14 @@
     evconnlistener_free(this->listener);
 }
 
-void FaultProxy::silenceOpenConnections()
+/// Silences the first of each `distance` connections.
+void FaultProxy::silenceEach(size_t distance)
 {
-    for (auto& [id, connection] : this->connections)
-        connection->isSilent = true;
+    size_t index = 0;
+    for (auto& [id, connection] : this->connections) {
+        if (index++ % distance == 0)
+            connection->isSilent = true;
+    }
 }
 
 void FaultProxy::closeOpenConnections()
--- a/testing/faultproxy/FaultProxy.h
+++ b/testing/faultproxy/FaultProxy.h
@@ -50,7 +50,9 @@
     uint64_t resetConnectionCount() const { return this->resetConnections; } ///< Those over `maxConnections`.
 
     /// Discards all further bytes of the connections that are open now, for good, without closing them.
-    void silenceOpenConnections();
+    void silenceOpenConnections() { this->silenceEach(1); }
+    /// Does so to every other one.
+    void silenceHalf() { this->silenceEach(2); }
 
     /// Closes all open connections.
     void closeOpenConnections();
@@ -69,6 +71,7 @@
 
     void accept(int socket);
     void setPaused(bool isPaused);
+    void silenceEach(size_t distance);
     void forward(Direction& direction);
     void deliver(uint64_t connectionId, bool toServer, std::string const& bytes);
     void close(uint64_t connectionId);
--- a/testing/soak/FaultPlan.h
+++ b/testing/soak/FaultPlan.h
@@ -4,7 +4,9 @@
 // disrupts the control hosts, because a fleet of three tolerates only one host that is down. FaultSet::Outages
 // goes further: it also takes away the majority, whose hosts return with their disks. FaultSet::Cancels alternates
 // periods of faults with calm ones, in which only cancels and changes of the configuration go on. FaultSet::Restarts
-// cuts workers off soon after they were started again. FaultSet::SilentRestarts does so in rounds with most workers, whose hosts
+// cuts workers off soon after they were started again. FaultSet::CancelledRuns alternates rounds of many overlapping
+// faults, also of several control hosts at a time, with calm periods in which every cancel can be judged
+// while workers drain, data centres are evacuated and the configuration changes. FaultSet::SilentRestarts does so in rounds with most workers, whose hosts
 // go down without closing a connection, and kills the leader in some of them.
 //
 // Example:
@@ -49,6 +51,11 @@
     RestartAndCutWorkers, ///< Half of them: restarted under their ids after half a second; `duration` later unreachable for longer than their leases.
     RestartSilently, ///< Half or two thirds of the workers: silent for a while, restarted under their ids, `duration` later unreachable for longer than their leases.
     KillLeader, ///< As KillHost, for the control host that leads.
+    PauseLeader, ///< As PauseHost, for the control host that leads.
+    PauseRelay, ///< As PauseHost, for a control host that does not lead.
+    CutWorkerOneWay, ///< For `duration`, bytes to the worker are lost, or those from it.
+    SilenceWays, ///< Every other open connection to each worker drops all further bytes.
+    RestartWorkerSilently, ///< Silent for a while, then restarted under its id; its open connections are kept or closed.
     Evacuate, ///< An operator evacuates the worker's data centre, and finishes that `duration` and some seconds later.
 };
 
@@ -56,6 +63,10 @@
     General, ///< Single faults of many kinds.
     Outages, ///< Full disks, lost majorities, signals and odd messages, in series.
     Cancels, ///< Removed queues and cancels, through overlapping faults and the calm periods between them.
+    CancelledRuns, ///< Rounds of overlapping faults of all parts, each with a calm period, while jobs with tasks that last are cancelled.
+    None, ///< For measurements.
+    DeadWays, ///< Rounds of SilenceWays, for measurements.
+    DeadRelay, ///< Rounds of PauseRelay, for measurements.
     Restarts, ///< Workers that are restarted and cut off, beside late orders and faults of the hosts that relay them.
     SilentRestarts, ///< Rounds of RestartSilently, some with KillLeader, while tasks run for longer than a lease.
     Evacuations, ///< Evacuated data centres, beside restarts, signals and lost majorities.
@@ -72,7 +83,7 @@
     uint64_t targetSelector = 0; ///< Selects the host or worker, modulo their number.
 };
 
-/// True if the hosts and workers, and the links between them, are sound during the fault.
+/// True if the hosts and workers, and the links between them, are sound during the fault, or a worker ends as announced.
 bool isCalm(FaultKind kind);
 
 /// True for faults that make a control host or its links to its peers fail for a while.
--- a/testing/soak/Soak.cpp
+++ b/testing/soak/Soak.cpp
@@ -8,6 +8,7 @@
 #include "testing/soak/EvacuationCheck.h"
 #include "testing/soak/IdleConnections.h"
 #include "testing/soak/OpenCaller.h"
+#include "testing/soak/ProcessWatch.h"
 #include "testing/soak/SoakClients.h"
 #include "testing/soak/WorkerServer.h"
 
@@ -28,7 +29,6 @@
 
 namespace {
 
-    constexpr int controlHostCount = 3;
     constexpr int firstEntryHost = 8;
     constexpr Duration workerStep = Duration::milliseconds(5);
     constexpr Duration heartbeatInterval = Duration::milliseconds(500);
@@ -61,6 +61,28 @@
         TimePoint nextHeartbeat;
     };
 
+    /// True if the run must show that cancels stop tasks that last.
+    bool requiresJudgedCancels(FaultSet set)
+    {
+        return set == FaultSet::Cancels || set == FaultSet::CancelledRuns;
+    }
+
+    /// True if callers cancel jobs with tasks that last, all the time.
+    bool hasLastingJobs(FaultSet set)
+    {
+        return set == FaultSet::CancelledRuns || set == FaultSet::None || set == FaultSet::DeadWays || set == FaultSet::DeadRelay;
+    }
+
+    bool hasSecondQueue(FaultSet set)
+    {
+        return set == FaultSet::Cancels || set == FaultSet::CancelledRuns;
+    }
+
+    bool hasEvacuations(FaultSet set)
+    {
+        return set == FaultSet::Evacuations || set == FaultSet::CancelledRuns;
+    }
+
     class SoakRun {
     public:
         explicit SoakRun(SoakOptions const& options);
@@ -76,13 +98,21 @@
         void injectHost(FaultStep const& fault, int host);
         void injectWorker(FaultStep const& fault, SoakWorker& worker);
         void crash(SoakWorker& worker);
+        void goDown(SoakWorker& worker);
         void restart(SoakWorker& worker);
         void restartAndCut(SoakWorker& worker, Duration cutAfter);
         void restartSilently(SoakWorker& worker, Duration cutAfter, bool keepsConnections);
         void restartMostSilently(FaultStep const& fault);
         void submitWhileDown();
         void setLateOrders(bool outliveProcesses);
+        void setUsualOrders();
+        void logOrders(SoakWorker& worker);
+        void writeWorkerLog(std::string const& line);
         int entryHostFor(FaultStep const& fault) const;
+        int controlHostFor(FaultStep const& fault) const;
+        void pauseHost(int host, Duration span);
+        void cutOneWay(FaultStep const& fault, SoakWorker& worker);
+        void restartSilentlyAlone(FaultStep const& fault, SoakWorker& worker);
         void injectOutage(FaultStep const& fault, int host);
         void fillDisk(FaultStep const& fault, int host);
         void loseMajority(FaultStep const& fault, int spared);
@@ -93,14 +123,17 @@
         void stopAndRestart(int host);
         void restartStopped(int host, TimePoint bound);
         void checkProcesses();
+        void watchProcess(int host);
+        void noteStandstill(TimePoint now);
         void sendOddHeartbeat();
         void addOpenCallers();
         void reportOnce(std::string const& text);
         void forEachLink(int host, std::function<void(FaultProxy&, bool isOutgoing)> const& action);
         void tearJournal(int host);
         void runFor(Duration span);
+        bool isFinished() const;
         void collect(SoakResult& result);
-        void keepLogs() const;
+        void keepLogs(SoakResult const& result);
         SoakAddresses addresses() const;
 
         SoakOptions options;
@@ -117,11 +150,16 @@
         std::vector<SoakWorker> workerServers;
         std::vector<std::unique_ptr<OpenCaller>> openCallers;
         std::map<TaskRef, TimePoint> orderedAt; ///< When the last start order for the task reached a worker.
+        std::map<int, int> pauses; ///< Those that have not ended, by control host.
         std::set<int> stoppingHosts; ///< Told to end by SIGTERM and not started again yet.
+        std::ofstream workerLog; ///< What workers were told and what they executed.
         std::vector<std::string> faults;
         std::vector<std::string> violations;
         TimePoint started;
         TimePoint lastStep;
+        TimePoint lastRoundAt;
+        Duration longestStandstill;
+        std::map<int, ProcessWatch> processWatches; ///< By host.
         TimePoint nextProcessCheck;
         TimePoint nextOddHeartbeat;
         TimePoint oddHeartbeatsUntil;
@@ -135,6 +173,13 @@
         SoakLoad load;
         if (options.faultSet == FaultSet::Cancels)
             load.jobsPerServiceJob = 20;
+        if (hasLastingJobs(options.faultSet)) {
+            constexpr Duration lastingIntervalPerWorker = Duration::milliseconds(2400); // They take about two thirds of a worker each.
+            load.submitInterval = lastingIntervalPerWorker / static_cast<int64_t>(options.workerCount);
+            load.jobsPerServiceJob = 3;
+            load.jobsPerLastingJob = 2;
+            load.maxTimeToCancel = Duration::seconds(12);
+        }
         if (options.faultSet == FaultSet::Restarts)
             load.jobsPerServiceJob = 8;
         if (options.faultSet == FaultSet::SilentRestarts)
@@ -151,16 +196,24 @@
         , cancelCheck(
               this->loop, [this](JobId const& job) { return this->workers.runningCount(job); }, [this](std::string const& text) { this->violations.push_back(fmt::format("{:6.2f} s {}", (this->loop.now() - this->started).toSeconds(), text)); })
         , evacuationCheck(this->loop, this->client, this->addresses().controlAddresses, this->random, [this](std::string const& text) { this->violations.push_back(text); })
-        , clients(this->loop, this->client, this->random, this->addresses(), this->cancelCheck, options.faultSet == FaultSet::Cancels, loadOf(options), [this](JobSpec const& job) { this->workers.registerJob(job); })
+        , clients(this->loop, this->client, this->random, this->addresses(), this->cancelCheck, hasSecondQueue(options.faultSet), loadOf(options), [this](JobSpec const& job) { this->workers.registerJob(job); })
         , lastStep(this->loop.now())
     {
-        this->workers.setStartObserver([this](TaskRef const& task) { this->clients.onTaskStarted(task.job, this->orderedAt[task]); });
+        this->workerLog.open(this->fleet.folderPath() + "/workers.log");
+        this->workers.setStartObserver([this](TaskRef const& task) {
+            this->writeWorkerLog("started " + task.text());
+            this->clients.onTaskStarted(task.job, this->orderedAt[task]);
+        });
+        this->workers.setAcknowledgementCheck([this](ListedEnd const& end, WorkerId const& worker) {
+            this->writeWorkerLog(fmt::format("{} process {} acknowledged end {} as {} of {} run {}", worker.value(), this->workers.processBornMs(worker), end.number, static_cast<int>(end.end), end.task.text(), end.attempt.value()));
+            return true;
+        });
     }
 
     SoakAddresses SoakRun::addresses() const
     {
         SoakAddresses found;
-        for (int host = 1; host <= controlHostCount; host++)
+        for (int host = 1; host <= this->options.controlHostCount; host++)
             found.controlAddresses.push_back({ this->fleet.ip(host), FleetProcesses::controlPort });
         for (int host = firstEntryHost; host < firstEntryHost + this->options.entryHostCount; host++)
             found.entryAddresses.push_back({ this->fleet.ip(host), FleetProcesses::callerPort });
@@ -170,8 +223,8 @@
     /// Puts a proxy on the link from each control host to every other one.
     void SoakRun::linkPeers()
     {
-        for (int from = 1; from <= controlHostCount; from++) {
-            for (int to = 1; to <= controlHostCount; to++) {
+        for (int from = 1; from <= this->options.controlHostCount; from++) {
+            for (int to = 1; to <= this->options.controlHostCount; to++) {
                 if (from == to)
                     continue;
                 Address const listen { this->fleet.proxyIp(from, to), FleetProcesses::peerPort };
@@ -184,7 +237,7 @@
     void SoakRun::startFleet()
     {
         this->linkPeers();
-        for (int host = 1; host <= controlHostCount; host++)
+        for (int host = 1; host <= this->options.controlHostCount; host++)
             this->fleet.startControlHost(host, true);
         for (int host = firstEntryHost; host < firstEntryHost + this->options.entryHostCount; host++)
             this->fleet.startEntryHost(host);
@@ -204,7 +257,7 @@
             profile.service = ServiceId("fleet");
             profile.rack = RackId("r" + std::to_string(i / workersPerRack));
             profile.labels = { "a", profile.rack.value() };
-            if (this->options.faultSet == FaultSet::Evacuations) // Otherwise in that of the hosts.
+            if (hasEvacuations(this->options.faultSet)) // Otherwise in that of the hosts.
                 profile.dataCentre = dataCentreOf(i);
             profile.capacity = { milliCores, memoryMiB, 0 };
             this->workers.addWorker(profile);
@@ -215,6 +268,7 @@
                 this->orderedAt[task] = this->loop.now();
                 this->evacuationCheck.onStartOrder(dataCentre);
             });
+            this->logOrders(worker);
             uint16_t const port = worker.server->listen({ "127.0.0.1", 0 });
             worker.proxy = std::make_unique<FaultProxy>(this->loop, this->random, Address { "127.0.0.1", 0 }, Address { "127.0.0.1", port });
             LinkFaults limits;
@@ -226,6 +280,17 @@
         }
     }
 
+    /// Times are those of the hosts' logs, in milliseconds.
+    void SoakRun::writeWorkerLog(std::string const& line)
+    {
+        this->workerLog << this->loop.wallMilliseconds() << ' ' << line << '\n';
+    }
+
+    void SoakRun::logOrders(SoakWorker& worker)
+    {
+        worker.server->setOrderObserver([this, id = worker.id](std::string const& text) { this->writeWorkerLog(fmt::format("{} process {} {}", id.value(), this->workers.processBornMs(id), text)); });
+    }
+
     void SoakRun::addOpenCallers()
     {
         for (auto const& entry : this->addresses().entryAddresses) {
@@ -234,10 +299,11 @@
         }
     }
 
-    /// Open connections carry cancels only where queues are removed.
+    /// Open connections carry cancels only where these are judged or measured.
     OpenCaller::Call SoakRun::nextCall()
     {
-        std::string const cancelPath = this->options.faultSet == FaultSet::Cancels ? this->clients.pendingCancelPath() : "";
+        bool const carriesCancels = requiresJudgedCancels(this->options.faultSet) || hasLastingJobs(this->options.faultSet);
+        std::string const cancelPath = carriesCancels ? this->clients.takePendingCancel() : "";
         if (cancelPath.empty())
             return { "GET", this->clients.newestJobPath(), nullptr };
         return { "DELETE", cancelPath, [this, cancelPath](int status) { this->clients.onCancelAnswered(cancelPath, status); } };
@@ -254,6 +320,7 @@
     {
         this->loop.runOnce();
         TimePoint const now = this->loop.now();
+        this->noteStandstill(now);
         while (now - this->lastStep >= workerStep) {
             this->lastStep = this->lastStep + workerStep;
             this->workerClock.advance(workerStep);
@@ -323,6 +390,7 @@
             return;
         this->nextProcessCheck = this->loop.now() + processCheckInterval;
         for (int host = 1; host < firstEntryHost + this->options.entryHostCount; host++) {
+            this->watchProcess(host);
             if (!this->fleet.isStarted(host) || this->stoppingHosts.count(host) || !this->fleet.process(host).hasExited())
                 continue;
             this->violations.push_back(fmt::format("{:6.2f} s host {} ended by itself, exit code {}", (this->loop.now() - this->started).toSeconds(), host, this->fleet.process(host).waitForExit()));
@@ -330,6 +398,34 @@
         }
     }
 
+    void SoakRun::watchProcess(int host)
+    {
+        if (!this->fleet.isStarted(host))
+            return;
+        int const pid = this->fleet.process(host).pid();
+        auto const watch = this->processWatches.emplace(host, ProcessWatch(pid)).first;
+        if (watch->second.pid() != pid)
+            watch->second = ProcessWatch(pid);
+        std::string const text = watch->second.sample();
+        if (!text.empty())
+            this->writeWorkerLog(fmt::format("host {} {}", host, text));
+    }
+
+    /// All links and workers are out of order while this process stands still, as it runs the proxies.
+    void SoakRun::noteStandstill(TimePoint now)
+    {
+        constexpr Duration minLoggedGap = Duration::milliseconds(100);
+        constexpr Duration minOutage = Duration::milliseconds(500);
+        Duration const gap = now - this->lastRoundAt;
+        if (this->lastRoundAt > TimePoint() && gap >= minLoggedGap)
+            this->writeWorkerLog(fmt::format("the harness stood still for {} ms", gap.toMilliseconds()));
+        if (this->lastRoundAt > TimePoint() && gap >= minOutage)
+            this->cancelCheck.noteFaultUntil(now);
+        if (this->lastRoundAt > TimePoint())
+            this->longestStandstill = std::max(this->longestStandstill, gap);
+        this->lastRoundAt = now;
+    }
+
     void SoakRun::startHost(int host)
     {
         if (host < firstEntryHost)
@@ -340,7 +436,7 @@
 
     void SoakRun::inject(FaultStep const& fault)
     {
-        int const host = fault.kind == FaultKind::KillLeader ? this->fleet.leaderInLogs() : 1 + static_cast<int>(fault.targetSelector % controlHostCount);
+        int const host = this->controlHostFor(fault);
         SoakWorker& worker = this->workerServers[fault.targetSelector % this->workerServers.size()];
         bool const isEntryFault = fault.kind == FaultKind::KillEntryHost || fault.kind == FaultKind::StopEntryHost;
         bool const isControlFault = disruptsControlHost(fault.kind) || fault.kind == FaultKind::ReloadHost;
@@ -372,7 +468,8 @@
 
     void SoakRun::stopAndRestart(int host)
     {
-        if (this->stoppingHosts.count(host) || !this->fleet.isStarted(host))
+        bool const isPaused = this->pauses[host]; // It would not end in time.
+        if (isPaused || this->stoppingHosts.count(host) || !this->fleet.isStarted(host))
             return;
         this->fleet.process(host).sendSignal(SIGTERM);
         this->stoppingHosts.insert(host);
@@ -398,6 +495,33 @@
         this->pendingRestarts--;
     }
 
+    int SoakRun::controlHostFor(FaultStep const& fault) const
+    {
+        int const drawn = 1 + static_cast<int>(fault.targetSelector % static_cast<uint64_t>(this->options.controlHostCount));
+        switch (fault.kind) {
+        case FaultKind::KillLeader:
+        case FaultKind::PauseLeader:
+            return this->fleet.leaderInLogs();
+        case FaultKind::PauseRelay:
+            return drawn == this->fleet.leaderInLogs() ? 1 + drawn % this->options.controlHostCount : drawn;
+        default:
+            return drawn;
+        }
+    }
+
+    /// A host on its way down is left alone.
+    void SoakRun::pauseHost(int host, Duration span)
+    {
+        if (this->stoppingHosts.count(host) || !this->fleet.isStarted(host))
+            return;
+        this->fleet.process(host).sendSignal(SIGSTOP);
+        this->pauses[host]++;
+        this->loop.after(span, [this, host] {
+            if (!--this->pauses[host] && this->fleet.isStarted(host))
+                this->fleet.process(host).sendSignal(SIGCONT);
+        });
+    }
+
     int SoakRun::entryHostFor(FaultStep const& fault) const
     {
         return firstEntryHost + static_cast<int>(fault.targetSelector % static_cast<uint64_t>(this->options.entryHostCount));
@@ -434,23 +558,22 @@
                 throw Error(ResultCode::Internal, "cannot set the file size limit of host " + std::to_string(host));
         };
         std::string const newest = newestJournalFile(this->fleet.dataFolder(host) + "/jobs");
-        bool const hasRoom = fault.targetSelector / controlHostCount % 2 && !newest.empty();
+        bool const hasRoom = fault.targetSelector / static_cast<uint64_t>(this->options.controlHostCount) % 2 && !newest.empty();
         setLimit(hasRoom ? std::filesystem::file_size(newest) + fault.targetSelector % roomBytes : 0);
         this->loop.after(fault.duration, [setLimit] { setLimit(RLIM_INFINITY); });
     }
 
     void SoakRun::loseMajority(FaultStep const& fault, int spared)
     {
-        bool const isPaused = fault.targetSelector / controlHostCount % 2;
-        for (int host = 1; host <= controlHostCount; host++) {
+        bool const isPaused = fault.targetSelector / static_cast<uint64_t>(this->options.controlHostCount) % 2;
+        for (int host = 1; host <= this->options.controlHostCount; host++) {
             if (host == spared || !this->fleet.isStarted(host))
                 continue;
             if (!isPaused) {
                 this->killAndRestart(host, fault.duration, [] {});
                 continue;
             }
-            this->fleet.process(host).sendSignal(SIGSTOP);
-            this->loop.after(fault.duration, [this, host] { this->fleet.process(host).sendSignal(SIGCONT); });
+            this->pauseHost(host, fault.duration);
         }
         this->loop.after(cancelDelay, [this] { this->clients.cancelJobs(cancelledJobCount); });
     }
@@ -479,9 +602,9 @@
         case FaultKind::StopHost:
             return this->stopAndRestart(host);
         case FaultKind::PauseHost:
-            this->fleet.process(host).sendSignal(SIGSTOP);
-            this->loop.after(fault.duration, [this, host] { this->fleet.process(host).sendSignal(SIGCONT); });
-            return;
+        case FaultKind::PauseLeader:
+        case FaultKind::PauseRelay:
+            return this->pauseHost(host, fault.duration);
         case FaultKind::ReloadHost:
             if (this->fleet.isStarted(host))
                 this->fleet.process(host).sendSignal(SIGHUP);
@@ -533,10 +656,16 @@
 
     void SoakRun::crash(SoakWorker& worker)
     {
-        this->workers.crash(worker.id);
+        this->goDown(worker);
         worker.proxy->closeOpenConnections();
     }
 
+    void SoakRun::goDown(SoakWorker& worker)
+    {
+        this->writeWorkerLog(fmt::format("{} process {} down", worker.id.value(), this->workers.processBornMs(worker.id)));
+        this->workers.crash(worker.id);
+    }
+
     void SoakRun::restart(SoakWorker& worker)
     {
         this->crash(worker);
@@ -555,7 +684,7 @@
     void SoakRun::restartSilently(SoakWorker& worker, Duration cutAfter, bool keepsConnections)
     {
         worker.proxy->pause();
-        this->workers.crash(worker.id);
+        this->goDown(worker);
         this->loop.after(silentDownTime, [this, &worker, keepsConnections] {
             if (!keepsConnections)
                 worker.proxy->closeOpenConnections();
@@ -572,6 +701,31 @@
         });
     }
 
+    void SoakRun::restartSilentlyAlone(FaultStep const& fault, SoakWorker& worker)
+    {
+        bool const keepsConnections = fault.targetSelector / this->workerServers.size() % 2;
+        worker.proxy->pause();
+        this->goDown(worker);
+        this->loop.after(std::min(silentDownTime, fault.duration), [this, &worker, keepsConnections] {
+            if (!keepsConnections)
+                worker.proxy->closeOpenConnections();
+            this->workers.restart(worker.id);
+            worker.proxy->resume();
+        });
+    }
+
+    void SoakRun::cutOneWay(FaultStep const& fault, SoakWorker& worker)
+    {
+        LinkFaults cut = worker.proxy->currentFaults();
+        (fault.targetSelector / this->workerServers.size() % 2 ? cut.isCutToServer : cut.isCutToClient) = true;
+        worker.proxy->setFaults(cut);
+        this->loop.after(fault.duration, [this, &worker] {
+            LinkFaults healed;
+            healed.maxConnections = this->options.workerConnectionLimit;
+            worker.proxy->setFaults(healed);
+        });
+    }
+
     void SoakRun::restartMostSilently(FaultStep const& fault)
     {
         bool const isDrawnKept = fault.targetSelector / 8 % 2;
@@ -604,6 +758,15 @@
         this->workers.setFaults(late);
     }
 
+    /// Late orders come in rounds of faults where calm periods are to be judged, else all the time.
+    void SoakRun::setUsualOrders()
+    {
+        if (this->options.hasLateOrders && this->options.faultSet != FaultSet::CancelledRuns)
+            this->setLateOrders(true);
+        else
+            this->workers.setFaults(FakeFleet::Faults());
+    }
+
     void SoakRun::injectWorker(FaultStep const& fault, SoakWorker& worker)
     {
         switch (fault.kind) {
@@ -627,6 +790,14 @@
             this->loop.after(fault.duration, [this, &worker] { this->workers.setCut(worker.id, false); });
             return;
         }
+        case FaultKind::CutWorkerOneWay:
+            return this->cutOneWay(fault, worker);
+        case FaultKind::SilenceWays:
+            for (auto const& each : this->workerServers)
+                each.proxy->silenceHalf();
+            return;
+        case FaultKind::RestartWorkerSilently:
+            return this->restartSilentlyAlone(fault, worker);
         case FaultKind::OddListings:
             worker.server->setOddListings(&this->random);
             this->loop.after(fault.duration, [&worker] { worker.server->setOddListings(nullptr); });
@@ -638,8 +809,8 @@
         case FaultKind::SilenceWorker:
             return worker.proxy->silenceOpenConnections();
         case FaultKind::LateOrders: {
-            this->setLateOrders(false);
-            this->loop.after(fault.duration, [this] { this->workers.setFaults(FakeFleet::Faults()); });
+            this->setLateOrders(this->options.hasLateOrders);
+            this->loop.after(fault.duration, [this] { this->setUsualOrders(); });
             return;
         }
         case FaultKind::CancelWave:
@@ -653,6 +824,12 @@
         }
     }
 
+    bool SoakRun::isFinished() const
+    {
+        bool const isJudged = !requiresJudgedCancels(this->options.faultSet) || this->cancelCheck.isJudged();
+        return !this->pendingRestarts && isJudged && this->clients.isSettled() && this->evacuationCheck.isSettled();
+    }
+
     SoakResult SoakRun::run()
     {
         this->startFleet();
@@ -660,14 +837,13 @@
         this->clients.raceConfigurations();
         this->runFor(Duration::seconds(2));
         this->started = this->loop.now();
-        if (this->options.hasLateOrders)
-            this->setLateOrders(true);
+        this->setUsualOrders();
         for (auto const& fault : drawFaults(this->options.faultSet, this->options.seed, this->options.loadDuration))
             this->loop.after(fault.startOffset, [this, fault] { this->inject(fault); });
         this->runFor(this->options.loadDuration);
         this->clients.stopSubmitting();
         TimePoint const bound = this->loop.now() + this->options.maxSettleTime;
-        while (this->loop.now() < bound && (this->pendingRestarts || !this->clients.isSettled() || !this->evacuationCheck.isSettled()))
+        while (this->loop.now() < bound && !this->isFinished())
             this->step();
         SoakResult result;
         this->collect(result);
@@ -696,22 +872,32 @@
             result.violations.emplace_back("no evacuation was acknowledged");
         if (!this->clients.acceptedJobs())
             result.violations.emplace_back("no job was accepted");
+        result.longestStandstill = this->longestStandstill;
+        result.cancels = this->cancelCheck.summary();
+        if (requiresJudgedCancels(this->options.faultSet) && !result.cancels.lastingJudgedRuns)
+            result.violations.emplace_back("no cancelled job that lasts was judged");
         result.faults = this->faults;
         result.acceptedJobs = this->clients.acceptedJobs();
         result.refusedJobs = this->clients.refusedJobs();
         result.acknowledgedVersion = this->clients.acknowledgedVersion();
         result.starts = record.starts;
         if (!result.violations.empty())
-            this->keepLogs();
+            this->keepLogs(result);
     }
 
-    void SoakRun::keepLogs() const
+    void SoakRun::keepLogs(SoakResult const& result)
     {
         if (this->options.logFolder.empty())
             return;
+        this->workerLog.flush();
         std::filesystem::path const target = std::filesystem::path(this->options.logFolder) / ("seed-" + std::to_string(this->options.seed));
         std::filesystem::create_directories(target);
         std::filesystem::copy(this->fleet.folderPath(), target, std::filesystem::copy_options::recursive | std::filesystem::copy_options::overwrite_existing);
+        std::ofstream found(target / "violations.log");
+        for (auto const& lines : { result.faults, result.violations }) {
+            for (auto const& line : lines)
+                found << line << '\n';
+        }
     }
 
 } // namespace
--- a/testing/soak/Soak.h
+++ b/testing/soak/Soak.h
@@ -11,6 +11,7 @@
 // The fault plan depends on the seed alone; its effect on the processes also depends on the timing of the machine.
 
 #include "cornelpond/core/base/Duration.h"
+#include "testing/soak/CancelCheck.h"
 #include "testing/soak/FaultPlan.h"
 
 #include <cstdint>
@@ -32,6 +33,7 @@
     FaultSet faultSet = FaultSet::General;
     Duration loadDuration = Duration::seconds(20); ///< Duration of load and faults.
     Duration maxSettleTime = Duration::seconds(60); ///< Time limit, after the load has ended, for all jobs to end.
+    int controlHostCount = 3; ///< Up to seven.
     size_t workerCount = 6;
     int entryHostCount = 2;
     ConnectionsOverRestart connections = ConnectionsOverRestart::Drawn;
@@ -47,6 +49,8 @@
     size_t acceptedJobs = 0;
     size_t refusedJobs = 0;
     unsigned starts = 0;
+    CancelSummary cancels;
+    Duration longestStandstill; ///< Of the process that simulates the workers and carries out the faults.
     uint64_t acknowledgedVersion = 0; ///< The highest acknowledged configuration version.
 };
 
--- a/testing/soak/SoakClients.cpp
+++ b/testing/soak/SoakClients.cpp
@@ -11,6 +11,7 @@
 namespace {
 
     constexpr Duration queryInterval = Duration::milliseconds(700);
+    constexpr Duration cancelRepeatInterval = Duration::milliseconds(500);
     constexpr Duration retryDelay = Duration::milliseconds(300);
     constexpr Duration configurationReadInterval = Duration::milliseconds(250);
     constexpr Duration configurationApplyBound = Duration::milliseconds(2000);
@@ -45,6 +46,13 @@
         return { { "name", name }, { "host", "jobs.example" }, { "path-prefix", "/" + name + "/" }, { "timeout-ms", 2000 + version }, { "target-latency-ms", 500 }, { "service", "fleet" }, { "max-attempts", 3 }, { "stretch-factor", 2.0 } };
     }
 
+    TaskLength lengthOf(JobSpec const& job)
+    {
+        constexpr Duration minLasting = Duration::seconds(30);
+        StageSpec const& first = job.stages.front();
+        return first.isService || first.estimatedRunTime >= minLasting ? TaskLength::Lasting : TaskLength::Short;
+    }
+
     std::string submissionBody(JobSpec const& job)
     {
         Json steps = Json::array();
@@ -81,8 +89,9 @@
     TimePoint const now = this->loop.now();
     if (this->isSubmitting && this->highestAcknowledgedVersion && now >= this->nextSubmit) {
         this->nextSubmit = now + this->load.submitInterval;
-        this->submitNewJob(this->drawJob());
+        this->submitNewJob(this->drawAnyJob());
     }
+    this->cancelAtDrawnTimes();
     if (now >= this->nextConfigurationRead) {
         this->nextConfigurationRead = now + configurationReadInterval;
         this->readConfiguration();
@@ -92,7 +101,7 @@
             continue;
         if (job.submissionState == SubmissionState::Submitting)
             this->submit(job);
-        else if (job.submissionState == SubmissionState::Accepted && job.isCancelRequested && !job.isCancelAcknowledged)
+        else if (job.submissionState == SubmissionState::Accepted && job.isCancelRequested && !job.isCancelAcknowledged && !job.cancelDueAt)
             this->cancel(job);
         else if (job.submissionState == SubmissionState::Accepted)
             this->queryJob(job);
@@ -125,9 +134,15 @@
     return job;
 }
 
-JobSpec SoakClients::drawLongJob()
+JobSpec SoakClients::drawAnyJob()
+{
+    constexpr Duration lastingRunTime = Duration::seconds(60);
+    bool const isLasting = this->load.jobsPerLastingJob && !this->random.below(this->load.jobsPerLastingJob);
+    return isLasting ? this->drawLongJob(lastingRunTime) : this->drawJob();
+}
+
+JobSpec SoakClients::drawLongJob(Duration minRunTime)
 {
-    constexpr Duration minRunTime = Duration::seconds(10);
     JobSpec job = this->drawJob();
     job.stages.resize(1);
     job.stages.front().isService = false;
@@ -137,8 +152,9 @@
 
 void SoakClients::submitLongJobs(size_t count)
 {
+    constexpr Duration minRunTime = Duration::seconds(10);
     for (size_t i = 0; i < count; i++)
-        this->submitNewJob(this->drawLongJob());
+        this->submitNewJob(this->drawLongJob(minRunTime));
 }
 
 void SoakClients::submitNewJob(JobSpec spec)
@@ -146,6 +162,8 @@
     Job job;
     job.spec = std::move(spec);
     job.isOfSecondQueue = this->hasSecondQueue && this->random.below(2);
+    if (this->load.maxTimeToCancel > Duration() && lengthOf(job.spec) == TaskLength::Lasting)
+        job.cancelDueAt = this->loop.now() + this->drawTimeToCancel();
     this->newestPath = pathOf(job);
     this->onSubmit(job.spec);
     this->submit(this->jobs.emplace(job.spec.id, job).first->second);
@@ -156,16 +174,19 @@
     return this->addresses.entryAddresses[this->random.below(this->addresses.entryAddresses.size())];
 }
 
+/// One cancel in eight is sent before its submission can have been answered.
+Duration SoakClients::drawTimeToCancel()
+{
+    constexpr uint64_t cancelsPerEarlyOne = 8;
+    constexpr Duration earlyBound = Duration::milliseconds(20);
+    Duration const bound = this->random.below(cancelsPerEarlyOne) ? this->load.maxTimeToCancel : earlyBound;
+    return Duration::microseconds(static_cast<int64_t>(this->random.below(static_cast<uint64_t>(bound.toMicroseconds()))));
+}
+
 void SoakClients::sendRequest(Job& job, std::string const& method, std::string const& body, std::function<void(HttpOutcome const&)> done)
 {
-    HttpRequest request { method, pathOf(job), "", {}, body };
-    request.headers.add("Host", "jobs.example");
-    request.headers.add("Content-Type", "application/json");
-    request.headers.add("X-Deadline-Ms", std::to_string(clientDeadlineMs));
-    HttpSendOptions options;
-    options.timeout = Duration::milliseconds(clientDeadlineMs);
     job.isCallOpen = true;
-    this->client.send(this->randomEntryAddress(), request, options, [this, id = job.spec.id, done = std::move(done)](HttpOutcome const& outcome) {
+    this->send(job, method, body, [this, id = job.spec.id, done = std::move(done)](HttpOutcome const& outcome) {
         Job& called = this->jobs.at(id);
         called.isCallOpen = false;
         called.nextCall = this->loop.now() + retryDelay;
@@ -173,6 +194,17 @@
     });
 }
 
+void SoakClients::send(Job const& job, std::string const& method, std::string const& body, std::function<void(HttpOutcome const&)> done)
+{
+    HttpRequest request { method, pathOf(job), "", {}, body };
+    request.headers.add("Host", "jobs.example");
+    request.headers.add("Content-Type", "application/json");
+    request.headers.add("X-Deadline-Ms", std::to_string(clientDeadlineMs));
+    HttpSendOptions options;
+    options.timeout = Duration::milliseconds(clientDeadlineMs);
+    this->client.send(this->randomEntryAddress(), request, options, std::move(done));
+}
+
 void SoakClients::submit(Job& job)
 {
     job.tries++;
@@ -186,7 +218,12 @@
     if (status == ok) {
         this->noteServed();
         job.submissionState = SubmissionState::Accepted;
-        job.isCancelRequested |= !this->isSubmitting && job.spec.stages.front().isService;
+        this->cancelCheck.onAccepted(id);
+        job.isCancelRequested |= !this->isSubmitting && lengthOf(job.spec) == TaskLength::Lasting;
+        return;
+    }
+    if (status == gone && job.isCancelSent) { // The cancel came first.
+        job.submissionState = SubmissionState::GivenUp;
         return;
     }
     bool const isUnconfigured = status == notFound && this->mayBeUnconfigured(job);
@@ -257,23 +294,53 @@
     job.isEnded = state == "completed" || state == "cancelled";
 }
 
-void SoakClients::cancel(Job& job)
+void SoakClients::noteCancelSent(Job& job)
 {
     job.isCancelRequested = true;
     if (!job.isCancelSent)
         job.cancelFirstSentAt = this->loop.now();
     job.isCancelSent = true;
-    this->cancelCheck.onCancelSent(job.spec.id);
+    if (job.cancelDueAt)
+        job.cancelDueAt = this->loop.now() + cancelRepeatInterval;
+    this->cancelCheck.onCancelSent(job.spec.id, lengthOf(job.spec), job.submissionState == SubmissionState::Accepted);
+}
+
+/// The unacknowledged cancel with a drawn time that has been due for longest; null if none was due at `dueBy`.
+SoakClients::Job* SoakClients::mostUrgentDrawnCancel(TimePoint dueBy)
+{
+    Job* first = nullptr;
+    for (auto& [id, job] : this->jobs) {
+        bool const isDue = job.cancelDueAt && *job.cancelDueAt <= dueBy && !job.isCancelAcknowledged;
+        if (isDue && (!first || *job.cancelDueAt < *first->cancelDueAt))
+            first = &job;
+    }
+    return first;
+}
+
+/// Sends the cancels that no open connection has taken in time.
+void SoakClients::cancelAtDrawnTimes()
+{
+    constexpr Duration timeToTake = Duration::milliseconds(50);
+    while (Job* job = this->mostUrgentDrawnCancel(this->loop.now() - timeToTake)) {
+        this->noteCancelSent(*job);
+        this->send(*job, "DELETE", "", [this, id = job->spec.id](HttpOutcome const& outcome) { this->onCancelAnswered(id, statusOf(outcome)); });
+    }
+}
+
+void SoakClients::cancel(Job& job)
+{
+    this->noteCancelSent(job);
     this->sendRequest(job, "DELETE", "", [this, id = job.spec.id](HttpOutcome const& outcome) { this->onCancelAnswered(id, statusOf(outcome)); });
 }
 
 void SoakClients::onCancelAnswered(JobId const& id, int status)
 {
     Job& job = this->jobs.at(id);
-    bool const isUnconfigured = status == gone && this->mayBeUnconfigured(job);
-    if (status == gone && !isUnconfigured)
+    bool const mayBeGone = job.submissionState != SubmissionState::Accepted || this->mayBeUnconfigured(job);
+    if (status == gone && !mayBeGone)
         this->reportViolation("accepted job " + id.value() + " was unknown when it was cancelled");
-    if ((status != ok && !isUnconfigured) || job.isCancelAcknowledged)
+    bool const isAcknowledged = status == ok || (status == gone && mayBeGone);
+    if (!isAcknowledged || job.isCancelAcknowledged)
         return;
     job.isCancelAcknowledged = true;
     job.cancelAcknowledgedAt = this->loop.now();
@@ -286,11 +353,15 @@
     return (job.isOfSecondQueue ? "/reports/" : "/jobs/") + job.spec.id.value();
 }
 
-std::string SoakClients::pendingCancelPath() const
+std::string SoakClients::takePendingCancel()
 {
+    if (Job* drawn = this->mostUrgentDrawnCancel(this->loop.now())) {
+        this->noteCancelSent(*drawn);
+        return pathOf(*drawn);
+    }
     Job const* oldest = nullptr;
     for (auto const& [id, job] : this->jobs) {
-        if (job.isCancelSent && !job.isCancelAcknowledged && (!oldest || job.cancelFirstSentAt < oldest->cancelFirstSentAt))
+        if (!job.cancelDueAt && job.isCancelSent && !job.isCancelAcknowledged && (!oldest || job.cancelFirstSentAt < oldest->cancelFirstSentAt))
             oldest = &job;
     }
     return oldest ? pathOf(*oldest) : "";
@@ -314,7 +385,7 @@
 {
     this->isSubmitting = false;
     for (auto& [id, job] : this->jobs)
-        job.isCancelRequested |= job.submissionState == SubmissionState::Accepted && job.spec.stages.front().isService;
+        job.isCancelRequested |= job.submissionState == SubmissionState::Accepted && lengthOf(job.spec) == TaskLength::Lasting;
 }
 
 void SoakClients::cancelJobs(size_t count)
--- a/testing/soak/SoakClients.h
+++ b/testing/soak/SoakClients.h
@@ -15,6 +15,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,8 @@
 struct SoakLoad {
     Duration submitInterval = Duration::milliseconds(60);
     uint64_t jobsPerServiceJob = 40; ///< One job in so many is a service job.
+    uint64_t jobsPerLastingJob = 0; ///< One of the others in so many has tasks that run for a minute; 0: none.
+    Duration maxTimeToCancel; ///< Jobs with tasks that last are cancelled within this time of their submission, whether it is answered or not; zero: only as told.
 };
 
 class SoakClients {
@@ -54,9 +57,9 @@
     /// Sends two configurations at once, both with or both without the second queue.
     void setSecondQueue(bool isConfigured);
 
-    /// The cancel that has waited longest for its acknowledgement, as a path; empty if there is none.
-    std::string pendingCancelPath() const;
-    /// To be called with the answer to a DELETE of a path of pendingCancelPath().
+    /// The cancel that is to be sent next, as a path; empty if there is none. It has waited longest for its acknowledgement.
+    std::string takePendingCancel();
+    /// To be called with the answer to a DELETE of a path of takePendingCancel().
     void onCancelAnswered(std::string const& path, int status);
 
     /// True once all accepted jobs have ended and the newest acknowledged configuration has been read.
@@ -99,6 +102,7 @@
         TimePoint cancelAcknowledgedAt;
         std::string state; ///< As last read.
         TimePoint nextCall;
+        std::optional<TimePoint> cancelDueAt; ///< When the cancel is to be sent next, if its time was drawn.
     };
 
     void submitNewJob(JobSpec spec);
@@ -114,6 +118,10 @@
     std::string configurationBody(uint64_t version) const;
     bool mustNotStart(Job const& job, TimePoint orderedAt) const;
     void noteServed();
+    void noteCancelSent(Job& job);
+    void cancelAtDrawnTimes();
+    Job* mostUrgentDrawnCancel(TimePoint dueBy);
+    void send(Job const& job, std::string const& method, std::string const& body, std::function<void(HttpOutcome const&)> done);
     void sendRequest(Job& job, std::string const& method, std::string const& body, std::function<void(HttpOutcome const&)> done);
     void sendConfiguration(uint64_t version, size_t host, unsigned triesLeft);
     void readConfiguration();
@@ -121,7 +129,9 @@
     void reportViolation(std::string text) { this->foundViolations.push_back(std::move(text)); }
     Address const& randomEntryAddress();
     JobSpec drawJob();
-    JobSpec drawLongJob();
+    JobSpec drawLongJob(Duration minRunTime);
+    JobSpec drawAnyJob();
+    Duration drawTimeToCancel();
 
     EventLoop& loop;
     HttpClient& client;
--- a/testing/soak/WorkerServer.cpp
+++ b/testing/soak/WorkerServer.cpp
@@ -157,6 +157,8 @@
 {
     std::string const* expected = request.headers.find("X-Expected-Instance");
     Json const body = Json::parse(request.body, nullptr, false);
+    if (this->onOrder)
+        this->onOrder(request.path + " " + request.body);
     if (expected && *expected != this->target.id.value())
         responder.answer(json(misdirected, Json::object()));
     else if (!body.is_object())
--- a/testing/soak/WorkerServer.h
+++ b/testing/soak/WorkerServer.h
@@ -31,6 +31,8 @@
     /// The same with one field that makes it invalid.
     static HttpRequest makeOddHeartbeat(WorkerReport const& report, std::string const& address, Random& random);
 
+    /// `observer` is called with a line of text for each order that arrives, whether it is carried out or not.
+    void setOrderObserver(std::function<void(std::string const&)> observer) { this->onOrder = std::move(observer); }
     /// `observer` is called for each start order that arrives, before the worker carries it out.
     void setStartOrderObserver(std::function<void(TaskRef const&)> observer) { this->onStartOrder = std::move(observer); }
     /// While `random` is set, a share of the listings contains odd rows and fields drawn from it.
@@ -43,6 +45,7 @@
 
     FakeFleet& fleet;
     WorkerTarget target;
+    std::function<void(std::string const&)> onOrder;
     std::function<void(TaskRef const&)> onStartOrder;
     Random* oddListings = nullptr;
     HttpServer server;
