Soak: a host that the system holds up counts as a fault

The run prints for how long it was so. A run in which no calm is left over is still broken, as no cancel is judged then.

--- a/testing/soak/CancelCheck.cpp
+++ b/testing/soak/CancelCheck.cpp
@@ -97,7 +97,11 @@
         cancel.lastRunAt = this->clock.now();
         if (!hasLimits(cancel))
             continue;
-        this->longestCalmRun = std::max(this->longestCalmRun, this->clock.now() - this->runsCountSince(cancel));
+        Duration const calmRun = this->clock.now() - this->runsCountSince(cancel);
+        if (calmRun <= this->longestCalmRun)
+            continue;
+        this->longestCalmRun = calmRun;
+        this->longestCalmRunJob = job;
     }
 }
 
@@ -155,6 +159,7 @@
     CancelSummary summary;
     summary.cancels = this->cancels.size();
     summary.longestCalmRun = this->longestCalmRun;
+    summary.longestCalmRunJob = this->longestCalmRunJob;
     for (auto const& [job, cancel] : this->cancels) {
         bool const isLasting = cancel.length == TaskLength::Lasting && cancel.lastRunAt;
         summary.lasting += isLasting;
--- a/testing/soak/CancelCheck.h
+++ b/testing/soak/CancelCheck.h
@@ -36,6 +36,7 @@
     size_t judgedRuns = 0; ///< Cancels after which the limit for runs has passed in calm time.
     size_t lastingJudgedRuns = 0; ///< Of these, those counted in `lasting`.
     Duration longestCalmRun; ///< The longest that tasks of a cancelled job have run of the time for which it may, judged or not.
+    JobId longestCalmRunJob;
     std::vector<Duration> stopTimes; ///< From the first cancel of each of `lasting` to the end of its last run so far, ascending.
 };
 
@@ -97,6 +98,7 @@
     TimePoint faultsEndAt;
     TimePoint nextCheck;
     Duration longestCalmRun;
+    JobId longestCalmRunJob;
 };
 
 } // namespace cornelpond
--- a/testing/soak/CancelCheckTest.cpp
+++ b/testing/soak/CancelCheckTest.cpp
@@ -127,6 +127,7 @@
     CHECK(fixture.check.summary().lastingJudgedRuns == 1);
     CHECK(fixture.check.isJudged());
     CHECK(fixture.check.summary().longestCalmRun == Duration::seconds(1));
+    CHECK(fixture.check.summary().longestCalmRunJob == fixture.job);
     CHECK(fixture.violations.empty());
 }
 
--- a/testing/soak/ProcessWatch.cpp
+++ b/testing/soak/ProcessWatch.cpp
@@ -37,8 +37,9 @@
     uint64_t const waitNs = waitNsOf(folder);
     uint64_t const waitedMs = this->lastWaitNs && waitNs > this->lastWaitNs ? (waitNs - this->lastWaitNs) / nsPerMs : 0;
     this->lastWaitNs = waitNs;
-    bool const isHeldUp = state == "D" || state == "T" || waitedMs >= minWaitMs;
-    return isHeldUp ? fmt::format("state {}, waited {} ms for a processor", state, waitedMs) : "";
+    bool const waits = state == "D" || waitedMs >= minWaitMs;
+    this->heldUpSamples = waits ? this->heldUpSamples + 1 : 0;
+    return waits || state == "T" ? fmt::format("state {}, waited {} ms for a processor", state, waitedMs) : "";
 }
 
 } // namespace cornelpond
--- a/testing/soak/ProcessWatch.h
+++ b/testing/soak/ProcessWatch.h
@@ -25,9 +25,15 @@
     /// milliseconds. Empty if it sleeps or runs and hardly waits.
     std::string sample();
 
+    /// True if it has waited for a device or a processor in each of the last samples, five at least.
+    bool isHeldUp() const { return this->heldUpSamples >= minHeldUpSamples; }
+
 private:
+    static constexpr int minHeldUpSamples = 5;
+
     int watchedPid;
     uint64_t lastWaitNs = 0;
+    int heldUpSamples = 0; ///< Without interruption.
 };
 
 } // namespace cornelpond
--- a/testing/soak/Soak.cpp
+++ b/testing/soak/Soak.cpp
@@ -159,6 +159,7 @@
         TimePoint lastStep;
         TimePoint lastRoundAt;
         Duration longestStandstill;
+        Duration timeHeldUp;
         std::map<int, ProcessWatch> processWatches; ///< By host.
         TimePoint nextProcessCheck;
         TimePoint nextOddHeartbeat;
@@ -398,6 +399,7 @@
         }
     }
 
+    /// A host that the disk or other load holds up is as much a fault as one that is paused.
     void SoakRun::watchProcess(int host)
     {
         if (!this->fleet.isStarted(host))
@@ -409,6 +411,10 @@
         std::string const text = watch->second.sample();
         if (!text.empty())
             this->writeWorkerLog(fmt::format("host {} {}", host, text));
+        if (!watch->second.isHeldUp())
+            return;
+        this->cancelCheck.noteFaultUntil(this->loop.now());
+        this->timeHeldUp = this->timeHeldUp + processCheckInterval;
     }
 
     /// All links and workers are out of order while this process stands still, as it runs the proxies.
@@ -873,6 +879,7 @@
         if (!this->clients.acceptedJobs())
             result.violations.emplace_back("no job was accepted");
         result.longestStandstill = this->longestStandstill;
+        result.timeHeldUp = this->timeHeldUp;
         result.cancels = this->cancelCheck.summary();
         if (requiresJudgedCancels(this->options.faultSet) && !result.cancels.lastingJudgedRuns)
             result.violations.emplace_back("no cancelled job that lasts was judged");
@@ -881,7 +888,7 @@
         result.refusedJobs = this->clients.refusedJobs();
         result.acknowledgedVersion = this->clients.acknowledgedVersion();
         result.starts = record.starts;
-        if (!result.violations.empty())
+        if (!result.violations.empty() || this->options.keepsAllLogs)
             this->keepLogs(result);
     }
 
--- a/testing/soak/Soak.h
+++ b/testing/soak/Soak.h
@@ -40,6 +40,7 @@
     bool hasLateOrders = false; ///< All the time a share of the orders to workers is carried out late, by whichever process is up then.
     size_t workerConnectionLimit = 64; ///< Connections that a worker keeps open; further ones are reset.
     std::string logFolder; ///< Where the files of the processes are copied after a run with violations; empty: nowhere.
+    bool keepsAllLogs = false; ///< Copies them after each run.
     bool isVerbose = false; ///< Prints each fault when it is injected.
 };
 
@@ -50,6 +51,7 @@
     size_t refusedJobs = 0;
     unsigned starts = 0;
     CancelSummary cancels;
+    Duration timeHeldUp; ///< For which the system held up a host, summed over hosts.
     Duration longestStandstill; ///< Of the process that simulates the workers and carries out the faults.
     uint64_t acknowledgedVersion = 0; ///< The highest acknowledged configuration version.
 };
--- a/testing/soak/main.cpp
+++ b/testing/soak/main.cpp
@@ -27,8 +27,8 @@
 
 void printCancels(CancelSummary const& cancels)
 {
-    fmt::print("  {} cancels, {} of running jobs that last; judged: {} acknowledgements, {} for runs, of which {} of jobs that last; stopped within {:.2f} s (p50), {:.2f} s (p99), {:.2f} s (all), {:.2f} s in calm\n", cancels.cancels, cancels.lasting,
-        cancels.judgedAcknowledgements, cancels.judgedRuns, cancels.lastingJudgedRuns, percentile(cancels.stopTimes, 50).toSeconds(), percentile(cancels.stopTimes, 99).toSeconds(), percentile(cancels.stopTimes, 100).toSeconds(), cancels.longestCalmRun.toSeconds());
+    fmt::print("  {} cancels, {} of running jobs that last; judged: {} acknowledgements, {} for runs, of which {} of jobs that last; stopped within {:.2f} s (p50), {:.2f} s (p99), {:.2f} s (all), {:.2f} s in calm (job {})\n", cancels.cancels, cancels.lasting,
+        cancels.judgedAcknowledgements, cancels.judgedRuns, cancels.lastingJudgedRuns, percentile(cancels.stopTimes, 50).toSeconds(), percentile(cancels.stopTimes, 99).toSeconds(), percentile(cancels.stopTimes, 100).toSeconds(), cancels.longestCalmRun.toSeconds(), cancels.longestCalmRunJob.value());
 }
 
 bool runSeed(SoakOptions const& options)
@@ -37,7 +37,7 @@
     fmt::print("seed {}: {} faults, {} jobs accepted, {} refused, {} starts, configuration {}: {}\n", options.seed, result.faults.size(), result.acceptedJobs, result.refusedJobs, result.starts,
         result.acknowledgedVersion, result.violations.empty() ? "ok" : "BROKEN");
     printCancels(result.cancels);
-    fmt::print("  the harness stood still for at most {} ms\n", result.longestStandstill.toMilliseconds());
+    fmt::print("  the harness stood still for at most {} ms, the system held up hosts for {:.1f} s in all\n", result.longestStandstill.toMilliseconds(), result.timeHeldUp.toSeconds());
     if (!result.violations.empty()) {
         for (auto const& fault : result.faults)
             fmt::print("  {}\n", fault);
@@ -93,7 +93,7 @@
         description.add_options()("program", "the cornelpond binary", cxxopts::value<std::string>())("first", "first seed", cxxopts::value<uint64_t>()->default_value("1"))(
             "count", "seeds to run", cxxopts::value<uint64_t>()->default_value("1"))("seconds", "duration of load and faults of each run, in seconds", cxxopts::value<int64_t>()->default_value("20"))(
             "faults", "general, outages, cancels, cancelled-runs, restarts, silent-restarts, evacuations, dead-ways, dead-relay or none", cxxopts::value<std::string>()->default_value("general"))("workers", "simulated workers", cxxopts::value<size_t>()->default_value("6"))(
-            "controls", "control hosts", cxxopts::value<int>()->default_value("3"))("entries", "entry hosts", cxxopts::value<int>()->default_value("2"))("connections", "connections that each worker keeps open", cxxopts::value<size_t>()->default_value("64"))("over-restart", "connections to workers that restart silently: drawn, closed or kept", cxxopts::value<std::string>()->default_value("drawn"))("late-orders", "a share of the orders to workers is carried out late, by whichever process is up then")("logs", "folder for the logs of runs with violations", cxxopts::value<std::string>()->default_value(""))("verbose", "print each fault when it is injected");
+            "controls", "control hosts", cxxopts::value<int>()->default_value("3"))("entries", "entry hosts", cxxopts::value<int>()->default_value("2"))("connections", "connections that each worker keeps open", cxxopts::value<size_t>()->default_value("64"))("over-restart", "connections to workers that restart silently: drawn, closed or kept", cxxopts::value<std::string>()->default_value("drawn"))("late-orders", "a share of the orders to workers is carried out late, by whichever process is up then")("logs", "folder for the logs of runs with violations", cxxopts::value<std::string>()->default_value(""))("all-logs", "keep the logs of all runs")("verbose", "print each fault when it is injected");
         auto const given = description.parse(argc, argv);
         SoakOptions options;
         options.program = given["program"].as<std::string>();
@@ -106,6 +106,7 @@
         options.connections = connectionsFromName(given["over-restart"].as<std::string>());
         options.hasLateOrders = given.count("late-orders");
         options.logFolder = given["logs"].as<std::string>();
+        options.keepsAllLogs = given.count("all-logs");
         options.isVerbose = given.count("verbose");
         auto const first = given["first"].as<uint64_t>();
         bool hasNoViolations = true;
