--- a/cornelpond/core/base/Event.cpp
+++ b/cornelpond/core/base/Event.cpp
@@ -53,7 +53,7 @@
         EventInfo { EventId::WorkerReached, "WorkerReached", "A silent worker answers again." },
         EventInfo { EventId::WorkerSilent, "WorkerSilent", "A worker did not answer the renewal of its lease; it gets no new tasks." },
         EventInfo { EventId::WorkerSuperseded, "WorkerSuperseded", "A worker has seen a higher epoch; this leader sends it no more orders." },
-        EventInfo { EventId::StrayAttempt, "StrayAttempt", "A worker lists an orphaned attempt, one that no committed record accounts for; it is stopped. `state` is its job's, `lastAttempt` the latest committed attempt of its task." },
+        EventInfo { EventId::StrayAttempt, "StrayAttempt", "A worker lists an orphaned attempt, one that no committed record accounts for; it is stopped. `state` is its job's, `lastAttempt` the latest committed attempt of its task (0: none, or the records of an ended job's tasks are gone)." },
         EventInfo { EventId::OrderFailed, "OrderFailed", "An order to a worker was not confirmed; it is sent again." },
         EventInfo { EventId::JobCancelled, "JobCancelled", "A cancellation was committed." },
         EventInfo { EventId::AttemptConcluded, "AttemptConcluded", "An attempt counts as ended although its worker did not list the end; `reason` says why. `promiseAgeMs` counts from the last order of this leader that extended the lease, or from its take-over; `inherited` 1: committed by an earlier leader or for a former process of the worker; `formerOrdersLeaseMs` is what was left (negative: the time since the end) of the lease that orders for a former process may have extended; `formerOrders` 1: they may still arrive." },
--- a/cornelpond/core/dispatch/EndedJobReportTest.cpp
+++ b/cornelpond/core/dispatch/EndedJobReportTest.cpp
@@ -295,3 +295,53 @@
     CHECK(valueOf(suppressed[0], "suppressed") == "AttemptOutlivesJob");
     CHECK(numberOf(suppressed[0], "lines") == static_cast<int64_t>(tasks - lines));
 }
+
+TEST_CASE("a cancel that is not committed leaves no line of its effect")
+{
+    RunningJob running(9);
+    JobBench& bench = running.bench;
+    bench.isCommitting = false;
+    bench.cancel(running.job);
+    bench.run(second * 5);
+    CHECK(bench.fleet.runningCount(running.job) == 3);
+    CHECK(bench.events.count(EventId::JobCancelled) == 0);
+    CHECK(bench.events.count(EventId::JobStopsBegun) == 0);
+    CHECK(bench.events.count(EventId::AttemptOutlivesJob) == 0);
+    bench.isCommitting = true;
+    bench.run(second * 2);
+    CHECK(bench.fleet.runningCount(running.job) == 0);
+    CHECK(bench.events.count(EventId::JobStopsBegun) == 1);
+    CHECK(bench.events.count(EventId::JobStopsDone) == 1);
+}
+
+TEST_CASE("a run of a cancelled job that its worker lists after its last attempt has ended is logged as a stray of that job")
+{
+    RunningJob running(10, 1);
+    JobBench& bench = running.bench;
+    bench.cancel(running.job);
+    bench.run(second * 2);
+    REQUIRE(bench.events.count(EventId::JobStopsDone) == 1);
+    bench.fleet.crash(onlyWorker);
+    bench.fleet.restart(onlyWorker);
+    bench.run(second * 2);
+    bench.fleet.setLostStops(onlyWorker, LostStops::All);
+    StartOrder order;
+    order.task = { running.job, 0, 0, 0 };
+    order.attempt = AttemptNumber(1);
+    order.leaseUntil = second * 8;
+    Dispatcher const& dispatcher = bench.leader().scheduler().dispatcher();
+    order.epoch = dispatcher.orderEpoch(dispatcher.workers().at(onlyWorker));
+    bench.fleet.start({ onlyWorker, "10.0.0.0:80", DataCentreId() }, order, [](OrderAnswer const&) {});
+    bench.run(second * 3);
+    std::vector<Event> const strays = eventsOf(bench, EventId::StrayAttempt);
+    REQUIRE(strays.size() == 1);
+    CHECK(valueOf(strays[0], "state") == "cancelled");
+    CHECK(valueOf(strays[0], "lastAttempt") == "0"); // The records of the job's tasks went with its last attempt.
+    std::vector<Event> const lines = eventsOf(bench, EventId::AttemptOutlivesJob);
+    REQUIRE(lines.size() == 1);
+    CHECK(valueOf(lines[0], "task") == "plan.0.0.0");
+    CHECK(valueOf(lines[0], "phase") == "stray");
+    CHECK(valueOf(lines[0], "state") == "cancelled");
+    CHECK(running.report().attemptsOlderThan(Duration()) == 0);
+    CHECK(running.report().listedOrphans() == 1);
+}
