A worker's wrong address in a report does not conclude what still runs there

What callers would see: a task runs twice, after a report that gives a worker's present process an address where another worker answers.

Cause: another worker's answer at the address shows that the process there was replaced, so everything placed on it was concluded at once. That holds where the process has listed, but an announcement can change the address. A listing that was on its way from the former one even restored the leader's trust.

Now another address counts as another process until one lists from there: the answer of a third party concludes nothing before the lease is over, and a listing from the former address is dropped. A process that moves gives a new start time anyway.

To forget the listing alone did not suffice: it failed in the same way, through the renewal in flight.

--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -104,7 +104,8 @@
     if (view->profile.bornMs > profile.bornMs)
         return; // The worker has listed as a later process since this was announced.
     view->isSettled &= !isOtherProcess;
-    bool const isNewIncarnation = view->profile.bornMs != profile.bornMs;
+    // At another address, an answer tells nothing of the process that has listed, which may still run what is placed on it.
+    bool const isNewIncarnation = view->profile.bornMs != profile.bornMs || view->profile.address != profile.address;
     if (profile.isDraining && !view->profile.isDraining)
         this->events.emit(Event(EventId::DrainChanged).with("worker", profile.id).with("draining", 1));
     view->profile = profile;
--- a/cornelpond/core/scheduling/LateAnnouncementTest.cpp
+++ b/cornelpond/core/scheduling/LateAnnouncementTest.cpp
@@ -128,6 +128,24 @@
     CHECK(hosts.bench.fleet.runningCountOn(worker) == 1);
 }
 
+TEST_CASE("a report that gives the present process an address where another worker answers starts no task twice")
+{
+    AnnouncementBench hosts;
+    JobSpec const job = makeJob("plan", 1, 16000, second * 60);
+    JobSpec const other = makeJob("other", 1, 16000, second * 60);
+    WorkerId const worker = hosts.fill(job, other);
+    REQUIRE(!worker.empty());
+    hosts.bench.cancel(other.id);
+    hosts.watch.run(second);
+    WorkerReport wrong = hosts.bench.fleet.report(worker);
+    wrong.profile.address = "10.0.9.9:80";
+    hosts.announce(wrong);
+    hosts.watch.run(second * 10);
+    CHECK(hosts.bench.fleet.record().duplicateRuns == 0);
+    CHECK(hosts.watch.concludedRuns == 0);
+    CHECK(hosts.bench.fleet.runningCount(job.id) == 1);
+}
+
 TEST_CASE("an announcement of a former process that commits after the present one has listed changes nothing")
 {
     AnnouncementBench hosts;
