--- a/cornelpond/core/scheduling/CancelledRunsTest.cpp
+++ b/cornelpond/core/scheduling/CancelledRunsTest.cpp
@@ -276,7 +276,7 @@
 
 } // namespace
 
-TEST_CASE("no sequence of faults lets a task of a cancelled job outlast a calm stretch")
+TEST_CASE("no sequence of faults lets a task of a cancelled job outlast a calm stretch, or runs a task twice")
 {
     rc::prop("", [] {
         FaultyHosts hosts(*rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<uint32_t>()));
@@ -311,5 +311,7 @@
             longest = std::max(longest, hosts.longestUnwantedRun(calmSince));
         }
         RC_ASSERT(longest <= cancelBound + stopBound);
+        if (!hosts.doOrdersOutliveProcesses)
+            RC_ASSERT(hosts.bench.fleet.record().duplicateRuns == 0U);
     });
 }
