--- a/cornelpond/core/scheduling/CancelSequencesTest.cpp
+++ b/cornelpond/core/scheduling/CancelSequencesTest.cpp
@@ -65,6 +65,16 @@
     {
     }
 
+    FakeFleet::Faults lateOrders() const
+    {
+        FakeFleet::Faults late;
+        late.lateOrderShare = 0.1;
+        late.maxLateDelay = maxOrderDelay;
+        late.failureShare = 0.1;
+        late.ordersOutliveProcesses = this->orders == Orders::OutliveProcesses;
+        return late;
+    }
+
     /// Of the jobs, once all are cancelled: tasks that run, and what the leader still counts. Empty if there is nothing.
     std::string whatIsLeft()
     {
@@ -72,7 +82,7 @@
         this->bench.addWorkers(workerCount, 8000, dataCentreCount);
         this->bench.fleet.setInterference("watch", "fill", 10);
         if (this->orders != Orders::InTime)
-            this->bench.fleet.setFaults({ 0.1, Duration::seconds(2), maxOrderDelay, 0.1, this->orders == Orders::OutliveProcesses });
+            this->bench.fleet.setFaults(this->lateOrders());
         for (size_t step = 0; step < steps; step++) {
             this->doRandomStep();
             this->bench.run(this->randomTime(600));
