The log forgets stages whose events all filled their lines

What was seen: the memory of the gathering grew by 28.5 MB over 20,000 stages of exactly 32 rows each, until the next event that stayed kept (found in review). Cause: the release of what is kept was skipped while nothing was kept, and only it forgets the stages.

adapter_log_test, 'stages whose events have all been written are forgotten...', guards it.

--- a/cornelpond/adapters/log/EventGathering.cpp
+++ b/cornelpond/adapters/log/EventGathering.cpp
@@ -148,7 +148,7 @@
 
 void EventGathering::release(TimePoint now)
 {
-    if (this->keptEvents && now - this->keptSince >= this->limits.window)
+    if (!this->groups.empty() && now - this->keptSince >= this->limits.window)
         this->releaseAll();
 }
 
--- a/cornelpond/adapters/log/EventGathering.h
+++ b/cornelpond/adapters/log/EventGathering.h
@@ -48,6 +48,8 @@
     void release(TimePoint now);
     void releaseAll();
 
+    size_t knownStages() const { return this->groups.size(); }
+
 private:
     GatheredEvents& groupOf(Event const& event, std::string_view stage);
     void releaseGroup(GatheredEvents& group);
--- a/cornelpond/adapters/log/EventGatheringTest.cpp
+++ b/cornelpond/adapters/log/EventGatheringTest.cpp
@@ -334,3 +334,18 @@
     CHECK(static_cast<size_t>(std::count_if(lines.begin(), lines.end(), [](auto const& line) { return line.value("method", "") == "DELETE"; })) == cancels);
     CHECK(log.sink.suppressedEvents().at(EventId::CallRefused) > 0);
 }
+
+TEST_CASE("stages whose events have all been written are forgotten, also when each filled its line")
+{
+    FakeClock clock;
+    GatheringLimits limits;
+    EventGathering gathering(limits, [](GatheredEvents const&) {});
+    for (int stage = 0; stage < 100; stage++) {
+        for (size_t row = 0; row < limits.maxRowsPerLine; row++)
+            gathering.add(Event(EventId::TaskPlaced).with("task", "7.0." + std::to_string(stage) + "." + std::to_string(row)), clock.now(), 0);
+    }
+    REQUIRE(gathering.knownStages() == 100);
+    clock.advance(limits.window);
+    gathering.release(clock.now());
+    CHECK(gathering.knownStages() == 0);
+}
