An open stop stays open through the report of another process

What callers would see: a task of a cancelled job goes on for as long as reports say now and then that its worker was started again, while its stops do not arrive and its renewals do. Found in review, in the fakes; it needs both at once, and whether it is the way of the incident is not known.

Cause: what counts as another process of a worker discarded since when a stop was open, though the same process may go on: the report may be wrong or late. Each time the lease was granted for its full length again.

Now the first order of an open stop is remembered. A process that really is another one lists nothing that the stop waits for, and gets its lease as before.

'a stray attempt alone on its worker...' fails when strays that outlive a confirmed stop do not count, which no test noticed (review).

The listing's check of a refused start no longer relies on the time of the confirmation being set.

--- a/cornelpond/core/dispatch/DispatcherListings.cpp
+++ b/cornelpond/core/dispatch/DispatcherListings.cpp
@@ -74,7 +74,7 @@
             attempt->confirmedAt = now;
             this->reportSeen(view, { row.task, row.attempt }, "listing");
         }
-        if (attempt->isRefusedAsOld && *attempt->stopConfirmedAt < sentAt)
+        if (attempt->isRefusedAsOld && attempt->stopConfirmedAt && *attempt->stopConfirmedAt < sentAt)
             reopen(*attempt);
         attempt->stopOrders.noteListed(sentAt);
         view.settleStart(*attempt);
--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -10,6 +10,16 @@
         this->confirmedAt = now;
 }
 
+StopProgress StopProgress::begunAgain() const
+{
+    StopProgress next;
+    if (this->isOpen()) {
+        next.sent = this->sent;
+        next.firstSentAt = this->firstSentAt;
+    }
+    return next;
+}
+
 void StopProgress::noteListed(TimePoint requestedAt)
 {
     constexpr Duration maxStopTime = Duration::seconds(1); // Workers take up to 400 to 900 ms to stop a task.
@@ -182,7 +192,7 @@
         }
         attempt.stopConfirmedAt.reset();
         attempt.isRefusedAsOld = false;
-        attempt.stopOrders = StopProgress();
+        attempt.stopOrders = attempt.stopOrders.begunAgain();
         attempt.isStopping |= attempt.isStartUncertain;
         if (!attempt.isStartUncertain)
             continue;
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -67,6 +67,9 @@
     bool isOpen() const { return this->sent && (!this->isConfirmed || this->isOutlived); }
 
     void confirm(TimePoint now);
+    /// For what counts as another process of the worker. An open stop stays open since its first order: the report of the process may
+    /// be wrong, and a run that no stop reaches must end with its lease all the same.
+    StopProgress begunAgain() const;
     /// To be called when a listing that was requested at `requestedAt` holds the run.
     void noteListed(TimePoint requestedAt);
 
--- a/cornelpond/core/scheduling/ListedRunsTest.cpp
+++ b/cornelpond/core/scheduling/ListedRunsTest.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <memory>
 #include <utility>
 
@@ -153,3 +154,66 @@
     hosts.bench.run(cancelBound - second);
     CHECK(hosts.bench.fleet.runningCount(cancelled) == 0);
 }
+
+namespace {
+
+void announce(ListedRunsBench& hosts, WorkerReport const& report)
+{
+    hosts.bench.leader().scheduler().workerRegistration().announce(report, [](CallResult) {});
+}
+
+/// How long a run goes on after its job's cancel when stops do not arrive and, every two seconds, a wrong report of the worker does, and
+/// then a true one. At most 30 s.
+Duration timeOfUnstoppedRun(std::function<void(WorkerReport&, int round)> const& falsify)
+{
+    ListedRunsBench hosts(9);
+    hosts.bench.announceInterval = second * 3600;
+    hosts.submit(cancelled, taskCount);
+    hosts.bench.fleet.setLostStops(onlyWorker, FakeFleet::LostStops::All);
+    hosts.bench.cancel(cancelled);
+    TimePoint const cancelledAt = hosts.bench.clock.now();
+    WorkerReport const present = hosts.bench.fleet.report(onlyWorker);
+    for (int round = 1; hosts.bench.fleet.runningCount(cancelled) && hosts.bench.clock.now() - cancelledAt < second * 30; round++) {
+        hosts.bench.run(second * 2);
+        WorkerReport wrong = present;
+        falsify(wrong, round);
+        announce(hosts, wrong);
+        hosts.bench.run(Duration::milliseconds(100));
+        announce(hosts, present);
+    }
+    return hosts.bench.clock.now() - cancelledAt;
+}
+
+constexpr Duration longestUnstoppedRun = Duration::milliseconds(5400); ///< 5 s, and 0.4 s for the worker to stop.
+
+} // namespace
+
+TEST_CASE("a run that no stop reaches ends with its lease although reports give its worker another address")
+{
+    CHECK(timeOfUnstoppedRun([](WorkerReport& report, int) { report.profile.address = "10.0.9.9:80"; }) <= longestUnstoppedRun);
+}
+
+TEST_CASE("a run that no stop reaches ends with its lease although reports give its worker later start times")
+{
+    CHECK(timeOfUnstoppedRun([](WorkerReport& report, int round) { report.profile.bornMs += round; }) <= longestUnstoppedRun);
+}
+
+TEST_CASE("a stray attempt alone on its worker ends with its lease when it goes on after a confirmed stop")
+{
+    ListedRunsBench hosts(6);
+    hosts.submit(kept, keptTasks);
+    hosts.orders.ignoresStops = true;
+    JobSpec const job = makeJob("unknown", 1, 1000, second * 60);
+    hosts.bench.fleet.registerJob(job);
+    StartOrder order;
+    order.task = { job.id, 0, 0, 0 };
+    order.attempt = AttemptNumber(1);
+    order.leaseUntil = second * 5;
+    Dispatcher const& dispatcher = hosts.bench.leader().scheduler().dispatcher();
+    order.epoch = dispatcher.orderEpoch(dispatcher.workers().at(onlyWorker));
+    hosts.bench.fleet.start({ onlyWorker, "10.0.0.0:80", DataCentreId() }, order, [](OrderAnswer const&) {});
+    hosts.bench.run(Duration::milliseconds(10));
+    REQUIRE(hosts.bench.fleet.runningCount(job.id) == 1);
+    hosts.bench.run(DispatchTimes().longPollWait + longestRunAfterStop);
+    CHECK(hosts.bench.fleet.runningCount(job.id) == 0);
+}
