A report of another address stops no wanted run

What callers would see: every task on a worker whose start once got no answer is stopped when a report gives the worker another address, also services that run for long.

Cause: another address counted as another process, and what may be started late by a later process is stopped there.

Now a changed address only means that answers tell nothing of what the process runs until it lists from there: the answer of another worker at that address concludes nothing before the lease is over, and a listing that was requested before is dropped.

--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -107,8 +107,8 @@
     if (view->profile.bornMs > profile.bornMs)
         return; // The worker has listed as a later process since this was announced.
     view->isSettled &= !isOtherProcess;
-    // At another address, an answer tells nothing of the process that has listed, which may still run what is placed on it.
-    bool const isNewIncarnation = view->profile.bornMs != profile.bornMs || view->profile.address != profile.address;
+    bool const isNewIncarnation = view->profile.bornMs != profile.bornMs;
+    bool const isElsewhere = view->profile.address != profile.address;
     if (profile.isDraining && !view->profile.isDraining)
         this->events.emit(Event(EventId::DrainChanged).with("worker", profile.id).with("draining", 1));
     view->profile = profile;
@@ -116,6 +116,8 @@
     if (isNewIncarnation) {
         this->events.emit(Event(EventId::WorkerJoined).with("worker", profile.id).with("bornMs", profile.bornMs).with("reason", "came back under the old id"));
         this->onNewIncarnation(*view, "announcement");
+    } else if (isElsewhere) {
+        view->noteAddressChange(this->clock.now());
     }
     this->hooks.onCapacityChanged();
 }
--- a/cornelpond/core/dispatch/DispatcherRenewals.cpp
+++ b/cornelpond/core/dispatch/DispatcherRenewals.cpp
@@ -49,7 +49,8 @@
         return;
     }
     bool const isFromOldIncarnation = view->generation != sent.generation && answer.listing.bornMs == sent.bornMs;
-    if (isFromOldIncarnation) {
+    bool const isFromOtherAddress = view->addressChangedAt && sent.at < *view->addressChangedAt;
+    if (isFromOldIncarnation || isFromOtherAddress) {
         view->nextRenewalAt = this->clock.now();
         return;
     }
--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -162,6 +162,13 @@
     }));
 }
 
+void WorkerView::noteAddressChange(TimePoint now)
+{
+    this->addressChangedAt = now;
+    this->hasListing = false;
+    this->nextRenewalAt = now;
+}
+
 void WorkerView::noteGenerationSeen(TimePoint now, DispatchTimes const& times)
 {
     this->mayReceiveFormerOrders = false;
@@ -177,6 +184,7 @@
     this->hasOpenOrders = true;
     this->hasClock = false;
     this->hasListing = false;
+    this->addressChangedAt.reset();
     this->listingBornMs = 0;
     this->acknowledgedEnds = 0;
     this->deliveredAcknowledgedEnds = 0;
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -214,6 +214,9 @@
     /// Discards the state of the worker's earlier incarnation. `newGeneration` must be higher than that of any earlier one.
     void resetForNewIncarnation(uint64_t newGeneration, TimePoint now, DispatchTimes const& times);
 
+    /// To be called when the process is reported at another address. Until it lists from there, an answer tells nothing of what it runs.
+    void noteAddressChange(TimePoint now);
+
     /// To be called when the worker has executed its first order of the present generation. From now on it refuses orders for former
     /// processes, one of which may just have extended its lease.
     void noteGenerationSeen(TimePoint now, DispatchTimes const& times);
@@ -247,6 +250,7 @@
     TimePoint formerOrdersLeaseEnd; ///< The latest end of a lease on the present process that such an order extended.
     TimePoint lastAnswerAt;
     TimePoint lastAnnouncedAt;
+    std::optional<TimePoint> addressChangedAt; ///< For the present process. Listings that were requested before are of another address.
     int64_t listingBornMs = 0; ///< As the latest listing gave it; 0 if it gave none.
     bool hasListing = false; ///< This leader has processed a listing of the worker's current incarnation.
     bool hasHigherEpoch = false; ///< It has seen a higher epoch and refuses this leader's orders.
--- a/cornelpond/core/scheduling/ListedRunsTest.cpp
+++ b/cornelpond/core/scheduling/ListedRunsTest.cpp
@@ -33,7 +33,7 @@
         this->fleet.start(worker, order, [this, done = std::move(done)](OrderAnswer answer) {
             if (this->refusesStarts)
                 answer.result = OrderResult::RefusedOld;
-            done(answer);
+            done(this->losesStartAnswers ? OrderAnswer() : answer);
         });
     }
     void stop(WorkerTarget const& worker, StopOrder const& order, Done done) override
@@ -56,6 +56,7 @@
         });
     }
 
+    bool losesStartAnswers = false; ///< Starts are carried out, and get no answer.
     bool refusesStarts = false; ///< Starts are carried out, and answered as refused because the attempt is over.
     bool ignoresStops = false; ///< Stops are answered as accepted, and not carried out.
     bool listsRunsAsEnded = false; ///< In the next listing.
@@ -198,6 +199,28 @@
     CHECK(timeOfUnstoppedRun([](WorkerReport& report, int round) { report.profile.bornMs += round; }) <= longestUnstoppedRun);
 }
 
+TEST_CASE("a report of another address stops no wanted run whose start got no answer")
+{
+    ListedRunsBench hosts(10);
+    hosts.bench.announceInterval = second * 3600;
+    hosts.orders.losesStartAnswers = true;
+    hosts.submit(kept, keptTasks);
+    hosts.orders.losesStartAnswers = false;
+    hosts.bench.run(second * 20);
+    REQUIRE(hosts.bench.fleet.runningCount(kept) == keptTasks);
+    unsigned const starts = hosts.bench.fleet.record().starts;
+    WorkerReport const present = hosts.bench.fleet.report(onlyWorker);
+    WorkerReport wrong = present;
+    wrong.profile.address = "10.0.9.9:80";
+    announce(hosts, wrong);
+    hosts.bench.run(Duration::milliseconds(100));
+    announce(hosts, present);
+    hosts.bench.run(second * 5);
+    CHECK(hosts.bench.fleet.record().starts == starts);
+    CHECK(hosts.bench.events.count(EventId::AttemptEnded) == 0);
+    CHECK(hosts.bench.fleet.runningCount(kept) == keptTasks);
+}
+
 TEST_CASE("a stray attempt alone on its worker ends with its lease when it goes on after a confirmed stop")
 {
     ListedRunsBench hosts(6);
