Forget an ended attempt before other orders are sent for its task

An exception on the way (see core_applied_updates_test) would have left the attempt placed, with resources reserved and a reference to a job's record that may be removed. Found in review, by reading; no order is known to throw. No behaviour changes otherwise.

--- a/cornelpond/core/dispatch/Dispatcher.cpp
+++ b/cornelpond/core/dispatch/Dispatcher.cpp
@@ -168,18 +168,20 @@
 {
     if (!this->leading)
         return;
-    if (end.end == AttemptEnd::Done) {
+    if (end.end == AttemptEnd::Done)
         this->proposedFinishes.erase(end.task);
-        this->stopCopies(end.task);
-    }
     WorkerView* view = this->findWorker(end.worker);
-    this->endedJobs.onEndApplied(end, view ? view->find(end.task, end.attempt) : nullptr);
-    if (!view)
-        return;
-    PlacedAttempt const* ended = view->find(end.task, end.attempt);
+    PlacedAttempt const* ended = view ? view->find(end.task, end.attempt) : nullptr;
+    this->endedJobs.onEndApplied(end, ended);
     if (ended && ended->isBestEffort())
         view->bestEffortLeftAt = this->clock.now();
-    view->remove({ end.task, end.attempt });
+    // First, so that the attempt's record does not outlive the job's, whatever the orders below meet.
+    if (view)
+        view->remove({ end.task, end.attempt });
+    if (end.end == AttemptEnd::Done)
+        this->stopCopies(end.task);
+    if (!view)
+        return;
     this->acknowledgeEnds(*view);
     this->hooks.onCapacityChanged();
     if (!view->listedEnds.empty())
