Keep when a stop was confirmed in one place

The progress now has the time of the first confirmation, the attempt that of the refusal, and closedAt() tells which of them counts.

--- a/cornelpond/core/dispatch/DispatcherConclusions.cpp
+++ b/cornelpond/core/dispatch/DispatcherConclusions.cpp
@@ -35,8 +35,8 @@
 {
     if (attempt.phase == PlacedAttempt::Phase::Proposed)
         return false;
-    if (attempt.stopConfirmedAt)
-        return *attempt.stopConfirmedAt <= sentAt;
+    if (auto const closedAt = attempt.closedAt())
+        return *closedAt <= sentAt;
     if (attempt.isStartUncertain || attempt.isStartInFlight)
         return false;
     bool const isConfirmed = attempt.phase == PlacedAttempt::Phase::Running;
--- a/cornelpond/core/dispatch/DispatcherListings.cpp
+++ b/cornelpond/core/dispatch/DispatcherListings.cpp
@@ -74,7 +74,7 @@
             attempt->confirmedAt = now;
             this->reportSeen(view, { row.task, row.attempt }, "listing");
         }
-        if (attempt->isRefusedAsOld && attempt->stopConfirmedAt && *attempt->stopConfirmedAt < sentAt)
+        if (attempt->refusedAsOldAt && *attempt->refusedAsOldAt < sentAt)
             reopen(*attempt);
         attempt->stopOrders.noteListed(sentAt);
         view.settleStart(*attempt);
@@ -91,10 +91,9 @@
 /// Of an attempt that runs although the worker refused its start as old: it goes on, unless it has been stopped.
 void Dispatcher::reopen(PlacedAttempt& attempt)
 {
-    attempt.isRefusedAsOld = false;
+    attempt.refusedAsOldAt.reset();
     attempt.isStopping = attempt.stopOrders.sent;
-    attempt.stopConfirmedAt.reset();
-    attempt.stopOrders.isConfirmed = false;
+    attempt.stopOrders.confirmedAt.reset();
     attempt.stopOrders.nextAt = TimePoint();
 }
 
--- a/cornelpond/core/dispatch/DispatcherStarts.cpp
+++ b/cornelpond/core/dispatch/DispatcherStarts.cpp
@@ -140,8 +140,7 @@
     case OrderResult::RefusedOld:
         // The attempt ended there or was stopped; the listing shows which.
         attempt.isStopping = true;
-        attempt.isRefusedAsOld = true;
-        attempt.stopConfirmedAt = now;
+        attempt.refusedAsOldAt = now;
         attempt.stopOrders.confirm(now);
         attempt.stopOrders.nextAt = TimePoint::infiniteFuture();
         return;
--- a/cornelpond/core/dispatch/DispatcherStops.cpp
+++ b/cornelpond/core/dispatch/DispatcherStops.cpp
@@ -95,11 +95,9 @@
             this->releaseRenewal(*answering, way);
             return;
         }
-        if (answer.result == OrderResult::Accepted && !stopped->stopConfirmedAt && answering->generation == sent.generation) {
-            stopped->stopConfirmedAt = this->clock.now();
-            if (stopped->stopOrders.sent)
-                this->stopTotals.confirmationTime.observe(*stopped->stopConfirmedAt - stopped->stopOrders.firstSentAt);
-        }
+        bool const isFirstConfirmation = answer.result == OrderResult::Accepted && !stopped->stopOrders.confirmedAt && answering->generation == sent.generation;
+        if (isFirstConfirmation && stopped->stopOrders.sent)
+            this->stopTotals.confirmationTime.observe(this->clock.now() - stopped->stopOrders.firstSentAt);
         this->onStopAnswered(*answering, stopped->stopOrders, way, sent.generation, answer.result);
         if (answering->generation != sent.generation)
             return; // This incarnation may still carry out a start order that the earlier one never got.
--- a/cornelpond/core/dispatch/EndedJobReport.cpp
+++ b/cornelpond/core/dispatch/EndedJobReport.cpp
@@ -38,7 +38,7 @@
         bool const hasResult = stops.sent > 1 || (stops.sent && !stops.isInFlight);
         event.with("stops", stops.sent)
             .with("stopInFlight", static_cast<int>(stops.isInFlight))
-            .with("confirmed", static_cast<int>(stops.isConfirmed))
+            .with("confirmed", static_cast<int>(stops.confirmedAt.has_value()))
             .with("lastResult", std::string(hasResult ? orderResultName(stops.lastResult) : "none"));
     }
 
@@ -194,7 +194,7 @@
     if (PlacedAttempt const* placed = this->findPlaced(task, attempt)) {
         addStops(event, placed->stopOrders);
         event.with("stopping", static_cast<int>(placed->isStopping))
-            .with("confirmedMs", ageMs(now, placed->stopConfirmedAt))
+            .with("confirmedMs", ageMs(now, placed->closedAt()))
             .with("endProposed", static_cast<int>(placed->isEndProposed))
             .with("starts", placed->startsSent)
             .with("startUncertain", static_cast<int>(placed->isStartUncertain))
--- a/cornelpond/core/dispatch/WorkerView.cpp
+++ b/cornelpond/core/dispatch/WorkerView.cpp
@@ -6,7 +6,7 @@
 
 void StopProgress::confirm(TimePoint now)
 {
-    if (!std::exchange(this->isConfirmed, true))
+    if (!this->confirmedAt)
         this->confirmedAt = now;
 }
 
@@ -23,7 +23,7 @@
 void StopProgress::noteListed(TimePoint requestedAt)
 {
     constexpr Duration maxStopTime = Duration::seconds(1); // Workers take up to 400 to 900 ms to stop a task.
-    this->isOutlived |= this->isConfirmed && requestedAt - this->confirmedAt > maxStopTime;
+    this->isOutlived |= this->confirmedAt && requestedAt - *this->confirmedAt > maxStopTime;
 }
 
 Resources PlacedAttempt::reserved() const
@@ -198,8 +198,7 @@
             attempt.isInherited = true;
             attempt.phase = PlacedAttempt::Phase::Starting; // What the earlier incarnation ran has ended with it.
         }
-        attempt.stopConfirmedAt.reset();
-        attempt.isRefusedAsOld = false;
+        attempt.refusedAsOldAt.reset();
         attempt.stopOrders = attempt.stopOrders.begunAgain();
         attempt.isStopping |= attempt.isStartUncertain;
         if (!attempt.isStartUncertain)
--- a/cornelpond/core/dispatch/WorkerView.h
+++ b/cornelpond/core/dispatch/WorkerView.h
@@ -55,8 +55,7 @@
 struct StopProgress {
     unsigned sent = 0;
     bool isInFlight = false;
-    bool isConfirmed = false;
-    TimePoint confirmedAt; ///< When the first was confirmed; meaningless while `isConfirmed` is false.
+    std::optional<TimePoint> confirmedAt; ///< When the first was confirmed, or a start of the attempt refused as old.
     bool isOutlived = false; ///< A listing that was requested long after that still held the run, so the confirmation does not count.
     TimePoint firstSentAt; ///< Meaningless while `sent` is 0.
     TimePoint nextAt;
@@ -64,7 +63,7 @@
     OrderResult lastResult = OrderResult::Unknown; ///< Of the latest one that was answered or given up.
 
     /// True from the first order until one is confirmed.
-    bool isOpen() const { return this->sent && (!this->isConfirmed || this->isOutlived); }
+    bool isOpen() const { return this->sent && (!this->confirmedAt || this->isOutlived); }
 
     void confirm(TimePoint now);
     /// For what counts as another process of the worker. An open stop stays open since its first order: the report of the process may
@@ -103,9 +102,8 @@
     TimePoint nextStartAt;
 
     bool isStopping = false;
-    bool isRefusedAsOld = false; ///< The worker refused its start as old, and no listing since has held it.
+    std::optional<TimePoint> refusedAsOldAt; ///< When the worker last refused its start as old, unless a listing since has held it.
     StopProgress stopOrders;
-    std::optional<TimePoint> stopConfirmedAt;
 
     uint64_t lastListing = 0; ///< Number of the latest listing that held it.
     std::optional<TimePoint> lastListedAt; ///< When that listing arrived, for the log.
@@ -123,6 +121,8 @@
     bool isBestEffort() const { return this->stage->isBestEffort; }
     /// True when it runs, is not being stopped and its end is not proposed.
     bool isRunning() const { return this->phase == Phase::Running && !this->isStopping && !this->isEndProposed; }
+    /// When the worker said that it cannot start any more: by refusing its start as old, or by confirming a stop.
+    std::optional<TimePoint> closedAt() const { return this->refusedAsOldAt ? this->refusedAsOldAt : this->stopOrders.confirmedAt; }
     /// True from its first stop order until the worker has confirmed one, and again when it is listed long after that, until it ends.
     bool hasUnconfirmedStop() const { return this->isStopping && this->stopOrders.isOpen() && !this->isEndProposed; }
     /// True while it also may run. `listedAt`: when the worker's latest listing arrived.
