Name the state of a job, known or not, in one place

The lines of attempts that outlive their job and of strays begin in the same way, in one function. No behaviour changes: the events' fields are the same, in the same order. core_ended_job_report_test, core_dispatch_events_test, app_test, core_scheduling_test, core_job_table_test and platform_test pass unchanged.

--- a/cornelpond/app/FleetMetrics.cpp
+++ b/cornelpond/app/FleetMetrics.cpp
@@ -65,8 +65,8 @@
     gauge("jobsWithoutWorkers", scheduler.evacuation().jobsWithoutWorkers().count);
     metrics.setGauge("oldestCancelledRunMs", cancelled.oldest.toMilliseconds());
     EndedJobReport const& endedJobs = scheduler.dispatcher().endedJobReport();
-    for (int const seconds : { 2, 5 })
-        gauge(("endedJobAttempts{olderThanMs=\"" + std::to_string(Duration::seconds(seconds).toMilliseconds()) + "\"}").c_str(), endedJobs.attemptsOlderThan(Duration::seconds(seconds)));
+    for (Duration const age : { Duration::seconds(2), Duration::seconds(5) })
+        metrics.setGauge("endedJobAttempts{olderThanMs=\"" + std::to_string(age.toMilliseconds()) + "\"}", static_cast<int64_t>(endedJobs.attemptsOlderThan(age)));
     gauge("strayAttempts", endedJobs.listedOrphans());
     StopCounters const& stops = scheduler.dispatcher().stopCounters();
     gauge("stopsSent", stops.sent);
--- a/cornelpond/core/dispatch/DispatcherReports.cpp
+++ b/cornelpond/core/dispatch/DispatcherReports.cpp
@@ -46,13 +46,12 @@
 
 void Dispatcher::reportStray(WorkerView const& view, AttemptKey const& key)
 {
-    JobRecord const* job = this->jobs.find(key.first.job);
-    TaskRecord const* task = job ? this->jobs.findTask(key.first) : nullptr;
+    TaskRecord const* task = this->jobs.findTask(key.first);
     this->events.emit(Event(EventId::StrayAttempt)
                           .with("worker", view.profile.id)
                           .with("task", key.first.text())
                           .with("attempt", key.second)
-                          .with("state", std::string(job ? jobStateName(job->state) : "notKnown"))
+                          .with("state", std::string(this->jobs.stateName(key.first.job)))
                           .with("lastAttempt", task ? task->lastAttempt : AttemptNumber()));
 }
 
--- a/cornelpond/core/dispatch/EndedJobReport.cpp
+++ b/cornelpond/core/dispatch/EndedJobReport.cpp
@@ -132,7 +132,7 @@
         return;
     this->events.emit(Event(EventId::JobStopsDone)
                           .with("job", end.task.job)
-                          .with("state", std::string(job ? jobStateName(job->state) : "notKnown"))
+                          .with("state", std::string(this->jobs.stateName(end.task.job)))
                           .with("lastedMs", this->clock.now() - ended.endedAt)
                           .with("attempts", ended.attempts)
                           .with("stops", ended.stops)
@@ -180,17 +180,22 @@
     });
 }
 
-void EndedJobReport::reportAttempt(TaskRef const& task, Attempt const& attempt, Duration age, bool canSendOrders)
+Event EndedJobReport::attemptEvent(TaskRef const& task, Attempt const& attempt, char const* phase, Duration age) const
 {
-    TimePoint const now = this->clock.now();
-    JobRecord const* job = this->jobs.find(task.job);
     Event event(EventId::AttemptOutlivesJob);
     event.with("task", task.text())
         .with("attempt", attempt.number)
         .with("worker", attempt.worker)
-        .with("phase", this->phaseName(task, attempt))
-        .with("state", std::string(job ? jobStateName(job->state) : "notKnown"))
+        .with("phase", phase)
+        .with("state", std::string(this->jobs.stateName(task.job)))
         .with("sinceMs", age);
+    return event;
+}
+
+void EndedJobReport::reportAttempt(TaskRef const& task, Attempt const& attempt, Duration age, bool canSendOrders)
+{
+    TimePoint const now = this->clock.now();
+    Event event = this->attemptEvent(task, attempt, this->phaseName(task, attempt), age);
     if (PlacedAttempt const* placed = this->findPlaced(task, attempt)) {
         addStops(event, placed->stopOrders);
         event.with("stopping", static_cast<int>(placed->isStopping))
@@ -202,8 +207,7 @@
             .with("listedMs", ageMs(now, placed->lastListedAt));
     }
     this->addWorker(event, attempt.worker);
-    event.with("canSendOrders", static_cast<int>(canSendOrders));
-    this->events.emit(event);
+    this->events.emit(event.with("canSendOrders", static_cast<int>(canSendOrders)));
 }
 
 /// What the leader knows of the worker; nothing when it does not know it.
@@ -240,18 +244,10 @@
 
 void EndedJobReport::reportOrphan(WorkerId const& worker, AttemptKey const& key, OrphanedAttempt const& orphan, bool canSendOrders)
 {
-    JobRecord const* job = this->jobs.find(key.first.job);
-    Event event(EventId::AttemptOutlivesJob);
-    event.with("task", key.first.text())
-        .with("attempt", key.second)
-        .with("worker", worker)
-        .with("phase", "stray")
-        .with("state", std::string(job ? jobStateName(job->state) : "notKnown"))
-        .with("sinceMs", ageMs(this->clock.now(), orphan.listedSince));
+    Event event = this->attemptEvent(key.first, { key.second, worker }, "stray", this->clock.now() - *orphan.listedSince);
     addStops(event, orphan.stopOrders);
     this->addWorker(event, worker);
-    event.with("canSendOrders", static_cast<int>(canSendOrders));
-    this->events.emit(event);
+    this->events.emit(event.with("canSendOrders", static_cast<int>(canSendOrders)));
 }
 
 size_t EndedJobReport::attemptsOlderThan(Duration age) const
--- a/cornelpond/core/dispatch/EndedJobReport.h
+++ b/cornelpond/core/dispatch/EndedJobReport.h
@@ -9,6 +9,7 @@
 //   report.onEndApplied(end, placedAttempt);
 //   report.onTick(canSendOrders);
 
+#include "cornelpond/core/base/Event.h"
 #include "cornelpond/core/dispatch/WorkerView.h"
 #include "cornelpond/core/jobs/JobTable.h"
 #include "cornelpond/ports/Clock.h"
@@ -51,7 +52,10 @@
     char const* phaseName(TaskRef const& task, Attempt const& attempt);
     void reportAttempts(JobId const& id, EndedJob const& ended, bool canSendOrders);
     void reportOrphans(bool canSendOrders);
+    /// With what the lines of all attempts begin with.
+    Event attemptEvent(TaskRef const& task, Attempt const& attempt, char const* phase, Duration age) const;
     void reportAttempt(TaskRef const& task, Attempt const& attempt, Duration age, bool canSendOrders);
+    /// Precondition: `orphan.listedSince` is set.
     void reportOrphan(WorkerId const& worker, AttemptKey const& key, OrphanedAttempt const& orphan, bool canSendOrders);
     void addWorker(Event& event, WorkerId const& worker) const;
     bool takeLine();
--- a/cornelpond/core/jobs/JobTable.cpp
+++ b/cornelpond/core/jobs/JobTable.cpp
@@ -483,6 +483,12 @@
     return found == this->jobs.end() ? nullptr : &found->second;
 }
 
+std::string_view JobTable::stateName(JobId const& id) const
+{
+    JobRecord const* job = this->find(id);
+    return job ? jobStateName(job->state) : "notKnown";
+}
+
 JobRecord* JobTable::findMutable(JobId const& id)
 {
     auto const found = this->jobs.find(id);
--- a/cornelpond/core/jobs/JobTable.h
+++ b/cornelpond/core/jobs/JobTable.h
@@ -142,6 +142,9 @@
 
     TaskRecord const* findTask(TaskRef const& task) const;
 
+    /// For logs: that of its state, "notKnown" for a job without a record.
+    std::string_view stateName(JobId const& job) const;
+
     /// True for a job that was cancelled lately and has no record. Its submission is to be refused: once committed, the job
     /// would start.
     bool isCancelledWithoutRecord(JobId const& job) const { return this->cancelledIds.contains(job) && !this->find(job); }
--- a/cornelpond/core/scheduling/JobScheduler.cpp
+++ b/cornelpond/core/scheduling/JobScheduler.cpp
@@ -540,7 +540,7 @@
 JobScheduler::Done JobScheduler::withCancelReport(JobId const& id, JobRecord const* job, Done answer)
 {
     int64_t const ageMs = job ? this->clock.wallMilliseconds() - job->acceptedWallMs : 0;
-    std::string const state(job ? jobStateName(job->state) : "notKnown");
+    std::string const state(this->jobTable.stateName(id));
     return [this, id, state, ageMs, since = this->clock.now(), answer = std::move(answer)](CallResult result) {
         this->schedulerCounters.cancelsAnswered[result]++;
         this->events.emit(Event(EventId::CancelAnswered)
