Tests read events' fields, and make those of tasks, in one place

EventFields.h, TaskEvents.h, RecordingEventSink::of() and FakeClock serve all of them. All assertions are as before.

--- a/bench/log/LogBench.cpp
+++ b/bench/log/LogBench.cpp
@@ -3,6 +3,8 @@
 //   log_bench STARTS-PER-SECOND
 
 #include "cornelpond/adapters/log/JsonEventSink.h"
+#include "testing/fakes/FakeClock.h"
+#include "testing/fakes/TaskEvents.h"
 
 #include <fmt/format.h>
 
@@ -18,56 +20,6 @@
 constexpr int flushesPerBurst = 2;
 constexpr int defaultStartsPerSecond = 1500;
 
-class ManualClock final : public Clock {
-public:
-    TimePoint now() const override { return TimePoint() + this->passed; }
-    int64_t wallMilliseconds() const override { return this->passed.toMilliseconds(); }
-
-    Duration passed = Duration::seconds(1);
-};
-
-Event placed(std::string const& task, int number)
-{
-    return Event(EventId::TaskPlaced)
-        .with("task", task)
-        .with("attempt", 1)
-        .with("worker", WorkerId("i-0" + std::to_string(1000000 + number % 1100)))
-        .with("listedMs", number % 700)
-        .with("freeMilliCores", 1000 * (number % 16))
-        .with("tailPercent", 0)
-        .with("speedPercent", 100)
-        .with("sinceAcceptedMs", number % 9000)
-        .with("objectiveMs", 802)
-        .with("lateness", 1);
-}
-
-Event started(std::string const& task, int number)
-{
-    return Event(EventId::RelayedStartExecuted)
-        .with("leader", HostId("10.3.0.233"))
-        .with("task", task)
-        .with("attempt", 1)
-        .with("worker", WorkerId("i-0" + std::to_string(1000000 + number % 1100)))
-        .with("epoch", 4194304 + number)
-        .with("processBornMs", int64_t(1796602000000) + number)
-        .with("leaseUntilMs", 500000 + number)
-        .with("expired", 0)
-        .with("result", "accepted")
-        .with("lastedMs", number % 20)
-        .with("clockMs", 496500 + number);
-}
-
-Event ended(std::string const& task, int number)
-{
-    return Event(EventId::AttemptEnded)
-        .with("task", task)
-        .with("attempt", 1)
-        .with("worker", WorkerId("i-0" + std::to_string(1000000 + number % 1100)))
-        .with("outcome", "done")
-        .with("effect", "stageDone")
-        .with("checkpoint", std::string());
-}
-
 double processorSeconds()
 {
     return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
@@ -82,7 +34,7 @@
         int const due = turn % flushesPerBurst ? 0 : startsPerSecond * flushesPerBurst / flushesPerSecond;
         for (int i = 0; i < due; i++, task++) {
             std::string const name = "fafab434d0" + std::to_string(100000 + task / stageSize) + ".0.0." + std::to_string(task % stageSize);
-            for (Event const& event : { placed(name, task), started(name, task), ended(name, task) }) {
+            for (Event const& event : { placedEvent(name, task), startedEvent(name, task), endedEvent(name, task) }) {
                 if (sink)
                     sink->emit(event);
             }
@@ -98,7 +50,7 @@
 {
     int const startsPerSecond = argc > 1 ? std::atoi(argv[1]) : defaultStartsPerSecond;
     for (int const stageSize : { 1, 4, 20, 100 }) {
-        ManualClock clock;
+        FakeClock clock;
         size_t bytes = 0;
         std::string last;
         uint64_t suppressed = 0;
@@ -110,7 +62,7 @@
         });
         double const without = emitAll(startsPerSecond, stageSize, nullptr, [] {});
         double const with = emitAll(startsPerSecond, stageSize, &sink, [&] {
-            clock.passed = clock.passed + Duration::milliseconds(1000 / flushesPerSecond);
+            clock.advance(Duration::milliseconds(1000 / flushesPerSecond));
             sink.flush();
         });
         uint64_t const events = uint64_t(3) * static_cast<uint64_t>(startsPerSecond) * seconds;
--- a/cornelpond/adapters/log/EventGatheringTest.cpp
+++ b/cornelpond/adapters/log/EventGatheringTest.cpp
@@ -2,6 +2,7 @@
 #include "cornelpond/adapters/log/JsonEventSink.h"
 
 #include "testing/fakes/FakeClock.h"
+#include "testing/fakes/TaskEvents.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -87,48 +88,6 @@
     return "fafab434d0" + number + ".0.0." + std::to_string(index);
 }
 
-Event placed(std::string const& task, int number)
-{
-    return Event(EventId::TaskPlaced)
-        .with("task", task)
-        .with("attempt", 1)
-        .with("worker", WorkerId("i-0" + std::to_string(1000000 + number % 1100)))
-        .with("listedMs", number % 700)
-        .with("freeMilliCores", 1000 * (number % 16))
-        .with("tailPercent", 0)
-        .with("speedPercent", 100)
-        .with("sinceAcceptedMs", number % 9000)
-        .with("objectiveMs", 802)
-        .with("lateness", 1);
-}
-
-Event ended(std::string const& task, int number)
-{
-    return Event(EventId::AttemptEnded)
-        .with("task", task)
-        .with("attempt", 1)
-        .with("worker", WorkerId("i-0" + std::to_string(1000000 + number % 1100)))
-        .with("outcome", "done")
-        .with("effect", "stageDone")
-        .with("checkpoint", std::string());
-}
-
-Event started(std::string const& task, int number)
-{
-    return Event(EventId::RelayedStartExecuted)
-        .with("leader", HostId("10.3.0.233"))
-        .with("task", task)
-        .with("attempt", 1)
-        .with("worker", WorkerId("i-0" + std::to_string(1000000 + number % 1100)))
-        .with("epoch", 4194304 + number)
-        .with("processBornMs", int64_t(1796602000000) + number)
-        .with("leaseUntilMs", 500000 + number)
-        .with("expired", 0)
-        .with("result", "accepted")
-        .with("lastedMs", number % 20)
-        .with("clockMs", 496500 + number);
-}
-
 /// Bursts of 500 starts and as many ends in 100 ms, three a second, of stages of `stageSize` tasks. Returns the number of tasks.
 int emitBursts(Log& log, int seconds, int stageSize)
 {
@@ -138,9 +97,9 @@
     for (int burst = 0; burst < seconds * burstsPerSecond; burst++) {
         for (int i = 0; i < burstSize; i++, task++) {
             std::string const name = taskName(task / stageSize, task % stageSize);
-            log.sink.emit(placed(name, task));
-            log.sink.emit(started(name, task));
-            log.sink.emit(ended(name, task));
+            log.sink.emit(placedEvent(name, task));
+            log.sink.emit(startedEvent(name, task));
+            log.sink.emit(endedEvent(name, task));
             if (i == burstSize / 2)
                 log.run(flushInterval);
         }
@@ -155,9 +114,9 @@
 TEST_CASE("events about tasks of one stage share a line with what they have in common, and rows with the rest")
 {
     Log log;
-    log.sink.emit(ended("7.0.1.3", 1));
+    log.sink.emit(endedEvent("7.0.1.3", 1));
     log.clock.advance(Duration::milliseconds(20));
-    log.sink.emit(ended("7.0.1.12", 2));
+    log.sink.emit(endedEvent("7.0.1.12", 2));
     log.sink.flush();
     CHECK(log.written.empty());
     log.run(Duration::milliseconds(100));
@@ -170,7 +129,7 @@
 {
     Log log;
     int64_t const startMs = log.clock.wallMilliseconds();
-    Event const event = placed("7.0.1.3", 1);
+    Event const event = placedEvent("7.0.1.3", 1);
     log.sink.emit(event);
     log.run(second);
     CHECK(log.written == formatJsonEvent(event, HostId("core-1"), startMs) + "\n");
@@ -179,9 +138,9 @@
 TEST_CASE("events of other stages, with other keys or other ids are not mixed")
 {
     Log log;
-    log.sink.emit(ended("7.0.1.3", 1));
-    log.sink.emit(ended("7.0.2.3", 1));
-    log.sink.emit(placed("7.0.1.3", 1));
+    log.sink.emit(endedEvent("7.0.1.3", 1));
+    log.sink.emit(endedEvent("7.0.2.3", 1));
+    log.sink.emit(placedEvent("7.0.1.3", 1));
     log.sink.emit(Event(EventId::AttemptEnded).with("task", std::string("7.0.1.4")).with("outcome", "lost"));
     log.sink.emit(Event(EventId::AttemptEnded).with("task", std::string("7.0.1.5")).with("outcome", 3));
     log.run(second);
@@ -212,7 +171,7 @@
             written += bytes;
             return bytes.size();
         });
-        sink.emit(ended("7.0.1.3", 1));
+        sink.emit(endedEvent("7.0.1.3", 1));
     }
     CHECK(written.find("7.0.1.3") != std::string::npos);
 }
@@ -222,14 +181,14 @@
     Log log;
     GatheringLimits const limits;
     for (size_t i = 0; i < 2 * limits.maxRowsPerLine + 1; i++)
-        log.sink.emit(ended("7.0.1." + std::to_string(i), 1));
+        log.sink.emit(endedEvent("7.0.1." + std::to_string(i), 1));
     log.sink.flush();
     CHECK(log.lines().size() == 2);
     for (auto const& line : log.lines())
         CHECK(line["rows"].size() == limits.maxRowsPerLine);
     Log full;
     for (size_t i = 0; i <= limits.maxKeptEvents; i++)
-        full.sink.emit(ended(taskName(static_cast<int>(i), 0), 1));
+        full.sink.emit(endedEvent(taskName(static_cast<int>(i), 0), 1));
     CHECK(full.sink.bufferedBytes() > 0);
 }
 
@@ -258,8 +217,8 @@
     int rare = 0;
     for (int task = 0; task < 100000; task++) {
         std::string const name = taskName(task, 0);
-        log.sink.emit(placed(name, task));
-        log.sink.emit(ended(name, task));
+        log.sink.emit(placedEvent(name, task));
+        log.sink.emit(endedEvent(name, task));
         if (task % 1000 == 0) {
             for (EventId const id : rareEvents)
                 log.sink.emit(Event(id).with("task", name).with("worker", "i-0"));
@@ -284,14 +243,14 @@
     Log log(limits);
     constexpr size_t events = 1000;
     for (size_t i = 0; i < events; i++)
-        log.sink.emit(ended(taskName(static_cast<int>(i), 0), 1));
+        log.sink.emit(endedEvent(taskName(static_cast<int>(i), 0), 1));
     log.run(second / 2);
     size_t const written = log.tasksOf(EventId::AttemptEnded).size();
     CHECK(log.written.size() <= limits.maxBytesPerEventPerSecond + 500);
     CHECK(written > 0);
     CHECK(log.sink.suppressedEvents().at(EventId::AttemptEnded) == events - written);
     log.run(second);
-    log.sink.emit(ended(taskName(0, 1), 1));
+    log.sink.emit(endedEvent(taskName(0, 1), 1));
     log.run(second);
     CHECK(log.tasksOf(EventId::AttemptEnded).size() == written + 1);
 }
@@ -305,7 +264,7 @@
     Log log(limits);
     log.isRead = false;
     for (int i = 0; i < 10000; i++) {
-        log.sink.emit(placed(taskName(i, 0), i));
+        log.sink.emit(placedEvent(taskName(i, 0), i));
         log.sink.emit(Event(EventId::CallRefused).with("path", "/coli58/"));
         log.sink.flush();
     }
--- a/cornelpond/core/dispatch/DispatcherEventsTest.cpp
+++ b/cornelpond/core/dispatch/DispatcherEventsTest.cpp
@@ -1,5 +1,6 @@
 // What the leader logs and counts when orders for a former process of a worker may have reached the present one.
 
+#include "testing/fakes/EventFields.h"
 #include "testing/fakes/ForwardingOrders.h"
 #include "testing/fakes/JobBench.h"
 
@@ -72,15 +73,7 @@
         this->bench.fleet.restart(this->worker);
     }
 
-    std::vector<Event> eventsOf(EventId id) const
-    {
-        std::vector<Event> found;
-        for (auto const& event : this->bench.events.all()) {
-            if (event.id() == id)
-                found.push_back(event);
-        }
-        return found;
-    }
+    std::vector<Event> eventsOf(EventId id) const { return this->bench.events.of(id); }
 
     WorkerProcessCounters const& counters() { return this->bench.leader().scheduler().dispatcher().processCounters(); }
     FormerOrderWorkers formerOrderWorkers() { return this->bench.leader().scheduler().dispatcher().formerOrderWorkers(); }
@@ -89,19 +82,6 @@
     WorkerId const worker { "w0" };
 };
 
-/// Empty when the event has no such field.
-std::string valueOf(Event const& event, std::string const& key)
-{
-    auto const& fields = event.fields();
-    auto const found = std::find_if(fields.begin(), fields.end(), [&](EventField const& field) { return field.key == key; });
-    return found == fields.end() ? std::string() : found->value;
-}
-
-int64_t numberOf(Event const& event, std::string const& key)
-{
-    return std::stoll(valueOf(event, key));
-}
-
 /// The worker of the job's only task.
 WorkerId workerOf(JobBench& bench, JobId const& job)
 {
--- a/cornelpond/core/dispatch/EndedJobReportTest.cpp
+++ b/cornelpond/core/dispatch/EndedJobReportTest.cpp
@@ -1,11 +1,11 @@
 // What the leader logs about the attempts of cancelled jobs.
 
+#include "testing/fakes/EventFields.h"
 #include "testing/fakes/ForwardingOrders.h"
 #include "testing/fakes/JobBench.h"
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
 #include <string>
 #include <utility>
 #include <vector>
@@ -21,29 +21,6 @@
 /// Of a worker that answers: a renewal waits for an event, behind a stop that gets no answer.
 Duration const longestListingAge = DispatchTimes().longPollWait + DispatchTimes().orderTimeout;
 
-std::vector<Event> eventsOf(JobBench const& bench, EventId id)
-{
-    std::vector<Event> found;
-    for (auto const& event : bench.events.all()) {
-        if (event.id() == id)
-            found.push_back(event);
-    }
-    return found;
-}
-
-/// Empty when the event has no such field.
-std::string valueOf(Event const& event, std::string const& key)
-{
-    auto const& fields = event.fields();
-    auto const found = std::find_if(fields.begin(), fields.end(), [&](EventField const& field) { return field.key == key; });
-    return found == fields.end() ? std::string() : found->value;
-}
-
-int64_t numberOf(Event const& event, std::string const& key)
-{
-    return std::stoll(valueOf(event, key));
-}
-
 /// Confirms stops without passing them on, while a test wants it.
 class ConfirmedStops final : public ForwardingOrders {
 public:
@@ -90,7 +67,7 @@
     JobBench& bench = running.bench;
     bench.cancel(running.job);
     bench.run(second * 2);
-    std::vector<Event> const begun = eventsOf(bench, EventId::JobStopsBegun);
+    std::vector<Event> const begun = bench.events.of(EventId::JobStopsBegun);
     REQUIRE(begun.size() == 1);
     CHECK(valueOf(begun[0], "job") == "plan");
     CHECK(valueOf(begun[0], "queue") == bench.queueOf(makeJob("plan", 3, 100, second)).name.value());
@@ -99,7 +76,7 @@
     CHECK(valueOf(begun[0], "inherited") == "0");
     CHECK(valueOf(begun[0], "attempts") == "3");
     CHECK(valueOf(begun[0], "live") == "0.0.0/1@w0:running,0.0.1/1@w0:running,0.0.2/1@w0:running");
-    std::vector<Event> const done = eventsOf(bench, EventId::JobStopsDone);
+    std::vector<Event> const done = bench.events.of(EventId::JobStopsDone);
     REQUIRE(done.size() == 1);
     CHECK(valueOf(done[0], "job") == "plan");
     CHECK(valueOf(done[0], "attempts") == "3");
@@ -118,7 +95,7 @@
     bench.run(second);
     bench.cancel(JobId("waiting"));
     bench.run(second);
-    std::vector<Event> const begun = eventsOf(bench, EventId::JobStopsBegun);
+    std::vector<Event> const begun = bench.events.of(EventId::JobStopsBegun);
     REQUIRE(begun.size() == 1);
     CHECK(valueOf(begun[0], "before") == "queued");
     CHECK(valueOf(begun[0], "attempts") == "0");
@@ -137,7 +114,7 @@
     CHECK(running.report().attemptsOlderThan(second) == 3);
     CHECK(running.report().attemptsOlderThan(second * 2) == 0);
     bench.run(second);
-    std::vector<Event> const lines = eventsOf(bench, EventId::AttemptOutlivesJob);
+    std::vector<Event> const lines = bench.events.of(EventId::AttemptOutlivesJob);
     REQUIRE(lines.size() == 3);
     for (auto const& line : lines) {
         CHECK(valueOf(line, "task").substr(0, 9) == "plan.0.0.");
@@ -170,7 +147,7 @@
     static_cast<ConfirmedStops&>(*bench.orders).isConfirmingFalsely = true;
     bench.cancel(running.job);
     bench.run(Duration::milliseconds(4500));
-    std::vector<Event> const lines = eventsOf(bench, EventId::AttemptOutlivesJob);
+    std::vector<Event> const lines = bench.events.of(EventId::AttemptOutlivesJob);
     REQUIRE(lines.size() == 2);
     CHECK(valueOf(lines[1], "confirmed") == "1");
     CHECK(valueOf(lines[1], "lastResult") == "accepted");
@@ -193,7 +170,7 @@
     bench.run(second);
     bench.elect(1);
     bench.run(second / 10);
-    std::vector<Event> const begun = eventsOf(bench, EventId::JobStopsBegun);
+    std::vector<Event> const begun = bench.events.of(EventId::JobStopsBegun);
     REQUIRE(begun.size() == 2);
     CHECK(valueOf(begun[1], "inherited") == "1");
     CHECK(valueOf(begun[1], "before") == "notKnown");
@@ -222,13 +199,13 @@
     order.epoch = dispatcher.orderEpoch(dispatcher.workers().at(onlyWorker));
     bench.fleet.start({ onlyWorker, "10.0.0.0:80", DataCentreId() }, order, [](OrderAnswer const&) {});
     bench.run(second);
-    std::vector<Event> const strays = eventsOf(bench, EventId::StrayAttempt);
+    std::vector<Event> const strays = bench.events.of(EventId::StrayAttempt);
     REQUIRE(strays.size() == 1);
     CHECK(valueOf(strays[0], "state") == "notKnown");
     CHECK(valueOf(strays[0], "lastAttempt") == "0");
     CHECK(dispatcher.endedJobReport().listedOrphans() == 1);
     bench.run(second * 2);
-    std::vector<Event> const lines = eventsOf(bench, EventId::AttemptOutlivesJob);
+    std::vector<Event> const lines = bench.events.of(EventId::AttemptOutlivesJob);
     REQUIRE(lines.size() == 1);
     CHECK(valueOf(lines[0], "task") == "unknown.0.0.0");
     CHECK(valueOf(lines[0], "phase") == "stray");
@@ -271,7 +248,7 @@
     bench.fleet.start({ onlyWorker, "10.0.0.0:80", DataCentreId() }, order, [](OrderAnswer const&) {});
     bench.run(second);
     CHECK(dispatcher.endedJobReport().listedOrphans() == 1);
-    std::vector<Event> const strays = eventsOf(bench, EventId::StrayAttempt);
+    std::vector<Event> const strays = bench.events.of(EventId::StrayAttempt);
     REQUIRE(strays.size() == 1);
     CHECK(valueOf(strays[0], "task") == "plan.0.0.0");
     CHECK(valueOf(strays[0], "attempt") == "1");
@@ -288,13 +265,13 @@
     bench.fleet.setLostStops(onlyWorker, LostStops::All);
     bench.cancel(running.job);
     bench.run(second * 3);
-    std::vector<Event> const begun = eventsOf(bench, EventId::JobStopsBegun);
+    std::vector<Event> const begun = bench.events.of(EventId::JobStopsBegun);
     REQUIRE(begun.size() == 1);
     CHECK(valueOf(begun[0], "attempts") == std::to_string(tasks));
     CHECK(valueOf(begun[0], "live").size() < 1000);
     size_t const lines = bench.events.count(EventId::AttemptOutlivesJob);
     CHECK(lines == 50);
-    std::vector<Event> const suppressed = eventsOf(bench, EventId::EventsSuppressed);
+    std::vector<Event> const suppressed = bench.events.of(EventId::EventsSuppressed);
     REQUIRE(suppressed.size() == 1);
     CHECK(valueOf(suppressed[0], "suppressed") == "AttemptOutlivesJob");
     CHECK(numberOf(suppressed[0], "lines") == static_cast<int64_t>(tasks - lines));
@@ -337,11 +314,11 @@
     order.epoch = dispatcher.orderEpoch(dispatcher.workers().at(onlyWorker));
     bench.fleet.start({ onlyWorker, "10.0.0.0:80", DataCentreId() }, order, [](OrderAnswer const&) {});
     bench.run(second * 3);
-    std::vector<Event> const strays = eventsOf(bench, EventId::StrayAttempt);
+    std::vector<Event> const strays = bench.events.of(EventId::StrayAttempt);
     REQUIRE(strays.size() == 1);
     CHECK(valueOf(strays[0], "state") == "cancelled");
     CHECK(valueOf(strays[0], "lastAttempt") == "0"); // The records of the job's tasks went with its last attempt.
-    std::vector<Event> const lines = eventsOf(bench, EventId::AttemptOutlivesJob);
+    std::vector<Event> const lines = bench.events.of(EventId::AttemptOutlivesJob);
     REQUIRE(lines.size() == 1);
     CHECK(valueOf(lines[0], "task") == "plan.0.0.0");
     CHECK(valueOf(lines[0], "phase") == "stray");
--- a/cornelpond/core/relay/OrderRelayTest.cpp
+++ b/cornelpond/core/relay/OrderRelayTest.cpp
@@ -1,5 +1,6 @@
 #include "cornelpond/core/relay/OrderRelay.h"
 
+#include "testing/fakes/EventFields.h"
 #include "testing/fakes/FakeClock.h"
 #include "testing/fakes/RecordingEventSink.h"
 
@@ -513,13 +514,6 @@
     return fields;
 }
 
-/// Empty without such a field.
-std::string valueOf(Fields const& fields, std::string const& key)
-{
-    auto const found = std::find_if(fields.begin(), fields.end(), [&](auto const& field) { return field.first == key; });
-    return found == fields.end() ? std::string() : found->second;
-}
-
 } // namespace
 
 TEST_CASE("a relay logs a start once, when it has the answer")
@@ -564,7 +558,7 @@
     hosts.deliver();
     hosts.relayDirect.answers.at(1)(accepted());
     REQUIRE(hosts.events.all().size() == 2);
-    Fields const known = fieldsOf(hosts.events.all()[1]);
+    Event const known = hosts.events.all()[1];
     CHECK(valueOf(known, "starts") == "1");
     CHECK(valueOf(known, "startResult") == "accepted");
     CHECK(std::stoi(valueOf(known, "sinceStartMs")) >= 3000);
@@ -573,7 +567,7 @@
     hosts.deliver();
     hosts.relayDirect.answers.at(2)(accepted());
     REQUIRE(hosts.events.all().size() == 3);
-    Fields const unknown = fieldsOf(hosts.events.all()[2]);
+    Event const unknown = hosts.events.all()[2];
     CHECK(valueOf(unknown, "starts") == "0");
     CHECK(valueOf(unknown, "startResult") == "notKnown");
     CHECK(valueOf(unknown, "sinceStartMs") == "-1");
--- a/cornelpond/core/scheduling/StepTimesTest.cpp
+++ b/cornelpond/core/scheduling/StepTimesTest.cpp
@@ -1,5 +1,6 @@
 #include "cornelpond/core/scheduling/StepTimes.h"
 
+#include "testing/fakes/EventFields.h"
 #include "testing/fakes/FakeClock.h"
 #include "testing/fakes/RecordingEventSink.h"
 
@@ -18,11 +19,7 @@
     std::string logged(std::string_view key) const
     {
         REQUIRE(this->events.all().size() == 1);
-        for (auto const& field : this->events.all().front().fields()) {
-            if (field.key == key)
-                return field.value;
-        }
-        return std::string();
+        return valueOf(this->events.all().front(), key);
     }
 
     FakeClock clock;
--- a/testing/fakes/ConclusionWatch.h
+++ b/testing/fakes/ConclusionWatch.h
@@ -8,9 +8,11 @@
 //   watch.run(Duration::seconds(5));
 //   CHECK(watch.concludedRuns == 0);
 
+#include "testing/fakes/EventFields.h"
 #include "testing/fakes/JobBench.h"
 
 #include <algorithm>
+#include <string>
 
 namespace cornelpond {
 
@@ -58,9 +60,9 @@
 
     void noteConclusion(Event const& event)
     {
-        auto const task = std::find_if(event.fields().begin(), event.fields().end(), [](EventField const& field) { return field.key == "task"; });
+        std::string const task = valueOf(event, "task");
         this->concluded++;
-        this->concludedRuns += this->bench.fleet.runningCount(JobId(task->value.substr(0, task->value.find('.')))) > 0;
+        this->concludedRuns += this->bench.fleet.runningCount(JobId(task.substr(0, task.find('.')))) > 0;
     }
 
     JobBench& bench;
--- a/testing/fakes/RecordingEventSink.h
+++ b/testing/fakes/RecordingEventSink.h
@@ -5,6 +5,7 @@
 #include "cornelpond/ports/EventSink.h"
 
 #include <algorithm>
+#include <iterator>
 #include <stdexcept>
 #include <vector>
 
@@ -26,6 +27,13 @@
 
     std::vector<Event> const& all() const { return this->events; }
 
+    std::vector<Event> of(EventId id) const
+    {
+        std::vector<Event> found;
+        std::copy_if(this->events.begin(), this->events.end(), std::back_inserter(found), [&](auto const& event) { return event.id() == id; });
+        return found;
+    }
+
     bool expectsInternalFaults = false;
 
 private:
