--- a/testing/soak/Soak.cpp
+++ b/testing/soak/Soak.cpp
@@ -101,7 +101,8 @@
         void goDown(SoakWorker& worker);
         void restart(SoakWorker& worker);
         void restartAndCut(SoakWorker& worker, Duration cutAfter);
-        void restartSilently(SoakWorker& worker, Duration cutAfter, bool keepsConnections);
+        void restartSilently(SoakWorker& worker, Duration downTime, bool keepsConnections);
+        void restartSilentlyAndCut(SoakWorker& worker, Duration cutAfter, bool keepsConnections);
         void restartMostSilently(FaultStep const& fault);
         void submitWhileDown();
         void setLateOrders(bool outliveProcesses);
@@ -111,8 +112,8 @@
         int entryHostFor(FaultStep const& fault) const;
         int controlHostFor(FaultStep const& fault) const;
         void pauseHost(int host, Duration span);
+        LinkFaults soundWorkerLink() const;
         void cutOneWay(FaultStep const& fault, SoakWorker& worker);
-        void restartSilentlyAlone(FaultStep const& fault, SoakWorker& worker);
         void injectOutage(FaultStep const& fault, int host);
         void fillDisk(FaultStep const& fault, int host);
         void loseMajority(FaultStep const& fault, int spared);
@@ -272,9 +273,7 @@
             this->logOrders(worker);
             uint16_t const port = worker.server->listen({ "127.0.0.1", 0 });
             worker.proxy = std::make_unique<FaultProxy>(this->loop, this->random, Address { "127.0.0.1", 0 }, Address { "127.0.0.1", port });
-            LinkFaults limits;
-            limits.maxConnections = this->options.workerConnectionLimit;
-            worker.proxy->setFaults(limits);
+            worker.proxy->setFaults(this->soundWorkerLink());
             worker.foreignConnections = std::make_unique<IdleConnections>(this->loop, Address { "127.0.0.1", worker.proxy->port() });
             worker.address = "127.0.0.1:" + std::to_string(worker.proxy->port());
             this->workerServers.push_back(std::move(worker));
@@ -687,16 +686,21 @@
         this->loop.after(downTime + cutAfter + cutTime, [this, &worker] { this->workers.setCut(worker.id, false); });
     }
 
-    void SoakRun::restartSilently(SoakWorker& worker, Duration cutAfter, bool keepsConnections)
+    void SoakRun::restartSilently(SoakWorker& worker, Duration downTime, bool keepsConnections)
     {
         worker.proxy->pause();
         this->goDown(worker);
-        this->loop.after(silentDownTime, [this, &worker, keepsConnections] {
+        this->loop.after(downTime, [this, &worker, keepsConnections] {
             if (!keepsConnections)
                 worker.proxy->closeOpenConnections();
             this->workers.restart(worker.id);
             worker.proxy->resume();
         });
+    }
+
+    void SoakRun::restartSilentlyAndCut(SoakWorker& worker, Duration cutAfter, bool keepsConnections)
+    {
+        this->restartSilently(worker, silentDownTime, keepsConnections);
         this->loop.after(silentDownTime + cutAfter, [this, &worker] {
             worker.proxy->pause();
             this->workers.setCut(worker.id, true);
@@ -707,17 +711,12 @@
         });
     }
 
-    void SoakRun::restartSilentlyAlone(FaultStep const& fault, SoakWorker& worker)
+    /// Without faults, but for the limit of the worker's connections.
+    LinkFaults SoakRun::soundWorkerLink() const
     {
-        bool const keepsConnections = fault.targetSelector / this->workerServers.size() % 2;
-        worker.proxy->pause();
-        this->goDown(worker);
-        this->loop.after(std::min(silentDownTime, fault.duration), [this, &worker, keepsConnections] {
-            if (!keepsConnections)
-                worker.proxy->closeOpenConnections();
-            this->workers.restart(worker.id);
-            worker.proxy->resume();
-        });
+        LinkFaults sound;
+        sound.maxConnections = this->options.workerConnectionLimit;
+        return sound;
     }
 
     void SoakRun::cutOneWay(FaultStep const& fault, SoakWorker& worker)
@@ -726,9 +725,7 @@
         (fault.targetSelector / this->workerServers.size() % 2 ? cut.isCutToServer : cut.isCutToClient) = true;
         worker.proxy->setFaults(cut);
         this->loop.after(fault.duration, [this, &worker] {
-            LinkFaults healed;
-            healed.maxConnections = this->options.workerConnectionLimit;
-            worker.proxy->setFaults(healed);
+            worker.proxy->setFaults(this->soundWorkerLink());
         });
     }
 
@@ -740,7 +737,7 @@
         this->faults.push_back(fmt::format("         all workers but one in {}, connections {}", sparedShare, keepsConnections ? "kept" : "closed"));
         for (size_t i = 0; i < this->workerServers.size(); i++) {
             if (i % sparedShare != fault.targetSelector % sparedShare)
-                this->restartSilently(this->workerServers[i], fault.duration, keepsConnections);
+                this->restartSilentlyAndCut(this->workerServers[i], fault.duration, keepsConnections);
         }
         this->clients.pauseSubmitting(silentDownTime + fault.duration + cutTime); // The leader waits for the lease of each start, also where it reaches nobody.
         this->submitWhileDown();
@@ -803,7 +800,7 @@
                 each.proxy->silenceHalf();
             return;
         case FaultKind::RestartWorkerSilently:
-            return this->restartSilentlyAlone(fault, worker);
+            return this->restartSilently(worker, std::min(silentDownTime, fault.duration), fault.targetSelector / this->workerServers.size() % 2);
         case FaultKind::OddListings:
             worker.server->setOddListings(&this->random);
             this->loop.after(fault.duration, [&worker] { worker.server->setOddListings(nullptr); });
